Workspace, result codes, configuration documents and the node's shell

Cause: an empty repository. This is the common ground that the spread, the call path, the tools and the stand-ins are built on side by side.

--- /dev/null
+++ b/core/src/config/validate.rs
@@ -0,0 +1,153 @@
+//! Checks of a published document, the same on every node and in `sycamore-check`.
+
+use super::document::{MAX_DOCUMENT_BYTES, Part, Preset, Route, Service, ServiceLimits};
+use super::in_force::InForce;
+use crate::hash::Hash;
+use crate::{Code, Fault, Name, Result};
+use std::collections::HashSet;
+use std::ops::RangeInclusive;
+
+/// Reads the value of the key `in-force`.
+pub fn parse_in_force(buf: &[u8]) -> Result<InForce> {
+    parse(buf)
+}
+
+/// Reads the body of a preset and checks its digest and name against the publication, but not yet
+/// its content: its parts may be missing.
+pub fn parse_preset(buf: &[u8], publication: &InForce) -> Result<Preset> {
+    check_digest(buf, &publication.digest)?;
+    let preset: Preset = parse(buf)?;
+    if preset.name != publication.preset {
+        let detail = format!("found {}, published as {}", preset.name, publication.preset);
+        return Err(Fault::new(Code::PresetMismatch).with_place("name").with_detail(detail));
+    }
+    Ok(preset)
+}
+
+/// Reads a part of a preset and checks its digest.
+pub fn parse_part(buf: &[u8], digest: &Hash) -> Result<Part> {
+    check_digest(buf, digest)?;
+    parse(buf)
+}
+
+/// Adds the services and routes of a part to a preset. A name that stands twice is refused.
+pub fn add_part(preset: &mut Preset, part: Part) -> Result<()> {
+    for (name, service) in part.services {
+        if preset.services.insert(name.clone(), service).is_some() {
+            return Err(repeated("services", &name));
+        }
+    }
+    for (name, route) in part.routes {
+        if preset.routes.insert(name.clone(), route).is_some() {
+            return Err(repeated("routes", &name));
+        }
+    }
+    Ok(())
+}
+
+/// Checks a whole preset, its parts added. Returns the first failure, in the document's order.
+pub fn preset(preset: &Preset) -> Result<()> {
+    let mut vms = HashSet::new();
+    for (name, service) in &preset.services {
+        check_service(name, service, &mut vms)?;
+    }
+    let mut prefixes = HashSet::new();
+    for (name, route) in &preset.routes {
+        check_route(name, route, preset)?;
+        if !prefixes.insert(route.path_prefix.as_str()) {
+            let place = format!("routes.{name}.path_prefix");
+            return Err(Fault::new(Code::RouteAmbiguous)
+                .with_place(place)
+                .with_detail(&route.path_prefix));
+        }
+    }
+    Ok(())
+}
+
+fn parse<T: serde::de::DeserializeOwned>(buf: &[u8]) -> Result<T> {
+    if buf.len() > MAX_DOCUMENT_BYTES {
+        let detail = format!("{} bytes, at most {MAX_DOCUMENT_BYTES}", buf.len());
+        return Err(Fault::new(Code::DocumentTooLarge).with_detail(detail));
+    }
+    let deserializer = &mut serde_json::Deserializer::from_slice(buf);
+    let value = serde_path_to_error::deserialize(deserializer).map_err(|e| {
+        let place = e.path().to_string();
+        Fault::new(Code::DocumentInvalid).with_place(place).with_detail(e.into_inner())
+    })?;
+    Ok(value)
+}
+
+fn check_digest(buf: &[u8], digest: &Hash) -> Result<()> {
+    let found = Hash::of(buf);
+    if found == *digest {
+        return Ok(());
+    }
+    Err(Fault::new(Code::DigestMismatch).with_detail(format!("found {found}, expected {digest}")))
+}
+
+fn repeated(place: &str, name: &Name) -> Fault {
+    Fault::new(Code::DocumentInvalid)
+        .with_place(format!("{place}.{name}"))
+        .with_detail("the name stands in more than one part")
+}
+
+fn check_service<'a>(name: &Name, service: &'a Service, vms: &mut HashSet<&'a Name>) -> Result<()> {
+    let place = format!("services.{name}");
+    check_limits(&place, &service.limits)?;
+    if service.targets.is_empty() {
+        return Err(Fault::new(Code::ServiceEmpty).with_place(format!("{place}.targets")));
+    }
+    for (index, target) in service.targets.iter().enumerate() {
+        if !vms.insert(&target.vm) {
+            let place = format!("{place}.targets[{index}].vm");
+            return Err(Fault::new(Code::TargetRepeated).with_place(place).with_detail(&target.vm));
+        }
+    }
+    Ok(())
+}
+
+fn check_limits(place: &str, limits: &ServiceLimits) -> Result<()> {
+    let ranges = [
+        ("slots", limits.slots, 1..=10_000),
+        ("connections", limits.connections, limits.slots..=10_000),
+        ("queue", limits.queue, 0..=100_000),
+        ("queue_wait_ms", limits.queue_wait_ms, 1..=60_000),
+        ("retry_budget_percent", limits.retry_budget_percent, 0..=100),
+        ("warm_up_ms", limits.warm_up_ms, 0..=600_000),
+        ("bulk_share_percent", limits.bulk_share_percent, 1..=100),
+        ("drain_ms", limits.drain_ms, 1_000..=3_600_000),
+    ];
+    for (field, found, allowed) in ranges {
+        check_range(&format!("{place}.limits.{field}"), found, allowed)?;
+    }
+    Ok(())
+}
+
+fn check_route(name: &Name, route: &Route, preset: &Preset) -> Result<()> {
+    let place = format!("routes.{name}");
+    if !route.path_prefix.starts_with('/') {
+        return Err(Fault::new(Code::DocumentInvalid)
+            .with_place(format!("{place}.path_prefix"))
+            .with_detail(format!("found {:?}, a path starts with /", route.path_prefix)));
+    }
+    if !preset.services.contains_key(&route.service) {
+        return Err(Fault::new(Code::RouteDangling)
+            .with_place(format!("{place}.service"))
+            .with_detail(&route.service));
+    }
+    check_range(&format!("{place}.deadline_ms"), route.deadline_ms, 1..=600_000)?;
+    check_range(&format!("{place}.max_attempts"), route.max_attempts, 1..=10)?;
+    check_range(&format!("{place}.max_body_bytes"), route.max_body_bytes, 0..=1_073_741_824)
+}
+
+fn check_range<T: PartialOrd + std::fmt::Display>(
+    place: &str,
+    found: T,
+    allowed: RangeInclusive<T>,
+) -> Result<()> {
+    if allowed.contains(&found) {
+        return Ok(());
+    }
+    let detail = format!("found {found}, allowed {} to {}", allowed.start(), allowed.end());
+    Err(Fault::new(Code::LimitOutOfRange).with_place(place).with_detail(detail))
+}
--- /dev/null
+++ b/core/src/hash.rs
@@ -0,0 +1,59 @@
+//! Content hashes and rendezvous scores.
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use std::fmt;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The BLAKE3 hash of some bytes; written as 64 lower-case hex digits.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Hash([u8; 32]);
+
+impl Hash {
+    /// Hashes `buf`.
+    pub fn of(buf: &[u8]) -> Hash {
+        Hash(*blake3::hash(buf).as_bytes())
+    }
+
+    /// Takes the 32 bytes of a hash made elsewhere.
+    pub fn new(raw: [u8; 32]) -> Hash {
+        Hash(raw)
+    }
+
+    /// The 32 bytes.
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Display for Hash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&blake3::Hash::from_bytes(self.0).to_hex())
+    }
+}
+
+impl fmt::Debug for Hash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.12}", blake3::Hash::from_bytes(self.0).to_hex())
+    }
+}
+
+impl Serialize for Hash {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Hash {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Hash, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let hash = blake3::Hash::from_hex(text)
+            .map_err(|_| de::Error::custom("a digest is 64 lower-case hex digits"))?;
+        Ok(Hash(*hash.as_bytes()))
+    }
+}
+
+/// Rendezvous score of `candidate` for `subject`: for one subject the candidate with the highest
+/// score wins, and a candidate that joins or leaves moves only the subjects it wins.
+pub fn score(subject: &[u8], candidate: &[u8]) -> u64 {
+    xxh3_64_with_seed(candidate, xxh3_64_with_seed(subject, 0))
+}
--- /dev/null
+++ b/core/src/name.rs
@@ -0,0 +1,60 @@
+//! Names of VMs, zones, services, routes and presets.
+
+use bytes::Bytes;
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use std::fmt;
+
+/// Longest name, in bytes.
+pub const MAX_NAME_BYTES: usize = 128;
+
+/// A short name of printable ASCII without spaces, 1 to [`MAX_NAME_BYTES`] bytes. Cloning is
+/// cheap: clones share one buffer.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Name(Bytes);
+
+impl Name {
+    /// Checks and takes a name. `None` if it is empty, too long or not printable ASCII.
+    pub fn new(buf: impl Into<Bytes>) -> Option<Name> {
+        let buf = buf.into();
+        let fits = !buf.is_empty() && buf.len() <= MAX_NAME_BYTES;
+        (fits && buf.iter().all(u8::is_ascii_graphic)).then_some(Name(buf))
+    }
+
+    /// The bytes of the name.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        // `new` lets only ASCII through, so the fallback is never taken.
+        std::str::from_utf8(&self.0).unwrap_or_default()
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl fmt::Debug for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self.as_str(), f)
+    }
+}
+
+impl Serialize for Name {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.as_str())
+    }
+}
+
+impl<'de> Deserialize<'de> for Name {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Name, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        Name::new(text).ok_or_else(|| {
+            de::Error::custom("a name is 1 to 128 printable ASCII characters without spaces")
+        })
+    }
+}
--- /dev/null
+++ b/core/src/spread.rs
@@ -0,0 +1,1 @@
+//! Spread of versions and of the VM list over the fleet.
--- /dev/null
+++ b/core/src/time.rs
@@ -0,0 +1,54 @@
+//! A point in time as the deciders see it.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+key! {
+    /// Microseconds since the Unix epoch. It never goes back within one process: the clock port
+    /// reads the wall clock once at start and adds a monotonic clock to it.
+    #[serde(transparent)]
+    pub struct Time(pub u64);
+}
+
+impl Time {
+    /// The Unix epoch.
+    pub const ZERO: Time = Time(0);
+
+    /// A time so many milliseconds after the Unix epoch.
+    pub fn from_millis(ms: u64) -> Time {
+        Time(ms.saturating_mul(1_000))
+    }
+
+    /// Whole milliseconds since the Unix epoch.
+    pub fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// How long after `earlier` this is; zero if it is before it.
+    pub fn since(self, earlier: Time) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Time;
+
+    fn add(self, span: Duration) -> Time {
+        Time(self.0.saturating_add(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Time;
+
+    fn sub(self, span: Duration) -> Time {
+        Time(self.0.saturating_sub(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
+
+impl fmt::Display for Time {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
--- /dev/null
+++ b/core/tests/config.rs
@@ -0,0 +1,46 @@
+//! Checks of published documents.
+
+use sycamore_core::Code;
+use sycamore_core::config::{InForce, validate};
+use sycamore_core::hash::Hash;
+
+const PRESET: &str = r#"{"name":"ordinary","services":{"roster":{"targets":[
+{"vm":"a","region":"r","zone":"z","gate":"127.0.0.1:1"}]}},
+"routes":{"rosters":{"path_prefix":"/rosters","service":"roster","idempotent":true}}}"#;
+
+fn publication(body: &str) -> InForce {
+    let json =
+        format!(r#"{{"version":1,"preset":"ordinary","digest":"{}"}}"#, Hash::of(body.as_bytes()));
+    validate::parse_in_force(json.as_bytes()).unwrap()
+}
+
+fn check(body: &str) -> Result<(), Code> {
+    let preset = validate::parse_preset(body.as_bytes(), &publication(body)).map_err(|f| f.code)?;
+    validate::preset(&preset).map_err(|f| f.code)
+}
+
+#[test]
+fn preset_whole() {
+    assert_eq!(check(PRESET), Ok(()));
+}
+
+#[test]
+fn preset_route_dangling() {
+    let body = PRESET.replace(r#""service":"roster""#, r#""service":"maps""#);
+    assert_eq!(check(&body), Err(Code::RouteDangling));
+}
+
+#[test]
+fn preset_unknown_field() {
+    let body = PRESET.replace(r#""idempotent":true"#, r#""idempotent":true,"color":1"#);
+    assert_eq!(check(&body), Err(Code::DocumentInvalid));
+}
+
+#[test]
+fn preset_torn() {
+    // Story: an operator publishes while a node reads. The node reads the new `in-force` and the
+    // old body. Were the two combined, the node would hold old content under the new version.
+    let newer = PRESET.replace("/rosters", "/crews");
+    let found = validate::parse_preset(PRESET.as_bytes(), &publication(&newer));
+    assert_eq!(found.map_err(|f| f.code), Err(Code::DigestMismatch));
+}
--- /dev/null
+++ b/node/src/app.rs
@@ -0,0 +1,102 @@
+//! The run of a node, from its start to its planned stop.
+
+use crate::clock::Clock;
+use crate::settings::Settings;
+use crate::shared::Shared;
+use crate::{admin, calls, spread};
+use async_executor::{Executor, LocalExecutor};
+use async_signal::{Signal, Signals};
+use futures_lite::{StreamExt, future};
+use std::sync::Arc;
+use std::time::Duration;
+use sycamore_core::event::{Event, EventKind};
+use sycamore_core::{Code, Fault, Result};
+
+/// How often the end of the last call is looked for during a planned stop.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// How long a stopping node goes on telling peers and refusing work before it may end, so that
+/// callers and other nodes learn of it from refusals rather than from broken connections.
+const DRAIN_NOTICE: Duration = Duration::from_secs(2);
+
+/// A node that has not started yet.
+#[derive(Debug)]
+pub struct App {
+    settings: Settings,
+    clock: Clock,
+}
+
+impl App {
+    /// A node with these settings and the system's clock.
+    pub fn new(settings: Settings) -> App {
+        App { settings, clock: Clock::new() }
+    }
+
+    /// The same node with another clock.
+    pub fn with_clock(mut self, clock: Clock) -> App {
+        self.clock = clock;
+        self
+    }
+
+    /// Runs the node until its planned stop has ended.
+    ///
+    /// Calls are served by several threads; messages to peers, the platform and operators by the
+    /// calling thread alone, since Cap'n Proto RPC works on one thread.
+    pub fn run(self) -> Result<()> {
+        let shared = Shared::new(self.settings, self.clock);
+        let executor = Arc::new(Executor::new());
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let listeners = calls::Listeners::bind(&shared.settings.listen)?;
+        let peers = spread::Listener::bind(&shared.settings.listen)?;
+        let operators = admin::Listener::bind(&shared.settings.listen)?;
+        std::thread::scope(|scope| {
+            for _ in 0..shared.settings.limits.threads {
+                scope.spawn(|| future::block_on(executor.run(stopped.recv())));
+            }
+            let local = LocalExecutor::new();
+            let result = future::block_on(local.run(async {
+                let calls = calls::start(shared.clone(), listeners, executor.clone());
+                let control = spread::start(shared.clone(), peers, calls.clone(), &local);
+                local.spawn(admin::serve(shared.clone(), operators)).detach();
+                wait_for_stop(&shared).await?;
+                control.announce_leaving();
+                drain(&shared, &calls).await;
+                Ok(())
+            }));
+            drop(stop);
+            shared.record(Event::new(shared.clock.now(), EventKind::Stopped));
+            result
+        })
+    }
+}
+
+/// Waits for a signal or an operator's `POST /drain`.
+async fn wait_for_stop(shared: &Arc<Shared>) -> Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])
+        .map_err(|e| Fault::new(Code::ListenFailed).with_place("signals").with_detail(e))?;
+    let signal = async {
+        signals.next().await;
+    };
+    let asked = async {
+        while !shared.draining() {
+            shared.clock.sleep(DRAIN_POLL).await;
+        }
+    };
+    future::or(signal, asked).await;
+    shared.start_draining();
+    Ok(())
+}
+
+/// Waits until every call has ended, or the service's limit for a planned stop has passed.
+async fn drain(shared: &Arc<Shared>, calls: &calls::Calls) {
+    let start = shared.clock.now();
+    let limit = start + calls.drain_limit();
+    while shared.clock.now() < limit {
+        let now = shared.clock.now();
+        if shared.calls_open() == 0 && now.since(start) >= DRAIN_NOTICE {
+            break;
+        }
+        shared.clock.sleep(DRAIN_POLL).await;
+    }
+    shared.record(Event::new(shared.clock.now(), EventKind::Drained));
+}
--- /dev/null
+++ b/node/src/settings.rs
@@ -0,0 +1,178 @@
+//! Settings of a node: read once from a JSON file, checked, and passed by reference.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::path::Path;
+use sycamore_core::place::Place;
+use sycamore_core::{Code, Fault, Name, Result};
+
+/// Settings of one node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// VM that the node runs on.
+    pub vm: Name,
+    /// Region of the VM.
+    pub region: Name,
+    /// Availability zone of the VM.
+    pub zone: Name,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Address of the target on this VM; absent on a VM without a target.
+    #[serde(default)]
+    pub target_address: Option<SocketAddr>,
+    /// Address of the platform's configuration service.
+    pub platform_address: SocketAddr,
+    /// Addresses of peers to ask first after a start, before the platform; may be empty.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Services whose routes this node needs; absent for all.
+    #[serde(default)]
+    pub scope: Option<Vec<Name>>,
+    /// Limits of the process.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Form and level of log lines.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Addresses to listen on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers and the local target.
+    pub calls: SocketAddr,
+    /// For nodes that forward calls to the local target.
+    pub gate: SocketAddr,
+    /// For messages from peers.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+/// Limits of the process, with their units in the names.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Threads that serve calls; 1 to 64.
+    pub threads: usize,
+    /// Connections taken on `listen.calls` and on `listen.gate`, each; 1 to 100,000.
+    pub max_connections: usize,
+    /// Largest request head; 1,024 to 1,048,576 bytes.
+    pub max_head_bytes: usize,
+    /// Longest time to read a request head; 100 to 60,000 ms.
+    pub head_timeout_ms: u64,
+    /// Longest time without a byte moved in either direction of a body; 100 to 600,000 ms.
+    pub idle_body_timeout_ms: u64,
+    /// Events kept for the time line; 16 to 100,000.
+    pub event_ring: usize,
+    /// Longest wait for the first configuration before peers that can't be asked are given up;
+    /// 100 to 600,000 ms.
+    pub first_configuration_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            threads: 2,
+            max_connections: 1_024,
+            max_head_bytes: 16_384,
+            head_timeout_ms: 5_000,
+            idle_body_timeout_ms: 10_000,
+            event_ring: 512,
+            first_configuration_ms: 5_000,
+        }
+    }
+}
+
+/// Form and level of log lines.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// `text` for key=value lines, `json` for one object a line.
+    pub format: LogFormat,
+    /// Lowest level written.
+    pub level: LogLevel,
+}
+
+impl Default for Log {
+    fn default() -> Log {
+        Log { format: LogFormat::Text, level: LogLevel::Info }
+    }
+}
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// key=value lines.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Level of log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogLevel {
+    /// Only failures of the node itself.
+    Error,
+    /// Also what an operator may have to act on.
+    Warn,
+    /// Also changes of state.
+    Info,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn read(path: &Path) -> Result<Settings> {
+        let place = path.display();
+        let buf = std::fs::read(path)
+            .map_err(|e| Fault::new(Code::SettingsUnreadable).with_place(&place).with_detail(e))?;
+        Settings::parse(&buf).map_err(|fault| {
+            let inner = format!("{place}: {}", fault.place);
+            fault.with_place(inner)
+        })
+    }
+
+    /// Parses and checks the text of a settings file. The place of a failure is its JSON path.
+    pub fn parse(buf: &[u8]) -> Result<Settings> {
+        let deserializer = &mut serde_json::Deserializer::from_slice(buf);
+        let settings: Settings = serde_path_to_error::deserialize(deserializer).map_err(|e| {
+            let place = e.path().to_string();
+            Fault::new(Code::SettingsInvalid).with_place(place).with_detail(e.into_inner())
+        })?;
+        settings.limits.check()?;
+        Ok(settings)
+    }
+
+    /// Where the VM is.
+    pub fn place(&self) -> Place {
+        Place { region: self.region.clone(), zone: self.zone.clone() }
+    }
+}
+
+impl Limits {
+    fn check(&self) -> Result<()> {
+        let ranges = [
+            ("threads", self.threads as u64, 1..=64),
+            ("max_connections", self.max_connections as u64, 1..=100_000),
+            ("max_head_bytes", self.max_head_bytes as u64, 1_024..=1_048_576),
+            ("head_timeout_ms", self.head_timeout_ms, 100..=60_000),
+            ("idle_body_timeout_ms", self.idle_body_timeout_ms, 100..=600_000),
+            ("event_ring", self.event_ring as u64, 16..=100_000),
+            ("first_configuration_ms", self.first_configuration_ms, 100..=600_000),
+        ];
+        for (field, found, allowed) in ranges {
+            if !allowed.contains(&found) {
+                let detail =
+                    format!("found {found}, allowed {} to {}", allowed.start(), allowed.end());
+                return Err(Fault::new(Code::SettingsInvalid)
+                    .with_place(format!("limits.{field}"))
+                    .with_detail(detail));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/node/src/shared.rs
@@ -0,0 +1,214 @@
+//! What the threads of one node share.
+
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::output;
+use crate::settings::Settings;
+use parking_lot::{Mutex, RwLock};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use sycamore_core::call::note::OutgoingNote;
+use sycamore_core::config::Snapshot;
+use sycamore_core::event::{Event, EventKind, Ring};
+use sycamore_core::member::VmState;
+use sycamore_core::status::Status;
+use sycamore_core::{Fault, Name, Time};
+
+/// State that the threads of a node share. Each part has its own lock, which is never held across
+/// an await.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings, as read at the start.
+    pub settings: Settings,
+    /// The clock port.
+    pub clock: Clock,
+    /// Counters and gauges.
+    pub metrics: Metrics,
+    /// Notes from the call path to other nodes; the spread sends them.
+    pub notes: NoteQueue,
+    in_force: RwLock<Option<Arc<Snapshot>>>,
+    members: RwLock<Arc<MemberView>>,
+    events: Mutex<Ring>,
+    spread: Mutex<SpreadView>,
+    draining: AtomicBool,
+    calls_open: AtomicU64,
+    started: Time,
+}
+
+/// Notes that wait for the spread to send them. Bounded: a note that no longer fits is dropped, and
+/// whoever waits for its effect asks again.
+#[derive(Debug)]
+pub struct NoteQueue {
+    tx: async_channel::Sender<OutgoingNote>,
+    rx: async_channel::Receiver<OutgoingNote>,
+}
+
+/// Notes that may wait at once.
+const MAX_NOTES: usize = 4_096;
+
+impl NoteQueue {
+    fn new() -> NoteQueue {
+        let (tx, rx) = async_channel::bounded(MAX_NOTES);
+        NoteQueue { tx, rx }
+    }
+
+    /// Puts a note on its way. Returns false if it was dropped.
+    pub fn send(&self, note: OutgoingNote) -> bool {
+        self.tx.try_send(note).is_ok()
+    }
+
+    /// The next note to send.
+    pub async fn next(&self) -> Option<OutgoingNote> {
+        self.rx.recv().await.ok()
+    }
+}
+
+/// States of VMs that this node knows of; a VM not named counts as live.
+pub type MemberView = indexmap::IndexMap<Name, VmState>;
+
+/// What the spread of versions shows on `/status`.
+#[derive(Clone, Debug)]
+pub struct SpreadView {
+    /// When the version in force came into force here.
+    pub in_force_since: Option<Time>,
+    /// The newest version heard of.
+    pub newest_heard: u64,
+    /// The last version refused, and why.
+    pub last_refusal: Option<Fault>,
+    /// What this node does for the spread.
+    pub role: sycamore_core::status::Role,
+    /// Where the last version came from.
+    pub parent: Option<Name>,
+    /// Whether the platform answered the last call.
+    pub platform_answers: Option<bool>,
+}
+
+impl Shared {
+    /// The shared state of a node that has just started.
+    pub fn new(settings: Settings, clock: Clock) -> Arc<Shared> {
+        let started = clock.now();
+        let events = Mutex::new(Ring::new(settings.limits.event_ring));
+        let shared = Arc::new(Shared {
+            settings,
+            clock,
+            metrics: Metrics::new(),
+            notes: NoteQueue::new(),
+            in_force: RwLock::new(None),
+            members: RwLock::new(Arc::new(MemberView::new())),
+            events,
+            spread: Mutex::new(SpreadView {
+                in_force_since: None,
+                newest_heard: 0,
+                last_refusal: None,
+                role: sycamore_core::status::Role::Leaf,
+                parent: None,
+                platform_answers: None,
+            }),
+            draining: AtomicBool::new(false),
+            calls_open: AtomicU64::new(0),
+            started,
+        });
+        shared.record(Event::new(started, EventKind::Started));
+        shared
+    }
+
+    /// The configuration in force; none before the first.
+    pub fn in_force(&self) -> Option<Arc<Snapshot>> {
+        self.in_force.read().clone()
+    }
+
+    /// Puts a configuration into force: one pointer is swapped, so that each call sees one
+    /// version whole. The decider has checked that it is newer.
+    pub fn put_in_force(&self, snapshot: Arc<Snapshot>) {
+        self.metrics.version_in_force.set(snapshot.version() as i64);
+        *self.in_force.write() = Some(snapshot);
+    }
+
+    /// States of VMs that this node knows of.
+    pub fn members(&self) -> Arc<MemberView> {
+        self.members.read().clone()
+    }
+
+    /// Replaces the states of VMs.
+    pub fn set_members(&self, members: MemberView) {
+        *self.members.write() = Arc::new(members);
+    }
+
+    /// Records a change of state: counts it, keeps it for the time line and writes a log line.
+    pub fn record(&self, event: Event) {
+        self.metrics.count_event(&event);
+        output::event(self.settings.vm.as_str(), &event);
+        self.events.lock().push(event);
+    }
+
+    /// The events kept and how many were dropped.
+    pub fn events(&self) -> (Vec<Event>, u64) {
+        let ring = self.events.lock();
+        (ring.iter().cloned().collect(), ring.dropped())
+    }
+
+    /// Changes what the spread shows on `/status`.
+    pub fn update_spread(&self, change: impl FnOnce(&mut SpreadView)) {
+        change(&mut self.spread.lock());
+    }
+
+    /// Whether the node takes no new work.
+    pub fn draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Starts the planned stop. Returns false if it had started before.
+    pub fn start_draining(&self) -> bool {
+        let first = !self.draining.swap(true, Ordering::AcqRel);
+        if first {
+            self.record(Event::new(self.clock.now(), EventKind::Draining));
+        }
+        first
+    }
+
+    /// Calls being served now.
+    pub fn calls_open(&self) -> u64 {
+        self.calls_open.load(Ordering::Acquire)
+    }
+
+    /// Counts a call as open until the guard is dropped.
+    pub fn open_call(self: &Arc<Shared>) -> OpenCall {
+        self.calls_open.fetch_add(1, Ordering::AcqRel);
+        OpenCall { shared: self.clone() }
+    }
+
+    /// The body of `/status`.
+    pub fn status(&self) -> Status {
+        let in_force = self.in_force();
+        let spread = self.spread.lock().clone();
+        Status {
+            vm: self.settings.vm.clone(),
+            region: self.settings.region.clone(),
+            zone: self.settings.zone.clone(),
+            now: self.clock.now(),
+            started: self.started,
+            in_force: in_force.as_ref().map(|snapshot| snapshot.in_force.clone()),
+            in_force_since: spread.in_force_since,
+            newest_heard: spread.newest_heard,
+            last_refusal: spread.last_refusal.map(|fault| fault.to_string()),
+            role: spread.role,
+            parent: spread.parent,
+            platform_answers: spread.platform_answers,
+            ready: in_force.is_some() && !self.draining(),
+            draining: self.draining(),
+            calls_open: self.calls_open(),
+        }
+    }
+}
+
+/// Counts one call as open while it lives.
+#[derive(Debug)]
+pub struct OpenCall {
+    shared: Arc<Shared>,
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.shared.calls_open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/tools/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
