--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -1,12 +1,16 @@
 //! Configuration: what operators publish, what is checked, and what a node holds.
 
+pub mod content;
 pub mod document;
 pub mod in_force;
 pub mod resource;
+pub mod scope;
 pub mod snapshot;
 pub mod validate;
 
+pub use content::Content;
 pub use document::{Class, Preset, Route, Service, ServiceLimits, Target};
 pub use in_force::{Floor, InForce, Verdict};
 pub use resource::{Manifest, Resource, ResourceId, ResourceKind};
+pub use scope::Scope;
 pub use snapshot::{RouteKey, ServiceKey, Snapshot, TargetKey};
--- a/core/src/config/in_force.rs
+++ b/core/src/config/in_force.rs
@@ -18,8 +18,8 @@
 }
 
 data! {
-    /// The newest publication that this node knows to have been accepted anywhere; its own
-    /// configuration never goes below it.
+    /// The newest publication that this node knows to have been accepted, by itself now or by its
+    /// VM before a restart; its configuration never goes below it.
     #[derive(Default)]
     pub struct Floor {
         newest: Option<InForce>,
@@ -37,6 +37,18 @@
     }
 }
 
+impl InForce {
+    /// Whether this one replaces `other` when both were accepted somewhere: the higher version
+    /// does, and of two bodies under one version the one with the higher digest.
+    ///
+    /// Guards against a fleet that stays split after two operators published at the same moment
+    /// and readers in two regions each saw, and accepted, a different body. A rule that depends
+    /// only on the two bodies brings every node to the same one, whichever it saw first.
+    pub fn replaces(&self, other: &InForce) -> bool {
+        (self.version, self.digest, &self.preset) > (other.version, other.digest, &other.preset)
+    }
+}
+
 impl Floor {
     /// The newest publication accepted so far.
     pub fn newest(&self) -> Option<&InForce> {
@@ -48,7 +60,8 @@
         self.newest.as_ref().map_or(0, |newest| newest.version)
     }
 
-    /// Judges a publication against the newest one accepted.
+    /// Judges a publication read from the platform against the newest one accepted and the one
+    /// whose body is being read.
     ///
     /// Guards against operators who publish two bodies under one version at the same time, which
     /// would split the fleet: the second body is refused on every node that holds the first, and
@@ -79,9 +92,22 @@
         }
     }
 
+    /// Judges a publication that a peer has accepted.
+    pub fn judge_accepted(&self, seen: &InForce) -> Verdict {
+        match &self.newest {
+            Some(newest) if seen == newest => Verdict::Known,
+            Some(newest) if seen.replaces(newest) => Verdict::Take,
+            Some(newest) if seen.version == newest.version => {
+                Verdict::Refuse(Code::VersionConflict)
+            }
+            Some(_) => Verdict::Refuse(Code::VersionOlder),
+            None => Verdict::Take,
+        }
+    }
+
     /// Records that a publication has been checked whole and accepted. Older ones are ignored.
     pub fn accept(&mut self, accepted: InForce) {
-        if accepted.version > self.version() {
+        if self.newest.as_ref().is_none_or(|newest| accepted.replaces(newest)) {
             self.newest = Some(accepted);
         }
     }
--- a/core/src/place.rs
+++ b/core/src/place.rs
@@ -13,6 +13,14 @@
     }
 }
 
+json! {
+    /// Value of the key `zones`: every availability zone.
+    pub struct Zones {
+        /// The zones, in any order.
+        pub zones: Vec<Place>,
+    }
+}
+
 choice! {
     /// How far traffic travels; control bytes are counted for each class.
     pub enum Link {
--- a/core/src/spread.rs
+++ b/core/src/spread.rs
@@ -3,30 +3,312 @@
 //! [`Spread`] is the decider of one node. It is told what happens as an [`Input`] and answers with
 //! [`Output`]s that an adapter, or a fleet in memory, carries out. It keeps every timer itself:
 //! the adapter hands it [`Input::Wake`] at the time of the last [`Output::WakeAt`].
+//!
+//! - `topology`: who reads the platform, and who takes versions from whom
+//! - `reading`: reading the platform, and the budget for it
+//! - `attach`: finding a parent and keeping it; children
+//! - `fetch`: taking a version from a peer; `serve`: answering peers
+//! - `join`: what a node asks before it relies on what it holds
+//! - `words`: passing on what VMs say of themselves
 
+pub mod limits;
 pub mod message;
 pub mod port;
+pub mod store;
+pub mod topology;
+
+mod attach;
+mod backoff;
+mod fetch;
+mod join;
+mod members;
+mod reading;
+mod serve;
+mod source;
+mod words;
 
 pub use message::{Delta, PeerMsg, Summary, Word};
-pub use port::{Config, Input, Output, Peer, SourceCall, SourceReply, SourceValue};
+pub use port::{Config, Input, Output, Peer, SourceCall, SourceReply, SourceValue, View};
+
+use crate::config::{Floor, InForce, Scope, Snapshot};
+use crate::event::{Event, EventKind};
+use crate::member::VmState;
+use crate::place::Link;
+use crate::status::Role;
+use crate::{Fault, Name, Time};
+use indexmap::IndexMap;
+use limits::CLOCK_GAP;
+use members::Members;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use store::Store;
+use topology::Topology;
 
-use crate::Time;
+/// A version that has been checked whole, and where it came from.
+#[derive(Debug)]
+struct Checked {
+    store: Store,
+    snapshot: Arc<Snapshot>,
+    /// The peer that sent it; `None` for the platform.
+    from: Option<Peer>,
+}
 
 /// The decider of one node for the spread of versions.
 #[derive(Debug)]
 pub struct Spread {
     cfg: Config,
-    seed: u64,
+    scope: Scope,
+    rng: Pcg64Mcg,
+    word: Word,
+    started: bool,
+    wake_at: Option<Time>,
+    members: Members,
+    topology: Topology,
+    topology_at: Time,
+    not_live: IndexMap<Name, VmState>,
+    floor: Floor,
+    in_force: Option<Store>,
+    /// Checked, but held back until the node has asked its peers.
+    staged: Option<Checked>,
+    snapshot: Option<Arc<Snapshot>>,
+    /// Not before this time is the rest of the version in force asked for.
+    scope_at: Time,
+    /// Zones whose lists are read because notes go there.
+    extra_zones: Vec<crate::place::Place>,
+    newest_heard: u64,
+    came_from: Option<Name>,
+    confirmed: bool,
+    join: Option<join::Join>,
+    attach: attach::Attach,
+    asked: attach::Asked,
+    children: attach::Children,
+    fetch: Option<fetch::Fetch>,
+    source: source::Source,
+    words: words::Words,
+    shown: Option<View>,
 }
 
 impl Spread {
     /// A node that has not started. `seed` feeds its random choices.
     pub fn new(cfg: Config, seed: u64) -> Spread {
-        Spread { cfg, seed }
+        let scope = Scope::new(cfg.scope.as_deref());
+        let word = Word { vm: cfg.vm.clone(), incarnation: 0, state: VmState::Live };
+        Spread {
+            cfg,
+            scope,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            word,
+            started: false,
+            wake_at: None,
+            members: Members::default(),
+            topology: Topology::unknown(),
+            topology_at: Time::ZERO,
+            not_live: IndexMap::new(),
+            floor: Floor::default(),
+            in_force: None,
+            staged: None,
+            snapshot: None,
+            scope_at: Time::ZERO,
+            extra_zones: Vec::new(),
+            newest_heard: 0,
+            came_from: None,
+            confirmed: false,
+            join: None,
+            attach: attach::Attach::default(),
+            asked: attach::Asked::default(),
+            children: attach::Children::default(),
+            fetch: None,
+            source: source::Source::default(),
+            words: words::Words::default(),
+            shown: None,
+        }
     }
 
     /// Takes one input at `now` and appends what is to be done.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
-        let _ = (now, input, out, &self.cfg, self.seed);
+        if self.started {
+            self.notice_gap(now, out);
+        }
+        match input {
+            Input::Start => self.start(now),
+            Input::Wake => {}
+            Input::Source(reply) => self.take_reply(now, reply, out),
+            Input::Peer { from, msg } => self.take_message(now, &from, msg, out),
+            Input::PeerFailed { to } => self.peer_failed(now, to, out),
+            Input::Note(note) => self.send_note(note, out),
+            Input::Stop => self.stop(now, out),
+        }
+        if self.started {
+            self.tick(now, out);
+        }
+    }
+
+    /// The version in force; `None` before the first.
+    pub fn in_force(&self) -> Option<&InForce> {
+        self.in_force.as_ref().map(|store| &store.summary().in_force)
+    }
+
+    /// The resources held.
+    pub fn store(&self) -> Option<&Store> {
+        self.in_force.as_ref()
+    }
+
+    /// The node's place in the spread.
+    pub fn topology(&self) -> &Topology {
+        &self.topology
+    }
+
+    /// The parent that sends notices.
+    pub fn parent(&self) -> Option<&Peer> {
+        self.attach.parent()
+    }
+
+    fn start(&mut self, now: Time) {
+        self.started = true;
+        self.word.incarnation = now.0;
+        self.begin_join(now);
+    }
+
+    fn stop(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.word.state != VmState::Live {
+            return;
+        }
+        self.word.state = VmState::Leaving;
+        self.announce(now, out);
+        self.topology_at = Time::ZERO;
+    }
+
+    /// Guards against a process that was paused and wakes with a stale view: it would answer its
+    /// children, and hold calls to be good, by a version that the fleet left behind meanwhile. It
+    /// shows as a wake that comes long after the time asked for. The node then lets its children
+    /// go and asks its peers anew before it acts as a relay again.
+    fn notice_gap(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Some(expected) = self.wake_at else { return };
+        if now.since(expected) < CLOCK_GAP {
+            return;
+        }
+        out.push(Output::Event(
+            Event::new(now, EventKind::ClockGap).with_code(crate::Code::ClockGap),
+        ));
+        self.children.clear();
+        self.asked.clear();
+        self.attach.forget(now);
+        self.confirmed = false;
+        self.begin_join(now);
+    }
+
+    /// Does whatever is due and asks to be woken for the rest.
+    fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.refresh_topology(now, out);
+        self.expire_questions(now, out);
+        self.tick_join(now, out);
+        self.tick_attach(now, out);
+        self.tick_fetch(now, out);
+        self.tick_source(now, out);
+        self.tick_words(now, out);
+        self.show(out);
+        let wake = self.next_wake(now);
+        self.wake_at = Some(wake);
+        out.push(Output::WakeAt(wake));
+    }
+
+    fn next_wake(&self, now: Time) -> Time {
+        let times = [
+            Some(self.topology_at),
+            self.asked.next(),
+            self.join_wake(),
+            self.attach_wake(),
+            self.fetch.as_ref().map(|fetch| fetch.until),
+            self.source_wake(),
+            self.words.next(),
+        ];
+        let first = times.into_iter().flatten().min().unwrap_or(now);
+        first.max(now + limits::MIN_WAKE)
+    }
+
+    /// Works out the node's place again after a change of lists or words.
+    fn refresh_topology(&mut self, now: Time, out: &mut Vec<Output>) {
+        if now < self.topology_at {
+            return;
+        }
+        self.topology_at = now + limits::TOPOLOGY;
+        let staying = self.word.state == VmState::Live;
+        let topology = Topology::new(now, &self.cfg, &self.members, staying);
+        if topology.uppers != self.topology.uppers {
+            self.attach.uppers_changed(now);
+        }
+        self.topology = topology;
+        let not_live = self.members.not_live(now);
+        if not_live != self.not_live {
+            self.not_live = not_live.clone();
+            out.push(Output::Members(not_live));
+        }
+    }
+
+    fn lists_changed(&mut self) {
+        self.topology_at = Time::ZERO;
+    }
+
+    fn show(&mut self, out: &mut Vec<Output>) {
+        let view = View {
+            newest_heard: self.newest_heard,
+            role: self.topology.role,
+            parent: self.came_from.clone(),
+            platform_answers: self.source.answers,
+            confirmed: self.confirmed,
+        };
+        if self.shown.as_ref() != Some(&view) {
+            self.shown = Some(view.clone());
+            out.push(Output::View(view));
+        }
+    }
+
+    /// The scope that the node holds: relays hold everything, so that they can serve any child.
+    fn wanted_scope(&self) -> Scope {
+        match self.topology.role {
+            Role::Leaf => self.scope.clone(),
+            Role::Relay | Role::ZoneRelay | Role::RegionReader => Scope::All,
+        }
+    }
+
+    fn refuse(
+        &self,
+        now: Time,
+        version: u64,
+        from: Option<&Peer>,
+        fault: Fault,
+        out: &mut Vec<Output>,
+    ) {
+        let mut event =
+            Event::new(now, EventKind::VersionRefused).with_version(version).with_code(fault.code);
+        if let Some(from) = from {
+            event = event.with_peer(&from.vm);
+        }
+        out.push(Output::Event(event));
+        out.push(Output::Refused(fault));
+    }
+
+    fn hear_of(&mut self, now: Time, version: u64, from: Option<&Peer>, out: &mut Vec<Output>) {
+        if version <= self.newest_heard {
+            return;
+        }
+        self.newest_heard = version;
+        let mut event = Event::new(now, EventKind::VersionHeard).with_version(version);
+        if let Some(from) = from {
+            event = event.with_peer(&from.vm);
+        }
+        out.push(Output::Event(event));
+    }
+
+    fn send(&self, to: &Peer, msg: PeerMsg, out: &mut Vec<Output>) {
+        let link = self.cfg.place.link_to(&to.place);
+        out.push(Output::Send { to: to.address, link, msg });
+    }
+
+    /// Sends to an address whose place is not known; counted as the dearest link.
+    fn send_unknown(&self, to: SocketAddr, msg: PeerMsg, out: &mut Vec<Output>) {
+        out.push(Output::Send { to, link: Link::Across, msg });
     }
 }
--- /dev/null
+++ b/core/src/spread/attach.rs
@@ -0,0 +1,422 @@
+//! Finding a parent and keeping it; the children that hang below this node.
+
+use super::backoff::{around, jitter};
+use super::limits::{
+    ANSWER_WAIT, AWAY_PARENT_HOPS, CHILD_LEASE, COMPARE, COMPARE_AWAY, HEARTBEAT, MAX_ASKED,
+    MAX_CHILDREN, NO_PATH, RELAY_PARENT_HOPS, SEEK_AT_ONCE, SEEK_PAUSE, TOP, UPGRADE,
+};
+use super::message::{Ask, PeerMsg, Ping, Pong, Summary};
+use super::port::{Output, Peer};
+use super::{Spread, topology};
+use crate::event::{Event, EventKind};
+use crate::member::VmState;
+use crate::place::Place;
+use crate::{Code, Name, Time};
+use indexmap::IndexMap;
+use rand::RngExt;
+use std::net::SocketAddr;
+
+/// The parent, or the search for one.
+#[derive(Debug, Default)]
+pub struct Attach {
+    parent: Option<Peer>,
+    hops: u8,
+    /// Next question to the parent, or next round of the search.
+    at: Time,
+    /// Rounds of the search since there was a parent.
+    rounds: usize,
+    upgrade_at: Time,
+    compare_at: Time,
+}
+
+/// A question that waits for its answer.
+#[derive(Debug)]
+struct Question {
+    to: SocketAddr,
+    ask: Ask,
+    until: Time,
+}
+
+/// Questions that wait for their answers.
+#[derive(Debug, Default)]
+pub struct Asked {
+    next_seq: u32,
+    questions: IndexMap<u32, Question>,
+}
+
+/// A node that is sent notices.
+#[derive(Debug)]
+struct Child {
+    peer: Peer,
+    until: Time,
+}
+
+/// The nodes that are sent notices.
+#[derive(Debug, Default)]
+pub struct Children {
+    children: IndexMap<Name, Child>,
+}
+
+impl Asked {
+    /// Opens a question and numbers it. `None` if too many wait already.
+    fn open(&mut self, to: SocketAddr, ask: Ask, until: Time) -> Option<u32> {
+        if self.questions.len() >= MAX_ASKED {
+            return None;
+        }
+        let seq = self.next_seq;
+        self.next_seq = self.next_seq.wrapping_add(1);
+        self.questions.insert(seq, Question { to, ask, until });
+        Some(seq)
+    }
+
+    /// Whether a question of this kind waits for an answer.
+    pub fn waits(&self, ask: Ask) -> bool {
+        self.questions.values().any(|question| question.ask == ask)
+    }
+
+    fn waits_for(&self, to: SocketAddr, ask: Ask) -> bool {
+        self.questions.values().any(|question| question.to == to && question.ask == ask)
+    }
+
+    /// When the first question is given up.
+    pub fn next(&self) -> Option<Time> {
+        self.questions.values().map(|question| question.until).min()
+    }
+
+    /// Forgets every question.
+    pub fn clear(&mut self) {
+        self.questions.clear();
+    }
+
+    fn take(&mut self, pick: impl Fn(&Question) -> bool) -> Vec<Question> {
+        let picked = self.questions.iter().filter(|(_, question)| pick(question));
+        let seqs: Vec<u32> = picked.map(|(seq, _)| *seq).collect();
+        seqs.iter().filter_map(|seq| self.questions.swap_remove(seq)).collect()
+    }
+}
+
+impl Children {
+    /// Takes a child, or renews it. False if there is no room.
+    fn keep(&mut self, now: Time, peer: &Peer) -> bool {
+        self.children.retain(|_, child| child.until > now);
+        let room = self.children.len() < MAX_CHILDREN;
+        if !room && !self.children.contains_key(&peer.vm) {
+            return false;
+        }
+        let child = Child { peer: peer.clone(), until: now + CHILD_LEASE };
+        self.children.insert(peer.vm.clone(), child);
+        true
+    }
+
+    /// Every child whose lease runs.
+    pub fn live(&self, now: Time) -> impl Iterator<Item = &Peer> {
+        self.children.values().filter(move |child| child.until > now).map(|child| &child.peer)
+    }
+
+    /// Lets every child go.
+    pub fn clear(&mut self) {
+        self.children.clear();
+    }
+
+    fn remove(&mut self, address: SocketAddr) {
+        self.children.retain(|_, child| child.peer.address != address);
+    }
+}
+
+impl Attach {
+    /// The parent.
+    pub fn parent(&self) -> Option<&Peer> {
+        self.parent.as_ref()
+    }
+
+    /// Nodes between the parent and a reader.
+    pub fn hops(&self) -> u8 {
+        if self.parent.is_some() { self.hops } else { NO_PATH }
+    }
+
+    /// Lets the parent go without a word and searches anew.
+    pub fn forget(&mut self, now: Time) {
+        *self = Attach { at: now, ..Attach::default() };
+    }
+
+    /// Tries the best parent soon.
+    pub fn uppers_changed(&mut self, now: Time) {
+        self.upgrade_at = now;
+        if self.parent.is_none() {
+            self.rounds = 0;
+            self.at = now;
+        }
+    }
+}
+
+impl Spread {
+    /// Whether every possible parent has been asked and none will do.
+    pub(super) fn is_orphan(&self) -> bool {
+        let uppers = self.topology.uppers.len();
+        if uppers == 0 {
+            return self.members.list(&self.cfg.place.zone).is_some();
+        }
+        let rounds = 1 + uppers.div_ceil(SEEK_AT_ONCE);
+        self.attach.parent.is_none() && self.attach.rounds > rounds.min(3)
+    }
+
+    /// Hops to a reader, as told to children.
+    pub(super) fn own_hops(&self) -> u8 {
+        match self.topology.reader {
+            Some(_) => 0,
+            None => self.attach.hops().saturating_add(1),
+        }
+    }
+
+    pub(super) fn attach_wake(&self) -> Option<Time> {
+        let searching = self.attach.parent.is_none();
+        let has_uppers = !self.topology.uppers.is_empty();
+        let waits = searching && self.asked.waits(Ask::Attach);
+        let next = (has_uppers && !waits).then_some(self.attach.at);
+        let upgrade = self.wants_upgrade().then_some(self.attach.upgrade_at);
+        next.into_iter().chain(upgrade).chain([self.attach.compare_at]).min()
+    }
+
+    fn wants_upgrade(&self) -> bool {
+        let best = self.topology.uppers.first();
+        self.attach.parent.is_some() && best.is_some() && self.attach.parent.as_ref() != best
+    }
+
+    pub(super) fn tick_attach(&mut self, now: Time, out: &mut Vec<Output>) {
+        match self.attach.parent.clone() {
+            Some(parent) if now >= self.attach.at => {
+                self.attach.at = now + around(HEARTBEAT, &mut self.rng);
+                self.ask(now, &parent, Ask::Attach, out);
+            }
+            Some(_) => {}
+            None => self.seek(now, out),
+        }
+        if self.wants_upgrade() && now >= self.attach.upgrade_at {
+            self.attach.upgrade_at = now + around(UPGRADE, &mut self.rng);
+            let best = self.topology.uppers[0].clone();
+            self.ask(now, &best, Ask::Attach, out);
+        }
+        if now >= self.attach.compare_at {
+            self.compare(now, out);
+        }
+    }
+
+    /// One round of the search: the best parent alone, then several at once.
+    ///
+    /// Guards against a relay that takes connections and never answers: its children would wait
+    /// for notices that don't come. Each question is given up after [`ANSWER_WAIT`].
+    fn seek(&mut self, now: Time, out: &mut Vec<Output>) {
+        let uppers = self.topology.uppers.len();
+        if uppers == 0 || now < self.attach.at || self.asked.waits(Ask::Attach) {
+            return;
+        }
+        let round = self.attach.rounds;
+        self.attach.rounds += 1;
+        let pause = if round < 2 { std::time::Duration::ZERO } else { SEEK_PAUSE };
+        self.attach.at = now + jitter(pause, &mut self.rng);
+        let (first, count) = match round {
+            0 => (0, 1),
+            _ => ((round - 1) * SEEK_AT_ONCE, SEEK_AT_ONCE.min(uppers)),
+        };
+        for number in first..first + count {
+            let upper = self.topology.uppers[number % uppers].clone();
+            self.ask(now, &upper, Ask::Attach, out);
+        }
+    }
+
+    /// Compares versions with a random peer, so that what was lost on the way is found again and
+    /// parts of the fleet that were cut off from each other become one.
+    fn compare(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.attach.compare_at = now + around(COMPARE, &mut self.rng);
+        let own = self.cfg.vm.clone();
+        let mut zone = self.cfg.place.zone.clone();
+        if self.rng.random_range(0..COMPARE_AWAY) == 0 {
+            zone = self.random_zone().unwrap_or(zone);
+        }
+        let member = self.members.random(now, &zone, &own, &mut self.rng);
+        if let Some(peer) = member.map(topology::peer) {
+            self.ask(now, &peer, Ask::Compare, out);
+        }
+    }
+
+    /// A random zone other than the own one, of those whose list is held.
+    pub(super) fn random_zone(&mut self) -> Option<Name> {
+        let own = &self.cfg.place.zone;
+        let zones: Vec<&Name> =
+            self.members.lists().map(|list| &list.place.zone).filter(|z| *z != own).collect();
+        if zones.is_empty() {
+            return None;
+        }
+        Some(zones[self.rng.random_range(0..zones.len())].clone())
+    }
+
+    /// Asks a peer about its version.
+    pub(super) fn ask(&mut self, now: Time, to: &Peer, ask: Ask, out: &mut Vec<Output>) {
+        if let Some(ping) = self.ping(now, to.address, ask) {
+            self.send(to, ping, out);
+        }
+    }
+
+    /// Asks whoever is at an address.
+    pub(super) fn ask_address(
+        &mut self,
+        now: Time,
+        to: SocketAddr,
+        ask: Ask,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(ping) = self.ping(now, to, ask) {
+            self.send_unknown(to, ping, out);
+        }
+    }
+
+    fn ping(&mut self, now: Time, to: SocketAddr, ask: Ask) -> Option<PeerMsg> {
+        if self.asked.waits_for(to, ask) {
+            return None;
+        }
+        let seq = self.asked.open(to, ask, now + ANSWER_WAIT)?;
+        Some(PeerMsg::Ping(Box::new(Ping {
+            seq,
+            ask,
+            word: self.word.clone(),
+            have: self.have(),
+            zones: self.members.zones().map_or(0, |zones| zones.index),
+            lists: self.members.marks(&self.wanted_lists()),
+        })))
+    }
+
+    /// The version in force here.
+    pub(super) fn have(&self) -> Option<Summary> {
+        self.in_force.as_ref().map(|store| store.summary().clone())
+    }
+
+    /// Zones whose lists this node needs: its own, and for those who look for readers all of the
+    /// own region and of the platform's.
+    pub(super) fn wanted_lists(&self) -> Vec<Place> {
+        let mut wanted = vec![self.cfg.place.clone()];
+        if self.topology.rank < TOP || self.topology.reader.is_some() {
+            let home = topology::home_region(&self.cfg, &self.members);
+            for region in [&self.cfg.place.region, &home] {
+                for place in topology::zones_of(&self.members, region) {
+                    if !wanted.contains(&place) {
+                        wanted.push(place);
+                    }
+                }
+            }
+        }
+        wanted
+    }
+
+    pub(super) fn expire_questions(&mut self, now: Time, out: &mut Vec<Output>) {
+        for question in self.asked.take(|question| question.until <= now) {
+            self.unanswered(now, &question, out);
+        }
+    }
+
+    pub(super) fn peer_failed(&mut self, now: Time, to: SocketAddr, out: &mut Vec<Output>) {
+        for question in self.asked.take(|question| question.to == to) {
+            self.unanswered(now, &question, out);
+        }
+        if self.attach.parent.as_ref().is_some_and(|parent| parent.address == to) {
+            self.lose_parent(now, out);
+        }
+        self.children.remove(to);
+        self.fetch_failed(now, to, out);
+    }
+
+    fn unanswered(&mut self, now: Time, question: &Question, out: &mut Vec<Output>) {
+        match question.ask {
+            Ask::Attach => {
+                let parent = self.attach.parent.as_ref();
+                if parent.is_some_and(|parent| parent.address == question.to) {
+                    self.lose_parent(now, out);
+                }
+            }
+            Ask::Join => self.join_unanswered(question.to),
+            Ask::Compare => {}
+        }
+    }
+
+    fn lose_parent(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Some(parent) = self.attach.parent.take() else { return };
+        self.attach.rounds = 1;
+        self.attach.at = now;
+        let event = Event::new(now, EventKind::ParentLost).with_peer(&parent.vm);
+        out.push(Output::Event(event.with_code(Code::PeerUnreachable)));
+    }
+
+    /// Takes the answer to a question. Answers that were not asked for are dropped.
+    pub(super) fn take_pong(&mut self, now: Time, from: &Peer, pong: &Pong, out: &mut Vec<Output>) {
+        let Some(question) = self.asked.questions.swap_remove(&pong.seq) else { return };
+        self.hear_word(now, &pong.word, true);
+        for word in &pong.words {
+            self.hear_word(now, word, false);
+        }
+        self.confirmed = true;
+        match question.ask {
+            Ask::Attach => self.take_attached(now, from, pong, out),
+            Ask::Join => self.join_answered(question.to, pong),
+            Ask::Compare => {}
+        }
+        if let Some(have) = &pong.have {
+            self.members.confirm(&from.vm, have);
+            self.hear(now, from, have, out);
+        }
+    }
+
+    fn take_attached(&mut self, now: Time, from: &Peer, pong: &Pong, out: &mut Vec<Output>) {
+        let fits = pong.attached && self.fits_as_parent(from, pong.hops);
+        let is_parent = self.attach.parent.as_ref().is_some_and(|parent| parent.vm == from.vm);
+        if is_parent {
+            self.attach.hops = pong.hops;
+            if !fits {
+                self.lose_parent(now, out);
+            }
+            return;
+        }
+        if !fits || !self.is_better(from) {
+            return;
+        }
+        self.attach.parent = Some(from.clone());
+        self.attach.hops = pong.hops;
+        self.attach.rounds = 0;
+        self.attach.at = now + around(HEARTBEAT, &mut self.rng);
+        out.push(Output::Event(Event::new(now, EventKind::ParentChosen).with_peer(&from.vm)));
+    }
+
+    fn fits_as_parent(&self, from: &Peer, hops: u8) -> bool {
+        if self.topology.reader.is_some() {
+            return true;
+        }
+        if self.topology.rank < TOP {
+            return hops <= RELAY_PARENT_HOPS;
+        }
+        from.place.zone == self.cfg.place.zone || hops <= AWAY_PARENT_HOPS
+    }
+
+    fn is_better(&self, from: &Peer) -> bool {
+        let place = |peer: &Peer| self.topology.uppers.iter().position(|upper| upper == peer);
+        let Some(new) = place(from) else { return false };
+        let held = self.attach.parent.as_ref();
+        held.is_none_or(|held| place(held).is_none_or(|held| new < held))
+    }
+
+    /// Whether a peer may hang below this node.
+    pub(super) fn take_child(&mut self, now: Time, from: &Peer) -> bool {
+        let open = self.word.state == VmState::Live && !self.rejoins();
+        open && self.children.keep(now, from)
+    }
+
+    /// Tells children and the parent of the version in force, except whoever it came from.
+    pub(super) fn notify(&mut self, now: Time, from: Option<&Peer>, out: &mut Vec<Output>) {
+        let Some(summary) = self.have() else { return };
+        let mut told: Vec<Peer> = self.children.live(now).cloned().collect();
+        told.extend(
+            self.attach.parent.iter().filter(|p| !told.contains(p)).cloned().collect::<Vec<_>>(),
+        );
+        told.retain(|peer| from.is_none_or(|from| from.vm != peer.vm));
+        for peer in told {
+            self.send(&peer, PeerMsg::Notice(Box::new(summary.clone())), out);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/spread/join.rs
@@ -0,0 +1,169 @@
+//! What a node asks its peers before it relies on what it holds: after a start, since it knows
+//! nothing, and after a pause, since what it knows may be stale.
+//!
+//! A node that has just started puts nothing into force before it has asked. It starts at the
+//! highest version heard, and never below the one that a neighbour remembers of its VM. When a
+//! version heard of can't be had, or nobody can be asked, it waits a bounded time and then serves
+//! the best it has; only the remembered version still holds.
+
+use super::limits::{ANSWER_WAIT, JOIN_PARENTS, JOIN_RANDOM, JOIN_SEEDS};
+use super::message::{Ask, Pong};
+use super::port::{Output, Peer};
+use super::{Spread, topology};
+use crate::Time;
+use rand::RngExt;
+use std::net::SocketAddr;
+
+/// A round of questions before the node relies on what it holds.
+#[derive(Debug)]
+pub struct Join {
+    /// The node gives up waiting at this time.
+    limit: Time,
+    /// Next round not before this time.
+    at: Time,
+    waiting: Vec<SocketAddr>,
+    answered: bool,
+    asked_listed: bool,
+    /// The highest version that an answer named.
+    heard: u64,
+}
+
+impl Join {
+    /// Whether the node still waits for peers and should not turn to the platform yet.
+    pub fn is_asking(&self, now: Time) -> bool {
+        !self.waiting.is_empty() && now < self.at
+    }
+
+    /// Until when it waits for the peers asked.
+    pub fn asks_until(&self) -> Option<Time> {
+        (!self.waiting.is_empty()).then_some(self.at)
+    }
+}
+
+impl Spread {
+    pub(super) fn begin_join(&mut self, now: Time) {
+        self.join = Some(Join {
+            limit: now + self.cfg.first_configuration,
+            at: now,
+            waiting: Vec::new(),
+            answered: false,
+            asked_listed: false,
+            heard: 0,
+        });
+    }
+
+    /// Whether the node has a version in force but must ask again before it acts as a relay.
+    pub(super) fn rejoins(&self) -> bool {
+        self.join.is_some() && self.in_force.is_some()
+    }
+
+    pub(super) fn join_wake(&self) -> Option<Time> {
+        let join = self.join.as_ref()?;
+        Some(if join.waiting.is_empty() { join.at.min(join.limit) } else { join.limit })
+    }
+
+    pub(super) fn tick_join(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Some(join) = &self.join else { return };
+        let idle = join.waiting.is_empty();
+        let listed = self.members.list(&self.cfg.place.zone).is_some();
+        let new_peers = listed && !join.asked_listed;
+        if idle && (new_peers || (now >= join.at && !join.answered)) {
+            self.ask_round(now, listed, out);
+        }
+        if self.may_end(now) {
+            self.end_join(now, out);
+        }
+    }
+
+    fn ask_round(&mut self, now: Time, listed: bool, out: &mut Vec<Output>) {
+        let mut asked = Vec::new();
+        for peer in self.join_peers(now) {
+            self.ask(now, &peer, Ask::Join, out);
+            asked.push(peer.address);
+        }
+        for seed in self.join_seeds() {
+            if !asked.contains(&seed) {
+                self.ask_address(now, seed, Ask::Join, out);
+                asked.push(seed);
+            }
+        }
+        if let Some(join) = &mut self.join {
+            join.waiting = asked;
+            join.at = now + ANSWER_WAIT;
+            join.asked_listed = listed;
+        }
+    }
+
+    fn join_seeds(&mut self) -> Vec<SocketAddr> {
+        let mut seeds: Vec<SocketAddr> =
+            self.cfg.seeds.iter().copied().filter(|seed| *seed != self.cfg.address).collect();
+        while seeds.len() > JOIN_SEEDS {
+            let drop = self.rng.random_range(0..seeds.len());
+            seeds.swap_remove(drop);
+        }
+        seeds
+    }
+
+    /// Likely parents and random peers, here and in other zones: a zone that is cut off may know
+    /// less than the others, and the others less than a zone that holds what this VM confirmed.
+    fn join_peers(&mut self, now: Time) -> Vec<Peer> {
+        let mut peers: Vec<Peer> =
+            self.topology.uppers.iter().take(JOIN_PARENTS).cloned().collect();
+        let own = self.cfg.vm.clone();
+        for _ in 0..JOIN_RANDOM {
+            let zones = [Some(self.cfg.place.zone.clone()), self.random_zone()];
+            for zone in zones.into_iter().flatten() {
+                let member = self.members.random(now, &zone, &own, &mut self.rng);
+                let peer = member.map(topology::peer);
+                peers.extend(peer.filter(|peer| !peers.contains(peer)));
+            }
+        }
+        peers
+    }
+
+    pub(super) fn join_answered(&mut self, from: SocketAddr, pong: &Pong) {
+        if let Some(floor) = &pong.floor {
+            self.floor.accept(floor.clone());
+        }
+        let Some(join) = &mut self.join else { return };
+        join.answered = true;
+        join.waiting.retain(|address| *address != from);
+        join.heard = join.heard.max(pong.have.as_ref().map_or(0, |have| have.in_force.version));
+    }
+
+    pub(super) fn join_unanswered(&mut self, to: SocketAddr) {
+        if let Some(join) = &mut self.join {
+            join.waiting.retain(|address| *address != to);
+        }
+    }
+
+    fn may_end(&self, now: Time) -> bool {
+        let Some(join) = &self.join else { return false };
+        if now >= join.limit {
+            return true;
+        }
+        if !join.waiting.is_empty() {
+            return false;
+        }
+        if !join.answered {
+            return self.is_alone();
+        }
+        let held = self.newest_checked().map_or(0, |held| held.version);
+        join.asked_listed && held >= join.heard.max(self.floor.version())
+    }
+
+    /// Whether there is nobody to ask: no seed, and no other VM in any list.
+    fn is_alone(&self) -> bool {
+        let listed = self.members.list(&self.cfg.place.zone).is_some();
+        let others = self.members.lists().flat_map(|list| &list.vms);
+        listed && self.cfg.seeds.is_empty() && others.into_iter().all(|m| m.vm == self.cfg.vm)
+    }
+
+    fn end_join(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.join = None;
+        let Some(staged) = self.staged.take() else { return };
+        if staged.store.version() >= self.floor.version() {
+            self.put_in_force(now, staged, out);
+        }
+    }
+}
--- a/core/src/spread/message.rs
+++ b/core/src/spread/message.rs
@@ -78,6 +78,9 @@
         pub seq: u32,
         /// Whether the answering node will send notices to the asking one.
         pub attached: bool,
+        /// Nodes between the answering one and a reader, plus one; zero for a reader,
+        /// [`NO_PATH`](super::limits::NO_PATH) for a node without a parent.
+        pub hops: u8,
         /// The answering node's own word.
         pub word: Word,
         /// The version in force on the answering node.
@@ -85,6 +88,8 @@
         /// The newest version that the asking node's VM has confirmed to the answering node, maybe
         /// before a restart.
         pub floor: Option<InForce>,
+        /// Words that have changed of late, for a peer that missed them.
+        pub words: Vec<Word>,
     }
 
     /// Asks for a version, as a difference from one that is held.
@@ -136,7 +141,7 @@
         /// Changes of VM states.
         Words(Vec<Word>),
         /// Lists of VMs that are newer than the receiver's.
-        Lists(Arc<Vec<ZoneList>>),
+        Lists(Vec<Arc<ZoneList>>),
         /// The list of zones, newer than the receiver's.
         Zones(Arc<ZonesList>),
         /// A note between call paths.
--- /dev/null
+++ b/core/src/spread/serve.rs
@@ -0,0 +1,129 @@
+//! Taking messages and answering them.
+
+use super::Spread;
+use super::limits::{MAX_EXTRA_ZONES, MAX_LIST_VMS, MAX_LISTS};
+use super::message::{Ask, PeerMsg, Ping, Pong, Pull, ZoneList, ZonesList};
+use super::port::{Output, Peer};
+use crate::Time;
+use crate::call::note::OutgoingNote;
+use crate::config::Scope;
+use std::sync::Arc;
+
+impl Spread {
+    pub(super) fn take_message(
+        &mut self,
+        now: Time,
+        from: &Peer,
+        msg: PeerMsg,
+        out: &mut Vec<Output>,
+    ) {
+        // A message in this node's own name is a fault of the sender: it would become its own
+        // parent.
+        if from.vm == self.cfg.vm {
+            return;
+        }
+        match msg {
+            PeerMsg::Ping(ping) => self.take_ping(now, from, &ping, out),
+            PeerMsg::Pong(pong) => self.take_pong(now, from, &pong, out),
+            PeerMsg::Notice(summary) => self.hear(now, from, &summary, out),
+            PeerMsg::Pull(pull) => self.take_pull(from, &pull, out),
+            PeerMsg::Delta(delta) => self.take_delta(now, from, &delta, out),
+            PeerMsg::Missing(_) => self.take_missing(now, from, out),
+            PeerMsg::Words(words) => self.take_words(now, &words),
+            PeerMsg::Lists(lists) => self.take_lists(now, lists),
+            PeerMsg::Zones(zones) => self.take_zones(zones),
+            PeerMsg::Note(note) => out.push(Output::Note { from: from.vm.clone(), note }),
+        }
+    }
+
+    fn take_ping(&mut self, now: Time, from: &Peer, ping: &Ping, out: &mut Vec<Output>) {
+        // A question with another VM's word is a fault of the sender.
+        if ping.word.vm != from.vm {
+            return;
+        }
+        self.hear_word(now, &ping.word, true);
+        let floor = match ping.ask {
+            Ask::Join => self.members.floor_of(&from.vm).cloned(),
+            Ask::Attach | Ask::Compare => None,
+        };
+        if let Some(have) = &ping.have {
+            self.members.confirm(&from.vm, have);
+        }
+        let attached = ping.ask == Ask::Attach && self.take_child(now, from);
+        let pong = Pong {
+            seq: ping.seq,
+            attached,
+            hops: self.own_hops(),
+            word: self.word.clone(),
+            have: self.have(),
+            floor,
+            words: self.members.recent_words(now),
+        };
+        self.send(from, PeerMsg::Pong(Box::new(pong)), out);
+        self.send_lists(now, from, ping, out);
+        if let Some(have) = &ping.have {
+            self.hear(now, from, have, out);
+        }
+    }
+
+    /// Sends the lists that the asking node lacks, and asks for those that this node lacks.
+    fn send_lists(&mut self, now: Time, from: &Peer, ping: &Ping, out: &mut Vec<Output>) {
+        if let Some(zones) = self.members.zones().filter(|zones| zones.index > ping.zones) {
+            self.send(from, PeerMsg::Zones(zones.clone()), out);
+        }
+        let lists = self.members.lists_beyond(&ping.lists, &from.place.region);
+        if !lists.is_empty() {
+            self.send(from, PeerMsg::Lists(lists), out);
+        }
+        let newer = |mark: &super::message::ListMark| {
+            self.members.list(&mark.zone).is_some_and(|list| list.index < mark.index)
+        };
+        if ping.ask != Ask::Compare && ping.lists.iter().any(newer) {
+            self.ask(now, from, Ask::Compare, out);
+        }
+    }
+
+    fn take_pull(&mut self, from: &Peer, pull: &Pull, out: &mut Vec<Output>) {
+        let scope = Scope::new(pull.scope.as_deref());
+        let open = !self.rejoins();
+        let store = self.in_force.as_mut().filter(|store| open && store.version() >= pull.version);
+        let delta = store.and_then(|store| store.delta(pull.base.as_ref(), &scope));
+        let msg = match delta {
+            Some(delta) => PeerMsg::Delta(delta),
+            None => PeerMsg::Missing(self.in_force().map_or(0, |in_force| in_force.version)),
+        };
+        self.send(from, msg, out);
+    }
+
+    fn take_lists(&mut self, now: Time, lists: Vec<Arc<ZoneList>>) {
+        for list in lists.into_iter().take(MAX_LISTS) {
+            let held = self.members.list(&list.place.zone).is_some();
+            let room = held || self.members.lists().count() < MAX_LISTS;
+            if room && list.vms.len() <= MAX_LIST_VMS && self.members.take_list(now, list) {
+                self.lists_changed();
+            }
+        }
+    }
+
+    fn take_zones(&mut self, zones: Arc<ZonesList>) {
+        if zones.zones.len() <= MAX_LISTS && self.members.take_zones(zones) {
+            self.lists_changed();
+        }
+    }
+
+    /// Sends a note of the call path. A note to a VM in no list is dropped, and the list of its
+    /// zone is read: whoever waits for the note's effect asks again.
+    pub(super) fn send_note(&mut self, note: OutgoingNote, out: &mut Vec<Output>) {
+        if let Some(member) = self.members.find(&note.to) {
+            let peer = super::topology::peer(member);
+            self.send(&peer, PeerMsg::Note(note.note), out);
+            return;
+        }
+        let Some(snapshot) = &self.snapshot else { return };
+        let Some(key) = snapshot.target_on(&note.to) else { return };
+        let place = snapshot.target(key).target.place();
+        if !self.extra_zones.contains(&place) && self.extra_zones.len() < MAX_EXTRA_ZONES {
+            self.extra_zones.push(place);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/spread/store.rs
@@ -0,0 +1,218 @@
+//! The version that a node holds, and the differences that it makes for others.
+
+use super::message::{Base, Delta, Summary};
+use crate::config::content::{Content, Trace};
+use crate::config::{ResourceId, Scope};
+use crate::hash::Hash;
+use crate::{Code, Fault, Result};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+/// Versions back for which a difference can be made; a node further behind gets its whole scope.
+const MAX_STEPS: usize = 64;
+
+/// Changes kept over all steps; bounds the memory of a history of large changes.
+const MAX_STEP_CHANGES: usize = 20_000;
+
+/// Differences kept to be sent to several nodes.
+const MAX_CACHED: usize = 32;
+
+/// Largest number of resources in a difference that is taken from a peer.
+pub const MAX_DELTA_RESOURCES: usize = 100_000;
+
+type Changes = BTreeMap<ResourceId, Option<Trace>>;
+
+/// What changed from one held version to the next.
+#[derive(Debug)]
+struct Step {
+    from: u64,
+    /// By resource, what was there in the older version.
+    changes: Changes,
+}
+
+/// A difference kept for the next node that asks for the same.
+#[derive(Debug)]
+struct Cached {
+    base: Option<Base>,
+    scope: Scope,
+    delta: Arc<Delta>,
+}
+
+/// One version within a scope, with the steps that led to it.
+#[derive(Debug)]
+pub struct Store {
+    summary: Summary,
+    scope: Scope,
+    content: Content,
+    digest: Hash,
+    steps: VecDeque<Step>,
+    cached: VecDeque<Cached>,
+}
+
+impl Store {
+    /// Holds a version.
+    pub fn new(summary: Summary, scope: Scope, content: Content) -> Store {
+        let digest = content.manifest(&scope).digest();
+        Store { summary, scope, content, digest, steps: VecDeque::new(), cached: VecDeque::new() }
+    }
+
+    /// The version held.
+    pub fn summary(&self) -> &Summary {
+        &self.summary
+    }
+
+    /// The version number held.
+    pub fn version(&self) -> u64 {
+        self.summary.in_force.version
+    }
+
+    /// The scope held.
+    pub fn scope(&self) -> &Scope {
+        &self.scope
+    }
+
+    /// The resources held.
+    pub fn content(&self) -> &Content {
+        &self.content
+    }
+
+    /// What a peer is told to make a difference from.
+    pub fn base(&self) -> Base {
+        Base { version: self.version(), digest: self.digest }
+    }
+
+    /// Replaces an older store by this one and keeps its history.
+    pub fn after(mut self, older: Option<Store>) -> Store {
+        let Some(older) = older else { return self };
+        // A history over a change of scope would miss what lay outside of it.
+        if older.scope != self.scope || older.version() == self.version() {
+            return self;
+        }
+        let changes = self.content.changes_since(&older.content);
+        self.steps = older.steps;
+        self.steps.push_back(Step { from: older.summary.in_force.version, changes });
+        self.trim();
+        self
+    }
+
+    fn trim(&mut self) {
+        let count = |steps: &VecDeque<Step>| steps.iter().map(|step| step.changes.len()).sum();
+        let mut changes: usize = count(&self.steps);
+        while self.steps.len() > MAX_STEPS || changes > MAX_STEP_CHANGES {
+            let Some(step) = self.steps.pop_front() else { return };
+            changes -= step.changes.len();
+        }
+    }
+
+    /// The difference from `base` within `scope`, or everything in scope if the base is not known.
+    /// `None` if this node does not hold all of the scope.
+    pub fn delta(&mut self, base: Option<&Base>, scope: &Scope) -> Option<Arc<Delta>> {
+        if !self.scope.includes(scope) {
+            return None;
+        }
+        let hit = self.cached.iter().find(|c| c.base.as_ref() == base && c.scope == *scope);
+        if let Some(hit) = hit {
+            return Some(hit.delta.clone());
+        }
+        let delta = base.and_then(|base| self.difference(base, scope));
+        let delta = Arc::new(delta.unwrap_or_else(|| self.everything(scope)));
+        if self.cached.len() == MAX_CACHED {
+            self.cached.pop_front();
+        }
+        let base = base.cloned();
+        self.cached.push_back(Cached { base, scope: scope.clone(), delta: delta.clone() });
+        Some(delta)
+    }
+
+    fn everything(&self, scope: &Scope) -> Delta {
+        let resources = self.content.within(scope);
+        Delta {
+            summary: self.summary.clone(),
+            base: None,
+            changed: resources.into_iter().map(|(id, resource)| (id, resource.body)).collect(),
+            removed: Vec::new(),
+            digest: self.content.manifest(scope).digest(),
+        }
+    }
+
+    fn difference(&self, base: &Base, scope: &Scope) -> Option<Delta> {
+        let before = self.before(base.version)?;
+        let mut manifest = self.content.manifest(scope);
+        let digest = manifest.digest();
+        let covers = |trace: &&Trace| scope.covers(&trace.service);
+        let mut changed = Vec::new();
+        let mut removed = Vec::new();
+        for (id, old) in before {
+            let old = old.filter(|trace| covers(&trace));
+            let new = self.content.get(id).filter(|entry| scope.covers(&entry.service));
+            match (old, new) {
+                (None, None) => continue,
+                (Some(old), None) => {
+                    removed.push(id.clone());
+                    manifest.entries.insert(id.clone(), old.hash);
+                }
+                (Some(old), Some(new)) if old.hash == new.resource.hash => continue,
+                (Some(old), Some(new)) => {
+                    changed.push((id.clone(), new.resource.body.clone()));
+                    manifest.entries.insert(id.clone(), old.hash);
+                }
+                (None, Some(new)) => {
+                    changed.push((id.clone(), new.resource.body.clone()));
+                    manifest.entries.remove(id);
+                }
+            }
+        }
+        // Guards against a base of the same number but other content, as after a conflict: with
+        // the changes undone the manifest must be the one that the asking node holds.
+        if manifest.digest() != base.digest {
+            return None;
+        }
+        let summary = self.summary.clone();
+        Some(Delta { summary, base: Some(base.clone()), changed, removed, digest })
+    }
+
+    /// Every resource that changed since `version`, with what it was then. `None` if the history
+    /// does not go back that far.
+    fn before(&self, version: u64) -> Option<BTreeMap<&ResourceId, Option<&Trace>>> {
+        if version == self.version() {
+            return Some(BTreeMap::new());
+        }
+        let start = self.steps.iter().position(|step| step.from == version)?;
+        let mut before = BTreeMap::new();
+        for step in self.steps.iter().skip(start) {
+            for (id, old) in &step.changes {
+                before.entry(id).or_insert(old.as_ref());
+            }
+        }
+        Some(before)
+    }
+}
+
+/// The content that a difference leads to, checked against its digest.
+///
+/// Guards against a peer that sends wrong or incomplete resources: every hash is computed anew
+/// from the body that came in, so that one wrong byte changes the digest of the whole and nothing
+/// of it is used.
+pub fn apply(delta: &Delta, held: Option<&Store>, scope: &Scope) -> Result<Content> {
+    let fault = |code: Code| Fault::new(code).with_place(delta.summary.in_force.version);
+    if delta.changed.len() + delta.removed.len() > MAX_DELTA_RESOURCES {
+        return Err(fault(Code::PeerInvalid).with_detail("too many resources"));
+    }
+    let mut content = match (&delta.base, held) {
+        (None, _) => Content::default(),
+        (Some(base), Some(held)) if *base == held.base() && held.scope == *scope => {
+            held.content.clone()
+        }
+        (Some(_), _) => return Err(fault(Code::PeerInvalid).with_detail("base is not held")),
+    };
+    for id in &delta.removed {
+        content.remove(id);
+    }
+    for (id, body) in &delta.changed {
+        content.insert_body(id.clone(), body.clone())?;
+    }
+    if content.manifest(&Scope::All).digest() != delta.digest {
+        return Err(fault(Code::PeerHashMismatch));
+    }
+    Ok(content)
+}
--- /dev/null
+++ b/core/src/spread/topology.rs
@@ -0,0 +1,225 @@
+//! Who reads the platform and who takes versions from whom, worked out by every node alone from
+//! the same lists and the same hash, so that no one appoints anyone.
+//!
+//! In each zone the VMs are ranked by rendezvous hash. The first [`TOP`] are the zone's relays;
+//! the others hang below them in a tree with [`FAN_OUT`] children each. The zones of a region are
+//! ranked the same way; the first VM of each of the first two zones is a reader of the region.
+
+use super::limits::{ASSUMED_ZONES, FAN_OUT, TOP};
+use super::members::Members;
+use super::port::{Config, Peer};
+use crate::hash::score;
+use crate::member::{Member, VmState};
+use crate::place::Place;
+use crate::status::Role;
+use crate::{Name, Time};
+use std::cmp::Reverse;
+
+data! {
+    /// A node's place in the spread.
+    pub struct Topology {
+        /// What the node does.
+        pub role: Role,
+        /// Its number among its region's readers, from zero; `None` if it is none.
+        pub reader: Option<usize>,
+        /// Whether its region is the one whose readers read bodies for all.
+        pub home: bool,
+        /// Its rank in its zone, from zero.
+        pub rank: usize,
+        /// VMs in its zone.
+        pub zone_vms: usize,
+        /// Number of zones.
+        pub zones: usize,
+        /// Possible parents, best first.
+        pub uppers: Vec<Peer>,
+    }
+}
+
+impl Topology {
+    /// The place of a node that holds no lists.
+    pub fn unknown() -> Topology {
+        Topology {
+            role: Role::Leaf,
+            reader: None,
+            home: false,
+            rank: TOP,
+            zone_vms: 0,
+            zones: ASSUMED_ZONES,
+            uppers: Vec::new(),
+        }
+    }
+
+    /// Works out the place of a node. `staying` is false once it is leaving.
+    pub fn new(now: Time, cfg: &Config, members: &Members, staying: bool) -> Topology {
+        let view = View { now, members };
+        let order = view.ranked(&cfg.place.zone);
+        let position = order.iter().position(|member| member.vm == cfg.vm);
+        let own_score = score(cfg.place.zone.as_bytes(), cfg.vm.as_bytes());
+        // A VM that the list does not name yet, or that leaves, takes a place that no one relies
+        // on: nobody else would look for it at the top.
+        let rank = match position {
+            Some(rank) if staying => rank,
+            _ => {
+                let better = order.iter().filter(|m| view.score(m) > own_score).count();
+                better.max(TOP)
+            }
+        };
+        let home = home_region(cfg, members);
+        let readers = view.readers(&cfg.place.region);
+        let is_reader = |member: &&Member| member.vm == cfg.vm && staying;
+        let reader = readers.iter().position(is_reader);
+        let home_readers = view.readers(&home);
+        let is_home = home == cfg.place.region;
+        let mut uppers = match reader {
+            Some(number) => reader_uppers(number, is_home, &readers, &home_readers),
+            None if rank < TOP => relay_uppers(rank, &order, &readers, &home_readers),
+            None => tree_uppers(rank, &order),
+        };
+        match reader {
+            Some(_) => uppers.extend(view.other_readers(&home, &cfg.place.region)),
+            // The last resort before the platform: the tops of the region's other zones.
+            None => uppers.extend(view.tops(&cfg.place.region)),
+        }
+        let role = match reader {
+            Some(_) => Role::RegionReader,
+            None if rank < TOP => Role::ZoneRelay,
+            None if TOP + rank * FAN_OUT < order.len() && position.is_some() => Role::Relay,
+            None => Role::Leaf,
+        };
+        Topology {
+            role,
+            reader,
+            home: is_home,
+            rank,
+            zone_vms: order.len(),
+            zones: members.zones().map_or(ASSUMED_ZONES, |zones| zones.zones.len().max(1)),
+            uppers: distinct(uppers, &cfg.vm),
+        }
+    }
+}
+
+/// The region whose readers read bodies from the platform for all others.
+pub fn home_region(cfg: &Config, members: &Members) -> Name {
+    if let Some(region) = &cfg.platform_region {
+        return region.clone();
+    }
+    let zones = members.zones().map(|zones| zones.zones.as_slice()).unwrap_or_default();
+    let regions = zones.iter().map(|place| &place.region);
+    let best = regions.max_by_key(|region| score(b"in-force", region.as_bytes()));
+    best.unwrap_or(&cfg.place.region).clone()
+}
+
+/// The zones of a region, best first.
+pub fn zones_of(members: &Members, region: &Name) -> Vec<Place> {
+    let zones = members.zones().map(|zones| zones.zones.as_slice()).unwrap_or_default();
+    let mut places: Vec<Place> =
+        zones.iter().filter(|place| place.region == *region).cloned().collect();
+    places.sort_by_key(|place| Reverse(score(region.as_bytes(), place.zone.as_bytes())));
+    places
+}
+
+struct View<'a> {
+    now: Time,
+    members: &'a Members,
+}
+
+impl<'a> View<'a> {
+    fn score(&self, member: &Member) -> u64 {
+        score(member.zone.as_bytes(), member.vm.as_bytes())
+    }
+
+    fn live(&self, zone: &Name) -> impl Iterator<Item = &'a Member> {
+        let (now, members) = (self.now, self.members);
+        let vms = members.list(zone).map(|list| list.vms.as_slice()).unwrap_or_default();
+        vms.iter().filter(move |member| members.state(now, member) == VmState::Live)
+    }
+
+    /// The live VMs of a zone, best first.
+    fn ranked(&self, zone: &Name) -> Vec<&'a Member> {
+        let mut vms: Vec<&Member> = self.live(zone).collect();
+        vms.sort_by_cached_key(|member| (Reverse(self.score(member)), member.vm.clone()));
+        vms
+    }
+
+    /// The best live VM of a zone other than `not`.
+    fn top(&self, zone: &Name, not: Option<&Name>) -> Option<&'a Member> {
+        let fits = |member: &&Member| Some(&member.vm) != not;
+        self.live(zone)
+            .filter(fits)
+            .max_by_key(|member| (self.score(member), Reverse(member.vm.clone())))
+    }
+
+    fn readers(&self, region: &Name) -> Vec<&'a Member> {
+        let zones = zones_of(self.members, region);
+        let tops = zones.iter().filter_map(|place| self.top(&place.zone, None));
+        let mut readers: Vec<&Member> = tops.take(TOP).collect();
+        if let [only] = readers[..] {
+            readers.extend(self.top(&only.zone, Some(&only.vm)));
+        }
+        readers
+    }
+
+    fn other_readers(&self, home: &Name, own: &Name) -> Vec<Peer> {
+        let zones = self.members.zones().map(|zones| zones.zones.as_slice()).unwrap_or_default();
+        let mut regions: Vec<&Name> = zones.iter().map(|place| &place.region).collect();
+        regions.sort();
+        regions.dedup();
+        regions.retain(|region| *region != home && *region != own);
+        regions.iter().filter_map(|region| self.readers(region).first().map(|m| peer(m))).collect()
+    }
+
+    fn tops(&self, region: &Name) -> Vec<Peer> {
+        let zones = zones_of(self.members, region);
+        zones.iter().filter_map(|place| self.top(&place.zone, None)).map(peer).collect()
+    }
+}
+
+fn reader_uppers(
+    number: usize,
+    home: bool,
+    own: &[&Member],
+    home_readers: &[&Member],
+) -> Vec<Peer> {
+    let (first, rest) = own.split_at(number);
+    // Only the first reader of a region takes bodies across; the second takes them from it.
+    let others: &[&Member] = if home { rest } else { home_readers };
+    first.iter().chain(others).map(|member| peer(member)).collect()
+}
+
+fn relay_uppers(
+    rank: usize,
+    order: &[&Member],
+    readers: &[&Member],
+    home_readers: &[&Member],
+) -> Vec<Peer> {
+    // The two relays of a zone prefer different readers, so that one dead reader or one cut
+    // between two zones leaves the zone a fresh relay.
+    let (left, right) = readers.split_at(rank.min(readers.len()));
+    let above = order.iter().take(rank);
+    let all = right.iter().chain(left).chain(above).chain(home_readers);
+    all.map(|member| peer(member)).collect()
+}
+
+fn tree_uppers(rank: usize, order: &[&Member]) -> Vec<Peer> {
+    let parent = (rank - TOP) / FAN_OUT;
+    let beside = parent ^ 1;
+    let above = parent.saturating_sub(TOP) / FAN_OUT;
+    let ranks = [parent, beside, above, 0, 1];
+    let lower = ranks.into_iter().filter(|upper| *upper < rank);
+    lower.filter_map(|upper| order.get(upper)).map(|member| peer(member)).collect()
+}
+
+/// The peer that a member runs.
+pub fn peer(member: &Member) -> Peer {
+    Peer { vm: member.vm.clone(), place: member.place(), address: member.peers }
+}
+
+fn distinct(peers: Vec<Peer>, own: &Name) -> Vec<Peer> {
+    let mut kept: Vec<Peer> = Vec::with_capacity(peers.len());
+    for peer in peers {
+        if peer.vm != *own && !kept.contains(&peer) {
+            kept.push(peer);
+        }
+    }
+    kept
+}
--- a/core/src/time.rs
+++ b/core/src/time.rs
@@ -7,6 +7,7 @@
 key! {
     /// Microseconds since the Unix epoch. It never goes back within one process: the clock port
     /// reads the wall clock once at start and adds a monotonic clock to it.
+    #[derive(Default)]
     #[serde(transparent)]
     pub struct Time(pub u64);
 }
--- /dev/null
+++ b/core/tests/support/fleet.rs
@@ -0,0 +1,437 @@
+//! A few nodes in one thread, joined by one time-ordered queue with latency and cuts, and a
+//! platform that counts its calls.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use sycamore_core::config::{InForce, Snapshot};
+use sycamore_core::event::{Event, EventKind};
+use sycamore_core::hash::Hash;
+use sycamore_core::member::{Member, VmList, VmState};
+use sycamore_core::place::{Place, Zones};
+use sycamore_core::spread::port::CallId;
+use sycamore_core::spread::{
+    Config, Input, Output, Peer, PeerMsg, SourceCall, SourceReply, SourceValue, Spread, View,
+};
+use sycamore_core::{Code, Name, Time};
+
+/// Latency of every link and of the platform.
+const LATENCY: Duration = Duration::from_millis(2);
+
+/// A node and what it did since its VM first started.
+pub struct Slot {
+    pub cfg: Config,
+    pub spread: Option<Spread>,
+    pub frozen: bool,
+    pub in_force: Vec<Arc<Snapshot>>,
+    pub events: Vec<Event>,
+    pub members: IndexMap<Name, VmState>,
+    pub view: Option<View>,
+    starts: u64,
+    wake: Option<Time>,
+    held: Vec<Input>,
+}
+
+enum Action {
+    Wake(u64),
+    Input(u64, Input),
+    Timeout(u64, SourceCall),
+}
+
+/// What a test does to a message on its way.
+pub type Filter = Box<dyn Fn(&Slot, &Slot, &PeerMsg) -> Option<PeerMsg>>;
+
+/// The platform, its values by key with the index of their last change.
+#[derive(Default)]
+pub struct Platform {
+    pub values: BTreeMap<String, (u64, Bytes)>,
+    pub index: u64,
+    /// Zones that can't reach it.
+    pub cut: Vec<Name>,
+    pub down: bool,
+    /// Times of all calls.
+    pub calls: Vec<(Time, String)>,
+    waiting: Vec<(usize, u64, SourceCall)>,
+}
+
+pub struct Fleet {
+    pub now: Time,
+    pub nodes: Vec<Slot>,
+    pub platform: Platform,
+    pub filter: Filter,
+    queue: BTreeMap<(Time, u64), (usize, Action)>,
+    number: u64,
+    seed: u64,
+}
+
+pub fn name(text: impl Into<String>) -> Name {
+    Name::new(text.into()).unwrap()
+}
+
+/// The seed of a run, settable as `SYCAMORE_SEED` and printed with a failure.
+pub fn seed() -> u64 {
+    let seed = std::env::var("SYCAMORE_SEED").ok().and_then(|text| text.parse().ok());
+    let seed = seed.unwrap_or(1);
+    println!("SYCAMORE_SEED={seed}");
+    seed
+}
+
+/// A preset with one service a VM of `vms`, marked so that bodies differ.
+pub fn preset(mark: u32) -> String {
+    format!(
+        r#"{{"name":"ordinary","services":{{
+"roster":{{"limits":{{"slots":{}}},"targets":[{{"vm":"a-0","region":"r1","zone":"a","gate":"127.0.0.1:1"}}]}},
+"maps":{{"targets":[{{"vm":"b-0","region":"r1","zone":"b","gate":"127.0.0.1:2"}}]}}}},
+"routes":{{"rosters":{{"path_prefix":"/rosters","service":"roster","idempotent":true}},
+"maps":{{"path_prefix":"/maps","service":"maps","idempotent":true}}}}}}"#,
+        mark % 100 + 1
+    )
+}
+
+pub fn publication(version: u64, body: &str) -> InForce {
+    InForce { version, preset: name("ordinary"), digest: Hash::of(body.as_bytes()) }
+}
+
+impl Platform {
+    pub fn set(&mut self, key: &str, value: impl Into<Bytes>) {
+        self.index += 1;
+        self.values.insert(key.into(), (self.index, value.into()));
+    }
+
+    fn read(&self, call: &SourceCall) -> SourceValue {
+        match self.values.get(call.key.as_str()) {
+            Some((index, body)) => SourceValue { index: *index, body: Some(body.clone()) },
+            None => SourceValue { index: 0, body: None },
+        }
+    }
+
+    /// Most calls in any one second.
+    pub fn peak(&self) -> usize {
+        let within = |start: Time| {
+            let inside = |at: &Time| *at >= start && at.since(start) < Duration::from_secs(1);
+            self.calls.iter().filter(|(at, _)| inside(at)).count()
+        };
+        self.calls.iter().map(|(at, _)| within(*at)).max().unwrap_or(0)
+    }
+}
+
+impl Fleet {
+    /// A fleet of `per_zone` VMs in each of the zones a and b of region r1, c and d of r2, and so
+    /// on; nothing is started.
+    pub fn new(zones: usize, per_zone: usize) -> Fleet {
+        let seed = seed();
+        let mut fleet = Fleet {
+            now: Time::from_millis(1_000_000),
+            nodes: Vec::new(),
+            platform: Platform::default(),
+            filter: Box::new(|_, _, msg| Some(msg.clone())),
+            queue: BTreeMap::new(),
+            number: 0,
+            seed,
+        };
+        let letters = "abcdefghij";
+        let mut places = Vec::new();
+        for (number, letter) in letters.chars().take(zones).enumerate() {
+            let region = name(format!("r{}", number / 2 + 1));
+            let place = Place { region, zone: name(letter) };
+            for vm in 0..per_zone {
+                fleet.add(&place, number, vm, (zones * per_zone) as u32);
+            }
+            places.push(place);
+        }
+        for place in &places {
+            fleet.list(place, |_| Some(VmState::Live));
+        }
+        let zones = serde_json::to_vec(&Zones { zones: places }).unwrap();
+        fleet.platform.set("zones", zones);
+        fleet
+    }
+
+    fn add(&mut self, place: &Place, zone: usize, vm: usize, fleet_vms: u32) {
+        let address = SocketAddr::from(([127, 1, zone as u8, vm as u8], 1));
+        let cfg = Config {
+            vm: name(format!("{}-{vm}", place.zone)),
+            place: place.clone(),
+            address,
+            seeds: Vec::new(),
+            scope: None,
+            platform_region: Some(name("r1")),
+            fleet_vms,
+            first_configuration: Duration::from_secs(5),
+        };
+        self.nodes.push(Slot {
+            cfg,
+            spread: None,
+            frozen: false,
+            in_force: Vec::new(),
+            events: Vec::new(),
+            members: IndexMap::new(),
+            view: None,
+            starts: 0,
+            wake: None,
+            held: Vec::new(),
+        });
+    }
+
+    /// Publishes the list of a zone; `state` gives the state of each VM, or leaves it out.
+    pub fn list(&mut self, place: &Place, state: impl Fn(&Name) -> Option<VmState>) {
+        let members = self.nodes.iter().filter(|slot| slot.cfg.place == *place);
+        let member = |slot: &Slot| {
+            Some(Member {
+                vm: slot.cfg.vm.clone(),
+                region: place.region.clone(),
+                zone: place.zone.clone(),
+                peers: slot.cfg.address,
+                admin: slot.cfg.address,
+                state: state(&slot.cfg.vm)?,
+            })
+        };
+        let list = VmList { vms: members.filter_map(member).collect() };
+        let body = serde_json::to_vec(&list).unwrap();
+        self.set(&format!("vms/{}", place.zone), body);
+    }
+
+    /// Writes a key of the platform and wakes whoever watches it.
+    pub fn set(&mut self, key: &str, value: impl Into<Bytes>) {
+        self.platform.set(key, value);
+        let (wake, wait): (Vec<_>, Vec<_>) = std::mem::take(&mut self.platform.waiting)
+            .into_iter()
+            .partition(|(_, _, call)| call.key.as_str() == key);
+        self.platform.waiting = wait;
+        for (node, starts, call) in wake {
+            self.reply(node, starts, &call);
+        }
+    }
+
+    /// Publishes a body under a version.
+    pub fn publish(&mut self, version: u64, body: &str) {
+        self.set("preset/ordinary", body.to_owned());
+        self.choose(&publication(version, body));
+    }
+
+    pub fn choose(&mut self, in_force: &InForce) {
+        self.set("in-force", serde_json::to_vec(in_force).unwrap());
+    }
+
+    pub fn index(&self, vm: &str) -> usize {
+        self.nodes.iter().position(|slot| slot.cfg.vm.as_str() == vm).unwrap()
+    }
+
+    pub fn start(&mut self, node: usize) {
+        let slot = &mut self.nodes[node];
+        slot.starts += 1;
+        slot.frozen = false;
+        slot.held.clear();
+        let seed = self.seed.wrapping_mul(1_000_003) ^ (node as u64) << 20 ^ slot.starts;
+        slot.spread = Some(Spread::new(slot.cfg.clone(), seed));
+        self.input(node, Input::Start);
+    }
+
+    pub fn start_all(&mut self) {
+        for node in 0..self.nodes.len() {
+            self.start(node);
+        }
+    }
+
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].spread = None;
+    }
+
+    pub fn freeze(&mut self, node: usize) {
+        self.nodes[node].frozen = true;
+    }
+
+    /// Lets a frozen process run again: first its overdue timer, then what came in meanwhile.
+    pub fn thaw(&mut self, node: usize) {
+        self.nodes[node].frozen = false;
+        self.input(node, Input::Wake);
+        for input in std::mem::take(&mut self.nodes[node].held) {
+            self.input(node, input);
+        }
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(entry) = self.queue.first_entry() {
+            let (at, _) = *entry.key();
+            if at > end {
+                break;
+            }
+            let (node, action) = entry.remove();
+            self.now = at;
+            self.act(node, action);
+        }
+        self.now = end;
+    }
+
+    fn act(&mut self, node: usize, action: Action) {
+        let slot = &self.nodes[node];
+        match action {
+            Action::Wake(starts) => {
+                let due = slot.wake == Some(self.now) && slot.starts == starts;
+                if due && !slot.frozen {
+                    self.input(node, Input::Wake);
+                }
+            }
+            Action::Input(starts, input) => {
+                let reply = matches!(input, Input::Source(_) | Input::PeerFailed { .. });
+                if reply && slot.starts != starts {
+                    return;
+                }
+                if slot.frozen {
+                    self.nodes[node].held.push(input);
+                } else {
+                    self.input(node, input);
+                }
+            }
+            Action::Timeout(starts, call) => {
+                let waiting = &mut self.platform.waiting;
+                let before = waiting.len();
+                waiting.retain(|(n, s, c)| (*n, *s, c.id) != (node, starts, call.id));
+                if waiting.len() < before {
+                    self.reply(node, starts, &call);
+                }
+            }
+        }
+    }
+
+    /// Hands an input to a node that runs.
+    pub fn input(&mut self, node: usize, input: Input) {
+        let now = self.now;
+        let slot = &mut self.nodes[node];
+        let Some(spread) = &mut slot.spread else { return };
+        let mut out = Vec::new();
+        spread.handle(now, input, &mut out);
+        for output in out {
+            self.output(node, output);
+        }
+    }
+
+    fn output(&mut self, node: usize, output: Output) {
+        let now = self.now;
+        let slot = &mut self.nodes[node];
+        match output {
+            Output::Send { to, msg, .. } => self.send(node, to, msg),
+            Output::ReadSource(call) => self.read(node, call),
+            Output::DropSource(id) => self.drop_call(node, id),
+            Output::InForce(snapshot) => slot.in_force.push(snapshot),
+            Output::Event(event) => slot.events.push(event),
+            Output::Members(members) => slot.members = members,
+            Output::View(view) => slot.view = Some(view),
+            Output::WakeAt(at) => {
+                slot.wake = Some(at);
+                let starts = slot.starts;
+                self.push(at.max(now), node, Action::Wake(starts));
+            }
+            Output::Refused(_) | Output::Note { .. } => {}
+        }
+    }
+
+    fn push(&mut self, at: Time, node: usize, action: Action) {
+        self.number += 1;
+        self.queue.insert((at, self.number), (node, action));
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, msg: PeerMsg) {
+        let Some(node) = self.nodes.iter().position(|slot| slot.cfg.address == to) else { return };
+        let sender = &self.nodes[from];
+        let Some(msg) = (self.filter)(sender, &self.nodes[node], &msg) else { return };
+        let starts = sender.starts;
+        if self.nodes[node].spread.is_none() {
+            let failed = Input::PeerFailed { to };
+            return self.push(self.now + LATENCY, from, Action::Input(starts, failed));
+        }
+        let cfg = &sender.cfg;
+        let peer = Peer { vm: cfg.vm.clone(), place: cfg.place.clone(), address: cfg.address };
+        let input = Input::Peer { from: peer, msg };
+        self.push(self.now + LATENCY, node, Action::Input(0, input));
+    }
+
+    fn read(&mut self, node: usize, call: SourceCall) {
+        let slot = &self.nodes[node];
+        let starts = slot.starts;
+        self.platform.calls.push((self.now, call.key.to_string()));
+        if self.platform.down || self.platform.cut.contains(&slot.cfg.place.zone) {
+            let result = Err(Code::SourceUnreachable);
+            let reply = Input::Source(SourceReply { id: call.id, result });
+            return self.push(self.now + LATENCY, node, Action::Input(starts, reply));
+        }
+        let index = self.platform.read(&call).index;
+        if call.index > 0 && index == call.index {
+            self.push(self.now + call.wait, node, Action::Timeout(starts, call.clone()));
+            self.platform.waiting.push((node, starts, call));
+        } else {
+            self.reply(node, starts, &call);
+        }
+    }
+
+    fn drop_call(&mut self, node: usize, id: CallId) {
+        let starts = self.nodes[node].starts;
+        self.platform.waiting.retain(|(n, s, c)| (*n, *s, c.id) != (node, starts, id));
+    }
+
+    fn reply(&mut self, node: usize, starts: u64, call: &SourceCall) {
+        let result = Ok(self.platform.read(call));
+        let reply = Input::Source(SourceReply { id: call.id, result });
+        self.push(self.now + LATENCY, node, Action::Input(starts, reply));
+    }
+
+    /// Breaks off every open call to the platform, as an outage does.
+    pub fn platform_down(&mut self, down: bool) {
+        self.platform.down = down;
+        if down {
+            for (node, starts, call) in std::mem::take(&mut self.platform.waiting) {
+                let result = Err(Code::SourceUnreachable);
+                let reply = Input::Source(SourceReply { id: call.id, result });
+                self.push(self.now + LATENCY, node, Action::Input(starts, reply));
+            }
+        }
+    }
+
+    /// Version in force on a node that runs; zero before the first.
+    pub fn version(&self, node: usize) -> u64 {
+        let spread = self.nodes[node].spread.as_ref();
+        spread.and_then(|spread| spread.in_force()).map_or(0, |in_force| in_force.version)
+    }
+
+    /// Versions in force on all nodes that run.
+    pub fn versions(&self) -> Vec<u64> {
+        let running = (0..self.nodes.len()).filter(|node| self.nodes[*node].spread.is_some());
+        running.map(|node| self.version(node)).collect()
+    }
+
+    /// How often an event of a kind was recorded by a node.
+    pub fn count(&self, node: usize, kind: EventKind, code: Option<Code>) -> usize {
+        let code = code.map(Code::number);
+        let fits = |event: &&Event| event.kind == kind && (code.is_none() || event.code == code);
+        self.nodes[node].events.iter().filter(fits).count()
+    }
+
+    /// Panics if any VM ever went back to an older version, restarts included.
+    pub fn check_never_back(&self) {
+        for slot in &self.nodes {
+            let versions: Vec<u64> = slot.in_force.iter().map(|s| s.version()).collect();
+            assert!(versions.is_sorted(), "{} went back: {versions:?}", slot.cfg.vm);
+        }
+    }
+
+    /// A filter that loses every message between the zones of `cut` and all others.
+    pub fn cut_zones(&mut self, cut: &[&str]) {
+        let cut: Vec<Name> = cut.iter().map(|zone| name(*zone)).collect();
+        self.filter = Box::new(move |from, to, msg| {
+            let (from, to) = (&from.cfg.place.zone, &to.cfg.place.zone);
+            (from == to || cut.contains(from) == cut.contains(to) && !cut.contains(from))
+                .then(|| msg.clone())
+        });
+    }
+
+    pub fn heal(&mut self) {
+        self.filter = Box::new(|_, _, msg| Some(msg.clone()));
+        self.platform.cut.clear();
+    }
+}
