Adapters of the spread: peers over Cap'n Proto RPC, the platform over HTTP

Ruled out: one connection per direction of a question (answers come over the peer's own connection, so that a peer that never answers costs a bounded wait and nothing else). Change: node/schema with the committed generated code, codec with bounds, compressed contents made once for many receivers, links that count bytes, platform client; settings platform_region and limits.fleet_vms; status shows whether the version was confirmed by a peer.

--- a/core/src/place.rs
+++ b/core/src/place.rs
@@ -36,6 +36,15 @@
 impl Link {
     /// Every class, nearest first.
     pub const ALL: [Link; 3] = [Link::Zone, Link::Region, Link::Across];
+
+    /// The name of the class in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Link::Zone => "zone",
+            Link::Region => "region",
+            Link::Across => "across",
+        }
+    }
 }
 
 impl Place {
--- a/core/src/spread/store.rs
+++ b/core/src/spread/store.rs
@@ -143,7 +143,7 @@
         let mut changed = Vec::new();
         let mut removed = Vec::new();
         for (id, old) in before {
-            let old = old.filter(|trace| covers(&trace));
+            let old = old.filter(covers);
             let new = self.content.get(id).filter(|entry| scope.covers(&entry.service));
             match (old, new) {
                 (None, None) => continue,
--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -45,6 +45,10 @@
         pub parent: Option<Name>,
         /// Whether the platform answered this node's last call; null if it made none.
         pub platform_answers: Option<bool>,
+        /// Whether a peer has been asked about the version in force since the start or the last
+        /// pause. If not, it may be older than the one before.
+        #[serde(default)]
+        pub confirmed: bool,
         /// Whether the node takes calls.
         pub ready: bool,
         /// Whether the node takes no new work.
--- a/core/tests/spread_versions.rs
+++ b/core/tests/spread_versions.rs
@@ -19,7 +19,12 @@
     fleet.run(SECOND);
     assert_eq!(fleet.versions(), vec![2; 18]);
     for slot in &fleet.nodes {
-        println!("{} {:?} {:?}", slot.cfg.vm, slot.spread.as_ref().unwrap().topology().role, slot.spread.as_ref().unwrap().parent().map(|p| p.vm.clone()));
+        println!(
+            "{} {:?} {:?}",
+            slot.cfg.vm,
+            slot.spread.as_ref().unwrap().topology().role,
+            slot.spread.as_ref().unwrap().parent().map(|p| p.vm.clone())
+        );
     }
     println!("{:?}", fleet.platform.calls.len());
     fleet.check_never_back();
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -23,6 +23,10 @@
     pub target_address: Option<SocketAddr>,
     /// Address of the platform's configuration service.
     pub platform_address: SocketAddr,
+    /// Region that the platform stands in: its nodes read bodies for the other regions. Absent if
+    /// not known.
+    #[serde(default)]
+    pub platform_region: Option<Name>,
     /// Addresses of peers to ask first after a start, before the platform; may be empty.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -70,6 +74,9 @@
     /// Longest wait for the first configuration before peers that can't be asked are given up;
     /// 100 to 600,000 ms.
     pub first_configuration_ms: u64,
+    /// Most VMs that the fleet may have; 1 to 1,000,000. A node that knows no peer spreads its
+    /// calls to the platform by it.
+    pub fleet_vms: u32,
 }
 
 impl Default for Limits {
@@ -82,6 +89,7 @@
             idle_body_timeout_ms: 10_000,
             event_ring: 512,
             first_configuration_ms: 5_000,
+            fleet_vms: 1_000,
         }
     }
 }
@@ -163,6 +171,7 @@
             ("idle_body_timeout_ms", self.idle_body_timeout_ms, 100..=600_000),
             ("event_ring", self.event_ring as u64, 16..=100_000),
             ("first_configuration_ms", self.first_configuration_ms, 100..=600_000),
+            ("fleet_vms", self.fleet_vms.into(), 1..=1_000_000),
         ];
         for (field, found, allowed) in ranges {
             if !allowed.contains(&found) {
--- a/node/src/shared.rs
+++ b/node/src/shared.rs
@@ -81,6 +81,8 @@
     pub parent: Option<Name>,
     /// Whether the platform answered the last call.
     pub platform_answers: Option<bool>,
+    /// Whether a peer has been asked about the version in force.
+    pub confirmed: bool,
 }
 
 impl Shared {
@@ -103,6 +105,7 @@
                 role: sycamore_core::status::Role::Leaf,
                 parent: None,
                 platform_answers: None,
+                confirmed: false,
             }),
             draining: AtomicBool::new(false),
             calls_open: AtomicU64::new(0),
@@ -194,6 +197,7 @@
             role: spread.role,
             parent: spread.parent,
             platform_answers: spread.platform_answers,
+            confirmed: spread.confirmed,
             ready: in_force.is_some() && !self.draining(),
             draining: self.draining(),
             calls_open: self.calls_open(),
--- a/node/src/spread.rs
+++ b/node/src/spread.rs
@@ -1,13 +1,37 @@
 //! Spread of versions: messages to peers over Cap'n Proto RPC, and calls to the platform.
+//!
+//! The decisions are those of [`sycamore_core::spread::Spread`]; the adapters here carry them out
+//! on one thread, since Cap'n Proto RPC works on one thread.
+
+mod codec;
+mod link;
+mod payload;
+mod peers;
+mod platform;
+mod server;
+
+#[allow(dead_code, missing_docs, clippy::all, reason = "generated code")]
+mod spread_capnp;
 
 use crate::calls::{self, Calls};
-use crate::settings::Listen;
+use crate::settings::{Listen, Settings};
 use crate::shared::Shared;
-use async_executor::LocalExecutor;
+use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
 use async_io::Async;
+use futures_lite::future;
+use indexmap::IndexMap;
+use peers::Peers;
 use std::net::TcpListener;
+use std::rc::Rc;
 use std::sync::Arc;
-use sycamore_core::Result;
+use std::time::Duration;
+use sycamore_core::spread::port::CallId;
+use sycamore_core::spread::{Config, Input, Output, Peer, SourceCall, SourceReply, Spread};
+use sycamore_core::{Result, Time};
+
+/// Inputs that wait for the decider; peers are held back while it is full.
+const MAX_INPUTS: usize = 4_096;
 
 /// The socket that peers connect to.
 #[derive(Debug)]
@@ -25,19 +49,162 @@
 
 /// A handle on the spread of this node.
 #[derive(Debug)]
-pub struct Control {}
+pub struct Control {
+    inputs: Sender<Input>,
+}
+
+impl Control {
+    /// Tells peers that this node is leaving.
+    pub fn announce_leaving(&self) {
+        // If the decider is this far behind, it can't tell anyone either.
+        let _ = self.inputs.try_send(Input::Stop);
+    }
+}
+
+/// What the tasks of the spread share. Everything runs on one thread.
+#[derive(Clone, Debug)]
+struct Context {
+    shared: Arc<Shared>,
+    executor: Rc<LocalExecutor<'static>>,
+    inputs: Sender<Input>,
+}
 
 /// Starts the spread on the thread of `local`.
 pub fn start(
-    _shared: Arc<Shared>,
-    _listener: Listener,
-    _calls: Calls,
-    _local: &LocalExecutor<'_>,
+    shared: Arc<Shared>,
+    listener: Listener,
+    calls: Calls,
+    local: &LocalExecutor<'_>,
 ) -> Control {
-    Control {}
+    let (inputs, received) = async_channel::bounded(MAX_INPUTS);
+    let control = Control { inputs: inputs.clone() };
+    let task = async move {
+        let executor = Rc::new(LocalExecutor::new());
+        let cx = Context { shared: shared.clone(), executor: executor.clone(), inputs };
+        let own = own_peer(&shared.settings);
+        executor.spawn(server::serve(cx.clone(), own.clone(), listener.peers)).detach();
+        let seed = uuid::Uuid::now_v7().as_u64_pair().1;
+        let driver = Driver {
+            spread: Spread::new(config(&shared.settings), seed),
+            peers: Peers::new(cx.clone(), own),
+            source_calls: IndexMap::new(),
+            wake: shared.clock.now(),
+            calls,
+            cx,
+        };
+        executor.run(driver.run(received)).await;
+    };
+    local.spawn(task).detach();
+    control
 }
 
-impl Control {
-    /// Tells peers that this node is leaving.
-    pub fn announce_leaving(&self) {}
+fn own_peer(settings: &Settings) -> Peer {
+    Peer { vm: settings.vm.clone(), place: settings.place(), address: settings.listen.peers }
+}
+
+fn config(settings: &Settings) -> Config {
+    Config {
+        vm: settings.vm.clone(),
+        place: settings.place(),
+        address: settings.listen.peers,
+        seeds: settings.seeds.clone(),
+        scope: settings.scope.clone(),
+        platform_region: settings.platform_region.clone(),
+        fleet_vms: settings.limits.fleet_vms,
+        first_configuration: Duration::from_millis(settings.limits.first_configuration_ms),
+    }
+}
+
+/// Feeds the decider and carries out what it decides.
+struct Driver {
+    spread: Spread,
+    peers: Peers,
+    source_calls: IndexMap<CallId, Task<()>>,
+    wake: Time,
+    calls: Calls,
+    cx: Context,
+}
+
+impl Driver {
+    async fn run(mut self, received: Receiver<Input>) {
+        self.handle(Input::Start);
+        loop {
+            let input = {
+                let wake = async {
+                    self.cx.shared.clock.sleep_until(self.wake).await;
+                    Input::Wake
+                };
+                let message = async {
+                    match received.recv().await {
+                        Ok(input) => input,
+                        Err(_) => future::pending().await,
+                    }
+                };
+                let note = async {
+                    match self.cx.shared.notes.next().await {
+                        Some(note) => Input::Note(note),
+                        None => future::pending().await,
+                    }
+                };
+                future::or(wake, future::or(message, note)).await
+            };
+            self.handle(input);
+        }
+    }
+
+    fn handle(&mut self, input: Input) {
+        if let Input::Source(reply) = &input {
+            self.source_calls.swap_remove(&reply.id);
+        }
+        let mut out = Vec::new();
+        self.spread.handle(self.cx.shared.clock.now(), input, &mut out);
+        for output in out {
+            self.perform(output);
+        }
+    }
+
+    fn perform(&mut self, output: Output) {
+        let shared = &self.cx.shared;
+        match output {
+            Output::ReadSource(call) => self.read_source(call),
+            Output::DropSource(id) => {
+                self.source_calls.swap_remove(&id);
+            }
+            Output::Send { to, link, msg } => self.peers.send(to, link, msg),
+            Output::Note { from, note } => self.calls.take_note(&from, note),
+            Output::InForce(snapshot) => {
+                shared.put_in_force(snapshot);
+                let now = shared.clock.now();
+                shared.update_spread(|view| view.in_force_since = Some(now));
+                self.calls.view_changed();
+            }
+            Output::Members(members) => {
+                shared.set_members(members);
+                self.calls.view_changed();
+            }
+            Output::View(view) => shared.update_spread(|shown| {
+                shown.newest_heard = view.newest_heard;
+                shown.role = view.role;
+                shown.parent = view.parent;
+                shown.platform_answers = view.platform_answers;
+                shown.confirmed = view.confirmed;
+            }),
+            Output::Event(event) => shared.record(event),
+            Output::Refused(fault) => shared.update_spread(|shown| {
+                shown.last_refusal = Some(fault);
+            }),
+            Output::WakeAt(at) => self.wake = at,
+        }
+    }
+
+    fn read_source(&mut self, call: SourceCall) {
+        let cx = self.cx.clone();
+        let id = call.id;
+        let task = async move {
+            let result = platform::read(&cx.shared, &call).await;
+            // Fails only when the node stops.
+            let _ = cx.inputs.send(Input::Source(SourceReply { id, result })).await;
+        };
+        self.source_calls.insert(id, self.cx.executor.spawn(task));
+    }
 }
--- /dev/null
+++ b/node/src/spread/codec.rs
@@ -0,0 +1,299 @@
+//! Messages to and from their form on the wire.
+
+use super::payload::{self, Payloads};
+use super::spread_capnp as wire;
+use capnp::Error;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use sycamore_core::Name;
+use sycamore_core::call::Note;
+use sycamore_core::config::InForce;
+use sycamore_core::hash::Hash;
+use sycamore_core::member::VmState;
+use sycamore_core::place::Place;
+use sycamore_core::spread::Peer;
+use sycamore_core::spread::message::{
+    Ask, Base, Delta, ListMark, PeerMsg, Ping, Pong, Pull, Summary, Word,
+};
+
+type Result<T> = std::result::Result<T, Error>;
+
+fn invalid(what: &str) -> Error {
+    Error::failed(format!("{what} is not valid"))
+}
+
+pub(super) fn read_name(data: &[u8]) -> Result<Name> {
+    Name::new(data.to_vec()).ok_or_else(|| invalid("name"))
+}
+
+fn read_hash(data: &[u8]) -> Result<Hash> {
+    let raw: [u8; 32] = data.try_into().map_err(|_| invalid("hash"))?;
+    Ok(Hash::new(raw))
+}
+
+/// Writes who a node is.
+pub fn write_peer(peer: &Peer, mut to: wire::peer::Builder<'_>) {
+    to.set_vm(peer.vm.as_bytes());
+    to.set_region(peer.place.region.as_bytes());
+    to.set_zone(peer.place.zone.as_bytes());
+    to.set_address(peer.address.to_string());
+}
+
+/// Reads who a node is.
+pub fn read_peer(from: wire::peer::Reader<'_>) -> Result<Peer> {
+    let place =
+        Place { region: read_name(from.get_region()?)?, zone: read_name(from.get_zone()?)? };
+    let text = from.get_address()?.to_str()?;
+    let address: SocketAddr = text.parse().map_err(|_| invalid("address"))?;
+    Ok(Peer { vm: read_name(from.get_vm()?)?, place, address })
+}
+
+/// Writes a message.
+pub fn write(msg: &PeerMsg, payloads: &mut Payloads, to: wire::message::Builder<'_>) -> Result<()> {
+    let mut to = to;
+    match msg {
+        PeerMsg::Ping(ping) => write_ping(ping, to.init_ping()),
+        PeerMsg::Pong(pong) => write_pong(pong, to.init_pong()),
+        PeerMsg::Notice(summary) => write_summary(summary, to.init_notice()),
+        PeerMsg::Pull(pull) => write_pull(pull, to.init_pull()),
+        PeerMsg::Delta(delta) => write_delta(delta, payloads, to.init_delta())?,
+        PeerMsg::Missing(version) => to.set_missing(*version),
+        PeerMsg::Words(words) => write_words(words, to.init_words(words.len() as u32)),
+        PeerMsg::Lists(lists) => {
+            let mut to = to.init_lists(lists.len() as u32);
+            for (index, list) in lists.iter().enumerate() {
+                let mut to = to.reborrow().get(index as u32);
+                to.set_region(list.place.region.as_bytes());
+                to.set_zone(list.place.zone.as_bytes());
+                to.set_index(list.index);
+                to.set_vms(&payloads.list(list)?);
+            }
+        }
+        PeerMsg::Zones(zones) => {
+            let mut to = to.init_zones();
+            to.set_index(zones.index);
+            to.set_zones(&payload::pack_zones(zones)?);
+        }
+        PeerMsg::Note(note) => {
+            let json = serde_json::to_vec(note).map_err(|e| Error::failed(e.to_string()))?;
+            to.set_note(&json);
+        }
+    }
+    Ok(())
+}
+
+/// Reads a message.
+pub fn read(from: wire::message::Reader<'_>) -> Result<PeerMsg> {
+    use wire::message::Which;
+    Ok(match from.which()? {
+        Which::Ping(ping) => PeerMsg::Ping(Box::new(read_ping(ping?)?)),
+        Which::Pong(pong) => PeerMsg::Pong(Box::new(read_pong(pong?)?)),
+        Which::Notice(summary) => PeerMsg::Notice(Box::new(read_summary(summary?)?)),
+        Which::Pull(pull) => PeerMsg::Pull(Box::new(read_pull(pull?)?)),
+        Which::Delta(delta) => PeerMsg::Delta(Arc::new(read_delta(delta?)?)),
+        Which::Missing(version) => PeerMsg::Missing(version),
+        Which::Words(words) => PeerMsg::Words(read_words(words?)?),
+        Which::Lists(lists) => {
+            let lists = lists?.iter().map(read_list).collect::<Result<Vec<_>>>()?;
+            PeerMsg::Lists(lists)
+        }
+        Which::Zones(zones) => {
+            let zones = zones?;
+            let list = payload::unpack_zones(zones.get_index(), zones.get_zones()?)?;
+            PeerMsg::Zones(Arc::new(list))
+        }
+        Which::Note(note) => {
+            let note: Note =
+                serde_json::from_slice(note?).map_err(|e| Error::failed(e.to_string()))?;
+            PeerMsg::Note(note)
+        }
+    })
+}
+
+fn read_list(from: wire::zone_list::Reader<'_>) -> Result<Arc<payload::ZoneList>> {
+    let place =
+        Place { region: read_name(from.get_region()?)?, zone: read_name(from.get_zone()?)? };
+    Ok(Arc::new(payload::unpack_list(place, from.get_index(), from.get_vms()?)?))
+}
+
+fn write_in_force(in_force: &InForce, mut to: wire::in_force::Builder<'_>) {
+    to.set_version(in_force.version);
+    to.set_preset(in_force.preset.as_bytes());
+    to.set_digest(in_force.digest.as_bytes());
+}
+
+fn read_in_force(from: wire::in_force::Reader<'_>) -> Result<InForce> {
+    Ok(InForce {
+        version: from.get_version(),
+        preset: read_name(from.get_preset()?)?,
+        digest: read_hash(from.get_digest()?)?,
+    })
+}
+
+fn write_summary(summary: &Summary, mut to: wire::summary::Builder<'_>) {
+    to.set_whole(summary.whole.as_bytes());
+    write_in_force(&summary.in_force, to.init_in_force());
+}
+
+fn read_summary(from: wire::summary::Reader<'_>) -> Result<Summary> {
+    Ok(Summary {
+        in_force: read_in_force(from.get_in_force()?)?,
+        whole: read_hash(from.get_whole()?)?,
+    })
+}
+
+fn write_word(word: &Word, mut to: wire::word::Builder<'_>) {
+    to.set_vm(word.vm.as_bytes());
+    to.set_incarnation(word.incarnation);
+    to.set_state(match word.state {
+        VmState::Live => wire::State::Live,
+        VmState::Leaving => wire::State::Leaving,
+        VmState::Gone => wire::State::Gone,
+    });
+}
+
+fn read_word(from: wire::word::Reader<'_>) -> Result<Word> {
+    let state = match from.get_state()? {
+        wire::State::Live => VmState::Live,
+        wire::State::Leaving => VmState::Leaving,
+        wire::State::Gone => VmState::Gone,
+    };
+    Ok(Word { vm: read_name(from.get_vm()?)?, incarnation: from.get_incarnation(), state })
+}
+
+fn write_words(words: &[Word], mut to: capnp::struct_list::Builder<'_, wire::word::Owned>) {
+    for (index, word) in words.iter().enumerate() {
+        write_word(word, to.reborrow().get(index as u32));
+    }
+}
+
+fn read_words(from: capnp::struct_list::Reader<'_, wire::word::Owned>) -> Result<Vec<Word>> {
+    from.iter().map(read_word).collect()
+}
+
+fn write_ping(ping: &Ping, mut to: wire::ping::Builder<'_>) {
+    to.set_seq(ping.seq);
+    to.set_zones(ping.zones);
+    to.set_ask(match ping.ask {
+        Ask::Join => wire::Ask::Join,
+        Ask::Attach => wire::Ask::Attach,
+        Ask::Compare => wire::Ask::Compare,
+    });
+    write_word(&ping.word, to.reborrow().init_word());
+    if let Some(have) = &ping.have {
+        write_summary(have, to.reborrow().init_have());
+    }
+    let mut lists = to.init_lists(ping.lists.len() as u32);
+    for (index, mark) in ping.lists.iter().enumerate() {
+        let mut to = lists.reborrow().get(index as u32);
+        to.set_zone(mark.zone.as_bytes());
+        to.set_index(mark.index);
+    }
+}
+
+fn read_ping(from: wire::ping::Reader<'_>) -> Result<Ping> {
+    let ask = match from.get_ask()? {
+        wire::Ask::Join => Ask::Join,
+        wire::Ask::Attach => Ask::Attach,
+        wire::Ask::Compare => Ask::Compare,
+    };
+    let have = if from.has_have() { Some(read_summary(from.get_have()?)?) } else { None };
+    let mark = |mark: wire::list_mark::Reader<'_>| {
+        Ok(ListMark { zone: read_name(mark.get_zone()?)?, index: mark.get_index() })
+    };
+    Ok(Ping {
+        seq: from.get_seq(),
+        ask,
+        word: read_word(from.get_word()?)?,
+        have,
+        zones: from.get_zones(),
+        lists: from.get_lists()?.iter().map(mark).collect::<Result<Vec<_>>>()?,
+    })
+}
+
+fn write_pong(pong: &Pong, mut to: wire::pong::Builder<'_>) {
+    to.set_seq(pong.seq);
+    to.set_attached(pong.attached);
+    to.set_hops(pong.hops);
+    write_word(&pong.word, to.reborrow().init_word());
+    if let Some(have) = &pong.have {
+        write_summary(have, to.reborrow().init_have());
+    }
+    if let Some(floor) = &pong.floor {
+        write_in_force(floor, to.reborrow().init_floor());
+    }
+    write_words(&pong.words, to.init_words(pong.words.len() as u32));
+}
+
+fn read_pong(from: wire::pong::Reader<'_>) -> Result<Pong> {
+    let have = if from.has_have() { Some(read_summary(from.get_have()?)?) } else { None };
+    let floor = if from.has_floor() { Some(read_in_force(from.get_floor()?)?) } else { None };
+    Ok(Pong {
+        seq: from.get_seq(),
+        attached: from.get_attached(),
+        hops: from.get_hops(),
+        word: read_word(from.get_word()?)?,
+        have,
+        floor,
+        words: read_words(from.get_words()?)?,
+    })
+}
+
+fn write_base(base: &Base, mut to: wire::base::Builder<'_>) {
+    to.set_version(base.version);
+    to.set_digest(base.digest.as_bytes());
+}
+
+fn read_base(from: wire::base::Reader<'_>) -> Result<Base> {
+    Ok(Base { version: from.get_version(), digest: read_hash(from.get_digest()?)? })
+}
+
+fn write_pull(pull: &Pull, mut to: wire::pull::Builder<'_>) {
+    to.set_version(pull.version);
+    if let Some(base) = &pull.base {
+        write_base(base, to.reborrow().init_base());
+    }
+    if let Some(scope) = &pull.scope {
+        let mut to = to.init_scope(scope.len() as u32);
+        for (index, service) in scope.iter().enumerate() {
+            to.set(index as u32, service.as_bytes());
+        }
+    }
+}
+
+fn read_pull(from: wire::pull::Reader<'_>) -> Result<Pull> {
+    let base = if from.has_base() { Some(read_base(from.get_base()?)?) } else { None };
+    let scope = if from.has_scope() {
+        let names = from.get_scope()?.iter().map(|name| read_name(name?));
+        Some(names.collect::<Result<Vec<_>>>()?)
+    } else {
+        None
+    };
+    Ok(Pull { version: from.get_version(), base, scope })
+}
+
+fn write_delta(
+    delta: &Arc<Delta>,
+    payloads: &mut Payloads,
+    mut to: wire::delta::Builder<'_>,
+) -> Result<()> {
+    write_summary(&delta.summary, to.reborrow().init_summary());
+    if let Some(base) = &delta.base {
+        write_base(base, to.reborrow().init_base());
+    }
+    to.set_digest(delta.digest.as_bytes());
+    to.set_changes(&payloads.changes(delta)?);
+    Ok(())
+}
+
+fn read_delta(from: wire::delta::Reader<'_>) -> Result<Delta> {
+    let base = if from.has_base() { Some(read_base(from.get_base()?)?) } else { None };
+    let (changed, removed) = payload::unpack_changes(from.get_changes()?)?;
+    Ok(Delta {
+        summary: read_summary(from.get_summary()?)?,
+        base,
+        changed,
+        removed,
+        digest: read_hash(from.get_digest()?)?,
+    })
+}
--- /dev/null
+++ b/node/src/spread/link.rs
@@ -0,0 +1,126 @@
+//! One connection to a peer: Cap'n Proto RPC over TCP, with the bytes that go out counted.
+
+use super::codec;
+use super::spread_capnp as wire;
+use async_channel::Sender;
+use async_io::Async;
+use capnp::capability::Rc as Shared;
+use capnp::message::ReaderOptions;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use futures_lite::io::{AsyncRead, AsyncWrite};
+use prometheus::IntCounter;
+use std::cell::{OnceCell, RefCell};
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use sycamore_core::spread::{Input, Peer};
+
+/// Largest message taken from a peer, in words of 8 bytes. Guards against a peer that announces
+/// more than the node's memory: the announcement alone ends the connection.
+const MAX_MESSAGE_WORDS: usize = 1 << 20;
+
+/// Deepest nesting of a message taken from a peer.
+const MAX_NESTING: i32 = 32;
+
+/// Counts the bytes written to a peer. The class of the link is known once the peer is.
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    counter: Rc<OnceCell<IntCounter>>,
+    early: Rc<RefCell<u64>>,
+}
+
+impl Meter {
+    /// Names the counter. Bytes written before are added to it.
+    pub fn set(&self, counter: IntCounter) {
+        if self.counter.set(counter).is_ok() {
+            self.add(self.early.take());
+        }
+    }
+
+    fn add(&self, bytes: u64) {
+        match self.counter.get() {
+            Some(counter) => counter.inc_by(bytes),
+            None => *self.early.borrow_mut() += bytes,
+        }
+    }
+}
+
+struct Metered<W> {
+    inner: W,
+    meter: Meter,
+}
+
+impl<W: AsyncWrite + Unpin> AsyncWrite for Metered<W> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let result = Pin::new(&mut self.inner).poll_write(cx, buf);
+        if let Poll::Ready(Ok(bytes)) = &result {
+            self.meter.add(*bytes as u64);
+        }
+        result
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_close(cx)
+    }
+}
+
+/// Takes the messages of a peer that has been introduced.
+struct Session {
+    from: Peer,
+    inputs: Sender<Input>,
+}
+
+impl wire::session::Server for Session {
+    async fn deliver(
+        self: Shared<Self>,
+        params: wire::session::DeliverParams,
+        _results: wire::session::DeliverResults,
+    ) -> Result<(), capnp::Error> {
+        let msg = codec::read(params.get()?.get_message()?)?;
+        let input = Input::Peer { from: self.from.clone(), msg };
+        // Waits while the decider is behind, which holds the peer back too.
+        self.inputs
+            .send(input)
+            .await
+            .map_err(|_| capnp::Error::disconnected("the node stops".into()))
+    }
+}
+
+/// A session for the messages of `from`.
+pub fn session(from: Peer, inputs: Sender<Input>) -> wire::session::Client {
+    capnp_rpc::new_client(Session { from, inputs })
+}
+
+/// Starts RPC on a connection. The returned system has to be driven; it ends with the connection.
+pub fn rpc(
+    stream: Async<TcpStream>,
+    meter: Meter,
+    side: Side,
+    bootstrap: Option<capnp::capability::Client>,
+) -> RpcSystem<Side> {
+    // Messages are small and wait for nothing; without this each would wait for the one before to
+    // be acknowledged. A failure leaves the connection slower, not wrong.
+    let _ = stream.get_ref().set_nodelay(true);
+    let (reader, writer) = split(stream);
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS)).nesting_limit(MAX_NESTING);
+    let writer = Metered { inner: writer, meter };
+    let network = twoparty::VatNetwork::new(reader, writer, side, options);
+    RpcSystem::new(Box::new(network), bootstrap)
+}
+
+fn split(
+    stream: Async<TcpStream>,
+) -> (impl AsyncRead + Unpin + 'static, impl AsyncWrite + Unpin + 'static) {
+    futures_util::io::AsyncReadExt::split(stream)
+}
--- /dev/null
+++ b/node/src/spread/payload.rs
@@ -0,0 +1,165 @@
+//! Large contents of messages: compressed once however many peers they go to, and bounded when
+//! they are read.
+
+use super::codec::read_name;
+use super::spread_capnp as wire;
+use bytes::Bytes;
+use capnp::Error;
+use capnp::message::{Builder, ReaderOptions};
+use flate2::Compression;
+use flate2::read::{DeflateDecoder, DeflateEncoder};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::collections::VecDeque;
+use std::io::Read;
+use std::rc::Rc;
+use std::sync::Arc;
+use sycamore_core::config::{ResourceId, ResourceKind};
+use sycamore_core::member::VmList;
+use sycamore_core::place::{Place, Zones};
+use sycamore_core::spread::message::{Delta, ZonesList};
+
+pub use sycamore_core::spread::message::ZoneList;
+
+type Result<T> = std::result::Result<T, Error>;
+
+/// Largest content after decompression. Guards against a small message that unpacks to more than
+/// the node's memory.
+pub const MAX_UNPACKED_BYTES: u64 = 16 << 20;
+
+/// Contents kept compressed for the next peer that needs them.
+const MAX_KEPT: usize = 32;
+
+/// Contents compressed of late.
+#[derive(Debug, Default)]
+pub struct Payloads {
+    changes: VecDeque<(Arc<Delta>, Rc<Vec<u8>>)>,
+    lists: VecDeque<(Arc<ZoneList>, Rc<Vec<u8>>)>,
+}
+
+impl Payloads {
+    /// The content of a difference.
+    pub fn changes(&mut self, delta: &Arc<Delta>) -> Result<Rc<Vec<u8>>> {
+        keep(&mut self.changes, delta, pack_changes)
+    }
+
+    /// The content of a list of VMs.
+    pub fn list(&mut self, list: &Arc<ZoneList>) -> Result<Rc<Vec<u8>>> {
+        keep(&mut self.lists, list, |list| pack_json(&VmList { vms: list.vms.clone() }))
+    }
+}
+
+fn keep<T>(
+    kept: &mut VecDeque<(Arc<T>, Rc<Vec<u8>>)>,
+    content: &Arc<T>,
+    pack: impl Fn(&T) -> Result<Vec<u8>>,
+) -> Result<Rc<Vec<u8>>> {
+    if let Some((_, packed)) = kept.iter().find(|(held, _)| Arc::ptr_eq(held, content)) {
+        return Ok(packed.clone());
+    }
+    let packed = Rc::new(pack(content)?);
+    if kept.len() == MAX_KEPT {
+        kept.pop_front();
+    }
+    kept.push_back((content.clone(), packed.clone()));
+    Ok(packed)
+}
+
+fn pack(raw: &[u8]) -> Result<Vec<u8>> {
+    let mut packed = Vec::new();
+    DeflateEncoder::new(raw, Compression::default())
+        .read_to_end(&mut packed)
+        .map_err(|e| Error::failed(e.to_string()))?;
+    Ok(packed)
+}
+
+fn unpack(packed: &[u8]) -> Result<Vec<u8>> {
+    let mut raw = Vec::new();
+    DeflateDecoder::new(packed)
+        .take(MAX_UNPACKED_BYTES + 1)
+        .read_to_end(&mut raw)
+        .map_err(|e| Error::failed(e.to_string()))?;
+    if raw.len() as u64 > MAX_UNPACKED_BYTES {
+        return Err(Error::failed("content is too large".into()));
+    }
+    Ok(raw)
+}
+
+fn pack_json<T: Serialize>(value: &T) -> Result<Vec<u8>> {
+    let json = serde_json::to_vec(value).map_err(|e| Error::failed(e.to_string()))?;
+    pack(&json)
+}
+
+fn unpack_json<T: DeserializeOwned>(packed: &[u8]) -> Result<T> {
+    serde_json::from_slice(&unpack(packed)?).map_err(|e| Error::failed(e.to_string()))
+}
+
+/// Reads the content of a list of VMs.
+pub fn unpack_list(place: Place, index: u64, packed: &[u8]) -> Result<ZoneList> {
+    let list: VmList = unpack_json(packed)?;
+    Ok(ZoneList { place, index, vms: list.vms })
+}
+
+/// Writes the content of a list of zones.
+pub fn pack_zones(list: &ZonesList) -> Result<Vec<u8>> {
+    pack_json(&Zones { zones: list.zones.clone() })
+}
+
+/// Reads the content of a list of zones.
+pub fn unpack_zones(index: u64, packed: &[u8]) -> Result<ZonesList> {
+    let list: Zones = unpack_json(packed)?;
+    Ok(ZonesList { index, zones: list.zones })
+}
+
+fn pack_changes(delta: &Delta) -> Result<Vec<u8>> {
+    let mut message = Builder::new_default();
+    let mut root = message.init_root::<wire::changes::Builder<'_>>();
+    let mut changed = root.reborrow().init_changed(delta.changed.len() as u32);
+    for (index, (id, body)) in delta.changed.iter().enumerate() {
+        let mut to = changed.reborrow().get(index as u32);
+        to.set_body(body);
+        write_id(id, to.init_id());
+    }
+    let mut removed = root.init_removed(delta.removed.len() as u32);
+    for (index, id) in delta.removed.iter().enumerate() {
+        write_id(id, removed.reborrow().get(index as u32));
+    }
+    pack(&capnp::serialize::write_message_to_words(&message))
+}
+
+/// Resources of a difference: those changed, with their bodies, and those removed.
+type Changes = (Vec<(ResourceId, Bytes)>, Vec<ResourceId>);
+
+/// Reads the content of a difference.
+pub fn unpack_changes(packed: &[u8]) -> Result<Changes> {
+    let raw = unpack(packed)?;
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(raw.len().max(8)));
+    let message = capnp::serialize::read_message(raw.as_slice(), options)?;
+    let root = message.get_root::<wire::changes::Reader<'_>>()?;
+    let mut changed = Vec::new();
+    for resource in root.get_changed()? {
+        let id = read_id(resource.get_id()?)?;
+        changed.push((id, Bytes::copy_from_slice(resource.get_body()?)));
+    }
+    let removed = root.get_removed()?.iter().map(read_id).collect::<Result<Vec<_>>>()?;
+    Ok((changed, removed))
+}
+
+fn write_id(id: &ResourceId, mut to: wire::resource_id::Builder<'_>) {
+    to.set_name(id.name.as_bytes());
+    to.set_kind(match id.kind {
+        ResourceKind::Service => wire::Kind::Service,
+        ResourceKind::Targets => wire::Kind::Targets,
+        ResourceKind::Route => wire::Kind::Route,
+    });
+}
+
+fn read_id(from: wire::resource_id::Reader<'_>) -> Result<ResourceId> {
+    let kind = match from.get_kind()? {
+        wire::Kind::Service => ResourceKind::Service,
+        wire::Kind::Targets => ResourceKind::Targets,
+        wire::Kind::Route => ResourceKind::Route,
+    };
+    Ok(ResourceId { kind, name: read_name(from.get_name()?)? })
+}
--- /dev/null
+++ b/node/src/spread/peers.rs
@@ -0,0 +1,184 @@
+//! Connections to peers: one for each peer that messages go to, opened when needed and closed when
+//! idle.
+
+use super::link::{self, Meter};
+use super::payload::Payloads;
+use super::spread_capnp as wire;
+use super::{Context, codec};
+use async_channel::{Receiver, Sender, TrySendError};
+use async_io::Async;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use futures_lite::{FutureExt, future};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use indexmap::IndexMap;
+use std::cell::RefCell;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+use sycamore_core::place::Link;
+use sycamore_core::spread::{Input, Peer, PeerMsg};
+
+/// How long a connection and its introduction may take.
+const CONNECT_WAIT: Duration = Duration::from_millis(800);
+
+/// A connection without a message for this long is closed. Above the interval of heartbeats, so
+/// that only connections to random peers close.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Messages that wait for one peer; more are dropped and the peer counts as failed.
+const MAX_WAITING: usize = 256;
+
+/// Messages sent to one peer and not confirmed yet.
+const MAX_UNCONFIRMED: usize = 64;
+
+/// How long a message may stay unconfirmed. Guards against a peer that takes connections and
+/// never answers: its connection would be kept, and messages for it, for ever.
+const CONFIRM_WAIT: Duration = Duration::from_secs(5);
+
+/// Connections open to peers.
+#[derive(Clone)]
+pub struct Peers {
+    cx: Context,
+    own: Peer,
+    open: Rc<RefCell<IndexMap<SocketAddr, Sender<PeerMsg>>>>,
+    payloads: Rc<RefCell<Payloads>>,
+}
+
+impl Peers {
+    /// No connection yet.
+    pub fn new(cx: Context, own: Peer) -> Peers {
+        let open = Rc::new(RefCell::new(IndexMap::new()));
+        Peers { cx, own, open, payloads: Rc::default() }
+    }
+
+    /// Sends a message. What can't be sent is reported as [`Input::PeerFailed`].
+    pub fn send(&self, to: SocketAddr, link: Link, msg: PeerMsg) {
+        let label = [link.label()];
+        self.cx.shared.metrics.control_messages.with_label_values(&label).inc();
+        let open = self.open.borrow().get(&to).cloned();
+        let Some(queue) = open else { return self.open(to, link, msg) };
+        match queue.try_send(msg) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_)) => self.failed(to),
+            Err(TrySendError::Closed(msg)) => self.open(to, link, msg),
+        }
+    }
+
+    fn failed(&self, to: SocketAddr) {
+        self.open.borrow_mut().swap_remove(&to);
+        // If the decider is this far behind, the failure shows as an unanswered question.
+        let _ = self.cx.inputs.try_send(Input::PeerFailed { to });
+    }
+
+    fn open(&self, to: SocketAddr, link: Link, msg: PeerMsg) {
+        let (tx, rx) = async_channel::bounded(MAX_WAITING);
+        let _ = tx.try_send(msg);
+        self.open.borrow_mut().insert(to, tx);
+        let peers = self.clone();
+        let task = async move {
+            let meter = Meter::default();
+            meter.set(peers.cx.shared.metrics.control_bytes.with_label_values(&[link.label()]));
+            let result = peers.run(to, meter, &rx).await;
+            rx.close();
+            if result.is_err() {
+                peers.failed(to);
+            }
+        };
+        self.cx.executor.spawn(task).detach();
+    }
+
+    /// Connects, introduces this node and sends messages until the connection is idle.
+    async fn run(
+        &self,
+        to: SocketAddr,
+        meter: Meter,
+        rx: &Receiver<PeerMsg>,
+    ) -> Result<(), capnp::Error> {
+        let connect = async { Ok(Async::<TcpStream>::connect(to).await?) };
+        let stream = connect.or(self.late(CONNECT_WAIT)).await?;
+        let mut system = link::rpc(stream, meter, Side::Client, None);
+        let node: wire::node::Client = system.bootstrap(Side::Server);
+        let disconnector = system.get_disconnector();
+        let driver = self.cx.executor.spawn(system);
+        let hello = self.hello(node).or(self.late(CONNECT_WAIT)).await;
+        let result = match hello {
+            Ok(session) => self.deliver_all(&session, rx).await,
+            Err(e) => Err(e),
+        };
+        // The peer may be gone already.
+        let _ = disconnector.await;
+        drop(driver);
+        result
+    }
+
+    async fn hello(&self, node: wire::node::Client) -> Result<wire::session::Client, capnp::Error> {
+        let mut req = node.hello_request();
+        codec::write_peer(&self.own, req.get().init_from());
+        let answer = req.send().promise.await?;
+        answer.get()?.get_session()
+    }
+
+    async fn deliver_all(
+        &self,
+        session: &wire::session::Client,
+        rx: &Receiver<PeerMsg>,
+    ) -> Result<(), capnp::Error> {
+        let mut unconfirmed = FuturesUnordered::new();
+        loop {
+            let full = unconfirmed.len() >= MAX_UNCONFIRMED;
+            let next = async {
+                if full {
+                    return future::pending().await;
+                }
+                let idle = async {
+                    self.cx.shared.clock.sleep(IDLE).await;
+                    // What was queued in this instant is still received.
+                    rx.close();
+                    rx.recv().await.ok()
+                };
+                Event::Message(async { rx.recv().await.ok() }.or(idle).await)
+            };
+            let confirmed = async {
+                match unconfirmed.next().await {
+                    Some(result) => Event::Confirmed(result),
+                    None => future::pending().await,
+                }
+            };
+            match confirmed.or(next).await {
+                Event::Confirmed(result) => result?,
+                Event::Message(None) if unconfirmed.is_empty() => return Ok(()),
+                Event::Message(None) => {}
+                Event::Message(Some(msg)) => {
+                    let req = self.request(session, &msg)?;
+                    let sent = async move { req.send().promise.await.map(|_| ()) };
+                    unconfirmed.push(sent.or(self.late(CONFIRM_WAIT)));
+                }
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        session: &wire::session::Client,
+        msg: &PeerMsg,
+    ) -> Result<DeliverRequest, capnp::Error> {
+        let mut req = session.deliver_request();
+        codec::write(msg, &mut self.payloads.borrow_mut(), req.get().init_message())?;
+        Ok(req)
+    }
+
+    async fn late<T>(&self, wait: Duration) -> Result<T, capnp::Error> {
+        self.cx.shared.clock.sleep(wait).await;
+        Err(capnp::Error::disconnected("the peer does not answer".into()))
+    }
+}
+
+type DeliverRequest = capnp::capability::Request<
+    wire::session::deliver_params::Owned,
+    wire::session::deliver_results::Owned,
+>;
+
+enum Event {
+    Message(Option<PeerMsg>),
+    Confirmed(Result<(), capnp::Error>),
+}
--- /dev/null
+++ b/node/src/spread/platform.rs
@@ -0,0 +1,82 @@
+//! The platform's configuration service, read over HTTP. Another source is another file like this
+//! one.
+
+use crate::shared::Shared;
+use async_io::Async;
+use bytes::Bytes;
+use futures_lite::future;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use smol_hyper::rt::FuturesIo;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+use sycamore_core::Code;
+use sycamore_core::config::document::MAX_DOCUMENT_BYTES;
+use sycamore_core::spread::{SourceCall, SourceValue};
+
+/// How long after the end of its wait a call is given up.
+const ANSWER: Duration = Duration::from_secs(2);
+
+/// Header with the index at which the value last changed.
+const INDEX: &str = "x-index";
+
+/// Makes one call and returns its answer, or the code of its failure.
+pub async fn read(shared: &Arc<Shared>, call: &SourceCall) -> Result<SourceValue, Code> {
+    shared.metrics.platform_calls.inc();
+    let late = async {
+        shared.clock.sleep(call.wait + ANSWER).await;
+        Err(Code::SourceUnreachable)
+    };
+    future::or(exchange(shared, call), late).await
+}
+
+async fn exchange(shared: &Arc<Shared>, call: &SourceCall) -> Result<SourceValue, Code> {
+    let address = shared.settings.platform_address;
+    let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Code::SourceUnreachable)?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(FuturesIo::new(stream))
+        .await
+        .map_err(|_| Code::SourceUnreachable)?;
+    let req = Request::get(path(call))
+        .header(HOST, address.to_string())
+        .body(Empty::<Bytes>::new())
+        .map_err(|_| Code::SourceInvalid)?;
+    let answer = async {
+        let response = sender.send_request(req).await.map_err(|_| Code::SourceUnreachable)?;
+        let status = response.status();
+        let index = response.headers().get(INDEX).and_then(|value| value.to_str().ok());
+        let index = index.and_then(|text| text.parse().ok());
+        // One byte more than a value may have, so that one that is too long is refused as a
+        // document rather than here.
+        let body = Limited::new(response.into_body(), MAX_DOCUMENT_BYTES + 1).collect().await;
+        let body = body.map_err(|_| Code::SourceInvalid)?.to_bytes();
+        value(status, index, body)
+    };
+    let drive = async {
+        // The connection's own end is no answer; the request's failure is reported by `answer`.
+        let _ = connection.await;
+        future::pending().await
+    };
+    future::or(answer, drive).await
+}
+
+fn path(call: &SourceCall) -> String {
+    let mut path = format!("/v1/kv/{}", call.key);
+    if call.index > 0 {
+        path.push_str(&format!("?index={}&wait={}s", call.index, call.wait.as_secs().max(1)));
+    }
+    path
+}
+
+fn value(status: StatusCode, index: Option<u64>, body: Bytes) -> Result<SourceValue, Code> {
+    match status {
+        StatusCode::OK => {
+            Ok(SourceValue { index: index.ok_or(Code::SourceInvalid)?, body: Some(body) })
+        }
+        StatusCode::NOT_FOUND => Ok(SourceValue { index: index.unwrap_or(0), body: None }),
+        StatusCode::TOO_MANY_REQUESTS => Err(Code::SourceOverLimit),
+        status if status.is_server_error() => Err(Code::SourceUnreachable),
+        _ => Err(Code::SourceInvalid),
+    }
+}
--- /dev/null
+++ b/node/src/spread/server.rs
@@ -0,0 +1,88 @@
+//! Connections from peers.
+
+use super::link::{self, Meter};
+use super::spread_capnp as wire;
+use super::{Context, codec};
+use async_io::Async;
+use capnp::capability::Rc;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use futures_lite::FutureExt;
+use std::cell::Cell;
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+use sycamore_core::spread::Peer;
+
+/// Connections from peers served at once; more wait in the socket's backlog.
+const MAX_CONNECTIONS: usize = 1_024;
+
+/// How long a connection may go on without an introduction. Guards against one that says nothing
+/// or rubbish and would otherwise hold its place for ever.
+const INTRODUCTION_WAIT: Duration = Duration::from_secs(2);
+
+/// Pause after a failed accept, as when the process has no file descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// What this node offers on a connection.
+struct Node {
+    cx: Context,
+    own: Peer,
+    meter: Meter,
+    introduced: std::rc::Rc<Cell<bool>>,
+}
+
+impl wire::node::Server for Node {
+    async fn hello(
+        self: Rc<Self>,
+        params: wire::node::HelloParams,
+        mut results: wire::node::HelloResults,
+    ) -> Result<(), capnp::Error> {
+        let from = codec::read_peer(params.get()?.get_from()?)?;
+        let link = self.own.place.link_to(&from.place);
+        let metrics = &self.cx.shared.metrics;
+        self.meter.set(metrics.control_bytes.with_label_values(&[link.label()]));
+        self.introduced.set(true);
+        let session = link::session(from, self.cx.inputs.clone());
+        results.get().set_session(session);
+        Ok(())
+    }
+}
+
+/// Takes connections until it is dropped.
+pub async fn serve(cx: Context, own: Peer, listener: Async<TcpListener>) {
+    let (permit, permits) = async_channel::bounded::<()>(MAX_CONNECTIONS);
+    loop {
+        if permit.send(()).await.is_err() {
+            return;
+        }
+        let Ok((stream, _)) = listener.accept().await else {
+            let _ = permits.try_recv();
+            cx.shared.clock.sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let (connection, permits) = (serve_one(cx.clone(), own.clone(), stream), permits.clone());
+        let task = async move {
+            connection.await;
+            let _ = permits.try_recv();
+        };
+        cx.executor.spawn(task).detach();
+    }
+}
+
+async fn serve_one(cx: Context, own: Peer, stream: Async<TcpStream>) {
+    let introduced = std::rc::Rc::new(Cell::new(false));
+    let meter = Meter::default();
+    let node = Node { cx: cx.clone(), own, meter: meter.clone(), introduced: introduced.clone() };
+    let client: wire::node::Client = capnp_rpc::new_client(node);
+    let system = link::rpc(stream, meter, Side::Server, Some(client.client));
+    let silent = async {
+        cx.shared.clock.sleep(INTRODUCTION_WAIT).await;
+        if introduced.get() {
+            futures_lite::future::pending::<()>().await;
+        }
+    };
+    let run = async {
+        // A broken connection concerns the peer, which reports it on its side.
+        let _ = system.await;
+    };
+    run.or(silent).await;
+}
