Stand-ins for the platform and for targets

Cause: nothing stood in for the systems around the nodes. Change: standin-platform (blocking queries, call limit, faults on a control port: down, silent, rubbish, cut by address, as of an earlier index) and standin-target (slots, connections, 1 ms a connection, calls of its own, run log, crash on demand). Each zone reads the platform on its own address, so that a zone is cut whatever source address its nodes use.

--- /dev/null
+++ b/standins/src/bin/standin-platform.rs
@@ -0,0 +1,45 @@
+//! `standin-platform`: the platform's configuration service, for tests and demonstrations.
+
+use getopts::Options;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use sycamore_standins::command::{self, failed, usage};
+use sycamore_standins::platform::{Platform, PlatformConfig, Store};
+
+/// What the users' platform bears.
+const MAX_CALLS_PER_SECOND: u64 = 2_000;
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(platform) => {
+            futures_lite::future::block_on(platform.run());
+            ExitCode::SUCCESS
+        }
+        Err(code) => code,
+    }
+}
+
+fn start() -> Result<Platform, ExitCode> {
+    let mut options = Options::new();
+    options.optmulti("l", "listen", "address for readers; may be repeated", "IP:PORT");
+    options.optopt("c", "control", "address for tests that drive it", "IP:PORT");
+    options.optopt("d", "values", "directory of values", "DIRECTORY");
+    options.optopt("m", "max-calls-per-second", "more get 429; 2000 by default", "N");
+    let matches = command::parse(options, "Usage: standin-platform [options]")?;
+    let listen: Result<Vec<SocketAddr>, _> =
+        matches.opt_strs("listen").iter().map(|text| text.parse()).collect();
+    let control = matches.opt_get_default("control", SocketAddr::from(([127, 0, 0, 1], 0)));
+    let max_calls = matches.opt_get_default("max-calls-per-second", MAX_CALLS_PER_SECOND);
+    let store = match matches.opt_str("values") {
+        Some(directory) => Store::read_directory(Path::new(&directory)).map_err(failed)?,
+        None => Store::new(),
+    };
+    let cfg = PlatformConfig {
+        listen: listen.map_err(usage)?,
+        control: control.map_err(usage)?,
+        max_calls_per_second: max_calls.map_err(usage)?,
+        store,
+    };
+    Platform::bind(cfg).map_err(failed)
+}
--- /dev/null
+++ b/standins/src/bin/standin-target.rs
@@ -0,0 +1,32 @@
+//! `standin-target`: several targets in one process, for tests and demonstrations.
+
+use getopts::Options;
+use std::path::Path;
+use std::process::ExitCode;
+use sycamore_standins::command::{self, failed, usage};
+use sycamore_standins::target::Targets;
+use sycamore_standins::target::run_log::RunLog;
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(targets) => {
+            futures_lite::future::block_on(targets.run());
+            ExitCode::SUCCESS
+        }
+        Err(code) => code,
+    }
+}
+
+fn start() -> Result<Targets, ExitCode> {
+    let mut options = Options::new();
+    options.optopt("t", "targets", "the targets, in JSON", "FILE");
+    options.optopt("r", "run-log", "where to write what they run", "FILE");
+    let matches = command::parse(options, "Usage: standin-target --targets FILE [options]")?;
+    let path = matches.opt_str("targets").ok_or_else(|| usage("--targets FILE is required"))?;
+    let cfg = Targets::read(Path::new(&path)).map_err(failed)?;
+    let log = match matches.opt_str("run-log") {
+        Some(path) => RunLog::create(Path::new(&path)).map_err(failed)?,
+        None => RunLog::discard(),
+    };
+    Targets::bind(cfg, log).map_err(failed)
+}
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,207 @@
+//! Stand-in for the platform's configuration service: a key-value service that is only read, with
+//! blocking queries. Faults and new values come in on a control port of its own.
+
+mod control;
+mod store;
+
+pub use control::{Counts, Faults};
+pub use store::Store;
+
+use crate::http::{self, Body, Cutter};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use bytes::Bytes;
+use control::State;
+use futures_lite::future;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use std::cell::RefCell;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Longest wait of a blocking query, whatever it asks for.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// A platform stand-in with its sockets bound.
+#[derive(Debug)]
+pub struct Platform {
+    readers: Vec<Async<TcpListener>>,
+    control: Async<TcpListener>,
+    state: Rc<RefCell<State>>,
+}
+
+/// What a platform stand-in starts with.
+#[derive(Clone, Debug)]
+pub struct PlatformConfig {
+    /// Addresses for readers. Several let a test cut one zone off that reads from its own.
+    pub listen: Vec<SocketAddr>,
+    /// Address of the control port.
+    pub control: SocketAddr,
+    /// Calls answered in one second; more get 429.
+    pub max_calls_per_second: u64,
+    /// The values.
+    pub store: Store,
+}
+
+/// Addresses of a platform stand-in that runs in a thread of its own until the process ends.
+#[derive(Clone, Debug)]
+pub struct Addresses {
+    /// For readers.
+    pub readers: Vec<SocketAddr>,
+    /// Of the control port.
+    pub control: SocketAddr,
+}
+
+impl Platform {
+    /// Binds the sockets.
+    pub fn bind(cfg: PlatformConfig) -> std::io::Result<Platform> {
+        let readers: Result<_, _> =
+            cfg.listen.iter().map(|at| Async::<TcpListener>::bind(*at)).collect();
+        let control = Async::<TcpListener>::bind(cfg.control)?;
+        let state = State::new(cfg.store, cfg.max_calls_per_second);
+        Ok(Platform { readers: readers?, control, state: Rc::new(RefCell::new(state)) })
+    }
+
+    /// Runs a stand-in in a thread of its own until the process ends; for tests.
+    pub fn spawn(cfg: PlatformConfig) -> std::io::Result<Addresses> {
+        let (tx, rx) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            let platform = Platform::bind(cfg);
+            let addresses = platform.as_ref().map(Platform::addresses);
+            let _ = tx.send(addresses.map_err(|e| std::io::Error::new(e.kind(), e.to_string())));
+            if let Ok(platform) = platform {
+                future::block_on(platform.run());
+            }
+        });
+        rx.recv().map_err(std::io::Error::other)?
+    }
+
+    /// The addresses bound.
+    pub fn addresses(&self) -> Addresses {
+        let bound = |listener: &Async<TcpListener>| listener.get_ref().local_addr().ok();
+        Addresses {
+            readers: self.readers.iter().filter_map(bound).collect(),
+            control: bound(&self.control).unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0))),
+        }
+    }
+
+    /// Serves until it is dropped.
+    pub async fn run(self) {
+        let executor = http::executor();
+        for listener in self.readers {
+            let at = listener.get_ref().local_addr();
+            let task = listen(executor.clone(), self.state.clone(), listener, at.ok());
+            executor.spawn(task).detach();
+        }
+        let state = self.state.clone();
+        let connections = executor.clone();
+        let never = Cutter::new();
+        let control = http::listen(self.control, move |stream, _| {
+            let state = state.clone();
+            let handle = move |req| control::handle(state.clone(), req);
+            connections.spawn(http::serve(stream, never.watch(), handle)).detach();
+        });
+        executor.run(control).await;
+    }
+}
+
+async fn listen(
+    executor: Rc<LocalExecutor<'static>>,
+    state: Rc<RefCell<State>>,
+    listener: Async<TcpListener>,
+    at: Option<SocketAddr>,
+) {
+    http::listen(listener, move |stream, peer| {
+        let addresses = at.iter().chain(std::iter::once(&peer)).map(SocketAddr::ip);
+        let Some(cut) = state.borrow().admit(addresses) else { return };
+        executor.spawn(serve(state.clone(), stream, cut)).detach();
+    })
+    .await;
+}
+
+async fn serve(
+    state: Rc<RefCell<State>>,
+    stream: Async<TcpStream>,
+    cut: async_channel::Receiver<()>,
+) {
+    http::serve(stream, cut, move |req| read(state.clone(), req)).await;
+}
+
+/// Answers one read or blocking query.
+async fn read(state: Rc<RefCell<State>>, req: Request<Incoming>) -> Option<Response<Body>> {
+    if state.borrow().faults.silent {
+        future::pending::<()>().await;
+    }
+    if !state.borrow_mut().count_call() {
+        return Some(http::answer(StatusCode::TOO_MANY_REQUESTS, "too many calls"));
+    }
+    if state.borrow().faults.rubbish {
+        return Some(rubbish());
+    }
+    let Some(key) = req.uri().path().strip_prefix("/v1/kv/").map(str::to_string) else {
+        return Some(http::answer(StatusCode::NOT_FOUND, ""));
+    };
+    let query = Query::parse(req.uri().query().unwrap_or_default());
+    let end = Instant::now() + query.wait;
+    loop {
+        let (found, changed) = state.borrow_mut().look_up(&key);
+        let index = found.as_ref().map_or(0, |value| value.index);
+        let wanted = query.index.is_none_or(|known| index > known);
+        if wanted || Instant::now() >= end {
+            return Some(found.map_or_else(
+                || http::answer(StatusCode::NOT_FOUND, ""),
+                |value| with_index(value.body, value.index),
+            ));
+        }
+        let timeout = async {
+            async_io::Timer::at(end).await;
+        };
+        let change = async {
+            let _ = changed.recv().await;
+        };
+        future::or(change, timeout).await;
+    }
+}
+
+/// What a blocking query asks for.
+#[derive(Debug)]
+struct Query {
+    index: Option<u64>,
+    wait: Duration,
+}
+
+impl Query {
+    fn parse(text: &str) -> Query {
+        let mut query = Query { index: None, wait: Duration::ZERO };
+        for (name, value) in text.split('&').filter_map(|pair| pair.split_once('=')) {
+            match name {
+                "index" => query.index = value.parse().ok(),
+                "wait" => query.wait = parse_wait(value),
+                _ => {}
+            }
+        }
+        query
+    }
+}
+
+/// Reads `30s` or `500ms`.
+fn parse_wait(text: &str) -> Duration {
+    let wait = match (text.strip_suffix("ms"), text.strip_suffix('s')) {
+        (Some(ms), _) => ms.parse().map(Duration::from_millis),
+        (_, Some(s)) => s.parse().map(Duration::from_secs),
+        _ => text.parse().map(Duration::from_secs),
+    };
+    wait.unwrap_or_default().min(MAX_WAIT)
+}
+
+fn with_index(body: Bytes, index: u64) -> Response<Body> {
+    let mut response = http::answer(StatusCode::OK, body);
+    response.headers_mut().insert("x-index", index.into());
+    response
+}
+
+/// What a broken platform says: a status that promises a value, and no value.
+fn rubbish() -> Response<Body> {
+    with_index(Bytes::from_static(b"\x00\xff{\"version\":"), u64::MAX)
+}
--- /dev/null
+++ b/standins/src/platform/control.rs
@@ -0,0 +1,148 @@
+//! Faults of the platform stand-in, its counts, and the control port that a test drives it by.
+
+use super::store::{Store, Value};
+use crate::http::{self, Body, Cutter};
+use async_channel::{Receiver, Sender};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Faults that the stand-in shows now; all off at first.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// Closes every connection at once.
+    pub down: bool,
+    /// Takes requests and never answers.
+    pub silent: bool,
+    /// Answers what is no value.
+    pub rubbish: bool,
+    /// Callers cut off: by their own address, or by the address that they connect to.
+    pub cut: Vec<IpAddr>,
+    /// Answers as of this index: the present one for a stale replica, an earlier one for a
+    /// restored backup.
+    pub as_of: Option<u64>,
+}
+
+/// What the stand-in has counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Calls; a waiting one counts once.
+    pub calls: u64,
+    /// Calls answered 429.
+    pub refused: u64,
+    /// Most calls in one second.
+    pub peak_calls_per_second: u64,
+    /// Index of the last change.
+    pub index: u64,
+}
+
+/// Everything that the stand-in holds.
+#[derive(Debug)]
+pub struct State {
+    /// Faults shown now.
+    pub faults: Faults,
+    store: Store,
+    cutter: Cutter,
+    waiting: Vec<Sender<()>>,
+    counts: Counts,
+    max_calls_per_second: u64,
+    second: u64,
+    calls_in_second: u64,
+    started: Instant,
+}
+
+impl State {
+    /// A stand-in without faults.
+    pub fn new(store: Store, max_calls_per_second: u64) -> State {
+        State {
+            faults: Faults::default(),
+            store,
+            cutter: Cutter::new(),
+            waiting: Vec::new(),
+            counts: Counts::default(),
+            max_calls_per_second,
+            second: 0,
+            calls_in_second: 0,
+            started: Instant::now(),
+        }
+    }
+
+    /// Takes a new connection, unless its ends are cut off. It ends when the result does.
+    pub fn admit(&self, mut addresses: impl Iterator<Item = IpAddr>) -> Option<Receiver<()>> {
+        let cut = self.faults.down || addresses.any(|ip| self.faults.cut.contains(&ip));
+        (!cut).then(|| self.cutter.watch())
+    }
+
+    /// Counts a call. Returns false if there were too many in this second.
+    pub fn count_call(&mut self) -> bool {
+        let second = self.started.elapsed().as_secs();
+        if second != self.second {
+            self.second = second;
+            self.calls_in_second = 0;
+        }
+        self.calls_in_second += 1;
+        self.counts.calls += 1;
+        let peak = self.counts.peak_calls_per_second.max(self.calls_in_second);
+        self.counts.peak_calls_per_second = peak;
+        let fits = self.calls_in_second <= self.max_calls_per_second;
+        self.counts.refused += u64::from(!fits);
+        fits
+    }
+
+    /// The value of a key, and what ends when anything changes.
+    pub fn look_up(&mut self, key: &str) -> (Option<Value>, Receiver<()>) {
+        let (tx, rx) = async_channel::bounded(1);
+        self.waiting.retain(|waiting| !waiting.is_closed());
+        self.waiting.push(tx);
+        let as_of = self.faults.as_of.unwrap_or(u64::MAX);
+        (self.store.get(key, as_of), rx)
+    }
+
+    fn put(&mut self, key: &str, body: bytes::Bytes) -> u64 {
+        let index = self.store.put(key, body);
+        self.waiting.clear();
+        index
+    }
+
+    /// Sets the faults. Connections are cut, so that the faults hold for callers that wait.
+    fn set_faults(&mut self, faults: Faults) {
+        self.faults = faults;
+        self.cutter = Cutter::new();
+        self.waiting.clear();
+    }
+
+    fn counts(&self) -> Counts {
+        Counts { index: self.store.index(), ..self.counts }
+    }
+}
+
+/// Answers the control port: `PUT /v1/kv/<key>`, `PUT /faults`, `GET /counts`.
+pub async fn handle(state: Rc<RefCell<State>>, req: Request<Incoming>) -> Option<Response<Body>> {
+    let (head, body) = req.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    let key = head.uri.path().strip_prefix("/v1/kv/");
+    Some(match (&head.method, key, head.uri.path()) {
+        (&Method::PUT, Some(key), _) => {
+            let index = state.borrow_mut().put(key, body);
+            http::answer(StatusCode::OK, index.to_string())
+        }
+        (&Method::PUT, None, "/faults") => match serde_json::from_slice(&body) {
+            Ok(faults) => {
+                state.borrow_mut().set_faults(faults);
+                http::answer(StatusCode::OK, "")
+            }
+            Err(e) => http::answer(StatusCode::BAD_REQUEST, e.to_string()),
+        },
+        (&Method::GET, None, "/counts") => {
+            let counts = state.borrow().counts();
+            http::answer(StatusCode::OK, serde_json::to_vec(&counts).unwrap_or_default())
+        }
+        _ => http::answer(StatusCode::NOT_FOUND, ""),
+    })
+}
--- /dev/null
+++ b/standins/src/target/control.rs
@@ -0,0 +1,195 @@
+//! State of one target, and the control port that a test drives it by.
+
+use super::load::Reported;
+use super::{RESTART, Target};
+use crate::http::{self, Body, Cutter};
+use async_channel::Receiver;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How a target behaves, set by a test.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Habits {
+    /// Work takes so many times as long.
+    pub slow: f64,
+    /// Work takes so many times as long at first.
+    pub cold: f64,
+    /// How long "at first" lasts, after a start; in milliseconds.
+    pub cold_ms: u64,
+    /// Reports an idle target whatever runs.
+    pub lies: bool,
+}
+
+/// What a target has counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Runs started.
+    pub runs: u64,
+    /// Requests beyond the slots; a gatekeeper sends none.
+    pub beyond_slots: u64,
+    /// Connections beyond the limit; a gatekeeper opens none.
+    pub beyond_connections: u64,
+    /// Most runs at once.
+    pub peak_in_flight: u32,
+    /// Most connections at once.
+    pub peak_connections: u32,
+    /// Crashes.
+    pub crashes: u64,
+}
+
+/// State of one target.
+#[derive(Debug)]
+pub struct State {
+    habits: Habits,
+    counts: Counts,
+    in_flight: u32,
+    connections: u32,
+    reported: Reported,
+    started: Instant,
+    cutter: Cutter,
+    away: Option<Duration>,
+}
+
+impl Default for Habits {
+    fn default() -> Habits {
+        Habits { slow: 1.0, cold: 1.0, cold_ms: 0, lies: false }
+    }
+}
+
+impl Default for State {
+    fn default() -> State {
+        State {
+            habits: Habits::default(),
+            counts: Counts::default(),
+            in_flight: 0,
+            connections: 0,
+            reported: Reported::default(),
+            started: Instant::now(),
+            cutter: Cutter::new(),
+            away: None,
+        }
+    }
+}
+
+impl State {
+    /// Counts a new connection. Returns false if there are too many.
+    pub fn open_connection(&mut self, limit: u32) -> bool {
+        if self.connections >= limit {
+            self.counts.beyond_connections += 1;
+            return false;
+        }
+        self.connections += 1;
+        self.counts.peak_connections = self.counts.peak_connections.max(self.connections);
+        true
+    }
+
+    /// Takes a slot for a run. Returns false if none is free.
+    pub fn take_slot(&mut self, limit: u32) -> bool {
+        if self.in_flight >= limit {
+            self.counts.beyond_slots += 1;
+            return false;
+        }
+        self.in_flight += 1;
+        self.counts.runs += 1;
+        self.counts.peak_in_flight = self.counts.peak_in_flight.max(self.in_flight);
+        true
+    }
+
+    /// Frees the slot of a run.
+    pub fn free_slot(&mut self) {
+        self.in_flight -= 1;
+    }
+
+    /// How many times as long work takes now.
+    pub fn work_factor(&self, now: Instant) -> f64 {
+        let cold = now - self.started < Duration::from_millis(self.habits.cold_ms);
+        if cold { self.habits.slow * self.habits.cold } else { self.habits.slow }
+    }
+
+    /// Value of the header `x-load`.
+    pub fn load(&mut self, slots: u32) -> String {
+        let in_flight = self.reported.get(self.in_flight, Instant::now());
+        let in_flight = if self.habits.lies { 0 } else { in_flight };
+        format!("{in_flight}/{slots}")
+    }
+
+    /// Ends when the target crashes.
+    pub fn crashed(&self) -> Receiver<()> {
+        self.cutter.watch()
+    }
+
+    /// Ends every connection and run, and stays away for a while.
+    pub fn crash(&mut self, away: Duration) {
+        self.counts.crashes += 1;
+        self.away = Some(away);
+        self.cutter = Cutter::new();
+    }
+
+    /// How long the crashed target stays away.
+    pub fn away(&self) -> Option<Duration> {
+        self.away
+    }
+
+    /// Starts again, cold.
+    pub fn restart(&mut self) {
+        self.away = None;
+        self.started = Instant::now();
+    }
+}
+
+/// Counts a connection as closed when it is dropped.
+#[derive(Debug)]
+pub struct ConnectionGuard(pub(super) Rc<Target>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.state.borrow_mut().connections -= 1;
+    }
+}
+
+/// Answers the control port: `GET /counts`, `PUT /habits/<vm>` and `PUT /crash/<vm>`, whose body
+/// is how long the target stays away, in milliseconds.
+pub async fn handle(
+    targets: Rc<Vec<Rc<Target>>>,
+    req: Request<Incoming>,
+) -> Option<Response<Body>> {
+    let (head, body) = req.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    if head.method == Method::GET && head.uri.path() == "/counts" {
+        return Some(counts(&targets));
+    }
+    let mut path = head.uri.path().trim_start_matches('/').split('/');
+    let (Some(what), Some(vm)) = (path.next(), path.next()) else { return Some(not_found()) };
+    let Some(target) = targets.iter().find(|target| target.cfg.vm == vm) else {
+        return Some(not_found());
+    };
+    let mut state = target.state.borrow_mut();
+    match what {
+        "habits" => match serde_json::from_slice(&body) {
+            Ok(habits) => state.habits = habits,
+            Err(e) => return Some(http::answer(StatusCode::BAD_REQUEST, e.to_string())),
+        },
+        "crash" => {
+            let away = std::str::from_utf8(&body).ok().and_then(|text| text.parse().ok());
+            state.crash(away.map_or(RESTART, Duration::from_millis));
+        }
+        _ => return Some(not_found()),
+    }
+    Some(http::answer(StatusCode::OK, ""))
+}
+
+fn counts(targets: &[Rc<Target>]) -> Response<Body> {
+    let counts: IndexMap<&str, Counts> =
+        targets.iter().map(|target| (&target.cfg.vm[..], target.state.borrow().counts)).collect();
+    http::answer(StatusCode::OK, serde_json::to_vec(&counts).unwrap_or_default())
+}
+
+fn not_found() -> Response<Body> {
+    http::answer(StatusCode::NOT_FOUND, "")
+}
--- /dev/null
+++ b/standins/src/target/nested.rs
@@ -0,0 +1,95 @@
+//! Calls that a target makes itself, through the node on its VM.
+
+use super::request::Call;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::future;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use sycamore_tools::load::client::{Outgoing, Pool};
+use sycamore_tools::load::pattern::Pattern;
+
+/// Sends of one call: the first, and resends after a refusal.
+const MAX_SENDS: usize = 3;
+
+/// Wait before a resend if the refusal names none.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Makes calls through one node.
+#[derive(Debug)]
+pub struct Caller {
+    pool: Pool,
+}
+
+impl Caller {
+    /// A caller of the node at `address`.
+    pub fn new(address: SocketAddr, executor: Rc<LocalExecutor<'static>>) -> Caller {
+        Caller { pool: Pool::new(address, executor) }
+    }
+
+    /// Makes a call and reads its answer. Returns whether it came whole before the deadline.
+    pub async fn call(&self, call: Call, deadline: Instant) -> bool {
+        let timeout = async {
+            Timer::at(deadline).await;
+            false
+        };
+        future::or(self.send(&call, deadline), timeout).await
+    }
+
+    async fn send(&self, call: &Call, deadline: Instant) -> bool {
+        for _ in 0..MAX_SENDS {
+            let Some(req) = request(call, deadline) else { return false };
+            let Ok(exchange) = self.pool.send(req).await else { return false };
+            let (response, connection) = exchange.into_parts();
+            if outcome(&response) != "not-run" {
+                let whole = read(call, response).await;
+                self.pool.keep(connection);
+                return whole;
+            }
+            Timer::after(retry_after(&response)).await;
+            let _ = response.into_body().collect().await;
+            self.pool.keep(connection);
+        }
+        false
+    }
+}
+
+fn request(call: &Call, deadline: Instant) -> Option<Outgoing> {
+    let left = deadline.saturating_duration_since(Instant::now()).as_millis();
+    let mut req = Request::get(call.path())
+        .header("host", "node")
+        .header("x-sycamore-request-id", &call.id[..])
+        .header("x-sycamore-deadline-ms", left.to_string());
+    if let Some(key) = &call.key {
+        req = req.header("idempotency-key", &key[..]);
+    }
+    if let Some(depth) = &call.depth {
+        req = req.header("x-sycamore-depth", depth);
+    }
+    req.body(Full::new(Bytes::new())).ok()
+}
+
+fn outcome<B>(response: &Response<B>) -> &str {
+    header(response, "x-sycamore-outcome").unwrap_or("unknown")
+}
+
+fn retry_after<B>(response: &Response<B>) -> Duration {
+    let ms = header(response, "x-sycamore-retry-after-ms").and_then(|text| text.parse().ok());
+    ms.map_or(DEFAULT_RETRY_AFTER, Duration::from_millis)
+}
+
+fn header<'a, B>(response: &'a Response<B>, name: &str) -> Option<&'a str> {
+    response.headers().get(name)?.to_str().ok()
+}
+
+/// Whether the answer is a success and the whole answer to this very call.
+async fn read(call: &Call, response: Response<hyper::body::Incoming>) -> bool {
+    let success = response.status().is_success();
+    let Ok(body) = response.into_body().collect().await else { return false };
+    let body = body.to_bytes();
+    success && body.len() == call.answer_bytes && Pattern::new(&call.id).matches(&body)
+}
--- /dev/null
+++ b/standins/src/target/run_log.rs
@@ -0,0 +1,134 @@
+//! What the targets ran, written down by themselves: the truth that outcomes are held against.
+
+use super::Target;
+use super::request::Call;
+use serde::{Deserialize, Serialize};
+use std::fs::File;
+use std::io::Write;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// One line of the run log: a run's start or its end.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    /// Number of the run in its process.
+    pub run: u64,
+    /// When, in microseconds since the Unix epoch.
+    pub at_us: u64,
+    /// VM of the target.
+    pub vm: String,
+    /// Id of the request.
+    pub id: String,
+    /// Its key, if it has one.
+    pub key: Option<String>,
+    /// Start or end.
+    pub mark: Mark,
+}
+
+/// What a line says of its run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mark {
+    /// It started.
+    Start,
+    /// Its answer was handed over whole.
+    Completed,
+    /// It ended before that.
+    Cut,
+}
+
+/// Where runs are written; clones share one file.
+#[derive(Clone, Debug)]
+pub struct RunLog {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    file: Option<File>,
+    runs: u64,
+}
+
+impl RunLog {
+    /// A log that starts empty at `path`.
+    pub fn create(path: &Path) -> std::io::Result<RunLog> {
+        Ok(RunLog::new(Some(File::create(path)?)))
+    }
+
+    /// A log that keeps nothing.
+    pub fn discard() -> RunLog {
+        RunLog::new(None)
+    }
+
+    fn new(file: Option<File>) -> RunLog {
+        RunLog { inner: Arc::new(Mutex::new(Inner { file, runs: 0 })) }
+    }
+
+    fn next_run(&self) -> u64 {
+        let mut inner = self.inner.lock().unwrap_or_else(|e| e.into_inner());
+        inner.runs += 1;
+        inner.runs
+    }
+
+    /// Writes one line at once, so that it outlives a kill of this process.
+    fn write(&self, line: &Line) {
+        let mut inner = self.inner.lock().unwrap_or_else(|e| e.into_inner());
+        if let Some(file) = &mut inner.file {
+            let mut buf = serde_json::to_vec(line).unwrap_or_default();
+            buf.push(b'\n');
+            let _ = file.write_all(&buf);
+        }
+    }
+}
+
+/// A run in its slot, until it is dropped.
+#[derive(Debug)]
+pub struct Run {
+    target: Rc<Target>,
+    line: Line,
+    completed: bool,
+}
+
+impl Run {
+    /// Writes the start of a run that has taken a slot.
+    pub(super) fn start(target: Rc<Target>, call: &Call) -> Run {
+        let text = |buf: &bytes::Bytes| String::from_utf8_lossy(buf).into_owned();
+        let line = Line {
+            run: target.log.next_run(),
+            at_us: now_us(),
+            vm: target.cfg.vm.clone(),
+            id: text(&call.id),
+            key: call.key.as_ref().map(text),
+            mark: Mark::Start,
+        };
+        target.log.write(&line);
+        Run { target, line, completed: false }
+    }
+
+    /// Ends a run whose answer has been handed over whole.
+    pub(super) fn finish(mut self) {
+        self.completed = true;
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.line.mark = if self.completed { Mark::Completed } else { Mark::Cut };
+        self.line.at_us = now_us();
+        self.target.log.write(&self.line);
+        self.target.state.borrow_mut().free_slot();
+    }
+}
+
+/// Reads a run log. A last line that a kill cut short is left out.
+pub fn read(path: &Path) -> std::io::Result<Vec<Line>> {
+    let text = std::fs::read_to_string(path)?;
+    Ok(text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect())
+}
+
+fn now_us() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    now.as_micros() as u64
+}
--- a/tools/src/lib.rs
+++ b/tools/src/lib.rs
@@ -1,1 +1,3 @@
-//! placeholder
+//! Tools for operators and developers.
+
+pub mod load;
--- /dev/null
+++ b/tools/src/load.rs
@@ -0,0 +1,4 @@
+//! `sycamore-load`: callers of a deployment, at a constant rate whatever the answers do.
+
+pub mod client;
+pub mod pattern;
