Examples of both deployments, with the program that makes them

Change: example-maker writes examples/<deployment>: 18 nodes, targets, three presets that differ in every service's limits and every route, and a preset with a dangling route for the demonstration.

--- /dev/null
+++ b/standins/src/example/files.rs
@@ -0,0 +1,140 @@
+//! The files of one deployment, as text.
+
+use super::deployment::{
+    ADMIN_PORT, CALLS_PORT, Deployment, GATE_PORT, PEERS_PORT, TARGET_PORT, Vm,
+};
+use super::presets::{self, to_name};
+use crate::target::{TargetConfig, TargetsConfig};
+use serde::Serialize;
+use std::net::SocketAddr;
+use sycamore_core::config::InForce;
+use sycamore_core::hash::Hash;
+use sycamore_core::member::{Member, VmList, VmState};
+use sycamore_core::place::Place;
+
+/// A file of an example: where it goes below the example's directory, and its text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct File {
+    /// Path below the directory of the deployment.
+    pub path: String,
+    /// What stands in it.
+    pub text: String,
+}
+
+/// Value of the key `zones`.
+#[derive(Serialize)]
+struct Zones {
+    zones: Vec<Place>,
+}
+
+/// Settings of a node; what is left out keeps its default.
+#[derive(Serialize)]
+struct NodeSettings {
+    vm: String,
+    region: &'static str,
+    zone: String,
+    listen: Listen,
+    target_address: SocketAddr,
+    platform_address: SocketAddr,
+    seeds: Vec<SocketAddr>,
+}
+
+#[derive(Serialize)]
+struct Listen {
+    calls: SocketAddr,
+    gate: SocketAddr,
+    peers: SocketAddr,
+    admin: SocketAddr,
+}
+
+/// Every file of a deployment but its mix of calls, which is written by hand.
+pub fn files(deployment: &Deployment) -> Vec<File> {
+    let mut files = published(deployment);
+    for vm in deployment.vms() {
+        files.push(File::new(format!("nodes/{}.json", vm.name), &settings(deployment, &vm)));
+    }
+    files.push(File::new("targets.json", &targets(deployment)));
+    files.push(File::new("refused/dangling.json", &presets::dangling(deployment)));
+    files
+}
+
+impl File {
+    fn new(path: impl Into<String>, content: &impl Serialize) -> File {
+        let text = serde_json::to_string_pretty(content).unwrap_or_default();
+        File { path: path.into(), text: text + "\n" }
+    }
+}
+
+fn published(deployment: &Deployment) -> Vec<File> {
+    let mut files = Vec::new();
+    for name in presets::NAMES {
+        let preset = presets::preset(deployment, name);
+        files.push(File::new(format!("published/preset/{name}.json"), &preset));
+    }
+    let digest = Hash::of(files[0].text.as_bytes());
+    let in_force = InForce { version: 1, preset: to_name(presets::NAMES[0]), digest };
+    files.push(File::new("published/in-force.json", &in_force));
+    let zones = deployment.zones();
+    for (_, zone, _) in &zones {
+        files.push(File::new(format!("published/vms/{zone}.json"), &vm_list(deployment, zone)));
+    }
+    let place = |(region, zone, _): &(&str, String, u8)| Place {
+        region: to_name(region),
+        zone: to_name(zone),
+    };
+    let zones = Zones { zones: zones.iter().map(place).collect() };
+    files.push(File::new("published/zones.json", &zones));
+    files
+}
+
+fn vm_list(deployment: &Deployment, zone: &str) -> VmList {
+    let vms = deployment.vms().into_iter().filter(|vm| vm.zone == zone);
+    let member = |vm: Vm| Member {
+        vm: to_name(&vm.name),
+        region: to_name(vm.region),
+        zone: to_name(&vm.zone),
+        peers: vm.at(PEERS_PORT),
+        admin: vm.at(ADMIN_PORT),
+        state: VmState::Live,
+    };
+    VmList { vms: vms.map(member).collect() }
+}
+
+fn settings(deployment: &Deployment, vm: &Vm) -> NodeSettings {
+    NodeSettings {
+        vm: vm.name.clone(),
+        region: vm.region,
+        zone: vm.zone.clone(),
+        listen: Listen {
+            calls: vm.at(CALLS_PORT),
+            gate: vm.at(GATE_PORT),
+            peers: vm.at(PEERS_PORT),
+            admin: vm.at(ADMIN_PORT),
+        },
+        target_address: vm.at(TARGET_PORT),
+        platform_address: deployment.platform(vm.zone_number),
+        seeds: seeds(deployment, vm),
+    }
+}
+
+/// Peers to ask first: the others of the zone, and one VM of every other zone.
+fn seeds(deployment: &Deployment, vm: &Vm) -> Vec<SocketAddr> {
+    let all = deployment.vms();
+    let near = all.iter().filter(|other| other.zone == vm.zone && other.name != vm.name);
+    let far = all.iter().filter(|other| other.zone != vm.zone && other.service == vm.service);
+    near.chain(far).map(|other| other.at(PEERS_PORT)).collect()
+}
+
+fn targets(deployment: &Deployment) -> TargetsConfig {
+    let target = |vm: Vm| TargetConfig {
+        address: vm.at(TARGET_PORT),
+        calls: vm.at(CALLS_PORT),
+        vm: vm.name,
+        slots: deployment.slots,
+        connections: deployment.connections,
+    };
+    TargetsConfig {
+        control: deployment.targets_control(),
+        targets: deployment.vms().into_iter().map(target).collect(),
+    }
+}
--- /dev/null
+++ b/standins/src/example/presets.rs
@@ -0,0 +1,101 @@
+//! The presets of both deployments: what differs between ordinary days, peaks and maintenance.
+
+use super::deployment::{Deployment, GATE_PORT, RouteRow};
+use indexmap::IndexMap;
+use sycamore_core::Name;
+use sycamore_core::config::{Class, Preset, Route, Service, ServiceLimits, Target};
+
+/// Names of the presets; the first is in force at the start.
+pub const NAMES: [&str; 3] = ["ordinary", "peak", "maintenance"];
+
+/// A preset of a deployment.
+pub fn preset(deployment: &Deployment, name: &str) -> Preset {
+    let mut services = IndexMap::new();
+    for service in deployment.services {
+        let limits = limits(deployment, name);
+        services
+            .insert(to_name(service), Service { limits, targets: targets(deployment, service) });
+    }
+    let routes =
+        deployment.routes.iter().map(|row| (to_name(row.name), published(row, name))).collect();
+    Preset { name: to_name(name), services, routes, parts: Vec::new() }
+}
+
+/// A preset whose last route names a service that it lacks; every node refuses it.
+pub fn dangling(deployment: &Deployment) -> Preset {
+    let mut preset = preset(deployment, "peak");
+    preset.name = to_name("dangling");
+    if let Some((_, route)) = preset.routes.last_mut() {
+        route.service = to_name("retired-service");
+    }
+    preset
+}
+
+/// Peaks shorten queues and keep bulk back; maintenance leaves slots to those who maintain.
+fn limits(deployment: &Deployment, preset: &str) -> ServiceLimits {
+    let slots = deployment.slots;
+    let ordinary = ServiceLimits {
+        slots,
+        connections: deployment.connections,
+        queue: slots * 4,
+        queue_wait_ms: 500,
+        retry_budget_percent: 10,
+        warm_up_ms: 2_000,
+        bulk_share_percent: 50,
+        drain_ms: 30_000,
+    };
+    match preset {
+        "peak" => ServiceLimits {
+            queue: slots * 2,
+            queue_wait_ms: 250,
+            retry_budget_percent: 5,
+            bulk_share_percent: 25,
+            ..ordinary
+        },
+        "maintenance" => ServiceLimits {
+            slots: slots * 2 / 3,
+            queue: slots * 6,
+            queue_wait_ms: 1_000,
+            warm_up_ms: 5_000,
+            drain_ms: 60_000,
+            ..ordinary
+        },
+        _ => ordinary,
+    }
+}
+
+fn published(row: &RouteRow, preset: &str) -> Route {
+    let (deadline_ms, max_attempts) = match (preset, row.class) {
+        ("peak", Class::Bulk) => (row.deadline_ms, 1),
+        ("peak", _) => (row.deadline_ms * 3 / 4, 2),
+        ("maintenance", _) => (row.deadline_ms * 3 / 2, 4),
+        _ => (row.deadline_ms, 3),
+    };
+    Route {
+        path_prefix: format!("/{}", row.name),
+        service: to_name(row.service),
+        idempotent: row.idempotent,
+        class: row.class,
+        deadline_ms,
+        max_attempts,
+        max_body_bytes: 1_048_576,
+    }
+}
+
+fn targets(deployment: &Deployment, service: &str) -> Vec<Target> {
+    let vms = deployment.vms();
+    vms.iter()
+        .filter(|vm| vm.service == service)
+        .map(|vm| Target {
+            vm: to_name(&vm.name),
+            region: to_name(vm.region),
+            zone: to_name(&vm.zone),
+            gate: vm.at(GATE_PORT),
+        })
+        .collect()
+}
+
+/// A name of this module's own making.
+pub fn to_name(text: &str) -> Name {
+    Name::new(text.to_string()).expect("the examples' names are valid")
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! platform's configuration service, and targets.
 
 pub mod command;
+pub mod example;
 pub mod http;
 pub mod platform;
 pub mod target;
--- a/standins/tests/target.rs
+++ b/standins/tests/target.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_standins::target::run_log::{self, Line, Mark, RunLog};
@@ -45,7 +45,7 @@
 }
 
 /// The marks of a run in the log, once its end is there.
-async fn marks(log: &PathBuf, id: &str) -> Vec<Mark> {
+async fn marks(log: &Path, id: &str) -> Vec<Mark> {
     loop {
         let lines = run_log::read(log).unwrap();
         let marks: Vec<Mark> =
