sycamore-load: callers at a constant rate, with their history

Ruled out: a refusal that answers for earlier sends. It speaks for its own send, so a request with a broken send and later refusals ends as unknown.

--- a/standins/src/target/nested.rs
+++ b/standins/src/target/nested.rs
@@ -44,7 +44,7 @@
         for _ in 0..MAX_SENDS {
             let Some(req) = request(call, deadline) else { return false };
             let Ok(exchange) = self.pool.send(req).await else { return false };
-            let (response, connection) = exchange.into_parts();
+            let (response, connection) = (exchange.response, exchange.connection);
             if outcome(&response) != "not-run" {
                 let whole = read(call, response).await;
                 self.pool.keep(connection);
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -33,7 +33,7 @@
     let body = Full::new(Bytes::copy_from_slice(body.as_bytes()));
     let req = Request::builder().method(method).uri(path).header("host", "platform");
     let exchange = executor.run(pool.send(req.body(body).unwrap())).await.ok()?;
-    let (response, _connection) = exchange.into_parts();
+    let (response, _connection) = (exchange.response, exchange.connection);
     let index = response.headers().get("x-index").map(|v| v.to_str().unwrap().to_string());
     let status = response.status().as_u16();
     let body = executor.run(response.into_body().collect()).await.ok()?.to_bytes();
--- a/standins/tests/target.rs
+++ b/standins/tests/target.rs
@@ -38,7 +38,7 @@
     let req = Request::get(format!("/contracts/1?{query}")).header("x-sycamore-request-id", id);
     let req = req.body(Full::new(Bytes::new())).unwrap();
     let exchange = executor.run(pool.send(req)).await.ok()?;
-    let (response, _connection) = exchange.into_parts();
+    let (response, _connection) = (exchange.response, exchange.connection);
     let status = response.status().as_u16();
     let body = executor.run(response.into_body().collect()).await.ok()?.to_bytes();
     Some((status, body))
--- /dev/null
+++ b/tools/src/load/caller.rs
@@ -0,0 +1,213 @@
+//! One request of a caller: sent, sent again after a broken connection or a refusal, until its
+//! outcome is final or its deadline has passed.
+
+use super::client::{Connection, Exchange, Outgoing, Pool, SendError};
+use super::history::{Outcome, Record, Send, SendResult, now_us};
+use super::mix::MixClass;
+use super::pattern::Pattern;
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::future;
+use http_body_util::{BodyExt, Full};
+use hyper::Response;
+use hyper::body::Incoming;
+use std::time::{Duration, Instant};
+use uuid::Uuid;
+
+/// How long after its deadline a caller still takes an answer. A caller that holds none by then
+/// has lost its request.
+const GRACE: Duration = Duration::from_secs(1);
+
+/// Wait before a resend if the refusal names none, or if the connection broke.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(20);
+
+/// A request to make.
+#[derive(Clone, Debug)]
+pub struct Job<'a> {
+    /// Its class.
+    pub class: &'a MixClass,
+    /// Number of the thing that it is about.
+    pub number: u32,
+    /// When it is due.
+    pub due: Instant,
+    /// The entry node that it goes to first, by index.
+    pub first_entry: usize,
+}
+
+/// The state of one request.
+struct Attempts<'a> {
+    job: &'a Job<'a>,
+    entries: &'a [Pool],
+    deadline: Instant,
+    record: Record,
+}
+
+/// What a send came to, as far as the caller goes on from it.
+enum Next {
+    Final,
+    Resend(Duration),
+}
+
+/// Makes a request and returns its record, at the latest [`GRACE`] after its deadline.
+pub async fn call(job: &Job<'_>, entries: &[Pool]) -> Record {
+    let mut attempts = Attempts::new(job, entries);
+    let end = attempts.deadline + GRACE;
+    attempts.run(end).await;
+    attempts.record.final_us = now_us();
+    attempts.record
+}
+
+impl<'a> Attempts<'a> {
+    fn new(job: &'a Job<'a>, entries: &'a [Pool]) -> Attempts<'a> {
+        let deadline = Duration::from_millis(job.class.deadline_ms);
+        let late = job.due.elapsed().as_micros() as u64;
+        let invoked_us = now_us() - late;
+        let record = Record {
+            id: Uuid::now_v7().to_string(),
+            key: job.class.at_most_once.then(|| Uuid::now_v7().to_string()),
+            class: job.class.name.clone(),
+            invoked_us,
+            deadline_us: invoked_us + deadline.as_micros() as u64,
+            sends: Vec::new(),
+            outcome: Outcome::None,
+            code: None,
+            status: None,
+            bytes: 0,
+            body_correct: false,
+            final_us: 0,
+        };
+        Attempts { job, entries, deadline: job.due + deadline, record }
+    }
+
+    async fn run(&mut self, end: Instant) {
+        for index in 0.. {
+            let entry = (self.job.first_entry + index) % self.entries.len();
+            let wait = match self.send(&self.entries[entry], end).await {
+                Next::Final => break,
+                Next::Resend(wait) => wait,
+            };
+            self.record.outcome = Outcome::NotRun;
+            if Instant::now() + wait >= self.deadline {
+                break;
+            }
+            Timer::after(wait).await;
+        }
+        if self.record.outcome == Outcome::NotRun && self.may_have_run() {
+            self.record.outcome = Outcome::Unknown;
+        }
+    }
+
+    /// Whether a send may have reached a target. A refusal speaks for its own send alone.
+    fn may_have_run(&self) -> bool {
+        let harmless =
+            |send: &Send| matches!(send.result, SendResult::NotRun | SendResult::NotSent);
+        !self.record.sends.iter().all(harmless)
+    }
+
+    async fn send(&mut self, entry: &Pool, end: Instant) -> Next {
+        let at_us = now_us();
+        let req = self.request();
+        self.record.code = None;
+        let timeout = async {
+            Timer::at(end).await;
+            None
+        };
+        let exchange = async { Some(entry.send(req).await) };
+        let (result, next) = match future::or(exchange, timeout).await {
+            Some(Ok(exchange)) => self.take(entry, exchange, end).await,
+            Some(Err(SendError::NotSent)) => resend(SendResult::NotSent),
+            Some(Err(SendError::Broken)) => resend(SendResult::Broken),
+            None => (SendResult::TimedOut, Next::Final),
+        };
+        let code = self.record.code;
+        let send = Send { entry: entry.address(), at_us, end_us: now_us(), result, code };
+        self.record.sends.push(send);
+        next
+    }
+
+    fn request(&self) -> Outgoing {
+        let class = self.job.class;
+        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
+        let method = if class.at_most_once { "POST" } else { "GET" };
+        let mut req = hyper::Request::builder()
+            .method(method)
+            .uri(class.target(self.job.number))
+            .header("host", "sycamore")
+            .header("x-sycamore-request-id", &self.record.id)
+            .header("x-sycamore-deadline-ms", left.max(1).to_string());
+        if let Some(key) = &self.record.key {
+            req = req.header("idempotency-key", key);
+        }
+        let body = Bytes::from(vec![b'.'; class.request_bytes]);
+        req.body(Full::new(body)).expect("paths of the mix are valid")
+    }
+
+    async fn take(&mut self, entry: &Pool, exchange: Exchange, end: Instant) -> (SendResult, Next) {
+        let Exchange { response, connection } = exchange;
+        self.record.status = Some(response.status().as_u16());
+        self.record.code = number(&response, "x-sycamore-code").map(|code| code as u16);
+        match header(&response, "x-sycamore-outcome") {
+            Some("not-run") => {
+                let wait = number(&response, "x-sycamore-retry-after-ms");
+                if response.into_body().collect().await.is_ok() {
+                    entry.keep(connection);
+                }
+                // A refusal that doesn't say when to come back would come again.
+                self.record.outcome = Outcome::NotRun;
+                let next = wait.map_or(Next::Final, |ms| Next::Resend(Duration::from_millis(ms)));
+                (SendResult::NotRun, next)
+            }
+            Some("unknown") => {
+                self.record.outcome = Outcome::Unknown;
+                (SendResult::Unknown, Next::Final)
+            }
+            _ => {
+                let timeout = async {
+                    Timer::at(end).await;
+                    (SendResult::TimedOut, Next::Final)
+                };
+                let read = self.read(entry, response, connection);
+                future::or(read, timeout).await
+            }
+        }
+    }
+
+    /// Reads an answer to its end and holds it against what belongs to this request.
+    async fn read(
+        &mut self,
+        entry: &Pool,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> (SendResult, Next) {
+        let success = response.status().is_success();
+        let mut pattern = Pattern::new(self.record.id.as_bytes());
+        let mut body = response.into_body();
+        let mut bytes = 0;
+        let mut correct = true;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return resend(SendResult::BodyCut) };
+            let Ok(data) = frame.into_data() else { continue };
+            bytes += data.len();
+            correct = correct && pattern.matches(&data);
+        }
+        entry.keep(connection);
+        self.record.bytes = bytes as u64;
+        let whole = correct && bytes == self.job.class.answer_bytes;
+        // The body of an error is the target's own; nothing can be held against it.
+        self.record.body_correct = whole || !success;
+        self.record.outcome = Outcome::Answered;
+        (SendResult::Answered, Next::Final)
+    }
+}
+
+fn resend(result: SendResult) -> (SendResult, Next) {
+    (result, Next::Resend(DEFAULT_RETRY_AFTER))
+}
+
+fn header<'a, B>(response: &'a Response<B>, name: &str) -> Option<&'a str> {
+    response.headers().get(name)?.to_str().ok()
+}
+
+fn number<B>(response: &Response<B>, name: &str) -> Option<u64> {
+    header(response, name)?.parse().ok()
+}
--- a/tools/src/load/client.rs
+++ b/tools/src/load/client.rs
@@ -1,5 +1,6 @@
 //! HTTP connections to one address, kept and used again.
 
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use bytes::Bytes;
@@ -24,12 +25,17 @@
     Broken,
 }
 
+/// Exchanges on one pool at once; more wait.
+const MAX_EXCHANGES: usize = 256;
+
 /// Connections to one address. They are opened as needed and kept while idle.
 #[derive(Debug)]
 pub struct Pool {
     address: SocketAddr,
     executor: Rc<LocalExecutor<'static>>,
     idle: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+    take_permit: Sender<()>,
+    give_permit: Receiver<()>,
 }
 
 /// An answer whose body is still to be read, and the connection that it comes on.
@@ -37,13 +43,32 @@
 pub struct Exchange {
     /// The answer.
     pub response: Response<Incoming>,
-    connection: SendRequest<Full<Bytes>>,
+    /// What it comes on.
+    pub connection: Connection,
+}
+
+/// A connection in use, and the permit for it.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    _permit: Permit,
+}
+
+/// Lets one more exchange begin when it is dropped.
+#[derive(Debug)]
+struct Permit(Receiver<()>);
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let _ = self.0.try_recv();
+    }
 }
 
 impl Pool {
     /// No connection yet; `executor` carries those to come.
     pub fn new(address: SocketAddr, executor: Rc<LocalExecutor<'static>>) -> Pool {
-        Pool { address, executor, idle: RefCell::new(Vec::new()) }
+        let (take_permit, give_permit) = async_channel::bounded(MAX_EXCHANGES);
+        Pool { address, executor, idle: RefCell::new(Vec::new()), take_permit, give_permit }
     }
 
     /// The address that the connections go to.
@@ -56,25 +81,28 @@
     /// A kept connection that the other side has closed hands the request back unsent; it then
     /// goes out on a fresh one.
     pub async fn send(&self, req: Outgoing) -> Result<Exchange, SendError> {
+        // Sending fails only on a closed channel, and the pool holds both of its ends.
+        let _ = self.take_permit.send(()).await;
+        let permit = Permit(self.give_permit.clone());
         let mut req = req;
-        while let Some(connection) = self.take_idle() {
-            match exchange(connection, req).await {
-                Ok(exchange) => return Ok(exchange),
+        while let Some(sender) = self.take_idle() {
+            match exchange(sender, req).await {
+                Ok((response, sender)) => return Ok(Exchange::new(response, sender, permit)),
                 Err(Some(unsent)) => req = unsent,
                 Err(None) => return Err(SendError::Broken),
             }
         }
-        let connection = self.connect().await?;
-        exchange(connection, req).await.map_err(|unsent| match unsent {
-            Some(_) => SendError::NotSent,
-            None => SendError::Broken,
-        })
+        match exchange(self.connect().await?, req).await {
+            Ok((response, sender)) => Ok(Exchange::new(response, sender, permit)),
+            Err(Some(_)) => Err(SendError::NotSent),
+            Err(None) => Err(SendError::Broken),
+        }
     }
 
     /// Keeps the connection of an answer whose body has been read to its end.
-    pub fn keep(&self, connection: SendRequest<Full<Bytes>>) {
-        if !connection.is_closed() {
-            self.idle.borrow_mut().push(connection);
+    pub fn keep(&self, connection: Connection) {
+        if !connection.sender.is_closed() {
+            self.idle.borrow_mut().push(connection.sender);
         }
     }
 
@@ -101,22 +129,25 @@
 }
 
 impl Exchange {
-    /// Splits the answer from its connection.
-    pub fn into_parts(self) -> (Response<Incoming>, SendRequest<Full<Bytes>>) {
-        (self.response, self.connection)
+    fn new(
+        response: Response<Incoming>,
+        sender: SendRequest<Full<Bytes>>,
+        permit: Permit,
+    ) -> Exchange {
+        Exchange { response, connection: Connection { sender, _permit: permit } }
     }
 }
 
 /// Sends on one connection. A failure holds the request if none of it was written.
 async fn exchange(
-    mut connection: SendRequest<Full<Bytes>>,
+    mut sender: SendRequest<Full<Bytes>>,
     req: Outgoing,
-) -> Result<Exchange, Option<Outgoing>> {
-    if connection.ready().await.is_err() {
+) -> Result<(Response<Incoming>, SendRequest<Full<Bytes>>), Option<Outgoing>> {
+    if sender.ready().await.is_err() {
         return Err(Some(req));
     }
-    match connection.try_send_request(req).await {
-        Ok(response) => Ok(Exchange { response, connection }),
+    match sender.try_send_request(req).await {
+        Ok(response) => Ok((response, sender)),
         Err(mut e) => Err(e.take_message()),
     }
 }
--- /dev/null
+++ b/tools/src/load/run.rs
@@ -0,0 +1,132 @@
+//! A run at a constant rate: requests go out when they are due, whether or not earlier ones have
+//! been answered, and their latency counts from when they were due.
+
+use super::caller::{Job, call};
+use super::client::Pool;
+use super::history::History;
+use super::mix::Mix;
+use super::summary::Summary;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::future;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Highest number of a thing that requests are about.
+const MAX_NUMBER: u32 = 10_000;
+
+/// Requests started in a row before answers are looked at again, when the run is late.
+const BURST: usize = 32;
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The classes of requests.
+    pub mix: Mix,
+    /// The entry nodes.
+    pub entries: Vec<SocketAddr>,
+    /// Requests a second, over all threads.
+    pub rate: f64,
+    /// How long requests go out.
+    pub duration: Duration,
+    /// Threads that make requests.
+    pub threads: usize,
+    /// Decides classes, numbers and entry nodes.
+    pub seed: u64,
+}
+
+impl Plan {
+    /// Runs to the end and returns what the callers measured.
+    pub fn run(&self, history: &Arc<History>) -> Summary {
+        let start = Instant::now();
+        let mut summary = Summary::new(&self.mix);
+        std::thread::scope(|scope| {
+            let threads: Vec<_> = (0..self.threads)
+                .map(|thread| {
+                    let history = history.clone();
+                    scope.spawn(move || self.run_thread(thread, start, &history))
+                })
+                .collect();
+            for thread in threads {
+                if let Ok(part) = thread.join() {
+                    summary.add(&part);
+                }
+            }
+        });
+        summary
+    }
+
+    /// Makes every request whose number is `thread` modulo the number of threads.
+    fn run_thread(&self, thread: usize, start: Instant, history: &Arc<History>) -> Summary {
+        let executor = Rc::new(LocalExecutor::new());
+        let pools = self.entries.iter().map(|at| Pool::new(*at, executor.clone())).collect();
+        let callers = Rc::new(Callers {
+            plan: self.clone(),
+            pools,
+            history: history.clone(),
+            summary: RefCell::new(Summary::new(&self.mix)),
+        });
+        let mut rng = StdRng::seed_from_u64(self.seed.wrapping_add(thread as u64));
+        let total = (self.rate * self.duration.as_secs_f64()) as u64;
+        future::block_on(executor.run(async {
+            let mut running = Vec::new();
+            for (count, index) in (thread as u64..total).step_by(self.threads).enumerate() {
+                let due = start + Duration::from_secs_f64(index as f64 / self.rate);
+                if due > Instant::now() {
+                    Timer::at(due).await;
+                } else if count % BURST == 0 {
+                    future::yield_now().await;
+                }
+                let draw = Draw::new(&mut rng, &self.mix, self.entries.len());
+                running.push(executor.spawn(callers.clone().make(draw, due)));
+                if running.len() >= 1_024 {
+                    running.retain(|task| !task.is_finished());
+                }
+            }
+            for task in running {
+                task.await;
+            }
+        }));
+        callers.summary.replace(Summary::new(&self.mix))
+    }
+}
+
+/// What chance decides of a request.
+struct Draw {
+    class: usize,
+    number: u32,
+    first_entry: usize,
+}
+
+impl Draw {
+    fn new(rng: &mut StdRng, mix: &Mix, entries: usize) -> Draw {
+        Draw {
+            class: mix.class_at(rng.random_range(0..mix.shares())),
+            number: rng.random_range(1..=MAX_NUMBER),
+            first_entry: rng.random_range(0..entries),
+        }
+    }
+}
+
+/// The callers of one thread.
+struct Callers {
+    plan: Plan,
+    pools: Vec<Pool>,
+    history: Arc<History>,
+    summary: RefCell<Summary>,
+}
+
+impl Callers {
+    async fn make(self: Rc<Callers>, draw: Draw, due: Instant) {
+        let class = &self.plan.mix.classes[draw.class];
+        let job = Job { class, number: draw.number, due, first_entry: draw.first_entry };
+        let record = call(&job, &self.pools).await;
+        self.history.push(&record);
+        self.summary.borrow_mut().push(draw.class, &record);
+    }
+}
