Documents: refuse trailing text and repeated names, report every failure

Cause: a document followed by further text, or with one service named twice, was accepted in part: the reader stopped at the end of the first value, and the later of two equal names won without a word. Two changes merged in version control lead to either. Ruled out: checking it only in sycamore-check, since nodes must refuse the same. A map of our own that refuses repeated keys, since serde_with has it. Change: the JSON reader checks for its end; maps of services and routes refuse repeated keys; validate::faults returns every failure (preset: the first), for tools; Events carry the start of the process; code 212 for a missing part. Figures: preset_trailing_text and preset_name_repeated failed before the change (left: Ok(()), right: Err(DocumentInvalid)) and pass after it; speed not measured. Conclusion: nothing of a document is dropped in silence.

--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -53,6 +53,8 @@
     VersionOlder = 210,
     /// the document's name is not the preset's
     PresetMismatch = 211,
+    /// a part that the preset names is missing
+    PartMissing = 212,
     // 300 to 399: the platform and the spread of versions.
     /// the platform does not answer
     SourceUnreachable = 301,
--- a/core/src/config/document.rs
+++ b/core/src/config/document.rs
@@ -14,8 +14,10 @@
         /// Name of the preset; the same as in the key.
         pub name: Name,
         /// Services by name.
+        #[serde(with = "serde_with::rust::maps_duplicate_key_is_error")]
         pub services: IndexMap<Name, Service>,
         /// Routes by name.
+        #[serde(with = "serde_with::rust::maps_duplicate_key_is_error")]
         pub routes: IndexMap<Name, Route>,
         /// Further keys that hold more services and routes of this preset, for fleets whose
         /// preset is larger than one value.
@@ -34,10 +36,10 @@
     /// Value of a key named by a [`PartRef`].
     pub struct Part {
         /// Services by name.
-        #[serde(default)]
+        #[serde(default, with = "serde_with::rust::maps_duplicate_key_is_error")]
         pub services: IndexMap<Name, Service>,
         /// Routes by name.
-        #[serde(default)]
+        #[serde(default, with = "serde_with::rust::maps_duplicate_key_is_error")]
         pub routes: IndexMap<Name, Route>,
     }
 
--- a/core/src/config/validate.rs
+++ b/core/src/config/validate.rs
@@ -16,7 +16,7 @@
 /// its content: its parts may be missing.
 pub fn parse_preset(buf: &[u8], publication: &InForce) -> Result<Preset> {
     check_digest(buf, &publication.digest)?;
-    let preset: Preset = parse(buf)?;
+    let preset = parse_body(buf)?;
     if preset.name != publication.preset {
         let detail = format!("found {}, published as {}", preset.name, publication.preset);
         return Err(Fault::new(Code::PresetMismatch).with_place("name").with_detail(detail));
@@ -24,6 +24,11 @@
     Ok(preset)
 }
 
+/// Reads the body of a preset that is not published yet.
+pub fn parse_body(buf: &[u8]) -> Result<Preset> {
+    parse(buf)
+}
+
 /// Reads a part of a preset and checks its digest.
 pub fn parse_part(buf: &[u8], digest: &Hash) -> Result<Part> {
     check_digest(buf, digest)?;
@@ -47,21 +52,26 @@
 
 /// Checks a whole preset, its parts added. Returns the first failure, in the document's order.
 pub fn preset(preset: &Preset) -> Result<()> {
+    faults(preset).into_iter().next().map_or(Ok(()), Err)
+}
+
+/// Every failure of a whole preset, its parts added, in the document's order.
+pub fn faults(preset: &Preset) -> Vec<Fault> {
+    let mut faults = Vec::new();
     let mut vms = HashSet::new();
     for (name, service) in &preset.services {
-        check_service(name, service, &mut vms)?;
+        check_service(name, service, &mut vms, &mut faults);
     }
     let mut prefixes = HashSet::new();
     for (name, route) in &preset.routes {
-        check_route(name, route, preset)?;
+        check_route(name, route, preset, &mut faults);
         if !prefixes.insert(route.path_prefix.as_str()) {
             let place = format!("routes.{name}.path_prefix");
-            return Err(Fault::new(Code::RouteAmbiguous)
-                .with_place(place)
-                .with_detail(&route.path_prefix));
+            let fault = Fault::new(Code::RouteAmbiguous).with_place(place);
+            faults.push(fault.with_detail(&route.path_prefix));
         }
     }
-    Ok(())
+    faults
 }
 
 fn parse<T: serde::de::DeserializeOwned>(buf: &[u8]) -> Result<T> {
@@ -70,10 +80,12 @@
         return Err(Fault::new(Code::DocumentTooLarge).with_detail(detail));
     }
     let deserializer = &mut serde_json::Deserializer::from_slice(buf);
-    let value = serde_path_to_error::deserialize(deserializer).map_err(|e| {
+    let value = serde_path_to_error::deserialize(&mut *deserializer).map_err(|e| {
         let place = e.path().to_string();
         Fault::new(Code::DocumentInvalid).with_place(place).with_detail(e.into_inner())
     })?;
+    // Text after the document would be two documents run together, of which only one is checked.
+    deserializer.end().map_err(|e| Fault::new(Code::DocumentInvalid).with_detail(e))?;
     Ok(value)
 }
 
@@ -91,22 +103,27 @@
         .with_detail("the name stands in more than one part")
 }
 
-fn check_service<'a>(name: &Name, service: &'a Service, vms: &mut HashSet<&'a Name>) -> Result<()> {
+fn check_service<'a>(
+    name: &Name,
+    service: &'a Service,
+    vms: &mut HashSet<&'a Name>,
+    faults: &mut Vec<Fault>,
+) {
     let place = format!("services.{name}");
-    check_limits(&place, &service.limits)?;
+    check_limits(&place, &service.limits, faults);
     if service.targets.is_empty() {
-        return Err(Fault::new(Code::ServiceEmpty).with_place(format!("{place}.targets")));
+        faults.push(Fault::new(Code::ServiceEmpty).with_place(format!("{place}.targets")));
     }
     for (index, target) in service.targets.iter().enumerate() {
         if !vms.insert(&target.vm) {
             let place = format!("{place}.targets[{index}].vm");
-            return Err(Fault::new(Code::TargetRepeated).with_place(place).with_detail(&target.vm));
+            let fault = Fault::new(Code::TargetRepeated).with_place(place);
+            faults.push(fault.with_detail(&target.vm));
         }
     }
-    Ok(())
 }
 
-fn check_limits(place: &str, limits: &ServiceLimits) -> Result<()> {
+fn check_limits(place: &str, limits: &ServiceLimits, faults: &mut Vec<Fault>) {
     let ranges = [
         ("slots", limits.slots, 1..=10_000),
         ("connections", limits.connections, limits.slots..=10_000),
@@ -118,36 +135,35 @@
         ("drain_ms", limits.drain_ms, 1_000..=3_600_000),
     ];
     for (field, found, allowed) in ranges {
-        check_range(&format!("{place}.limits.{field}"), found, allowed)?;
+        check_range(&format!("{place}.limits.{field}"), found, allowed, faults);
     }
-    Ok(())
 }
 
-fn check_route(name: &Name, route: &Route, preset: &Preset) -> Result<()> {
+fn check_route(name: &Name, route: &Route, preset: &Preset, faults: &mut Vec<Fault>) {
     let place = format!("routes.{name}");
     if !route.path_prefix.starts_with('/') {
-        return Err(Fault::new(Code::DocumentInvalid)
-            .with_place(format!("{place}.path_prefix"))
-            .with_detail(format!("found {:?}, a path starts with /", route.path_prefix)));
+        let detail = format!("found {:?}, a path starts with /", route.path_prefix);
+        let fault = Fault::new(Code::DocumentInvalid).with_detail(detail);
+        faults.push(fault.with_place(format!("{place}.path_prefix")));
     }
     if !preset.services.contains_key(&route.service) {
-        return Err(Fault::new(Code::RouteDangling)
-            .with_place(format!("{place}.service"))
-            .with_detail(&route.service));
+        let fault = Fault::new(Code::RouteDangling).with_detail(&route.service);
+        faults.push(fault.with_place(format!("{place}.service")));
     }
-    check_range(&format!("{place}.deadline_ms"), route.deadline_ms, 1..=600_000)?;
-    check_range(&format!("{place}.max_attempts"), route.max_attempts, 1..=10)?;
-    check_range(&format!("{place}.max_body_bytes"), route.max_body_bytes, 0..=1_073_741_824)
+    check_range(&format!("{place}.deadline_ms"), route.deadline_ms, 1..=600_000, faults);
+    check_range(&format!("{place}.max_attempts"), route.max_attempts, 1..=10, faults);
+    let body = route.max_body_bytes;
+    check_range(&format!("{place}.max_body_bytes"), body, 0..=1_073_741_824, faults);
 }
 
 fn check_range<T: PartialOrd + std::fmt::Display>(
     place: &str,
     found: T,
     allowed: RangeInclusive<T>,
-) -> Result<()> {
-    if allowed.contains(&found) {
-        return Ok(());
+    faults: &mut Vec<Fault>,
+) {
+    if !allowed.contains(&found) {
+        let detail = format!("found {found}, allowed {} to {}", allowed.start(), allowed.end());
+        faults.push(Fault::new(Code::LimitOutOfRange).with_place(place).with_detail(detail));
     }
-    let detail = format!("found {found}, allowed {} to {}", allowed.start(), allowed.end());
-    Err(Fault::new(Code::LimitOutOfRange).with_place(place).with_detail(detail))
 }
--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -63,6 +63,8 @@
         pub zone: Name,
         /// Time of the answer by this node's clock, with which a reader corrects clock skew.
         pub now: Time,
+        /// When the process started; tells two processes of one VM apart.
+        pub started: Time,
         /// Events that no longer fitted.
         pub dropped: u64,
         /// The last events, oldest first.
--- a/core/tests/config.rs
+++ b/core/tests/config.rs
@@ -44,3 +44,35 @@
     let found = validate::parse_preset(PRESET.as_bytes(), &publication(&newer));
     assert_eq!(found.map_err(|f| f.code), Err(Code::DigestMismatch));
 }
+
+#[test]
+fn preset_trailing_text() {
+    // Story: a merge in version control leaves two documents one after the other in one file. A
+    // reader that stops at the end of the first puts half of the change into force.
+    let body = format!("{PRESET}\n{PRESET}");
+    assert_eq!(check(&body), Err(Code::DocumentInvalid));
+}
+
+#[test]
+fn preset_every_fault() {
+    let body = PRESET
+        .replace(r#""service":"roster""#, r#""service":"maps","deadline_ms":0"#)
+        .replace(r#""targets":["#, r#""limits":{"slots":0},"targets":["#);
+    let preset = validate::parse_body(body.as_bytes()).unwrap();
+    let found: Vec<_> = validate::faults(&preset).into_iter().map(|f| (f.code, f.place)).collect();
+    let expected = [
+        (Code::LimitOutOfRange, "services.roster.limits.slots"),
+        (Code::RouteDangling, "routes.rosters.service"),
+        (Code::LimitOutOfRange, "routes.rosters.deadline_ms"),
+    ];
+    assert_eq!(found, expected.map(|(code, place)| (code, place.to_owned())));
+}
+
+#[test]
+fn preset_name_repeated() {
+    // Story: two changes that add a service of the same name are merged. A reader that lets the
+    // later one win drops the targets of the first without a word, and its calls get no answer.
+    let again = r#""roster":{"targets":[{"vm":"b","region":"r","zone":"z","gate":"127.0.0.1:2"}]}"#;
+    let body = PRESET.replace(r#""services":{"#, &format!(r#""services":{{{again},"#));
+    assert_eq!(check(&body), Err(Code::DocumentInvalid));
+}
--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -108,6 +108,7 @@
         region: settings.region.clone(),
         zone: settings.zone.clone(),
         now: shared.clock.now(),
+        started: shared.started(),
         dropped,
         events,
     }
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -139,10 +139,12 @@
     /// Parses and checks the text of a settings file. The place of a failure is its JSON path.
     pub fn parse(buf: &[u8]) -> Result<Settings> {
         let deserializer = &mut serde_json::Deserializer::from_slice(buf);
-        let settings: Settings = serde_path_to_error::deserialize(deserializer).map_err(|e| {
-            let place = e.path().to_string();
-            Fault::new(Code::SettingsInvalid).with_place(place).with_detail(e.into_inner())
-        })?;
+        let settings: Settings =
+            serde_path_to_error::deserialize(&mut *deserializer).map_err(|e| {
+                let place = e.path().to_string();
+                Fault::new(Code::SettingsInvalid).with_place(place).with_detail(e.into_inner())
+            })?;
+        deserializer.end().map_err(|e| Fault::new(Code::SettingsInvalid).with_detail(e))?;
         settings.limits.check()?;
         Ok(settings)
     }
--- a/node/src/shared.rs
+++ b/node/src/shared.rs
@@ -147,6 +147,11 @@
         (ring.iter().cloned().collect(), ring.dropped())
     }
 
+    /// When the process started.
+    pub fn started(&self) -> Time {
+        self.started
+    }
+
     /// Changes what the spread shows on `/status`.
     pub fn update_spread(&self, change: impl FnOnce(&mut SpreadView)) {
         change(&mut self.spread.lock());
