--- /dev/null
+++ b/core/src/call/entry.rs
@@ -0,0 +1,489 @@
+//! Decisions at the node that a caller connects to: where a request goes, whether it is sent
+//! again, and what its caller is told in the end.
+
+use super::balance::Balancer;
+use super::budget::Budget;
+use super::note::HomeList;
+use super::quarantine::MAX_CRASHES;
+use super::{CallKey, Load, MAX_DEPTH, Members, Outcome, RequestKey};
+use crate::config::{RouteKey, ServiceKey, Snapshot};
+use crate::place::Place;
+use crate::{Code, Name, Time};
+use indexmap::IndexMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// When to come back after refusals that have nothing to do with load.
+const COME_BACK_SOON: Duration = Duration::from_millis(200);
+const COME_BACK_LATER: Duration = Duration::from_secs(1);
+
+/// Less time than this is not worth another attempt.
+const MIN_ATTEMPT: Duration = Duration::from_millis(1);
+
+data! {
+    /// A request as the adapter has read its head.
+    pub struct Arrival<'a> {
+        /// The call.
+        pub call: CallKey,
+        /// Path without query.
+        pub path: &'a str,
+        /// The `Idempotency-Key`.
+        pub key: Option<RequestKey>,
+        /// Time that the caller gives; absent for the route's.
+        pub time_left: Option<Duration>,
+        /// Nodes passed as entry node before this one.
+        pub depth: u8,
+        /// Size of the body, if stated.
+        pub body_bytes: Option<u64>,
+    }
+
+    /// What comes in.
+    pub enum Input<'a> {
+        /// A version came into force.
+        Configure(Arc<Snapshot>),
+        /// The states of VMs changed.
+        View(Arc<Members>),
+        /// The planned stop starts.
+        Drain,
+        /// A request came.
+        Arrive(Arrival<'a>),
+        /// An attempt has come to something.
+        Attempt {
+            /// The call.
+            call: CallKey,
+            /// What it came to.
+            end: AttemptEnd,
+            /// Whether the request can be sent again: nothing of its body has been used up.
+            whole: bool,
+        },
+        /// The answer's body has ended, or the caller went away, or the deadline cut it.
+        Close(CallKey),
+        /// The deadline has passed and no answer has begun.
+        Expire {
+            /// The call.
+            call: CallKey,
+            /// Whether a byte of the present attempt may have left.
+            sent: bool,
+        },
+    }
+
+    /// What an attempt came to.
+    pub enum AttemptEnd {
+        /// The answer begins. From here on nothing is sent again.
+        Answering {
+            /// The target's load.
+            load: Option<Load>,
+        },
+        /// The gatekeeper says that the request did not reach the target.
+        Refused {
+            /// Why.
+            code: Code,
+            /// When to come back.
+            retry_after: Duration,
+            /// The target's load.
+            load: Option<Load>,
+            /// Crashes that the request is suspected of.
+            crashes: u32,
+        },
+        /// The gatekeeper says that the target may have run the request.
+        Failed {
+            /// Why.
+            code: Code,
+            /// Crashes that the request is suspected of.
+            crashes: u32,
+        },
+        /// No byte left for the gatekeeper.
+        NotSent,
+        /// The connection to the gatekeeper broke after a byte left, or its answer was rubbish.
+        Lost,
+    }
+
+    /// What is to be done.
+    pub enum Output {
+        /// Forward the request.
+        Forward(Forward),
+        /// Tell the caller that there is no answer.
+        Finish {
+            /// The call.
+            call: CallKey,
+            /// What to say.
+            outcome: Outcome,
+        },
+    }
+
+    /// One attempt.
+    pub struct Forward {
+        /// The call.
+        pub call: CallKey,
+        /// Attempt, from 1.
+        pub attempt: u32,
+        /// VM of the target.
+        pub vm: Name,
+        /// Address of its gatekeeper.
+        pub gate: SocketAddr,
+        /// When the caller stops waiting.
+        pub deadline: Time,
+        /// Crashes that the request is suspected of.
+        pub crashes: u32,
+        /// Largest body of the request.
+        pub max_body_bytes: u64,
+        /// Whether it may be run more than once.
+        pub idempotent: bool,
+    }
+}
+
+#[derive(Debug)]
+struct Call {
+    route: RouteKey,
+    snapshot: Arc<Snapshot>,
+    key: Option<RequestKey>,
+    deadline: Time,
+    attempt: u32,
+    sent_at: Time,
+    vm: Name,
+    tried: Vec<Name>,
+    crashes: u32,
+    // Why it may have run, if an attempt may have reached a target.
+    unknown: Option<Code>,
+}
+
+/// One shard of an entry node. A call belongs to one shard.
+#[derive(Debug)]
+pub struct Entry {
+    snapshot: Option<Arc<Snapshot>>,
+    members: Arc<Members>,
+    balancer: Balancer,
+    budgets: IndexMap<Name, Budget>,
+    calls: IndexMap<CallKey, Call>,
+    draining: bool,
+}
+
+impl Entry {
+    /// An entry node at `place` without any configuration.
+    pub fn new(place: Place, seed: u64) -> Entry {
+        Entry {
+            snapshot: None,
+            members: Arc::new(Members::new()),
+            balancer: Balancer::new(place, seed),
+            budgets: IndexMap::new(),
+            calls: IndexMap::new(),
+            draining: false,
+        }
+    }
+
+    /// The one entry: takes an input in and appends what follows from it.
+    pub fn handle(&mut self, now: Time, input: Input<'_>, out: &mut Vec<Output>) {
+        match input {
+            Input::Configure(snapshot) => self.configure(snapshot),
+            Input::View(members) => {
+                self.balancer.view(&members);
+                self.members = members;
+            }
+            Input::Drain => self.draining = true,
+            Input::Arrive(arrival) => self.arrive(now, &arrival, out),
+            Input::Attempt { call, end, whole } => self.attempt_ended(now, call, end, whole, out),
+            Input::Close(call) => self.close(call),
+            Input::Expire { call, sent } => self.expire(call, sent, out),
+        }
+    }
+
+    /// Calls that are open.
+    pub fn open(&self) -> usize {
+        self.calls.len()
+    }
+
+    fn configure(&mut self, snapshot: Arc<Snapshot>) {
+        self.balancer.configure(&snapshot, &self.members);
+        let services = snapshot.services();
+        self.budgets.retain(|name, _| services.iter().any(|service| service.name == *name));
+        self.snapshot = Some(snapshot);
+    }
+
+    fn arrive(&mut self, now: Time, arrival: &Arrival<'_>, out: &mut Vec<Output>) {
+        let outcome = match self.check(arrival) {
+            Ok((snapshot, route)) => return self.take(now, arrival, snapshot, route, out),
+            Err(outcome) => outcome,
+        };
+        out.push(Output::Finish { call: arrival.call, outcome });
+    }
+
+    fn check(&self, arrival: &Arrival<'_>) -> Result<(Arc<Snapshot>, RouteKey), Outcome> {
+        let refuse = |code| Err(Outcome::not_run(code, COME_BACK_LATER));
+        if self.draining {
+            return Err(Outcome::not_run(Code::Draining, COME_BACK_SOON));
+        }
+        let Some(snapshot) = &self.snapshot else {
+            return refuse(Code::NotConfigured);
+        };
+        if arrival.depth >= MAX_DEPTH {
+            return refuse(Code::TooDeep);
+        }
+        let Some(key) = snapshot.route_for(arrival.path) else {
+            return refuse(Code::NoRoute);
+        };
+        let route = &snapshot.route(key).route;
+        if !route.idempotent && arrival.key.is_none() {
+            return refuse(Code::KeyMissing);
+        }
+        if arrival.body_bytes.is_some_and(|bytes| bytes > route.max_body_bytes) {
+            return refuse(Code::RequestTooLarge);
+        }
+        if arrival.time_left == Some(Duration::ZERO) {
+            return refuse(Code::DeadlinePassed);
+        }
+        Ok((snapshot.clone(), key))
+    }
+
+    fn take(
+        &mut self,
+        now: Time,
+        arrival: &Arrival<'_>,
+        snapshot: Arc<Snapshot>,
+        key: RouteKey,
+        out: &mut Vec<Output>,
+    ) {
+        let route = &snapshot.route(key).route;
+        let most = Duration::from_millis(route.deadline_ms.into());
+        let deadline = now + arrival.time_left.map_or(most, |left| left.min(most));
+        let request_key = arrival.key.filter(|_| !route.idempotent);
+        let service = snapshot.service(snapshot.route(key).service);
+        let budget = self.budgets.entry(service.name.clone()).or_default();
+        budget.count_first(service.limits.retry_budget_percent);
+        let Some(vm) = self.choose(now, &snapshot, key, request_key, &[]) else {
+            let outcome = Outcome::not_run(Code::NoTarget, COME_BACK_LATER);
+            return out.push(Output::Finish { call: arrival.call, outcome });
+        };
+        let call = Call {
+            route: key,
+            snapshot,
+            key: request_key,
+            deadline,
+            attempt: 0,
+            sent_at: now,
+            vm: vm.clone(),
+            tried: Vec::new(),
+            crashes: 0,
+            unknown: None,
+        };
+        self.calls.insert(arrival.call, call);
+        self.forward(now, arrival.call, vm, out);
+    }
+
+    /// The target for the next attempt. A key has one home, whatever the state of its VM.
+    fn choose(
+        &mut self,
+        now: Time,
+        snapshot: &Snapshot,
+        route: RouteKey,
+        key: Option<RequestKey>,
+        tried: &[Name],
+    ) -> Option<Name> {
+        let service = snapshot.route(route).service;
+        match key {
+            Some(key) => home_of(snapshot, service, key),
+            None => self.balancer.pick(now, service, tried),
+        }
+    }
+
+    fn forward(&mut self, now: Time, key: CallKey, vm: Name, out: &mut Vec<Output>) {
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        let route = &call.snapshot.route(call.route).route;
+        let Some(gate) = self.balancer.gate(&vm) else {
+            // The target left with the version that came into force meanwhile.
+            let outcome = call.final_outcome(Code::NoTarget, COME_BACK_SOON);
+            self.calls.swap_remove(&key);
+            return out.push(Output::Finish { call: key, outcome });
+        };
+        self.balancer.begin(&vm);
+        call.attempt += 1;
+        call.sent_at = now;
+        call.tried.push(vm.clone());
+        call.vm = vm.clone();
+        out.push(Output::Forward(Forward {
+            call: key,
+            attempt: call.attempt,
+            vm,
+            gate,
+            deadline: call.deadline,
+            crashes: call.crashes,
+            max_body_bytes: route.max_body_bytes,
+            idempotent: route.idempotent,
+        }));
+    }
+
+    fn attempt_ended(
+        &mut self,
+        now: Time,
+        key: CallKey,
+        end: AttemptEnd,
+        whole: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        let vm = call.vm.clone();
+        let (code, retry_after) = match end {
+            AttemptEnd::Answering { load } => {
+                self.balancer.answered(now, &vm, now.since(call.sent_at));
+                if let Some(load) = load {
+                    self.balancer.reported(now, &vm, load);
+                }
+                return;
+            }
+            AttemptEnd::Refused { code, retry_after, load, crashes } => {
+                call.crashes = call.crashes.max(crashes);
+                if let Some(load) = load {
+                    self.balancer.reported(now, &vm, load);
+                }
+                match code {
+                    Code::Draining => self.balancer.leaving(now, &vm),
+                    Code::QueueFull | Code::QueueTimeout => {
+                        self.balancer.full(now, &vm, retry_after);
+                    }
+                    Code::TargetUnreachable => self.balancer.failed(now, &vm),
+                    _ => {}
+                }
+                (code, retry_after)
+            }
+            AttemptEnd::Failed { code, crashes } => {
+                call.crashes = call.crashes.max(crashes);
+                call.unknown.get_or_insert(code);
+                if code == Code::TargetFailed {
+                    self.balancer.failed(now, &vm);
+                }
+                (code, COME_BACK_SOON)
+            }
+            AttemptEnd::NotSent => {
+                self.balancer.failed(now, &vm);
+                (Code::GatekeeperUnreachable, COME_BACK_LATER)
+            }
+            AttemptEnd::Lost => {
+                call.unknown.get_or_insert(Code::AnswerLost);
+                self.balancer.failed(now, &vm);
+                (Code::AnswerLost, COME_BACK_SOON)
+            }
+        };
+        self.balancer.finish(&vm);
+        match self.next_attempt(now, key, code, whole) {
+            Some(vm) => self.forward(now, key, vm, out),
+            None => self.finish(key, code, retry_after, out),
+        }
+    }
+
+    /// The target for another attempt, if there is to be one.
+    fn next_attempt(&mut self, now: Time, key: CallKey, code: Code, whole: bool) -> Option<Name> {
+        let call = self.calls.get(&key)?;
+        let route = &call.snapshot.route(call.route).route;
+        let time_left = call.deadline.since(now);
+        if !whole || call.attempt >= route.max_attempts || time_left < MIN_ATTEMPT {
+            return None;
+        }
+        match call.key {
+            Some(request_key) => self.next_home(key, request_key, code),
+            None => self.next_target(now, key, code),
+        }
+    }
+
+    /// A request that may run only once is sent again only after a refusal that says that it did
+    /// not run, and only if the version in force names another home by now.
+    fn next_home(&self, key: CallKey, request_key: RequestKey, code: Code) -> Option<Name> {
+        let call = self.calls.get(&key)?;
+        if call.unknown.is_some() || code != Code::NotHome {
+            return None;
+        }
+        let snapshot = self.snapshot.as_ref()?;
+        let service = &call.snapshot.service(call.snapshot.route(call.route).service).name;
+        let index = snapshot.services().iter().position(|entry| entry.name == *service)?;
+        let home = home_of(snapshot, ServiceKey(index as u32), request_key)?;
+        (!call.tried.contains(&home)).then_some(home)
+    }
+
+    fn next_target(&mut self, now: Time, key: CallKey, code: Code) -> Option<Name> {
+        let call = self.calls.get(&key)?;
+        let kind = retry_kind(code);
+        if kind == RetryKind::Never || call.crashes >= MAX_CRASHES as u32 {
+            return None;
+        }
+        let service = call.snapshot.route(call.route).service;
+        let name = call.snapshot.service(service).name.clone();
+        // The balancer knows the targets of the version in force now.
+        let snapshot = self.snapshot.as_ref()?;
+        let index = snapshot.services().iter().position(|entry| entry.name == name)?;
+        let vm = self.balancer.pick(now, ServiceKey(index as u32), &call.tried)?;
+        let paid = kind == RetryKind::Free || self.budgets.entry(name).or_default().take();
+        paid.then_some(vm)
+    }
+
+    fn finish(&mut self, key: CallKey, code: Code, retry_after: Duration, out: &mut Vec<Output>) {
+        if let Some(call) = self.calls.swap_remove(&key) {
+            let outcome = call.final_outcome(code, retry_after);
+            out.push(Output::Finish { call: key, outcome });
+        }
+    }
+
+    fn close(&mut self, key: CallKey) {
+        if let Some(call) = self.calls.swap_remove(&key) {
+            self.balancer.finish(&call.vm);
+        }
+    }
+
+    fn expire(&mut self, key: CallKey, sent: bool, out: &mut Vec<Output>) {
+        let Some(mut call) = self.calls.swap_remove(&key) else {
+            return;
+        };
+        self.balancer.finish(&call.vm);
+        if sent {
+            call.unknown.get_or_insert(Code::DeadlinePassed);
+        }
+        let outcome = call.final_outcome(Code::DeadlinePassed, COME_BACK_SOON);
+        out.push(Output::Finish { call: key, outcome });
+    }
+}
+
+impl Call {
+    /// Guards against a refusal that is not true: once an attempt may have reached a target, a
+    /// later refusal by another does not make the request one that did not run.
+    fn final_outcome(&self, code: Code, retry_after: Duration) -> Outcome {
+        match self.unknown {
+            Some(code) => Outcome::Unknown { code },
+            None => Outcome::not_run(code, retry_after),
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum RetryKind {
+    // No target has worked on the request, and the next may.
+    Free,
+    // It costs the service work, or the service is short of it.
+    Budgeted,
+    // Another target would say the same.
+    Never,
+}
+
+fn retry_kind(code: Code) -> RetryKind {
+    match code {
+        Code::Draining
+        | Code::NoTarget
+        | Code::NotConfigured
+        | Code::TooManyConnections
+        | Code::GatekeeperUnreachable => RetryKind::Free,
+        Code::TargetUnreachable
+        | Code::QueueFull
+        | Code::QueueTimeout
+        | Code::TargetFailed
+        | Code::AnswerLost => RetryKind::Budgeted,
+        _ => RetryKind::Never,
+    }
+}
+
+fn home_of(snapshot: &Snapshot, service: ServiceKey, key: RequestKey) -> Option<Name> {
+    let subject = key.to_bytes();
+    let targets = snapshot.service(service).targets.iter();
+    let vms = targets.map(|target| &snapshot.target(*target).target.vm);
+    HomeList::choose(&subject, vms).cloned()
+}
--- /dev/null
+++ b/core/src/call/gatekeeper.rs
@@ -0,0 +1,595 @@
+//! Decisions beside the target: what reaches it, when, and what is said of what does not.
+
+use super::admit::{Admission, Popped, Slots};
+use super::home::{Answer, Homes, Right};
+use super::note::{HomeList, Note, OutgoingNote};
+use super::once::{KeptAnswer, Once, Seen};
+use super::quarantine::{MAX_CRASHES, Suspects};
+use super::{CallKey, Fingerprint, Load, MAX_CLOCK_SKEW, Members, Outcome, RequestKey};
+use crate::config::{Class, ServiceKey, ServiceLimits, Snapshot};
+use crate::event::EventKind;
+use crate::hash::Hash;
+use crate::{Code, Name, Time};
+use indexmap::IndexMap;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A longer time without any input means that the process was not running: the adapter ticks at
+/// least every [`TICK`].
+pub const CLOCK_GAP: Duration = Duration::from_secs(3);
+
+/// How often the adapter ticks.
+pub const TICK: Duration = Duration::from_millis(100);
+
+/// Requests that broke within this span of each other broke in one crash.
+const CRASH_SPAN: Duration = Duration::from_millis(500);
+
+/// When to come back after refusals that have nothing to do with load.
+const COME_BACK_SOON: Duration = Duration::from_millis(200);
+const COME_BACK_LATER: Duration = Duration::from_secs(1);
+const COME_BACK_QUARANTINED: Duration = Duration::from_secs(10);
+
+data! {
+    /// A request as the adapter has read it.
+    pub struct Arrival<'a> {
+        /// The call.
+        pub call: CallKey,
+        /// Path without query.
+        pub path: &'a str,
+        /// The `Idempotency-Key`.
+        pub key: Option<RequestKey>,
+        /// Digest over method, path and body: equal for the same request.
+        pub digest: Hash,
+        /// The same for the quarantine.
+        pub fingerprint: Fingerprint,
+        /// Crashes that the entry node knows of.
+        pub crashes: u32,
+        /// When its caller stops waiting.
+        pub deadline: Time,
+    }
+
+    /// What comes in.
+    pub enum Input<'a> {
+        /// A version came into force.
+        Configure(Arc<Snapshot>),
+        /// The states of VMs changed.
+        View(Arc<Members>),
+        /// Peers or the platform confirmed that the version in force is the newest.
+        Confirm,
+        /// The planned stop starts.
+        Drain,
+        /// A request came.
+        Arrive(Arrival<'a>),
+        /// A waiting request's time is up.
+        Expire(CallKey),
+        /// The caller of a waiting request went away.
+        Withdraw(CallKey),
+        /// A running request ended.
+        End {
+            /// The call.
+            call: CallKey,
+            /// How.
+            end: End,
+        },
+        /// Another gatekeeper says something.
+        Note {
+            /// VM of the sender.
+            from: &'a Name,
+            /// What it says.
+            note: &'a Note,
+        },
+        /// Time passes.
+        Tick,
+    }
+
+    /// How a running request ended.
+    pub enum End {
+        /// The whole answer came; `kept` if it may be asked for again.
+        Answered {
+            /// The answer, of a request with a key.
+            kept: Option<Arc<KeptAnswer>>,
+        },
+        /// No byte of it left for the target.
+        NotSent,
+        /// The connection to the target broke after a byte may have left.
+        Broken {
+            /// Whether the target takes no more connections.
+            target_gone: bool,
+        },
+        /// It was cancelled, at its deadline or because the caller went away.
+        Cancelled,
+    }
+
+    /// What is to be done.
+    pub enum Output {
+        /// Forward the request to the target now.
+        Run(CallKey),
+        /// Let the request wait, at most until this time.
+        Queue(CallKey, Time),
+        /// Give the kept answer.
+        Replay(CallKey, Arc<KeptAnswer>),
+        /// Tell the entry node that there is no answer.
+        Refuse {
+            /// The call.
+            call: CallKey,
+            /// What to say.
+            outcome: Outcome,
+            /// Crashes that the request is suspected of.
+            crashes: u32,
+        },
+        /// Send a note.
+        Send(OutgoingNote),
+        /// Record a change of state.
+        Record(EventKind),
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    class: Class,
+    key: Option<RequestKey>,
+    fingerprint: Fingerprint,
+    deadline: Time,
+    running: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    id: u64,
+    at: Time,
+}
+
+/// The gatekeeper of one target.
+#[derive(Debug)]
+pub struct Gatekeeper {
+    vm: Name,
+    rng: Pcg64Mcg,
+    snapshot: Option<Arc<Snapshot>>,
+    service: Option<ServiceKey>,
+    members: Arc<Members>,
+    slots: Slots,
+    once: Once,
+    homes: Option<Homes>,
+    suspects: Suspects,
+    calls: IndexMap<CallKey, Call>,
+    crash: Option<Crash>,
+    target_up: bool,
+    draining: bool,
+    confirmed: bool,
+    moving: bool,
+    last_input: Option<Time>,
+}
+
+impl Gatekeeper {
+    /// The gatekeeper on `vm`, without any configuration.
+    pub fn new(vm: Name, seed: u64) -> Gatekeeper {
+        Gatekeeper {
+            vm,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            snapshot: None,
+            service: None,
+            members: Arc::new(Members::new()),
+            slots: Slots::new(ServiceLimits::default()),
+            once: Once::new(),
+            homes: None,
+            suspects: Suspects::new(),
+            calls: IndexMap::new(),
+            crash: None,
+            target_up: true,
+            draining: false,
+            confirmed: true,
+            moving: false,
+            last_input: None,
+        }
+    }
+
+    /// The one entry: takes an input in and appends what follows from it.
+    pub fn handle(&mut self, now: Time, input: Input<'_>, out: &mut Vec<Output>) {
+        self.notice_gap(now, out);
+        match input {
+            Input::Configure(snapshot) => self.configure(now, snapshot),
+            Input::View(members) => self.members = members,
+            Input::Confirm => self.confirmed = true,
+            Input::Drain => self.draining = true,
+            Input::Arrive(arrival) => self.arrive(now, &arrival, out),
+            Input::Expire(call) => self.expire(now, call, out),
+            Input::Withdraw(call) => self.withdraw(call),
+            Input::End { call, end } => self.end(now, call, end, out),
+            Input::Note { from, note } => self.take_note(now, from, note, out),
+            Input::Tick => {}
+        }
+        self.keep_homes(now, out);
+        self.run_waiting(now, out);
+    }
+
+    /// What the target runs and what waits for it.
+    pub fn load(&self, now: Time) -> Load {
+        self.slots.load(now)
+    }
+
+    /// Guards against work done on a view that went stale while the process was paused: its keys
+    /// may have a new home by then, which counts this VM as gone. Until the version in force is
+    /// confirmed, no request that may run only once is run.
+    fn notice_gap(&mut self, now: Time, out: &mut Vec<Output>) {
+        let last = self.last_input.replace(now).unwrap_or(now);
+        if now.since(last) > CLOCK_GAP {
+            self.confirmed = false;
+            out.push(Output::Record(EventKind::ClockGap));
+        }
+    }
+
+    fn configure(&mut self, now: Time, snapshot: Arc<Snapshot>) {
+        let target = snapshot.target_on(&self.vm);
+        self.service = target.map(|target| snapshot.target(target).service);
+        if let Some(service) = self.service {
+            self.slots.set_limits(snapshot.service(service).limits.clone());
+        }
+        self.take_up_homes(now, &snapshot);
+        self.snapshot = Some(snapshot);
+    }
+
+    /// A gatekeeper that is no longer listed still answers for the keys that it was home of.
+    fn take_up_homes(&mut self, now: Time, snapshot: &Snapshot) {
+        let own = self.service.map(|service| snapshot.service(service).name.clone());
+        let before = self.homes.as_ref().map(|homes| homes.service().clone());
+        let Some(name) = own.or(before) else {
+            return;
+        };
+        let list = home_list(snapshot, &name);
+        match &mut self.homes {
+            Some(homes) if *homes.service() == name => {
+                homes.take_up(now, list);
+            }
+            _ => self.homes = Some(Homes::new(now, self.vm.clone(), name, list)),
+        }
+    }
+
+    fn arrive(&mut self, now: Time, arrival: &Arrival<'_>, out: &mut Vec<Output>) {
+        let refuse = match self.check(now, arrival) {
+            Checked::Take(class, key) => return self.admit(now, arrival, class, key, out),
+            Checked::Replay(answer) => return out.push(Output::Replay(arrival.call, answer)),
+            Checked::Refuse(outcome) => outcome,
+        };
+        self.refuse(now, arrival, refuse, out);
+    }
+
+    fn check(&self, now: Time, arrival: &Arrival<'_>) -> Checked {
+        let Some(snapshot) = &self.snapshot else {
+            return not_run(Code::NotConfigured, COME_BACK_SOON);
+        };
+        let route = snapshot.route_for(arrival.path).map(|route| snapshot.route(route));
+        let Some(route) = route.filter(|route| Some(route.service) == self.service) else {
+            return not_run(Code::NoTarget, COME_BACK_SOON);
+        };
+        if route.route.idempotent {
+            return self.check_load(now, arrival, route.route.class, None);
+        }
+        let Some(key) = arrival.key.filter(|key| key.minted() <= now + MAX_CLOCK_SKEW) else {
+            return not_run(Code::KeyMissing, COME_BACK_LATER);
+        };
+        // What is known of the key goes before every reason for a refusal: a request that ran is
+        // never called not run.
+        match self.once.look_up(now, key, &arrival.digest) {
+            Seen::Answered(answer) => Checked::Replay(answer),
+            Seen::InProgress => unknown(Code::KeyInProgress),
+            Seen::Unknown => unknown(Code::KeyOutcomeUnknown),
+            Seen::Reused => not_run(Code::KeyReused, COME_BACK_LATER),
+            Seen::New => match self.check_right(key) {
+                Some(refuse) => refuse,
+                None => self.check_load(now, arrival, route.route.class, Some(key)),
+            },
+        }
+    }
+
+    fn check_right(&self, key: RequestKey) -> Option<Checked> {
+        let right = self.homes.as_ref().map_or(Right::NotHome, |homes| homes.right(key));
+        match right {
+            Right::Unknown => Some(unknown(Code::KeyOutcomeUnknown)),
+            Right::NotHome => Some(not_run(Code::NotHome, COME_BACK_SOON)),
+            Right::Moving => Some(not_run(Code::HomeMoving, COME_BACK_SOON)),
+            Right::Home if !self.confirmed => Some(not_run(Code::ClockGap, COME_BACK_SOON)),
+            Right::Home => None,
+        }
+    }
+
+    fn check_load(
+        &self,
+        now: Time,
+        arrival: &Arrival<'_>,
+        class: Class,
+        key: Option<RequestKey>,
+    ) -> Checked {
+        if self.crashes(now, arrival) >= MAX_CRASHES as u32 {
+            return not_run(Code::Quarantined, COME_BACK_QUARANTINED);
+        }
+        if self.draining {
+            return not_run(Code::Draining, COME_BACK_SOON);
+        }
+        Checked::Take(class, key)
+    }
+
+    fn crashes(&self, now: Time, arrival: &Arrival<'_>) -> u32 {
+        arrival.crashes.max(self.suspects.crashes(now, arrival.fingerprint) as u32)
+    }
+
+    fn admit(
+        &mut self,
+        now: Time,
+        arrival: &Arrival<'_>,
+        class: Class,
+        key: Option<RequestKey>,
+        out: &mut Vec<Output>,
+    ) {
+        let call = arrival.call;
+        let admission = self.slots.offer(now, call, class, arrival.deadline);
+        if let Admission::Refuse(code, wait) = admission {
+            let wait = self.spread_out(wait);
+            return self.refuse(now, arrival, Outcome::not_run(code, wait), out);
+        }
+        let running = admission == Admission::Run;
+        let fingerprint = arrival.fingerprint;
+        let deadline = arrival.deadline;
+        self.calls.insert(call, Call { class, key, fingerprint, deadline, running });
+        if let Some(key) = key {
+            self.once.wait(now, key, arrival.digest, call);
+        }
+        match admission {
+            Admission::Queue(until) => out.push(Output::Queue(call, until)),
+            _ => self.run(call, out),
+        }
+    }
+
+    fn run(&mut self, call: CallKey, out: &mut Vec<Output>) {
+        let Some(known) = self.calls.get_mut(&call) else {
+            return;
+        };
+        known.running = true;
+        if let Some(key) = known.key {
+            self.once.run(key, call);
+        }
+        out.push(Output::Run(call));
+    }
+
+    fn refuse(&self, now: Time, arrival: &Arrival<'_>, outcome: Outcome, out: &mut Vec<Output>) {
+        let crashes = self.crashes(now, arrival);
+        out.push(Output::Refuse { call: arrival.call, outcome, crashes });
+    }
+
+    /// Gives free slots to waiting requests.
+    fn run_waiting(&mut self, now: Time, out: &mut Vec<Output>) {
+        while let Some(popped) = self.slots.pop(now) {
+            match popped {
+                Popped::Run(call) => self.run_popped(now, call, out),
+                Popped::Expired(call) => self.refuse_waiting(now, call, out),
+            }
+        }
+    }
+
+    /// Checks again what may have changed while the request waited: the home of its key may have
+    /// moved, and the process may have been paused.
+    fn run_popped(&mut self, now: Time, call: CallKey, out: &mut Vec<Output>) {
+        let Some(known) = self.calls.get(&call).copied() else {
+            return self.slots.give_back(call);
+        };
+        let refuse = known.key.and_then(|key| self.check_right(key));
+        match refuse {
+            Some(Checked::Refuse(outcome)) => {
+                self.slots.give_back(call);
+                self.forget_waiting(call);
+                let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
+                out.push(Output::Refuse { call, outcome, crashes });
+            }
+            _ => self.run(call, out),
+        }
+    }
+
+    fn expire(&mut self, now: Time, call: CallKey, out: &mut Vec<Output>) {
+        if self.slots.withdraw(call) {
+            self.refuse_waiting(now, call, out);
+        }
+    }
+
+    fn refuse_waiting(&mut self, now: Time, call: CallKey, out: &mut Vec<Output>) {
+        let Some(known) = self.forget_waiting(call) else {
+            return;
+        };
+        let late = known.deadline <= now;
+        let code = if late { Code::DeadlinePassed } else { Code::QueueTimeout };
+        let wait = self.slots.retry_after(now, known.class);
+        let outcome = Outcome::not_run(code, self.spread_out(wait));
+        let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
+        out.push(Output::Refuse { call, outcome, crashes });
+    }
+
+    fn withdraw(&mut self, call: CallKey) {
+        if self.slots.withdraw(call) {
+            self.forget_waiting(call);
+        }
+    }
+
+    fn forget_waiting(&mut self, call: CallKey) -> Option<Call> {
+        let known = self.calls.swap_remove(&call)?;
+        if let Some(key) = known.key {
+            self.once.not_run(key, call);
+        }
+        Some(known)
+    }
+
+    fn end(&mut self, now: Time, call: CallKey, end: End, out: &mut Vec<Output>) {
+        let Some(known) = self.calls.get(&call).copied().filter(|known| known.running) else {
+            return;
+        };
+        match end {
+            End::Answered { kept } => {
+                self.slots.end(now, call);
+                self.finish_key(&known, kept);
+                self.clear(known.fingerprint, out);
+                self.target_answers(now, out);
+            }
+            End::NotSent => {
+                self.slots.give_back(call);
+                if let Some(key) = known.key {
+                    self.once.not_run(key, call);
+                }
+                self.target_lost(out);
+                let outcome = Outcome::not_run(Code::TargetUnreachable, COME_BACK_LATER);
+                let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
+                out.push(Output::Refuse { call, outcome, crashes });
+            }
+            End::Broken { target_gone } => {
+                self.slots.give_back(call);
+                self.finish_key(&known, None);
+                self.suspect(now, &known, target_gone, out);
+                let outcome = Outcome::Unknown { code: Code::TargetFailed };
+                let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
+                out.push(Output::Refuse { call, outcome, crashes });
+            }
+            End::Cancelled => {
+                self.slots.end(now, call);
+                self.finish_key(&known, None);
+            }
+        }
+        self.calls.swap_remove(&call);
+    }
+
+    fn finish_key(&mut self, known: &Call, kept: Option<Arc<KeptAnswer>>) {
+        if let Some(key) = known.key {
+            self.once.end(key, kept);
+        }
+    }
+
+    /// A request that broke alone is suspected alone; when the target has gone, all that it ran.
+    fn suspect(&mut self, now: Time, broken: &Call, target_gone: bool, out: &mut Vec<Output>) {
+        let mut fingerprints = vec![broken.fingerprint];
+        let same_crash = self.crash.filter(|crash| now.since(crash.at) < CRASH_SPAN);
+        let crash = match same_crash {
+            Some(crash) if target_gone => crash,
+            _ => Crash { id: self.rng.random(), at: now },
+        };
+        if target_gone {
+            self.crash = Some(crash);
+            let running = self.calls.values().filter(|call| call.running);
+            fingerprints.extend(running.map(|call| call.fingerprint));
+            fingerprints.sort();
+            fingerprints.dedup();
+            self.target_lost(out);
+        }
+        self.suspects.add(now, crash.id, &fingerprints);
+        self.tell_all(&Note::Suspect { crash: crash.id, fingerprints }, out);
+    }
+
+    fn clear(&mut self, fingerprint: Fingerprint, out: &mut Vec<Output>) {
+        if self.suspects.clear(fingerprint) {
+            self.tell_all(&Note::Cleared { fingerprint }, out);
+        }
+    }
+
+    fn target_lost(&mut self, out: &mut Vec<Output>) {
+        if std::mem::replace(&mut self.target_up, false) {
+            out.push(Output::Record(EventKind::TargetLost));
+        }
+    }
+
+    fn target_answers(&mut self, now: Time, out: &mut Vec<Output>) {
+        if !std::mem::replace(&mut self.target_up, true) {
+            self.slots.set_cold(now);
+            self.crash = None;
+            out.push(Output::Record(EventKind::TargetBack));
+        }
+    }
+
+    fn tell_all(&self, note: &Note, out: &mut Vec<Output>) {
+        let (Some(snapshot), Some(service)) = (&self.snapshot, self.service) else {
+            return;
+        };
+        for target in &snapshot.service(service).targets {
+            let vm = &snapshot.target(*target).target.vm;
+            if *vm != self.vm {
+                out.push(Output::Send(OutgoingNote { to: vm.clone(), note: note.clone() }));
+            }
+        }
+    }
+
+    fn take_note(&mut self, now: Time, from: &Name, note: &Note, out: &mut Vec<Output>) {
+        match note {
+            Note::AskRelease { id, service, list, since } => {
+                let Some(homes) = &self.homes else {
+                    return;
+                };
+                if !homes.may_release(service, list) {
+                    return;
+                }
+                let keys = self.once.ran(|key| homes.is_home(from, key));
+                let notes = homes.release(from, *id, *since, &keys, self.once.forgotten());
+                out.extend(notes.into_iter().map(Output::Send));
+            }
+            Note::Released { id, part, parts, keys, fence, lists, unreleased } => {
+                let answer = Answer {
+                    id: *id,
+                    part: *part,
+                    parts: *parts,
+                    fence: *fence,
+                    lists,
+                    unreleased,
+                };
+                let taken =
+                    self.homes.as_mut().is_some_and(|homes| homes.released(now, from, &answer));
+                if taken {
+                    self.once.import(now, keys);
+                }
+            }
+            Note::Suspect { crash, fingerprints } => self.suspects.add(now, *crash, fingerprints),
+            Note::Cleared { fingerprint } => {
+                self.suspects.clear(*fingerprint);
+            }
+        }
+    }
+
+    fn keep_homes(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Some(homes) = &mut self.homes else {
+            return;
+        };
+        if !homes.moving() && !self.moving {
+            return;
+        }
+        homes.view(now, &self.members);
+        let mut notes = Vec::new();
+        homes.tick(now, &mut notes);
+        out.extend(notes.into_iter().map(Output::Send));
+        let moving = homes.moving();
+        if moving != self.moving {
+            self.moving = moving;
+            let kind = if moving { EventKind::HomesMoving } else { EventKind::HomesMoved };
+            out.push(Output::Record(kind));
+        }
+    }
+
+    /// Up to a quarter longer, so that those who were refused together don't return together.
+    fn spread_out(&mut self, wait: Duration) -> Duration {
+        wait + wait * self.rng.random_range(0..=25) / 100
+    }
+}
+
+enum Checked {
+    Take(Class, Option<RequestKey>),
+    Replay(Arc<KeptAnswer>),
+    Refuse(Outcome),
+}
+
+fn not_run(code: Code, retry_after: Duration) -> Checked {
+    Checked::Refuse(Outcome::not_run(code, retry_after))
+}
+
+fn unknown(code: Code) -> Checked {
+    Checked::Refuse(Outcome::Unknown { code })
+}
+
+fn home_list(snapshot: &Snapshot, name: &Name) -> HomeList {
+    let service = snapshot.services().iter().find(|service| service.name == *name);
+    let targets = service.map(|service| service.targets.as_slice()).unwrap_or_default();
+    let vms = targets.iter().map(|target| snapshot.target(*target).target.vm.clone()).collect();
+    HomeList { version: snapshot.version(), vms }
+}
--- /dev/null
+++ b/core/src/call/quarantine.rs
@@ -0,0 +1,83 @@
+//! Requests that crash the targets that run them.
+//!
+//! What a target ran when it stopped is suspected. One crash proves little, since everything that
+//! ran beside the guilty request is suspected too; so a request is held off only after a second
+//! crash, and an answer to it clears it.
+
+use super::Fingerprint;
+use crate::Time;
+use indexmap::IndexMap;
+use std::time::Duration;
+
+/// Crashes after which a request is held off.
+pub const MAX_CRASHES: usize = 2;
+
+/// How long a suspicion lasts after the last crash.
+pub const SUSPICION_LIFE: Duration = Duration::from_secs(60);
+
+/// Requests suspected at once. Beyond it the oldest suspicion is dropped.
+pub const MAX_SUSPECTS: usize = 1_024;
+
+#[derive(Debug)]
+struct Suspect {
+    crashes: Vec<u64>,
+    last: Time,
+}
+
+/// Requests that ran when targets stopped. Bounded, and each entry expires.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    table: IndexMap<Fingerprint, Suspect>,
+}
+
+impl Suspects {
+    /// Suspects nothing.
+    pub fn new() -> Suspects {
+        Suspects::default()
+    }
+
+    /// Counts a crash against what ran. A crash heard of twice counts once.
+    pub fn add(&mut self, now: Time, crash: u64, fingerprints: &[Fingerprint]) {
+        self.expire(now);
+        for fingerprint in fingerprints {
+            if self.table.len() >= MAX_SUSPECTS && !self.table.contains_key(fingerprint) {
+                self.table.shift_remove_index(0);
+            }
+            let fresh = || Suspect { crashes: Vec::new(), last: now };
+            let suspect = self.table.entry(*fingerprint).or_insert_with(fresh);
+            suspect.last = now;
+            if suspect.crashes.len() < MAX_CRASHES && !suspect.crashes.contains(&crash) {
+                suspect.crashes.push(crash);
+            }
+        }
+    }
+
+    /// Clears a request that was answered. Returns whether it was suspected.
+    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
+        !self.table.is_empty() && self.table.shift_remove(&fingerprint).is_some()
+    }
+
+    /// Crashes counted against a request; at most [`MAX_CRASHES`].
+    pub fn crashes(&self, now: Time, fingerprint: Fingerprint) -> usize {
+        if self.table.is_empty() {
+            return 0;
+        }
+        let suspect = self.table.get(&fingerprint);
+        let valid = suspect.filter(|suspect| now.since(suspect.last) < SUSPICION_LIFE);
+        valid.map_or(0, |suspect| suspect.crashes.len())
+    }
+
+    /// How many requests are suspected.
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Whether nothing is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+
+    fn expire(&mut self, now: Time) {
+        self.table.retain(|_, suspect| now.since(suspect.last) < SUSPICION_LIFE);
+    }
+}
