--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -127,6 +127,14 @@
     }
 }
 
+impl Fingerprint {
+    /// The fingerprint of a request with these parts.
+    pub fn of(parts: &[&[u8]]) -> Fingerprint {
+        let fold = |seed: u64, part: &&[u8]| crate::hash::score(&seed.to_le_bytes(), part);
+        Fingerprint(parts.iter().fold(0, fold))
+    }
+}
+
 impl Load {
     /// The form that headers carry: `in_flight/slots/queued`.
     pub fn parse(text: &str) -> Option<Load> {
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -41,8 +41,9 @@
         pub path: &'a str,
         /// The `Idempotency-Key`.
         pub key: Option<RequestKey>,
-        /// Digest over method, path and body: equal for the same request.
-        pub digest: Hash,
+        /// Digest over method, path and body: equal for the same request. Absent if the body is
+        /// too large to be held.
+        pub digest: Option<Hash>,
         /// The same for the quarantine.
         pub fingerprint: Fingerprint,
         /// Crashes that the entry node knows of.
@@ -65,7 +66,8 @@
         Arrive(Arrival<'a>),
         /// A waiting request's time is up.
         Expire(CallKey),
-        /// The caller of a waiting request went away.
+        /// The caller of a waiting request went away. It was not forwarded, even if a slot was
+        /// given to it meanwhile.
         Withdraw(CallKey),
         /// A running request ended.
         End {
@@ -106,7 +108,13 @@
     /// What is to be done.
     pub enum Output {
         /// Forward the request to the target now.
-        Run(CallKey),
+        Run {
+            /// The call.
+            call: CallKey,
+            /// Whether it runs only once: its answer is kept, and it isn't cancelled when its
+            /// caller goes away.
+            once: bool,
+        },
         /// Let the request wait, at most until this time.
         Queue(CallKey, Time),
         /// Give the kept answer.
@@ -146,6 +154,7 @@
 #[derive(Debug)]
 pub struct Gatekeeper {
     vm: Name,
+    started: Time,
     rng: Pcg64Mcg,
     snapshot: Option<Arc<Snapshot>>,
     service: Option<ServiceKey>,
@@ -164,10 +173,11 @@
 }
 
 impl Gatekeeper {
-    /// The gatekeeper on `vm`, without any configuration.
-    pub fn new(vm: Name, seed: u64) -> Gatekeeper {
+    /// The gatekeeper on `vm`, whose process started at `started`, without any configuration.
+    pub fn new(vm: Name, started: Time, seed: u64) -> Gatekeeper {
         Gatekeeper {
             vm,
+            started,
             rng: Pcg64Mcg::seed_from_u64(seed),
             snapshot: None,
             service: None,
@@ -243,7 +253,8 @@
             Some(homes) if *homes.service() == name => {
                 homes.take_up(now, list);
             }
-            _ => self.homes = Some(Homes::new(now, self.vm.clone(), name, list)),
+            Some(_) => self.homes = Some(Homes::new(now, self.vm.clone(), name, list)),
+            None => self.homes = Some(Homes::new(self.started, self.vm.clone(), name, list)),
         }
     }
 
@@ -270,9 +281,12 @@
         let Some(key) = arrival.key.filter(|key| key.minted() <= now + MAX_CLOCK_SKEW) else {
             return not_run(Code::KeyMissing, COME_BACK_LATER);
         };
+        let Some(digest) = &arrival.digest else {
+            return not_run(Code::RequestTooLarge, COME_BACK_LATER);
+        };
         // What is known of the key goes before every reason for a refusal: a request that ran is
         // never called not run.
-        match self.once.look_up(now, key, &arrival.digest) {
+        match self.once.look_up(now, key, digest) {
             Seen::Answered(answer) => Checked::Replay(answer),
             Seen::InProgress => unknown(Code::KeyInProgress),
             Seen::Unknown => unknown(Code::KeyOutcomeUnknown),
@@ -333,8 +347,8 @@
         let fingerprint = arrival.fingerprint;
         let deadline = arrival.deadline;
         self.calls.insert(call, Call { class, key, fingerprint, deadline, running });
-        if let Some(key) = key {
-            self.once.wait(now, key, arrival.digest, call);
+        if let (Some(key), Some(digest)) = (key, arrival.digest) {
+            self.once.wait(now, key, digest, call);
         }
         match admission {
             Admission::Queue(until) => out.push(Output::Queue(call, until)),
@@ -347,10 +361,11 @@
             return;
         };
         known.running = true;
+        let once = known.key.is_some();
         if let Some(key) = known.key {
             self.once.run(key, call);
         }
-        out.push(Output::Run(call));
+        out.push(Output::Run { call, once });
     }
 
     fn refuse(&self, now: Time, arrival: &Arrival<'_>, outcome: Outcome, out: &mut Vec<Output>) {
@@ -405,9 +420,10 @@
     }
 
     fn withdraw(&mut self, call: CallKey) {
-        if self.slots.withdraw(call) {
-            self.forget_waiting(call);
+        if !self.slots.withdraw(call) {
+            self.slots.give_back(call);
         }
+        self.forget_waiting(call);
     }
 
     fn forget_waiting(&mut self, call: CallKey) -> Option<Call> {
--- /dev/null
+++ b/node/src/calls/body.rs
@@ -0,0 +1,239 @@
+//! Bodies on their way through a node.
+
+use super::pool::Connection;
+use super::watch::{Phase, Watch};
+use super::{entry, gate};
+use async_io::Timer;
+use bytes::{Bytes, BytesMut};
+use futures_lite::future;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use sycamore_core::Code;
+
+/// A body that goes out: of a request towards a target, or of an answer towards a caller.
+#[derive(Debug)]
+pub struct Body {
+    content: Content,
+    guard: Guard,
+}
+
+#[derive(Debug)]
+enum Content {
+    Empty,
+    Whole(Bytes),
+    Relay(Relay),
+}
+
+#[derive(Debug)]
+struct Relay {
+    incoming: Incoming,
+    left: u64,
+    idle: Duration,
+    timer: Option<Timer>,
+    failed: bool,
+}
+
+/// Who is told that a body is over.
+#[derive(Debug)]
+pub enum Guard {
+    /// Nobody.
+    None,
+    /// The connection that it goes out on.
+    Watch(Arc<Watch>),
+    /// An entry node's call.
+    Entry(entry::Answer),
+    /// A gatekeeper's call.
+    Gate(gate::Answer),
+}
+
+impl Body {
+    /// No body.
+    pub fn empty() -> Body {
+        Body { content: Content::Empty, guard: Guard::None }
+    }
+
+    /// A body that is held whole.
+    pub fn whole(buf: Bytes) -> Body {
+        let content = if buf.is_empty() { Content::Empty } else { Content::Whole(buf) };
+        Body { content, guard: Guard::None }
+    }
+
+    /// A body that is passed on as it comes, up to `most` bytes, and given up if nothing comes
+    /// for `idle`.
+    pub fn relay(incoming: Incoming, most: u64, idle: Duration) -> Body {
+        let relay = Relay { incoming, left: most, idle, timer: None, failed: false };
+        Body { content: Content::Relay(relay), guard: Guard::None }
+    }
+
+    /// The same body; `guard` is told when it is over.
+    pub fn with_guard(mut self, guard: Guard) -> Body {
+        self.guard = guard;
+        self
+    }
+
+    /// Whether it can be sent again: it has been held whole.
+    pub fn is_whole(&self) -> bool {
+        !matches!(self.content, Content::Relay(_))
+    }
+
+    fn is_over(&self) -> bool {
+        match &self.content {
+            Content::Empty => true,
+            // hyper takes it in one piece.
+            Content::Whole(_) => false,
+            Content::Relay(relay) => !relay.failed && relay.incoming.is_end_stream(),
+        }
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match &mut self.content {
+            Content::Empty => Poll::Ready(None),
+            Content::Whole(buf) => {
+                let buf = std::mem::take(buf);
+                self.content = Content::Empty;
+                Poll::Ready(Some(Ok(Frame::data(buf))))
+            }
+            Content::Relay(relay) => relay.poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.content {
+            Content::Empty => true,
+            Content::Whole(_) => false,
+            Content::Relay(relay) => relay.incoming.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.content {
+            Content::Empty => SizeHint::with_exact(0),
+            Content::Whole(buf) => SizeHint::with_exact(buf.len() as u64),
+            Content::Relay(relay) => relay.incoming.size_hint(),
+        }
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        let whole = self.is_over();
+        match std::mem::replace(&mut self.guard, Guard::None) {
+            Guard::None => {}
+            Guard::Watch(watch) => watch.set_phase(Phase::Flush),
+            Guard::Entry(answer) => answer.over(whole),
+            Guard::Gate(answer) => answer.over(whole),
+        }
+    }
+}
+
+impl Relay {
+    /// An error here makes hyper break the connection off, so that the reader can't take what it
+    /// got for the whole body.
+    fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match Pin::new(&mut self.incoming).poll_frame(cx) {
+            Poll::Ready(None) => Poll::Ready(None),
+            Poll::Ready(Some(Ok(frame))) => {
+                self.timer = None;
+                let size = frame.data_ref().map_or(0, |buf| buf.len() as u64);
+                if size > self.left {
+                    return self.fail(io::ErrorKind::InvalidData);
+                }
+                self.left -= size;
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(_))) => self.fail(io::ErrorKind::ConnectionAborted),
+            Poll::Pending => self.poll_timer(cx),
+        }
+    }
+
+    fn poll_timer(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let timer = self.timer.get_or_insert_with(|| Timer::after(self.idle));
+        match Pin::new(timer).poll(cx) {
+            Poll::Ready(_) => self.fail(io::ErrorKind::TimedOut),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn fail(&mut self, kind: io::ErrorKind) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        self.failed = true;
+        Poll::Ready(Some(Err(kind.into())))
+    }
+}
+
+/// Reads a body of at most `most` bytes whole.
+pub async fn collect(mut incoming: Incoming, most: u64, idle: Duration) -> Result<Bytes, Code> {
+    let stated = incoming.size_hint().lower().min(most) as usize;
+    let mut first: Option<Bytes> = None;
+    let mut buf = BytesMut::new();
+    let mut size = 0;
+    loop {
+        let frame = async { Some(incoming.frame().await) };
+        let timeout = async {
+            Timer::after(idle).await;
+            None
+        };
+        let Some(frame) = future::or(frame, timeout).await else {
+            return Err(Code::DeadlinePassed);
+        };
+        let Some(frame) = frame else {
+            break;
+        };
+        let Ok(data) = frame.map_err(|_| Code::CallerGone)?.into_data() else {
+            continue;
+        };
+        size += data.len() as u64;
+        if size > most {
+            return Err(Code::RequestTooLarge);
+        }
+        // Most bodies come in one piece, which is kept as it is.
+        if first.is_none() && buf.is_empty() && data.len() >= stated {
+            first = Some(data);
+            continue;
+        }
+        if let Some(first) = first.take() {
+            buf.extend_from_slice(&first);
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(first.unwrap_or_else(|| buf.freeze()))
+}
+
+/// The connection that an answer comes in on; goes back to its pool once the answer is whole.
+#[derive(Debug)]
+pub struct Lease {
+    connection: Option<Connection>,
+}
+
+impl Lease {
+    /// Holds the connection while its answer comes in.
+    pub fn new(connection: Connection) -> Lease {
+        Lease { connection: Some(connection) }
+    }
+
+    /// The answer is over. A connection whose answer was cut is closed.
+    pub fn over(&mut self, whole: bool) {
+        if let Some(connection) = self.connection.take().filter(|_| whole) {
+            connection.give_back();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/calls/entry.rs
@@ -0,0 +1,416 @@
+//! The entry node's adapter: takes calls from callers and forwards them to gatekeepers.
+
+use super::body::{self, Body, Guard, Lease};
+use super::headers::{self, CallHead, Verdict};
+use super::pool::{Connection, Pool, SendError};
+use super::watch::{Phase, Watch};
+use crate::shared::Shared;
+use async_executor::Executor;
+use futures_lite::future;
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, Uri};
+use parking_lot::Mutex;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use sycamore_core::call::entry::{Arrival, AttemptEnd, Forward, Input, Output};
+use sycamore_core::call::{CallKey, Entry, Members, Outcome};
+use sycamore_core::config::Snapshot;
+use sycamore_core::{Code, Time};
+
+/// Largest request body that is held in memory so that it can be sent again.
+pub const MAX_HELD_BODY_BYTES: u64 = 65_536;
+
+/// When to come back to a node that is leaving.
+const COME_BACK_SOON: Duration = Duration::from_millis(200);
+
+/// The entry side of a node.
+#[derive(Debug)]
+pub struct EntrySide {
+    shared: Arc<Shared>,
+    shards: Vec<Shard>,
+    next_call: AtomicU64,
+    id_prefix: String,
+}
+
+/// A part of the calls with its own lock and connections.
+#[derive(Debug)]
+struct Shard {
+    entry: Mutex<Entry>,
+    pool: Arc<Pool>,
+}
+
+/// A request as it is sent, perhaps more than once.
+#[derive(Debug)]
+struct Call {
+    open: OpenEntry,
+    watch: Arc<Watch>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    id: HeaderValue,
+    depth: u8,
+    body: HeldBody,
+}
+
+#[derive(Debug)]
+enum HeldBody {
+    /// In memory: can be sent again.
+    Whole(bytes::Bytes),
+    /// Passed on as it comes: absent once it has been sent.
+    Stream(Option<Body>),
+}
+
+/// What one attempt came to.
+#[derive(Debug)]
+enum Attempt {
+    Answer(Response<Incoming>, Connection),
+    Ended(AttemptEnd),
+    /// The deadline passed.
+    Late {
+        sent: bool,
+    },
+}
+
+/// An answer on its way to the caller.
+#[derive(Debug)]
+pub struct Answer {
+    open: OpenEntry,
+    lease: Lease,
+    watch: Arc<Watch>,
+}
+
+/// A call that the decider knows; closed when dropped, so also when the caller goes away.
+#[derive(Debug)]
+struct OpenEntry {
+    side: Arc<EntrySide>,
+    shard: usize,
+    call: CallKey,
+}
+
+impl EntrySide {
+    /// An entry side with one shard a thread.
+    pub fn new(shared: Arc<Shared>, executor: &Arc<Executor<'static>>, seed: u64) -> EntrySide {
+        let place = shared.settings.place();
+        let shard = |index: usize| Shard {
+            entry: Mutex::new(Entry::new(place.clone(), seed.wrapping_add(index as u64))),
+            pool: Pool::new(shared.clock.clone(), executor.clone()),
+        };
+        let shards = (0..shared.settings.limits.threads).map(shard).collect();
+        let id_prefix = format!("{}-{:x}", shared.settings.vm, shared.clock.now().0);
+        EntrySide { shards, next_call: AtomicU64::new(1), id_prefix, shared }
+    }
+
+    /// How many shards there are.
+    pub fn shards(&self) -> usize {
+        self.shards.len()
+    }
+
+    /// A version came into force.
+    pub fn configure(&self, snapshot: &Arc<Snapshot>) {
+        self.tell_all(|| Input::Configure(snapshot.clone()));
+    }
+
+    /// The states of VMs changed.
+    pub fn view(&self, members: &Arc<Members>) {
+        self.tell_all(|| Input::View(members.clone()));
+    }
+
+    /// Closes connections that were not used for long.
+    pub fn sweep(&self) {
+        for shard in &self.shards {
+            shard.pool.sweep();
+        }
+    }
+
+    fn tell_all<'a>(&self, input: impl Fn() -> Input<'a>) {
+        for shard in &self.shards {
+            let mut out = Vec::new();
+            shard.entry.lock().handle(self.shared.clock.now(), input(), &mut out);
+        }
+    }
+
+    /// One decision about one call; what follows from it is for this call alone.
+    fn decide(&self, shard: usize, input: Input<'_>) -> Option<Output> {
+        let now = self.shared.clock.now();
+        let mut out = Vec::with_capacity(1);
+        self.shards[shard].entry.lock().handle(now, input, &mut out);
+        out.pop()
+    }
+
+    /// Serves one request of a caller.
+    pub async fn serve(
+        self: Arc<EntrySide>,
+        shard: usize,
+        watch: Arc<Watch>,
+        req: Request<Incoming>,
+    ) -> Response<Body> {
+        watch.begin(self.shared.open_call());
+        let number = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let read = if watch.ambiguous() { Err(Code::RequestInvalid) } else { CallHead::read(&req) };
+        let id = self.request_id(number, read.as_ref().ok());
+        let head = match read {
+            Ok(head) => head,
+            Err(code) => return self.refuse(&watch, &id, refusal(code)),
+        };
+        if self.shared.draining() {
+            return self.refuse(&watch, &id, refusal(Code::Draining));
+        }
+        let call = CallKey(number);
+        let arrival = Arrival {
+            call,
+            path: req.uri().path(),
+            key: head.key,
+            time_left: head.time_left,
+            depth: head.depth,
+            body_bytes: head.body_bytes,
+        };
+        match self.decide(shard, Input::Arrive(arrival)) {
+            Some(Output::Forward(forward)) => {
+                watch.set_deadline(forward.deadline);
+                let open = OpenEntry { side: self.clone(), shard, call };
+                self.take(open, watch, id, head.depth, req, forward).await
+            }
+            Some(Output::Finish { outcome, .. }) => self.refuse(&watch, &id, outcome),
+            None => self.refuse(&watch, &id, refusal(Code::NoTarget)),
+        }
+    }
+
+    async fn take(
+        &self,
+        open: OpenEntry,
+        watch: Arc<Watch>,
+        id: HeaderValue,
+        depth: u8,
+        req: Request<Incoming>,
+        forward: Forward,
+    ) -> Response<Body> {
+        let (head, incoming) = req.into_parts();
+        let body = match self.hold(incoming, &forward).await {
+            Ok(body) => body,
+            Err(code) => return self.refuse(&watch, &id, refusal(code)),
+        };
+        let mut headers = head.headers;
+        headers::strip(&mut headers);
+        let uri = origin_form(head.uri);
+        let depth = depth.saturating_add(1);
+        let method = head.method;
+        let call = Call { open, watch, method, uri, headers, id, depth, body };
+        self.forward(call, forward).await
+    }
+
+    /// Sends a request until it is answered or the decider ends it.
+    async fn forward(&self, mut call: Call, mut forward: Forward) -> Response<Body> {
+        loop {
+            let attempt = self.attempt(&mut call, &forward).await;
+            let (key, whole) = (call.open.call, call.body.is_whole());
+            let input = match attempt {
+                Attempt::Answer(response, connection) => {
+                    let load = headers::load(response.headers());
+                    let end = AttemptEnd::Answering { load };
+                    self.decide(call.open.shard, Input::Attempt { call: key, end, whole });
+                    return self.pass_on(call, response, connection);
+                }
+                Attempt::Ended(end) => Input::Attempt { call: key, end, whole },
+                Attempt::Late { sent } => Input::Expire { call: key, sent },
+            };
+            match self.decide(call.open.shard, input) {
+                Some(Output::Forward(next)) => forward = next,
+                Some(Output::Finish { outcome, .. }) => {
+                    return self.refuse(&call.watch, &call.id, outcome);
+                }
+                None => {
+                    let outcome = Outcome::Unknown { code: Code::AnswerLost };
+                    return self.refuse(&call.watch, &call.id, outcome);
+                }
+            }
+        }
+    }
+
+    async fn attempt(&self, call: &mut Call, forward: &Forward) -> Attempt {
+        let kind = if forward.attempt > 1 { "retry" } else { "first" };
+        self.shared.metrics.attempts.with_label_values(&[kind]).inc();
+        let Some(req) = self.request(call, forward) else {
+            return Attempt::Ended(AttemptEnd::Lost);
+        };
+        let sent = AtomicBool::new(false);
+        let pool = &self.shards[call.open.shard].pool;
+        let result = self.before(forward.deadline, pool.send(forward.gate, req, &sent)).await;
+        match result {
+            None => Attempt::Late { sent: sent.load(Ordering::Acquire) },
+            Some(Err(SendError::Broken)) => Attempt::Ended(AttemptEnd::Lost),
+            Some(Err(SendError::NotSent(req))) => {
+                call.body.put_back(req.into_body());
+                Attempt::Ended(AttemptEnd::NotSent)
+            }
+            Some(Ok((response, connection))) => judge(&call.id, response, connection),
+        }
+    }
+
+    /// The request as the gatekeeper gets it. `None` if its body has been used up.
+    fn request(&self, call: &mut Call, forward: &Forward) -> Option<Request<Body>> {
+        let mut req = Request::new(call.body.take()?);
+        *req.method_mut() = call.method.clone();
+        *req.uri_mut() = call.uri.clone();
+        let headers = req.headers_mut();
+        *headers = call.headers.clone();
+        let left = forward.deadline.since(self.shared.clock.now()).as_millis() as u64;
+        headers.insert(headers::DEADLINE, HeaderValue::from(left.max(1)));
+        headers.insert(headers::REQUEST_ID, call.id.clone());
+        headers.insert(headers::ATTEMPT, HeaderValue::from(forward.attempt));
+        headers.insert(headers::DEPTH, HeaderValue::from(u16::from(call.depth)));
+        headers.insert(headers::CRASHES, HeaderValue::from(forward.crashes));
+        if !headers.contains_key(HOST) {
+            headers.insert(HOST, HeaderValue::from_static("sycamore"));
+        }
+        Some(req)
+    }
+
+    /// Holds a small body in memory; a larger one is passed on as it comes.
+    async fn hold(&self, incoming: Incoming, forward: &Forward) -> Result<HeldBody, Code> {
+        if incoming.is_end_stream() {
+            return Ok(HeldBody::Whole(bytes::Bytes::new()));
+        }
+        let idle = Duration::from_millis(self.shared.settings.limits.idle_body_timeout_ms);
+        let stated = incoming.size_hint().upper();
+        let small = stated.is_some_and(|bytes| bytes <= MAX_HELD_BODY_BYTES);
+        if forward.idempotent && !small {
+            let body = Body::relay(incoming, forward.max_body_bytes, idle);
+            return Ok(HeldBody::Stream(Some(body)));
+        }
+        let most = forward.max_body_bytes.min(MAX_HELD_BODY_BYTES);
+        let read = self.before(forward.deadline, body::collect(incoming, most, idle)).await;
+        read.unwrap_or(Err(Code::DeadlinePassed)).map(HeldBody::Whole)
+    }
+
+    fn pass_on(
+        &self,
+        call: Call,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> Response<Body> {
+        let (mut head, incoming) = response.into_parts();
+        headers::strip(&mut head.headers);
+        head.headers.remove(headers::LOAD);
+        head.headers.remove(headers::CRASHES);
+        if self.shared.draining() {
+            head.headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        call.watch.set_phase(Phase::Answer);
+        let lease = Lease::new(connection);
+        let answer = Answer { open: call.open, lease, watch: call.watch };
+        let idle = Duration::from_millis(self.shared.settings.limits.idle_body_timeout_ms);
+        let body = Body::relay(incoming, u64::MAX, idle).with_guard(Guard::Entry(answer));
+        Response::from_parts(head, body)
+    }
+
+    fn refuse(&self, watch: &Arc<Watch>, id: &HeaderValue, outcome: Outcome) -> Response<Body> {
+        self.count(outcome);
+        let mut head = Response::new(());
+        headers::write_outcome(&mut head, outcome);
+        head.headers_mut().insert(headers::REQUEST_ID, id.clone());
+        if self.shared.draining() || watch.ambiguous() {
+            head.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        watch.set_phase(Phase::Answer);
+        head.map(|()| Body::empty().with_guard(Guard::Watch(watch.clone())))
+    }
+
+    fn count(&self, outcome: Outcome) {
+        let outcomes = &self.shared.metrics.outcomes;
+        let (name, code) = match outcome {
+            Outcome::Answered => ("answered", None),
+            Outcome::NotRun { code, .. } => ("not-run", Some(code)),
+            Outcome::Unknown { code } => ("unknown", Some(code)),
+        };
+        let number = code.map_or_else(String::new, |code| code.number().to_string());
+        outcomes.with_label_values(&[name, &number]).inc();
+    }
+
+    /// The request's id, or a new one.
+    fn request_id(&self, number: u64, head: Option<&CallHead>) -> HeaderValue {
+        let given = head.and_then(|head| head.request_id.clone());
+        given.unwrap_or_else(|| {
+            let text = format!("{}-{number:x}", self.id_prefix);
+            HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from(number))
+        })
+    }
+
+    /// `None` if the deadline passes first.
+    async fn before<T>(&self, deadline: Time, work: impl Future<Output = T>) -> Option<T> {
+        let timeout = async {
+            self.shared.clock.sleep_until(deadline).await;
+            None
+        };
+        future::or(async { Some(work.await) }, timeout).await
+    }
+}
+
+/// Takes a gatekeeper's answer apart.
+fn judge(id: &HeaderValue, response: Response<Incoming>, connection: Connection) -> Attempt {
+    let crashes = headers::number(response.headers(), &headers::CRASHES).ok().flatten();
+    let crashes = crashes.unwrap_or(0).min(u32::MAX.into()) as u32;
+    let load = headers::load(response.headers());
+    let end = match headers::verdict(&response, id) {
+        Verdict::Answered => return Attempt::Answer(response, connection),
+        Verdict::NotRun(code, retry_after) => {
+            AttemptEnd::Refused { code, retry_after, load, crashes }
+        }
+        Verdict::Unknown(code) => AttemptEnd::Failed { code, crashes },
+        Verdict::Foreign => return Attempt::Ended(AttemptEnd::Lost),
+    };
+    if response.body().is_end_stream() {
+        connection.give_back();
+    }
+    Attempt::Ended(end)
+}
+
+impl HeldBody {
+    fn is_whole(&self) -> bool {
+        !matches!(self, HeldBody::Stream(None))
+    }
+
+    fn take(&mut self) -> Option<Body> {
+        match self {
+            HeldBody::Whole(buf) => Some(Body::whole(buf.clone())),
+            HeldBody::Stream(body) => body.take(),
+        }
+    }
+
+    fn put_back(&mut self, unsent: Body) {
+        if let HeldBody::Stream(body) = self {
+            *body = Some(unsent);
+        }
+    }
+}
+
+impl Answer {
+    /// The answer's body is over: to its end, or cut.
+    pub fn over(mut self, whole: bool) {
+        self.lease.over(whole);
+        let outcome =
+            if whole { Outcome::Answered } else { Outcome::Unknown { code: Code::AnswerLost } };
+        self.open.side.count(outcome);
+        self.watch.set_phase(Phase::Flush);
+    }
+}
+
+impl Drop for OpenEntry {
+    fn drop(&mut self) {
+        self.side.decide(self.shard, Input::Close(self.call));
+    }
+}
+
+fn refusal(code: Code) -> Outcome {
+    Outcome::not_run(code, COME_BACK_SOON)
+}
+
+/// The form of a target that a server expects: path and query alone.
+fn origin_form(uri: Uri) -> Uri {
+    if uri.authority().is_none() {
+        return uri;
+    }
+    uri.path_and_query().map_or_else(Uri::default, |path| Uri::from(path.clone()))
+}
--- /dev/null
+++ b/node/src/calls/gate.rs
@@ -0,0 +1,394 @@
+//! The gatekeeper's adapter: the only one that opens connections to the local target.
+
+mod slot;
+mod target;
+
+pub use slot::{Answer, Slot};
+
+use super::body::{self, Body, Guard};
+use super::entry::MAX_HELD_BODY_BYTES;
+use super::headers::{self, CallHead};
+use super::pool::Pool;
+use super::watch::{Phase, Watch};
+use crate::shared::Shared;
+use async_channel::{Receiver, Sender};
+use async_executor::Executor;
+use bytes::Bytes;
+use futures_lite::future;
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use slot::Wait;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use sycamore_core::call::gatekeeper::{Arrival, Input, Output};
+use sycamore_core::call::once::KeptAnswer;
+use sycamore_core::call::{
+    CallKey, Fingerprint, Gatekeeper, Load, Members, Note, Outcome, RequestKey,
+};
+use sycamore_core::config::Snapshot;
+use sycamore_core::event::Event;
+use sycamore_core::hash::Hash;
+use sycamore_core::{Code, Name, Time};
+use target::Call;
+
+/// When to come back after a refusal by the adapter itself.
+const COME_BACK_SOON: Duration = Duration::from_millis(200);
+
+/// The gatekeeper side of a node.
+#[derive(Debug)]
+pub struct GateSide {
+    shared: Arc<Shared>,
+    executor: Arc<Executor<'static>>,
+    pool: Arc<Pool>,
+    state: Mutex<State>,
+    next_call: AtomicU64,
+    drain_told: AtomicBool,
+}
+
+#[derive(Debug)]
+struct State {
+    gatekeeper: Gatekeeper,
+    waiting: IndexMap<CallKey, Sender<Decision>>,
+}
+
+/// What the decider says to one call.
+#[derive(Debug)]
+enum Decision {
+    Run { once: bool },
+    Queue(Time, Receiver<Decision>),
+    Replay(Arc<KeptAnswer>),
+    Refuse(Outcome, u32),
+}
+
+impl GateSide {
+    /// The gatekeeper side of a node.
+    pub fn new(shared: Arc<Shared>, executor: &Arc<Executor<'static>>, seed: u64) -> GateSide {
+        let gatekeeper = Gatekeeper::new(shared.settings.vm.clone(), shared.clock.now(), seed);
+        GateSide {
+            pool: Pool::new(shared.clock.clone(), executor.clone()),
+            executor: executor.clone(),
+            state: Mutex::new(State { gatekeeper, waiting: IndexMap::new() }),
+            next_call: AtomicU64::new(1),
+            drain_told: AtomicBool::new(false),
+            shared,
+        }
+    }
+
+    /// A version came into force.
+    pub fn configure(&self, snapshot: &Arc<Snapshot>) {
+        self.tell(Input::Configure(snapshot.clone()));
+    }
+
+    /// The states of VMs changed.
+    pub fn view(&self, members: &Arc<Members>) {
+        self.tell(Input::View(members.clone()));
+    }
+
+    /// The version in force is confirmed to be the newest.
+    pub fn confirm(&self) {
+        self.tell(Input::Confirm);
+    }
+
+    /// Takes a note from another gatekeeper.
+    pub fn take_note(&self, from: &Name, note: &Note) {
+        self.tell(Input::Note { from, note });
+    }
+
+    /// Time passes.
+    pub fn tick(&self) {
+        if self.shared.draining() && !self.drain_told.swap(true, Ordering::AcqRel) {
+            self.tell(Input::Drain);
+        }
+        self.tell(Input::Tick);
+        self.pool.sweep();
+    }
+
+    /// Makes a decision that is not about a call of the present task.
+    fn tell(&self, input: Input<'_>) {
+        let mut out = Vec::new();
+        let now = self.shared.clock.now();
+        let mut state = self.state.lock();
+        state.gatekeeper.handle(now, input, &mut out);
+        let load = state.gatekeeper.load(now);
+        let (_, effects) = state.dispatch(None, out);
+        drop(state);
+        self.show_load(load);
+        self.carry_out(effects);
+    }
+
+    /// Makes a decision about `call` and returns what it says to that call.
+    fn decide(&self, call: CallKey, input: Input<'_>) -> Option<Decision> {
+        let mut out = Vec::with_capacity(2);
+        let now = self.shared.clock.now();
+        let mut state = self.state.lock();
+        state.gatekeeper.handle(now, input, &mut out);
+        let load = state.gatekeeper.load(now);
+        let (own, effects) = state.dispatch(Some(call), out);
+        drop(state);
+        self.show_load(load);
+        self.carry_out(effects);
+        own
+    }
+
+    fn show_load(&self, load: Load) {
+        self.shared.metrics.in_flight.set(load.in_flight.into());
+        self.shared.metrics.queued.set(load.queued.into());
+    }
+
+    fn carry_out(&self, effects: Vec<Output>) {
+        for output in effects {
+            match output {
+                Output::Send(note) => {
+                    self.shared.notes.send(note);
+                }
+                Output::Record(kind) => {
+                    self.shared.record(Event::new(self.shared.clock.now(), kind));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Serves one request that another node forwards.
+    pub async fn serve(
+        self: Arc<GateSide>,
+        watch: Arc<Watch>,
+        req: Request<Incoming>,
+    ) -> Response<Body> {
+        watch.begin(self.shared.open_call());
+        let read = CallHead::read(&req);
+        let id = req.headers().get(headers::REQUEST_ID).cloned();
+        let id = id.unwrap_or_else(|| HeaderValue::from_static("none"));
+        let head = match read {
+            Ok(head) if head.request_id.is_some() && !watch.ambiguous() => head,
+            Ok(_) => return self.refuse(&watch, &id, refusal(Code::RequestInvalid), 0),
+            Err(code) => return self.refuse(&watch, &id, refusal(code), 0),
+        };
+        let key = CallKey(self.next_call.fetch_add(1, Ordering::Relaxed));
+        let deadline = self.shared.clock.now() + head.time_left.unwrap_or_default();
+        watch.set_deadline(deadline);
+        let (req, held) = match self.hold(req, deadline).await {
+            Ok(held) => held,
+            Err(code) => return self.refuse(&watch, &id, refusal(code), 0),
+        };
+        if self.shared.draining() && !self.drain_told.swap(true, Ordering::AcqRel) {
+            self.tell(Input::Drain);
+        }
+        let digest = held.as_ref().filter(|_| head.key.is_some()).map(|buf| digest(&req, buf));
+        let arrival = Arrival {
+            call: key,
+            path: req.uri().path(),
+            key: head.key,
+            digest,
+            fingerprint: fingerprint(&req, &head, held.as_ref()),
+            crashes: head.crashes,
+            deadline,
+        };
+        let decision = match self.decide(key, Input::Arrive(arrival)) {
+            Some(Decision::Queue(until, granted)) => self.wait(key, until, granted).await,
+            Some(decision) => decision,
+            None => Decision::Refuse(refusal(Code::NoTarget), 0),
+        };
+        let call = Call { key, id, deadline, req };
+        match decision {
+            Decision::Run { once: true } => self.run_once(&watch, call).await,
+            Decision::Run { once: false } => self.run(&watch, call).await,
+            Decision::Replay(answer) => self.replay(&watch, &call.id, &answer, &self.load()),
+            Decision::Refuse(outcome, crashes) => self.refuse(&watch, &call.id, outcome, crashes),
+            Decision::Queue(..) => self.refuse(&watch, &call.id, refusal(Code::QueueTimeout), 0),
+        }
+    }
+
+    /// Waits for a slot.
+    async fn wait(
+        self: &Arc<GateSide>,
+        call: CallKey,
+        until: Time,
+        granted: Receiver<Decision>,
+    ) -> Decision {
+        let wait = Wait::new(self, call);
+        let timeout = async {
+            self.shared.clock.sleep_until(until).await;
+            None
+        };
+        let decision = future::or(async { granted.recv().await.ok() }, timeout).await;
+        let decision = decision.or_else(|| {
+            // A slot may have been given in the very moment of the timeout.
+            let refused = self.decide(call, Input::Expire(call));
+            granted.try_recv().ok().or(refused)
+        });
+        if decision.is_some() {
+            wait.over();
+        }
+        decision.unwrap_or(Decision::Refuse(refusal(Code::QueueTimeout), 0))
+    }
+
+    /// Holds a small body in memory, so that the request can be told from others.
+    async fn hold(
+        &self,
+        req: Request<Incoming>,
+        deadline: Time,
+    ) -> Result<(Request<Body>, Option<Bytes>), Code> {
+        let (head, incoming) = req.into_parts();
+        if incoming.is_end_stream() {
+            return Ok((Request::from_parts(head, Body::empty()), Some(Bytes::new())));
+        }
+        let small = incoming.size_hint().upper().is_some_and(|size| size <= MAX_HELD_BODY_BYTES);
+        if !small {
+            let body = Body::relay(incoming, u64::MAX, self.idle());
+            return Ok((Request::from_parts(head, body), None));
+        }
+        let collect = body::collect(incoming, MAX_HELD_BODY_BYTES, self.idle());
+        let buf = self.before(deadline, collect).await.unwrap_or(Err(Code::DeadlinePassed))?;
+        Ok((Request::from_parts(head, Body::whole(buf.clone())), Some(buf)))
+    }
+
+    /// Gives an answer that is held whole.
+    fn replay(
+        &self,
+        watch: &Arc<Watch>,
+        id: &HeaderValue,
+        answer: &KeptAnswer,
+        load: &HeaderValue,
+    ) -> Response<Body> {
+        let mut response = Response::new(Body::empty());
+        *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or_default();
+        let headers = response.headers_mut();
+        for (name, value) in &answer.headers {
+            let name = HeaderName::from_bytes(name);
+            let value = HeaderValue::from_maybe_shared(value.clone());
+            if let (Ok(name), Ok(value)) = (name, value) {
+                headers.append(name, value);
+            }
+        }
+        self.finish_head(headers, id, load.clone());
+        watch.set_phase(Phase::Answer);
+        *response.body_mut() =
+            Body::whole(answer.body.clone()).with_guard(Guard::Watch(watch.clone()));
+        response
+    }
+
+    fn refuse(
+        &self,
+        watch: &Arc<Watch>,
+        id: &HeaderValue,
+        outcome: Outcome,
+        crashes: u32,
+    ) -> Response<Body> {
+        if let Outcome::NotRun { code, .. } | Outcome::Unknown { code } = outcome {
+            let number = code.number().to_string();
+            self.shared.metrics.refusals.with_label_values(&[&number]).inc();
+        }
+        let mut head = Response::new(());
+        headers::write_outcome(&mut head, outcome);
+        let headers = head.headers_mut();
+        headers.insert(headers::REQUEST_ID, id.clone());
+        headers.insert(headers::CRASHES, HeaderValue::from(crashes));
+        headers.insert(headers::LOAD, self.load());
+        if self.shared.draining() {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        watch.set_phase(Phase::Answer);
+        head.map(|()| Body::empty().with_guard(Guard::Watch(watch.clone())))
+    }
+
+    /// Marks the head of a target's answer as one.
+    fn finish_head(&self, headers: &mut HeaderMap, id: &HeaderValue, load: HeaderValue) {
+        headers::strip(headers);
+        headers.remove(headers::CODE);
+        headers.insert(headers::OUTCOME, HeaderValue::from_static("answered"));
+        headers.insert(headers::REQUEST_ID, id.clone());
+        headers.insert(headers::LOAD, load);
+        if self.shared.draining() {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+    }
+
+    fn load(&self) -> HeaderValue {
+        let load = self.state.lock().gatekeeper.load(self.shared.clock.now());
+        let text = load.to_string();
+        HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static("0/0/0"))
+    }
+
+    fn idle(&self) -> Duration {
+        Duration::from_millis(self.shared.settings.limits.idle_body_timeout_ms)
+    }
+
+    /// `None` if the deadline passes first.
+    async fn before<T>(&self, deadline: Time, work: impl Future<Output = T>) -> Option<T> {
+        let timeout = async {
+            self.shared.clock.sleep_until(deadline).await;
+            None
+        };
+        future::or(async { Some(work.await) }, timeout).await
+    }
+}
+
+impl State {
+    /// Passes on what the decider says to other calls. Returns what it says to `own` and what
+    /// concerns no call.
+    fn dispatch(
+        &mut self,
+        own: Option<CallKey>,
+        out: Vec<Output>,
+    ) -> (Option<Decision>, Vec<Output>) {
+        let mut to_own = None;
+        let mut effects = Vec::new();
+        for output in out {
+            let (call, decision) = match output {
+                Output::Run { call, once } => (call, Decision::Run { once }),
+                Output::Queue(call, until) => {
+                    let (tx, rx) = async_channel::bounded(1);
+                    self.waiting.insert(call, tx);
+                    (call, Decision::Queue(until, rx))
+                }
+                Output::Replay(call, answer) => (call, Decision::Replay(answer)),
+                Output::Refuse { call, outcome, crashes } => {
+                    (call, Decision::Refuse(outcome, crashes))
+                }
+                Output::Send(_) | Output::Record(_) => {
+                    effects.push(output);
+                    continue;
+                }
+            };
+            let queued = matches!(decision, Decision::Queue(..));
+            let waiting = if queued { None } else { self.waiting.swap_remove(&call) };
+            if own == Some(call) {
+                to_own = Some(decision);
+            } else if let Some(waiting) = waiting {
+                // Whoever stopped listening withdraws the call.
+                let _ = waiting.try_send(decision);
+            }
+        }
+        (to_own, effects)
+    }
+}
+
+fn refusal(code: Code) -> Outcome {
+    Outcome::not_run(code, COME_BACK_SOON)
+}
+
+/// Equal for the same request, whoever sends it.
+fn digest(req: &Request<Body>, body: &Bytes) -> Hash {
+    let target = req.uri().path_and_query().map_or("", |path| path.as_str());
+    let parts = [req.method().as_str().as_bytes(), b" ", target.as_bytes(), b"\n", body];
+    Hash::of(&parts.concat())
+}
+
+/// Equal for a request that is sent again. A key tells requests apart; else the body does, if it
+/// is held.
+fn fingerprint(req: &Request<Body>, head: &CallHead, body: Option<&Bytes>) -> Fingerprint {
+    let target = req.uri().path_and_query().map_or("", |path| path.as_str());
+    let key = head.key.map(RequestKey::to_bytes);
+    let last = match (&key, body) {
+        (Some(key), _) => &key[..],
+        (None, Some(body)) => body,
+        (None, None) => &[],
+    };
+    Fingerprint::of(&[req.method().as_str().as_bytes(), target.as_bytes(), last])
+}
--- /dev/null
+++ b/node/src/calls/gate/target.rs
@@ -0,0 +1,242 @@
+//! What goes to the local target and what comes back.
+
+use super::slot::{Answer, Running, Slot};
+use super::{Decision, GateSide, refusal};
+use crate::calls::body::{self, Body, Guard, Lease};
+use crate::calls::headers;
+use crate::calls::pool::{Connection, SendError};
+use crate::calls::watch::{Phase, Watch};
+use futures_lite::future;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+use sycamore_core::call::gatekeeper::End;
+use sycamore_core::call::once::KeptAnswer;
+use sycamore_core::call::{CallKey, Outcome};
+use sycamore_core::{Code, Time};
+
+/// Largest answer to a request that runs only once; it is read whole before it goes out, so that
+/// it can be given again.
+const MAX_KEPT_BODY_BYTES: u64 = 1_048_576;
+
+/// How long a broken target is given to show that it still takes connections.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How often a free connection to the target is looked for when all it takes are in use.
+const CONNECTION_POLL: Duration = Duration::from_millis(2);
+
+/// A request as the target will get it.
+#[derive(Debug)]
+pub struct Call {
+    /// The call.
+    pub key: CallKey,
+    /// Request id.
+    pub id: HeaderValue,
+    /// When its caller stops waiting.
+    pub deadline: Time,
+    /// The request.
+    pub req: Request<Body>,
+}
+
+/// What became of a request that was sent to the target.
+#[derive(Debug)]
+enum Sent {
+    Answer(Response<Incoming>, Connection, Running),
+    Ended(Outcome, u32),
+}
+
+impl GateSide {
+    /// Runs a request whose answer is passed on as it comes.
+    pub async fn run(self: &Arc<GateSide>, watch: &Arc<Watch>, call: Call) -> Response<Body> {
+        let id = call.id.clone();
+        let (response, connection, running) = match self.send(call).await {
+            Sent::Answer(response, connection, running) => (response, connection, running),
+            Sent::Ended(outcome, crashes) => {
+                return self.refuse(watch, &id, outcome, crashes);
+            }
+        };
+        let (mut head, incoming) = response.into_parts();
+        self.finish_head(&mut head.headers, &id, self.load());
+        watch.set_phase(Phase::Answer);
+        let answer = Answer::new(running, Lease::new(connection), watch.clone());
+        let body = Body::relay(incoming, u64::MAX, self.idle()).with_guard(Guard::Gate(answer));
+        Response::from_parts(head, body)
+    }
+
+    /// Runs a request that may run only once, to its end even if its caller goes away: the caller
+    /// may ask again with the same key, through another node.
+    pub async fn run_once(self: &Arc<GateSide>, watch: &Arc<Watch>, call: Call) -> Response<Body> {
+        let (tx, rx) = async_channel::bounded(1);
+        let id = call.id.clone();
+        let side = self.clone();
+        let open = self.shared.open_call();
+        let task = async move {
+            // The caller may be gone, which is no concern of the run.
+            let _ = tx.try_send(side.answer_once(call).await);
+            drop(open);
+        };
+        self.executor.spawn(task).detach();
+        let lost = (Outcome::Unknown { code: Code::AnswerLost }, 0);
+        match rx.recv().await.unwrap_or(Err(lost)) {
+            Ok(answer) => self.replay(watch, &id, &answer, &self.load()),
+            Err((outcome, crashes)) => self.refuse(watch, &id, outcome, crashes),
+        }
+    }
+
+    async fn answer_once(
+        self: &Arc<GateSide>,
+        call: Call,
+    ) -> Result<Arc<KeptAnswer>, (Outcome, u32)> {
+        let deadline = call.deadline;
+        let (response, connection, mut running) = match self.send(call).await {
+            Sent::Answer(response, connection, running) => (response, connection, running),
+            Sent::Ended(outcome, crashes) => return Err((outcome, crashes)),
+        };
+        let (mut head, incoming) = response.into_parts();
+        let collect = body::collect(incoming, MAX_KEPT_BODY_BYTES, self.idle());
+        match self.before(deadline, collect).await {
+            Some(Ok(buf)) => {
+                headers::strip(&mut head.headers);
+                let kept = Arc::new(keep(head.status, &head.headers, buf));
+                connection.give_back();
+                if let Some(slot) = running.take() {
+                    slot.end(End::Answered { kept: Some(kept.clone()) });
+                }
+                Ok(kept)
+            }
+            Some(Err(Code::CallerGone)) => Err(self.broken(running).await),
+            Some(Err(_)) => Err((Outcome::Unknown { code: Code::AnswerLost }, 0)),
+            None => Err((Outcome::Unknown { code: Code::DeadlinePassed }, 0)),
+        }
+    }
+
+    /// Sends a request to the target and waits for the head of its answer.
+    async fn send(self: &Arc<GateSide>, call: Call) -> Sent {
+        let mut slot = Slot::new(self, call.key);
+        let Some(address) = self.shared.settings.target_address else {
+            return not_sent(slot);
+        };
+        let (id, deadline) = (call.id, call.deadline);
+        let mut req = call.req;
+        self.finish_request(req.headers_mut(), deadline);
+        loop {
+            let connection = match self.pool.take(address).await {
+                Some(connection) => Some((connection, true)),
+                None => self.connect(address, deadline).await.map(|connection| (connection, false)),
+            };
+            let Some((connection, used)) = connection else {
+                return not_sent(slot);
+            };
+            let linger = connection.linger();
+            let sent = AtomicBool::new(false);
+            // Dropped after `running`, so that a connection that closes because this wait is
+            // given up already holds the slot.
+            let mut send = pin!(connection.send(req, &sent));
+            let mut running = Running::new(slot, linger);
+            match self.before(deadline, send.as_mut()).await {
+                None => {
+                    drop(running);
+                    return Sent::Ended(Outcome::Unknown { code: Code::DeadlinePassed }, 0);
+                }
+                Some(Ok((response, connection))) if is_own(&response, &id) => {
+                    return Sent::Answer(response, connection, running);
+                }
+                Some(Ok(_) | Err(SendError::Broken)) => {
+                    let (outcome, crashes) = self.broken(running).await;
+                    return Sent::Ended(outcome, crashes);
+                }
+                Some(Err(SendError::NotSent(unsent))) => {
+                    let Some(kept) = running.take() else {
+                        return Sent::Ended(refusal(Code::TargetUnreachable), 0);
+                    };
+                    if !used {
+                        return not_sent(kept);
+                    }
+                    slot = kept;
+                    req = *unsent;
+                }
+            }
+        }
+    }
+
+    /// Opens a connection to the target, within the connections that it takes.
+    async fn connect(&self, address: SocketAddr, deadline: Time) -> Option<Connection> {
+        let most = self.shared.in_force().and_then(|snapshot| {
+            let target = snapshot.target_on(&self.shared.settings.vm)?;
+            let service = snapshot.target(target).service;
+            Some(snapshot.service(service).limits.connections as usize)
+        });
+        let most = most.unwrap_or(1);
+        while self.pool.open() >= most {
+            if self.shared.clock.now() >= deadline {
+                return None;
+            }
+            self.shared.clock.sleep(CONNECTION_POLL).await;
+        }
+        self.pool.connect(address).await.ok()
+    }
+
+    /// Reports a connection that broke after a byte of the request may have left.
+    async fn broken(&self, mut running: Running) -> (Outcome, u32) {
+        let target_gone = !self.target_connects().await;
+        let decision = running.take().and_then(|slot| slot.end(End::Broken { target_gone }));
+        match decision {
+            Some(Decision::Refuse(outcome, crashes)) => (outcome, crashes),
+            _ => (Outcome::Unknown { code: Code::TargetFailed }, 0),
+        }
+    }
+
+    async fn target_connects(&self) -> bool {
+        let Some(address) = self.shared.settings.target_address else {
+            return false;
+        };
+        let probe = async { self.pool.connect(address).await.ok() };
+        let timeout = async {
+            self.shared.clock.sleep(PROBE_TIMEOUT).await;
+            None
+        };
+        let connection = future::or(probe, timeout).await;
+        let connects = connection.is_some();
+        if let Some(connection) = connection {
+            connection.give_back();
+        }
+        connects
+    }
+
+    /// Writes the headers that the target gets.
+    fn finish_request(&self, headers: &mut HeaderMap, deadline: Time) {
+        headers::strip(headers);
+        headers.remove(headers::CRASHES);
+        let left = deadline.since(self.shared.clock.now()).as_millis() as u64;
+        headers.insert(headers::DEADLINE, HeaderValue::from(left.max(1)));
+        if !headers.contains_key(HOST) {
+            headers.insert(HOST, HeaderValue::from_static("target"));
+        }
+    }
+}
+
+/// A refusal that is true: the slot's request has not left this node.
+fn not_sent(slot: Slot) -> Sent {
+    match slot.end(End::NotSent) {
+        Some(Decision::Refuse(outcome, crashes)) => Sent::Ended(outcome, crashes),
+        _ => Sent::Ended(refusal(Code::TargetUnreachable), 0),
+    }
+}
+
+/// Whether an answer is to this request, if the target says to which it is.
+fn is_own(response: &Response<Incoming>, id: &HeaderValue) -> bool {
+    response.headers().get(headers::REQUEST_ID).is_none_or(|other| other == id)
+}
+
+fn keep(status: StatusCode, headers: &HeaderMap, body: bytes::Bytes) -> KeptAnswer {
+    let own = headers.iter().filter(|(name, _)| **name != CONTENT_LENGTH);
+    let copy = |bytes: &[u8]| bytes::Bytes::copy_from_slice(bytes);
+    let headers =
+        own.map(|(name, value)| (copy(name.as_str().as_bytes()), copy(value.as_bytes()))).collect();
+    KeptAnswer { status: status.as_u16(), headers, body }
+}
--- /dev/null
+++ b/node/src/calls/headers.rs
@@ -0,0 +1,201 @@
+//! Headers of a call: names, reading them with every check, and what is passed on.
+
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::{Request, Response, StatusCode};
+use std::time::Duration;
+use sycamore_core::Code;
+use sycamore_core::call::{Load, Outcome, RequestKey};
+
+/// Time left for the call in ms.
+pub const DEADLINE: HeaderName = HeaderName::from_static("x-sycamore-deadline-ms");
+/// Names the request over all its attempts and nodes.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-sycamore-request-id");
+/// Attempt of this forward, from 1.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("x-sycamore-attempt");
+/// Nodes passed as entry node so far.
+pub const DEPTH: HeaderName = HeaderName::from_static("x-sycamore-depth");
+/// Names a request that may run only once.
+pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// How the call ended.
+pub const OUTCOME: HeaderName = HeaderName::from_static("x-sycamore-outcome");
+/// Number of the result code if it was not answered.
+pub const CODE: HeaderName = HeaderName::from_static("x-sycamore-code");
+/// When to come back, in ms.
+pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("x-sycamore-retry-after-ms");
+/// Load of the gatekeeper's target.
+pub const LOAD: HeaderName = HeaderName::from_static("x-sycamore-load");
+/// Crashes of targets that the request is suspected of; between nodes only.
+pub const CRASHES: HeaderName = HeaderName::from_static("x-sycamore-crashes");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Longest request id, in bytes.
+const MAX_REQUEST_ID_BYTES: usize = 128;
+
+/// Headers that a request may carry only once. Guards against a header smuggled in twice: two
+/// nodes could read different ones and so disagree on what the request is.
+const SINGLE: [HeaderName; 8] =
+    [CONTENT_LENGTH, HOST, DEADLINE, REQUEST_ID, ATTEMPT, DEPTH, KEY, CRASHES];
+
+/// Headers that concern one connection and are not passed on.
+const HOP_BY_HOP: [HeaderName; 8] =
+    [CONNECTION, KEEP_ALIVE, PROXY_CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE, EXPECT];
+
+/// The headers of a call, read and checked.
+#[derive(Clone, Debug)]
+pub struct CallHead {
+    /// Time left.
+    pub time_left: Option<Duration>,
+    /// Request id, if there is one.
+    pub request_id: Option<HeaderValue>,
+    /// Nodes passed as entry node.
+    pub depth: u8,
+    /// The `Idempotency-Key`.
+    pub key: Option<RequestKey>,
+    /// Crashes that the entry node knows of.
+    pub crashes: u32,
+    /// Stated size of the body.
+    pub body_bytes: Option<u64>,
+}
+
+impl CallHead {
+    /// Reads the headers of a request. Refuses what is malformed or stands twice.
+    pub fn read<B>(req: &Request<B>) -> Result<CallHead, Code> {
+        let headers = req.headers();
+        for name in &SINGLE {
+            let mut values = headers.get_all(name).iter();
+            if values.next().is_some() && values.next().is_some() {
+                return Err(Code::RequestInvalid);
+            }
+        }
+        if headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING) {
+            return Err(Code::RequestInvalid);
+        }
+        if !req.uri().path().starts_with('/') || headers.contains_key(UPGRADE) {
+            return Err(Code::RequestInvalid);
+        }
+        let request_id = headers.get(REQUEST_ID);
+        if request_id.is_some_and(|id| id.is_empty() || id.len() > MAX_REQUEST_ID_BYTES) {
+            return Err(Code::RequestInvalid);
+        }
+        let depth = number(headers, &DEPTH)?.unwrap_or(0);
+        Ok(CallHead {
+            time_left: number(headers, &DEADLINE)?.map(Duration::from_millis),
+            request_id: request_id.cloned(),
+            depth: depth.min(u8::MAX.into()) as u8,
+            key: key(headers)?,
+            crashes: number(headers, &CRASHES)?.unwrap_or(0).min(u32::MAX.into()) as u32,
+            body_bytes: number(headers, &CONTENT_LENGTH)?,
+        })
+    }
+}
+
+/// How a gatekeeper's answer is to be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is the target's answer.
+    Answered,
+    /// The request did not reach the target.
+    NotRun(Code, Duration),
+    /// The target may have run it.
+    Unknown(Code),
+    /// It is not an answer to this request.
+    Foreign,
+}
+
+/// Reads a gatekeeper's answer to the request with this id.
+///
+/// Guards against answers that come late or crossed: one with another id than the request's is
+/// not given to its caller.
+pub fn verdict<B>(response: &Response<B>, id: &HeaderValue) -> Verdict {
+    let headers = response.headers();
+    let outcome = headers.get(OUTCOME).map(HeaderValue::as_bytes);
+    let code = number(headers, &CODE).ok().flatten();
+    let code = code.and_then(|code| Code::from_number(code.try_into().ok()?));
+    // A listener that is full refuses before it has read the request, so it can't name it.
+    let early = outcome == Some(b"not-run") && code == Some(Code::TooManyConnections);
+    if headers.get(REQUEST_ID) != Some(id) && !early {
+        return Verdict::Foreign;
+    }
+    match (outcome, code) {
+        (Some(b"answered"), None) => Verdict::Answered,
+        (Some(b"not-run"), Some(code)) => {
+            let ms = number(headers, &RETRY_AFTER_MS).ok().flatten().unwrap_or(0);
+            Verdict::NotRun(code, Duration::from_millis(ms))
+        }
+        (Some(b"unknown"), Some(code)) => Verdict::Unknown(code),
+        _ => Verdict::Foreign,
+    }
+}
+
+/// The load in an answer between nodes.
+pub fn load(headers: &HeaderMap) -> Option<Load> {
+    Load::parse(headers.get(LOAD)?.to_str().ok()?)
+}
+
+/// The number in a header; `None` if it is absent.
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, Code> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| Code::RequestInvalid)?;
+    let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    let number = digits.then(|| text.parse().ok()).flatten();
+    number.map(Some).ok_or(Code::RequestInvalid)
+}
+
+/// Drops the headers that concern one connection, also those that `connection` names.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        // A caller may not have the headers of the call dropped on the way.
+        .filter(|name| !SINGLE.contains(name))
+        .collect();
+    for name in HOP_BY_HOP.iter().chain(&named) {
+        headers.remove(name);
+    }
+}
+
+/// Writes an outcome that is not an answer into the head of a response.
+pub fn write_outcome(response: &mut Response<()>, outcome: Outcome) {
+    let (status, name, code) = match outcome {
+        Outcome::Answered => return,
+        Outcome::NotRun { code, retry_after } => {
+            let ms = retry_after.as_millis() as u64;
+            let headers = response.headers_mut();
+            headers.insert(RETRY_AFTER_MS, HeaderValue::from(ms));
+            headers.insert(RETRY_AFTER, HeaderValue::from(ms.div_ceil(1_000)));
+            (status_of(code), "not-run", code)
+        }
+        Outcome::Unknown { code } => (StatusCode::GATEWAY_TIMEOUT, "unknown", code),
+    };
+    *response.status_mut() = status;
+    response.headers_mut().insert(OUTCOME, HeaderValue::from_static(name));
+    response.headers_mut().insert(CODE, HeaderValue::from(code.number()));
+}
+
+/// Status of a refusal.
+pub fn status_of(code: Code) -> StatusCode {
+    match code {
+        Code::NoRoute => StatusCode::NOT_FOUND,
+        Code::RequestInvalid | Code::KeyMissing | Code::TooDeep | Code::KeyReused => {
+            StatusCode::BAD_REQUEST
+        }
+        Code::RequestTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<RequestKey>, Code> {
+    let Some(value) = headers.get(KEY) else {
+        return Ok(None);
+    };
+    RequestKey::parse(value.as_bytes()).map(Some).ok_or(Code::KeyMissing)
+}
--- /dev/null
+++ b/node/tests/calls_path.rs
@@ -0,0 +1,207 @@
+//! Calls through real sockets: caller, entry node, gatekeeper, target.
+
+#[path = "support/calls.rs"]
+mod support;
+
+use std::io::Write;
+use std::time::Duration;
+use support::*;
+
+#[test]
+fn path_whole() {
+    let (target, node) = single("{}");
+    let answer = call(node.entry, &get("/idem/a?b=c"));
+    assert_eq!((answer.status, answer.outcome()), (200, "answered"), "{answer:?}");
+    assert!(answer.text().starts_with("GET /idem/a?b=c HTTP/1.1"), "{}", answer.text());
+    assert!(answer.text().contains("x-sycamore-depth: 1"), "{}", answer.text());
+    assert!(answer.header("x-sycamore-request-id").is_some());
+    assert_eq!(target.log().len(), 1);
+}
+
+#[test]
+fn path_kept_alive() {
+    let (target, node) = single("{}");
+    let mut stream = open(node.entry, "");
+    for n in 0..50 {
+        stream.write_all(get(&format!("/idem/{n}")).as_bytes()).unwrap();
+        assert!(read(&stream).text().starts_with(&format!("GET /idem/{n} ")));
+    }
+    assert!(target.connections() <= 2, "{} connections", target.connections());
+}
+
+#[test]
+fn path_streamed() {
+    let (_target, node) = single("{}");
+    let answer = call(node.entry, &get("/idem/stream/5000000"));
+    assert!(answer.whole);
+    assert_eq!(answer.body.len(), 5_000_000);
+}
+
+#[test]
+fn path_not_configured() {
+    let node = Node::new("a", None);
+    let answer = call(node.entry, &get("/idem"));
+    assert_eq!((answer.status, answer.outcome(), answer.code()), (503, "not-run", Some(401)));
+    assert!(answer.header("retry-after").is_some());
+}
+
+#[test]
+fn path_no_route() {
+    let (_target, node) = single("{}");
+    let answer = call(node.entry, &get("/other"));
+    assert_eq!((answer.status, answer.code()), (404, Some(402)));
+}
+
+#[test]
+fn once_key_resent() {
+    // Story: a franchisee signs, the answer is lost, and the office sends the signing again with
+    // the same key. Were it run again, the grower would be billed twice.
+    let (target, node) = single("{}");
+    let key = key_when_home(&node);
+    let first = call(node.entry, &sign("/once", &key, "ten bales"));
+    assert_eq!(first.outcome(), "answered", "{first:?}");
+    let second = call(node.entry, &sign("/once", &key, "ten bales"));
+    assert_eq!((second.outcome(), second.text()), ("answered", first.text()));
+    let other = call(node.entry, &sign("/once", &key, "twelve bales"));
+    assert_eq!((other.outcome(), other.code()), ("not-run", Some(466)));
+    assert_eq!(target.ran("bales"), 1);
+}
+
+/// A key that the node takes: one minted when it had run for longer than clocks may differ.
+fn key_when_home(node: &Node) -> String {
+    let mut key = key();
+    eventually("a key is taken", || {
+        key = support::key();
+        call(node.entry, &sign("/once/probe", &key, "probe")).outcome() == "answered"
+    });
+    support::key()
+}
+
+#[test]
+fn once_without_key() {
+    let (target, node) = single("{}");
+    let answer = call(node.entry, "POST /once HTTP/1.1\r\nhost: t\r\ncontent-length: 0\r\n\r\n");
+    assert_eq!((answer.status, answer.code()), (400, Some(405)));
+    let answer = call(node.entry, &sign("/once", "0190b5c0-0000-4000-8000-000000000000", ""));
+    assert_eq!(answer.code(), Some(405));
+    assert_eq!(target.log().len(), 0);
+}
+
+#[test]
+fn once_caller_gone() {
+    // Story: the caller's connection breaks while its signing runs; it asks again with the same
+    // key and gets the answer of the one run.
+    let (target, node) = single("{}");
+    let key = key_when_home(&node);
+    let stream = open(node.entry, &sign("/once/hold", &key, "x"));
+    eventually("the signing runs", || target.ran("/once/hold") == 1);
+    drop(stream);
+    let again = call(node.entry, &sign("/once/hold", &key, "x"));
+    assert_eq!((again.outcome(), again.code()), ("unknown", Some(459)));
+    target.release();
+    eventually("the answer is kept", || {
+        call(node.entry, &sign("/once/hold", &key, "x")).outcome() == "answered"
+    });
+    assert_eq!(target.ran("/once/hold"), 1);
+}
+
+#[test]
+fn once_target_broke() {
+    let (target, node) = single("{}");
+    let key = key_when_home(&node);
+    for code in [461, 460, 460] {
+        let answer = call(node.entry, &sign("/once/break", &key, "x"));
+        assert_eq!((answer.outcome(), answer.code()), ("unknown", Some(code)));
+    }
+    assert_eq!(target.ran("/once/break"), 1);
+}
+
+#[test]
+fn answer_cut() {
+    // Story: a target dies in the middle of a ledger. The caller must see a broken connection,
+    // not a short ledger.
+    let (_target, node) = single("{}");
+    let answer = call(node.entry, &get("/idem/cut"));
+    assert!(!answer.whole);
+}
+
+#[test]
+fn answer_foreign() {
+    // Story: answers cross, and a target gives one caller the answer to another's request.
+    let (_target, node) = single("{}");
+    let answer = call(node.entry, &get("/idem/foreign"));
+    assert_eq!((answer.outcome(), answer.code()), ("unknown", Some(461)), "{}", answer.text());
+}
+
+#[test]
+fn cancel_caller_gone() {
+    let (target, node) = single("{}");
+    let stream = open(node.entry, &get("/idem/hold"));
+    eventually("the request runs", || target.ran("/idem/hold") == 1);
+    drop(stream);
+    eventually("the target sees the cancellation", || target.cancelled() == 1);
+    eventually("the call is closed", || node.shared.calls_open() == 0);
+}
+
+#[test]
+fn cancel_deadline() {
+    let (target, node) = single("{}");
+    let raw = "GET /idem/hold HTTP/1.1\r\nhost: t\r\nx-sycamore-deadline-ms: 100\r\n\r\n";
+    let answer = call(node.entry, raw);
+    assert_eq!((answer.outcome(), answer.code()), ("unknown", Some(406)), "{answer:?}");
+    eventually("the target sees the cancellation", || target.cancelled() == 1);
+}
+
+#[test]
+fn queue_cancelled() {
+    // Story: a caller gives up while its request waits. Were it run all the same, a busy target
+    // would work for nobody.
+    let (target, node) = single(r#"{"slots":1,"queue_wait_ms":20000}"#);
+    let first = open(node.entry, &get("/idem/hold/first"));
+    eventually("the slot is taken", || target.ran("first") == 1);
+    let second = open(node.entry, &get("/idem/second"));
+    eventually("the second waits", || node.shared.metrics.queued.get() == 1);
+    drop(second);
+    eventually("the second is withdrawn", || node.shared.metrics.queued.get() == 0);
+    target.release();
+    assert_eq!(read(&first).outcome(), "answered");
+    assert_eq!(call(node.entry, &get("/idem/third")).outcome(), "answered");
+    assert_eq!(target.ran("second"), 0);
+}
+
+#[test]
+fn queue_full() {
+    let (target, node) = single(r#"{"slots":1,"queue":0}"#);
+    let first = open(node.entry, &get("/idem/hold/first"));
+    eventually("the slot is taken", || target.ran("first") == 1);
+    let answer = call(node.entry, &get("/idem/second"));
+    assert_eq!((answer.status, answer.outcome(), answer.code()), (503, "not-run", Some(451)));
+    assert!(answer.header("x-sycamore-retry-after-ms").is_some());
+    target.release();
+    assert_eq!(read(&first).outcome(), "answered");
+    assert_eq!(target.ran("second"), 0);
+}
+
+#[test]
+fn slots_exact() {
+    // Story: callers come and go away at once; a slot that is freed before the target has noticed
+    // the cancellation makes it run more than its slots.
+    let (target, node) = single(r#"{"slots":2,"connections":8,"queue_wait_ms":20000}"#);
+    let entry = node.entry;
+    let callers: Vec<_> = (0..8)
+        .map(|n| {
+            std::thread::spawn(move || {
+                for round in 0..10 {
+                    let raw = get(&format!("/idem/hold/{n}/{round}"));
+                    let stream = open(entry, &raw);
+                    std::thread::sleep(Duration::from_millis(20));
+                    drop(stream);
+                }
+            })
+        })
+        .collect();
+    callers.into_iter().for_each(|caller| caller.join().unwrap());
+    eventually("all calls are closed", || node.shared.calls_open() == 0);
+    assert!(target.cancelled() > 0);
+    assert!(target.most_running() <= 2, "{} at once", target.most_running());
+}
--- /dev/null
+++ b/node/tests/support/calls.rs
@@ -0,0 +1,345 @@
+//! A small target, nodes on loopback sockets, and a caller that speaks raw HTTP/1.1.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use async_executor::Executor;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use sycamore_core::Name;
+use sycamore_core::config::{InForce, Preset, Snapshot};
+use sycamore_core::hash::Hash;
+use sycamore_node::calls::{self, Calls, Listeners};
+use sycamore_node::clock::Clock;
+use sycamore_node::settings::Settings;
+use sycamore_node::shared::Shared;
+
+/// Longest wait of a test for anything.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A target whose path says what it does. It logs each request it runs.
+pub struct Target {
+    pub address: SocketAddr,
+    state: Arc<TargetState>,
+}
+
+#[derive(Default)]
+struct TargetState {
+    log: Mutex<Vec<String>>,
+    connections: AtomicUsize,
+    running: AtomicUsize,
+    most_running: AtomicUsize,
+    cancelled: AtomicUsize,
+    hold: AtomicU64,
+}
+
+impl Target {
+    pub fn new() -> Target {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(TargetState::default());
+        let shared = state.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (state, stream) = (shared.clone(), stream.unwrap());
+                state.connections.fetch_add(1, Ordering::SeqCst);
+                std::thread::spawn(move || while state.serve(&stream).is_some() {});
+            }
+        });
+        Target { address, state }
+    }
+
+    /// Request lines and bodies of what it ran.
+    pub fn log(&self) -> Vec<String> {
+        self.state.log.lock().unwrap().clone()
+    }
+
+    /// How often it ran requests whose line or body contains `part`.
+    pub fn ran(&self, part: &str) -> usize {
+        self.log().iter().filter(|line| line.contains(part)).count()
+    }
+
+    pub fn connections(&self) -> usize {
+        self.state.connections.load(Ordering::SeqCst)
+    }
+
+    pub fn most_running(&self) -> usize {
+        self.state.most_running.load(Ordering::SeqCst)
+    }
+
+    pub fn cancelled(&self) -> usize {
+        self.state.cancelled.load(Ordering::SeqCst)
+    }
+
+    /// Lets requests to `/hold` end.
+    pub fn release(&self) {
+        self.state.hold.store(1, Ordering::SeqCst);
+    }
+}
+
+impl TargetState {
+    fn serve(&self, stream: &TcpStream) -> Option<()> {
+        let mut reader = BufReader::new(stream.try_clone().ok()?);
+        let (line, headers) = read_head(&mut reader)?;
+        let size = headers.iter().find_map(|line| line.strip_prefix("content-length: "));
+        let mut body = vec![0; size.map_or(0, |size| size.parse().unwrap())];
+        reader.read_exact(&mut body).ok()?;
+        let body = String::from_utf8_lossy(&body).into_owned();
+        self.log.lock().unwrap().push(format!("{line} {body}"));
+        let now = self.running.fetch_add(1, Ordering::SeqCst) + 1;
+        self.most_running.fetch_max(now, Ordering::SeqCst);
+        let done = self.answer(stream, &line, &headers, &body);
+        self.running.fetch_sub(1, Ordering::SeqCst);
+        done
+    }
+
+    fn answer(
+        &self,
+        mut stream: &TcpStream,
+        line: &str,
+        headers: &[String],
+        body: &str,
+    ) -> Option<()> {
+        let path = line.split(' ').nth(1)?;
+        if path.contains("/hold") {
+            while self.hold.load(Ordering::SeqCst) == 0 {
+                if is_closed(stream) {
+                    self.cancelled.fetch_add(1, Ordering::SeqCst);
+                    return None;
+                }
+                std::thread::sleep(Duration::from_millis(2));
+            }
+        }
+        if path.contains("/break") {
+            return None;
+        }
+        if path.contains("/foreign") {
+            let head = "HTTP/1.1 200 OK\r\nx-sycamore-request-id: someone-else\r\n";
+            let answer = format!("{head}content-length: 6\r\n\r\nsecret");
+            stream.write_all(answer.as_bytes()).ok()?;
+            return Some(());
+        }
+        if path.contains("/cut") {
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf").ok()?;
+            return None;
+        }
+        if path.contains("/stream") {
+            let size: usize = path.rsplit('/').next()?.parse().ok()?;
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n");
+            stream.write_all(head.as_bytes()).ok()?;
+            let chunk = [b'x'; 10_000];
+            let mut left = size;
+            while left > 0 {
+                let count = left.min(chunk.len());
+                stream.write_all(&chunk[..count]).ok()?;
+                left -= count;
+            }
+            return Some(());
+        }
+        let text = format!("{line}\n{}\n{body}", headers.join("\n"));
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", text.len());
+        stream.write_all(head.as_bytes()).ok()?;
+        stream.write_all(text.as_bytes()).ok()?;
+        Some(())
+    }
+}
+
+fn is_closed(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let closed = stream.peek(&mut [0]).is_ok_and(|count| count == 0);
+    stream.set_nonblocking(false).unwrap();
+    closed
+}
+
+fn read_head(reader: &mut impl BufRead) -> Option<(String, Vec<String>)> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end().to_owned();
+        if line.is_empty() {
+            break;
+        }
+        lines.push(line);
+    }
+    let first = lines.remove(0);
+    Some((first, lines))
+}
+
+/// The call path of one node, without a spread.
+pub struct Node {
+    pub shared: Arc<Shared>,
+    pub calls: Calls,
+    pub entry: SocketAddr,
+    pub gate: SocketAddr,
+    _stop: async_channel::Sender<()>,
+}
+
+impl Node {
+    pub fn new(vm: &str, target: Option<SocketAddr>) -> Node {
+        Node::with_limits(vm, target, "{}")
+    }
+
+    pub fn with_limits(vm: &str, target: Option<SocketAddr>, limits: &str) -> Node {
+        let target = target.map_or("null".into(), |address| format!("\"{address}\""));
+        let text = format!(
+            r#"{{"vm":"{vm}","region":"r","zone":"z","target_address":{target},
+            "listen":{{"calls":"127.0.0.1:0","gate":"127.0.0.1:0","peers":"127.0.0.1:0",
+            "admin":"127.0.0.1:0"}},"platform_address":"127.0.0.1:1","limits":{limits}}}"#
+        );
+        let settings = Settings::parse(text.as_bytes()).unwrap();
+        let listeners = Listeners::bind(&settings.listen).unwrap();
+        let entry = listeners.calls.get_ref().local_addr().unwrap();
+        let gate = listeners.gate.get_ref().local_addr().unwrap();
+        let shared = Shared::new(settings, Clock::new());
+        let executor = Arc::new(Executor::new());
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        for _ in 0..2 {
+            let (executor, stopped) = (executor.clone(), stopped.clone());
+            std::thread::spawn(move || {
+                futures_lite::future::block_on(executor.run(stopped.recv()))
+            });
+        }
+        let calls = calls::start(shared.clone(), listeners, executor);
+        Node { shared, calls, entry, gate, _stop: stop }
+    }
+
+    /// Puts a version into force.
+    pub fn configure(&self, version: u64, preset: &str) {
+        let preset: Preset = serde_json::from_str(preset).unwrap();
+        let digest = Hash::of(b"body");
+        let in_force = InForce { version, preset: preset.name.clone(), digest };
+        self.shared.put_in_force(Snapshot::new(in_force, &preset).unwrap());
+        self.calls.view_changed();
+    }
+}
+
+/// A preset with one service, `/idem` and `/once` routes, and these targets.
+pub fn preset(limits: &str, targets: &[(&str, SocketAddr)]) -> String {
+    let target = |(vm, gate): &(&str, SocketAddr)| {
+        format!(r#"{{"vm":"{vm}","region":"r","zone":"z","gate":"{gate}"}}"#)
+    };
+    let targets: Vec<String> = targets.iter().map(target).collect();
+    format!(
+        r#"{{"name":"ordinary","services":{{"s":{{"limits":{limits},"targets":[{}]}}}},
+        "routes":{{"idem":{{"path_prefix":"/idem","service":"s","idempotent":true,
+        "deadline_ms":5000,"max_attempts":4,"max_body_bytes":200000}},
+        "once":{{"path_prefix":"/once","service":"s","idempotent":false,"deadline_ms":5000}}}}}}"#,
+        targets.join(",")
+    )
+}
+
+/// One node in front of one target, configured and past the time in which its keys are unknown.
+pub fn single(limits: &str) -> (Target, Node) {
+    let target = Target::new();
+    let node = Node::new("a", Some(target.address));
+    node.configure(1, &preset(limits, &[("a", node.gate)]));
+    (target, node)
+}
+
+/// An answer as the caller sees it.
+#[derive(Debug, Default)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<String>,
+    pub body: Vec<u8>,
+    /// The body came to its stated end.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let prefix = format!("{name}: ");
+        self.headers.iter().find_map(|line| line.strip_prefix(&prefix))
+    }
+
+    pub fn code(&self) -> Option<u16> {
+        self.header("x-sycamore-code")?.parse().ok()
+    }
+
+    pub fn outcome(&self) -> &str {
+        self.header("x-sycamore-outcome").unwrap_or("none")
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Connects and sends raw bytes.
+pub fn open(address: SocketAddr, raw: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(raw.as_bytes()).unwrap();
+    stream
+}
+
+/// Reads one answer.
+pub fn read(stream: &TcpStream) -> Answer {
+    let mut reader = BufReader::new(stream);
+    let Some((line, headers)) = read_head(&mut reader) else {
+        return Answer::default();
+    };
+    let status = line.split(' ').nth(1).unwrap().parse().unwrap();
+    let mut answer = Answer { status, headers, body: Vec::new(), whole: true };
+    if let Some(size) = answer.header("content-length").map(|size| size.parse::<u64>().unwrap()) {
+        let read = reader.take(size).read_to_end(&mut answer.body);
+        answer.whole = read.is_ok_and(|count| count as u64 == size);
+    }
+    answer
+}
+
+/// Sends one request and reads its answer.
+pub fn call(address: SocketAddr, raw: &str) -> Answer {
+    read(&open(address, raw))
+}
+
+/// `GET` of a path.
+pub fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: test\r\n\r\n")
+}
+
+/// `POST` with a key and a body.
+pub fn sign(path: &str, key: &str, body: &str) -> String {
+    let size = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: test\r\nidempotency-key: {key}\r\n\
+         content-length: {size}\r\n\r\n{body}"
+    )
+}
+
+/// A key minted now.
+pub fn key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+/// Waits until `holds` or fails the test.
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = std::time::Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "never: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Carries notes between nodes until the test ends, as the spread does.
+pub fn carry_notes(nodes: &[&Node]) {
+    let by_vm: Vec<(Name, Calls)> =
+        nodes.iter().map(|node| (node.shared.settings.vm.clone(), node.calls.clone())).collect();
+    for node in nodes {
+        let (shared, by_vm) = (node.shared.clone(), by_vm.clone());
+        std::thread::spawn(move || {
+            futures_lite::future::block_on(async {
+                while let Some(sent) = shared.notes.next().await {
+                    let to = by_vm.iter().find(|(vm, _)| *vm == sent.to);
+                    if let Some((_, calls)) = to {
+                        calls.take_note(&shared.settings.vm, sent.note);
+                    }
+                }
+            });
+        });
+    }
+}
