--- a/node/src/calls/entry.rs
+++ b/node/src/calls/entry.rs
@@ -63,6 +63,15 @@
     Stream(Option<Body>),
 }
 
+/// A call whose body has not been read yet.
+#[derive(Debug)]
+struct NewCall {
+    open: OpenEntry,
+    watch: Arc<Watch>,
+    id: HeaderValue,
+    depth: u8,
+}
+
 /// What one attempt came to.
 #[derive(Debug)]
 enum Attempt {
@@ -171,22 +180,16 @@
             Some(Output::Forward(forward)) => {
                 watch.set_deadline(forward.deadline);
                 let open = OpenEntry { side: self.clone(), shard, call };
-                self.take(open, watch, id, head.depth, req, forward).await
+                let new = NewCall { open, watch, id, depth: head.depth };
+                self.take(new, req, forward).await
             }
             Some(Output::Finish { outcome, .. }) => self.refuse(&watch, &id, outcome),
             None => self.refuse(&watch, &id, refusal(Code::NoTarget)),
         }
     }
 
-    async fn take(
-        &self,
-        open: OpenEntry,
-        watch: Arc<Watch>,
-        id: HeaderValue,
-        depth: u8,
-        req: Request<Incoming>,
-        forward: Forward,
-    ) -> Response<Body> {
+    async fn take(&self, new: NewCall, req: Request<Incoming>, forward: Forward) -> Response<Body> {
+        let NewCall { open, watch, id, depth } = new;
         let (head, incoming) = req.into_parts();
         let body = match self.hold(incoming, &forward).await {
             Ok(body) => body,
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -43,27 +43,40 @@
     pub req: Request<Body>,
 }
 
-/// What became of a request that was sent to the target.
+/// An answer of the target, its body still to come.
 #[derive(Debug)]
-enum Sent {
-    Answer(Response<Incoming>, Connection, Running),
-    Ended(Outcome, u32),
+struct Answering {
+    response: Response<Incoming>,
+    connection: Connection,
+    running: Running,
+}
+
+/// A request that got no answer.
+#[derive(Debug)]
+struct Ended {
+    outcome: Outcome,
+    crashes: u32,
+}
+
+impl Ended {
+    fn unknown(code: Code) -> Ended {
+        Ended { outcome: Outcome::Unknown { code }, crashes: 0 }
+    }
 }
 
 impl GateSide {
     /// Runs a request whose answer is passed on as it comes.
     pub async fn run(self: &Arc<GateSide>, watch: &Arc<Watch>, call: Call) -> Response<Body> {
         let id = call.id.clone();
-        let (response, connection, running) = match self.send(call).await {
-            Sent::Answer(response, connection, running) => (response, connection, running),
-            Sent::Ended(outcome, crashes) => {
-                return self.refuse(watch, &id, outcome, crashes);
-            }
+        let answering = match self.send(call).await {
+            Ok(answering) => answering,
+            Err(ended) => return self.refuse(watch, &id, ended.outcome, ended.crashes),
         };
-        let (mut head, incoming) = response.into_parts();
+        let (mut head, incoming) = answering.response.into_parts();
         self.finish_head(&mut head.headers, &id, self.load());
         watch.set_phase(Phase::Answer);
-        let answer = Answer::new(running, Lease::new(connection), watch.clone());
+        let lease = Lease::new(answering.connection);
+        let answer = Answer::new(answering.running, lease, watch.clone());
         let body = Body::relay(incoming, u64::MAX, self.idle()).with_guard(Guard::Gate(answer));
         Response::from_parts(head, body)
     }
@@ -81,22 +94,15 @@
             drop(open);
         };
         self.executor.spawn(task).detach();
-        let lost = (Outcome::Unknown { code: Code::AnswerLost }, 0);
-        match rx.recv().await.unwrap_or(Err(lost)) {
+        match rx.recv().await.unwrap_or(Err(Ended::unknown(Code::AnswerLost))) {
             Ok(answer) => self.replay(watch, &id, &answer, &self.load()),
-            Err((outcome, crashes)) => self.refuse(watch, &id, outcome, crashes),
+            Err(ended) => self.refuse(watch, &id, ended.outcome, ended.crashes),
         }
     }
 
-    async fn answer_once(
-        self: &Arc<GateSide>,
-        call: Call,
-    ) -> Result<Arc<KeptAnswer>, (Outcome, u32)> {
+    async fn answer_once(self: &Arc<GateSide>, call: Call) -> Result<Arc<KeptAnswer>, Ended> {
         let deadline = call.deadline;
-        let (response, connection, mut running) = match self.send(call).await {
-            Sent::Answer(response, connection, running) => (response, connection, running),
-            Sent::Ended(outcome, crashes) => return Err((outcome, crashes)),
-        };
+        let Answering { response, connection, mut running } = self.send(call).await?;
         let (mut head, incoming) = response.into_parts();
         let collect = body::collect(incoming, MAX_KEPT_BODY_BYTES, self.idle());
         match self.before(deadline, collect).await {
@@ -110,27 +116,28 @@
                 Ok(kept)
             }
             Some(Err(Code::CallerGone)) => Err(self.broken(running).await),
-            Some(Err(_)) => Err((Outcome::Unknown { code: Code::AnswerLost }, 0)),
-            None => Err((Outcome::Unknown { code: Code::DeadlinePassed }, 0)),
+            Some(Err(_)) => Err(Ended::unknown(Code::AnswerLost)),
+            None => Err(Ended::unknown(Code::DeadlinePassed)),
         }
     }
 
     /// Sends a request to the target and waits for the head of its answer.
-    async fn send(self: &Arc<GateSide>, call: Call) -> Sent {
+    async fn send(self: &Arc<GateSide>, call: Call) -> Result<Answering, Ended> {
         let mut slot = Slot::new(self, call.key);
         let Some(address) = self.shared.settings.target_address else {
-            return not_sent(slot);
+            return Err(not_sent(slot));
         };
-        let (id, deadline) = (call.id, call.deadline);
         let mut req = call.req;
-        self.finish_request(req.headers_mut(), deadline);
+        self.finish_request(req.headers_mut(), call.deadline);
         loop {
-            let connection = match self.pool.take(address).await {
-                Some(connection) => Some((connection, true)),
-                None => self.connect(address, deadline).await.map(|connection| (connection, false)),
+            let taken = self.pool.take(address).await;
+            let used = taken.is_some();
+            let connection = match taken {
+                Some(connection) => Some(connection),
+                None => self.connect(address, call.deadline).await,
             };
-            let Some((connection, used)) = connection else {
-                return not_sent(slot);
+            let Some(connection) = connection else {
+                return Err(not_sent(slot));
             };
             let linger = connection.linger();
             let sent = AtomicBool::new(false);
@@ -138,24 +145,22 @@
             // given up already holds the slot.
             let mut send = pin!(connection.send(req, &sent));
             let mut running = Running::new(slot, linger);
-            match self.before(deadline, send.as_mut()).await {
+            match self.before(call.deadline, send.as_mut()).await {
                 None => {
                     drop(running);
-                    return Sent::Ended(Outcome::Unknown { code: Code::DeadlinePassed }, 0);
-                }
-                Some(Ok((response, connection))) if is_own(&response, &id) => {
-                    return Sent::Answer(response, connection, running);
+                    return Err(Ended::unknown(Code::DeadlinePassed));
                 }
-                Some(Ok(_) | Err(SendError::Broken)) => {
-                    let (outcome, crashes) = self.broken(running).await;
-                    return Sent::Ended(outcome, crashes);
+                Some(Ok((response, connection))) if is_own(&response, &call.id) => {
+                    return Ok(Answering { response, connection, running });
                 }
+                Some(Ok(_) | Err(SendError::Broken)) => return Err(self.broken(running).await),
                 Some(Err(SendError::NotSent(unsent))) => {
                     let Some(kept) = running.take() else {
-                        return Sent::Ended(refusal(Code::TargetUnreachable), 0);
+                        return Err(Ended::unknown(Code::TargetFailed));
                     };
+                    // A new connection that can't take a request is as good as none.
                     if !used {
-                        return not_sent(kept);
+                        return Err(not_sent(kept));
                     }
                     slot = kept;
                     req = *unsent;
@@ -182,12 +187,12 @@
     }
 
     /// Reports a connection that broke after a byte of the request may have left.
-    async fn broken(&self, mut running: Running) -> (Outcome, u32) {
+    async fn broken(&self, mut running: Running) -> Ended {
         let target_gone = !self.target_connects().await;
         let decision = running.take().and_then(|slot| slot.end(End::Broken { target_gone }));
         match decision {
-            Some(Decision::Refuse(outcome, crashes)) => (outcome, crashes),
-            _ => (Outcome::Unknown { code: Code::TargetFailed }, 0),
+            Some(Decision::Refuse(outcome, crashes)) => Ended { outcome, crashes },
+            _ => Ended::unknown(Code::TargetFailed),
         }
     }
 
@@ -221,10 +226,10 @@
 }
 
 /// A refusal that is true: the slot's request has not left this node.
-fn not_sent(slot: Slot) -> Sent {
+fn not_sent(slot: Slot) -> Ended {
     match slot.end(End::NotSent) {
-        Some(Decision::Refuse(outcome, crashes)) => Sent::Ended(outcome, crashes),
-        _ => Sent::Ended(refusal(Code::TargetUnreachable), 0),
+        Some(Decision::Refuse(outcome, crashes)) => Ended { outcome, crashes },
+        _ => Ended { outcome: refusal(Code::TargetUnreachable), crashes: 0 },
     }
 }
 
