scripts/demo.sh: a deployment in separate processes, with faults, and its check

Change: a driver that starts platform, targets, 18 nodes, load and the time line, publishes, kills, drains and cuts while load runs, and ends what it started by id, also on Ctrl-C; rules that count broken promises from callers' history, targets' run logs and versions seen from outside; table and JSON line. Each rule has a planted fault in bench/tests/demo.rs.

--- /dev/null
+++ b/bench/src/demo/observer.rs
@@ -0,0 +1,140 @@
+//! Looks at every node from outside while a run goes on.
+
+use super::rules::Sample;
+use crate::http;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::future;
+use indexmap::IndexMap;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use sycamore_core::Time;
+use sycamore_core::status::Status;
+use sycamore_tools::load::client::Pool;
+use sycamore_tools::load::history::now_us;
+
+/// Pause between two looks at the version on a node; convergence is measured no finer.
+const STATUS_PAUSE: Duration = Duration::from_millis(25);
+
+/// Looks at the version between two looks at the metrics.
+const STATUS_PER_METRICS: usize = 20;
+
+/// Start of the lines that count control bytes.
+const CONTROL_BYTES: &str = "sycamore_control_bytes_total{link=\"";
+
+/// A node to look at.
+#[derive(Clone, Debug)]
+pub struct Watched {
+    /// Its VM.
+    pub vm: String,
+    /// Its admin port.
+    pub admin: SocketAddr,
+}
+
+/// What was seen.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Versions in force, in the order of time.
+    pub samples: Vec<Sample>,
+    /// Control bytes by process and class of the link, as last seen.
+    control_bytes: IndexMap<(String, Time), IndexMap<String, u64>>,
+}
+
+/// A thread that looks at nodes until it is stopped.
+#[derive(Debug)]
+pub struct Observer {
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<Seen>,
+}
+
+impl Observer {
+    /// Starts looking.
+    pub fn start(nodes: Vec<Watched>) -> Observer {
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = stop.clone();
+        let thread = std::thread::spawn(move || watch_all(nodes, &stopped));
+        Observer { stop, thread }
+    }
+
+    /// Stops and returns what was seen.
+    pub fn stop(self) -> Seen {
+        self.stop.store(true, Ordering::Release);
+        self.thread.join().unwrap_or_default()
+    }
+}
+
+impl Seen {
+    /// Control bytes sent by all processes, by class of the link.
+    pub fn control_bytes(&self) -> IndexMap<String, u64> {
+        let mut total = IndexMap::new();
+        for (link, bytes) in self.control_bytes.values().flatten() {
+            *total.entry(link.clone()).or_default() += bytes;
+        }
+        total.sort_unstable_keys();
+        total
+    }
+}
+
+fn watch_all(nodes: Vec<Watched>, stop: &Arc<AtomicBool>) -> Seen {
+    let executor = Rc::new(LocalExecutor::new());
+    let seen = Rc::new(RefCell::new(Seen::default()));
+    let watches: Vec<_> = nodes
+        .into_iter()
+        .map(|node| {
+            let pool = Pool::new(node.admin, executor.clone());
+            executor.spawn(watch(node.vm, pool, seen.clone(), stop.clone()))
+        })
+        .collect();
+    future::block_on(executor.run(async {
+        for watch in watches {
+            watch.await;
+        }
+    }));
+    seen.take()
+}
+
+async fn watch(vm: String, pool: Pool, seen: Rc<RefCell<Seen>>, stop: Arc<AtomicBool>) {
+    let mut started = None;
+    let mut looks = 0;
+    loop {
+        let stopping = stop.load(Ordering::Acquire);
+        if let Some(status) = status(&pool).await {
+            started = Some(status.started);
+            let version = status.in_force.map(|in_force| in_force.version);
+            let sample = Sample { vm: vm.clone(), at_us: now_us(), version };
+            seen.borrow_mut().samples.push(sample);
+        }
+        if let Some(started) = started.filter(|_| looks % STATUS_PER_METRICS == 0 || stopping) {
+            if let Some(bytes) = control_bytes(&pool).await {
+                seen.borrow_mut().control_bytes.insert((vm.clone(), started), bytes);
+            }
+        }
+        if stopping {
+            return;
+        }
+        looks += 1;
+        Timer::after(STATUS_PAUSE).await;
+    }
+}
+
+async fn status(pool: &Pool) -> Option<Status> {
+    let body = http::send(pool, "GET", "/status", Bytes::new()).await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
+async fn control_bytes(pool: &Pool) -> Option<IndexMap<String, u64>> {
+    let body = http::send(pool, "GET", "/metrics", Bytes::new()).await.ok()?;
+    let text = std::str::from_utf8(&body).ok()?;
+    let lines = text.lines().filter_map(|line| line.strip_prefix(CONTROL_BYTES));
+    let counts = lines.filter_map(|line| {
+        let (link, count) = line.split_once("\"} ")?;
+        Some((link.to_string(), count.parse::<f64>().ok()? as u64))
+    });
+    Some(counts.collect())
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,1 +1,5 @@
-//! placeholder
+//! Benches and history checks of sycamorescale.
+
+pub mod demo;
+pub mod http;
+pub mod process;
--- /dev/null
+++ b/bench/src/process.rs
@@ -0,0 +1,136 @@
+//! Processes that a bench starts, and ends by their ids.
+
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// How often the end of a process is looked for.
+const POLL: Duration = Duration::from_millis(20);
+
+/// A process that is killed if it still runs when this is dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+/// Starts the programs that were built together with this one.
+#[derive(Clone, Debug)]
+pub struct Launcher {
+    programs: PathBuf,
+    logs: PathBuf,
+}
+
+impl Launcher {
+    /// A launcher that writes what the programs say to files in `logs`.
+    pub fn new(logs: &Path) -> io::Result<Launcher> {
+        std::fs::create_dir_all(logs)?;
+        let own = std::env::current_exe()?;
+        let programs = own.parent().unwrap_or(Path::new(".")).to_path_buf();
+        Ok(Launcher { programs, logs: logs.to_path_buf() })
+    }
+
+    /// Starts a program; its output goes to the file `log`, after what is there.
+    pub fn start(&self, program: &str, args: &[&str], log: &str) -> io::Result<Process> {
+        let log = File::options().create(true).append(true).open(self.logs.join(log))?;
+        let child = Command::new(self.programs.join(program))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .map_err(|e| io::Error::new(e.kind(), format!("{program}: {e}")))?;
+        Ok(Process { child })
+    }
+}
+
+impl Process {
+    /// Asks it to stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Stops it from running, until [`Process::resume`].
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it run again.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Ends it at once.
+    pub fn kill(&mut self) {
+        // One that has ended already needs no more.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Whether it has ended.
+    pub fn ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Waits for its end; returns false if it still runs after `timeout`.
+    pub fn wait(&mut self, timeout: Duration) -> bool {
+        let end = Instant::now() + timeout;
+        while !self.ended() {
+            if Instant::now() >= end {
+                return false;
+            }
+            std::thread::sleep(POLL);
+        }
+        true
+    }
+
+    /// Exit code, if it has ended by itself.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().ok()??.code()
+    }
+
+    /// Its resident memory in KiB, and the processor time that it has used.
+    pub fn usage(&self) -> Usage {
+        Usage::read(self.child.id()).unwrap_or_default()
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+            // One that has ended already needs no more.
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// What a process uses.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Resident memory.
+    pub memory_kib: u64,
+    /// Processor time since its start.
+    pub processor: Duration,
+}
+
+/// Length of a tick of processor time in `/proc`, the same on every Linux architecture.
+const TICK: Duration = Duration::from_millis(10);
+
+impl Usage {
+    fn read(pid: u32) -> Option<Usage> {
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let memory = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let memory_kib = memory.split_whitespace().next()?.parse().ok()?;
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        // The name, in brackets, may hold spaces; user and system time are fields 14 and 15.
+        let fields: Vec<&str> = stat.rsplit(") ").next()?.split(' ').collect();
+        let ticks = |field: usize| fields.get(field - 3)?.parse::<u32>().ok();
+        Some(Usage { memory_kib, processor: TICK * (ticks(14)? + ticks(15)?) })
+    }
+}
--- /dev/null
+++ b/bench/tests/demo.rs
@@ -0,0 +1,205 @@
+//! The check of a demonstration finds planted faults.
+
+use std::net::SocketAddr;
+use sycamore_bench::demo::rules::{
+    Evidence, Publication, Sample, Stop, Violations, convergence, unknown,
+};
+use sycamore_core::Code;
+use sycamore_standins::target::run_log::{Line, Mark};
+use sycamore_tools::load::history::{Outcome, Record, Send, SendResult};
+
+const ENTRY: &str = "127.0.0.1:7000";
+
+fn entry() -> SocketAddr {
+    ENTRY.parse().unwrap()
+}
+
+fn record(id: &str) -> Record {
+    let send = Send {
+        entry: entry(),
+        at_us: 1_000_000,
+        end_us: 1_100_000,
+        result: SendResult::Answered,
+        code: None,
+    };
+    Record {
+        id: id.into(),
+        key: Some(format!("key-{id}")),
+        class: "signing".into(),
+        invoked_us: 1_000_000,
+        deadline_us: 3_000_000,
+        sends: vec![send],
+        outcome: Outcome::Answered,
+        code: None,
+        status: Some(200),
+        bytes: 10,
+        body_correct: true,
+        final_us: 1_100_000,
+    }
+}
+
+fn run(number: u64, id: &str, at_us: u64, mark: Mark) -> Line {
+    let (vm, key) = ("vm-1".to_string(), Some(format!("key-{id}")));
+    Line { run: number, at_us, vm, id: id.into(), key, mark }
+}
+
+fn sample(vm: &str, at_us: u64, version: u64) -> Sample {
+    Sample { vm: vm.into(), at_us, version: Some(version) }
+}
+
+/// Two requests, two versions, one planned stop, and nothing wrong.
+fn clean() -> Evidence {
+    Evidence {
+        records: vec![record("a"), record("b")],
+        runs: vec![
+            run(1, "a", 1_010_000, Mark::Start),
+            run(1, "a", 1_090_000, Mark::Completed),
+            run(2, "b", 1_010_000, Mark::Start),
+            run(2, "b", 1_090_000, Mark::Completed),
+        ],
+        samples: vec![
+            sample("vm-1", 500_000, 1),
+            sample("vm-2", 500_000, 1),
+            sample("vm-2", 2_100_000, 2),
+            sample("vm-1", 2_300_000, 2),
+        ],
+        publications: vec![
+            Publication { version: 1, at_us: 400_000, valid: true },
+            Publication { version: 2, at_us: 2_000_000, valid: true },
+            Publication { version: 3, at_us: 2_500_000, valid: false },
+        ],
+        kills: Vec::new(),
+        drains: vec![Stop {
+            vm: "vm-1".into(),
+            entry: entry(),
+            at_us: 1_050_000,
+            until_us: 1_500_000,
+        }],
+        lasting: vec!["vm-1".into(), "vm-2".into()],
+    }
+}
+
+/// The clean evidence with one change must break exactly the rules of `expected`.
+fn check(change: impl FnOnce(&mut Evidence), expected: Violations) {
+    let mut evidence = clean();
+    change(&mut evidence);
+    assert_eq!(Violations::find(&evidence), expected);
+}
+
+#[test]
+fn find_nothing() {
+    check(|_| {}, Violations::default());
+    let converged: Vec<_> = convergence(&clean()).into_iter().collect();
+    assert_eq!(converged, [(1, Some(100)), (2, Some(300))]);
+}
+
+#[test]
+fn find_lost() {
+    let expected = Violations { lost: 1, ..Violations::default() };
+    check(|evidence| evidence.records[0].outcome = Outcome::None, expected);
+}
+
+#[test]
+fn find_run_twice() {
+    let again = run(3, "a", 1_060_000, Mark::Start);
+    let expected = Violations { run_twice: 1, ..Violations::default() };
+    check(|evidence| evidence.runs.push(again), expected);
+}
+
+#[test]
+fn find_repeat_of_idempotent() {
+    let again = Line { key: None, ..run(3, "a", 1_060_000, Mark::Start) };
+    let change = |evidence: &mut Evidence| {
+        evidence.runs[0].key = None;
+        evidence.runs.push(again);
+    };
+    check(change, Violations::default());
+}
+
+#[test]
+fn find_false_not_run() {
+    let expected = Violations { false_not_run: 1, ..Violations::default() };
+    check(|evidence| evidence.records[1].outcome = Outcome::NotRun, expected);
+}
+
+#[test]
+fn find_true_not_run() {
+    let change = |evidence: &mut Evidence| {
+        evidence.records[1].outcome = Outcome::NotRun;
+        evidence.runs.retain(|run| run.id != "b");
+    };
+    check(change, Violations::default());
+}
+
+#[test]
+fn find_truncated() {
+    let expected = Violations { truncated: 1, ..Violations::default() };
+    check(|evidence| evidence.records[0].body_correct = false, expected);
+}
+
+#[test]
+fn find_older_version_after_restart() {
+    // Story: a node with version 2 is killed, comes back in a zone that is cut off, and serves
+    // version 1 from a stale source. Callers are sent where version 2 no longer sends them.
+    let change = |evidence: &mut Evidence| evidence.samples.push(sample("vm-1", 2_900_000, 1));
+    check(change, Violations { older_version_seen: 1, ..Violations::default() });
+}
+
+#[test]
+fn find_bad_version_in_force() {
+    let change = |evidence: &mut Evidence| evidence.samples.push(sample("vm-1", 2_900_000, 3));
+    check(change, Violations { bad_version_in_force: 1, ..Violations::default() });
+}
+
+#[test]
+fn find_version_never_published() {
+    let change = |evidence: &mut Evidence| evidence.samples.push(sample("vm-1", 2_900_000, 9));
+    check(change, Violations { bad_version_in_force: 1, ..Violations::default() });
+}
+
+#[test]
+fn find_dangling_route() {
+    let change = |evidence: &mut Evidence| {
+        evidence.records[0].sends[0].code = Some(Code::NoRoute.number());
+    };
+    check(change, Violations { dangling_route_seen: 1, ..Violations::default() });
+}
+
+#[test]
+fn find_cut_by_drain_on_way_and_at_target() {
+    let expected = Violations { cut_by_drain: 1, ..Violations::default() };
+    check(|evidence| evidence.records[0].sends[0].result = SendResult::BodyCut, expected);
+    check(|evidence| evidence.runs[1].mark = Mark::Cut, expected);
+}
+
+#[test]
+fn find_cut_elsewhere() {
+    let change = |evidence: &mut Evidence| {
+        evidence.records[0].sends[0].result = SendResult::Broken;
+        evidence.records[0].sends[0].entry = "127.0.0.2:7000".parse().unwrap();
+        evidence.runs[1].mark = Mark::Cut;
+        evidence.runs[1].vm = "vm-2".into();
+    };
+    check(change, Violations::default());
+}
+
+#[test]
+fn find_unknown_with_and_without_kill() {
+    let expected = Violations { unknown_unexplained: 1, ..Violations::default() };
+    check(|evidence| evidence.records[0].outcome = Outcome::Unknown, expected);
+    let mut evidence = clean();
+    evidence.records[0].outcome = Outcome::Unknown;
+    evidence.kills.push(Stop {
+        at_us: 1_050_000,
+        until_us: 1_060_000,
+        ..evidence.drains[0].clone()
+    });
+    assert_eq!(Violations::find(&evidence), Violations::default());
+    assert_eq!(unknown(&evidence).count(), 1);
+}
+
+#[test]
+fn find_not_converged() {
+    let change = |evidence: &mut Evidence| evidence.lasting.push("vm-3".into());
+    check(change, Violations { not_converged: 2, ..Violations::default() });
+}
--- a/standins/src/target/nested.rs
+++ b/standins/src/target/nested.rs
@@ -60,7 +60,10 @@
 
 fn request(call: &Call, deadline: Instant) -> Option<Outgoing> {
     let left = deadline.saturating_duration_since(Instant::now()).as_millis();
-    let mut req = Request::get(call.path())
+    let method = if call.at_most_once() { "POST" } else { "GET" };
+    let mut req = Request::builder()
+        .method(method)
+        .uri(call.path())
         .header("host", "node")
         .header("x-sycamore-request-id", &call.id[..])
         .header("x-sycamore-deadline-ms", left.to_string());
--- a/standins/src/target/request.rs
+++ b/standins/src/target/request.rs
@@ -9,6 +9,9 @@
 /// Time that a request gets that states no deadline.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
 
+/// Marks calls of a chain that may run only once.
+const AT_MOST_ONCE: char = '!';
+
 /// A request as the stand-in understands it.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -24,7 +27,8 @@
     pub work: Duration,
     /// `bytes`: size of the answer.
     pub answer_bytes: usize,
-    /// `chain`: paths of the calls that it makes, each one deeper than the one before.
+    /// `chain`: paths of the calls that it makes, each one deeper than the one before. One that
+    /// starts with `!` may run only once: it is a POST with a key.
     pub chain: Vec<String>,
     /// `crash`: the target dies of it.
     pub crash: bool,
@@ -70,17 +74,23 @@
             return None;
         }
         next.id = Bytes::from([&self.id[..], b".1"].concat());
-        next.key = self.key.as_ref().map(derive_key);
+        next.key = self.key.as_ref().map(derive_key).filter(|_| next.at_most_once());
         next.crash = false;
         Some(next)
     }
 
+    /// Whether the call at the front of the chain may run only once.
+    pub fn at_most_once(&self) -> bool {
+        self.chain[0].starts_with(AT_MOST_ONCE)
+    }
+
     /// Path and query of a call taken from the front of the chain.
     pub fn path(&self) -> String {
         let rest = self.chain[1..].join(",");
         let chain = if rest.is_empty() { String::new() } else { format!("&chain={rest}") };
         let work = self.work.as_micros();
-        format!("{}?work_us={work}&bytes={}{chain}", self.chain[0], self.answer_bytes)
+        let path = self.chain[0].trim_start_matches(AT_MOST_ONCE);
+        format!("{path}?work_us={work}&bytes={}{chain}", self.answer_bytes)
     }
 }
 
