--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -129,6 +129,12 @@
     FleetBehind = 502,
     /// an output file can't be written
     OutputFailed = 503,
+    /// a node's answer is not understood
+    NodeInvalid = 504,
+    /// an input file can't be read
+    InputUnreadable = 505,
+    /// an input file is not valid
+    InputInvalid = 506,
 }
 
 impl Code {
--- a/core/src/config/validate.rs
+++ b/core/src/config/validate.rs
@@ -9,7 +9,13 @@
 
 /// Reads the value of the key `in-force`.
 pub fn parse_in_force(buf: &[u8]) -> Result<InForce> {
-    parse(buf)
+    let in_force: InForce = parse(buf)?;
+    // Version 0 stands for none: a floor can't hold it.
+    if in_force.version == 0 {
+        let fault = Fault::new(Code::LimitOutOfRange).with_place("version");
+        return Err(fault.with_detail("found 0, allowed from 1"));
+    }
+    Ok(in_force)
 }
 
 /// Reads the body of a preset and checks its digest and name against the publication, but not yet
--- /dev/null
+++ b/tools/src/check/difference.rs
@@ -0,0 +1,225 @@
+//! What one preset changes of another, for each service and route.
+
+use indexmap::{IndexMap, IndexSet};
+use serde::Serialize;
+use serde_json::Value;
+use sycamore_core::Name;
+use sycamore_core::config::document::{Preset, Route, Service, Target};
+use sycamore_core::config::resource;
+use sycamore_core::hash;
+
+/// Keys whose home is compared to estimate how many move.
+const SAMPLE_KEYS: u32 = 4_096;
+
+/// What kind of change it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Change {
+    /// Only the new preset has it.
+    Added,
+    /// Only the old preset has it.
+    Removed,
+    /// Both have it, with different content.
+    Changed,
+}
+
+/// What the new preset changes. What stays the same is left out.
+#[derive(Debug, Serialize)]
+pub struct Difference {
+    /// Changes of services.
+    pub services: Vec<ServiceChange>,
+    /// Changes of routes.
+    pub routes: Vec<RouteChange>,
+    /// What nodes fetch.
+    pub resources: ResourceChange,
+}
+
+/// A change of one service.
+#[derive(Debug, Serialize)]
+pub struct ServiceChange {
+    /// Name of the service.
+    pub name: Name,
+    /// What kind of change it is.
+    pub change: Change,
+    /// Limits with other values.
+    pub limits: Vec<FieldChange>,
+    /// Targets that only the new preset has.
+    pub targets_added: Vec<Target>,
+    /// Targets that only the old preset has.
+    pub targets_removed: Vec<Target>,
+    /// Targets on the same VM with another place or address.
+    pub targets_moved: Vec<TargetMove>,
+    /// Share of idempotency keys whose home target is another one, in %, estimated from a sample.
+    pub moved_keys_percent: f64,
+}
+
+/// A target that stays on its VM but has another place or address.
+#[derive(Debug, Serialize)]
+pub struct TargetMove {
+    /// The VM.
+    pub vm: Name,
+    /// What changed.
+    pub fields: Vec<FieldChange>,
+}
+
+/// A change of one route.
+#[derive(Debug, Serialize)]
+pub struct RouteChange {
+    /// Name of the route.
+    pub name: Name,
+    /// What kind of change it is.
+    pub change: Change,
+    /// Fields with other values.
+    pub fields: Vec<FieldChange>,
+}
+
+/// A field with another value.
+#[derive(Debug, Serialize)]
+pub struct FieldChange {
+    /// Name of the field.
+    pub field: String,
+    /// Value in the old preset; null if it has none.
+    pub before: Value,
+    /// Value in the new preset; null if it has none.
+    pub after: Value,
+}
+
+/// What a node with the whole configuration in its scope fetches and drops.
+#[derive(Debug, Serialize)]
+pub struct ResourceChange {
+    /// Resources to fetch.
+    pub fetched: usize,
+    /// Size of these before compression.
+    pub fetched_bytes: usize,
+    /// Resources to drop.
+    pub dropped: usize,
+    /// Resources of the new preset.
+    pub total: usize,
+}
+
+impl Difference {
+    /// Compares two presets.
+    pub fn new(before: &Preset, after: &Preset) -> Difference {
+        Difference {
+            services: names(&before.services, &after.services)
+                .filter_map(|name| {
+                    service(name, before.services.get(name), after.services.get(name))
+                })
+                .collect(),
+            routes: names(&before.routes, &after.routes)
+                .filter_map(|name| route(name, before.routes.get(name), after.routes.get(name)))
+                .collect(),
+            resources: resources(before, after),
+        }
+    }
+
+    /// Whether nothing changes.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty() && self.routes.is_empty()
+    }
+}
+
+/// The names in either map, the old ones first.
+fn names<'a, T>(
+    before: &'a IndexMap<Name, T>,
+    after: &'a IndexMap<Name, T>,
+) -> impl Iterator<Item = &'a Name> {
+    before.keys().chain(after.keys()).collect::<IndexSet<_>>().into_iter()
+}
+
+fn change<T: PartialEq>(before: Option<&T>, after: Option<&T>) -> Option<Change> {
+    match (before, after) {
+        (None, Some(_)) => Some(Change::Added),
+        (Some(_), None) => Some(Change::Removed),
+        (before, after) if before != after => Some(Change::Changed),
+        _ => None,
+    }
+}
+
+fn service(
+    name: &Name,
+    before: Option<&Service>,
+    after: Option<&Service>,
+) -> Option<ServiceChange> {
+    let change = change(before, after)?;
+    let old = before.map_or(&[][..], |service| &service.targets);
+    let new = after.map_or(&[][..], |service| &service.targets);
+    Some(ServiceChange {
+        name: name.clone(),
+        change,
+        limits: fields(before.map(|s| &s.limits), after.map(|s| &s.limits)),
+        targets_added: missing(new, old),
+        targets_removed: missing(old, new),
+        targets_moved: moved(old, new),
+        moved_keys_percent: moved_keys_percent(old, new),
+    })
+}
+
+fn route(name: &Name, before: Option<&Route>, after: Option<&Route>) -> Option<RouteChange> {
+    let change = change(before, after)?;
+    Some(RouteChange { name: name.clone(), change, fields: fields(before, after) })
+}
+
+/// Targets of `of` on VMs that no target of `from` is on.
+fn missing(of: &[Target], from: &[Target]) -> Vec<Target> {
+    let known: IndexSet<_> = from.iter().map(|target| &target.vm).collect();
+    of.iter().filter(|target| !known.contains(&target.vm)).cloned().collect()
+}
+
+fn moved(before: &[Target], after: &[Target]) -> Vec<TargetMove> {
+    let old: IndexMap<_, _> = before.iter().map(|target| (&target.vm, target)).collect();
+    let pairs = after.iter().filter_map(|new| Some((*old.get(&new.vm)?, new)));
+    pairs
+        .filter(|(old, new)| old != new)
+        .map(|(old, new)| TargetMove { vm: new.vm.clone(), fields: fields(Some(old), Some(new)) })
+        .collect()
+}
+
+/// Fields with different values, by their JSON form.
+fn fields<T: Serialize>(before: Option<&T>, after: Option<&T>) -> Vec<FieldChange> {
+    let before = object(before);
+    let after = object(after);
+    let names: IndexSet<_> = before.keys().chain(after.keys()).cloned().collect();
+    names
+        .into_iter()
+        .map(|field| FieldChange {
+            before: before.get(&field).cloned().unwrap_or_default(),
+            after: after.get(&field).cloned().unwrap_or_default(),
+            field,
+        })
+        .filter(|change| change.before != change.after)
+        .collect()
+}
+
+fn object<T: Serialize>(content: Option<&T>) -> serde_json::Map<String, Value> {
+    match serde_json::to_value(content) {
+        Ok(Value::Object(fields)) => fields,
+        _ => serde_json::Map::new(),
+    }
+}
+
+/// Share of sampled keys whose home differs, in %; zero if either side has no target.
+fn moved_keys_percent(before: &[Target], after: &[Target]) -> f64 {
+    let homes = |targets: &[Target], key: u32| {
+        let score = |target: &Target| hash::score(&key.to_le_bytes(), target.vm.as_bytes());
+        targets.iter().max_by_key(|target| score(target)).map(|target| target.vm.clone())
+    };
+    if before.is_empty() || after.is_empty() {
+        return 0.0;
+    }
+    let moved = (0..SAMPLE_KEYS).filter(|key| homes(before, *key) != homes(after, *key)).count();
+    100.0 * moved as f64 / f64::from(SAMPLE_KEYS)
+}
+
+fn resources(before: &Preset, after: &Preset) -> ResourceChange {
+    let old = resource::split(before);
+    let new = resource::split(after);
+    let fetched: Vec<_> =
+        new.iter().filter(|(id, resource)| old.get(*id) != Some(resource)).collect();
+    ResourceChange {
+        fetched: fetched.len(),
+        fetched_bytes: fetched.iter().map(|(_, resource)| resource.body.len()).sum(),
+        dropped: old.keys().filter(|id| !new.contains_key(*id)).count(),
+        total: new.len(),
+    }
+}
--- /dev/null
+++ b/tools/src/check/publication.rs
@@ -0,0 +1,125 @@
+//! A publication read from files: the preset with its parts, and every failure in them.
+
+use super::config::{Files, PartFile};
+use super::report::Finding;
+use crate::command_line::usage;
+use crate::input;
+use bytes::Bytes;
+use std::path::Path;
+use sycamore_core::config::document::{PartRef, Preset};
+use sycamore_core::config::{InForce, Snapshot, validate};
+use sycamore_core::hash::Hash;
+use sycamore_core::{Code, Fault, Result};
+
+/// A publication and what is wrong with it.
+#[derive(Debug)]
+pub struct Publication {
+    /// Size of the preset's body, without its parts.
+    pub body_bytes: usize,
+    /// Digest of the preset's body.
+    pub digest: Hash,
+    /// Value of the key `in-force`; none if no file was given or it is not valid.
+    pub in_force: Option<InForce>,
+    /// The preset with its parts; none if it can't be parsed.
+    pub preset: Option<Preset>,
+    /// Every failure found, in the order of the files.
+    pub findings: Vec<Finding>,
+}
+
+impl Publication {
+    /// Reads and checks the files. Fails only if a file can't be read or is none of the
+    /// preset's; what nodes would refuse is among the findings.
+    pub fn read(files: &Files) -> Result<Publication> {
+        let body = input::read(&files.preset)?;
+        let mut publication = Publication {
+            body_bytes: body.len(),
+            digest: Hash::of(&body),
+            in_force: None,
+            preset: None,
+            findings: Vec::new(),
+        };
+        publication.take_body(&files.preset, &body);
+        if let Some(path) = &files.in_force {
+            publication.take_in_force(path, &files.preset, &body)?;
+        }
+        publication.take_parts(&files.preset, &files.parts)?;
+        publication.check_content(&files.preset);
+        Ok(publication)
+    }
+
+    fn take_body(&mut self, path: &Path, body: &Bytes) {
+        match validate::parse_body(body) {
+            Ok(preset) => self.preset = Some(preset),
+            Err(fault) => self.find(path, fault),
+        }
+    }
+
+    fn take_in_force(&mut self, path: &Path, preset: &Path, body: &Bytes) -> Result<()> {
+        match validate::parse_in_force(&input::read(path)?) {
+            Ok(in_force) => {
+                // Parses the body once more, as nodes do, which finds a wrong digest or name.
+                if let Err(fault) = validate::parse_preset(body, &in_force) {
+                    self.find(preset, fault);
+                }
+                self.in_force = Some(in_force);
+            }
+            Err(fault) => self.find(path, fault),
+        }
+        Ok(())
+    }
+
+    fn take_parts(&mut self, path: &Path, files: &[PartFile]) -> Result<()> {
+        let Some(preset) = &self.preset else {
+            return Ok(());
+        };
+        let refs = preset.parts.clone();
+        if let Some(extra) = files.iter().find(|file| refs.iter().all(|r| r.key != file.key)) {
+            let detail = format!("{} names no part {}", path.display(), extra.key);
+            return Err(usage(detail));
+        }
+        for (index, part) in refs.iter().enumerate() {
+            match files.iter().find(|file| file.key == part.key) {
+                Some(file) => self.take_part(part, file)?,
+                None => {
+                    let fault = Fault::new(Code::PartMissing).with_detail(&part.key);
+                    self.find(path, fault.with_place(format!("parts[{index}].key")));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn take_part(&mut self, part: &PartRef, file: &PartFile) -> Result<()> {
+        let buf = input::read(&file.path)?;
+        let Some(preset) = &mut self.preset else {
+            return Ok(());
+        };
+        let taken = validate::parse_part(&buf, &part.digest)
+            .and_then(|part| validate::add_part(preset, part));
+        if let Err(fault) = taken {
+            self.find(&file.path, fault);
+        }
+        Ok(())
+    }
+
+    fn check_content(&mut self, path: &Path) {
+        let Some(preset) = &self.preset else {
+            return;
+        };
+        let mut faults = validate::faults(preset);
+        if faults.is_empty() {
+            let in_force = InForce { version: 0, preset: preset.name.clone(), digest: self.digest };
+            faults.extend(Snapshot::new(in_force, preset).err());
+        }
+        for fault in faults {
+            self.find(path, fault);
+        }
+    }
+
+    fn find(&mut self, path: &Path, fault: Fault) {
+        let finding = Finding::new(path, &fault);
+        if !self.findings.contains(&finding) {
+            self.findings.push(finding);
+        }
+    }
+}
--- /dev/null
+++ b/tools/src/fleet.rs
@@ -0,0 +1,151 @@
+//! Which nodes a tool asks.
+
+use crate::client::Client;
+use crate::command_line::{self, CommandLine, usage};
+use crate::input;
+use getopts::Matches;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use sycamore_core::config::InForce;
+use sycamore_core::member::{Member, VmList, VmState};
+use sycamore_core::place::Place;
+use sycamore_core::{Code, Fault, Result};
+
+/// Longest wait for one node's answer unless `--timeout-ms` says otherwise.
+const DEFAULT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Nodes asked at once unless `--concurrency` says otherwise.
+const DEFAULT_CONCURRENCY: usize = 256;
+
+/// Where a tool learns of the nodes, and how it asks them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    /// Files with VM lists.
+    pub lists: Vec<PathBuf>,
+    /// Admin addresses of single nodes.
+    pub nodes: Vec<SocketAddr>,
+    /// Address of the platform.
+    pub platform: Option<SocketAddr>,
+    /// Longest wait for one answer.
+    pub timeout: Duration,
+    /// Nodes asked at once.
+    pub concurrency: usize,
+}
+
+/// A node to ask.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Node {
+    /// Address of its admin port.
+    pub admin: SocketAddr,
+    /// Its entry in a VM list; none for a node given by address.
+    pub member: Option<Member>,
+}
+
+/// Value of the platform's key `zones`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Zones {
+    zones: Vec<Place>,
+}
+
+/// Adds the options that say which nodes to ask.
+pub fn with_options(command_line: CommandLine) -> CommandLine {
+    command_line
+        .with_values("vms", "VM list in JSON, as under the key vms/<zone>", "FILE")
+        .with_values("node", "admin address of one node", "IP:PORT")
+        .with_value("platform", "read the VM lists from the platform", "IP:PORT")
+        .with_value("timeout-ms", "longest wait for one node (default 1000)", "MS")
+        .with_value("concurrency", "nodes asked at once (default 256)", "N")
+}
+
+impl Fleet {
+    /// Takes the options of [`with_options`].
+    pub fn parse(matches: &Matches) -> Result<Fleet> {
+        let timeout = command_line::value(matches, "timeout-ms")?;
+        let concurrency = command_line::value(matches, "concurrency")?;
+        if concurrency == Some(0) {
+            return Err(usage("--concurrency: found 0, allowed from 1"));
+        }
+        Ok(Fleet {
+            lists: matches.opt_strs("vms").into_iter().map(PathBuf::from).collect(),
+            nodes: command_line::values(matches, "node")?,
+            platform: command_line::value(matches, "platform")?,
+            timeout: timeout.map_or(DEFAULT_TIMEOUT, Duration::from_millis),
+            concurrency: concurrency.unwrap_or(DEFAULT_CONCURRENCY),
+        })
+    }
+
+    /// Whether no source of nodes is given.
+    pub fn is_empty(&self) -> bool {
+        self.lists.is_empty() && self.nodes.is_empty() && self.platform.is_none()
+    }
+
+    /// A client for these nodes.
+    pub fn client(&self) -> Client {
+        Client::new(self.timeout)
+    }
+
+    /// The nodes to ask, each once. VMs that are gone are left out.
+    pub async fn resolve(&self, client: &Client) -> Result<Vec<Node>> {
+        let mut nodes = IndexMap::new();
+        for admin in &self.nodes {
+            nodes.insert(*admin, Node { admin: *admin, member: None });
+        }
+        for path in &self.lists {
+            add_members(&mut nodes, input::read_json(path)?);
+        }
+        if let Some(platform) = self.platform {
+            for list in platform_lists(client, platform).await? {
+                add_members(&mut nodes, list);
+            }
+        }
+        Ok(nodes.into_values().collect())
+    }
+
+    /// The publication that operators last made; none without a platform to ask.
+    pub async fn published(&self, client: &Client) -> Result<Option<InForce>> {
+        match self.platform {
+            Some(platform) => Ok(Some(platform_value(client, platform, "in-force").await?)),
+            None => Ok(None),
+        }
+    }
+}
+
+fn add_members(nodes: &mut IndexMap<SocketAddr, Node>, list: VmList) {
+    for member in list.vms {
+        if member.state != VmState::Gone {
+            nodes.insert(member.admin, Node { admin: member.admin, member: Some(member) });
+        }
+    }
+}
+
+async fn platform_lists(client: &Client, platform: SocketAddr) -> Result<Vec<VmList>> {
+    let zones: Zones = platform_value(client, platform, "zones").await?;
+    let mut lists = Vec::new();
+    for place in zones.zones {
+        let key = format!("vms/{}", place.zone);
+        lists.push(platform_value(client, platform, &key).await?);
+    }
+    Ok(lists)
+}
+
+async fn platform_value<T: serde::de::DeserializeOwned>(
+    client: &Client,
+    platform: SocketAddr,
+    key: &str,
+) -> Result<T> {
+    let reply = client.get(platform, &format!("/v1/kv/{key}")).await;
+    let reply = reply.map_err(|fault| Fault { code: source_code(fault.code), ..fault })?;
+    Ok(reply.body)
+}
+
+/// The platform's failures have codes of their own.
+fn source_code(code: Code) -> Code {
+    match code {
+        Code::NodeInvalid => Code::SourceInvalid,
+        _ => Code::SourceUnreachable,
+    }
+}
--- /dev/null
+++ b/tools/src/input.rs
@@ -0,0 +1,38 @@
+//! Input files of the tools.
+
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use std::path::Path;
+use sycamore_core::{Code, Fault, Result};
+
+/// Reads a whole file.
+pub fn read(path: &Path) -> Result<Bytes> {
+    std::fs::read(path)
+        .map(Bytes::from)
+        .map_err(|e| Fault::new(Code::InputUnreadable).with_place(path.display()).with_detail(e))
+}
+
+/// Reads a JSON file. The place of a failure is the file and the JSON path in it.
+pub fn read_json<T: DeserializeOwned>(path: &Path) -> Result<T> {
+    parse_json(&read(path)?, Code::InputInvalid).map_err(|fault| in_file(path, fault))
+}
+
+/// Parses JSON text; a failure has the given code and the JSON path as its place.
+pub fn parse_json<T: DeserializeOwned>(buf: &[u8], code: Code) -> Result<T> {
+    let deserializer = &mut serde_json::Deserializer::from_slice(buf);
+    let value = serde_path_to_error::deserialize(&mut *deserializer).map_err(|e| {
+        let place = e.path().to_string();
+        Fault::new(code).with_place(place).with_detail(e.into_inner())
+    })?;
+    deserializer.end().map_err(|e| Fault::new(code).with_detail(e))?;
+    Ok(value)
+}
+
+/// The same failure with the file in front of its place.
+pub fn in_file(path: &Path, fault: Fault) -> Fault {
+    let place = match fault.place.is_empty() {
+        true => path.display().to_string(),
+        false => format!("{}: {}", path.display(), fault.place),
+    };
+    fault.with_place(place)
+}
--- /dev/null
+++ b/tools/src/status.rs
@@ -0,0 +1,52 @@
+//! Tells whether a version is in force on every node, since when, and who lags and why.
+
+pub mod config;
+pub mod output;
+pub mod report;
+
+pub use config::Config;
+
+use crate::client::Client;
+use crate::survey;
+use async_io::Timer;
+use report::Report;
+use std::io::Write;
+use std::time::Duration;
+use sycamore_core::{Code, Fault, Result};
+
+/// Pause between two surveys while waiting.
+const SURVEY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Asks the fleet, again until the version is in force everywhere or the wait is over, and
+/// reports. Returns whether it is in force everywhere.
+pub fn run(cfg: &Config, out: &mut dyn Write) -> Result<bool> {
+    let report = async_io::block_on(watch(cfg))?;
+    output::write(&report, cfg, out)?;
+    Ok(report.everywhere)
+}
+
+async fn watch(cfg: &Config) -> Result<Report> {
+    let client = cfg.fleet.client();
+    let nodes = cfg.fleet.resolve(&client).await?;
+    if nodes.is_empty() {
+        return Err(Fault::new(Code::FleetBehind).with_detail("the lists name no node"));
+    }
+    let version = expected_version(cfg, &client).await?;
+    let end = client.now() + cfg.wait;
+    loop {
+        let answers = survey::ask(&client, &nodes, "/status", cfg.fleet.concurrency).await;
+        let report = Report::new(&answers, version, client.now());
+        if report.everywhere || client.now() >= end {
+            return Ok(report);
+        }
+        Timer::after(SURVEY_PAUSE).await;
+    }
+}
+
+/// The version named on the command line, or the one published.
+async fn expected_version(cfg: &Config, client: &Client) -> Result<Option<u64>> {
+    match cfg.version {
+        Some(version) => Ok(Some(version)),
+        None => Ok(cfg.fleet.published(client).await?.map(|published| published.version)),
+    }
+}
--- /dev/null
+++ b/tools/src/status/output.rs
@@ -0,0 +1,114 @@
+//! The report of `sycamore-status` as text or JSON.
+
+use super::config::{Config, Format};
+use super::report::{Lag, NodeReport, Report};
+use crate::command_line::output_failed;
+use crate::text::utc;
+use std::fmt::{self, Display, Formatter};
+use std::io::Write;
+use sycamore_core::{Name, Result, Time};
+
+/// Writes the report.
+pub fn write(report: &Report, cfg: &Config, out: &mut dyn Write) -> Result<()> {
+    match cfg.format {
+        Format::Text => {
+            let text = Text { report, all: cfg.all };
+            write!(out, "{text}").map_err(output_failed)
+        }
+        Format::Json => {
+            serde_json::to_writer_pretty(&mut *out, report).map_err(output_failed)?;
+            writeln!(out).map_err(output_failed)
+        }
+    }
+}
+
+/// A report for people.
+struct Text<'a> {
+    report: &'a Report,
+    all: bool,
+}
+
+impl Display for Text<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let report = self.report;
+        write_answer(f, report)?;
+        writeln!(
+            f,
+            "nodes: {}, holding {}, newer {}, lagging {}, leaving {}",
+            report.nodes, report.holding, report.newer, report.lagging, report.leaving
+        )?;
+        let listed = report.fleet.iter().filter(|node| self.all || node.lag.is_some());
+        for node in listed {
+            write_node(f, node, report.asked)?;
+        }
+        Ok(())
+    }
+}
+
+fn write_answer(f: &mut Formatter<'_>, report: &Report) -> fmt::Result {
+    if report.version == 0 {
+        return writeln!(f, "no version is in force anywhere");
+    }
+    write!(f, "version {} is ", report.version)?;
+    match report.everywhere_since {
+        Some(since) => {
+            let age = seconds(report.asked, since);
+            write!(f, "in force everywhere since {} ({age:.1} s ago", utc(since))?;
+            if let Some(first) = report.first_since {
+                write!(f, ", {:.3} s after the first node", seconds(since, first))?;
+            }
+            writeln!(f, ")")
+        }
+        None if report.everywhere => writeln!(f, "superseded everywhere by a newer one"),
+        None => writeln!(f, "NOT in force everywhere"),
+    }
+}
+
+fn write_node(f: &mut Formatter<'_>, node: &NodeReport, asked: Time) -> fmt::Result {
+    let vm = node.vm.as_ref().map_or("?", Name::as_str);
+    let zone = node.zone.as_ref().map_or("?", Name::as_str);
+    write!(f, "  {vm} in {zone} at {}: ", node.admin)?;
+    match &node.lag {
+        Some(lag) => write!(f, "{lag}")?,
+        None => write!(f, "version {}", node.version())?,
+    }
+    if let Some(since) = node.since {
+        write!(f, ", since {:.1} s", seconds(asked, since))?;
+    }
+    writeln!(f, "{}", if node.leaving { ", leaving" } else { "" })
+}
+
+impl Display for Lag {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Lag::Unreachable { fault } => write!(f, "{fault}"),
+            Lag::OtherDigest { found } => {
+                write!(f, "SPLIT: version {} with digest {}", found.version, found.digest)
+            }
+            Lag::Refused { version, fault } => {
+                write!(f, "version {version}, last refusal: {fault}")
+            }
+            Lag::Fetching { version, parent } => {
+                write!(f, "version {version}, heard of a newer one, fetching from ")?;
+                write_parent(f, parent.as_ref())
+            }
+            Lag::NotHeard { version, parent, platform_answers } => {
+                write!(f, "version {version}, heard of no newer one, parent ")?;
+                write_parent(f, parent.as_ref())?;
+                match platform_answers {
+                    Some(true) => write!(f, ", platform answers"),
+                    Some(false) => write!(f, ", platform does not answer"),
+                    None => Ok(()),
+                }
+            }
+        }
+    }
+}
+
+fn write_parent(f: &mut Formatter<'_>, parent: Option<&Name>) -> fmt::Result {
+    write!(f, "{}", parent.map_or("none", Name::as_str))
+}
+
+fn seconds(later: Time, earlier: Time) -> f64 {
+    later.since(earlier).as_secs_f64()
+}
--- /dev/null
+++ b/tools/src/status/report.rs
@@ -0,0 +1,220 @@
+//! What `sycamore-status` reports.
+
+use crate::survey::Answer;
+use indexmap::IndexSet;
+use serde::Serialize;
+use std::net::SocketAddr;
+use sycamore_core::config::InForce;
+use sycamore_core::member::VmState;
+use sycamore_core::status::{Role, Status};
+use sycamore_core::{Name, Time};
+
+/// Why a node does not hold the expected version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "why")]
+pub enum Lag {
+    /// It did not answer.
+    Unreachable {
+        /// The failure.
+        fault: String,
+    },
+    /// It holds the same version with another digest.
+    OtherDigest {
+        /// What it holds.
+        found: InForce,
+    },
+    /// It heard of the version; the last one it refused, and why.
+    Refused {
+        /// The version in force there; zero if none.
+        version: u64,
+        /// The refusal.
+        fault: String,
+    },
+    /// It heard of the version but does not hold it whole yet.
+    Fetching {
+        /// The version in force there; zero if none.
+        version: u64,
+        /// Where it takes versions from.
+        parent: Option<Name>,
+    },
+    /// It has not heard of the version.
+    NotHeard {
+        /// The version in force there; zero if none.
+        version: u64,
+        /// Where it takes versions from.
+        parent: Option<Name>,
+        /// Whether the platform answered its last call; null if it made none.
+        platform_answers: Option<bool>,
+    },
+}
+
+/// One node.
+#[derive(Clone, Debug, Serialize)]
+pub struct NodeReport {
+    /// Its VM; null if it did not answer and no list names it.
+    pub vm: Option<Name>,
+    /// Region of the VM.
+    pub region: Option<Name>,
+    /// Availability zone of the VM.
+    pub zone: Option<Name>,
+    /// Address of its admin port.
+    pub admin: SocketAddr,
+    /// What it does for the spread.
+    pub role: Option<Role>,
+    /// The version in force there.
+    pub in_force: Option<InForce>,
+    /// Since when, by this tool's clock.
+    pub since: Option<Time>,
+    /// Whether it is leaving, by its own word or by the list.
+    pub leaving: bool,
+    /// Why it lags; null if it does not.
+    pub lag: Option<Lag>,
+}
+
+/// The report on a fleet.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// The version asked for.
+    pub version: u64,
+    /// Whether every node holds it or a newer one. Nodes that are leaving don't count.
+    pub everywhere: bool,
+    /// When it came into force on the last node, by this tool's clock; null unless everywhere.
+    pub everywhere_since: Option<Time>,
+    /// When it came into force on the first node, by this tool's clock.
+    pub first_since: Option<Time>,
+    /// When the fleet was asked.
+    pub asked: Time,
+    /// Nodes asked.
+    pub nodes: usize,
+    /// Nodes that hold the version.
+    pub holding: usize,
+    /// Nodes that hold a newer one.
+    pub newer: usize,
+    /// Nodes that lag.
+    pub lagging: usize,
+    /// Nodes that lag but are leaving.
+    pub leaving: usize,
+    /// Every node.
+    pub fleet: Vec<NodeReport>,
+}
+
+impl Report {
+    /// Judges the answers of a fleet. Without an expected version it is the newest that any node
+    /// holds.
+    pub fn new(answers: &[Answer<Status>], expected: Option<u64>, asked: Time) -> Report {
+        let expected = Expected::new(answers, expected);
+        let fleet: Vec<_> = answers.iter().map(|a| NodeReport::new(a, &expected)).collect();
+        let version = expected.version;
+        let count = |pick: &dyn Fn(&NodeReport) -> bool| fleet.iter().filter(|n| pick(n)).count();
+        let lagging = count(&|node| node.lag.is_some() && !node.leaving);
+        let holding = count(&|node| node.lag.is_none() && node.version() == version);
+        let everywhere = lagging == 0 && version > 0;
+        let since = || fleet.iter().filter(|n| n.version() == version).filter_map(|n| n.since);
+        Report {
+            version,
+            everywhere,
+            everywhere_since: since().max().filter(|_| everywhere),
+            first_since: since().min(),
+            asked,
+            nodes: fleet.len(),
+            holding,
+            newer: count(&|node| node.version() > version),
+            lagging,
+            leaving: count(&|node| node.lag.is_some() && node.leaving),
+            fleet,
+        }
+    }
+}
+
+/// What every node should hold.
+struct Expected {
+    version: u64,
+    /// The publication that most nodes hold under this version. Two digests under one version are
+    /// a split fleet, which nodes rule out; a report that took any digest for right would hide it.
+    publication: Option<InForce>,
+}
+
+impl Expected {
+    fn new(answers: &[Answer<Status>], version: Option<u64>) -> Expected {
+        let replies = || answers.iter().filter_map(|answer| answer.reply.as_ref().ok());
+        let in_force = || replies().filter_map(|reply| reply.body.in_force.as_ref());
+        let newest = in_force().map(|in_force| in_force.version).max();
+        let version = version.or(newest).unwrap_or(0);
+        let held = || in_force().filter(|in_force| in_force.version == version);
+        let distinct: IndexSet<_> = held().collect();
+        let holders = |publication: &InForce| held().filter(|i| *i == publication).count();
+        let publication = distinct.into_iter().max_by_key(|publication| holders(publication));
+        Expected { version, publication: publication.cloned() }
+    }
+}
+
+impl NodeReport {
+    fn new(answer: &Answer<Status>, expected: &Expected) -> NodeReport {
+        let member = answer.node.member.as_ref();
+        let listed_leaving = member.is_some_and(|member| member.state == VmState::Leaving);
+        match &answer.reply {
+            Ok(reply) => {
+                let status = &reply.body;
+                NodeReport {
+                    vm: Some(status.vm.clone()),
+                    region: Some(status.region.clone()),
+                    zone: Some(status.zone.clone()),
+                    admin: answer.node.admin,
+                    role: Some(status.role),
+                    in_force: status.in_force.clone(),
+                    since: status
+                        .in_force_since
+                        .map(|since| corrected(since, status.now, reply.at)),
+                    leaving: listed_leaving || status.draining,
+                    lag: lag(status, expected),
+                }
+            }
+            Err(fault) => NodeReport {
+                vm: member.map(|member| member.vm.clone()),
+                region: member.map(|member| member.region.clone()),
+                zone: member.map(|member| member.zone.clone()),
+                admin: answer.node.admin,
+                role: None,
+                in_force: None,
+                since: None,
+                leaving: listed_leaving,
+                lag: Some(Lag::Unreachable { fault: fault.to_string() }),
+            },
+        }
+    }
+
+    /// The version in force there; zero if none.
+    pub fn version(&self) -> u64 {
+        self.in_force.as_ref().map_or(0, |in_force| in_force.version)
+    }
+}
+
+/// Why a node that answered does not hold what it should.
+fn lag(status: &Status, expected: &Expected) -> Option<Lag> {
+    let version = status.in_force.as_ref().map_or(0, |in_force| in_force.version);
+    match &status.in_force {
+        Some(_) if version > expected.version => return None,
+        Some(found) if version == expected.version => {
+            let other = Some(found) != expected.publication.as_ref();
+            return other.then(|| Lag::OtherDigest { found: found.clone() });
+        }
+        _ => {}
+    }
+    let parent = status.parent.clone();
+    if status.newest_heard < expected.version {
+        let platform_answers = status.platform_answers;
+        return Some(Lag::NotHeard { version, parent, platform_answers });
+    }
+    Some(match &status.last_refusal {
+        Some(fault) => Lag::Refused { version, fault: fault.clone() },
+        None => Lag::Fetching { version, parent },
+    })
+}
+
+/// A node's time by this tool's clock: the node's clock read `now` when this tool's read `at`.
+fn corrected(time: Time, now: Time, at: Time) -> Time {
+    match time > now {
+        true => at + time.since(now),
+        false => at - now.since(time),
+    }
+}
--- /dev/null
+++ b/tools/src/survey.rs
@@ -0,0 +1,33 @@
+//! One question to every node of a fleet.
+
+use crate::client::{Client, Reply};
+use crate::fleet::Node;
+use futures_util::stream::{self, StreamExt};
+use serde::de::DeserializeOwned;
+use sycamore_core::Result;
+
+/// One node's answer.
+#[derive(Debug)]
+pub struct Answer<T> {
+    /// The node asked.
+    pub node: Node,
+    /// What it said, or why it didn't.
+    pub reply: Result<Reply<T>>,
+}
+
+/// Asks every node for `path`, `concurrency` of them at once. Answers are in the nodes' order.
+pub async fn ask<T: DeserializeOwned>(
+    client: &Client,
+    nodes: &[Node],
+    path: &str,
+    concurrency: usize,
+) -> Vec<Answer<T>> {
+    let questions = nodes.iter().enumerate().map(|(index, node)| async move {
+        let reply = client.get(node.admin, path).await;
+        (index, Answer { node: node.clone(), reply })
+    });
+    // Not `buffered`: one silent node would hold back the questions behind it.
+    let mut answers: Vec<_> = stream::iter(questions).buffer_unordered(concurrency).collect().await;
+    answers.sort_by_key(|(index, _)| *index);
+    answers.into_iter().map(|(_, answer)| answer).collect()
+}
--- /dev/null
+++ b/tools/src/timeline.rs
@@ -0,0 +1,102 @@
+//! Merges the events of all processes into one time line: text, JSON, or one picture.
+
+pub mod config;
+pub mod merge;
+pub mod output;
+pub mod picture;
+pub mod record;
+pub mod store;
+
+pub use config::Config;
+
+use crate::client::Client;
+use crate::fleet::Node;
+use crate::survey;
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use futures_lite::{StreamExt, future};
+use merge::Timeline;
+use std::io::Write;
+use std::time::Duration;
+use store::Store;
+use sycamore_core::status::Events;
+use sycamore_core::{Code, Fault, Result, Time};
+
+/// How often the list of nodes is read again while following a fleet.
+const RESOLVE_EVERY: Duration = Duration::from_secs(5);
+
+/// Gathers the events, merges and writes them. Returns whether any process was heard of.
+pub fn run(cfg: &Config, out: &mut dyn Write) -> Result<bool> {
+    let mut store = Store::new();
+    for path in &cfg.files {
+        store.read(path)?;
+    }
+    if let Some(dir) = &cfg.save {
+        store.read_dir(dir)?;
+    }
+    if !cfg.fleet.is_empty() {
+        async_io::block_on(gather(cfg, &mut store))?;
+    }
+    let timeline = Timeline::new(store.records());
+    output::write(&timeline, cfg, out)?;
+    Ok(!timeline.lanes.is_empty())
+}
+
+/// Asks the fleet once, or again and again until the time to follow has passed or a signal ends
+/// it early.
+async fn gather(cfg: &Config, store: &mut Store) -> Result<()> {
+    let client = cfg.fleet.client();
+    let nodes = cfg.fleet.resolve(&client).await?;
+    if cfg.follow.is_zero() {
+        ask(cfg, &client, &nodes, store).await;
+        return save(cfg, store);
+    }
+    let end = client.now() + cfg.follow;
+    let mut signals = Signals::new([Signal::Term, Signal::Int])
+        .map_err(|e| Fault::new(Code::OutputFailed).with_place("signals").with_detail(e))?;
+    let stopped = async {
+        signals.next().await;
+        Ok(())
+    };
+    // A signal may end the poll between two saves, so that the last state is saved once more.
+    future::or(follow(cfg, &client, nodes, end, store), stopped).await?;
+    save(cfg, store)
+}
+
+async fn follow(
+    cfg: &Config,
+    client: &Client,
+    mut nodes: Vec<Node>,
+    end: Time,
+    store: &mut Store,
+) -> Result<()> {
+    let mut resolved = client.now();
+    while client.now() < end {
+        ask(cfg, client, &nodes, store).await;
+        save(cfg, store)?;
+        Timer::after(cfg.interval).await;
+        if client.now().since(resolved) >= RESOLVE_EVERY {
+            resolved = client.now();
+            // While the platform is down the nodes known so far are asked on.
+            nodes = cfg.fleet.resolve(client).await.unwrap_or(nodes);
+        }
+    }
+    Ok(())
+}
+
+async fn ask(cfg: &Config, client: &Client, nodes: &[Node], store: &mut Store) {
+    let concurrency = cfg.fleet.concurrency;
+    for answer in survey::ask::<Events>(client, nodes, "/events", concurrency).await {
+        // A node that does not answer shows in the time line as one that is no longer seen.
+        if let Ok(reply) = answer.reply {
+            store.take(reply);
+        }
+    }
+}
+
+fn save(cfg: &Config, store: &mut Store) -> Result<()> {
+    match &cfg.save {
+        Some(dir) => store.save(dir),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/tools/src/timeline/config.rs
@@ -0,0 +1,83 @@
+//! The command line of `sycamore-timeline`, parsed once.
+
+use crate::command_line::{self, CommandLine, usage};
+use crate::fleet::{self, Fleet};
+use getopts::Matches;
+use std::path::PathBuf;
+use std::time::Duration;
+use sycamore_core::Result;
+
+/// Pause between two polls unless `--interval-ms` says otherwise.
+const DEFAULT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Where events come from and what is drawn of them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// The nodes to ask; may be empty.
+    pub fleet: Fleet,
+    /// Files with events: answers of `/events`, or records that `--save` wrote.
+    pub files: Vec<PathBuf>,
+    /// Directory that records are read from and written to.
+    pub save: Option<PathBuf>,
+    /// How long to poll the nodes; zero for once.
+    pub follow: Duration,
+    /// Pause between two polls.
+    pub interval: Duration,
+    /// Form of the time line.
+    pub format: Format,
+    /// File to write to; absent for standard output.
+    pub output: Option<PathBuf>,
+    /// Title of the picture.
+    pub title: String,
+}
+
+/// Form of the time line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    /// One line an event.
+    Text,
+    /// One JSON object.
+    Json,
+    /// A picture.
+    Svg,
+}
+
+/// The options of the tool.
+pub fn command_line() -> CommandLine {
+    let line = CommandLine::new("sycamore-timeline", "[EVENTS.json ...] [options]");
+    fleet::with_options(line)
+        .with_value("save", "read and keep records of processes in this directory", "DIR")
+        .with_value("follow", "poll the nodes for this long; a signal ends it early", "SECONDS")
+        .with_value("interval-ms", "pause between two polls (default 500)", "MS")
+        .with_value("format", "text (default), json or svg", "FORMAT")
+        .with_value("output", "write to this file instead of standard output", "FILE")
+        .with_value("title", "title of the picture", "TEXT")
+}
+
+impl Config {
+    /// Takes the options of [`command_line`].
+    pub fn parse(matches: &Matches) -> Result<Config> {
+        let fleet = Fleet::parse(matches)?;
+        let files: Vec<_> = matches.free.iter().map(PathBuf::from).collect();
+        let save = matches.opt_str("save").map(PathBuf::from);
+        if fleet.is_empty() && files.is_empty() && save.is_none() {
+            return Err(usage("a file, --save, --vms, --node or --platform is required"));
+        }
+        let follow = command_line::value(matches, "follow")?;
+        if follow.is_some() && fleet.is_empty() {
+            return Err(usage("--follow needs --vms, --node or --platform"));
+        }
+        let interval = command_line::value(matches, "interval-ms")?;
+        let formats = [("text", Format::Text), ("json", Format::Json), ("svg", Format::Svg)];
+        Ok(Config {
+            fleet,
+            files,
+            save,
+            follow: follow.map_or(Duration::ZERO, Duration::from_secs),
+            interval: interval.map_or(DEFAULT_INTERVAL, Duration::from_millis),
+            format: command_line::choice(matches, "format", &formats)?,
+            output: matches.opt_str("output").map(PathBuf::from),
+            title: matches.opt_str("title").unwrap_or_else(|| "sycamorescale".to_owned()),
+        })
+    }
+}
--- /dev/null
+++ b/tools/src/timeline/merge.rs
@@ -0,0 +1,216 @@
+//! One time line out of the records of all processes, by this tool's clock.
+
+use super::record::Record;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use sycamore_core::event::EventKind;
+use sycamore_core::{Name, Time};
+
+/// A process that has not answered for this long before the end of the time line counts as no
+/// longer seen.
+const UNSEEN_AFTER: Duration = Duration::from_secs(2);
+
+/// The time line. All times are by this tool's clock.
+#[derive(Debug, Serialize)]
+pub struct Timeline {
+    /// Time of the first event.
+    pub start: Time,
+    /// When a process was last seen.
+    pub end: Time,
+    /// What became of each version.
+    pub versions: Vec<VersionSpan>,
+    /// One lane a VM, by region and zone.
+    pub lanes: Vec<Lane>,
+}
+
+/// How a version came into force.
+#[derive(Debug, Serialize)]
+pub struct VersionSpan {
+    /// The version.
+    pub version: u64,
+    /// When it came into force on the first node.
+    pub first: Time,
+    /// When it came into force on the last node that was running at `first`. Nodes started later
+    /// take it late without lagging.
+    pub last: Time,
+    /// Nodes that were running at `first` and took it.
+    pub nodes: usize,
+    /// Nodes that were running at `first`. Some may have gone on to a newer version.
+    pub running: usize,
+}
+
+/// The processes of one VM, one after the other.
+#[derive(Debug, Serialize)]
+pub struct Lane {
+    /// Region of the VM.
+    pub region: Name,
+    /// Availability zone of the VM.
+    pub zone: Name,
+    /// The VM.
+    pub vm: Name,
+    /// Its processes, oldest first.
+    pub processes: Vec<Process>,
+}
+
+/// One process.
+#[derive(Debug, Serialize)]
+pub struct Process {
+    /// When it started.
+    pub started: Time,
+    /// Until when it ran, or was last seen.
+    pub ended: Time,
+    /// How it ended.
+    pub end: End,
+    /// Events that were lost before they were read.
+    pub dropped: u64,
+    /// Error of the times, in microseconds; null if its clock was never compared.
+    pub error_us: Option<u64>,
+    /// Versions in force, one after the other.
+    pub bands: Vec<Band>,
+    /// Changes of state, oldest first.
+    pub marks: Vec<Mark>,
+}
+
+/// How a process ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum End {
+    /// It runs on.
+    Running,
+    /// By a planned stop.
+    Stopped,
+    /// Another process of the VM started though this one had not stopped.
+    Killed,
+    /// It no longer answers: killed, paused or cut off.
+    Unseen,
+}
+
+/// A version in force on one process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Band {
+    /// The version.
+    pub version: u64,
+    /// From when.
+    pub from: Time,
+    /// Until when.
+    pub to: Time,
+}
+
+/// A change of state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Mark {
+    /// When.
+    pub at: Time,
+    /// What changed.
+    pub kind: EventKind,
+    /// The version concerned.
+    pub version: Option<u64>,
+    /// The peer or VM concerned.
+    pub peer: Option<Name>,
+    /// Number of the result code.
+    pub code: Option<u16>,
+}
+
+impl Timeline {
+    /// Merges the records of processes, which are in order of their VM and start.
+    pub fn new<'a>(records: impl Iterator<Item = &'a Record>) -> Timeline {
+        let mut by_vm = BTreeMap::<_, Vec<&Record>>::new();
+        for record in records {
+            by_vm.entry((&record.region, &record.zone, &record.vm)).or_default().push(record);
+        }
+        let all = || by_vm.values().flatten();
+        let end = all().map(|r| r.corrected(r.last_seen)).max().unwrap_or(Time::ZERO);
+        let firsts = all().map(|r| r.corrected(r.started));
+        let start = firsts.min().unwrap_or(end);
+        let lanes: Vec<_> = by_vm.values().filter_map(|records| lane(records, end)).collect();
+        Timeline { start, end, versions: versions(&lanes), lanes }
+    }
+
+    /// Every mark with its lane, in the order of time.
+    pub fn marks(&self) -> Vec<(&Lane, &Mark)> {
+        let of_lane = |lane: &'_ Lane| lane.processes.iter().flat_map(|p| &p.marks).count();
+        let mut marks = Vec::with_capacity(self.lanes.iter().map(of_lane).sum());
+        for lane in &self.lanes {
+            let of_processes = lane.processes.iter().flat_map(|process| &process.marks);
+            marks.extend(of_processes.map(|mark| (lane, mark)));
+        }
+        marks.sort_by_key(|(_, mark)| mark.at);
+        marks
+    }
+}
+
+fn lane(records: &[&Record], end: Time) -> Option<Lane> {
+    let first = records.first()?;
+    let next = records.iter().skip(1).map(|record| Some(record.corrected(record.started)));
+    let next = next.chain([None]);
+    Some(Lane {
+        region: first.region.clone(),
+        zone: first.zone.clone(),
+        vm: first.vm.clone(),
+        processes: records.iter().zip(next).map(|(r, next)| process(r, next, end)).collect(),
+    })
+}
+
+fn process(record: &Record, next_start: Option<Time>, end: Time) -> Process {
+    let last_seen = record.corrected(record.last_seen);
+    let stop = record.events.iter().rev().find(|event| event.kind == EventKind::Stopped);
+    let (ended, how) = match (stop, next_start) {
+        (Some(stop), _) => (record.corrected(stop.at), End::Stopped),
+        (None, Some(next)) => (last_seen.min(next), End::Killed),
+        (None, None) if end.since(last_seen) > UNSEEN_AFTER => (last_seen, End::Unseen),
+        (None, None) => (end, End::Running),
+    };
+    Process {
+        started: record.corrected(record.started),
+        ended,
+        end: how,
+        dropped: record.dropped,
+        error_us: record.skew.map(|skew| skew.round_trip_us / 2),
+        bands: bands(record, ended),
+        marks: marks(record),
+    }
+}
+
+fn marks(record: &Record) -> Vec<Mark> {
+    let mark = |event: &sycamore_core::event::Event| Mark {
+        at: record.corrected(event.at),
+        kind: event.kind,
+        version: event.version,
+        peer: event.peer.clone(),
+        code: event.code,
+    };
+    record.events.iter().map(mark).collect()
+}
+
+fn bands(record: &Record, ended: Time) -> Vec<Band> {
+    let mut bands: Vec<Band> = Vec::new();
+    for event in record.events.iter().filter(|event| event.kind == EventKind::VersionInForce) {
+        let from = record.corrected(event.at);
+        if let Some(last) = bands.last_mut() {
+            last.to = from;
+        }
+        bands.push(Band { version: event.version.unwrap_or(0), from, to: ended });
+    }
+    bands
+}
+
+fn versions(lanes: &[Lane]) -> Vec<VersionSpan> {
+    let processes = || lanes.iter().flat_map(|lane| &lane.processes);
+    let mut first = BTreeMap::<u64, Time>::new();
+    for band in processes().flat_map(|process| &process.bands) {
+        let known = first.entry(band.version).or_insert(band.from);
+        *known = band.from.min(*known);
+    }
+    let span = |(version, first): (u64, Time)| {
+        let runs = |process: &&Process| process.started <= first && process.ended >= first;
+        let running: Vec<_> = processes().filter(runs).collect();
+        let took = running.iter().filter_map(|process| {
+            process.bands.iter().find(|band| band.version == version).map(|band| band.from)
+        });
+        let took: Vec<_> = took.collect();
+        let last = took.iter().copied().max().unwrap_or(first);
+        VersionSpan { version, first, last, nodes: took.len(), running: running.len() }
+    };
+    first.into_iter().map(span).collect()
+}
--- /dev/null
+++ b/tools/src/timeline/output.rs
@@ -0,0 +1,106 @@
+//! The time line as text, JSON or a picture.
+
+use super::config::{Config, Format};
+use super::merge::{Lane, Mark, Process, Timeline, VersionSpan};
+use super::picture;
+use crate::command_line::output_failed;
+use crate::text::utc;
+use std::fmt::{self, Display, Formatter};
+use std::io::Write;
+use sycamore_core::event::EventKind;
+use sycamore_core::{Code, Result, Time};
+
+/// Writes the time line to the file of `--output` or to `out`.
+pub fn write(timeline: &Timeline, cfg: &Config, out: &mut dyn Write) -> Result<()> {
+    let text = match cfg.format {
+        Format::Text => Text(timeline).to_string(),
+        Format::Json => {
+            let json = serde_json::to_string_pretty(timeline).map_err(output_failed)?;
+            json + "\n"
+        }
+        Format::Svg => picture::draw(timeline, &cfg.title).to_string() + "\n",
+    };
+    match &cfg.output {
+        Some(path) => {
+            std::fs::write(path, text).map_err(|e| output_failed(e).with_place(path.display()))
+        }
+        None => out.write_all(text.as_bytes()).map_err(output_failed),
+    }
+}
+
+/// The name of a kind of event, as in JSON.
+pub fn kind_name(kind: EventKind) -> String {
+    let json = serde_json::to_value(kind).unwrap_or_default();
+    json.as_str().unwrap_or_default().to_owned()
+}
+
+/// A mark in one line, without its time and place.
+pub fn describe(mark: &Mark) -> String {
+    let mut text = kind_name(mark.kind);
+    if let Some(version) = mark.version {
+        text += &format!(" version {version}");
+    }
+    if let Some(peer) = &mark.peer {
+        text += &format!(" {peer}");
+    }
+    if let Some(number) = mark.code {
+        text += &format!(" E{number}");
+    }
+    if let Some(code) = mark.code.and_then(Code::from_number) {
+        text += &format!(": {code}");
+    }
+    text
+}
+
+/// How a version came into force, in one line.
+pub fn describe_version(span: &VersionSpan) -> String {
+    let ms = span.last.since(span.first).as_micros() as f64 / 1_000.0;
+    format!("version {}: {} of {} nodes in {ms:.1} ms", span.version, span.nodes, span.running)
+}
+
+/// A time line for people.
+struct Text<'a>(&'a Timeline);
+
+impl Display for Text<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let timeline = self.0;
+        writeln!(f, "from {} to {}", utc(timeline.start), utc(timeline.end))?;
+        for span in &timeline.versions {
+            writeln!(f, "{} {}", at(timeline, span.first), describe_version(span))?;
+        }
+        for lane in &timeline.lanes {
+            for process in &lane.processes {
+                write_process(f, timeline, lane, process)?;
+            }
+        }
+        for (lane, mark) in timeline.marks() {
+            let time = at(timeline, mark.at);
+            writeln!(f, "{time} {:<12} {:<16} {}", lane.zone, lane.vm, describe(mark))?;
+        }
+        Ok(())
+    }
+}
+
+fn write_process(
+    f: &mut Formatter<'_>,
+    timeline: &Timeline,
+    lane: &Lane,
+    process: &Process,
+) -> fmt::Result {
+    let end = serde_json::to_value(process.end).unwrap_or_default();
+    write!(f, "{} {:<12} {:<16} process ", at(timeline, process.started), lane.zone, lane.vm)?;
+    write!(f, "{} at{}", end.as_str().unwrap_or_default(), at(timeline, process.ended))?;
+    match process.error_us {
+        Some(error_us) => write!(f, ", times to within {error_us} us")?,
+        None => write!(f, ", clock not compared")?,
+    }
+    match process.dropped {
+        0 => writeln!(f),
+        dropped => writeln!(f, ", {dropped} events lost"),
+    }
+}
+
+/// Seconds since the start of the time line.
+fn at(timeline: &Timeline, time: Time) -> String {
+    format!("{:>+11.3} s", time.since(timeline.start).as_secs_f64())
+}
--- /dev/null
+++ b/tools/src/timeline/picture.rs
@@ -0,0 +1,256 @@
+//! The time line as one SVG picture: a lane per VM grouped by availability zone, versions as
+//! coloured bands, changes of state as marks, and a legend.
+
+pub mod glyph;
+pub mod scale;
+
+use super::merge::{Band, Lane, Process, Timeline, VersionSpan};
+use super::output::{describe, describe_version, kind_name};
+use crate::text::utc;
+use glyph::Glyph;
+use scale::Scale;
+use std::collections::BTreeSet;
+use svg::Document;
+use svg::node::element::{Group, Line, Rectangle, Text, Title};
+use sycamore_core::Time;
+
+/// Width of the picture, in pixels, as are all sizes here.
+const WIDTH: f64 = 1_500.0;
+/// Left edge of the lanes; the names of VMs stand to its left.
+const LEFT: f64 = 170.0;
+/// Right edge of the lanes.
+const RIGHT: f64 = WIDTH - 30.0;
+/// Height of one lane.
+const LANE: f64 = 18.0;
+/// Height of a band within its lane.
+const BAND: f64 = 12.0;
+/// Height of a zone's heading.
+const HEADING: f64 = 20.0;
+/// Height of one row of labels.
+const ROW: f64 = 15.0;
+/// Rows of labels over the lanes, used in turn so that close versions stay readable.
+const LABEL_ROWS: usize = 3;
+/// Width that one label of a version needs.
+const LABEL_WIDTH: f64 = 190.0;
+/// Width of one entry of the legend.
+const LEGEND_WIDTH: f64 = 180.0;
+/// Narrowest band that its version is written in.
+const BAND_LABEL_WIDTH: f64 = 28.0;
+/// Top of the labels.
+const TOP: f64 = 58.0;
+
+/// Colours of versions, in turn.
+const VERSION_COLORS: [&str; 8] =
+    ["#a6cee3", "#b2df8a", "#fdd49e", "#cab2d6", "#fccde5", "#ccebc5", "#ffed6f", "#bdd7e7"];
+
+/// Draws the time line.
+pub fn draw(timeline: &Timeline, title: &str) -> Document {
+    let scale = Scale::new(timeline.start, timeline.end, LEFT, RIGHT);
+    let lanes_top = TOP + LABEL_ROWS as f64 * ROW + 8.0;
+    let placed = place(&timeline.lanes, lanes_top);
+    let lanes_end = placed.iter().map(|lane| lane.y + LANE).fold(lanes_top, f64::max);
+    let picture = Picture { timeline, scale, lanes_top, lanes_end };
+    let legend = picture.legend(lanes_end + 44.0);
+    let height = lanes_end + 60.0 + legend.height;
+    let mut document = Document::new()
+        .set("viewBox", (0, 0, WIDTH, height))
+        .set("width", WIDTH)
+        .set("height", height)
+        .set("font-family", "sans-serif")
+        .set("font-size", 11)
+        .add(Rectangle::new().set("width", "100%").set("height", "100%").set("fill", "white"))
+        .add(text(16.0, 24.0, title).set("font-size", 17).set("font-weight", "bold"))
+        .add(text(16.0, 43.0, &picture.subtitle()).set("fill", "#555"))
+        .add(picture.axis())
+        .add(picture.versions());
+    for lane in &placed {
+        document = document.add(picture.lane(lane));
+    }
+    document.add(legend.group)
+}
+
+/// A lane and its place in the picture.
+struct PlacedLane<'a> {
+    lane: &'a Lane,
+    /// Top of the lane.
+    y: f64,
+    /// Whether the zone's heading stands over it.
+    heading: bool,
+}
+
+/// Stacks the lanes, with room for a heading over each zone.
+fn place(lanes: &[Lane], top: f64) -> Vec<PlacedLane<'_>> {
+    let mut y = top;
+    let mut placed: Vec<PlacedLane<'_>> = Vec::with_capacity(lanes.len());
+    for lane in lanes {
+        let heading = placed.last().is_none_or(|above| above.lane.zone != lane.zone);
+        y += if heading { HEADING } else { 0.0 };
+        placed.push(PlacedLane { lane, y, heading });
+        y += LANE;
+    }
+    placed
+}
+
+/// What every part of the picture is drawn by.
+struct Picture<'a> {
+    timeline: &'a Timeline,
+    scale: Scale,
+    lanes_top: f64,
+    lanes_end: f64,
+}
+
+/// The legend and the room that it takes.
+struct Legend {
+    group: Group,
+    height: f64,
+}
+
+impl Picture<'_> {
+    fn subtitle(&self) -> String {
+        let timeline = self.timeline;
+        let length = timeline.end.since(timeline.start).as_secs_f64();
+        let vms = timeline.lanes.len();
+        let processes: usize = timeline.lanes.iter().map(|lane| lane.processes.len()).sum();
+        let start = utc(timeline.start);
+        format!("{start} + {length:.1} s, {vms} VMs, {processes} processes; seconds from the start")
+    }
+
+    fn axis(&self) -> Group {
+        let mut group = Group::new().set("fill", "#777");
+        for tick in self.scale.ticks() {
+            let y = self.lanes_end + 16.0;
+            let label = text(tick.x, y, &tick.label).set("text-anchor", "middle");
+            let line = vertical(tick.x, self.lanes_top, self.lanes_end + 4.0);
+            group = group.add(line.set("stroke", "#e4e4e4")).add(label);
+        }
+        group
+    }
+
+    /// A line and a label for each version, where it came into force first.
+    fn versions(&self) -> Group {
+        let mut group = Group::new();
+        let mut row_ends = [f64::MIN; LABEL_ROWS];
+        for span in &self.timeline.versions {
+            let x = self.scale.x(span.first);
+            let line = vertical(x, TOP + 4.0, self.lanes_end).set("stroke", "#888");
+            group =
+                group.add(line.set("stroke-dasharray", "2 3").add(tip(&describe_version(span))));
+            // A label that fits in no row is left out; its line still tells on hovering.
+            if let Some(row) = row_ends.iter().position(|end| *end <= x) {
+                row_ends[row] = x + LABEL_WIDTH;
+                group = group.add(self.version_label(span, x, row));
+            }
+        }
+        group
+    }
+
+    fn version_label(&self, span: &VersionSpan, x: f64, row: usize) -> Text {
+        let y = TOP + (row as f64 + 0.8) * ROW;
+        let (x, anchor) =
+            if x + LABEL_WIDTH > WIDTH { (x - 3.0, "end") } else { (x + 3.0, "start") };
+        text(x, y, &describe_version(span)).set("text-anchor", anchor).set("fill", "#333")
+    }
+
+    fn lane(&self, placed: &PlacedLane<'_>) -> Group {
+        let PlacedLane { lane, y, heading } = placed;
+        let mut group = Group::new();
+        if *heading {
+            let name = format!("{} / {}", lane.region, lane.zone);
+            let label = text(16.0, y - 5.0, &name).set("font-weight", "bold");
+            let line = Line::new().set("x1", 16).set("x2", RIGHT).set("stroke", "#bbb");
+            group = group.add(line.set("y1", y - 1.0).set("y2", y - 1.0)).add(label);
+        }
+        let name = text(LEFT - 8.0, y + 13.0, lane.vm.as_str()).set("text-anchor", "end");
+        group = group.add(name);
+        for process in &lane.processes {
+            group = self.process(group, process, *y);
+        }
+        group
+    }
+
+    fn process(&self, group: Group, process: &Process, y: f64) -> Group {
+        let life = self.bar(process.started, process.ended, y).set("fill", "#f1f1f1");
+        let mut group = group.add(life.set("stroke", "#ccc").add(tip("no version in force")));
+        for band in &process.bands {
+            group = self.band(group, band, y);
+        }
+        let middle = y + LANE / 2.0;
+        for mark in &process.marks {
+            if let Some(glyph) = Glyph::of_event(mark.kind) {
+                let x = self.scale.x(mark.at);
+                let seconds = mark.at.since(self.timeline.start).as_secs_f64();
+                let tip = tip(&format!("{seconds:.3} s: {}", describe(mark)));
+                group = group.add(glyph.draw(x, middle).add(tip));
+            }
+        }
+        match Glyph::of_end(process.end) {
+            Some(glyph) => group.add(glyph.draw(self.scale.x(process.ended), middle)),
+            None => group,
+        }
+    }
+
+    fn band(&self, group: Group, band: &Band, y: f64) -> Group {
+        let name = format!("v{}", band.version);
+        let color = self.color(band.version);
+        let group = group.add(self.bar(band.from, band.to, y).set("fill", color).add(tip(&name)));
+        let (from, to) = (self.scale.x(band.from), self.scale.x(band.to));
+        if to - from < BAND_LABEL_WIDTH {
+            return group;
+        }
+        let label = text((from + to) / 2.0, y + 12.5, &name).set("text-anchor", "middle");
+        group.add(label.set("font-size", 9).set("fill", "#444"))
+    }
+
+    fn bar(&self, from: Time, to: Time, y: f64) -> Rectangle {
+        let (from, to) = (self.scale.x(from), self.scale.x(to));
+        Rectangle::new()
+            .set("x", from)
+            .set("y", y + (LANE - BAND) / 2.0)
+            .set("width", (to - from).max(1.0))
+            .set("height", BAND)
+    }
+
+    fn color(&self, version: u64) -> &'static str {
+        let index = self.timeline.versions.iter().position(|span| span.version == version);
+        VERSION_COLORS[index.unwrap_or(0) % VERSION_COLORS.len()]
+    }
+
+    /// The marks that stand in the picture, each with what it means.
+    fn legend(&self, top: f64) -> Legend {
+        let processes = || self.timeline.lanes.iter().flat_map(|lane| &lane.processes);
+        let kinds: BTreeSet<_> = processes().flat_map(|p| &p.marks).map(|m| m.kind).collect();
+        let ends: BTreeSet<_> = processes().map(|process| process.end).collect();
+        let of_kinds = kinds
+            .into_iter()
+            .filter_map(|kind| Some((Glyph::of_event(kind)?, kind_name(kind).replace('-', " "))));
+        let of_ends = ends.into_iter().filter_map(|end| {
+            let glyph = Glyph::of_end(end)?;
+            Some((glyph, glyph::end_label(end).to_owned()))
+        });
+        let columns = ((RIGHT - LEFT) / LEGEND_WIDTH).floor();
+        let bands = text(16.0, top, "bands: version in force").set("fill", "#555");
+        let mut group = Group::new().add(bands);
+        let mut height = ROW;
+        for (index, (glyph, label)) in of_kinds.chain(of_ends).enumerate() {
+            let row = (index as f64 / columns).floor();
+            let x = LEFT + (index as f64 - row * columns) * LEGEND_WIDTH;
+            let y = top + row * ROW;
+            group = group.add(glyph.draw(x, y - 4.0)).add(text(x + 10.0, y, &label));
+            height = (row + 1.0) * ROW;
+        }
+        Legend { group, height }
+    }
+}
+
+fn vertical(x: f64, from: f64, to: f64) -> Line {
+    Line::new().set("x1", x).set("x2", x).set("y1", from).set("y2", to)
+}
+
+fn text(x: f64, y: f64, content: &str) -> Text {
+    Text::new(content).set("x", x).set("y", y)
+}
+
+/// What a viewer shows when the pointer rests on an element.
+fn tip(content: &str) -> Title {
+    Title::new(content)
+}
--- /dev/null
+++ b/tools/src/timeline/picture/glyph.rs
@@ -0,0 +1,129 @@
+//! How changes of state look: what is lost is filled, what comes back is hollow.
+
+use crate::timeline::merge::End;
+use svg::node::element::Path;
+use svg::node::element::path::Data;
+use sycamore_core::event::EventKind;
+
+/// Half of a glyph's size, in pixels.
+const RADIUS: f64 = 5.0;
+
+/// A mark's shape and colour.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Glyph {
+    shape: Shape,
+    color: &'static str,
+    fill: Fill,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shape {
+    /// Points to the right.
+    Arrow,
+    /// Points down.
+    Wedge,
+    Square,
+    Diamond,
+    Cross,
+    Hourglass,
+    Bar,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fill {
+    Solid,
+    Hollow,
+}
+
+impl Glyph {
+    /// The mark of a change of state; none for those that bands show, or that every spread of a
+    /// version brings on every node.
+    pub fn of_event(kind: EventKind) -> Option<Glyph> {
+        let (shape, color, fill) = match kind {
+            EventKind::VersionHeard | EventKind::VersionInForce => return None,
+            EventKind::Started => (Shape::Arrow, "#1a7f37", Fill::Solid),
+            EventKind::VersionRefused => (Shape::Diamond, "#cf222e", Fill::Solid),
+            EventKind::SourceLost => (Shape::Wedge, "#d96c00", Fill::Solid),
+            EventKind::SourceBack => (Shape::Wedge, "#d96c00", Fill::Hollow),
+            EventKind::ParentChosen => (Shape::Bar, "#0550ae", Fill::Hollow),
+            EventKind::ParentLost => (Shape::Bar, "#0550ae", Fill::Solid),
+            EventKind::PeerLost => (Shape::Wedge, "#0550ae", Fill::Solid),
+            EventKind::PeerBack => (Shape::Wedge, "#0550ae", Fill::Hollow),
+            EventKind::TargetLost => (Shape::Square, "#8f3f1f", Fill::Solid),
+            EventKind::TargetBack => (Shape::Square, "#8f3f1f", Fill::Hollow),
+            EventKind::Quarantined => (Shape::Diamond, "#8250df", Fill::Solid),
+            EventKind::HomesMoving => (Shape::Diamond, "#0a7d7d", Fill::Solid),
+            EventKind::HomesMoved => (Shape::Diamond, "#0a7d7d", Fill::Hollow),
+            EventKind::Draining => (Shape::Square, "#444", Fill::Solid),
+            EventKind::Drained => (Shape::Square, "#444", Fill::Hollow),
+            EventKind::ClockGap => (Shape::Hourglass, "#bf3989", Fill::Solid),
+            EventKind::Stopped => (Shape::Bar, "#111", Fill::Solid),
+        };
+        Some(Glyph { shape, color, fill })
+    }
+
+    /// The mark of a process that ended without a word.
+    pub fn of_end(end: End) -> Option<Glyph> {
+        match end {
+            End::Running | End::Stopped => None,
+            End::Killed => Some(Glyph { shape: Shape::Cross, color: "#cf222e", fill: Fill::Solid }),
+            End::Unseen => Some(Glyph { shape: Shape::Cross, color: "#888", fill: Fill::Solid }),
+        }
+    }
+
+    /// The mark around a place.
+    pub fn draw(self, x: f64, y: f64) -> Path {
+        let path = Path::new().set("d", self.shape.outline(x, y)).set("stroke", self.color);
+        let fill = match self.fill {
+            Fill::Solid => self.color,
+            Fill::Hollow => "white",
+        };
+        let width = if self.shape == Shape::Cross { 2.5 } else { 1.3 };
+        path.set("fill", fill).set("stroke-width", width).set("opacity", 0.9)
+    }
+}
+
+/// What the mark of an end means.
+pub fn end_label(end: End) -> &'static str {
+    match end {
+        End::Running => "running",
+        End::Stopped => "stopped",
+        End::Killed => "killed",
+        End::Unseen => "no longer answers",
+    }
+}
+
+impl Shape {
+    fn outline(self, x: f64, y: f64) -> Data {
+        let r = RADIUS;
+        let start = Data::new().move_to((x, y));
+        match self {
+            Shape::Arrow => {
+                start.move_by((-r * 0.4, -r)).line_by((r * 1.4, r)).line_by((-r * 1.4, r)).close()
+            }
+            Shape::Wedge => {
+                start.move_by((-r, -r * 0.8)).line_by((2.0 * r, 0)).line_by((-r, 1.7 * r)).close()
+            }
+            Shape::Square => {
+                let side = r * 1.6;
+                let start = start.move_by((-side / 2.0, -side / 2.0));
+                start.line_by((side, 0)).line_by((0, side)).line_by((-side, 0)).close()
+            }
+            Shape::Diamond => {
+                start.move_by((0, -r)).line_by((r, r)).line_by((-r, r)).line_by((-r, -r)).close()
+            }
+            Shape::Cross => {
+                let (side, start) = (2.0 * r, start.move_by((-r, -r)));
+                start.line_by((side, side)).move_by((-side, 0)).line_by((side, -side))
+            }
+            Shape::Hourglass => {
+                let (side, start) = (2.0 * r, start.move_by((-r, -r)));
+                start.line_by((side, 0)).line_by((-side, side)).line_by((side, 0)).close()
+            }
+            Shape::Bar => {
+                let start = start.move_by((-1.2, -r - 1.0));
+                start.line_by((2.4, 0)).line_by((0, 2.0 * r + 2.0)).line_by((-2.4, 0)).close()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tools/src/timeline/store.rs
@@ -0,0 +1,107 @@
+//! The records of all processes, in memory and in a directory.
+//!
+//! A node keeps its events in memory only, so that they die with it. Records that were polled
+//! before and saved keep them.
+
+use super::record::{ProcessId, Record};
+use crate::client::Reply;
+use crate::command_line::output_failed;
+use crate::input;
+use serde::Deserialize;
+use serde::de::IgnoredAny;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::path::Path;
+use sycamore_core::status::Events;
+use sycamore_core::{Code, Fault, Result};
+
+/// Records by process.
+#[derive(Debug, Default)]
+pub struct Store {
+    records: BTreeMap<ProcessId, Record>,
+    unsaved: BTreeSet<ProcessId>,
+}
+
+/// Tells a record from an answer of `/events` by a field that only records have.
+#[derive(Deserialize)]
+struct Probe {
+    last_seen: Option<IgnoredAny>,
+}
+
+impl Store {
+    /// A store without records.
+    pub fn new() -> Store {
+        Store::default()
+    }
+
+    /// The records, by VM and then by start.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    /// Takes a node's answer.
+    pub fn take(&mut self, reply: Reply<Events>) {
+        let record = Record::from_reply(reply);
+        self.unsaved.insert(record.id());
+        self.merge(record);
+    }
+
+    /// Takes a file: an answer of `/events`, or a record that [`Store::save`] wrote.
+    pub fn read(&mut self, path: &Path) -> Result<()> {
+        let probe: Probe = input::read_json(path)?;
+        let record = match probe.last_seen {
+            Some(_) => input::read_json(path)?,
+            None => Record::new(input::read_json(path)?),
+        };
+        self.merge(record);
+        Ok(())
+    }
+
+    /// Takes every JSON file of a directory; one that does not exist yet is empty.
+    pub fn read_dir(&mut self, dir: &Path) -> Result<()> {
+        if !dir.exists() {
+            return Ok(());
+        }
+        for entry in fs::read_dir(dir).map_err(|e| unreadable(dir, e))? {
+            let path = entry.map_err(|e| unreadable(dir, e))?.path();
+            if path.extension().is_some_and(|extension| extension == "json") {
+                self.read(&path)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes the records that have changed since the last save, one file each. A file is
+    /// replaced whole, so that a reader or a kill never leaves half of one.
+    pub fn save(&mut self, dir: &Path) -> Result<()> {
+        fs::create_dir_all(dir).map_err(|e| output_failed(e).with_place(dir.display()))?;
+        for id in std::mem::take(&mut self.unsaved) {
+            let json = serde_json::to_vec(&self.records[&id]).map_err(output_failed)?;
+            let path = dir.join(format!("{}-{}.json", file_name(&id), id.started.0));
+            let partial = path.with_extension("partial");
+            fs::write(&partial, json)
+                .and_then(|()| fs::rename(&partial, &path))
+                .map_err(|e| output_failed(e).with_place(path.display()))?;
+        }
+        Ok(())
+    }
+
+    fn merge(&mut self, record: Record) {
+        match self.records.get_mut(&record.id()) {
+            Some(known) => known.merge(record),
+            None => {
+                self.records.insert(record.id(), record);
+            }
+        }
+    }
+}
+
+/// The VM's name without characters that mean something in a path.
+fn file_name(id: &ProcessId) -> String {
+    let safe = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
+    id.vm.as_str().chars().map(safe).collect()
+}
+
+fn unreadable(place: &Path, cause: impl std::fmt::Display) -> Fault {
+    Fault::new(Code::InputUnreadable).with_place(place.display()).with_detail(cause)
+}
--- /dev/null
+++ b/tools/tests/status.rs
@@ -0,0 +1,226 @@
+//! `sycamore-status` over admin ports.
+
+#[path = "support/fake_nodes.rs"]
+mod fake_nodes;
+#[path = "support/tool.rs"]
+mod tool;
+
+use fake_nodes::FakeNodes;
+use indexmap::IndexMap;
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tool::Run;
+
+fn now_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as u64
+}
+
+/// The status of a node whose clock is right and that took its version ten seconds ago.
+fn status(index: usize, version: u64) -> Value {
+    let now = now_us();
+    let digest = "ab".repeat(32);
+    let in_force = json!({"version": version, "preset": "ordinary", "digest": digest});
+    json!({
+        "vm": format!("vm-{index}"), "region": "hills", "zone": "h1",
+        "now": now, "started": now - 60_000_000,
+        "in_force": in_force, "in_force_since": now - 10_000_000,
+        "newest_heard": version, "last_refusal": null, "role": "leaf", "parent": "vm-0",
+        "platform_answers": null, "ready": true, "draining": false, "calls_open": 0
+    })
+}
+
+fn fleet(statuses: Vec<Value>) -> FakeNodes {
+    FakeNodes::start(statuses.len(), |index| {
+        IndexMap::from([("/status".to_owned(), statuses[index].to_string())])
+    })
+}
+
+fn ask(addresses: &[SocketAddr], options: &[&str]) -> Run {
+    let mut args: Vec<String> = options.iter().map(|&option| option.to_owned()).collect();
+    for address in addresses {
+        args.extend(["--node".to_owned(), address.to_string()]);
+    }
+    let args: Vec<_> = args.iter().map(String::as_str).collect();
+    tool::run(env!("CARGO_BIN_EXE_sycamore-status"), &args)
+}
+
+fn with(mut status: Value, field: &str, value: Value) -> Value {
+    status[field] = value;
+    status
+}
+
+#[test]
+fn version_everywhere() {
+    let fleet = fleet((0..3).map(|i| status(i, 4)).collect());
+    let run = ask(&fleet.addresses, &["--version-in-force", "4"]);
+    assert_eq!(run.code, Some(0), "{}{}", run.stdout, run.stderr);
+    assert!(run.stdout.starts_with("version 4 is in force everywhere since"), "{}", run.stdout);
+    assert!(run.stdout.contains("nodes: 3, holding 3, newer 0, lagging 0"), "{}", run.stdout);
+}
+
+#[test]
+fn version_not_heard() {
+    let fleet = fleet(vec![status(0, 4), with(status(1, 3), "platform_answers", false.into())]);
+    let run = ask(&fleet.addresses, &[]);
+    assert_eq!(run.code, Some(1));
+    let line = "version 3, heard of no newer one, parent vm-0, platform does not answer";
+    assert!(run.stdout.contains("version 4 is NOT in force everywhere"), "{}", run.stdout);
+    assert!(run.stdout.contains(line), "{}", run.stdout);
+}
+
+#[test]
+fn version_refused() {
+    let fault = "E206: a limit is out of its range";
+    let refusing = with(with(status(1, 3), "newest_heard", 4.into()), "last_refusal", fault.into());
+    let fleet = fleet(vec![status(0, 3), refusing]);
+    let run = ask(&fleet.addresses, &["--version-in-force", "4", "--format", "json"]);
+    assert_eq!(run.code, Some(1));
+    let report = run.json();
+    assert_eq!(report["fleet"][0]["lag"]["why"], "not-heard");
+    assert_eq!(report["fleet"][1]["lag"], json!({"why": "refused", "version": 3, "fault": fault}));
+}
+
+#[test]
+fn version_fetching() {
+    let fleet = fleet(vec![status(0, 4), with(status(1, 3), "newest_heard", 4.into())]);
+    let run = ask(&fleet.addresses, &[]);
+    assert!(run.stdout.contains("fetching from vm-0"), "{}", run.stdout);
+}
+
+#[test]
+fn version_split() {
+    // Story: two operators publish under one version and, against the rules, both bodies come
+    // into force somewhere. Every node holds "version 4"; only the digests tell.
+    let mut other = status(2, 4);
+    other["in_force"]["digest"] = "cd".repeat(32).into();
+    let fleet = fleet(vec![status(0, 4), status(1, 4), other]);
+    let run = ask(&fleet.addresses, &[]);
+    assert_eq!(run.code, Some(1));
+    assert!(run.stdout.contains("SPLIT: version 4 with digest cdcd"), "{}", run.stdout);
+}
+
+#[test]
+fn version_superseded() {
+    let fleet = fleet(vec![status(0, 5), status(1, 5)]);
+    let run = ask(&fleet.addresses, &["--version-in-force", "4"]);
+    assert_eq!(run.code, Some(0));
+    assert!(run.stdout.contains("superseded everywhere"), "{}", run.stdout);
+}
+
+#[test]
+fn version_none_yet() {
+    let empty = with(with(status(0, 0), "in_force", Value::Null), "in_force_since", Value::Null);
+    let run = ask(&fleet(vec![empty]).addresses, &[]);
+    assert_eq!(run.code, Some(1));
+    assert!(run.stdout.contains("no version is in force anywhere"), "{}", run.stdout);
+}
+
+#[test]
+fn node_unreachable() {
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let fleet = fleet(vec![status(0, 4)]);
+    let run = ask(&[fleet.addresses[0], closed], &[]);
+    assert_eq!(run.code, Some(1));
+    assert!(run.stdout.contains(&format!("E501: a node does not answer at {closed}/status")));
+}
+
+#[test]
+fn node_silent() {
+    // Story: a node is stopped with SIGSTOP. Its kernel still takes connections, so that a tool
+    // without a timeout of its own waits for ever.
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let run = ask(&[silent.local_addr().unwrap()], &["--timeout-ms", "100"]);
+    assert_eq!(run.code, Some(1));
+    assert!(run.stdout.contains("no answer within 100 ms"), "{}", run.stdout);
+}
+
+#[test]
+fn node_rubbish() {
+    let fleet = FakeNodes::start(1, |_| IndexMap::from([("/status".to_owned(), "{}".to_owned())]));
+    let run = ask(&fleet.addresses, &[]);
+    assert_eq!(run.code, Some(1));
+    assert!(run.stdout.contains("E504"), "{}", run.stdout);
+}
+
+#[test]
+fn node_leaving_does_not_count() {
+    let leaving = with(status(1, 3), "draining", true.into());
+    let run = ask(&fleet(vec![status(0, 4), leaving]).addresses, &[]);
+    assert_eq!(run.code, Some(0));
+    assert!(run.stdout.contains("leaving 1"), "{}", run.stdout);
+}
+
+#[test]
+fn node_clock_an_hour_ahead() {
+    // Story: one VM's clock is an hour ahead. "In force since" by its own word would lie in the
+    // future; the tool shows it by its own clock.
+    let hour = Duration::from_secs(3_600).as_micros() as u64;
+    let mut ahead = status(0, 4);
+    for field in ["now", "in_force_since"] {
+        ahead[field] = (ahead[field].as_u64().unwrap() + hour).into();
+    }
+    let run = ask(&fleet(vec![ahead]).addresses, &["--format", "json"]);
+    let since = run.json()["everywhere_since"].as_u64().unwrap();
+    assert!(since < now_us(), "{since}");
+}
+
+#[test]
+fn platform_names_version_and_nodes() {
+    let nodes = fleet(vec![status(0, 4), status(1, 4)]);
+    let members: Vec<_> = nodes
+        .addresses
+        .iter()
+        .enumerate()
+        .map(|(index, admin)| {
+            json!({"vm": format!("vm-{index}"), "region": "hills", "zone": "h1",
+                "peers": "127.0.0.1:1", "admin": admin, "state": "live"})
+        })
+        .collect();
+    let gone = json!({"vm": "vm-9", "region": "hills", "zone": "h1",
+        "peers": "127.0.0.1:1", "admin": "127.0.0.1:1", "state": "gone"});
+    let vms = [members, vec![gone]].concat();
+    let list = json!({"vms": vms});
+    let published = json!({"version": 5, "preset": "peak", "digest": "ab".repeat(32)});
+    let platform = FakeNodes::start(1, |_| {
+        let zones = json!({"zones": [{"region": "hills", "zone": "h1"}]});
+        IndexMap::from([
+            ("/v1/kv/zones".to_owned(), zones.to_string()),
+            ("/v1/kv/vms/h1".to_owned(), list.to_string()),
+            ("/v1/kv/in-force".to_owned(), published.to_string()),
+        ])
+    });
+    let run = ask(&[], &["--platform", &platform.addresses[0].to_string()]);
+    assert_eq!(run.code, Some(1), "{}", run.stderr);
+    assert!(run.stdout.contains("version 5 is NOT in force everywhere"), "{}", run.stdout);
+    assert!(run.stdout.contains("nodes: 2"), "{}", run.stdout);
+}
+
+#[test]
+fn wait_until_everywhere() {
+    let nodes = fleet(vec![status(0, 4), status(1, 3)]);
+    std::thread::scope(|scope| {
+        let waiting = scope.spawn(|| ask(&nodes.addresses, &["--wait", "60"]));
+        std::thread::sleep(Duration::from_millis(50));
+        nodes.answer(1, "/status", status(1, 4).to_string());
+        let run = waiting.join().unwrap();
+        assert_eq!(run.code, Some(0), "{}", run.stdout);
+    });
+}
+
+#[test]
+fn usage_refused() {
+    for options in [&[][..], &["--node", "nowhere"], &["--concurrency", "0"], &["extra"]] {
+        let run = ask(&[], options);
+        assert_eq!(run.code, Some(2), "{options:?}");
+        assert!(run.stderr.contains("E104"), "{}", run.stderr);
+    }
+}
+
+#[test]
+fn fleet_of_hundreds() {
+    let fleet = fleet((0..300).map(|i| status(i, 4)).collect());
+    let run = ask(&fleet.addresses, &["--timeout-ms", "10000"]);
+    assert_eq!(run.code, Some(0), "{}", run.stdout);
+    assert!(run.stdout.contains("nodes: 300, holding 300"), "{}", run.stdout);
+}
--- /dev/null
+++ b/tools/tests/timeline.rs
@@ -0,0 +1,216 @@
+//! `sycamore-timeline` over files and admin ports.
+
+#[path = "support/fake_nodes.rs"]
+mod fake_nodes;
+#[path = "support/tool.rs"]
+mod tool;
+
+use fake_nodes::FakeNodes;
+use indexmap::IndexMap;
+use serde_json::{Value, json};
+use std::fs;
+use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tool::Run;
+
+const SECOND: u64 = 1_000_000;
+const START: u64 = 1_700_000_000 * SECOND;
+
+fn event(at: u64, kind: &str) -> Value {
+    json!({"at": at, "kind": kind})
+}
+
+fn in_force(at: u64, version: u64) -> Value {
+    json!({"at": at, "kind": "version-in-force", "version": version})
+}
+
+/// The answer of `/events` by a process that started at `started` and answers at `now`.
+fn events(vm: &str, started: u64, now: u64, events: &[Value]) -> Value {
+    json!({"vm": vm, "region": "hills", "zone": "h1", "now": now, "started": started,
+        "dropped": 0, "events": events})
+}
+
+fn timeline(args: &[&str]) -> Run {
+    tool::run(env!("CARGO_BIN_EXE_sycamore-timeline"), args)
+}
+
+/// The time line of these answers as JSON.
+fn merged(dir: &Path, answers: &[Value]) -> Value {
+    let paths: Vec<_> = (0..answers.len()).map(|i| dir.join(format!("{i}.json"))).collect();
+    for (path, answer) in paths.iter().zip(answers) {
+        fs::write(path, answer.to_string()).unwrap();
+    }
+    let mut args: Vec<_> = paths.iter().map(|path| path.to_str().unwrap()).collect();
+    args.extend(["--format", "json"]);
+    let run = timeline(&args);
+    assert_eq!(run.code, Some(0), "{}", run.stderr);
+    run.json()
+}
+
+#[test]
+fn process_killed_and_restarted() {
+    // Story: a node is killed with SIGKILL, and another process of the same VM starts. Nobody
+    // recorded the kill; it shows only in that the first process never said that it stops.
+    let dir = tempfile::tempdir().unwrap();
+    let first = [event(START, "started"), in_force(START + SECOND, 1)];
+    let second = [event(START + 9 * SECOND, "started"), in_force(START + 10 * SECOND, 1)];
+    let line = merged(
+        dir.path(),
+        &[
+            events("a", START, START + 5 * SECOND, &first),
+            events("a", START + 9 * SECOND, START + 20 * SECOND, &second),
+        ],
+    );
+    let processes = &line["lanes"][0]["processes"];
+    assert_eq!(processes[0]["end"], "killed");
+    let band = json!([{"version": 1, "from": START + SECOND, "to": START + 5 * SECOND}]);
+    assert_eq!(processes[0]["bands"], band);
+    assert_eq!(processes[1]["end"], "running");
+    // The restarted node took version 1 nine seconds late without lagging.
+    assert_eq!(line["versions"][0]["last"], START + SECOND);
+}
+
+#[test]
+fn process_stopped() {
+    let dir = tempfile::tempdir().unwrap();
+    let stopped = [event(START, "started"), event(START + SECOND, "stopped")];
+    let line = merged(dir.path(), &[events("a", START, START + SECOND, &stopped)]);
+    assert_eq!(line["lanes"][0]["processes"][0]["end"], "stopped");
+}
+
+#[test]
+fn process_unseen() {
+    let dir = tempfile::tempdir().unwrap();
+    let line = merged(
+        dir.path(),
+        &[
+            events("a", START, START + SECOND, &[event(START, "started")]),
+            events("b", START, START + 60 * SECOND, &[event(START, "started")]),
+        ],
+    );
+    assert_eq!(line["lanes"][0]["processes"][0]["end"], "unseen");
+    assert_eq!(line["lanes"][1]["processes"][0]["end"], "running");
+}
+
+#[test]
+fn events_of_two_polls_once() {
+    let dir = tempfile::tempdir().unwrap();
+    let [a, b, c] = [0, 1, 2].map(|i| in_force(START + i * SECOND, i + 1));
+    let line = merged(
+        dir.path(),
+        &[
+            events("a", START, START + 2 * SECOND, &[a, b.clone()]),
+            events("a", START, START + 3 * SECOND, &[b, c]),
+        ],
+    );
+    let marks = line["lanes"][0]["processes"][0]["marks"].as_array().unwrap();
+    let versions: Vec<_> = marks.iter().map(|mark| mark["version"].clone()).collect();
+    assert_eq!(versions, [1, 2, 3]);
+}
+
+fn now_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as u64
+}
+
+#[test]
+fn clocks_apart() {
+    // Story: one VM's clock is an hour ahead. Merged by their own clocks, its lane would stand an
+    // hour to the right, and a version would seem to take an hour to come into force.
+    let hour = 3_600 * SECOND;
+    let now = now_us();
+    let node = |vm: &str, ahead: u64| {
+        let started = now - 10 * SECOND + ahead;
+        let happened = [event(started, "started"), in_force(now - SECOND + ahead, 1)];
+        events(vm, started, now + ahead, &happened)
+    };
+    let bodies = [node("a", 0), node("b", hour)];
+    let nodes =
+        FakeNodes::start(2, |i| IndexMap::from([("/events".to_owned(), bodies[i].to_string())]));
+    let [a, b] = [0, 1].map(|i| nodes.addresses[i].to_string());
+    let run = timeline(&["--node", &a, "--node", &b, "--format", "json", "--timeout-ms", "10000"]);
+    let line = run.json();
+    let span = &line["versions"][0];
+    let took = span["last"].as_u64().unwrap() - span["first"].as_u64().unwrap();
+    // The exchanges take less than the minute that separates right from wrong on any machine.
+    assert!(took < 60 * SECOND, "{took}");
+    assert_eq!(span["nodes"], 2);
+}
+
+#[test]
+fn saved_events_outlive_process() {
+    // Story: a node is killed, and its ring of events with it. Polled before with --save, its
+    // events stand in the time line of the next poll beside those of its successor.
+    let dir = tempfile::tempdir().unwrap();
+    let save = dir.path().join("records");
+    let save = save.to_str().unwrap();
+    let body = |started: u64| {
+        let happened = [event(started, "started"), in_force(started + 1, 1)];
+        events("a/b", started, started + SECOND, &happened).to_string()
+    };
+    let nodes = FakeNodes::start(1, |_| IndexMap::from([("/events".to_owned(), body(START))]));
+    let node = nodes.addresses[0].to_string();
+    assert_eq!(timeline(&["--node", &node, "--save", save]).code, Some(0));
+    nodes.answer(0, "/events", body(START + 60 * SECOND));
+    assert_eq!(timeline(&["--node", &node, "--save", save]).code, Some(0));
+    drop(nodes);
+    let run = timeline(&["--save", save, "--format", "json"]);
+    let line = run.json();
+    assert_eq!(line["lanes"][0]["processes"].as_array().unwrap().len(), 2, "{line}");
+}
+
+#[test]
+fn follow_ends_by_itself() {
+    let body = events("a", START, START + SECOND, &[event(START, "started")]).to_string();
+    let nodes = FakeNodes::start(1, |_| IndexMap::from([("/events".to_owned(), body.clone())]));
+    let node = nodes.addresses[0].to_string();
+    let run = timeline(&["--node", &node, "--follow", "1", "--interval-ms", "50"]);
+    assert_eq!(run.code, Some(0));
+    assert!(run.stdout.contains(" started\n"), "{}", run.stdout);
+}
+
+#[test]
+fn picture_of_names_with_markup() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("a.json");
+    let happened = [event(START, "started"), in_force(START + 1, 1), event(START + 2, "clock-gap")];
+    let answer = events("<a&\"b>", START, START + SECOND, &happened);
+    fs::write(&path, answer.to_string()).unwrap();
+    let output = dir.path().join("a.svg");
+    let args = [path.to_str().unwrap(), "--format", "svg", "--output", output.to_str().unwrap()];
+    let run = timeline(&args);
+    assert_eq!(run.code, Some(0), "{}", run.stderr);
+    let picture = fs::read_to_string(output).unwrap();
+    assert!(picture.contains("&lt;a&amp;\"b&gt;"), "{picture}");
+    assert!(picture.contains("clock gap"), "{picture}");
+    assert!(!picture.contains("source lost"), "the legend names only what stands in the picture");
+}
+
+#[test]
+fn text_names_codes() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("a.json");
+    let refused = json!({"at": START, "kind": "version-refused", "version": 3, "code": 204});
+    fs::write(&path, events("a", START, START, &[refused]).to_string()).unwrap();
+    let run = timeline(&[path.to_str().unwrap()]);
+    let line = "version-refused version 3 E204: a route names a service that the document lacks";
+    assert!(run.stdout.contains(line), "{}", run.stdout);
+}
+
+#[test]
+fn file_not_valid() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("a.json");
+    fs::write(&path, "{\"events\": 1}").unwrap();
+    let run = timeline(&[path.to_str().unwrap()]);
+    assert_eq!(run.code, Some(2));
+    assert!(run.stderr.contains("E506"), "{}", run.stderr);
+}
+
+#[test]
+fn usage_refused() {
+    for args in [&[][..], &["--follow", "1"], &["x.json", "--format", "png"]] {
+        let run = timeline(args);
+        assert_eq!(run.code, Some(2), "{args:?}");
+        assert!(run.stderr.contains("E104"), "{}", run.stderr);
+    }
+}
