--- a/bench/src/bin/sycamore-demo.rs
+++ b/bench/src/bin/sycamore-demo.rs
@@ -8,8 +8,9 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use sycamore_bench::demo::plan::{Demo, Paths};
+use sycamore_bench::demo::plan::Demo;
 use sycamore_bench::demo::report::Report;
+use sycamore_bench::stack::Stack;
 use sycamore_standins::example::{COOPERATIVE, Deployment, FRANCHISE_OFFICE};
 
 /// Exit code of a command line that is not valid.
@@ -40,9 +41,9 @@
         _ => {}
     }
     let interrupted = watch_signals()?;
-    let paths = Paths { example: Path::new("examples").join(deployment.name), output };
-    let demo = Demo::new(deployment, paths, interrupted)?;
-    let (evidence, seen) = demo.run()?;
+    let files = Path::new("examples").join(deployment.name);
+    let stack = Stack::new(deployment, &files, &output)?;
+    let (evidence, seen) = Demo::new(stack, interrupted).run()?;
     let report = Report::new(deployment.name, &evidence, seen.control_bytes());
     println!("\n{report}\ntime line: target/demo/timeline.svg");
     println!("{}", serde_json::to_string(&report)?);
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod demo;
 pub mod http;
 pub mod process;
+pub mod stack;
--- /dev/null
+++ b/bench/src/stack.rs
@@ -0,0 +1,162 @@
+//! A whole deployment in processes of its own: the platform, its nodes and its targets.
+
+use crate::http;
+use crate::process::{Launcher, Process};
+use indexmap::IndexMap;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use sycamore_core::Name;
+use sycamore_core::config::InForce;
+use sycamore_core::hash::Hash;
+use sycamore_node::settings::Settings;
+use sycamore_standins::example::Deployment;
+use sycamore_standins::platform::Faults;
+use sycamore_tools::load::history::now_us;
+
+/// Longest wait for all nodes to hold the first version.
+const START_LIMIT: Duration = Duration::from_secs(10);
+/// Longest planned stop of one node.
+pub const STOP_LIMIT: Duration = Duration::from_secs(10);
+/// Pause between looks at whether something has happened.
+pub const POLL: Duration = Duration::from_millis(20);
+/// Time that the stand-ins get to listen before nodes ask them.
+const STANDINS_START: Duration = Duration::from_millis(200);
+
+/// A deployment as it runs. Dropping it kills its processes.
+#[derive(Debug)]
+pub struct Stack {
+    /// What it consists of.
+    pub deployment: Deployment,
+    /// Settings of every node by VM, whether or not it runs.
+    pub settings: IndexMap<String, Settings>,
+    /// The nodes that run.
+    pub nodes: IndexMap<String, Process>,
+    /// Starts further programs.
+    pub launcher: Launcher,
+    files: PathBuf,
+    output: PathBuf,
+    standins: Vec<Process>,
+}
+
+impl Stack {
+    /// Reads the files of a deployment; output goes to another directory. Starts nothing yet.
+    pub fn new(deployment: Deployment, files: &Path, output: &Path) -> io::Result<Stack> {
+        let launcher = Launcher::new(output)?;
+        let mut settings = IndexMap::new();
+        for vm in deployment.vms() {
+            let path = files.join("nodes").join(format!("{}.json", vm.name));
+            settings.insert(vm.name, Settings::read(&path).map_err(io::Error::other)?);
+        }
+        Ok(Stack {
+            deployment,
+            settings,
+            nodes: IndexMap::new(),
+            launcher,
+            files: files.to_path_buf(),
+            output: output.to_path_buf(),
+            standins: Vec::new(),
+        })
+    }
+
+    /// Starts the platform and the targets.
+    pub fn start_standins(&mut self) -> io::Result<()> {
+        let published = self.file("published");
+        let control = self.deployment.platform_control().to_string();
+        let zones = self.deployment.zones();
+        let readers: Vec<String> =
+            zones.iter().map(|zone| self.deployment.platform(zone.2).to_string()).collect();
+        let mut args = vec!["--values", &published, "--control", &control];
+        args.extend(readers.iter().flat_map(|address| ["--listen", address.as_str()]));
+        self.standins.push(self.launcher.start("standin-platform", &args, "platform.log")?);
+        let targets = self.file("targets.json");
+        let runs = self.output("runs.jsonl");
+        let args = ["--targets", targets.as_str(), "--run-log", runs.as_str()];
+        self.standins.push(self.launcher.start("standin-target", &args, "targets.log")?);
+        std::thread::sleep(STANDINS_START);
+        Ok(())
+    }
+
+    /// Starts every node.
+    pub fn start_nodes(&mut self) -> io::Result<()> {
+        for vm in self.settings.keys().cloned().collect::<Vec<_>>() {
+            self.start_node(&vm)?;
+        }
+        Ok(())
+    }
+
+    /// Starts one node.
+    pub fn start_node(&mut self, vm: &str) -> io::Result<()> {
+        let settings = self.file(&format!("nodes/{vm}.json"));
+        let args = ["--settings", settings.as_str()];
+        let node = self.launcher.start("sycamore-node", &args, &format!("{vm}.log"))?;
+        self.nodes.insert(vm.to_string(), node);
+        Ok(())
+    }
+
+    /// Waits until every node takes calls, while `go_on` says so.
+    pub fn wait_until_ready(&self, go_on: impl Fn() -> io::Result<()>) -> io::Result<()> {
+        let end = Instant::now() + START_LIMIT;
+        let mut waiting: Vec<_> =
+            self.nodes.keys().map(|vm| self.settings[vm].listen.admin).collect();
+        while !waiting.is_empty() {
+            go_on()?;
+            if Instant::now() >= end {
+                let detail = format!("not ready after {START_LIMIT:?}: {waiting:?}");
+                return Err(io::Error::other(detail));
+            }
+            waiting.retain(|admin| http::get(*admin, "/ready").is_err());
+            std::thread::sleep(POLL);
+        }
+        Ok(())
+    }
+
+    /// Publishes a preset under a version. Returns when, in microseconds since the Unix epoch.
+    pub fn publish(&self, version: u64, preset: &str, file: &str) -> io::Result<u64> {
+        let body = std::fs::read(self.file(file))?;
+        let name = Name::new(preset.to_string()).ok_or(io::ErrorKind::InvalidInput)?;
+        let in_force = InForce { version, preset: name, digest: Hash::of(&body) };
+        let control = self.deployment.platform_control();
+        http::put(control, &format!("/v1/kv/preset/{preset}"), body.into())?;
+        let at_us = now_us();
+        http::put(control, "/v1/kv/in-force", serde_json::to_vec(&in_force)?.into())?;
+        Ok(at_us)
+    }
+
+    /// Sets the faults of the platform.
+    pub fn set_faults(&self, faults: &Faults) -> io::Result<()> {
+        let body = serde_json::to_vec(faults)?;
+        http::put(self.deployment.platform_control(), "/faults", body.into()).map(|_| ())
+    }
+
+    /// Drives a target: `habits` or `crash`, with what belongs to it.
+    pub fn drive_target(&self, what: &str, vm: &str, body: String) -> io::Result<()> {
+        let control = self.deployment.targets_control();
+        http::put(control, &format!("/{what}/{vm}"), body.into()).map(|_| ())
+    }
+
+    /// Asks every node to stop, waits for them together, and ends the stand-ins. Returns the VMs
+    /// whose nodes had to be killed.
+    pub fn stop(&mut self) -> Vec<String> {
+        self.nodes.values().for_each(Process::terminate);
+        let mut killed = Vec::new();
+        for (vm, node) in &mut self.nodes {
+            if !node.wait(STOP_LIMIT) {
+                killed.push(vm.clone());
+            }
+        }
+        self.nodes.clear();
+        self.standins.clear();
+        killed
+    }
+
+    /// Path of a file of the deployment.
+    pub fn file(&self, below: &str) -> String {
+        self.files.join(below).display().to_string()
+    }
+
+    /// Path of a file of output.
+    pub fn output(&self, below: &str) -> String {
+        self.output.join(below).display().to_string()
+    }
+}
--- a/standins/src/bin/example-maker.rs
+++ b/standins/src/bin/example-maker.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 use sycamore_standins::command::{self, failed};
-use sycamore_standins::example::{COOPERATIVE, Deployment, FRANCHISE_OFFICE, files};
+use sycamore_standins::example::{COOPERATIVE, FRANCHISE_OFFICE, write};
 
 fn main() -> ExitCode {
     let mut options = Options::new();
@@ -15,20 +15,9 @@
     };
     let directory = matches.opt_str("directory").unwrap_or_else(|| "examples".into());
     for deployment in [FRANCHISE_OFFICE, COOPERATIVE] {
-        if let Err(e) = write(Path::new(&directory), &deployment) {
+        if let Err(e) = write(&deployment, &Path::new(&directory).join(deployment.name)) {
             return failed(e);
         }
     }
     ExitCode::SUCCESS
 }
-
-fn write(directory: &Path, deployment: &Deployment) -> std::io::Result<()> {
-    for file in files(deployment) {
-        let path = directory.join(deployment.name).join(&file.path);
-        if let Some(parent) = path.parent() {
-            std::fs::create_dir_all(parent)?;
-        }
-        std::fs::write(path, file.text)?;
-    }
-    Ok(())
-}
--- a/standins/src/example.rs
+++ b/standins/src/example.rs
@@ -4,5 +4,5 @@
 mod files;
 mod presets;
 
-pub use deployment::{COOPERATIVE, Deployment, FRANCHISE_OFFICE, Vm};
-pub use files::{File, files};
+pub use deployment::{COOPERATIVE, Deployment, FRANCHISE_OFFICE, RouteRow, TARGET_PORT, Vm};
+pub use files::{File, files, write};
--- a/standins/src/example/deployment.rs
+++ b/standins/src/example/deployment.rs
@@ -72,9 +72,9 @@
     /// Second number of its loopback addresses.
     pub network: u8,
     /// Its regions; each has two availability zones.
-    pub regions: [&'static str; 3],
+    pub regions: &'static [&'static str],
     /// Its services; each has one target in each zone.
-    pub services: [&'static str; 3],
+    pub services: &'static [&'static str],
     /// Its routes.
     pub routes: &'static [RouteRow],
     /// Slots of each target.
@@ -87,8 +87,8 @@
 pub const FRANCHISE_OFFICE: Deployment = Deployment {
     name: "franchise-office",
     network: 20,
-    regions: ["alberta", "saskatchewan", "manitoba"],
-    services: ["contract-lookup", "allotments", "ledgers"],
+    regions: &["alberta", "saskatchewan", "manitoba"],
+    services: &["contract-lookup", "allotments", "ledgers"],
     routes: &FRANCHISE_OFFICE_ROUTES,
     slots: 12,
     connections: 110,
@@ -98,8 +98,8 @@
 pub const COOPERATIVE: Deployment = Deployment {
     name: "cooperative",
     network: 30,
-    regions: ["north-hills", "mid-plains", "delta"],
-    services: ["roster", "enrolment", "maps-and-kits"],
+    regions: &["north-hills", "mid-plains", "delta"],
+    services: &["roster", "enrolment", "maps-and-kits"],
     routes: &COOPERATIVE_ROUTES,
     slots: 18,
     connections: 110,
@@ -136,7 +136,7 @@
     /// Its availability zones, with their regions and numbers.
     pub fn zones(&self) -> Vec<(&'static str, String, u8)> {
         let mut zones = Vec::new();
-        for region in self.regions {
+        for &region in self.regions {
             for number in 1..=ZONES_PER_REGION {
                 zones.push((region, format!("{region}-{number}"), zones.len() as u8 + 1));
             }
@@ -148,7 +148,7 @@
     pub fn vms(&self) -> Vec<Vm> {
         let mut vms = Vec::new();
         for (region, zone, zone_number) in self.zones() {
-            for (index, service) in self.services.into_iter().enumerate() {
+            for (index, &service) in self.services.iter().enumerate() {
                 let host = index as u8 + 1;
                 vms.push(Vm {
                     name: format!("{zone}-vm-{host}"),
--- a/standins/src/example/files.rs
+++ b/standins/src/example/files.rs
@@ -7,6 +7,7 @@
 use crate::target::{TargetConfig, TargetsConfig};
 use serde::Serialize;
 use std::net::SocketAddr;
+use std::path::Path;
 use sycamore_core::config::InForce;
 use sycamore_core::hash::Hash;
 use sycamore_core::member::{Member, VmList, VmState};
@@ -58,6 +59,18 @@
     files
 }
 
+/// Writes every file of a deployment below `directory`.
+pub fn write(deployment: &Deployment, directory: &Path) -> std::io::Result<()> {
+    for file in files(deployment) {
+        let path = directory.join(&file.path);
+        if let Some(parent) = path.parent() {
+            std::fs::create_dir_all(parent)?;
+        }
+        std::fs::write(path, file.text)?;
+    }
+    Ok(())
+}
+
 impl File {
     fn new(path: impl Into<String>, content: &impl Serialize) -> File {
         let text = serde_json::to_string_pretty(content).unwrap_or_default();
--- a/standins/src/example/presets.rs
+++ b/standins/src/example/presets.rs
@@ -11,7 +11,7 @@
 /// A preset of a deployment.
 pub fn preset(deployment: &Deployment, name: &str) -> Preset {
     let mut services = IndexMap::new();
-    for service in deployment.services {
+    for &service in deployment.services {
         let limits = limits(deployment, name);
         services
             .insert(to_name(service), Service { limits, targets: targets(deployment, service) });
--- a/tools/src/lib.rs
+++ b/tools/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod fleet;
 pub mod input;
 pub mod load;
-pub mod load;
 pub mod status;
 pub mod survey;
 pub mod text;
--- a/tools/src/load/mix.rs
+++ b/tools/src/load/mix.rs
@@ -1,5 +1,6 @@
 //! What callers ask for: a deployment's classes of requests, read from a JSON file.
 
+use crate::input;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
 use sycamore_core::{Code, Fault, Result};
@@ -42,15 +43,11 @@
 impl Mix {
     /// Reads and checks a mix.
     pub fn read(path: &Path) -> Result<Mix> {
-        let place = path.display();
-        let buf = std::fs::read(path)
-            .map_err(|e| Fault::new(Code::SettingsUnreadable).with_place(&place).with_detail(e))?;
-        let invalid = |detail: String| {
-            Fault::new(Code::SettingsInvalid).with_place(&place).with_detail(detail)
-        };
-        let mix: Mix = serde_json::from_slice(&buf).map_err(|e| invalid(e.to_string()))?;
+        let mix: Mix = input::read_json(path)?;
         if mix.shares() == 0 {
-            return Err(invalid("classes: the shares add up to 0, at least 1 is needed".into()));
+            let fault =
+                Fault::new(Code::InputInvalid).with_place(format!("{}: classes", path.display()));
+            return Err(fault.with_detail("the shares add up to 0, at least 1 is needed"));
         }
         Ok(mix)
     }
