--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,1 +1,6 @@
-//! placeholder
+//! Benches and history checks of sycamorescale.
+
+pub mod demo;
+pub mod http;
+pub mod process;
+pub mod stack;
