--- a/tools/src/lib.rs
+++ b/tools/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod command_line;
 pub mod fleet;
 pub mod input;
+pub mod load;
 pub mod status;
 pub mod survey;
 pub mod text;
