sycamore-check: homes by the rule of the call path

Cause: the share of moved keys used a copy of the rendezvous rule. Ruled out: keeping the copy, which would drift from nodes. Change: call::note::HomeList::choose decides. Conclusion: one rule.

--- a/tools/src/check/difference.rs
+++ b/tools/src/check/difference.rs
@@ -4,9 +4,9 @@
 use serde::Serialize;
 use serde_json::Value;
 use sycamore_core::Name;
+use sycamore_core::call::note::HomeList;
 use sycamore_core::config::document::{Preset, Route, Service, Target};
 use sycamore_core::config::resource;
-use sycamore_core::hash;
 
 /// Keys whose home is compared to estimate how many move.
 const SAMPLE_KEYS: u32 = 4_096;
@@ -200,17 +200,19 @@
 
 /// Share of sampled keys whose home differs, in %; zero if either side has no target.
 fn moved_keys_percent(before: &[Target], after: &[Target]) -> f64 {
-    let homes = |targets: &[Target], key: u32| {
-        let score = |target: &Target| hash::score(&key.to_le_bytes(), target.vm.as_bytes());
-        targets.iter().max_by_key(|target| score(target)).map(|target| target.vm.clone())
-    };
     if before.is_empty() || after.is_empty() {
         return 0.0;
     }
-    let moved = (0..SAMPLE_KEYS).filter(|key| homes(before, *key) != homes(after, *key)).count();
+    let moves = |key: &u32| home(before, *key) != home(after, *key);
+    let moved = (0..SAMPLE_KEYS).filter(moves).count();
     100.0 * moved as f64 / f64::from(SAMPLE_KEYS)
 }
 
+/// The home of a sample key, by the rule that nodes use.
+fn home(targets: &[Target], key: u32) -> Option<&Name> {
+    HomeList::choose(&key.to_le_bytes(), targets.iter().map(|target| &target.vm))
+}
+
 fn resources(before: &Preset, after: &Preset) -> ResourceChange {
     let old = resource::split(before);
     let new = resource::split(after);
