bench: links, platform, workload, baseline and history checker

Cause: the spread and its faults must be measured beside a naive baseline, and histories must be checked by rules that know nothing of the decisions. Ruled out: a cluster simulator; the links are one time-ordered queue. Change: in-memory links and platform, generator of presets, polling baseline, rules of a history with a planted fault for each.

--- /dev/null
+++ b/bench/src/baseline.rs
@@ -0,0 +1,176 @@
+//! The naive way to spread a version: every node polls the source for the whole document at a
+//! fixed interval. The figures of the system stand beside its figures.
+
+use crate::fleet::measure::{Convergence, Figures};
+use crate::fleet::platform::{Answer, CALLS_PER_S, Get, Platform};
+use crate::fleet::publication::Publication;
+use crate::fleet::workload::{Size, Workload, name};
+use crate::links::{Links, PLATFORM_ZONE, Profile, Site};
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::time::Duration;
+use sycamore_core::Time;
+use sycamore_core::config::document::MAX_DOCUMENT_BYTES;
+
+/// Shortest interval between two polls of a node.
+const SHORTEST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Share of the platform's limit that polling may use.
+const LIMIT_PERCENT: u64 = 80;
+
+/// Bytes of the head of a request and of an answer.
+const HEAD_BYTES: u64 = 120;
+
+/// Where the platform stands.
+const PLATFORM: Site = Site { region: 0, zone: PLATFORM_ZONE };
+
+enum Event {
+    Poll(usize),
+    Asked(usize),
+    Answered(usize, u64),
+    Publish,
+}
+
+/// A fleet of polling nodes.
+pub struct Baseline {
+    size: Size,
+    links: Links<Event>,
+    platform: Platform<usize>,
+    workload: Workload,
+    convergence: Convergence,
+    whole: u64,
+    interval: Duration,
+}
+
+impl Baseline {
+    /// A fleet that holds version 1, and polls as often as the platform's limit allows.
+    pub fn new(size: Size, profile: Profile, seed: u64) -> Baseline {
+        let mut workload = Workload::new(size, seed);
+        let first = workload.publish();
+        let links = Links::new(profile, Time::from_millis(0), seed);
+        let convergence = Convergence::new(size.nodes);
+        let interval = shortest_interval(size.nodes, first.whole);
+        let whole = first.whole;
+        let platform = Platform::new();
+        let mut fleet = Baseline { size, links, platform, workload, convergence, whole, interval };
+        fleet.put(&first);
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        for node in 0..size.nodes {
+            let phase = rng.random_range(0..interval.as_micros() as u64);
+            fleet.links.after(Duration::from_micros(phase), Event::Poll(node));
+            fleet.convergence.in_force(node, 1, Time::ZERO);
+        }
+        fleet
+    }
+
+    /// The interval between two polls of a node.
+    pub fn interval(&self) -> Duration {
+        self.interval
+    }
+
+    /// Publishes `versions` changes, one each `pause`, and measures until every node has polled
+    /// once after the last.
+    pub fn run(mut self, versions: usize, pause: Duration) -> Figures {
+        let started = self.links.now();
+        for index in 1..=versions {
+            self.links.after(pause * index as u32, Event::Publish);
+        }
+        let changing = started + pause * versions as u32;
+        let mut figures = Figures::default();
+        let mut measured = false;
+        let end = changing + self.interval * 2 + Duration::from_secs(2);
+        while self.links.next_at().is_some_and(|at| at <= end) {
+            // Rates are taken over the span of the changes, as they are for the system.
+            if !measured && self.links.next_at() >= Some(changing) {
+                measured = true;
+                figures = self.rates(versions, changing.since(started));
+            }
+            let Some(event) = self.links.pop() else { break };
+            self.handle(event);
+        }
+        let times = Figures::new(&self.convergence);
+        Figures {
+            versions: times.versions,
+            p50_ms: times.p50_ms,
+            p99_ms: times.p99_ms,
+            max_ms: times.max_ms,
+            behind: times.behind,
+            ..figures
+        }
+    }
+
+    fn rates(&self, versions: usize, span: Duration) -> Figures {
+        let calls = self.platform.calls();
+        let figures = Figures { versions, ..Figures::default() };
+        figures.with_traffic(&self.links.traffic(), self.size.nodes, span).with_calls(
+            calls.total,
+            calls.over_limit,
+            calls.peak,
+            span,
+        )
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Poll(node) => {
+                let site = self.size.site(node);
+                self.links.send(site, PLATFORM, HEAD_BYTES * self.values(), Event::Asked(node));
+                self.links.after(self.interval, Event::Poll(node));
+            }
+            Event::Asked(node) => self.answer(node),
+            Event::Answered(node, version) => {
+                if version > self.convergence.held(node) {
+                    self.convergence.in_force(node, version, self.links.now());
+                }
+            }
+            Event::Publish => {
+                let publication = self.workload.change();
+                self.put(&publication);
+            }
+        }
+    }
+
+    fn answer(&mut self, node: usize) {
+        let now = self.links.now();
+        let mut index = None;
+        for _ in 0..self.values() {
+            let key = name("document".to_owned());
+            let get = Get { caller: node, key, above: None, until: now };
+            match self.platform.get(now, get) {
+                Some(Answer::Value(_, found)) => index = Some(found),
+                _ => return,
+            }
+        }
+        // One value is written for each version, so that the index is the version.
+        if let Some(version) = index {
+            let bytes = self.whole + HEAD_BYTES * self.values();
+            let site = self.size.site(node);
+            self.links.send(PLATFORM, site, bytes, Event::Answered(node, version));
+        }
+    }
+
+    fn put(&mut self, publication: &Publication) {
+        self.whole = publication.whole;
+        self.platform.put(name("document".to_owned()), Bytes::new());
+        self.convergence.published(publication.in_force.version, self.links.now());
+        if publication.in_force.version == 1 {
+            self.convergence.reset();
+        }
+    }
+
+    fn values(&self) -> u64 {
+        values(self.whole)
+    }
+}
+
+/// Values of the platform that a whole document takes at least.
+fn values(whole: u64) -> u64 {
+    whole.div_ceil(MAX_DOCUMENT_BYTES as u64)
+}
+
+fn shortest_interval(nodes: usize, whole: u64) -> Duration {
+    let calls = nodes as u64 * values(whole);
+    let span = Duration::from_millis(calls * 1_000 * 100 / (CALLS_PER_S * LIMIT_PERCENT));
+    span.max(SHORTEST_INTERVAL)
+}
--- /dev/null
+++ b/bench/src/fleet/measure.rs
@@ -0,0 +1,172 @@
+//! What a run measures, the same for the system and for the naive baseline.
+
+use crate::links::Traffic;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::time::Duration;
+use sycamore_core::Time;
+
+/// Longest convergence that is told apart, in microseconds: one hour.
+const LONGEST_US: u64 = 3_600_000_000;
+
+/// How long versions take to be in force, one sample for each version and node.
+#[derive(Debug)]
+pub struct Convergence {
+    published: Vec<(u64, Time)>,
+    held: Vec<u64>,
+    samples: Histogram<u64>,
+}
+
+impl Convergence {
+    /// A measure of so many nodes that hold nothing yet.
+    pub fn new(nodes: usize) -> Convergence {
+        // The bounds are constants that the histogram accepts.
+        let samples = Histogram::new_with_bounds(1, LONGEST_US, 3)
+            .unwrap_or_else(|_| unreachable!("the bounds are valid"));
+        Convergence { published: Vec::new(), held: vec![0; nodes], samples }
+    }
+
+    /// A version was published.
+    pub fn published(&mut self, version: u64, at: Time) {
+        self.published.push((version, at));
+    }
+
+    /// A version came into force on a node; it stands for the ones it skipped too.
+    pub fn in_force(&mut self, node: usize, version: u64, at: Time) {
+        let held = std::mem::replace(&mut self.held[node], version);
+        for (_, since) in self.published.iter().rev().take_while(|(v, _)| *v > held) {
+            let span = at.since(*since).as_micros() as u64;
+            self.samples.saturating_record(span.max(1));
+        }
+    }
+
+    /// A node lost what it held.
+    pub fn restarted(&mut self, node: usize) {
+        self.held[node] = 0;
+    }
+
+    /// Forgets the samples and the versions published so far.
+    pub fn reset(&mut self) {
+        self.samples.reset();
+        self.published.clear();
+    }
+
+    /// The version that a node holds; zero if none.
+    pub fn held(&self, node: usize) -> u64 {
+        self.held[node]
+    }
+
+    /// How many nodes hold less than `version`.
+    pub fn behind(&self, version: u64) -> usize {
+        self.held.iter().filter(|held| **held < version).count()
+    }
+
+    fn at_quantile(&self, quantile: f64) -> f64 {
+        millis(self.samples.value_at_quantile(quantile))
+    }
+}
+
+/// What one run came to. Rates are over the measured span of simulated time.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Figures {
+    /// Versions published.
+    pub versions: usize,
+    /// Half of all versions and nodes took at most this long.
+    pub p50_ms: f64,
+    /// 99 in 100 took at most this long.
+    pub p99_ms: f64,
+    /// The slowest node took this long.
+    pub max_ms: f64,
+    /// Nodes without the last version at the end.
+    pub behind: usize,
+    /// Control bytes a node and second, sent and received once each.
+    pub bytes_per_node_s: f64,
+    /// The same within zones.
+    pub zone_bytes_per_node_s: f64,
+    /// The same between zones of a region.
+    pub region_bytes_per_node_s: f64,
+    /// The same between regions.
+    pub across_bytes_per_node_s: f64,
+    /// Bytes between regions for each version published.
+    pub across_bytes_per_version: f64,
+    /// Messages sent a node and second.
+    pub messages_per_node_s: f64,
+    /// Platform calls a second, on average.
+    pub platform_calls_per_s: f64,
+    /// Most platform calls in one second, waiting watches counted.
+    pub platform_calls_peak: u64,
+    /// Platform calls refused as too many.
+    pub platform_over_limit: u64,
+    /// Processor time of the decisions, a node and second.
+    pub cpu_us_per_node_s: f64,
+    /// Resident memory of the whole run divided by its nodes.
+    pub kb_per_node: f64,
+}
+
+impl Figures {
+    /// Figures of convergence.
+    pub fn new(convergence: &Convergence) -> Figures {
+        let last = convergence.published.last().map_or(0, |(version, _)| *version);
+        Figures {
+            versions: convergence.published.len(),
+            p50_ms: convergence.at_quantile(0.5),
+            p99_ms: convergence.at_quantile(0.99),
+            max_ms: millis(convergence.samples.max()),
+            behind: convergence.behind(last),
+            ..Figures::default()
+        }
+    }
+
+    /// The same with what went over the links of `nodes` nodes in `span`.
+    pub fn with_traffic(mut self, traffic: &Traffic, nodes: usize, span: Duration) -> Figures {
+        let per_node_s = |count: u64| count as f64 / nodes as f64 / span.as_secs_f64();
+        let [zone, region, across] = traffic.bytes;
+        self.bytes_per_node_s = per_node_s(zone + region + across);
+        self.zone_bytes_per_node_s = per_node_s(zone);
+        self.region_bytes_per_node_s = per_node_s(region);
+        self.across_bytes_per_node_s = per_node_s(across);
+        self.across_bytes_per_version = across as f64 / self.versions.max(1) as f64;
+        self.messages_per_node_s = per_node_s(traffic.messages.iter().sum());
+        self
+    }
+
+    /// The same with the calls to the platform in `span`.
+    pub fn with_calls(mut self, calls: u64, over_limit: u64, peak: u64, span: Duration) -> Figures {
+        self.platform_calls_per_s = calls as f64 / span.as_secs_f64();
+        self.platform_calls_peak = peak;
+        self.platform_over_limit = over_limit;
+        self
+    }
+
+    /// The same with what the process used for `nodes` nodes in `span` of simulated time.
+    pub fn with_usage(
+        mut self,
+        cpu: Duration,
+        bytes: u64,
+        nodes: usize,
+        span: Duration,
+    ) -> Figures {
+        self.cpu_us_per_node_s = cpu.as_micros() as f64 / nodes as f64 / span.as_secs_f64();
+        self.kb_per_node = bytes as f64 / 1_024.0 / nodes as f64;
+        self
+    }
+}
+
+/// Processor time of this thread so far.
+pub fn cpu_time() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let nanos = text.split_whitespace().next().and_then(|field| field.parse().ok());
+    Duration::from_nanos(nanos.unwrap_or(0))
+}
+
+/// Resident memory of this process, in bytes.
+pub fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+    let kb = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+    kb.unwrap_or(0) * 1_024
+}
+
+fn millis(us: u64) -> f64 {
+    us as f64 / 1_000.0
+}
--- /dev/null
+++ b/bench/src/fleet/platform.rs
@@ -0,0 +1,190 @@
+//! The platform in memory: keys with an index, watches, the limit on calls, outages and stale
+//! answers. docs/INTERFACES.md states the contract.
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use sycamore_core::{Name, Time};
+
+/// Calls a second that the platform answers, over all readers.
+pub const CALLS_PER_S: u64 = 2_000;
+
+/// A read, with the place of the answer in the caller's hands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Get<C> {
+    /// Who reads; given back with the answer.
+    pub caller: C,
+    /// The key.
+    pub key: Name,
+    /// Answer only once the key's index is above this; `None` reads at once.
+    pub above: Option<u64>,
+    /// Until when a watch waits.
+    pub until: Time,
+}
+
+/// What a call is answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The value and the index at which it last changed.
+    Value(Bytes, u64),
+    /// There is no such key.
+    Missing,
+    /// Too many calls in this second.
+    OverLimit,
+}
+
+/// How the platform behaves now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    /// It answers with its newest state.
+    Up,
+    /// It does not answer.
+    Down,
+    /// It answers with the state as of this index: a stale replica, or a restored backup.
+    AsOf(u64),
+}
+
+/// What was counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Calls {
+    /// Calls that reached the platform.
+    pub total: u64,
+    /// Calls answered with [`Answer::OverLimit`].
+    pub over_limit: u64,
+    /// Most calls begun in one second plus watches that were waiting at its start.
+    pub peak: u64,
+}
+
+/// Values kept of one key, for stale answers.
+const KEPT_VALUES: usize = 32;
+
+/// The platform's state. `C` names a caller.
+pub struct Platform<C> {
+    values: IndexMap<Name, Vec<(u64, Bytes)>>,
+    index: u64,
+    health: Health,
+    waiting: Vec<Get<C>>,
+    calls: Calls,
+    second: u64,
+    this_second: u64,
+}
+
+impl<C: Clone> Platform<C> {
+    /// An empty platform.
+    pub fn new() -> Platform<C> {
+        Platform {
+            values: IndexMap::new(),
+            index: 0,
+            health: Health::Up,
+            waiting: Vec::new(),
+            calls: Calls::default(),
+            second: 0,
+            this_second: 0,
+        }
+    }
+
+    /// The index of the last change.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// What was counted so far.
+    pub fn calls(&self) -> Calls {
+        self.calls
+    }
+
+    /// Starts the count of the peak anew and returns what it was.
+    pub fn take_peak(&mut self) -> u64 {
+        std::mem::take(&mut self.calls.peak)
+    }
+
+    /// How it behaves from now on. Watches that wait are lost in an outage.
+    pub fn set_health(&mut self, health: Health) {
+        self.health = health;
+        if health == Health::Down {
+            self.waiting.clear();
+        }
+    }
+
+    /// How it behaves.
+    pub fn health(&self) -> Health {
+        self.health
+    }
+
+    /// Writes a value, as an operator or the platform itself does.
+    pub fn put(&mut self, key: Name, value: Bytes) {
+        self.index += 1;
+        let versions = self.values.entry(key).or_default();
+        if versions.len() == KEPT_VALUES {
+            versions.remove(0);
+        }
+        versions.push((self.index, value));
+    }
+
+    /// Takes a call. `None` means that it waits, or is lost in an outage.
+    pub fn get(&mut self, now: Time, get: Get<C>) -> Option<Answer> {
+        self.count(now);
+        if self.health == Health::Down {
+            return None;
+        }
+        if self.this_second > CALLS_PER_S {
+            self.calls.over_limit += 1;
+            return Some(Answer::OverLimit);
+        }
+        let answer = self.read(&get.key);
+        match (&answer, get.above) {
+            (Answer::Value(_, index), Some(above)) if *index <= above && now < get.until => {
+                self.waiting.push(get);
+                None
+            }
+            _ => Some(answer),
+        }
+    }
+
+    /// Answers the watches whose key has changed or whose wait is over.
+    pub fn due(&mut self, now: Time) -> Vec<(C, Answer)> {
+        let mut due = Vec::new();
+        let mut kept = Vec::new();
+        for watch in std::mem::take(&mut self.waiting) {
+            let answer = self.read(&watch.key);
+            let above = watch.above.unwrap_or(0);
+            let changed = matches!(&answer, Answer::Value(_, index) if *index > above);
+            if changed || now >= watch.until {
+                due.push((watch.caller, answer));
+            } else {
+                kept.push(watch);
+            }
+        }
+        self.waiting = kept;
+        due
+    }
+
+    fn read(&self, key: &Name) -> Answer {
+        let as_of = match self.health {
+            Health::AsOf(index) => index,
+            Health::Up | Health::Down => u64::MAX,
+        };
+        let versions = self.values.get(key).map_or(&[][..], Vec::as_slice);
+        match versions.iter().rev().find(|(index, _)| *index <= as_of) {
+            Some((index, value)) => Answer::Value(value.clone(), *index),
+            None => Answer::Missing,
+        }
+    }
+
+    fn count(&mut self, now: Time) {
+        let second = now.0 / 1_000_000;
+        if second != self.second {
+            self.second = second;
+            self.this_second = 0;
+        }
+        self.this_second += 1;
+        self.calls.total += 1;
+        let with_waiting = self.this_second + self.waiting.len() as u64;
+        self.calls.peak = self.calls.peak.max(with_waiting);
+    }
+}
+
+impl<C: Clone> Default for Platform<C> {
+    fn default() -> Platform<C> {
+        Platform::new()
+    }
+}
--- /dev/null
+++ b/bench/src/fleet/publication.rs
@@ -0,0 +1,133 @@
+//! What operators write to the platform for one version.
+
+use bytes::Bytes;
+use flate2::Compression;
+use flate2::write::DeflateEncoder;
+use indexmap::IndexMap;
+use std::io::Write;
+use sycamore_core::Name;
+use sycamore_core::config::document::{Part, PartRef, Preset};
+use sycamore_core::config::in_force::InForce;
+use sycamore_core::hash::Hash;
+
+/// Largest preset that is published as one value.
+const WHOLE_BYTES: usize = 950_000;
+
+/// Usual size of a part. Small parts let a change rewrite little.
+const PART_BYTES: usize = 64_000;
+
+/// One version: values to write in this order, so that `in-force` names only what is there.
+#[derive(Clone, Debug)]
+pub struct Publication {
+    /// Keys and values; `in-force` is last.
+    pub values: Vec<(Name, Bytes)>,
+    /// Value of `in-force`.
+    pub in_force: InForce,
+    /// Bytes of the smallest message that could carry the change: version, digest and the
+    /// changed piece, compressed.
+    pub smallest: u64,
+    /// Bytes of all values of the preset, as a reader of the whole document fetches them.
+    pub whole: u64,
+}
+
+/// Writes presets, and keeps what it wrote so that only changed values are written again.
+pub struct Writer {
+    version: u64,
+    services_per_part: Option<usize>,
+    written: IndexMap<Name, Hash>,
+}
+
+impl Writer {
+    /// A writer for presets of the size of this one.
+    pub fn new(preset: &Preset) -> Writer {
+        let size = encode(preset).len();
+        let per_part = preset.services.len() * PART_BYTES / size.max(1);
+        let services_per_part = (size > WHOLE_BYTES).then_some(per_part.max(1));
+        Writer { version: 0, services_per_part, written: IndexMap::new() }
+    }
+
+    /// The next version, with this content. `changed` is the piece that differs from the last.
+    pub fn publish(&mut self, preset: &Preset, changed: &[u8]) -> Publication {
+        self.version += 1;
+        self.write(preset, changed)
+    }
+
+    /// The last version again, with other content.
+    pub fn rival(&mut self, preset: &Preset) -> Publication {
+        self.write(preset, b"")
+    }
+
+    fn write(&mut self, preset: &Preset, changed: &[u8]) -> Publication {
+        let mut values = Vec::new();
+        let mut whole = 0;
+        let body = match self.services_per_part {
+            None => encode(preset),
+            Some(count) => {
+                let (root, parts) = divide(preset, count);
+                for (key, value) in parts {
+                    whole += value.len() as u64;
+                    self.add(&mut values, key, value);
+                }
+                encode(&root)
+            }
+        };
+        whole += body.len() as u64;
+        let digest = Hash::of(&body);
+        let in_force = InForce { version: self.version, preset: preset.name.clone(), digest };
+        self.add(&mut values, key(format!("preset/{}", preset.name)), body);
+        values.push((key("in-force".to_owned()), encode(&in_force)));
+        let smallest = smallest(&in_force, changed);
+        Publication { values, in_force, smallest, whole }
+    }
+
+    fn add(&mut self, values: &mut Vec<(Name, Bytes)>, key: Name, value: Bytes) {
+        let hash = Hash::of(&value);
+        if self.written.insert(key.clone(), hash) != Some(hash) {
+            values.push((key, value));
+        }
+    }
+}
+
+/// Divides a preset into a root without content and parts of `count` services with their routes.
+fn divide(preset: &Preset, count: usize) -> (Preset, Vec<(Name, Bytes)>) {
+    let chunk = |service: &Name| preset.services.get_index_of(service).unwrap_or(0) / count;
+    let parts = preset.services.len().div_ceil(count);
+    let mut contents = vec![Part { services: IndexMap::new(), routes: IndexMap::new() }; parts];
+    for (name, service) in &preset.services {
+        contents[chunk(name)].services.insert(name.clone(), service.clone());
+    }
+    for (name, route) in &preset.routes {
+        contents[chunk(&route.service)].routes.insert(name.clone(), route.clone());
+    }
+    let mut root = Preset {
+        name: preset.name.clone(),
+        services: IndexMap::new(),
+        routes: IndexMap::new(),
+        parts: Vec::new(),
+    };
+    let mut values = Vec::new();
+    for (index, part) in contents.iter().enumerate() {
+        let value = encode(part);
+        let key = key(format!("part/{}-{index:02}", preset.name));
+        root.parts.push(PartRef { key: key.clone(), digest: Hash::of(&value) });
+        values.push((key, value));
+    }
+    (root, values)
+}
+
+fn smallest(in_force: &InForce, changed: &[u8]) -> u64 {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::best());
+    // Writing to a `Vec` can't fail.
+    let _ = encoder.write_all(&in_force.version.to_be_bytes()[3..]);
+    let _ = encoder.write_all(in_force.digest.as_bytes());
+    let _ = encoder.write_all(changed);
+    encoder.finish().unwrap_or_default().len() as u64
+}
+
+fn encode<T: serde::Serialize>(content: &T) -> Bytes {
+    Bytes::from(serde_json::to_vec(content).unwrap_or_default())
+}
+
+fn key(text: String) -> Name {
+    super::workload::name(text)
+}
--- /dev/null
+++ b/bench/src/fleet/workload.rs
@@ -0,0 +1,261 @@
+//! Presets of any size, and the changes that operators and churn make to them.
+
+use super::publication::{Publication, Writer};
+use crate::links::Site;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use sycamore_core::Name;
+use sycamore_core::config::document::{Class, Preset, Route, Service, ServiceLimits, Target};
+use sycamore_core::member::{Member, VmState};
+
+/// Changes of configuration a day at the users' two-year size.
+pub const CHANGES_PER_DAY: u64 = 14_000;
+
+/// Services that a target calls besides its own, in fleets that have so many.
+const CALLED_SERVICES: usize = 20;
+
+/// Fewest targets that churn leaves to a service.
+const FEWEST_TARGETS: usize = 2;
+
+/// How large a fleet is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Nodes, each beside one target.
+    pub nodes: usize,
+    /// Services.
+    pub services: usize,
+    /// Availability zones, over all regions.
+    pub zones: usize,
+    /// Regions.
+    pub regions: usize,
+}
+
+impl Size {
+    /// The usual shape of a fleet of so many nodes: today's at 18, the two-year size at 23,000.
+    pub fn of(nodes: usize) -> Size {
+        let (services, zones, regions) = match nodes {
+            0..=18 => (3, 6, 3),
+            19..=1_000 => (nodes.div_ceil(9).max(3), 6, 3),
+            1_001..=10_000 => (nodes.div_ceil(9), 10, 5),
+            _ => (nodes * 2_500 / 23_000, 20, 10),
+        };
+        Size { nodes, services, zones, regions }
+    }
+
+    /// The same fleet with another number of services.
+    pub fn with_services(mut self, services: usize) -> Size {
+        self.services = services;
+        self
+    }
+
+    /// Where a node stands; neighbouring numbers stand in different zones.
+    pub fn site(&self, node: usize) -> Site {
+        let zone = node % self.zones;
+        Site { region: (zone % self.regions) as u16, zone: zone as u16 }
+    }
+
+    /// The service whose target a node stands beside.
+    pub fn service_of(&self, node: usize) -> usize {
+        node * self.services / self.nodes
+    }
+
+    /// A node in the platform's list.
+    pub fn member(&self, node: usize) -> Member {
+        let site = self.site(node);
+        Member {
+            vm: vm_name(node),
+            region: region_name(site.region),
+            zone: zone_name(site.zone),
+            peers: address(node, 7_003),
+            admin: address(node, 7_004),
+            state: VmState::Live,
+        }
+    }
+
+    /// Services whose routes a node needs; `None` for all.
+    pub fn scope(&self, node: usize, called: usize) -> Option<Vec<Name>> {
+        if self.services <= called {
+            return None;
+        }
+        let own = self.service_of(node);
+        let mut rng = Pcg64Mcg::seed_from_u64(own as u64);
+        let mut scope = vec![service_name(own)];
+        while scope.len() <= called {
+            let name = service_name(rng.random_range(0..self.services));
+            if !scope.contains(&name) {
+                scope.push(name);
+            }
+        }
+        Some(scope)
+    }
+
+    /// Services whose routes a node needs in the usual workload.
+    pub fn usual_scope(&self, node: usize) -> Option<Vec<Name>> {
+        self.scope(node, CALLED_SERVICES)
+    }
+}
+
+/// A generator of publications.
+pub struct Workload {
+    size: Size,
+    rng: Pcg64Mcg,
+    preset: Preset,
+    writer: Writer,
+    removed: Vec<(usize, Target)>,
+}
+
+impl Workload {
+    /// A workload whose first publication is version 1.
+    pub fn new(size: Size, seed: u64) -> Workload {
+        let preset = first_preset(&size);
+        let writer = Writer::new(&preset);
+        let rng = Pcg64Mcg::seed_from_u64(seed);
+        Workload { size, rng, preset, writer, removed: Vec::new() }
+    }
+
+    /// The preset as last published.
+    pub fn preset(&self) -> &Preset {
+        &self.preset
+    }
+
+    /// Publishes the preset as it is.
+    pub fn publish(&mut self) -> Publication {
+        self.writer.publish(&self.preset, b"")
+    }
+
+    /// Changes one thing and publishes: mostly targets that come and go, some limits, some routes.
+    pub fn change(&mut self) -> Publication {
+        let changed = match self.rng.random_range(0..100) {
+            0..85 => self.change_target(),
+            85..95 => self.change_limits(),
+            _ => self.change_route(),
+        };
+        self.writer.publish(&self.preset, &changed)
+    }
+
+    /// The same version again with another body, as a second operator would publish it.
+    pub fn rival(&mut self) -> Publication {
+        let mut preset = self.preset.clone();
+        let index = self.rng.random_range(0..preset.routes.len());
+        preset.routes[index].deadline_ms += 7;
+        self.writer.rival(&preset)
+    }
+
+    /// A next version that every node must refuse: a route names a service that isn't there.
+    pub fn bad(&mut self) -> Publication {
+        let mut preset = self.preset.clone();
+        let index = self.rng.random_range(0..preset.routes.len());
+        preset.routes[index].service = service_name(self.size.services + 1);
+        self.writer.publish(&preset, b"")
+    }
+
+    fn change_target(&mut self) -> Vec<u8> {
+        if self.removed.len() > self.size.nodes / 20 || self.rng.random_bool(0.5) {
+            if let Some((service, target)) = self.removed.pop() {
+                let changed = json(&target);
+                self.preset.services[service].targets.push(target);
+                return changed;
+            }
+        }
+        let service = self.rng.random_range(0..self.preset.services.len());
+        let targets = &mut self.preset.services[service].targets;
+        if targets.len() <= FEWEST_TARGETS {
+            return self.change_limits();
+        }
+        let target = targets.remove(self.rng.random_range(0..targets.len()));
+        let changed = target.vm.as_bytes().to_vec();
+        self.removed.push((service, target));
+        changed
+    }
+
+    fn change_limits(&mut self) -> Vec<u8> {
+        let service = self.rng.random_range(0..self.preset.services.len());
+        let limits = &mut self.preset.services[service].limits;
+        limits.slots = self.rng.random_range(8..=24);
+        json(limits)
+    }
+
+    fn change_route(&mut self) -> Vec<u8> {
+        let route = self.rng.random_range(0..self.preset.routes.len());
+        let route = &mut self.preset.routes[route];
+        route.deadline_ms = *[500, 1_000, 2_000, 4_000].choose(&mut self.rng).unwrap_or(&500);
+        json(route)
+    }
+}
+
+/// Name of a node's VM.
+pub fn vm_name(node: usize) -> Name {
+    name(format!("vm-{node:05}"))
+}
+
+/// Name of a region.
+pub fn region_name(region: u16) -> Name {
+    name(format!("region-{region:02}"))
+}
+
+/// Name of an availability zone.
+pub fn zone_name(zone: u16) -> Name {
+    name(format!("zone-{zone:02}"))
+}
+
+/// Name of a service.
+pub fn service_name(service: usize) -> Name {
+    name(format!("service-{service:04}"))
+}
+
+/// A name that is known to be one.
+pub fn name(text: String) -> Name {
+    Name::new(text).unwrap_or_else(|| unreachable!("made from letters and digits"))
+}
+
+/// The address of a node's port; the node's number stands in the last bytes.
+pub fn address(node: usize, port: u16) -> SocketAddr {
+    let [_, b, c, d] = (node as u32 + 1).to_be_bytes();
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, b, c, d)), port)
+}
+
+fn first_preset(size: &Size) -> Preset {
+    let mut preset = Preset {
+        name: name("ordinary".to_owned()),
+        services: Default::default(),
+        routes: Default::default(),
+        parts: Vec::new(),
+    };
+    for service in 0..size.services {
+        let limits = ServiceLimits::default();
+        preset.services.insert(service_name(service), Service { limits, targets: Vec::new() });
+        preset.routes.insert(name(format!("lookup-{service:04}")), route(service, true));
+        if service % 3 == 0 {
+            preset.routes.insert(name(format!("signing-{service:04}")), route(service, false));
+        }
+    }
+    for node in 0..size.nodes {
+        let site = size.site(node);
+        preset.services[size.service_of(node)].targets.push(Target {
+            vm: vm_name(node),
+            region: region_name(site.region),
+            zone: zone_name(site.zone),
+            gate: address(node, 7_002),
+        });
+    }
+    preset
+}
+
+fn route(service: usize, idempotent: bool) -> Route {
+    let kind = if idempotent { "lookup" } else { "signing" };
+    Route {
+        path_prefix: format!("/{service:04}/{kind}"),
+        service: service_name(service),
+        idempotent,
+        class: Class::Interactive,
+        deadline_ms: 2_000,
+        max_attempts: 3,
+        max_body_bytes: 1_048_576,
+    }
+}
+
+fn json<T: serde::Serialize>(content: &T) -> Vec<u8> {
+    serde_json::to_vec(content).unwrap_or_default()
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,1 +1,6 @@
-//! placeholder
+//! Benches and history checks of sycamorescale.
+
+pub mod baseline;
+pub mod fleet;
+pub mod history;
+pub mod links;
--- /dev/null
+++ b/bench/tests/history_checker.rs
@@ -0,0 +1,148 @@
+//! The checker of histories, tried on histories with one planted fault each.
+
+use sycamore_bench::history::{Content, Publication, Record, Violation, check};
+use sycamore_core::hash::Hash;
+use sycamore_core::{Name, Time};
+
+fn publication(version: u64, body: &str) -> Publication {
+    Publication { version, digest: Hash::of(body.as_bytes()) }
+}
+
+fn published(version: u64, valid: bool) -> Record {
+    let publication = publication(version, "body");
+    Record::Published { at: Time(version), publication, valid }
+}
+
+fn started(node: usize) -> Record {
+    Record::Started { at: Time(1), node }
+}
+
+fn stopped(node: usize) -> Record {
+    Record::Stopped { at: Time(9), node }
+}
+
+fn holds(node: usize, version: u64, body: &str, content: Content) -> Record {
+    let publication = publication(version, body);
+    Record::InForce { at: Time(9), node, publication, content }
+}
+
+fn in_force(node: usize, version: u64) -> Record {
+    holds(node, version, "body", Content::Whole)
+}
+
+fn remembered(node: usize, version: u64) -> Record {
+    Record::Remembered { at: Time(8), node, version }
+}
+
+#[test]
+fn check_sound() {
+    let history = [
+        published(1, true),
+        started(0),
+        started(1),
+        in_force(0, 1),
+        published(2, true),
+        in_force(0, 2),
+        in_force(1, 2),
+        Record::Due { at: Time(20), version: 2 },
+        stopped(0),
+        published(3, true),
+        in_force(1, 3),
+        Record::Due { at: Time(30), version: 3 },
+        started(0),
+        remembered(0, 3),
+        in_force(0, 3),
+        Record::Calls { at: Time(31), peak: 5, limit: 5 },
+    ];
+    assert_eq!(check(&history), []);
+}
+
+#[test]
+fn check_went_back() {
+    let history = [published(1, true), published(2, true), in_force(0, 2), in_force(0, 1)];
+    let expected = Violation::WentBack { at: Time(9), node: 0, from: 2, to: 1 };
+    assert_eq!(check(&history), [expected]);
+}
+
+#[test]
+fn check_restart_forgot() {
+    let history = [
+        published(1, true),
+        published(2, true),
+        in_force(0, 2),
+        stopped(0),
+        started(0),
+        remembered(0, 2),
+        in_force(0, 1),
+    ];
+    let expected = Violation::Forgot { at: Time(9), node: 0, remembered: 2, to: 1 };
+    assert_eq!(check(&history), [expected]);
+}
+
+#[test]
+fn check_restart_nobody_remembers() {
+    let history = [
+        published(1, true),
+        published(2, true),
+        in_force(0, 2),
+        stopped(0),
+        started(0),
+        remembered(0, 1),
+        in_force(0, 1),
+    ];
+    assert_eq!(check(&history), []);
+}
+
+#[test]
+fn check_bad_version() {
+    let history = [published(1, false), in_force(0, 1)];
+    assert_eq!(check(&history), [Violation::Bad { at: Time(9), node: 0, version: 1 }]);
+}
+
+#[test]
+fn check_not_whole() {
+    let name = Name::new("lookup").unwrap();
+    for content in [Content::Dangling(name.clone()), Content::Differs(name), Content::Unknown] {
+        let history = [published(1, true), holds(0, 1, "body", content.clone())];
+        let expected = Violation::NotWhole { at: Time(9), node: 0, version: 1, content };
+        assert_eq!(check(&history), [expected]);
+    }
+}
+
+#[test]
+fn check_split_between_nodes() {
+    let history = [published(1, true), in_force(0, 1), holds(1, 1, "rival", Content::Whole)];
+    let expected = Violation::Split { at: Time(9), node: 1, other: 0, version: 1 };
+    assert_eq!(check(&history), [expected]);
+}
+
+#[test]
+fn check_split_on_one_node() {
+    let history = [published(1, true), in_force(0, 1), holds(0, 1, "rival", Content::Whole)];
+    let expected = Violation::Split { at: Time(9), node: 0, other: 0, version: 1 };
+    assert_eq!(check(&history), [expected]);
+}
+
+#[test]
+fn check_late() {
+    let history = [
+        published(1, true),
+        published(2, true),
+        started(0),
+        started(1),
+        started(2),
+        in_force(0, 2),
+        in_force(1, 1),
+        stopped(2),
+        Record::Due { at: Time(10), version: 2 },
+    ];
+    let expected = Violation::Late { at: Time(10), node: 1, held: 1, due: 2 };
+    assert_eq!(check(&history), [expected]);
+}
+
+#[test]
+fn check_over_limit() {
+    let history = [Record::Calls { at: Time(10), peak: 2_001, limit: 2_000 }];
+    let expected = Violation::OverLimit { at: Time(10), peak: 2_001, limit: 2_000 };
+    assert_eq!(check(&history), [expected]);
+}
--- /dev/null
+++ b/bench/tests/history_content.rs
@@ -0,0 +1,70 @@
+//! Content of a node's configuration held against what was published, with planted faults.
+
+use std::sync::Arc;
+use sycamore_bench::fleet::workload::{Size, Workload, name, service_name};
+use sycamore_bench::history::{Content, content};
+use sycamore_core::config::{InForce, Preset, Snapshot};
+
+const SIZE: Size = Size { nodes: 18, services: 3, zones: 6, regions: 3 };
+
+fn published() -> (InForce, Preset) {
+    let mut workload = Workload::new(SIZE, 1);
+    let publication = workload.publish();
+    (publication.in_force, workload.preset().clone())
+}
+
+fn snapshot(change: impl FnOnce(&mut Preset)) -> Arc<Snapshot> {
+    let (in_force, mut preset) = published();
+    change(&mut preset);
+    Snapshot::new(in_force, &preset).unwrap()
+}
+
+fn differs(text: &str) -> Content {
+    Content::Differs(name(text.to_owned()))
+}
+
+#[test]
+fn content_whole() {
+    let held = snapshot(|_| {});
+    assert_eq!(content(&held, &published().1, None), Content::Whole);
+}
+
+#[test]
+fn content_whole_in_scope() {
+    let held = snapshot(|preset| {
+        preset.routes.retain(|_, route| route.service == service_name(0));
+        preset.services.retain(|service, _| *service == service_name(0));
+    });
+    assert_eq!(content(&held, &published().1, Some(&[service_name(0)])), Content::Whole);
+    assert_eq!(content(&held, &published().1, None), differs("lookup-0001"));
+}
+
+#[test]
+fn content_route_of_another_version() {
+    let held = snapshot(|preset| preset.routes[0].deadline_ms += 1);
+    assert_eq!(content(&held, &published().1, None), differs("lookup-0000"));
+}
+
+#[test]
+fn content_route_not_published() {
+    let held = snapshot(|preset| {
+        let mut route = preset.routes[0].clone();
+        route.path_prefix = "/other".to_owned();
+        preset.routes.insert(name("other".to_owned()), route);
+    });
+    assert_eq!(content(&held, &published().1, None), differs("other"));
+}
+
+#[test]
+fn content_targets_of_another_version() {
+    let held = snapshot(|preset| {
+        preset.services[1].targets.pop();
+    });
+    assert_eq!(content(&held, &published().1, None), differs("service-0001"));
+}
+
+#[test]
+fn content_limits_of_another_version() {
+    let held = snapshot(|preset| preset.services[2].limits.slots += 1);
+    assert_eq!(content(&held, &published().1, None), differs("service-0002"));
+}
