--- /dev/null
+++ b/bench/src/fleet/fault.rs
@@ -0,0 +1,189 @@
+//! Faults and operators' acts, as a plan that a run carries out.
+
+use super::platform::Health;
+use super::{Event, Fleet};
+use crate::history::Record;
+use crate::links::PLATFORM_ZONE;
+use bytes::Bytes;
+use std::sync::Arc;
+use std::time::Duration;
+use sycamore_core::Time;
+use sycamore_core::spread::PeerMsg;
+
+/// What an operator publishes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Edition {
+    /// The first version.
+    First,
+    /// The next version, with one change.
+    Change,
+    /// The next version, which must be refused.
+    Bad,
+    /// The last version again with another body: a second operator raced.
+    Rival,
+}
+
+/// Something done to the fleet or the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// An operator publishes.
+    Publish(Edition),
+    /// These processes start, or start again.
+    Start(Vec<usize>),
+    /// These processes are killed.
+    Kill(Vec<usize>),
+    /// These processes don't run for a while, and then go on.
+    Pause(Vec<usize>, Duration),
+    /// This process takes messages and never answers, or answers again.
+    Silence(usize, bool),
+    /// What this process sends does not match its hash, or does again.
+    Lie(usize, bool),
+    /// No traffic between two zones; `None` stands for the platform.
+    Cut(u16, Option<u16>),
+    /// No traffic between a zone and every other zone.
+    CutZone(u16),
+    /// No traffic between two regions.
+    CutRegions(u16, u16),
+    /// Every link works again.
+    HealLinks,
+    /// The platform behaves so.
+    Platform(Health),
+    /// The platform answers with a state so many changes ago.
+    PlatformBack(u64),
+    /// Links lose so many messages in a million, and delay some.
+    Trouble(u32, u32),
+    /// From now on every running node must hold what the newest of them holds.
+    RecordDue(u64),
+    /// Every running node must, a span from now, hold what the newest of them holds now.
+    DemandAgreement(Duration),
+}
+
+impl Fleet {
+    pub(super) fn act(&mut self, action: Action) {
+        match action {
+            Action::Publish(edition) => self.publish(edition),
+            Action::Start(nodes) => nodes.into_iter().for_each(|node| self.start(node)),
+            Action::Kill(nodes) => nodes.into_iter().for_each(|node| self.kill(node)),
+            Action::Pause(nodes, span) => nodes.into_iter().for_each(|n| self.pause(n, span)),
+            Action::Silence(node, silent) => {
+                self.slots[node].silent = silent;
+                self.slots[node].troubled = self.links.now();
+            }
+            Action::Lie(node, lies) => {
+                self.slots[node].lies = lies;
+                self.slots[node].troubled = self.links.now();
+            }
+            Action::Cut(zone, other) => self.cut(zone, other.unwrap_or(PLATFORM_ZONE)),
+            Action::CutZone(zone) => self.cut_zone(zone),
+            Action::CutRegions(a, b) => self.cut_regions(a, b),
+            Action::HealLinks => self.links.heal_all(),
+            Action::Platform(health) => self.platform.set_health(health),
+            Action::PlatformBack(changes) => {
+                let index = self.platform.index().saturating_sub(changes);
+                self.platform.set_health(Health::AsOf(index));
+            }
+            Action::Trouble(loss_ppm, jitter_percent) => {
+                let profile = self.setup.profile.with_trouble(loss_ppm, jitter_percent);
+                self.links.set_profile(profile);
+            }
+            Action::RecordDue(version) => {
+                let at = self.links.now();
+                self.history.push(Record::Due { at, version });
+            }
+            Action::DemandAgreement(span) => {
+                let newest = self.newest_held();
+                self.plan(span, Action::RecordDue(newest));
+            }
+        }
+    }
+
+    fn start(&mut self, node: usize) {
+        let start = self.start_of(node);
+        self.slots[node].start(start);
+        self.convergence.restarted(node);
+        if self.setup.recorded {
+            self.history.push(Record::Started { at: self.links.now(), node });
+        }
+        self.hand_in(node, sycamore_core::spread::Input::Start);
+    }
+
+    fn kill(&mut self, node: usize) {
+        if !self.slots[node].is_running() {
+            return;
+        }
+        self.slots[node].stop();
+        self.convergence.restarted(node);
+        if self.setup.recorded {
+            self.history.push(Record::Stopped { at: self.links.now(), node });
+        }
+        self.platform.forget(|caller| caller.node == node);
+    }
+
+    fn pause(&mut self, node: usize, span: Duration) {
+        let now = self.links.now();
+        if self.slots[node].is_running() {
+            self.slots[node].pause(now);
+            self.links.after(span, Event::Resume(node));
+        }
+    }
+
+    fn cut(&mut self, a: u16, b: u16) {
+        let now = self.links.now();
+        self.links.cut(a, b);
+        for zone in [a, b] {
+            if zone != PLATFORM_ZONE {
+                self.last_cut[zone as usize] = now;
+            }
+        }
+        if b == PLATFORM_ZONE {
+            let size = self.setup.size;
+            // A connection that is cut is given up by the platform; its caller only times out.
+            self.platform.forget(|caller| size.site(caller.node).zone == a);
+        }
+    }
+
+    fn cut_zone(&mut self, zone: u16) {
+        for other in 0..self.setup.size.zones as u16 {
+            if other != zone {
+                self.cut(zone, other);
+            }
+        }
+    }
+
+    fn cut_regions(&mut self, a: u16, b: u16) {
+        let size = self.setup.size;
+        let zones = |region: u16| {
+            (0..size.zones as u16).filter(move |zone| size.place_of(*zone).region == region)
+        };
+        for zone in zones(a) {
+            for other in zones(b) {
+                self.cut(zone, other);
+            }
+        }
+    }
+}
+
+/// Every number of a fleet's nodes in a zone.
+pub fn nodes_in_zone(size: &super::workload::Size, zone: u16) -> Vec<usize> {
+    (zone as usize..size.nodes).step_by(size.zones).collect()
+}
+
+/// The message as a peer with broken memory sends it: content that does not match its hash.
+pub fn corrupt(msg: PeerMsg) -> PeerMsg {
+    match msg {
+        PeerMsg::Delta(delta) => {
+            let mut delta = (*delta).clone();
+            match delta.changed.first_mut() {
+                Some((_, body)) => *body = Bytes::from(body.to_ascii_uppercase()),
+                None => delta.removed.clear(),
+            }
+            PeerMsg::Delta(Arc::new(delta))
+        }
+        other => other,
+    }
+}
+
+/// How long after an action's time a record is still about it.
+pub fn later(at: Time, span: Duration) -> Time {
+    at + span
+}
--- /dev/null
+++ b/bench/src/fleet/slot.rs
@@ -0,0 +1,232 @@
+//! A place for a node's process: its decider, and what the transport knows of it.
+
+use super::Setup;
+use super::workload::{vm_name};
+use rand::seq::IndexedRandom;
+use rand::{SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::HashSet;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+use sycamore_core::config::InForce;
+use sycamore_core::spread::port::{CallId, View};
+use sycamore_core::spread::{Config, Input, Output, Peer, Spread};
+use sycamore_core::status::Role;
+use sycamore_core::{Name, Time};
+
+/// Peers of its own zone that a node's settings name.
+const ZONE_SEEDS: usize = 3;
+
+/// Peers of other zones that a node's settings name.
+const OTHER_SEEDS: usize = 2;
+
+/// Inputs that a paused process's sockets hold back; further ones are lost.
+const BACKLOG: usize = 4_096;
+
+/// A neighbour as it was when a node started.
+#[derive(Clone, Copy, Debug)]
+pub struct Neighbour {
+    /// Number of the node.
+    pub node: usize,
+    /// Its life then.
+    pub life: u32,
+    /// The version that it held.
+    pub version: u64,
+}
+
+/// The start of a process.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// When.
+    pub at: Time,
+    /// The neighbours that it could ask then.
+    pub neighbours: Vec<Neighbour>,
+}
+
+/// One node.
+pub struct Slot {
+    /// How other nodes know it.
+    pub peer: Peer,
+    /// Nodes that its settings name.
+    pub seeds: Vec<usize>,
+    /// Services whose routes it needs.
+    pub scope: Option<Vec<Name>>,
+    /// Starts so far: what belongs to an earlier life is dropped.
+    pub life: u32,
+    /// When the decider wants to be woken.
+    pub wake: Option<Time>,
+    /// When the next wake is queued.
+    pub queued_wake: Option<Time>,
+    /// Calls to the platform that have not ended.
+    pub calls: HashSet<CallId>,
+    /// The version in force.
+    pub in_force: Option<InForce>,
+    /// Since when.
+    pub since: Option<Time>,
+    /// What the decider shows on `/status`.
+    pub view: Option<View>,
+    /// Whether it takes messages and never answers.
+    pub silent: bool,
+    /// Whether what it sends does not match its hash.
+    pub lies: bool,
+    /// When it last was paused, silent or lying.
+    pub troubled: Time,
+    /// Its last start, while nothing is in force yet.
+    pub start: Option<Start>,
+    spread: Option<Spread>,
+    paused: bool,
+    backlog: Vec<Input>,
+    fleet_vms: u32,
+    platform_region: Name,
+    seed: u64,
+}
+
+impl Slot {
+    /// A node whose process has not started.
+    pub fn new(setup: &Setup, node: usize) -> Slot {
+        let size = &setup.size;
+        let member = size.member(node);
+        let peer = Peer { vm: vm_name(node), place: member.place(), address: member.peers };
+        Slot {
+            peer,
+            seeds: seeds(setup, node),
+            scope: size.scope(node, setup.called_services),
+            life: 0,
+            wake: None,
+            queued_wake: None,
+            calls: HashSet::new(),
+            in_force: None,
+            since: None,
+            view: None,
+            silent: false,
+            lies: false,
+            troubled: Time::ZERO,
+            start: None,
+            spread: None,
+            paused: false,
+            backlog: Vec::new(),
+            fleet_vms: size.nodes as u32,
+            platform_region: size.place(0).region,
+            seed: setup.seed ^ (node as u64) << 20,
+        }
+    }
+
+    /// Whether the process runs, paused or not.
+    pub fn is_running(&self) -> bool {
+        self.spread.is_some()
+    }
+
+    /// Whether it can't be expected to answer well.
+    pub fn is_troubled(&self) -> bool {
+        self.paused || self.silent || self.lies
+    }
+
+    /// The version in force; zero if none.
+    pub fn version(&self) -> u64 {
+        self.in_force.as_ref().map_or(0, |in_force| in_force.version)
+    }
+
+    /// Whether others hang below it.
+    pub fn is_relay(&self) -> bool {
+        self.view.as_ref().is_some_and(|view| view.role != Role::Leaf)
+    }
+
+    /// How it looks to a node that starts now.
+    pub fn as_neighbour(&self, node: usize) -> Neighbour {
+        Neighbour { node, life: self.life, version: self.version() }
+    }
+
+    /// Starts the process.
+    pub fn start(&mut self, start: Start) {
+        self.stop();
+        let cfg = Config {
+            vm: self.peer.vm.clone(),
+            place: self.peer.place.clone(),
+            address: self.peer.address,
+            seeds: self.seeds.iter().map(|node| super::workload::address(*node, 7_003)).collect(),
+            scope: self.scope.clone(),
+            platform_region: Some(self.platform_region.clone()),
+            fleet_vms: self.fleet_vms,
+            first_configuration: Duration::from_secs(5),
+        };
+        self.start = Some(start);
+        self.spread = Some(Spread::new(cfg, self.seed + u64::from(self.life)));
+    }
+
+    /// Ends the process: it forgets everything.
+    pub fn stop(&mut self) {
+        self.life += 1;
+        self.spread = None;
+        self.wake = None;
+        self.queued_wake = None;
+        self.calls.clear();
+        self.in_force = None;
+        self.view = None;
+        self.start = None;
+        self.paused = false;
+        self.backlog.clear();
+    }
+
+    /// Stops the process from running until [`Slot::resume`].
+    pub fn pause(&mut self, now: Time) {
+        self.paused = true;
+        self.troubled = now;
+    }
+
+    /// Lets the process run again. Returns what came in meanwhile.
+    pub fn resume(&mut self, now: Time) -> Vec<Input> {
+        if self.paused {
+            self.troubled = now;
+        }
+        self.paused = false;
+        std::mem::take(&mut self.backlog)
+    }
+
+    /// A version has come into force.
+    pub fn take_in_force(&mut self, in_force: InForce, at: Time) {
+        self.in_force = Some(in_force);
+        self.since = Some(at);
+        self.start = None;
+    }
+
+    /// Hands an input to the decider; a paused process gets it later.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        if self.paused {
+            if self.backlog.len() < BACKLOG {
+                self.backlog.push(input);
+            }
+            return;
+        }
+        if let Some(spread) = &mut self.spread {
+            spread.handle(now, input, out);
+        }
+    }
+}
+
+/// The number of the node with an address, from [`super::workload::address`].
+pub fn node_at(address: SocketAddr) -> usize {
+    match address.ip() {
+        IpAddr::V4(ip) => {
+            let [_, b, c, d] = ip.octets();
+            (u32::from_be_bytes([0, b, c, d]) as usize).wrapping_sub(1)
+        }
+        IpAddr::V6(_) => usize::MAX,
+    }
+}
+
+/// Seeds of a node: some of its zone and some of other zones, its own region first.
+fn seeds(setup: &Setup, node: usize) -> Vec<usize> {
+    let size = &setup.size;
+    let site = size.site(node);
+    let mut rng = Pcg64Mcg::seed_from_u64(setup.seed ^ node as u64);
+    let in_zone: Vec<usize> = (node % size.zones..size.nodes).step_by(size.zones).collect();
+    let own = in_zone.sample(&mut rng, ZONE_SEEDS + 1).copied().filter(|other| *other != node);
+    let mut seeds: Vec<usize> = own.take(ZONE_SEEDS).collect();
+    let mut zones: Vec<usize> = (0..size.zones).filter(|z| *z != site.zone as usize).collect();
+    zones.sort_by_key(|zone| (zone % size.regions != site.region as usize, *zone));
+    for zone in zones.into_iter().take(OTHER_SEEDS) {
+        let others: Vec<usize> = (zone..size.nodes).step_by(size.zones).collect();
+        seeds.extend(others.choose(&mut rng));
+    }
+    seeds
+}
