--- a/bench/src/baseline.rs
+++ b/bench/src/baseline.rs
@@ -4,6 +4,7 @@
 use crate::fleet::measure::{Convergence, Figures};
 use crate::fleet::platform::{Answer, CALLS_PER_S, Get, Platform};
 use crate::fleet::publication::Publication;
+use crate::fleet::run::StormFigures;
 use crate::fleet::workload::{Size, Workload, name};
 use crate::links::{Links, PLATFORM_ZONE, Profile, Site};
 use bytes::Bytes;
@@ -19,6 +20,9 @@
 /// Share of the platform's limit that polling may use.
 const LIMIT_PERCENT: u64 = 80;
 
+/// Longest wait for nodes that return to hold the last version.
+const LONGEST_STORM: Duration = Duration::from_secs(600);
+
 /// Bytes of the head of a request and of an answer.
 const HEAD_BYTES: u64 = 120;
 
@@ -26,7 +30,7 @@
 const PLATFORM: Site = Site { region: 0, zone: PLATFORM_ZONE };
 
 enum Event {
-    Poll(usize),
+    Poll(usize, u32),
     Asked(usize),
     Answered(usize, u64),
     Publish,
@@ -41,6 +45,7 @@
     convergence: Convergence,
     whole: u64,
     interval: Duration,
+    lives: Vec<u32>,
 }
 
 impl Baseline {
@@ -53,12 +58,14 @@
         let interval = shortest_interval(size.nodes, first.whole);
         let whole = first.whole;
         let platform = Platform::new();
-        let mut fleet = Baseline { size, links, platform, workload, convergence, whole, interval };
+        let lives = vec![0; size.nodes];
+        let mut fleet =
+            Baseline { size, links, platform, workload, convergence, whole, interval, lives };
         fleet.put(&first);
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         for node in 0..size.nodes {
             let phase = rng.random_range(0..interval.as_micros() as u64);
-            fleet.links.after(Duration::from_micros(phase), Event::Poll(node));
+            fleet.links.after(Duration::from_micros(phase), Event::Poll(node, 0));
             fleet.convergence.in_force(node, 1, Time::ZERO);
         }
         fleet
@@ -100,6 +107,34 @@
         }
     }
 
+    /// Restarts these nodes at the same moment, and measures until each holds the last version.
+    pub fn return_at_once(mut self, storm: &'static str, nodes: &[usize]) -> StormFigures {
+        let since = self.links.now();
+        for node in nodes {
+            self.lives[*node] += 1;
+            self.convergence.restarted(*node);
+            self.links.after(Duration::ZERO, Event::Poll(*node, self.lives[*node]));
+        }
+        let end = since + LONGEST_STORM;
+        while self.convergence.behind(1) > 0 && self.links.next_at() <= Some(end) {
+            let Some(event) = self.links.pop() else { break };
+            self.handle(event);
+        }
+        let behind = self.convergence.behind(1);
+        let span = self.links.now().since(since);
+        let calls = self.platform.calls();
+        let bytes = self.links.traffic().bytes;
+        StormFigures {
+            storm,
+            recovered_ms: (behind == 0).then_some(span.as_micros() as f64 / 1_000.0),
+            behind,
+            platform_calls_peak: calls.peak,
+            platform_over_limit: calls.over_limit,
+            across_bytes: self.links.traffic().across_bytes(),
+            bytes_per_node: bytes.iter().sum::<u64>() as f64 / self.size.nodes as f64,
+        }
+    }
+
     fn rates(&self, versions: usize, span: Duration) -> Figures {
         let calls = self.platform.calls();
         let figures = Figures { versions, ..Figures::default() };
@@ -113,11 +148,12 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Poll(node) => {
+            Event::Poll(node, life) if life == self.lives[node] => {
                 let site = self.size.site(node);
                 self.links.send(site, PLATFORM, HEAD_BYTES * self.values(), Event::Asked(node));
-                self.links.after(self.interval, Event::Poll(node));
+                self.links.after(self.interval, Event::Poll(node, life));
             }
+            Event::Poll(..) => {}
             Event::Asked(node) => self.answer(node),
             Event::Answered(node, version) => {
                 if version > self.convergence.held(node) {
--- /dev/null
+++ b/bench/src/bin/sycamore-fleet.rs
@@ -0,0 +1,123 @@
+//! Measures a fleet in memory beside the naive baseline, and checks histories of one.
+
+use getopts::{Matches, Options};
+use std::process::ExitCode;
+use sycamore_bench::fleet::run::{Comparison, Plan, Storm, compare};
+use sycamore_bench::fleet::workload::{CHANGES_PER_DAY, Size};
+use sycamore_bench::fleet::{Setup, table};
+use sycamore_bench::links::Profile;
+use sycamore_core::{Code, Fault, Result};
+
+/// Exit code if the command line is not valid.
+const EXIT_USAGE: u8 = 2;
+
+/// Exit code if an aim is missed or a history breaks a rule.
+const EXIT_FAILED: u8 = 1;
+
+const BRIEF: &str = "Usage: sycamore-fleet convergence|bytes [options]
+
+Runs the spread's decisions of many nodes in one thread over in-memory links, in simulated time.
+convergence and bytes run the system and the naive baseline side by side; the last line is JSON.
+Exit code: 0 done, 1 nodes were left behind, 2 the command line is not valid.";
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match run(&args) {
+        Ok(code) => code,
+        Err(fault) => {
+            eprintln!("sycamore-fleet: {fault}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn run(args: &[String]) -> Result<ExitCode> {
+    let options = options();
+    let matches = options.parse(args).map_err(usage)?;
+    if matches.opt_present("help") {
+        println!("{}", options.usage(BRIEF));
+        return Ok(ExitCode::SUCCESS);
+    }
+    match matches.free.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        ["convergence"] => compare_all(&matches, table::convergence),
+        ["bytes"] => compare_all(&matches, table::bytes),
+        _ => Err(usage("one command is needed; see --help")),
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this");
+    options.optopt("", "sizes", "numbers of nodes (18,200,1000)", "N,N");
+    options.optopt("", "seed", "seed of every random choice (1)", "N");
+    options.optopt("", "versions", "versions published while counting (20)", "N");
+    options.optopt("", "changes", "changes a day (14000)", "N");
+    options.optopt("", "links", "franchise or cooperative (franchise)", "NAME");
+    options.optopt(
+        "",
+        "faults",
+        "storms: none, all, or some of zone-cut,relays,zone,everything,source (all)",
+        "LIST",
+    );
+    options
+}
+
+fn compare_all(matches: &Matches, print: fn(&[Comparison])) -> Result<ExitCode> {
+    let sizes = numbers(matches, "sizes", &[18, 200, 1_000])?;
+    let plan = Plan::new(number(matches, "versions", 20)? as usize).with_changes_per_day(number(
+        matches,
+        "changes",
+        CHANGES_PER_DAY,
+    )?);
+    let storms = storms(matches)?;
+    let mut comparisons = Vec::new();
+    for nodes in sizes {
+        let setup = Setup::new(Size::of(nodes as usize), number(matches, "seed", 1)?)
+            .with_profile(profile(matches)?);
+        eprintln!("{nodes} nodes ...");
+        comparisons.push(compare(&setup, &plan, &storms));
+    }
+    print(&comparisons);
+    table::json(&comparisons);
+    let behind = |c: &Comparison| {
+        c.ours.figures.behind > 0 || c.ours.storms.iter().any(|storm| storm.behind > 0)
+    };
+    let failed = comparisons.iter().any(behind);
+    Ok(if failed { ExitCode::from(EXIT_FAILED) } else { ExitCode::SUCCESS })
+}
+
+fn storms(matches: &Matches) -> Result<Vec<Storm>> {
+    let list = matches.opt_str("faults").unwrap_or_else(|| "all".to_owned());
+    match list.as_str() {
+        "none" => Ok(Vec::new()),
+        "all" => Ok(Storm::ALL.to_vec()),
+        names => names.split(',').map(storm).collect(),
+    }
+}
+
+fn storm(text: &str) -> Result<Storm> {
+    let found = Storm::ALL.into_iter().find(|storm| storm.name() == text);
+    found.ok_or_else(|| usage(format!("no storm is called {text}")))
+}
+
+fn profile(matches: &Matches) -> Result<Profile> {
+    match matches.opt_str("links").as_deref() {
+        None | Some("franchise") => Ok(Profile::franchise()),
+        Some("cooperative") => Ok(Profile::cooperative()),
+        Some(other) => Err(usage(format!("no links are called {other}"))),
+    }
+}
+
+fn number(matches: &Matches, name: &str, default: u64) -> Result<u64> {
+    matches.opt_get_default(name, default).map_err(|e| usage(format!("--{name}: {e}")))
+}
+
+fn numbers(matches: &Matches, name: &str, default: &[u64]) -> Result<Vec<u64>> {
+    let Some(list) = matches.opt_str(name) else { return Ok(default.to_vec()) };
+    let parse = |text: &str| text.parse().map_err(|e| usage(format!("--{name}: {e}")));
+    list.split(',').map(parse).collect()
+}
+
+fn usage(detail: impl std::fmt::Display) -> Fault {
+    Fault::new(Code::UsageInvalid).with_detail(detail)
+}
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -7,8 +7,10 @@
 pub mod measure;
 pub mod platform;
 pub mod publication;
+pub mod run;
 pub mod size;
 pub mod slot;
+pub mod table;
 pub mod workload;
 
 use crate::history::{self, Content, Record};
@@ -25,8 +27,9 @@
 use std::time::Duration;
 use sycamore_core::config::{InForce, Preset, Snapshot};
 use sycamore_core::member::VmList;
+use sycamore_core::place::Place;
 use sycamore_core::spread::port::CallId;
-use sycamore_core::spread::{Input, Output, Peer, PeerMsg, SourceCall, SourceReply, SourceValue};
+use sycamore_core::spread::{Input, Output, PeerMsg, SourceCall, SourceReply, SourceValue};
 use sycamore_core::{Code, Name, Time};
 use workload::{Size, Workload, name};
 
@@ -119,6 +122,7 @@
     last_cut: Vec<Time>,
     last_good: u64,
     smallest: u64,
+    sizes: size::Sizes,
     outputs: Vec<Output>,
 }
 
@@ -138,6 +142,7 @@
             last_cut: vec![Time::ZERO; size.zones],
             last_good: 0,
             smallest: 0,
+            sizes: size::Sizes::default(),
             outputs: Vec::new(),
             setup,
         };
@@ -336,10 +341,7 @@
             Output::InForce(snapshot) => self.in_force(node, &snapshot),
             Output::WakeAt(at) => self.wake_at(node, at),
             Output::View(view) => self.slots[node].view = Some(view),
-            Output::Note { .. }
-            | Output::Members(_)
-            | Output::Event(_)
-            | Output::Refused(_) => {}
+            Output::Note { .. } | Output::Members(_) | Output::Event(_) | Output::Refused(_) => {}
         }
     }
 
@@ -362,7 +364,7 @@
         }
         let msg = if self.slots[from].lies { fault::corrupt(msg) } else { msg };
         let sites = (self.site(from), self.site(to_node));
-        let size = size::of(&msg);
+        let size = self.sizes.of(&msg);
         let arrive = Event::Arrive { from, to: to_node, life, msg };
         self.links.send(sites.0, sites.1, size, arrive);
     }
@@ -499,8 +501,8 @@
             let list = lists.entry(member.zone.clone()).or_insert(VmList { vms: Vec::new() });
             list.vms.push(member);
         }
-        let places = (0..size.zones).map(|zone| size.place(zone as u16)).collect();
-        let zones = sycamore_core::place::ZoneNames { zones: places };
+        let places: Vec<Place> = (0..size.zones).map(|zone| size.place(zone as u16)).collect();
+        let zones = serde_json::json!({ "zones": places });
         self.put(name("zones".to_owned()), encode(&zones));
         for (zone, list) in lists {
             self.put(name(format!("vms/{zone}")), encode(&list));
--- a/bench/src/fleet/fault.rs
+++ b/bench/src/fleet/fault.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
-use sycamore_core::Time;
 use sycamore_core::spread::PeerMsg;
 
 /// What an operator publishes.
@@ -182,8 +181,3 @@
         other => other,
     }
 }
-
-/// How long after an action's time a record is still about it.
-pub fn later(at: Time, span: Duration) -> Time {
-    at + span
-}
--- a/bench/src/fleet/platform.rs
+++ b/bench/src/fleet/platform.rs
@@ -30,6 +30,8 @@
     Missing,
     /// Too many calls in this second.
     OverLimit,
+    /// Nothing listens on the platform's port.
+    Refused,
 }
 
 /// How the platform behaves now.
@@ -39,6 +41,8 @@
     Up,
     /// It does not answer.
     Down,
+    /// Nothing listens on its port.
+    Refusing,
     /// It answers with the state as of this index: a stale replica, or a restored backup.
     AsOf(u64),
 }
@@ -100,11 +104,16 @@
     /// How it behaves from now on. Watches that wait are lost in an outage.
     pub fn set_health(&mut self, health: Health) {
         self.health = health;
-        if health == Health::Down {
+        if matches!(health, Health::Down | Health::Refusing) {
             self.waiting.clear();
         }
     }
 
+    /// Ends the watches of some callers, whose connections have closed.
+    pub fn forget(&mut self, gone: impl Fn(&C) -> bool) {
+        self.waiting.retain(|watch| !gone(&watch.caller));
+    }
+
     /// How it behaves.
     pub fn health(&self) -> Health {
         self.health
@@ -122,9 +131,10 @@
 
     /// Takes a call. `None` means that it waits, or is lost in an outage.
     pub fn get(&mut self, now: Time, get: Get<C>) -> Option<Answer> {
-        self.count(now);
-        if self.health == Health::Down {
-            return None;
+        match self.health {
+            Health::Down => return None,
+            Health::Refusing => return Some(Answer::Refused),
+            Health::Up | Health::AsOf(_) => self.count(now),
         }
         if self.this_second > CALLS_PER_S {
             self.calls.over_limit += 1;
@@ -161,7 +171,7 @@
     fn read(&self, key: &Name) -> Answer {
         let as_of = match self.health {
             Health::AsOf(index) => index,
-            Health::Up | Health::Down => u64::MAX,
+            Health::Up | Health::Down | Health::Refusing => u64::MAX,
         };
         let versions = self.values.get(key).map_or(&[][..], Vec::as_slice);
         match versions.iter().rev().find(|(index, _)| *index <= as_of) {
--- a/bench/src/fleet/publication.rs
+++ b/bench/src/fleet/publication.rs
@@ -23,6 +23,8 @@
     pub values: Vec<(Name, Bytes)>,
     /// Value of `in-force`.
     pub in_force: InForce,
+    /// The preset with its parts added.
+    pub preset: Preset,
     /// Bytes of the smallest message that could carry the change: version, digest and the
     /// changed piece, compressed.
     pub smallest: u64,
@@ -77,7 +79,7 @@
         self.add(&mut values, key(format!("preset/{}", preset.name)), body);
         values.push((key("in-force".to_owned()), encode(&in_force)));
         let smallest = smallest(&in_force, changed);
-        Publication { values, in_force, smallest, whole }
+        Publication { values, in_force, preset: preset.clone(), smallest, whole }
     }
 
     fn add(&mut self, values: &mut Vec<(Name, Bytes)>, key: Name, value: Bytes) {
--- a/bench/src/fleet/slot.rs
+++ b/bench/src/fleet/slot.rs
@@ -1,9 +1,9 @@
 //! A place for a node's process: its decider, and what the transport knows of it.
 
 use super::Setup;
-use super::workload::{vm_name};
+use super::workload::vm_name;
+use rand::SeedableRng;
 use rand::seq::IndexedRandom;
-use rand::{SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashSet;
 use std::net::{IpAddr, SocketAddr};
--- /dev/null
+++ b/bench/src/fleet/table.rs
@@ -0,0 +1,112 @@
+//! Results as tables for people, and as one line of JSON for programs.
+
+use super::run::{Comparison, Outcome};
+
+/// Prints convergence, storms and what the platform and the nodes carry.
+pub fn convergence(comparisons: &[Comparison]) {
+    println!("Convergence in ms, and what a node and the platform carry:");
+    println!(
+        "{:>6} {:>6} {:>9} {:>9} {:>9} {:>7} {:>9} {:>9} {:>8} {:>9} {:>8}",
+        "nodes",
+        "",
+        "p50",
+        "p99",
+        "max",
+        "behind",
+        "B/node/s",
+        "msg/node",
+        "calls/s",
+        "cpu us/s",
+        "KB/node"
+    );
+    for comparison in comparisons {
+        convergence_row(comparison.nodes, "ours", &comparison.ours);
+        convergence_row(comparison.nodes, "naive", &comparison.naive);
+    }
+    storms(comparisons);
+}
+
+fn convergence_row(nodes: usize, way: &str, outcome: &Outcome) {
+    let f = &outcome.figures;
+    println!(
+        "{nodes:>6} {way:>6} {:>9.1} {:>9.1} {:>9.1} {:>7} {:>9.0} {:>9.2} {:>8.1} {:>9.0} {:>8.0}",
+        f.p50_ms,
+        f.p99_ms,
+        f.max_ms,
+        f.behind,
+        f.bytes_per_node_s,
+        f.messages_per_node_s,
+        f.platform_calls_per_s,
+        f.cpu_us_per_node_s,
+        f.kb_per_node,
+    );
+}
+
+fn storms(comparisons: &[Comparison]) {
+    println!("\nStorms: ms from the heal or the return until the last version is in force:");
+    println!(
+        "{:>6} {:>6} {:>11} {:>11} {:>7} {:>10} {:>10} {:>14}",
+        "nodes", "", "storm", "recovered", "behind", "peak calls", "over limit", "B across"
+    );
+    for comparison in comparisons {
+        storm_rows(comparison.nodes, "ours", &comparison.ours);
+        storm_rows(comparison.nodes, "naive", &comparison.naive);
+    }
+}
+
+fn storm_rows(nodes: usize, way: &str, outcome: &Outcome) {
+    let started = outcome.started_ms.map_or("never".to_owned(), |ms| format!("{ms:.0}"));
+    let peak = outcome.start_calls_peak;
+    println!("{nodes:>6} {way:>6} {:>11} {started:>11} {:>7} {peak:>10}", "first start", "");
+    for s in &outcome.storms {
+        let recovered = s.recovered_ms.map_or("never".to_owned(), |ms| format!("{ms:.0}"));
+        println!(
+            "{nodes:>6} {way:>6} {:>11} {recovered:>11} {:>7} {:>10} {:>10} {:>14}",
+            s.storm, s.behind, s.platform_calls_peak, s.platform_over_limit, s.across_bytes
+        );
+    }
+}
+
+/// Prints control bytes by class of link, and between regions against the least possible.
+pub fn bytes(comparisons: &[Comparison]) {
+    println!("Control bytes a node and second, by class of link:");
+    println!(
+        "{:>6} {:>6} {:>10} {:>10} {:>10} {:>10} {:>16} {:>12} {:>12}",
+        "nodes",
+        "",
+        "all",
+        "zone",
+        "region",
+        "across",
+        "across/version",
+        "x smallest",
+        "naive/ours"
+    );
+    for c in comparisons {
+        let (ours, naive) = (&c.ours.figures, &c.naive.figures);
+        let gain = naive.across_bytes_per_version / ours.across_bytes_per_version;
+        bytes_row(c.nodes, "ours", &c.ours, Some(gain));
+        bytes_row(c.nodes, "naive", &c.naive, None);
+    }
+    storms(comparisons);
+}
+
+fn bytes_row(nodes: usize, way: &str, outcome: &Outcome, gain: Option<f64>) {
+    let f = &outcome.figures;
+    let gain = gain.map_or(String::new(), |gain| format!("{gain:.1}"));
+    println!(
+        "{nodes:>6} {way:>6} {:>10.1} {:>10.1} {:>10.1} {:>10.1} {:>16.0} {:>12.2} {gain:>12}",
+        f.bytes_per_node_s,
+        f.zone_bytes_per_node_s,
+        f.region_bytes_per_node_s,
+        f.across_bytes_per_node_s,
+        f.across_bytes_per_version,
+        outcome.across_to_smallest,
+    );
+}
+
+/// Prints the results as one line of JSON.
+pub fn json(comparisons: &[Comparison]) {
+    let line = serde_json::json!({ "sizes": comparisons });
+    println!("{line}");
+}
--- a/bench/src/fleet/workload.rs
+++ b/bench/src/fleet/workload.rs
@@ -9,12 +9,13 @@
 use sycamore_core::Name;
 use sycamore_core::config::document::{Class, Preset, Route, Service, ServiceLimits, Target};
 use sycamore_core::member::{Member, VmState};
+use sycamore_core::place::Place;
 
 /// Changes of configuration a day at the users' two-year size.
 pub const CHANGES_PER_DAY: u64 = 14_000;
 
 /// Services that a target calls besides its own, in fleets that have so many.
-const CALLED_SERVICES: usize = 20;
+pub const CALLED_SERVICES: usize = 20;
 
 /// Fewest targets that churn leaves to a service.
 const FEWEST_TARGETS: usize = 2;
@@ -52,8 +53,18 @@
 
     /// Where a node stands; neighbouring numbers stand in different zones.
     pub fn site(&self, node: usize) -> Site {
-        let zone = node % self.zones;
-        Site { region: (zone % self.regions) as u16, zone: zone as u16 }
+        self.place_of((node % self.zones) as u16)
+    }
+
+    /// Number of a zone's region, and of the zone.
+    pub fn place_of(&self, zone: u16) -> Site {
+        Site { region: zone % self.regions as u16, zone }
+    }
+
+    /// Name of a zone and its region.
+    pub fn place(&self, zone: u16) -> Place {
+        let site = self.place_of(zone);
+        Place { region: region_name(site.region), zone: zone_name(site.zone) }
     }
 
     /// The service whose target a node stands beside.
