bench: history trials, slopes, load by role

Cause: capacity must come from measured slopes, and rules from checked histories. Change: random trials from a seed, slopes with a least-squares line, counters by role.

--- a/bench/src/bin/sycamore-fleet.rs
+++ b/bench/src/bin/sycamore-fleet.rs
@@ -3,8 +3,10 @@
 use getopts::{Matches, Options};
 use std::process::ExitCode;
 use sycamore_bench::fleet::run::{Comparison, Plan, Storm, compare};
+use sycamore_bench::fleet::slopes::{self, Factor};
 use sycamore_bench::fleet::workload::{CHANGES_PER_DAY, Size};
 use sycamore_bench::fleet::{Setup, table};
+use sycamore_bench::history::trial::{Finding, Trial};
 use sycamore_bench::links::Profile;
 use sycamore_core::{Code, Fault, Result};
 
@@ -14,11 +16,13 @@
 /// Exit code if an aim is missed or a history breaks a rule.
 const EXIT_FAILED: u8 = 1;
 
-const BRIEF: &str = "Usage: sycamore-fleet convergence|bytes [options]
+const BRIEF: &str = "Usage: sycamore-fleet convergence|bytes|slopes|history [options]
 
 Runs the spread's decisions of many nodes in one thread over in-memory links, in simulated time.
 convergence and bytes run the system and the naive baseline side by side; the last line is JSON.
-Exit code: 0 done, 1 nodes were left behind, 2 the command line is not valid.";
+slopes lets one thing grow at a time and fits lines; with --out it writes the tables to a file.
+history runs small fleets under random faults and checks what happened against the rules.
+Exit code: 0 done, 1 nodes were left behind or a rule was broken, 2 the command line is not valid.";
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
@@ -40,6 +44,8 @@
     }
     match matches.free.iter().map(String::as_str).collect::<Vec<_>>()[..] {
         ["convergence"] => compare_all(&matches, table::convergence),
+        ["slopes"] => slopes(&matches),
+        ["history"] => histories(&matches),
         ["bytes"] => compare_all(&matches, table::bytes),
         _ => Err(usage("one command is needed; see --help")),
     }
@@ -50,8 +56,12 @@
     options.optflag("h", "help", "print this");
     options.optopt("", "sizes", "numbers of nodes (18,200,1000)", "N,N");
     options.optopt("", "seed", "seed of every random choice (1)", "N");
+    options.optopt("", "seeds", "history: how many seeds, from --seed on (20)", "N");
+    options.optflag("", "lossy", "history: links lose 1 message in 100");
+    options.optflag("", "print", "history: print what was done and recorded");
     options.optopt("", "versions", "versions published while counting (20)", "N");
     options.optopt("", "changes", "changes a day (14000)", "N");
+    options.optopt("", "out", "slopes: file for the tables, in Markdown", "FILE");
     options.optopt("", "links", "franchise or cooperative (franchise)", "NAME");
     options.optopt(
         "",
@@ -86,6 +96,55 @@
     Ok(if failed { ExitCode::from(EXIT_FAILED) } else { ExitCode::SUCCESS })
 }
 
+fn slopes(matches: &Matches) -> Result<ExitCode> {
+    let versions = number(matches, "versions", 10)? as usize;
+    let seed = number(matches, "seed", 1)?;
+    let mut text = String::new();
+    let mut all = Vec::new();
+    for factor in Factor::ALL {
+        eprintln!("{} ...", factor.name());
+        let series = slopes::measure(factor, versions, seed);
+        let table = slopes::markdown(&series);
+        println!("{table}");
+        text += &table;
+        text.push('\n');
+        all.push(series);
+    }
+    if let Some(path) = matches.opt_str("out") {
+        std::fs::write(&path, text)
+            .map_err(|e| Fault::new(Code::OutputFailed).with_place(path).with_detail(e))?;
+    }
+    println!("{}", serde_json::json!({ "slopes": all }));
+    Ok(ExitCode::SUCCESS)
+}
+
+fn histories(matches: &Matches) -> Result<ExitCode> {
+    let first = number(matches, "seed", 1)?;
+    let count = number(matches, "seeds", 20)?;
+    let mut broken = 0;
+    for seed in first..first + count {
+        let trial = Trial { seed, lossy: matches.opt_present("lossy") };
+        let finding = trial.run();
+        broken += u64::from(!finding.violations.is_empty());
+        print_finding(&finding, matches.opt_present("print"));
+    }
+    println!("{}", serde_json::json!({ "first": first, "seeds": count, "broken": broken }));
+    Ok(if broken > 0 { ExitCode::from(EXIT_FAILED) } else { ExitCode::SUCCESS })
+}
+
+fn print_finding(finding: &Finding, whole: bool) {
+    let count = finding.violations.len();
+    if whole {
+        finding.plan.iter().for_each(|(at, action)| println!("{at:?} {action:?}"));
+        finding.history.iter().for_each(|record| println!("{record:?}"));
+    }
+    if count > 0 {
+        println!("seed {}: {count} violations", finding.trial.seed);
+        let shown = if whole { count } else { 3 };
+        finding.violations.iter().take(shown).for_each(|violation| println!("  {violation}"));
+    }
+}
+
 fn storms(matches: &Matches) -> Result<Vec<Storm>> {
     let list = matches.opt_str("faults").unwrap_or_else(|| "all".to_owned());
     match list.as_str() {
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -9,6 +9,7 @@
 pub mod publication;
 pub mod run;
 pub mod size;
+pub mod slopes;
 pub mod slot;
 pub mod table;
 pub mod workload;
@@ -21,7 +22,7 @@
 use measure::Convergence;
 use platform::{Answer, Get, Platform};
 use publication::Publication;
-use slot::{Slot, Start};
+use slot::{Load, Slot, Start};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,6 +31,7 @@
 use sycamore_core::place::Place;
 use sycamore_core::spread::port::CallId;
 use sycamore_core::spread::{Input, Output, PeerMsg, SourceCall, SourceReply, SourceValue};
+use sycamore_core::status::Role;
 use sycamore_core::{Code, Name, Time};
 use workload::{Size, Workload, name};
 
@@ -249,7 +251,10 @@
     /// relays.
     pub fn relays(&self, region: Option<u16>) -> Vec<usize> {
         let wanted = |node: &usize| region.is_none_or(|r| self.site(*node).region == r);
-        (0..self.slots.len()).filter(wanted).filter(|node| self.slots[*node].is_relay()).collect()
+        (0..self.slots.len())
+            .filter(wanted)
+            .filter(|node| self.slots[*node].role() != Role::Leaf)
+            .collect()
     }
 
     /// Records the platform's busiest second.
@@ -259,6 +264,23 @@
         self.history.push(Record::Calls { at: self.now(), peak, limit });
     }
 
+    /// What each node has carried since the last reset, with its role.
+    pub fn loads(&self) -> Vec<(Role, Load)> {
+        self.slots.iter().map(|slot| (slot.role(), slot.load)).collect()
+    }
+
+    /// Starts the counters of every node anew.
+    pub fn reset_loads(&mut self) {
+        self.slots.iter_mut().for_each(|slot| slot.load = Load::default());
+    }
+
+    fn count(&mut self, node: usize, sent: u64, received: u64) {
+        let load = &mut self.slots[node].load;
+        load.sent += sent;
+        load.received += received;
+        load.messages += 1;
+    }
+
     fn last_in_force(&self) -> Time {
         self.slots.iter().filter_map(|slot| slot.since).max().unwrap_or(START)
     }
@@ -366,6 +388,8 @@
         let sites = (self.site(from), self.site(to_node));
         let size = self.sizes.of(&msg);
         let arrive = Event::Arrive { from, to: to_node, life, msg };
+        self.count(from, size, 0);
+        self.count(to_node, 0, size);
         self.links.send(sites.0, sites.1, size, arrive);
     }
 
@@ -376,6 +400,7 @@
         let timeout = SOURCE_TIMEOUT + call.wait;
         self.links.after(timeout, Event::TimedOut(caller));
         let size = HEAD_BYTES + call.key.as_bytes().len() as u64;
+        self.count(node, size, 0);
         self.links.send(self.site(node), PLATFORM, size, Event::Asked(caller, call));
     }
 
@@ -408,6 +433,7 @@
             Answer::Missing | Answer::OverLimit | Answer::Refused => HEAD_BYTES,
         };
         let site = self.site(caller.node);
+        self.count(caller.node, 0, size);
         self.links.send(PLATFORM, site, size, Event::Answered(caller, answer));
     }
 
--- a/bench/src/fleet/fault.rs
+++ b/bench/src/fleet/fault.rs
@@ -31,6 +31,10 @@
     Start(Vec<usize>),
     /// These processes are killed.
     Kill(Vec<usize>),
+    /// Every relay and reader of a region is killed, and starts again after a while.
+    KillRelays(u16, Duration),
+    /// Every process that does not run starts.
+    StartStopped,
     /// These processes don't run for a while, and then go on.
     Pause(Vec<usize>, Duration),
     /// This process takes messages and never answers, or answers again.
@@ -51,8 +55,10 @@
     PlatformBack(u64),
     /// Links lose so many messages in a million, and delay some.
     Trouble(u32, u32),
-    /// From now on every running node must hold what the newest of them holds.
+    /// Every running node must hold at least this version by now.
     RecordDue(u64),
+    /// Every running node must hold the last good version by now.
+    DemandLastGood,
     /// Every running node must, a span from now, hold what the newest of them holds now.
     DemandAgreement(Duration),
 }
@@ -63,6 +69,16 @@
             Action::Publish(edition) => self.publish(edition),
             Action::Start(nodes) => nodes.into_iter().for_each(|node| self.start(node)),
             Action::Kill(nodes) => nodes.into_iter().for_each(|node| self.kill(node)),
+            Action::KillRelays(region, away) => {
+                let relays = self.relays(Some(region));
+                self.plan(away, Action::Start(relays.clone()));
+                relays.into_iter().for_each(|node| self.kill(node));
+            }
+            Action::StartStopped => {
+                let stopped = |node: &usize| !self.slots[*node].is_running();
+                let nodes: Vec<usize> = (0..self.slots.len()).filter(stopped).collect();
+                nodes.into_iter().for_each(|node| self.start(node));
+            }
             Action::Pause(nodes, span) => nodes.into_iter().for_each(|n| self.pause(n, span)),
             Action::Silence(node, silent) => {
                 self.slots[node].silent = silent;
@@ -85,10 +101,8 @@
                 let profile = self.setup.profile.with_trouble(loss_ppm, jitter_percent);
                 self.links.set_profile(profile);
             }
-            Action::RecordDue(version) => {
-                let at = self.links.now();
-                self.history.push(Record::Due { at, version });
-            }
+            Action::RecordDue(version) => self.record_due(version),
+            Action::DemandLastGood => self.record_due(self.last_good),
             Action::DemandAgreement(span) => {
                 let newest = self.newest_held();
                 self.plan(span, Action::RecordDue(newest));
@@ -96,6 +110,10 @@
         }
     }
 
+    fn record_due(&mut self, version: u64) {
+        self.history.push(Record::Due { at: self.links.now(), version });
+    }
+
     fn start(&mut self, node: usize) {
         let start = self.start_of(node);
         self.slots[node].start(start);
--- a/bench/src/fleet/measure.rs
+++ b/bench/src/fleet/measure.rs
@@ -1,10 +1,12 @@
 //! What a run measures, the same for the system and for the naive baseline.
 
+use super::slot::Load;
 use crate::links::Traffic;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::time::Duration;
 use sycamore_core::Time;
+use sycamore_core::status::Role;
 
 /// Longest convergence that is told apart, in microseconds: one hour.
 const LONGEST_US: u64 = 3_600_000_000;
@@ -101,6 +103,8 @@
     pub cpu_us_per_node_s: f64,
     /// Resident memory of the whole run divided by its nodes.
     pub kb_per_node: f64,
+    /// What the nodes of each role carried.
+    pub roles: Vec<RoleFigures>,
 }
 
 impl Figures {
@@ -152,6 +156,53 @@
     }
 }
 
+/// What the nodes of one role carried, a node and second.
+#[derive(Clone, Debug, Serialize)]
+pub struct RoleFigures {
+    /// The role.
+    pub role: Role,
+    /// Nodes in it.
+    pub nodes: usize,
+    /// Bytes sent.
+    pub sent_s: f64,
+    /// Bytes received.
+    pub received_s: f64,
+    /// Bytes sent and received by the busiest of them.
+    pub most_bytes_s: f64,
+    /// Messages sent and received.
+    pub messages_s: f64,
+    /// Time of the decider, in microseconds.
+    pub decider_us_s: f64,
+}
+
+impl RoleFigures {
+    /// The figures of every role that a node has, over `span`.
+    pub fn all(loads: &[(Role, Load)], span: Duration) -> Vec<RoleFigures> {
+        let roles = [Role::RegionReader, Role::ZoneRelay, Role::Relay, Role::Leaf];
+        let of = |role| loads.iter().filter(move |(r, _)| *r == role).map(|(_, load)| *load);
+        let figures = |role| RoleFigures::new(role, &of(role).collect::<Vec<Load>>(), span);
+        roles.into_iter().map(figures).filter(|figures| figures.nodes > 0).collect()
+    }
+
+    fn new(role: Role, loads: &[Load], span: Duration) -> RoleFigures {
+        let nodes = loads.len();
+        let seconds = span.as_secs_f64();
+        let mean = |of: fn(&Load) -> f64| {
+            loads.iter().map(of).sum::<f64>() / nodes.max(1) as f64 / seconds
+        };
+        let most = loads.iter().map(|load| load.sent + load.received).max().unwrap_or(0);
+        RoleFigures {
+            role,
+            nodes,
+            sent_s: mean(|load| load.sent as f64),
+            received_s: mean(|load| load.received as f64),
+            most_bytes_s: most as f64 / seconds,
+            messages_s: mean(|load| load.messages as f64),
+            decider_us_s: mean(|load| load.busy.as_secs_f64() * 1e6),
+        }
+    }
+}
+
 /// Processor time of this thread so far.
 pub fn cpu_time() -> Duration {
     let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
--- a/bench/src/fleet/run.rs
+++ b/bench/src/fleet/run.rs
@@ -1,7 +1,7 @@
 //! Runs of a fleet in memory that measure it: ordinary change, and storms.
 
 use super::fault::{Action, Edition, nodes_in_zone};
-use super::measure::{Figures, cpu_time, resident_bytes};
+use super::measure::{Figures, RoleFigures, cpu_time, resident_bytes};
 use super::workload::{CHANGES_PER_DAY, Size};
 use super::{Fleet, Setup};
 use crate::baseline::Baseline;
@@ -199,6 +199,7 @@
     fleet.run_for(SETTLING);
     fleet.convergence().reset();
     fleet.take_peak();
+    fleet.reset_loads();
     let (traffic, calls, cpu) = (fleet.traffic(), fleet.calls(), cpu_time());
     let span = plan.pause * plan.versions as u32;
     for index in 0..plan.versions {
@@ -210,14 +211,16 @@
     let sent = fleet.traffic().since(&traffic);
     let now = fleet.calls();
     let nodes = fleet.size().nodes;
+    let roles = RoleFigures::all(&fleet.loads(), span);
     // The last version gets its time too; the rates are over the span before.
     let last = fleet.last_good();
     fleet.run_until_held(last, PATIENCE);
     let over_limit = now.over_limit - calls.over_limit;
-    Figures::new(fleet.convergence())
+    let figures = Figures::new(fleet.convergence())
         .with_traffic(&sent, nodes, span)
         .with_calls(now.total - calls.total, over_limit, now.peak, span)
-        .with_usage(used, 0, nodes, span)
+        .with_usage(used, 0, nodes, span);
+    Figures { roles, ..figures }
 }
 
 fn plan_restarts(fleet: &mut Fleet, plan: &Plan, span: Duration) {
--- /dev/null
+++ b/bench/src/fleet/slopes.rs
@@ -0,0 +1,203 @@
+//! Slopes: one thing grows over several sizes, the rest stays, and a line is fitted.
+
+use super::Setup;
+use super::run::{Outcome, Plan, ours};
+use super::workload::{CALLED_SERVICES, CHANGES_PER_DAY, Size};
+use serde::Serialize;
+
+/// What grows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Factor {
+    /// Nodes, with nine targets a service, in 6 zones of 3 regions.
+    Nodes,
+    /// Regions of two zones each, with 1,000 nodes.
+    Regions,
+    /// Services, with 1,000 nodes.
+    Services,
+    /// Services in the scope of a node, with 1,000 nodes in 200 services.
+    Scope,
+    /// Changes a day, with 1,000 nodes.
+    Changes,
+    /// Restarts a minute, with 1,000 nodes.
+    Restarts,
+}
+
+impl Factor {
+    /// Every factor.
+    pub const ALL: [Factor; 6] = [
+        Factor::Nodes,
+        Factor::Regions,
+        Factor::Services,
+        Factor::Scope,
+        Factor::Changes,
+        Factor::Restarts,
+    ];
+
+    /// Its name in results.
+    pub fn name(self) -> &'static str {
+        match self {
+            Factor::Nodes => "nodes",
+            Factor::Regions => "regions",
+            Factor::Services => "services",
+            Factor::Scope => "services in scope",
+            Factor::Changes => "changes a day",
+            Factor::Restarts => "restarts a minute",
+        }
+    }
+
+    /// The sizes at which it is measured.
+    pub fn values(self) -> [u64; 5] {
+        match self {
+            Factor::Nodes => [200, 500, 1_000, 2_000, 4_000],
+            Factor::Regions => [2, 3, 4, 6, 10],
+            Factor::Services => [25, 50, 100, 200, 300],
+            Factor::Scope => [5, 10, 20, 40, 80],
+            Factor::Changes => [3_500, 7_000, 14_000, 28_000, 56_000],
+            Factor::Restarts => [0, 6, 12, 24, 48],
+        }
+    }
+
+    fn run(self, value: u64, versions: usize, seed: u64) -> Outcome {
+        let count = value as usize;
+        let base = Size { nodes: 1_000, services: 111, zones: 6, regions: 3 };
+        let plan = Plan::new(versions);
+        let run = |size: Size, called: usize, plan: Plan| {
+            ours(&Setup::new(size, seed).with_called_services(called), &plan, &[])
+        };
+        match self {
+            Factor::Nodes => {
+                let size = Size { nodes: count, services: count / 9, ..base };
+                run(size, CALLED_SERVICES, plan)
+            }
+            Factor::Regions => {
+                run(Size { zones: count * 2, regions: count, ..base }, CALLED_SERVICES, plan)
+            }
+            Factor::Services => run(base.with_services(count), CALLED_SERVICES, plan),
+            Factor::Scope => run(base.with_services(200), count, plan),
+            Factor::Changes => {
+                // As many simulated seconds at every rate.
+                let versions = (versions as u64 * value / CHANGES_PER_DAY).max(2) as usize;
+                let plan = Plan::new(versions).with_changes_per_day(value);
+                run(base, CALLED_SERVICES, plan)
+            }
+            Factor::Restarts => {
+                run(base, CALLED_SERVICES, plan.with_restarts_per_minute(value as u32))
+            }
+        }
+    }
+}
+
+/// What is measured for each size.
+#[derive(Clone, Copy, Debug)]
+pub struct Metric {
+    /// Its name with the unit.
+    pub name: &'static str,
+    of: fn(&Outcome) -> f64,
+}
+
+/// Every metric.
+pub const METRICS: [Metric; 8] = [
+    Metric { name: "control bytes/s a node", of: |o| o.figures.bytes_per_node_s },
+    Metric { name: "bytes/s of the busiest node", of: busiest },
+    Metric { name: "bytes between regions a version", of: |o| o.figures.across_bytes_per_version },
+    Metric { name: "messages/s a node", of: |o| o.figures.messages_per_node_s },
+    Metric { name: "platform calls/s", of: |o| o.figures.platform_calls_per_s },
+    Metric { name: "processor us/s a node", of: |o| o.figures.cpu_us_per_node_s },
+    Metric { name: "KB a node", of: |o| o.figures.kb_per_node },
+    Metric { name: "slowest convergence, ms", of: |o| o.figures.max_ms },
+];
+
+fn busiest(outcome: &Outcome) -> f64 {
+    outcome.figures.roles.iter().map(|role| role.most_bytes_s).fold(0.0, f64::max)
+}
+
+/// A line fitted by least squares.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Line {
+    /// Value at zero.
+    pub at_zero: f64,
+    /// Growth for each unit.
+    pub slope: f64,
+    /// Standard error of the slope.
+    pub slope_error: f64,
+    /// Standard deviation of the points from the line.
+    pub spread: f64,
+}
+
+impl Line {
+    /// Fits a line to points (x, y); at least three, not all with one x.
+    pub fn fit(points: &[(f64, f64)]) -> Line {
+        let n = points.len() as f64;
+        let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / n;
+        let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / n;
+        let xx: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+        let xy: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+        let slope = xy / xx;
+        let at_zero = mean_y - slope * mean_x;
+        let rest: f64 = points.iter().map(|(x, y)| (y - at_zero - slope * x).powi(2)).sum();
+        let spread = (rest / (n - 2.0)).sqrt();
+        Line { at_zero, slope, slope_error: spread / xx.sqrt(), spread }
+    }
+}
+
+/// All points of one factor.
+#[derive(Clone, Debug, Serialize)]
+pub struct Series {
+    /// What grew.
+    pub factor: Factor,
+    /// Its sizes.
+    pub values: Vec<u64>,
+    /// One row for each metric, one value for each size.
+    pub rows: Vec<Row>,
+}
+
+/// One metric over the sizes.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// The metric.
+    pub metric: &'static str,
+    /// Its values.
+    pub values: Vec<f64>,
+    /// The line through them.
+    pub line: Line,
+}
+
+/// Measures one factor at all its sizes.
+pub fn measure(factor: Factor, versions: usize, seed: u64) -> Series {
+    let values = factor.values();
+    let outcomes: Vec<Outcome> =
+        values.iter().map(|value| factor.run(*value, versions, seed)).collect();
+    let row = |metric: &Metric| {
+        let measured: Vec<f64> = outcomes.iter().map(metric.of).collect();
+        let points: Vec<(f64, f64)> =
+            values.iter().zip(&measured).map(|(x, y)| (*x as f64, *y)).collect();
+        Row { metric: metric.name, values: measured, line: Line::fit(&points) }
+    };
+    Series { factor, values: values.to_vec(), rows: METRICS.iter().map(row).collect() }
+}
+
+/// A series as a table in Markdown.
+pub fn markdown(series: &Series) -> String {
+    let sizes: Vec<String> = series.values.iter().map(u64::to_string).collect();
+    let mut text = format!("## {}\n\n", series.factor.name());
+    text += &format!("| metric | {} | at zero | slope | ± | spread |\n", sizes.join(" | "));
+    text += &format!("|---|{}\n", "---:|".repeat(series.values.len() + 4));
+    for row in &series.rows {
+        let values: Vec<String> = row.values.iter().map(|value| short(*value)).collect();
+        let Line { at_zero, slope, slope_error, spread } = row.line;
+        let fitted = [at_zero, slope, slope_error, spread].map(short).join(" | ");
+        text += &format!("| {} | {} | {fitted} |\n", row.metric, values.join(" | "));
+    }
+    text
+}
+
+/// A number with about four digits.
+fn short(value: f64) -> String {
+    match value.abs() {
+        size if size >= 1_000.0 => format!("{value:.0}"),
+        size if size >= 10.0 => format!("{value:.1}"),
+        size if size >= 0.01 || size == 0.0 => format!("{value:.3}"),
+        _ => format!("{value:.2e}"),
+    }
+}
--- a/bench/src/fleet/slot.rs
+++ b/bench/src/fleet/slot.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashSet;
 use std::net::{IpAddr, SocketAddr};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use sycamore_core::config::InForce;
 use sycamore_core::spread::port::{CallId, View};
 use sycamore_core::spread::{Config, Input, Output, Peer, Spread};
@@ -43,6 +43,19 @@
     pub neighbours: Vec<Neighbour>,
 }
 
+/// What a node has carried since the counters were last reset.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    /// Bytes sent to peers and the platform.
+    pub sent: u64,
+    /// Bytes received from peers and the platform.
+    pub received: u64,
+    /// Messages sent and received.
+    pub messages: u64,
+    /// Time that its decider took.
+    pub busy: Duration,
+}
+
 /// One node.
 pub struct Slot {
     /// How other nodes know it.
@@ -71,6 +84,8 @@
     pub lies: bool,
     /// When it last was paused, silent or lying.
     pub troubled: Time,
+    /// What it has carried.
+    pub load: Load,
     /// Its last start, while nothing is in force yet.
     pub start: Option<Start>,
     spread: Option<Spread>,
@@ -101,6 +116,7 @@
             silent: false,
             lies: false,
             troubled: Time::ZERO,
+            load: Load::default(),
             start: None,
             spread: None,
             paused: false,
@@ -126,9 +142,9 @@
         self.in_force.as_ref().map_or(0, |in_force| in_force.version)
     }
 
-    /// Whether others hang below it.
-    pub fn is_relay(&self) -> bool {
-        self.view.as_ref().is_some_and(|view| view.role != Role::Leaf)
+    /// What it does for the spread.
+    pub fn role(&self) -> Role {
+        self.view.as_ref().map_or(Role::Leaf, |view| view.role)
     }
 
     /// How it looks to a node that starts now.
@@ -198,7 +214,9 @@
             return;
         }
         if let Some(spread) = &mut self.spread {
+            let began = Instant::now();
             spread.handle(now, input, out);
+            self.load.busy += began.elapsed();
         }
     }
 }
--- a/bench/src/fleet/table.rs
+++ b/bench/src/fleet/table.rs
@@ -23,9 +23,33 @@
         convergence_row(comparison.nodes, "ours", &comparison.ours);
         convergence_row(comparison.nodes, "naive", &comparison.naive);
     }
+    roles(comparisons);
     storms(comparisons);
 }
 
+fn roles(comparisons: &[Comparison]) {
+    println!("\nOurs by role, a node and second:");
+    println!(
+        "{:>6} {:>14} {:>6} {:>9} {:>9} {:>11} {:>9} {:>11}",
+        "nodes", "role", "count", "B sent", "B recv", "busiest B", "messages", "decider us"
+    );
+    for comparison in comparisons {
+        for r in &comparison.ours.figures.roles {
+            println!(
+                "{:>6} {:>14} {:>6} {:>9.0} {:>9.0} {:>11.0} {:>9.2} {:>11.1}",
+                comparison.nodes,
+                format!("{:?}", r.role),
+                r.nodes,
+                r.sent_s,
+                r.received_s,
+                r.most_bytes_s,
+                r.messages_s,
+                r.decider_us_s,
+            );
+        }
+    }
+}
+
 fn convergence_row(nodes: usize, way: &str, outcome: &Outcome) {
     let f = &outcome.figures;
     println!(
