--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,6 +1,10 @@
 //! Benches and history checks of sycamorescale.
 
+pub mod baseline;
 pub mod demo;
+pub mod fleet;
+pub mod history;
 pub mod http;
+pub mod links;
 pub mod process;
 pub mod stack;
