--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -363,7 +363,11 @@
             Output::InForce(snapshot) => self.in_force(node, &snapshot),
             Output::WakeAt(at) => self.wake_at(node, at),
             Output::View(view) => self.slots[node].view = Some(view),
-            Output::Note { .. } | Output::Members(_) | Output::Event(_) | Output::Refused(_) => {}
+            Output::Confirmed
+            | Output::Note { .. }
+            | Output::Members(_)
+            | Output::Event(_)
+            | Output::Refused(_) => {}
         }
     }
 
--- a/core/src/spread/attach.rs
+++ b/core/src/spread/attach.rs
@@ -373,6 +373,11 @@
     /// Takes the answer to a question. Answers that were not asked for are dropped.
     pub(super) fn take_pong(&mut self, now: Time, from: &Peer, pong: &Pong, out: &mut Vec<Output>) {
         let Some(question) = self.asked.questions.swap_remove(&pong.seq) else { return };
+        // Guards against an answer that lay in the socket while the process was paused: it tells
+        // of a version that the fleet may have left behind since.
+        if question.until < now {
+            return self.unanswered(now, &question, out);
+        }
         self.hear_word(now, &pong.word, true);
         for word in &pong.words {
             self.hear_word(now, word, false);
@@ -387,6 +392,10 @@
             self.members.confirm(&from.vm, have);
             self.hear(now, from, have, out);
         }
+        let theirs = pong.have.as_ref().map_or(0, |have| have.in_force.version);
+        if self.in_force().is_some_and(|own| own.version >= theirs) {
+            out.push(Output::Confirmed);
+        }
     }
 
     fn take_attached(&mut self, now: Time, from: &Peer, pong: &Pong, out: &mut Vec<Output>) {
--- a/core/src/spread/join.rs
+++ b/core/src/spread/join.rs
@@ -166,6 +166,9 @@
 
     fn end_join(&mut self, now: Time, out: &mut Vec<Output>) {
         self.join = None;
+        if self.is_alone() {
+            out.push(Output::Confirmed);
+        }
         let Some(staged) = self.staged.take() else { return };
         if staged.store.version() >= self.floor.version() {
             self.put_in_force(now, staged, out);
--- a/core/src/spread/port.rs
+++ b/core/src/spread/port.rs
@@ -138,6 +138,9 @@
         Members(IndexMap<Name, VmState>),
         /// What `/status` shows has changed.
         View(View),
+        /// A peer asked since the start or the last clock gap holds nothing newer than the version
+        /// in force here.
+        Confirmed,
         /// Record a change of state.
         Event(Event),
         /// A version was refused.
--- /dev/null
+++ b/core/tests/node.rs
@@ -0,0 +1,93 @@
+//! The deciders of a node joined behind one entry point.
+
+use std::time::Duration;
+use sycamore_core::call::{CallKey, entry};
+use sycamore_core::hash::Hash;
+use sycamore_core::node::{Input, Node, Output};
+use sycamore_core::place::Place;
+use sycamore_core::spread::port::{Config, SourceReply, SourceValue};
+use sycamore_core::spread::{self, SourceCall};
+use sycamore_core::{Name, Time};
+
+const BODY: &str = r#"{"name":"ordinary","services":{"roster":{"targets":[
+{"vm":"a","region":"r","zone":"z","gate":"127.0.0.1:1"}]}},
+"routes":{"rosters":{"path_prefix":"/rosters","service":"roster","idempotent":true}}}"#;
+
+fn name(text: &'static str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn config() -> Config {
+    Config {
+        vm: name("a"),
+        place: Place { region: name("r"), zone: name("z") },
+        address: "127.0.0.1:2".parse().unwrap(),
+        seeds: Vec::new(),
+        scope: None,
+        platform_region: None,
+        fleet_vms: 1,
+        first_configuration: Duration::from_secs(1),
+    }
+}
+
+fn value(call: &SourceCall) -> Option<String> {
+    let digest = Hash::of(BODY.as_bytes());
+    match call.key.as_str() {
+        "in-force" => Some(format!(r#"{{"version":1,"preset":"ordinary","digest":"{digest}"}}"#)),
+        "preset/ordinary" => Some(BODY.to_owned()),
+        "zones" => Some(r#"{"zones":[{"region":"r","zone":"z"}]}"#.to_owned()),
+        "vms/z" => Some(
+            r#"{"vms":[{"vm":"a","region":"r","zone":"z","peers":"127.0.0.1:2",
+            "admin":"127.0.0.1:3","state":"live"}]}"#
+                .to_owned(),
+        ),
+        _ => None,
+    }
+}
+
+fn reply(call: &SourceCall) -> Input<'static> {
+    let body = value(call).map(Into::into);
+    let result = Ok(SourceValue { index: 1, body });
+    Input::Spread(spread::Input::Source(SourceReply { id: call.id, result }))
+}
+
+fn arrive(node: &mut Node, now: Time) -> Vec<Output> {
+    let arrival = entry::Arrival {
+        call: CallKey(1),
+        path: "/rosters/7",
+        key: None,
+        time_left: None,
+        depth: 0,
+        body_bytes: Some(0),
+    };
+    let mut out = Vec::new();
+    node.handle(now, Input::Entry(entry::Input::Arrive(arrival)), &mut out);
+    out
+}
+
+fn is_forward(output: &Output) -> bool {
+    matches!(output, Output::Entry(entry::Output::Forward(_)))
+}
+
+#[test]
+fn version_read_reaches_calls() {
+    let mut now = Time::from_millis(1_000_000);
+    let mut node = Node::new(config(), now, 7);
+    assert!(!arrive(&mut node, now).iter().any(is_forward), "no route before a version");
+    let mut out = Vec::new();
+    node.handle(now, Input::Spread(spread::Input::Start), &mut out);
+    for _ in 0..200 {
+        now = now + Duration::from_millis(20);
+        let calls: Vec<SourceCall> = out
+            .drain(..)
+            .filter_map(|output| match output {
+                Output::Spread(spread::Output::ReadSource(call)) if call.index == 0 => Some(call),
+                _ => None,
+            })
+            .collect();
+        calls.iter().for_each(|call| node.handle(now, reply(call), &mut out));
+        node.handle(now, Input::Spread(spread::Input::Wake), &mut out);
+    }
+    assert_eq!(node.spread().in_force().map(|in_force| in_force.version), Some(1));
+    assert!(arrive(&mut node, now).iter().any(is_forward), "the route leads to its target");
+}
--- a/core/tests/support/fleet.rs
+++ b/core/tests/support/fleet.rs
@@ -32,6 +32,8 @@
     pub events: Vec<Event>,
     pub members: IndexMap<Name, VmState>,
     pub view: Option<View>,
+    /// The version in force at each confirmation.
+    pub confirmed: Vec<u64>,
     starts: u64,
     wake: Option<Time>,
     held: Vec<Input>,
@@ -172,6 +174,7 @@
             events: Vec::new(),
             members: IndexMap::new(),
             view: None,
+            confirmed: Vec::new(),
             starts: 0,
             wake: None,
             held: Vec::new(),
@@ -323,6 +326,10 @@
             Output::Event(event) => slot.events.push(event),
             Output::Members(members) => slot.members = members,
             Output::View(view) => slot.view = Some(view),
+            Output::Confirmed => {
+                let version = self.version(node);
+                self.nodes[node].confirmed.push(version);
+            }
             Output::WakeAt(at) => {
                 slot.wake = Some(at);
                 let starts = slot.starts;
--- a/node/src/spread.rs
+++ b/node/src/spread.rs
@@ -189,6 +189,7 @@
                 shown.platform_answers = view.platform_answers;
                 shown.confirmed = view.confirmed;
             }),
+            Output::Confirmed => self.calls.confirmed(),
             Output::Event(event) => shared.record(event),
             Output::Refused(fault) => shared.update_spread(|shown| {
                 shown.last_refusal = Some(fault);
