--- /dev/null
+++ b/node/tests/calls_input.rs
@@ -0,0 +1,190 @@
+//! Bad input of callers: each gets a numbered error, bounded memory and time, and no panic.
+
+#[path = "support/calls.rs"]
+mod support;
+
+use std::io::{Read, Write};
+use support::*;
+
+/// Sends `raw` to a node and checks that it is refused with this status and code, and that the
+/// node still serves.
+fn refused(raw: &str, status: u16, code: u16) {
+    let (target, node) = single("{}");
+    let answer = call(node.entry, raw);
+    let found = (answer.status, answer.code(), answer.outcome());
+    assert_eq!(found, (status, Some(code), "not-run"), "{raw:.100}: {answer:?}");
+    assert_eq!(call(node.entry, &get("/idem")).status, 200);
+    assert_eq!(target.log().len(), 1);
+}
+
+#[test]
+fn input_rubbish() {
+    refused("\x01\x02 rubbish\r\n\r\n", 400, 403);
+}
+
+#[test]
+fn input_header_malformed() {
+    refused("GET /idem HTTP/1.1\r\nhost test\r\n\r\n", 400, 403);
+}
+
+#[test]
+fn input_head_oversize() {
+    let long = "x".repeat(70_000);
+    refused(&format!("GET /idem HTTP/1.1\r\nhost: t\r\nx-long: {long}\r\n\r\n"), 431, 404);
+}
+
+#[test]
+fn input_headers_too_many() {
+    let many: String = (0..200).map(|n| format!("x-{n}: 1\r\n")).collect();
+    refused(&format!("GET /idem HTTP/1.1\r\nhost: t\r\n{many}\r\n"), 431, 404);
+}
+
+#[test]
+fn input_body_oversize() {
+    let head = "POST /idem HTTP/1.1\r\nhost: t\r\ncontent-length: 200001\r\n\r\n";
+    refused(head, 413, 404);
+}
+
+#[test]
+fn input_body_oversize_chunked() {
+    // The size is only seen while the body passes, so the connection is broken off.
+    let (target, node) = single("{}");
+    let head = "POST /idem HTTP/1.1\r\nhost: t\r\ntransfer-encoding: chunked\r\n\r\n";
+    let mut stream = open(node.entry, head);
+    let chunk = format!("8000\r\n{}\r\n", "x".repeat(0x8000));
+    for _ in 0..20 {
+        if stream.write_all(chunk.as_bytes()).is_err() {
+            break;
+        }
+    }
+    assert_ne!(read(&stream).outcome(), "answered");
+    assert_eq!(target.ran(&"x".repeat(200_001)), 0);
+    assert_eq!(call(node.entry, &get("/idem")).status, 200);
+}
+
+#[test]
+fn input_signing_oversize() {
+    let (target, node) = single("{}");
+    let answer = call(node.entry, &sign("/once", &key(), &"x".repeat(70_000)));
+    assert_eq!((answer.status, answer.code()), (413, Some(404)));
+    assert_eq!(target.log().len(), 0);
+}
+
+#[test]
+fn input_length_twice() {
+    // Story: request smuggling. Two programs read two lengths, and one takes the rest of the
+    // body for a request of its own.
+    refused("POST /idem HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nx", 400, 403);
+}
+
+#[test]
+fn input_length_twice_alike() {
+    refused("POST /idem HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 1\r\n\r\nx", 400, 403);
+}
+
+#[test]
+fn input_length_and_coding() {
+    for head in [
+        "content-length: 1\r\ntransfer-encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 1",
+    ] {
+        refused(&format!("POST /idem HTTP/1.1\r\n{head}\r\n\r\n1\r\nx\r\n0\r\n\r\n"), 400, 403);
+    }
+}
+
+#[test]
+fn input_header_twice() {
+    for header in ["idempotency-key", "x-sycamore-deadline-ms", "x-sycamore-request-id", "host"] {
+        let value = if header == "idempotency-key" { key() } else { "7".into() };
+        let twice = format!("{header}: {value}\r\n{header}: {value}\r\n");
+        refused(&format!("GET /idem HTTP/1.1\r\n{twice}\r\n"), 400, 403);
+    }
+}
+
+#[test]
+fn input_deadline_not_a_number() {
+    for value in ["-1", "+5", "1.5", "", "soon", "99999999999999999999999"] {
+        let raw = format!("GET /idem HTTP/1.1\r\nx-sycamore-deadline-ms: {value}\r\n\r\n");
+        refused(&raw, 400, 403);
+    }
+}
+
+#[test]
+fn input_too_deep() {
+    refused("GET /idem HTTP/1.1\r\nx-sycamore-depth: 16\r\n\r\n", 400, 408);
+}
+
+#[test]
+fn input_connect_and_upgrade() {
+    refused("CONNECT host:1 HTTP/1.1\r\nhost: t\r\n\r\n", 400, 403);
+    refused("GET /idem HTTP/1.1\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n", 400, 403);
+}
+
+#[test]
+fn input_headers_of_the_path_named_in_connection() {
+    // Story: a caller names the key in `connection`, so that a proxy drops it on the way; the
+    // signing would then run without the key that holds it to one run.
+    let (target, node) = single("{}");
+    let raw = "GET /idem HTTP/1.1\r\nconnection: idempotency-key, x-drop\r\nx-drop: 1\r\n";
+    let raw = format!("{raw}idempotency-key: {}\r\n\r\n", key());
+    let answer = call(node.entry, &raw);
+    assert!(answer.text().contains("idempotency-key"), "{}", answer.text());
+    assert!(!answer.text().contains("x-drop"), "{}", answer.text());
+    assert_eq!(target.log().len(), 1);
+}
+
+#[test]
+fn input_outcome_not_from_target() {
+    // Headers of the outcome that a caller or target makes up do not pass.
+    let (_target, node) = single("{}");
+    let raw = "GET /idem HTTP/1.1\r\nx-sycamore-crashes: 9\r\n\r\n";
+    assert_eq!(call(node.entry, raw).outcome(), "answered");
+}
+
+#[test]
+fn limits_head_timeout() {
+    // Story: a client sends half a head and nothing more; thousands of them use up the
+    // connections, and nobody else is served.
+    let node = Node::with_limits("a", None, r#"{"head_timeout_ms":100}"#);
+    let mut stream = open(node.entry, "GET /idem HTT");
+    let mut buf = [0; 10];
+    assert_eq!(stream.read(&mut buf).unwrap(), 0);
+}
+
+#[test]
+fn limits_body_timeout() {
+    let limits = r#"{"idle_body_timeout_ms":100}"#;
+    let target = Target::new();
+    let node = Node::with_limits("a", Some(target.address), limits);
+    node.configure(1, &preset("{}", &[("a", node.gate)]));
+    let head = "POST /idem HTTP/1.1\r\nhost: t\r\ncontent-length: 10\r\n\r\nhalf";
+    let answer = call(node.entry, head);
+    assert_eq!((answer.outcome(), answer.code()), ("not-run", Some(406)));
+    assert_eq!(target.log().len(), 0);
+}
+
+#[test]
+fn limits_slow_reader() {
+    // Story: a caller asks for a ledger and stops reading. Were it waited for, it would hold a
+    // slot of the target for as long as it likes.
+    let limits = r#"{"idle_body_timeout_ms":200}"#;
+    let target = Target::new();
+    let node = Node::with_limits("a", Some(target.address), limits);
+    node.configure(1, &preset(r#"{"slots":1}"#, &[("a", node.gate)]));
+    let stream = open(node.entry, &get("/idem/stream/50000000"));
+    eventually("the ledger is asked for", || target.log().len() == 1);
+    eventually("the slot is free again", || call(node.entry, &get("/idem")).status == 200);
+    assert!(!read(&stream).whole);
+}
+
+#[test]
+fn limits_connections() {
+    let node = Node::with_limits("a", None, r#"{"max_connections":2}"#);
+    let _first = open(node.entry, "");
+    let _second = open(node.entry, "");
+    eventually("a third is refused", || {
+        let answer = read(&open(node.entry, ""));
+        (answer.outcome(), answer.code()) == ("not-run", Some(465))
+    });
+    assert!(node.shared.metrics.connections_refused.get() > 0);
+}
