Benches of the call path: latency and overload, beside a naive proxy

Change: sycamore-bench-calls with a cluster of six targets behind our nodes or behind naive proxies (round robin, three fixed retries), open-loop callers, goodput at five loads and through a slow target, a retry storm and a zone's loss; scripts/bench.sh.

--- /dev/null
+++ b/bench/src/bin/sycamore-bench-calls.rs
@@ -0,0 +1,144 @@
+//! `sycamore-bench-calls`: benches of the call path; `scripts/bench.sh` starts it.
+
+use getopts::{Matches, Options};
+use serde::Serialize;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+use sycamore_bench::calls::cluster::System;
+use sycamore_bench::calls::latency::{self, Latency};
+use sycamore_bench::calls::naive;
+use sycamore_bench::calls::overload::{self, Overload};
+
+/// Exit code of a command line that is not valid.
+const USAGE: u8 = 2;
+/// Length of a step unless `--seconds` says otherwise.
+const DEFAULT_SECONDS: u64 = 3;
+
+/// Last line of a bench. A system that was left out is null.
+#[derive(Serialize)]
+struct Both<T> {
+    ours: Option<T>,
+    naive: Option<T>,
+}
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("", "seconds", "length of a step; 3 by default", "N");
+    options.optopt("", "only", "leave the other system out", "ours|naive");
+    options.optopt("", "listen", "naive: address for callers", "IP:PORT");
+    options.optmulti("", "target", "naive: address of a target; may be repeated", "IP:PORT");
+    options.optflag("h", "help", "print this help");
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(e) => return usage(&options, &e.to_string()),
+    };
+    let result = match matches.free.first().map(String::as_str) {
+        Some("latency") => run(&matches, latency::measure, print_latency),
+        Some("overload") => run(&matches, overload::measure, print_overload),
+        Some("naive") => run_naive(&matches),
+        _ => return usage(&options, ""),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("the bench did not finish: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn usage(options: &Options, problem: &str) -> ExitCode {
+    let brief = "Usage: sycamore-bench-calls latency|overload [--seconds N]";
+    eprintln!("{problem}\n{}", options.usage(brief));
+    ExitCode::from(USAGE)
+}
+
+fn run<T: Serialize>(
+    matches: &Matches,
+    measure: fn(System, Duration, &Path) -> io::Result<T>,
+    print: fn(System, &T),
+) -> io::Result<()> {
+    let seconds = matches.opt_get_default("seconds", DEFAULT_SECONDS).map_err(io::Error::other)?;
+    let only = matches.opt_str("only");
+    let measure = |system: System| {
+        if only.as_ref().is_some_and(|only| only != system.name()) {
+            return Ok(None);
+        }
+        let output = Path::new("target/bench").join(system.name());
+        let measured = measure(system, Duration::from_secs(seconds), &output)?;
+        print(system, &measured);
+        io::Result::Ok(Some(measured))
+    };
+    let both = Both { ours: measure(System::Ours)?, naive: measure(System::Naive)? };
+    println!("machine: {}", machine()?);
+    println!("{}", serde_json::to_string(&both)?);
+    Ok(())
+}
+
+/// How busy the machine is, since others may use it at the same time.
+fn machine() -> io::Result<String> {
+    let load = std::fs::read_to_string("/proc/loadavg")?;
+    let cores = std::thread::available_parallelism()?;
+    let averages: Vec<&str> = load.split(' ').take(3).collect();
+    Ok(format!("{cores} cores, load averages {} (1, 5, 15 min)", averages.join(" ")))
+}
+
+fn print_latency(system: System, latency: &Latency) {
+    println!("{}: latency, ms", system.name());
+    println!("{:<22}{:>9}{:>9}{:>9}", "", "p50", "p99", "p99.9");
+    for measured in &latency.measured {
+        let rows = [
+            ("through", measured.through),
+            ("direct", measured.direct),
+            ("added a call", measured.added_per_call),
+        ];
+        for (name, quantiles) in rows {
+            let name = format!("{} deep, {name}", measured.depth);
+            print!("{name:<22}{:>9.3}", quantiles.p50_ms);
+            println!("{:>9.3}{:>9.3}", quantiles.p99_ms, quantiles.p999_ms);
+        }
+    }
+    println!("calls a second for each core: {:.0}", latency.calls_per_second_per_core);
+    println!("memory of the largest process: {} KiB\n", latency.memory_kib);
+}
+
+fn print_overload(system: System, overload: &Overload) {
+    println!("{}: goodput", system.name());
+    println!(
+        "{:>6}{:>10}{:>10}{:>12}{:>16}",
+        "load", "offered/s", "good/s", "hits/call", "refused ms"
+    );
+    for load in &overload.loads {
+        print!(
+            "{:>6.1}{:>10.0}{:>10.0}",
+            load.load, load.offered_per_second, load.goodput_per_second
+        );
+        println!("{:>12.2}{:>16.1}", load.hits_per_call, load.refused_p50_ms);
+    }
+    println!("kept at the highest load: {:.1} % of the best", overload.kept_at_highest * 100.0);
+    println!(
+        "{:<14}{:>9}{:>9}{:>9}{:>20}{:>20}",
+        "fault", "before", "during", "after", "recovered in it, ms", "after its end, ms"
+    );
+    let ms = |ms: Option<u64>| ms.map_or("never".to_string(), |ms| ms.to_string());
+    for fault in &overload.faults {
+        print!("{:<14}{:>8.1}%{:>8.1}%", fault.name, fault.before * 100.0, fault.during * 100.0);
+        print!("{:>8.1}%", fault.after * 100.0);
+        println!("{:>20}{:>20}", ms(fault.recovered_during_ms), ms(fault.recovered_after_ms));
+    }
+    let broken = overload.violations;
+    println!(
+        "lost {}, run twice {}, false not run {}, truncated {}\n",
+        broken.lost, broken.run_twice, broken.false_not_run, broken.truncated
+    );
+}
+
+fn run_naive(matches: &Matches) -> io::Result<()> {
+    let address = |text: String| text.parse::<SocketAddr>().map_err(io::Error::other);
+    let listen = matches.opt_str("listen").ok_or(io::ErrorKind::InvalidInput)?;
+    let targets: io::Result<Vec<_>> = matches.opt_strs("target").into_iter().map(address).collect();
+    naive::run(address(listen)?, &targets?)
+}
--- /dev/null
+++ b/bench/src/calls/cluster.rs
@@ -0,0 +1,169 @@
+//! The service that the benches call: six targets in six zones, behind our nodes or behind naive
+//! proxies.
+
+use crate::http;
+use crate::process::{Process, Usage};
+use crate::stack::Stack;
+use indexmap::IndexMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use sycamore_core::config::Class;
+use sycamore_standins::example::{self, Deployment, RouteRow, TARGET_PORT};
+use sycamore_standins::target::Counts;
+use sycamore_tools::load::mix::MixClass;
+
+/// What stands between callers and targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum System {
+    /// Our nodes.
+    Ours,
+    /// Naive proxies.
+    Naive,
+}
+
+impl System {
+    /// Both, ours first.
+    pub const ALL: [System; 2] = [System::Ours, System::Naive];
+
+    /// Its name in tables and JSON.
+    pub fn name(self) -> &'static str {
+        match self {
+            System::Ours => "ours",
+            System::Naive => "naive",
+        }
+    }
+}
+
+/// Slots of each target.
+const SLOTS: u32 = 12;
+/// Deadline of a call.
+const DEADLINE: Duration = Duration::from_secs(1);
+
+/// The deployment of the benches.
+pub const DEPLOYMENT: Deployment = Deployment {
+    name: "bench",
+    network: 40,
+    regions: &["first", "second", "third"],
+    services: &["work"],
+    routes: &[
+        RouteRow {
+            name: "work",
+            service: "work",
+            idempotent: true,
+            class: Class::Interactive,
+            deadline_ms: DEADLINE.as_millis() as u32,
+        },
+        RouteRow {
+            name: "once",
+            service: "work",
+            idempotent: false,
+            class: Class::Interactive,
+            deadline_ms: DEADLINE.as_millis() as u32,
+        },
+    ],
+    slots: SLOTS,
+    connections: 110,
+};
+
+/// A system that runs.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Its processes but for naive proxies.
+    pub stack: Stack,
+    proxies: Vec<Process>,
+}
+
+impl Cluster {
+    /// Starts a system; its files go below `output`.
+    pub fn start(system: System, output: &Path) -> io::Result<Cluster> {
+        let files = output.join("files");
+        example::write(&DEPLOYMENT, &files)?;
+        let stack = Stack::new(DEPLOYMENT, &files, output)?;
+        let mut cluster = Cluster { stack, proxies: Vec::new() };
+        cluster.stack.start_standins()?;
+        match system {
+            System::Ours => {
+                cluster.stack.start_nodes()?;
+                cluster.stack.wait_until_ready(|| Ok(()))?;
+            }
+            System::Naive => cluster.start_proxies()?,
+        }
+        Ok(cluster)
+    }
+
+    fn start_proxies(&mut self) -> io::Result<()> {
+        let targets: Vec<String> =
+            DEPLOYMENT.vms().iter().map(|vm| vm.at(TARGET_PORT).to_string()).collect();
+        for entry in self.entries() {
+            let listen = entry.to_string();
+            let mut args = vec!["naive", "--listen", &listen];
+            args.extend(targets.iter().flat_map(|target| ["--target", target.as_str()]));
+            let log = format!("naive-{}.log", entry.ip());
+            self.proxies.push(self.stack.launcher.start("sycamore-bench-calls", &args, &log)?);
+        }
+        std::thread::sleep(Duration::from_millis(200));
+        Ok(())
+    }
+
+    /// Addresses that callers use.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.stack.settings.values().map(|settings| settings.listen.calls).collect()
+    }
+
+    /// Requests that have reached targets so far, run or shed by them.
+    pub fn hits(&self) -> io::Result<u64> {
+        let body = http::get(DEPLOYMENT.targets_control(), "/counts")?;
+        let counts: IndexMap<String, Counts> = serde_json::from_slice(&body)?;
+        Ok(counts.values().map(|counts| counts.runs + counts.beyond_slots).sum())
+    }
+
+    /// Memory and processor time of nodes or proxies: of the largest, and of all.
+    pub fn usage(&self) -> (u64, Duration) {
+        let usages: Vec<Usage> =
+            self.stack.nodes.values().chain(&self.proxies).map(Process::usage).collect();
+        let memory = usages.iter().map(|usage| usage.memory_kib).max().unwrap_or_default();
+        (memory, usages.iter().map(|usage| usage.processor).sum())
+    }
+
+    /// Loses the first zone: its node or proxy, and its target, which stays away so long.
+    pub fn lose_zone(&mut self, away: Duration) -> io::Result<()> {
+        let vm = DEPLOYMENT.vms().swap_remove(0).name;
+        self.stack.drive_target("crash", &vm, away.as_millis().to_string())?;
+        self.stack.nodes.shift_remove(&vm);
+        if !self.proxies.is_empty() {
+            self.proxies.remove(0);
+        }
+        Ok(())
+    }
+
+    /// Starts the node of the lost zone again; a naive proxy stays away.
+    pub fn restore_zone(&mut self, system: System) -> io::Result<()> {
+        let vm = DEPLOYMENT.vms().swap_remove(0).name;
+        match system {
+            System::Ours => self.stack.start_node(&vm),
+            System::Naive => Ok(()),
+        }
+    }
+}
+
+/// A class of calls to the service.
+pub fn class(name: &str, share: u32, work: Duration) -> MixClass {
+    MixClass {
+        name: name.into(),
+        share,
+        path: format!("/{name}"),
+        at_most_once: name == "once",
+        deadline_ms: DEADLINE.as_millis() as u64,
+        request_bytes: 0,
+        answer_bytes: 1_000,
+        work_us: work.as_micros() as u64,
+        chain: Vec::new(),
+    }
+}
+
+/// Calls a second that all targets together can run.
+pub fn capacity(work: Duration) -> f64 {
+    f64::from(SLOTS) * DEPLOYMENT.vms().len() as f64 / work.as_secs_f64()
+}
--- /dev/null
+++ b/bench/src/calls/naive.rs
@@ -0,0 +1,88 @@
+//! The baseline: a proxy with round robin, three fixed retries and no admission. It knows nothing
+//! of keys, load, deadlines or zones.
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use bytes::Bytes;
+use futures_lite::future;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use smol_hyper::rt::FuturesIo;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use sycamore_tools::load::client::Pool;
+
+/// Attempts after the first.
+const RETRIES: usize = 3;
+
+type Answer = Response<Full<Bytes>>;
+
+/// A naive proxy.
+#[derive(Debug)]
+pub struct Naive {
+    targets: Vec<Pool>,
+    next: Cell<usize>,
+}
+
+/// Serves callers at `listen` until the process ends.
+pub fn run(listen: SocketAddr, targets: &[SocketAddr]) -> io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let listener = Async::<TcpListener>::bind(listen)?;
+    let targets = targets.iter().map(|at| Pool::new(*at, executor.clone())).collect();
+    let naive = Rc::new(Naive { targets, next: Cell::new(0) });
+    future::block_on(executor.run(async {
+        loop {
+            let (stream, _) = listener.accept().await?;
+            executor.spawn(naive.clone().serve(stream)).detach();
+        }
+    }))
+}
+
+impl Naive {
+    async fn serve(self: Rc<Naive>, stream: Async<TcpStream>) {
+        let _ = stream.get_ref().set_nodelay(true);
+        let service = hyper::service::service_fn(move |req| {
+            let naive = self.clone();
+            async move { Ok::<_, Infallible>(naive.forward(req).await) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .serve_connection(FuturesIo::new(stream), service);
+        let _ = connection.await;
+    }
+
+    async fn forward(&self, req: Request<Incoming>) -> Answer {
+        let (head, body) = req.into_parts();
+        let Ok(body) = body.collect().await else { return failed() };
+        let body = body.to_bytes();
+        for _ in 0..=RETRIES {
+            let req = Request::from_parts(head.clone(), Full::new(body.clone()));
+            let index = self.next.get();
+            self.next.set((index + 1) % self.targets.len());
+            let pool = &self.targets[index];
+            if let Some(answer) = attempt(pool, req).await {
+                return answer;
+            }
+        }
+        failed()
+    }
+}
+
+/// One attempt; no answer if the target fails or refuses.
+async fn attempt(pool: &Pool, req: Request<Full<Bytes>>) -> Option<Answer> {
+    let exchange = pool.send(req).await.ok()?;
+    let (head, body) = exchange.response.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    pool.keep(exchange.connection);
+    let failed = head.status.is_server_error();
+    (!failed).then(|| Response::from_parts(head, Full::new(body)))
+}
+
+fn failed() -> Answer {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+}
--- /dev/null
+++ b/bench/src/calls/timeseries.rs
@@ -0,0 +1,76 @@
+//! Calls answered in time, over the time of a run.
+
+use sycamore_tools::load::history::{Outcome, Record};
+
+/// Length of a step, in microseconds.
+const STEP_US: u64 = 100_000;
+/// Steps that are looked at together, since one alone holds few calls.
+const WINDOW: usize = 5;
+/// Share of the goodput before a fault that counts as recovered.
+const RECOVERED: f64 = 0.95;
+
+/// Calls due and answered in time, by steps of time.
+#[derive(Clone, Debug)]
+pub struct Timeseries {
+    start_us: u64,
+    steps: Vec<Step>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Step {
+    due: u64,
+    in_time: u64,
+}
+
+impl Timeseries {
+    /// Sorts calls by when they were due.
+    pub fn new(records: &[Record]) -> Timeseries {
+        let start_us = records.iter().map(|record| record.invoked_us).min().unwrap_or_default();
+        let mut steps: Vec<Step> = Vec::new();
+        for record in records {
+            let index = ((record.invoked_us - start_us) / STEP_US) as usize;
+            if index >= steps.len() {
+                steps.resize(index + 1, Step::default());
+            }
+            steps[index].due += 1;
+            steps[index].in_time += u64::from(in_time(record));
+        }
+        Timeseries { start_us, steps }
+    }
+
+    /// Share of the calls due from one time to another that were answered in time.
+    pub fn share(&self, from_us: u64, to_us: u64) -> f64 {
+        let index = |at_us: u64| {
+            let index = at_us.saturating_sub(self.start_us).div_ceil(STEP_US) as usize;
+            index.min(self.steps.len())
+        };
+        share(&self.steps[index(from_us)..index(to_us).max(index(from_us))])
+    }
+
+    /// How long after a time the share answered in time is back, and stays so for half a second,
+    /// in milliseconds; none if that doesn't happen before `end_us`.
+    pub fn recovery_ms(&self, before: f64, from_us: u64, end_us: u64) -> Option<u64> {
+        let first = from_us.saturating_sub(self.start_us).div_ceil(STEP_US) as usize;
+        let last = (end_us.saturating_sub(self.start_us) / STEP_US) as usize;
+        let last = last.min(self.steps.len());
+        let found = (first..last).find(|index| {
+            let window = &self.steps[*index..(*index + WINDOW).min(last)];
+            share(window) >= RECOVERED * before
+        })?;
+        let at_us = self.start_us + found as u64 * STEP_US;
+        Some(at_us.saturating_sub(from_us) / 1_000)
+    }
+}
+
+/// Whether a caller got its whole answer before its deadline.
+pub fn in_time(record: &Record) -> bool {
+    let success = record.status.is_some_and(|status| status < 400);
+    let answered = record.outcome == Outcome::Answered && record.body_correct && success;
+    answered && record.final_us <= record.deadline_us
+}
+
+fn share(steps: &[Step]) -> f64 {
+    let due: u64 = steps.iter().map(|step| step.due).sum();
+    let in_time: u64 = steps.iter().map(|step| step.in_time).sum();
+    if due == 0 { 0.0 } else { in_time as f64 / due as f64 }
+}
--- a/tools/src/load/caller.rs
+++ b/tools/src/load/caller.rs
@@ -21,6 +21,18 @@
 /// Wait before a resend if the refusal names none, or if the connection broke.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// Wait before a resend of an impatient caller.
+const AT_ONCE: Duration = Duration::from_millis(1);
+
+/// When callers send again what was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resend {
+    /// When the refusal says so.
+    AsTold,
+    /// At once, whatever the refusal says, and after failures too: what makes a retry storm.
+    AtOnce,
+}
+
 /// A request to make.
 #[derive(Clone, Debug)]
 pub struct Job<'a> {
@@ -32,6 +44,8 @@
     pub due: Instant,
     /// The entry node that it goes to first, by index.
     pub first_entry: usize,
+    /// When it is sent again.
+    pub resend: Resend,
 }
 
 /// The state of one request.
@@ -86,22 +100,30 @@
                 Next::Final => break,
                 Next::Resend(wait) => wait,
             };
-            self.record.outcome = Outcome::NotRun;
             if Instant::now() + wait >= self.deadline {
-                break;
+                self.record.outcome = self.outcome_of_failures();
+                return;
             }
             Timer::after(wait).await;
         }
-        if self.record.outcome == Outcome::NotRun && self.may_have_run() {
-            self.record.outcome = Outcome::Unknown;
+        if self.record.outcome == Outcome::NotRun {
+            self.record.outcome = self.outcome_of_failures();
         }
     }
 
-    /// Whether a send may have reached a target. A refusal speaks for its own send alone.
-    fn may_have_run(&self) -> bool {
+    /// What the caller knows once it sends no more. A refusal speaks for its own send alone, so
+    /// that the request has not run only if no other send may have reached a target.
+    fn outcome_of_failures(&self) -> Outcome {
         let harmless =
             |send: &Send| matches!(send.result, SendResult::NotRun | SendResult::NotSent);
-        !self.record.sends.iter().all(harmless)
+        let answered = |send: &Send| send.result == SendResult::Answered;
+        if self.record.sends.iter().all(harmless) {
+            Outcome::NotRun
+        } else if self.record.sends.last().is_some_and(answered) {
+            Outcome::Answered
+        } else {
+            Outcome::Unknown
+        }
     }
 
     async fn send(&mut self, entry: &Pool, end: Instant) -> Next {
@@ -154,7 +176,11 @@
                 }
                 // A refusal that doesn't say when to come back would come again.
                 self.record.outcome = Outcome::NotRun;
-                let next = wait.map_or(Next::Final, |ms| Next::Resend(Duration::from_millis(ms)));
+                let next = match (self.job.resend, wait) {
+                    (Resend::AtOnce, _) => Next::Resend(AT_ONCE),
+                    (Resend::AsTold, Some(ms)) => Next::Resend(Duration::from_millis(ms)),
+                    (Resend::AsTold, None) => Next::Final,
+                };
                 (SendResult::NotRun, next)
             }
             Some("unknown") => {
@@ -196,7 +222,11 @@
         // The body of an error is the target's own; nothing can be held against it.
         self.record.body_correct = whole || !success;
         self.record.outcome = Outcome::Answered;
-        (SendResult::Answered, Next::Final)
+        let failed = self.record.status.is_some_and(|status| status >= 500);
+        match self.job.resend {
+            Resend::AtOnce if failed => (SendResult::Answered, Next::Resend(AT_ONCE)),
+            _ => (SendResult::Answered, Next::Final),
+        }
     }
 }
 
--- a/tools/src/load/config.rs
+++ b/tools/src/load/config.rs
@@ -1,5 +1,6 @@
 //! The command line of `sycamore-load`, parsed once.
 
+use super::caller::Resend;
 use super::mix::Mix;
 use super::plan::Plan;
 use crate::command_line::{self, CommandLine, usage};
@@ -39,6 +40,7 @@
         .with_value("seconds", "how long requests go out (default 10)", "N")
         .with_value("threads", "threads that make requests (default 1)", "N")
         .with_value("seed", "decides classes and entry nodes (default 1)", "N")
+        .with_flag("impatient", "send again at once whatever a refusal says, and after failures")
         .with_value("history", "write a JSON line for each request to this file", "FILE")
         .with_value("json", "write the summary in JSON to this file", "FILE")
 }
@@ -74,5 +76,7 @@
     }
     let seed = command_line::value(matches, "seed")?.unwrap_or(1);
     let duration = Duration::from_secs_f64(seconds);
-    Ok(Plan { mix: Mix::read(Path::new(&mix))?, entries, rate, duration, threads, seed })
+    let mix = Mix::read(Path::new(&mix))?;
+    let resend = if matches.opt_present("impatient") { Resend::AtOnce } else { Resend::AsTold };
+    Ok(Plan { mix, entries, rate, duration, threads, seed, resend })
 }
