Differential tests of the spread; two faults found by them mended

Cause: (1) with every link cut, 1,000 nodes made 1,025 platform calls in one second: watches that had waited longer than the budget's pause returned together at a publish and read on at once. (2) A node that restarted without seeds while the platform was down stayed alone: it answered peers' questions but never asked them, and its backoff had grown to 60 s (seen as a node left at version 1 in spread_against_naive, input Kill 8, PublishOlder, Kill 7, Start 7, CutPlatform 2). Ruled out: a larger margin alone for (1), since the burst grows with the fleet. Change: full jitter before the first call after a while; a node without a list asks whoever it hears from; the longest backoff grows with the fleet instead of standing at 60 s.

--- a/core/src/spread/limits.rs
+++ b/core/src/spread/limits.rs
@@ -80,6 +80,10 @@
 /// Longest pause of any other node between failed calls to the platform.
 pub const ORPHAN_BACKOFF: Duration = Duration::from_secs(60);
 
+/// The same as a multiple of the mean time between its calls, which grows with the fleet. In a
+/// small fleet a node that nobody else can help soon tries again.
+pub const ORPHAN_BACKOFF_INTERVALS: u32 = 4;
+
 /// Calls a second that all zone relays together may make when they have lost every reader.
 pub const RELAY_CALLS_PER_S: u32 = 250;
 
--- a/core/src/spread/reading.rs
+++ b/core/src/spread/reading.rs
@@ -6,8 +6,9 @@
 
 use super::backoff::jitter;
 use super::limits::{
-    BODY_PATIENCE, EXTRA_PAUSE, LIST_PAUSE, ORPHAN_BACKOFF, ORPHAN_CALLS_PER_S, READER_BACKOFF,
-    RELAY_CALLS_PER_S, TOP, TORN_BACKOFF, TORN_REPORTED, WATCH_PAUSE, WATCH_WAIT,
+    BODY_PATIENCE, EXTRA_PAUSE, LIST_PAUSE, ORPHAN_BACKOFF, ORPHAN_BACKOFF_INTERVALS,
+    ORPHAN_CALLS_PER_S, READER_BACKOFF, RELAY_CALLS_PER_S, TOP, TORN_BACKOFF, TORN_REPORTED,
+    WATCH_PAUSE, WATCH_WAIT,
 };
 use super::message::{Summary, ZoneList, ZonesList};
 use super::port::{Output, Peer, SourceReply, SourceValue};
@@ -146,18 +147,19 @@
         access: Access,
         out: &mut Vec<Output>,
     ) -> Option<Time> {
-        let interval = self.interval(access);
-        let at = match self.source.budget_at {
-            // Full jitter on the first call: all that lost their parents lost them together.
-            None => now + jitter(interval, &mut self.rng),
-            Some(at) => at,
+        let (due, next) = self.due(now, access);
+        let Some(call) = due.into_iter().next() else {
+            self.source.budget_at = self.source.budget_at.filter(|at| now < *at);
+            return next;
         };
-        self.source.budget_at = Some(at);
+        let interval = self.interval(access);
+        // Full jitter on the first call after a while: nodes that lost their parents lost them
+        // together, and nodes whose watches waited hear of a version in one instant.
+        let first = now + jitter(interval, &mut self.rng);
+        let at = *self.source.budget_at.get_or_insert(first);
         if now < at {
             return Some(at);
         }
-        let (due, next) = self.due(now, access);
-        let Some(call) = due.into_iter().next() else { return next };
         self.call(now, call, out);
         let pause = interval / 2 + jitter(interval, &mut self.rng);
         self.source.budget_at = Some(now + pause);
@@ -252,11 +254,9 @@
         if self.source.answers.replace(false) != Some(false) {
             out.push(Output::Event(Event::new(now, EventKind::SourceLost).with_code(code)));
         }
-        let longest = match self.topology.reader {
-            Some(_) => READER_BACKOFF.1,
-            None => ORPHAN_BACKOFF,
-        };
-        let first = READER_BACKOFF.0;
+        let (first, reader) = READER_BACKOFF;
+        let interval = self.interval(self.access(now));
+        let longest = (interval * ORPHAN_BACKOFF_INTERVALS).clamp(reader, ORPHAN_BACKOFF);
         let rng = &mut self.rng;
         match &call.purpose {
             Purpose::InForce => self.source.in_force.fail(now, first, longest, rng),
--- a/core/src/spread/serve.rs
+++ b/core/src/spread/serve.rs
@@ -61,11 +61,20 @@
         };
         self.send(from, PeerMsg::Pong(Box::new(pong)), out);
         self.send_lists(now, from, ping, out);
+        self.meet(now, from, out);
         if let Some(have) = &ping.have {
             self.hear(now, from, have, out);
         }
     }
 
+    /// Asks whoever is heard from, while the node knows of nobody to ask: one that started while
+    /// the platform was down and has no seeds would stay alone for as long as the outage lasts.
+    fn meet(&mut self, now: Time, from: &Peer, out: &mut Vec<Output>) {
+        if self.members.list(&self.cfg.place.zone).is_none() {
+            self.ask(now, from, Ask::Join, out);
+        }
+    }
+
     /// Sends the lists that the asking node lacks, and asks for those that this node lacks.
     fn send_lists(&mut self, now: Time, from: &Peer, ping: &Ping, out: &mut Vec<Output>) {
         if let Some(zones) = self.members.zones().filter(|zones| zones.index > ping.zones) {
--- /dev/null
+++ b/core/tests/spread_budget.rs
@@ -0,0 +1,100 @@
+//! Calls to the platform stay under its limit in every storm.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, preset};
+use std::time::Duration;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Half of the platform's limit of 2,000 calls a second over all readers.
+const MARGIN: usize = 1_000;
+
+#[test]
+fn calls_of_a_quiet_day() {
+    // Readers' waiting watches are all that is left once the fleet has settled.
+    let mut fleet = Fleet::new(10, 4);
+    fleet.publish(1, &preset(1));
+    fleet.start_all();
+    fleet.run(20 * SECOND);
+    fleet.platform.calls.clear();
+    fleet.run(60 * SECOND);
+    let calls = fleet.platform.calls.len();
+    println!("{calls} calls in a minute, peak {}", fleet.platform.peak());
+    // Ten readers, each with the keys in-force and zones and two lists, each asked twice a minute.
+    assert!(calls <= 10 * 4 * 3, "{calls} calls in a minute");
+}
+
+#[test]
+fn calls_when_every_link_is_cut() {
+    // Story: a fault in the network's configuration cuts every VM off from every other, and only
+    // the platform is left. Each node is right to read it. Without a budget shared between all
+    // that may be in the same state, 500 nodes would ask at once, and 23,000 be refused.
+    let mut fleet = Fleet::new(10, 50);
+    fleet.publish(1, &preset(1));
+    fleet.start_all();
+    fleet.run(20 * SECOND);
+    fleet.platform.calls.clear();
+    fleet.filter = Box::new(|_, _, _| None);
+    fleet.run(20 * SECOND);
+    for version in 2..6 {
+        fleet.publish(version, &preset(version as u32));
+        fleet.run(5 * SECOND);
+    }
+    println!("peak {} calls a second", fleet.platform.peak());
+    assert!(fleet.platform.peak() < MARGIN, "{} calls in a second", fleet.platform.peak());
+    fleet.heal();
+    fleet.run(3 * SECOND);
+    assert!(fleet.versions().iter().all(|version| *version == 5));
+    fleet.check_never_back();
+}
+
+#[test]
+fn calls_when_all_start_at_once_without_peers() {
+    // Story: the whole fleet returns in one instant, has no seeds and holds no list, so that no
+    // node knows another. All turn to the platform together.
+    let mut fleet = Fleet::new(10, 50);
+    fleet.publish(1, &preset(1));
+    fleet.start_all();
+    fleet.run(10 * SECOND);
+    println!("peak {} calls a second", fleet.platform.peak());
+    assert!(fleet.platform.peak() < MARGIN, "{} calls in a second", fleet.platform.peak());
+    assert!(fleet.versions().iter().all(|version| *version == 1));
+}
+
+#[test]
+fn calls_when_the_platform_answers_at_once() {
+    // Story: the platform's blocking queries are broken and return at once though nothing has
+    // changed. Watches that were made again without a pause would use up the limit.
+    let mut fleet = Fleet::new(6, 3);
+    fleet.publish(1, &preset(1));
+    fleet.start_all();
+    fleet.run(10 * SECOND);
+    fleet.platform.calls.clear();
+    fleet.platform.never_blocks = true;
+    fleet.platform_wake_all();
+    fleet.run(30 * SECOND);
+    println!("peak {} calls a second", fleet.platform.peak());
+    assert!(fleet.platform.peak() < 100, "{} calls in a second", fleet.platform.peak());
+}
+
+#[test]
+fn calls_over_the_limit() {
+    // Story: others use up the platform's limit, and every call is answered 429. Nodes back off;
+    // they don't add to the storm that they are refused in.
+    let mut fleet = Fleet::new(6, 3);
+    fleet.publish(1, &preset(1));
+    fleet.start_all();
+    fleet.run(10 * SECOND);
+    fleet.platform.calls.clear();
+    fleet.platform.over_limit = true;
+    fleet.platform_wake_all();
+    fleet.run(30 * SECOND);
+    println!("peak {} calls a second", fleet.platform.peak());
+    assert!(fleet.platform.peak() < 100, "{} calls in a second", fleet.platform.peak());
+    fleet.publish(2, &preset(2));
+    fleet.platform.over_limit = false;
+    fleet.run(4 * SECOND);
+    assert_eq!(fleet.versions(), vec![2; 18]);
+}
--- /dev/null
+++ b/core/tests/spread_delta.rs
@@ -0,0 +1,200 @@
+//! Differences between versions against a naive version: the whole scope, copied.
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use sycamore_core::Name;
+use sycamore_core::config::content::Content;
+use sycamore_core::config::{InForce, Resource, ResourceId, ResourceKind, Scope};
+use sycamore_core::hash::Hash;
+use sycamore_core::spread::Summary;
+use sycamore_core::spread::store::{self, Store};
+
+const SERVICES: u8 = 5;
+
+fn name(text: String) -> Name {
+    Name::new(text).unwrap()
+}
+
+/// One version: for each service its content, if it exists, and the service each route leads to.
+#[derive(Clone, Debug)]
+struct Version {
+    services: BTreeMap<u8, (u8, u8)>,
+    routes: BTreeMap<u8, u8>,
+}
+
+fn version() -> impl Strategy<Value = Version> {
+    let service = (0..SERVICES, (0..3u8, 0..3u8));
+    let route = (0..8u8, 0..SERVICES);
+    (
+        prop::collection::btree_map(service.0, service.1, 0..5),
+        prop::collection::btree_map(route.0, route.1, 0..6),
+    )
+        .prop_map(|(services, routes)| Version { services, routes })
+}
+
+fn scope() -> impl Strategy<Value = Scope> {
+    prop_oneof![
+        1 => Just(Scope::All),
+        4 => prop::collection::btree_set(0..SERVICES, 0..4)
+            .prop_map(|services| Scope::Only(services.into_iter().map(service_name).collect())),
+    ]
+}
+
+fn service_name(service: u8) -> Name {
+    name(format!("s{service}"))
+}
+
+fn resources(version: &Version) -> IndexMap<ResourceId, Resource> {
+    let mut resources = IndexMap::new();
+    let mut add = |kind, name: &Name, text: String| {
+        resources.insert(ResourceId::new(kind, name), Resource::new(Bytes::from(text)));
+    };
+    for (service, (limits, targets)) in &version.services {
+        add(ResourceKind::Service, &service_name(*service), format!("limits {limits}"));
+        add(ResourceKind::Targets, &service_name(*service), format!("targets {targets}"));
+    }
+    for (route, service) in &version.routes {
+        let text =
+            format!(r#"{{"path_prefix":"/{route}","service":"s{service}","idempotent":true}}"#);
+        add(ResourceKind::Route, &name(format!("r{route}")), text);
+    }
+    resources
+}
+
+/// The naive version: everything of the version that belongs to a service in scope.
+fn naive(version: &Version, scope: &Scope) -> BTreeMap<ResourceId, Hash> {
+    let belongs = |id: &ResourceId| match id.kind {
+        ResourceKind::Service | ResourceKind::Targets => scope.covers(&id.name),
+        ResourceKind::Route => {
+            let route: u8 = id.name.as_str()[1..].parse().unwrap();
+            scope.covers(&service_name(version.routes[&route]))
+        }
+    };
+    let all = resources(version);
+    all.iter().filter(|(id, _)| belongs(id)).map(|(id, r)| (id.clone(), r.hash)).collect()
+}
+
+fn summary(number: u64) -> Summary {
+    let in_force = InForce {
+        version: number,
+        preset: name("p".into()),
+        digest: Hash::of(&number.to_le_bytes()),
+    };
+    Summary { in_force, whole: Hash::of(b"") }
+}
+
+fn held(content: &Content) -> BTreeMap<ResourceId, Hash> {
+    content.manifest(&Scope::All).entries
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..Default::default() })]
+
+    #[test]
+    fn delta_against_whole(
+        versions in prop::collection::vec(version(), 1..8),
+        scope in scope(),
+        skips in prop::collection::vec(any::<bool>(), 8),
+    ) {
+        // A relay takes every version; a child in some scope pulls after some of them only.
+        let mut relay: Option<Store> = None;
+        let mut child: Option<Store> = None;
+        for (index, version) in versions.iter().enumerate() {
+            let number = index as u64 + 1;
+            let content = Content::new(resources(version)).unwrap();
+            relay = Some(Store::new(summary(number), Scope::All, content).after(relay.take()));
+            if skips[index] {
+                continue;
+            }
+            let base = child.as_ref().map(Store::base);
+            let delta = relay.as_mut().unwrap().delta(base.as_ref(), &scope).unwrap();
+            let content = store::apply(&delta, child.as_ref(), &scope).unwrap();
+            prop_assert_eq!(held(&content), naive(version, &scope));
+            if let Some(before) = base.as_ref().filter(|_| delta.base.is_some()) {
+                // Nothing is sent that the child holds already.
+                let before = naive(&versions[before.version as usize - 1], &scope);
+                for (id, body) in &delta.changed {
+                    prop_assert_ne!(before.get(id), Some(&Hash::of(body)));
+                }
+            }
+            child = Some(Store::new(summary(number), scope.clone(), content).after(child.take()));
+        }
+    }
+
+    #[test]
+    fn delta_with_any_fault_is_refused(
+        first in version(),
+        second in version(),
+        fault in 0..4u8,
+        pick in any::<prop::sample::Index>(),
+    ) {
+        let mut relay = Store::new(summary(1), Scope::All, Content::new(resources(&first)).unwrap());
+        let child = Store::new(summary(1), Scope::All, Content::new(resources(&first)).unwrap());
+        relay = Store::new(summary(2), Scope::All, Content::new(resources(&second)).unwrap())
+            .after(Some(relay));
+        let mut delta =
+            relay.delta(Some(&child.base()), &Scope::All).unwrap().as_ref().clone();
+        let changed = delta.changed.len();
+        match fault {
+            0 if changed > 0 => {
+                delta.changed.remove(pick.index(changed));
+            }
+            1 if !delta.removed.is_empty() => {
+                delta.removed.remove(pick.index(delta.removed.len()));
+            }
+            2 if changed > 0 => {
+                let (_, body) = &mut delta.changed[pick.index(changed)];
+                let mut text = body.to_vec();
+                text.insert(0, b' ');
+                *body = text.into();
+            }
+            3 => delta.digest = Hash::of(b"other"),
+            _ => return Ok(()),
+        }
+        prop_assert!(store::apply(&delta, Some(&child), &Scope::All).is_err());
+    }
+}
+
+#[test]
+fn delta_of_endpoint_churn() {
+    // Story: one target of a service is replaced, as happens 5,500 times a day. Were the limits
+    // and routes of the service, or other services, sent again, control traffic would follow the
+    // size of the fleet's configuration and not that of the change.
+    let version = |targets| Version {
+        services: (0..SERVICES).map(|s| (s, (1, if s == 2 { targets } else { 0 }))).collect(),
+        routes: (0..8).map(|route| (route, route % SERVICES)).collect(),
+    };
+    let content = |targets| Content::new(resources(&version(targets))).unwrap();
+    let old = Store::new(summary(1), Scope::All, content(1));
+    let base = old.base();
+    let mut new = Store::new(summary(2), Scope::All, content(2)).after(Some(old));
+    let delta = new.delta(Some(&base), &Scope::All).unwrap();
+    let sent: Vec<&ResourceId> = delta.changed.iter().map(|(id, _)| id).collect();
+    assert_eq!(sent, [&ResourceId::new(ResourceKind::Targets, &service_name(2))]);
+    assert!(delta.removed.is_empty());
+    let elsewhere = Scope::Only(BTreeSet::from([service_name(1)]));
+    let digest = content(1).manifest(&elsewhere).digest();
+    let base = sycamore_core::spread::message::Base { version: 1, digest };
+    let delta = new.delta(Some(&base), &elsewhere).unwrap();
+    assert!(delta.changed.is_empty(), "a scope that the change does not touch is sent nothing");
+}
+
+#[test]
+fn delta_from_base_under_one_number() {
+    // Story: after a conflict a child holds another content under version 1 than the relay did. A
+    // difference made from the relay's version 1 would leave the child with a mixture.
+    let version = |limits| Version {
+        services: (0..SERVICES).map(|s| (s, (limits, 0))).collect(),
+        routes: BTreeMap::new(),
+    };
+    let content = |limits| Content::new(resources(&version(limits))).unwrap();
+    let child = Store::new(summary(1), Scope::All, content(7));
+    let relay = Store::new(summary(1), Scope::All, content(1));
+    let mut relay = Store::new(summary(2), Scope::All, content(1)).after(Some(relay));
+    let delta = relay.delta(Some(&child.base()), &Scope::All).unwrap();
+    assert_eq!(delta.base, None, "the whole scope is sent");
+    let content = store::apply(&delta, Some(&child), &Scope::All).unwrap();
+    assert_eq!(held(&content), naive(&version(1), &Scope::All));
+}
--- /dev/null
+++ b/core/tests/spread_random.rs
@@ -0,0 +1,172 @@
+//! Random operators and faults over a small fleet, against a naive version of what has to come out:
+//! the highest good version published, with exactly its own content.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, preset};
+use proptest::prelude::*;
+use std::time::Duration;
+use sycamore_core::Name;
+
+const ZONES: usize = 4;
+const PER_ZONE: usize = 3;
+const NODES: usize = ZONES * PER_ZONE;
+
+#[derive(Clone, Debug)]
+enum Op {
+    Publish,
+    PublishBad,
+    PublishTorn,
+    PublishOlder,
+    Kill(usize),
+    Start(usize),
+    Freeze(usize),
+    Thaw(usize),
+    CutZone(usize),
+    CutPlatform(usize),
+    PlatformDown,
+    PlatformUp,
+    Heal,
+    Run(u64),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        4 => Just(Op::Publish),
+        1 => Just(Op::PublishBad),
+        1 => Just(Op::PublishTorn),
+        1 => Just(Op::PublishOlder),
+        3 => (0..NODES).prop_map(Op::Kill),
+        3 => (0..NODES).prop_map(Op::Start),
+        2 => (0..NODES).prop_map(Op::Freeze),
+        2 => (0..NODES).prop_map(Op::Thaw),
+        2 => (0..ZONES).prop_map(Op::CutZone),
+        1 => (0..ZONES).prop_map(Op::CutPlatform),
+        1 => Just(Op::PlatformDown),
+        1 => Just(Op::PlatformUp),
+        2 => Just(Op::Heal),
+        8 => (1..8_000u64).prop_map(Op::Run),
+    ]
+}
+
+/// A fleet with the naive version of its state beside it.
+struct Trial {
+    fleet: Fleet,
+    /// The last version number used.
+    last: u64,
+    /// Versions in force that have been checked, by node.
+    checked: Vec<usize>,
+    /// Where each node's present process began in its list of versions.
+    began: Vec<usize>,
+}
+
+impl Trial {
+    fn new() -> Trial {
+        let mut fleet = Fleet::new(ZONES, PER_ZONE);
+        fleet.publish(1, &preset(1));
+        fleet.start_all();
+        fleet.run(Duration::from_secs(8));
+        Trial { fleet, last: 1, checked: vec![0; NODES], began: vec![0; NODES] }
+    }
+
+    fn apply(&mut self, op: &Op) {
+        let fleet = &mut self.fleet;
+        match *op {
+            Op::Publish => {
+                self.last += 1;
+                fleet.publish(self.last, &preset(self.last as u32));
+            }
+            Op::PublishBad => {
+                self.last += 1;
+                let body = preset(self.last as u32);
+                fleet.publish(self.last, &body.replace(r#""service":"maps""#, r#""service":"x""#));
+            }
+            Op::PublishTorn => {
+                self.last += 1;
+                fleet.choose(&fleet::publication(self.last, &preset(self.last as u32)));
+            }
+            Op::PublishOlder => {
+                let older = self.last.saturating_sub(1).max(1);
+                fleet.publish(older, &preset(older as u32));
+            }
+            Op::Kill(node) => fleet.kill(node),
+            Op::Start(node) if fleet.nodes[node].spread.is_none() => {
+                self.began[node] = fleet.nodes[node].in_force.len();
+                fleet.start(node);
+            }
+            Op::Freeze(node) => fleet.freeze(node),
+            Op::Thaw(node) if fleet.nodes[node].frozen => fleet.thaw(node),
+            Op::CutZone(zone) => {
+                let zone = fleet.nodes[zone * PER_ZONE].cfg.place.zone.clone();
+                fleet.cut_zones(&[zone.as_str()]);
+            }
+            Op::CutPlatform(zone) => {
+                let zone: Name = fleet.nodes[zone * PER_ZONE].cfg.place.zone.clone();
+                fleet.platform.cut.push(zone);
+            }
+            Op::PlatformDown => fleet.platform_down(true),
+            Op::PlatformUp => fleet.platform_down(false),
+            Op::Heal => fleet.heal(),
+            Op::Run(ms) => fleet.run(Duration::from_millis(ms)),
+            Op::Start(_) | Op::Thaw(_) => {}
+        }
+        self.check();
+    }
+
+    /// What holds at all times, whatever has happened.
+    fn check(&mut self) {
+        for (node, slot) in self.fleet.nodes.iter().enumerate() {
+            let life: Vec<u64> =
+                slot.in_force[self.began[node]..].iter().map(|s| s.version()).collect();
+            assert!(life.is_sorted(), "{} went back: {life:?}", slot.cfg.vm);
+            for snapshot in &slot.in_force[self.checked[node]..] {
+                let slots = snapshot.services().iter().map(|service| service.limits.slots);
+                let version = snapshot.version() as u32;
+                let mut slots: Vec<u32> = slots.collect();
+                slots.sort();
+                let mut expected = [version % 100 + 1, 12];
+                expected.sort();
+                assert_eq!(slots, expected, "{} mixed content under {version}", slot.cfg.vm);
+                assert_eq!(snapshot.routes().len(), 2);
+            }
+            self.checked[node] = slot.in_force.len();
+        }
+    }
+
+    /// Ends every fault, publishes once more and looks at what comes out.
+    fn settle(&mut self) {
+        self.fleet.heal();
+        self.fleet.platform_down(false);
+        for node in 0..NODES {
+            self.apply(&Op::Thaw(node));
+            self.apply(&Op::Start(node));
+        }
+        self.apply(&Op::Run(12_000));
+        self.apply(&Op::Publish);
+        self.apply(&Op::Run(3_000));
+        assert_eq!(self.fleet.versions(), vec![self.last; NODES]);
+        assert!(self.fleet.platform.peak() < 500);
+    }
+}
+
+/// A fixed few cases in CI; `PROPTEST_CASES` runs more, `PROPTEST_RNG_SEED` the same ones again.
+fn config() -> ProptestConfig {
+    let more = std::env::var_os("PROPTEST_CASES").is_some();
+    let cases = if more { ProptestConfig::default().cases } else { 24 };
+    let failure_persistence = None;
+    ProptestConfig { cases, max_shrink_iters: 400, failure_persistence, ..Default::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn spread_against_naive(ops in prop::collection::vec(op(), 1..40)) {
+        let mut trial = Trial::new();
+        for op in &ops {
+            trial.apply(op);
+        }
+        trial.settle();
+    }
+}
--- a/core/tests/support/fleet.rs
+++ b/core/tests/support/fleet.rs
@@ -54,6 +54,10 @@
     /// Zones that can't reach it.
     pub cut: Vec<Name>,
     pub down: bool,
+    /// Answers every watch at once.
+    pub never_blocks: bool,
+    /// Answers every call with 429.
+    pub over_limit: bool,
     /// Times of all calls.
     pub calls: Vec<(Time, String)>,
     waiting: Vec<(usize, u64, SourceCall)>,
@@ -65,6 +69,7 @@
     pub platform: Platform,
     pub filter: Filter,
     queue: BTreeMap<(Time, u64), (usize, Action)>,
+    by_address: IndexMap<SocketAddr, usize>,
     number: u64,
     seed: u64,
 }
@@ -112,11 +117,15 @@
 
     /// Most calls in any one second.
     pub fn peak(&self) -> usize {
-        let within = |start: Time| {
-            let inside = |at: &Time| *at >= start && at.since(start) < Duration::from_secs(1);
-            self.calls.iter().filter(|(at, _)| inside(at)).count()
-        };
-        self.calls.iter().map(|(at, _)| within(*at)).max().unwrap_or(0)
+        let mut start = 0;
+        let mut peak = 0;
+        for (end, (at, _)) in self.calls.iter().enumerate() {
+            while at.since(self.calls[start].0) >= Duration::from_secs(1) {
+                start += 1;
+            }
+            peak = peak.max(end - start + 1);
+        }
+        peak
     }
 }
 
@@ -131,6 +140,7 @@
             platform: Platform::default(),
             filter: Box::new(|_, _, msg| Some(msg.clone())),
             queue: BTreeMap::new(),
+            by_address: IndexMap::new(),
             number: 0,
             seed,
         };
@@ -164,6 +174,7 @@
             fleet_vms,
             first_configuration: Duration::from_secs(5),
         };
+        self.by_address.insert(address, self.nodes.len());
         self.nodes.push(Slot {
             cfg,
             spread: None,
@@ -338,7 +349,7 @@
     }
 
     fn send(&mut self, from: usize, to: SocketAddr, msg: PeerMsg) {
-        let Some(node) = self.nodes.iter().position(|slot| slot.cfg.address == to) else { return };
+        let Some(node) = self.by_address.get(&to).copied() else { return };
         let sender = &self.nodes[from];
         let Some(msg) = (self.filter)(sender, &self.nodes[node], &msg) else { return };
         let starts = sender.starts;
@@ -361,8 +372,16 @@
             let reply = Input::Source(SourceReply { id: call.id, result });
             return self.push(self.now + LATENCY, node, Action::Input(starts, reply));
         }
+        if self.platform.over_limit {
+            let reply = SourceReply { id: call.id, result: Err(Code::SourceOverLimit) };
+            return self.push(
+                self.now + LATENCY,
+                node,
+                Action::Input(starts, Input::Source(reply)),
+            );
+        }
         let index = self.platform.read(&call).index;
-        if call.index > 0 && index == call.index {
+        if call.index > 0 && index == call.index && !self.platform.never_blocks {
             self.push(self.now + call.wait, node, Action::Timeout(starts, call.clone()));
             self.platform.waiting.push((node, starts, call));
         } else {
@@ -381,6 +400,13 @@
         self.push(self.now + LATENCY, node, Action::Input(starts, reply));
     }
 
+    /// Answers every watch that waits, though nothing has changed.
+    pub fn platform_wake_all(&mut self) {
+        for (node, starts, call) in std::mem::take(&mut self.platform.waiting) {
+            self.reply(node, starts, &call);
+        }
+    }
+
     /// Breaks off every open call to the platform, as an outage does.
     pub fn platform_down(&mut self, down: bool) {
         self.platform.down = down;
