--- /dev/null
+++ b/bench/src/demo/plan.rs
@@ -0,0 +1,227 @@
+//! What a demonstration does, step by step.
+
+use super::observer::{Observer, Seen, Watched};
+use super::rules::{Evidence, Publication, Stop};
+use crate::process::Process;
+use crate::stack::{POLL, STOP_LIMIT, Stack};
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use sycamore_node::settings::Settings;
+use sycamore_standins::platform::Faults;
+use sycamore_standins::target::run_log;
+use sycamore_tools::load::history::{self, now_us};
+
+/// Requests a second.
+const RATE: &str = "250";
+/// How long requests go out, in seconds.
+const LOAD_SECONDS: &str = "34";
+/// Longest time from the start of the load until the last caller has its outcome.
+const LOAD_LIMIT: Duration = Duration::from_secs(46);
+/// How long a killed node stays away.
+const AWAY: Duration = Duration::from_secs(2);
+
+/// The version that is in force at the start.
+const FIRST_VERSION: u64 = 1;
+
+/// A demonstration under way.
+#[derive(Debug)]
+pub struct Demo {
+    stack: Stack,
+    interrupted: Arc<AtomicBool>,
+    evidence: Evidence,
+    start: Instant,
+}
+
+impl Demo {
+    /// A demonstration of a deployment. `interrupted` ends the run early.
+    pub fn new(stack: Stack, interrupted: Arc<AtomicBool>) -> Demo {
+        Demo { stack, interrupted, evidence: Evidence::default(), start: Instant::now() }
+    }
+
+    /// Runs it all and returns what is known of the run.
+    pub fn run(mut self) -> io::Result<(Evidence, Seen)> {
+        self.stack.start_standins()?;
+        self.stack.start_nodes()?;
+        let observer = Observer::start(self.watched());
+        self.stack.wait_until_ready(|| self.go_on())?;
+        self.say("every node holds the first version");
+        let mut timeline = self.start_timeline()?;
+        let mut load = self.start_load()?;
+        self.start = Instant::now();
+        self.disturb()?;
+        if !self.wait_for(&mut load, LOAD_LIMIT.saturating_sub(self.start.elapsed()))? {
+            return Err(io::Error::other("the callers did not end"));
+        }
+        self.say("every caller has its outcome");
+        timeline.terminate();
+        timeline.wait(STOP_LIMIT);
+        let seen = observer.stop();
+        for vm in self.stack.stop() {
+            self.say(&format!("{vm} did not stop and was killed"));
+        }
+        self.collect(seen)
+    }
+
+    fn start_load(&self) -> io::Result<Process> {
+        let (mix, history) = (self.stack.file("load.json"), self.stack.output("history.jsonl"));
+        let summary = self.stack.output("load.json");
+        let settings = self.stack.settings.values();
+        let entries: Vec<String> = settings.map(|node| node.listen.calls.to_string()).collect();
+        let mut args = vec!["--mix", &mix, "--history", &history, "--json", &summary];
+        args.extend(["--rate", RATE, "--seconds", LOAD_SECONDS]);
+        args.extend(entries.iter().flat_map(|address| ["--entry", address.as_str()]));
+        self.stack.launcher.start("sycamore-load", &args, "load.log")
+    }
+
+    /// The time line keeps looking, since a killed node takes its events with it.
+    fn start_timeline(&self) -> io::Result<Process> {
+        let zones = self.stack.deployment.zones();
+        let list = |zone: &String| self.stack.file(&format!("published/vms/{zone}.json"));
+        let lists: Vec<String> = zones.iter().map(|(_, zone, _)| list(zone)).collect();
+        let output = self.stack.output("timeline.svg");
+        let mut args = vec!["--follow", "120", "--format", "svg", "--output", &output];
+        args.extend(["--title", self.stack.deployment.name]);
+        args.extend(lists.iter().flat_map(|list| ["--vms", list.as_str()]));
+        self.stack.launcher.start("sycamore-timeline", &args, "timeline.log")
+    }
+
+    /// The changes and faults, while load runs.
+    fn disturb(&mut self) -> io::Result<()> {
+        let first = Publication { version: FIRST_VERSION, at_us: now_us(), valid: true };
+        self.evidence.publications.push(first);
+        self.until(4)?;
+        self.publish(2, "peak", "published/preset/peak.json", true)?;
+        self.until(9)?;
+        self.publish(3, "dangling", "refused/dangling.json", false)?;
+        self.until(12)?;
+        self.kill_and_restart(&self.vm(0, 1))?;
+        self.until(19)?;
+        self.drain(&self.vm(2, 0))?;
+        self.until(25)?;
+        self.cut_zone(4)?;
+        self.until(27)?;
+        self.publish(4, "maintenance", "published/preset/maintenance.json", true)?;
+        self.until(31)?;
+        self.stack.set_faults(&Faults::default())?;
+        self.say("the cut zone reaches the platform again");
+        Ok(())
+    }
+
+    fn publish(&mut self, version: u64, preset: &str, file: &str, valid: bool) -> io::Result<()> {
+        let at_us = self.stack.publish(version, preset, file)?;
+        self.evidence.publications.push(Publication { version, at_us, valid });
+        let what = if valid { "preset" } else { "invalid preset" };
+        self.say(&format!("published version {version}, {what} {preset}"));
+        Ok(())
+    }
+
+    fn kill_and_restart(&mut self, vm: &str) -> io::Result<()> {
+        let at_us = now_us();
+        // Dropping the process kills it.
+        self.stack.nodes.shift_remove(vm);
+        self.say(&format!("killed {vm}"));
+        self.pause(AWAY)?;
+        self.stack.start_node(vm)?;
+        self.say(&format!("restarted {vm}"));
+        let stop = self.stop_of(vm, at_us);
+        self.evidence.kills.push(stop);
+        Ok(())
+    }
+
+    fn drain(&mut self, vm: &str) -> io::Result<()> {
+        let at_us = now_us();
+        let Some(mut node) = self.stack.nodes.shift_remove(vm) else { return Ok(()) };
+        node.terminate();
+        self.say(&format!("asked {vm} to stop"));
+        let ended = self.wait_for(&mut node, STOP_LIMIT)?;
+        self.say(&format!("{vm} {}", if ended { "has stopped" } else { "did not stop" }));
+        let stop = self.stop_of(vm, at_us);
+        self.evidence.drains.push(stop);
+        Ok(())
+    }
+
+    fn stop_of(&self, vm: &str, at_us: u64) -> Stop {
+        let entry = self.stack.settings[vm].listen.calls;
+        Stop { vm: vm.to_string(), entry, at_us, until_us: now_us() }
+    }
+
+    fn cut_zone(&self, zone: usize) -> io::Result<()> {
+        let (_, name, number) = self.stack.deployment.zones()[zone].clone();
+        let cut = vec![self.stack.deployment.platform(number).ip()];
+        self.stack.set_faults(&Faults { cut, ..Faults::default() })?;
+        self.say(&format!("cut zone {name} from the platform"));
+        Ok(())
+    }
+
+    fn collect(mut self, seen: Seen) -> io::Result<(Evidence, Seen)> {
+        let output = |below| self.stack.output(below);
+        let evidence = &mut self.evidence;
+        evidence.records = history::read(Path::new(&output("history.jsonl")))?;
+        evidence.runs = run_log::read(Path::new(&output("runs.jsonl")))?;
+        evidence.samples = seen.samples.clone();
+        let drained = |vm: &str| evidence.drains.iter().any(|stop| stop.vm == vm);
+        let vms = self.stack.settings.keys();
+        evidence.lasting = vms.filter(|vm| !drained(vm)).cloned().collect();
+        std::fs::write(output("samples.json"), serde_json::to_vec(&evidence.samples)?)?;
+        Ok((self.evidence, seen))
+    }
+
+    /// Waits for the end of a process, at most so long.
+    fn wait_for(&self, process: &mut Process, limit: Duration) -> io::Result<bool> {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            if process.ended() {
+                return Ok(true);
+            }
+            self.pause(POLL)?;
+        }
+        Ok(false)
+    }
+
+    /// Waits until so many seconds after the start of the load.
+    fn until(&self, seconds: u64) -> io::Result<()> {
+        self.pause(Duration::from_secs(seconds).saturating_sub(self.start.elapsed()))
+    }
+
+    fn pause(&self, span: Duration) -> io::Result<()> {
+        let end = Instant::now() + span;
+        loop {
+            self.go_on()?;
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(());
+            }
+            std::thread::sleep(left.min(POLL));
+        }
+    }
+
+    fn go_on(&self) -> io::Result<()> {
+        if self.interrupted.load(Ordering::Acquire) {
+            return Err(io::ErrorKind::Interrupted.into());
+        }
+        Ok(())
+    }
+
+    fn say(&self, text: &str) {
+        println!("{:>5.1} s  {text}", self.start.elapsed().as_secs_f64());
+    }
+
+    /// The VM with this index in a zone.
+    fn vm(&self, zone: usize, index: usize) -> String {
+        let deployment = &self.stack.deployment;
+        let zone = &deployment.zones()[zone].1;
+        let mut vms = deployment.vms().into_iter().filter(|vm| vm.zone == *zone);
+        vms.nth(index).map_or(String::new(), |vm| vm.name)
+    }
+
+    fn watched(&self) -> Vec<Watched> {
+        let watched = |(vm, settings): (&String, &Settings)| Watched {
+            vm: vm.clone(),
+            admin: settings.listen.admin,
+        };
+        self.stack.settings.iter().map(watched).collect()
+    }
+}
