Shell of the node: log lines, settings and the operators' port mended

Cause, each seen by a test over the real process before the change: - a VM name with a quotation mark broke JSON log lines (log_json_lines), and key=value lines quoted every value (log_text_lines); - two ports with one address failed as if another process held it, and a target address that is the node's own made the gatekeeper call itself (listen_address_twice, target_address_is_the_nodes_own); - admin: no answer told which paths there are, a wrong method was a 404, heads up to 400 KB were read, and clients that keep connections open or say nothing held the 32 places for 30 s each (path_unknown, method_wrong, head_too_large, one_request_a_connection); - counters of events that have not happened were absent, so that an alarm on their rise would miss the first (metrics_in_prometheus_text). Ruled out: raising the limit of connections (it only moves the number); a connection limit per client address (operators sit behind one). Change: event lines are written by serde under a log target of their own; settings check their addresses; one request a connection, 2 s for its head, 16 KB, 10 s in all; gauges for what /status says; EventKind::ALL and name. With both time limits at an hour silent_clients_beyond_the_limit fails (no answer within 60 s); with keep-alive one_request_a_connection fails.

--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -3,48 +3,59 @@
 use crate::{Code, Name, Time};
 use std::collections::VecDeque;
 
-choice! {
-    /// What changed.
-    pub enum EventKind {
-        /// The process started.
-        Started,
-        /// A version was heard of for the first time.
-        VersionHeard,
-        /// A version was refused.
-        VersionRefused,
-        /// A version came into force on this node.
-        VersionInForce,
-        /// The platform stopped answering.
-        SourceLost,
-        /// The platform answers again.
-        SourceBack,
-        /// A relay was chosen as parent.
-        ParentChosen,
-        /// The parent stopped answering.
-        ParentLost,
-        /// A peer was given up as unreachable.
-        PeerLost,
-        /// A peer answers again.
-        PeerBack,
-        /// The local target stopped answering.
-        TargetLost,
-        /// The local target answers again.
-        TargetBack,
-        /// A request was held off because it crashed targets.
-        Quarantined,
-        /// Homes of keys are moving to or from this node.
-        HomesMoving,
-        /// Every moved key has been released.
-        HomesMoved,
-        /// The node takes no new work.
-        Draining,
-        /// The last work has finished.
-        Drained,
-        /// The process was not running for a while.
-        ClockGap,
-        /// The process stops.
-        Stopped,
-    }
+macro_rules! kinds {
+    ($($(#[$doc:meta])* $name:ident,)*) => {
+        choice! {
+            /// What changed.
+            pub enum EventKind { $($(#[$doc])* $name,)* }
+        }
+
+        impl EventKind {
+            /// Every kind.
+            pub const ALL: &'static [EventKind] = &[$(EventKind::$name,)*];
+        }
+    };
+}
+
+kinds! {
+    /// The process started.
+    Started,
+    /// A version was heard of for the first time.
+    VersionHeard,
+    /// A version was refused.
+    VersionRefused,
+    /// A version came into force on this node.
+    VersionInForce,
+    /// The platform stopped answering.
+    SourceLost,
+    /// The platform answers again.
+    SourceBack,
+    /// A relay was chosen as parent.
+    ParentChosen,
+    /// The parent stopped answering.
+    ParentLost,
+    /// A peer was given up as unreachable.
+    PeerLost,
+    /// A peer answers again.
+    PeerBack,
+    /// The local target stopped answering.
+    TargetLost,
+    /// The local target answers again.
+    TargetBack,
+    /// A request was held off because it crashed targets.
+    Quarantined,
+    /// Homes of keys are moving to or from this node.
+    HomesMoving,
+    /// Every moved key has been released.
+    HomesMoved,
+    /// The node takes no new work.
+    Draining,
+    /// The last work has finished.
+    Drained,
+    /// The process was not running for a while.
+    ClockGap,
+    /// The process stops.
+    Stopped,
 }
 
 json! {
@@ -66,6 +77,14 @@
     }
 }
 
+impl EventKind {
+    /// The kind's name in JSON, metrics and logs.
+    pub fn name(self) -> String {
+        let json = serde_json::to_value(self).unwrap_or_default();
+        json.as_str().unwrap_or_default().to_owned()
+    }
+}
+
 impl Event {
     /// An event with nothing but its time and kind.
     pub fn new(at: Time, kind: EventKind) -> Event {
--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -10,7 +10,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
-use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
 use std::convert::Infallible;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -19,9 +19,16 @@
 use sycamore_core::Result;
 use sycamore_core::status::Events;
 
-/// Longest life of an operator's connection: a client that connects and says nothing, or reads
-/// nothing, would otherwise hold it for ever.
-const CONNECTION_LIFE: Duration = Duration::from_secs(30);
+/// Longest time to send the head of a request: a client that connects and says nothing would
+/// otherwise hold its place for [`CONNECTION_LIFE`].
+const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest life of an operator's connection: a client that reads nothing would otherwise hold its
+/// place for ever.
+const CONNECTION_LIFE: Duration = Duration::from_secs(10);
+
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 
 /// Operators' connections served at once; more wait in the socket's backlog.
 const MAX_CONNECTIONS: usize = 32;
@@ -72,17 +79,22 @@
         let answer = answer(&shared, &req);
         async move { Ok::<_, Infallible>(answer) }
     });
+    // One request a connection: clients that keep theirs open between requests would hold every
+    // place without asking anything.
     let connection = hyper::server::conn::http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .keep_alive(false)
         .serve_connection(FuturesIo::new(stream), service);
     // An operator who hangs up early concerns nobody else.
     let _ = connection.await;
 }
 
 fn answer(shared: &Shared, req: &Request<Incoming>) -> Response<Full<Bytes>> {
-    match (req.method(), req.uri().path()) {
-        (&Method::GET, "/metrics") => {
-            response(StatusCode::OK, "text/plain; version=0.0.4", shared.metrics.to_text())
-        }
+    let (method, path) = (req.method(), req.uri().path());
+    match (method, path) {
+        (&Method::GET, "/metrics") => metrics(shared),
         (&Method::GET, "/status") => json(StatusCode::OK, &shared.status()),
         (&Method::GET, "/events") => json(StatusCode::OK, &events(shared)),
         (&Method::GET, "/ready") => ready(shared),
@@ -90,10 +102,27 @@
             shared.start_draining();
             json(StatusCode::ACCEPTED, &shared.status())
         }
-        _ => response(StatusCode::NOT_FOUND, "text/plain", Vec::new()),
+        _ if REQUESTS.iter().any(|request| request.ends_with(path)) => {
+            refusal(StatusCode::METHOD_NOT_ALLOWED)
+        }
+        _ => refusal(StatusCode::NOT_FOUND),
     }
 }
 
+/// The requests that there are.
+const REQUESTS: [&str; 5] =
+    ["GET /metrics", "GET /status", "GET /events", "GET /ready", "POST /drain"];
+
+fn refusal(code: StatusCode) -> Response<Full<Bytes>> {
+    let text = format!("{code}; there are {}\n", REQUESTS.join(", "));
+    response(code, "text/plain", text.into_bytes())
+}
+
+fn metrics(shared: &Shared) -> Response<Full<Bytes>> {
+    shared.metrics.observe(&shared.status());
+    response(StatusCode::OK, "text/plain; version=0.0.4", shared.metrics.to_text())
+}
+
 fn ready(shared: &Shared) -> Response<Full<Bytes>> {
     let status = shared.status();
     let code = if status.ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Counters and gauges of a node, in Prometheus' text form.
 
 use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
-use sycamore_core::event::Event;
+use sycamore_core::Time;
+use sycamore_core::event::{Event, EventKind};
+use sycamore_core::status::Status;
 
 /// Counters and gauges of a node.
 #[derive(Debug)]
@@ -9,6 +11,21 @@
     registry: Registry,
     /// The version in force.
     pub version_in_force: IntGauge,
+    /// The newest version heard of; above `version_in_force` while it is fetched, or if it was
+    /// refused.
+    pub newest_version_heard: IntGauge,
+    /// When the version in force came into force, in seconds since the Unix epoch; 0 for never.
+    pub in_force_since_seconds: IntGauge,
+    /// When the process started, in seconds since the Unix epoch.
+    pub started_seconds: IntGauge,
+    /// Whether the platform left this node's last call to it without an answer: 0 or 1.
+    pub platform_silent: IntGauge,
+    /// Whether the node takes calls: 0 or 1.
+    pub ready: IntGauge,
+    /// Whether the node takes no new work: 0 or 1.
+    pub draining: IntGauge,
+    /// Calls being served.
+    pub calls_open: IntGauge,
     /// Changes of state, by kind.
     pub events: IntCounterVec,
     /// Final outcomes of calls at the entry node, by outcome and code.
@@ -38,7 +55,22 @@
         let r = &registry;
         Metrics {
             version_in_force: gauge(r, "version_in_force", "Version in force."),
-            events: counters(r, "events_total", "Changes of state.", &["kind"]),
+            newest_version_heard: gauge(r, "newest_version_heard", "Newest version heard of."),
+            in_force_since_seconds: gauge(
+                r,
+                "in_force_since_seconds",
+                "When the version in force came into force, Unix time; 0 for never.",
+            ),
+            started_seconds: gauge(r, "started_seconds", "When the process started, Unix time."),
+            platform_silent: gauge(
+                r,
+                "platform_silent",
+                "Whether the platform left the last call without an answer.",
+            ),
+            ready: gauge(r, "ready", "Whether the node takes calls."),
+            draining: gauge(r, "draining", "Whether the node takes no new work."),
+            calls_open: gauge(r, "calls_open", "Calls being served."),
+            events: event_counters(r),
             outcomes: counters(r, "outcomes_total", "Outcomes of calls.", &["outcome", "code"]),
             attempts: counters(r, "attempts_total", "Attempts forwarded.", &["kind"]),
             refusals: counters(r, "refusals_total", "Requests not run.", &["code"]),
@@ -68,8 +100,19 @@
 
     /// Counts a change of state.
     pub fn count_event(&self, event: &Event) {
-        let kind = serde_json::to_value(event.kind).unwrap_or_default();
-        self.events.with_label_values(&[kind.as_str().unwrap_or_default()]).inc();
+        self.events.with_label_values(&[event.kind.name()]).inc();
+    }
+
+    /// Takes the gauges that follow from the status.
+    pub fn observe(&self, status: &Status) {
+        let seconds = |time: Time| (time.as_millis() / 1_000) as i64;
+        self.newest_version_heard.set(status.newest_heard as i64);
+        self.in_force_since_seconds.set(status.in_force_since.map_or(0, seconds));
+        self.started_seconds.set(seconds(status.started));
+        self.platform_silent.set((status.platform_answers == Some(false)).into());
+        self.ready.set(status.ready.into());
+        self.draining.set(status.draining.into());
+        self.calls_open.set(status.calls_open as i64);
     }
 
     /// Everything in Prometheus' text form.
@@ -105,6 +148,16 @@
     made
 }
 
+/// Counters of changes of state. Every kind counts from zero, so that an alarm on a rise sees the
+/// first one.
+fn event_counters(registry: &Registry) -> IntCounterVec {
+    let made = counters(registry, "events_total", "Changes of state.", &["kind"]);
+    for kind in EventKind::ALL {
+        made.with_label_values(&[kind.name()]);
+    }
+    made
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let made = IntGauge::with_opts(options(name, help)).expect("the name is valid");
     registry.register(Box::new(made.clone())).expect("the name is registered once");
--- a/node/src/output.rs
+++ b/node/src/output.rs
@@ -2,8 +2,11 @@
 
 use crate::settings::{Log, LogFormat, LogLevel};
 use flexi_logger::{DeferredNow, Logger, LoggerHandle};
+use indexmap::IndexMap;
 use log::Record;
-use std::io::Write;
+use serde::Serialize;
+use serde_json::Value;
+use std::io::{self, Write};
 use sycamore_core::event::Event;
 use sycamore_core::{Code, Fault, Result};
 
@@ -26,40 +29,54 @@
 /// Writes the line of a change of state. Failures are warnings.
 pub fn event(vm: &str, event: &Event) {
     let level = if event.code.is_some() { log::Level::Warn } else { log::Level::Info };
-    // The event's own JSON form gives both formats the same fields and names.
-    let fields = serde_json::to_string(event).unwrap_or_default();
-    log::log!(level, "{{\"vm\":\"{vm}\",{}", fields.trim_start_matches('{'));
+    let line = serde_json::to_string(&EventLine { vm, event }).unwrap_or_default();
+    log::log!(target: EVENT, level, "{line}");
 }
 
-fn write_json(
-    w: &mut dyn Write,
-    now: &mut DeferredNow,
-    record: &Record<'_>,
-) -> std::io::Result<()> {
+/// Target of log records whose text is a JSON object of fields.
+const EVENT: &str = "event";
+
+/// Fields of a change of state, the same in both formats.
+#[derive(Serialize)]
+struct EventLine<'a> {
+    vm: &'a str,
+    #[serde(flatten)]
+    event: &'a Event,
+}
+
+/// Fields of a log line by name.
+type Fields = IndexMap<String, Value>;
+
+fn fields(now: &mut DeferredNow, record: &Record<'_>) -> Fields {
     let text = record.args().to_string();
-    let time = now.format_rfc3339();
-    let level = record.level();
-    if let Some(fields) = text.strip_prefix('{') {
-        return write!(w, "{{\"time\":\"{time}\",\"level\":\"{level}\",{fields}");
+    let mut fields = Fields::new();
+    fields.insert("time".to_owned(), now.format_rfc3339().into());
+    fields.insert("level".to_owned(), record.level().as_str().into());
+    match serde_json::from_str::<Fields>(&text) {
+        Ok(of_event) if record.target() == EVENT => fields.extend(of_event),
+        _ => {
+            fields.insert("text".to_owned(), text.into());
+        }
     }
-    let text = serde_json::Value::String(text);
-    write!(w, "{{\"time\":\"{time}\",\"level\":\"{level}\",\"text\":{text}}}")
+    fields
 }
 
-fn write_text(
-    w: &mut dyn Write,
-    now: &mut DeferredNow,
-    record: &Record<'_>,
-) -> std::io::Result<()> {
-    write!(w, "time={} level={}", now.format_rfc3339(), record.level())?;
-    let text = record.args().to_string();
-    match serde_json::from_str::<indexmap::IndexMap<String, serde_json::Value>>(&text) {
-        Ok(fields) => {
-            for (name, value) in fields {
-                write!(w, " {name}={value}")?;
-            }
-            Ok(())
+fn write_json(w: &mut dyn Write, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+    Ok(serde_json::to_writer(w, &fields(now, record))?)
+}
+
+fn write_text(w: &mut dyn Write, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+    for (index, (name, value)) in fields(now, record).iter().enumerate() {
+        let space = if index == 0 { "" } else { " " };
+        match value {
+            Value::String(text) if is_plain(text) => write!(w, "{space}{name}={text}")?,
+            value => write!(w, "{space}{name}={value}")?,
         }
-        Err(_) => write!(w, " text={text:?}"),
     }
+    Ok(())
+}
+
+/// Whether a value needs no quotes to be read back.
+fn is_plain(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|b| b.is_ascii_graphic() && !b"\"\\=".contains(&b))
 }
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -145,6 +145,8 @@
                 Fault::new(Code::SettingsInvalid).with_place(place).with_detail(e.into_inner())
             })?;
         deserializer.end().map_err(|e| Fault::new(Code::SettingsInvalid).with_detail(e))?;
+        settings.listen.check()?;
+        settings.check_target()?;
         settings.limits.check()?;
         Ok(settings)
     }
@@ -153,6 +155,43 @@
     pub fn place(&self) -> Place {
         Place { region: self.region.clone(), zone: self.zone.clone() }
     }
+
+    /// Guards against a gatekeeper that forwards every call to its own node, which shows as
+    /// connections that run out.
+    fn check_target(&self) -> Result<()> {
+        let target = self.target_address;
+        match self.listen.by_name().into_iter().find(|(_, own)| Some(*own) == target) {
+            Some((name, own)) => {
+                let detail = format!("found {own}, which is listen.{name}");
+                Err(Fault::new(Code::SettingsInvalid)
+                    .with_place("target_address")
+                    .with_detail(detail))
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+impl Listen {
+    fn by_name(&self) -> [(&'static str, SocketAddr); 4] {
+        [("calls", self.calls), ("gate", self.gate), ("peers", self.peers), ("admin", self.admin)]
+    }
+
+    /// Guards against one address for two ports, which would show at the start as if another
+    /// process held it. Port 0 is a free port each time.
+    fn check(&self) -> Result<()> {
+        let addresses = self.by_name();
+        for (index, (name, address)) in addresses.iter().enumerate() {
+            let earlier = addresses[..index].iter().find(|(_, other)| other == address);
+            if let Some((other, _)) = earlier.filter(|_| address.port() != 0) {
+                let detail = format!("found {address}, which is listen.{other}");
+                return Err(Fault::new(Code::SettingsInvalid)
+                    .with_place(format!("listen.{name}"))
+                    .with_detail(detail));
+            }
+        }
+        Ok(())
+    }
 }
 
 impl Limits {
--- /dev/null
+++ b/node/tests/settings.rs
@@ -0,0 +1,101 @@
+//! Settings files: what is refused, and how the error reads.
+
+use serde_json::{Value, json};
+use sycamore_core::{Code, Fault};
+use sycamore_node::settings::{Limits, LogFormat, Settings};
+
+fn valid() -> Value {
+    json!({
+        "vm": "vm-1", "region": "alberta", "zone": "alberta-1",
+        "listen": {
+            "calls": "127.0.0.1:7000", "gate": "127.0.0.1:7001",
+            "peers": "127.0.0.1:7002", "admin": "127.0.0.1:7003"
+        },
+        "platform_address": "127.0.0.9:7080"
+    })
+}
+
+fn parse(settings: &Value) -> Result<Settings, Fault> {
+    Settings::parse(settings.to_string().as_bytes())
+}
+
+/// The failure of settings that must be refused.
+fn refused(settings: &Value) -> Fault {
+    let fault = parse(settings).unwrap_err();
+    assert_eq!(fault.code, Code::SettingsInvalid);
+    fault
+}
+
+#[test]
+fn defaults_taken() {
+    let settings = parse(&valid()).unwrap();
+    assert_eq!(settings.limits, Limits::default());
+    assert_eq!(settings.log.format, LogFormat::Text);
+    assert_eq!((settings.target_address, settings.scope), (None, None));
+}
+
+#[test]
+fn field_unknown() {
+    for (field, place) in [("colour", "colour"), ("limits", "limits.colour")] {
+        let mut settings = valid();
+        match field {
+            "limits" => settings["limits"] = json!({"colour": 1}),
+            _ => settings["colour"] = 1.into(),
+        }
+        let fault = refused(&settings);
+        assert_eq!(fault.place, place);
+        assert!(fault.detail.contains("unknown field `colour`, expected"), "{fault}");
+    }
+}
+
+#[test]
+fn field_missing() {
+    let mut settings = valid();
+    settings.as_object_mut().unwrap().remove("platform_address");
+    assert!(refused(&settings).detail.contains("missing field `platform_address`"));
+}
+
+#[test]
+fn field_of_wrong_type() {
+    let mut settings = valid();
+    settings["listen"]["gate"] = 7001.into();
+    let fault = refused(&settings);
+    assert_eq!(fault.place, "listen.gate");
+    assert!(fault.detail.contains("7001"), "{fault}");
+}
+
+#[test]
+fn name_invalid() {
+    for name in ["", "two words", "Prärie", &"x".repeat(129)] {
+        let mut settings = valid();
+        settings["vm"] = name.into();
+        assert_eq!(refused(&settings).place, "vm", "{name:?}");
+    }
+}
+
+#[test]
+fn text_after_the_end() {
+    let text = format!("{} {}", valid(), valid());
+    let fault = Settings::parse(text.as_bytes()).unwrap_err();
+    assert!(fault.detail.contains("trailing characters"), "{fault}");
+}
+
+#[test]
+fn listen_address_twice() {
+    // Story: a port is copied and not changed. Without a check the node fails at its start with
+    // "address in use", as if another process held the port.
+    let mut settings = valid();
+    settings["listen"]["peers"] = "127.0.0.1:7001".into();
+    let fault = refused(&settings);
+    assert_eq!(fault.place, "listen.peers");
+    assert!(fault.detail.contains("127.0.0.1:7001"), "{fault}");
+}
+
+#[test]
+fn target_address_is_the_nodes_own() {
+    // Story: the target's port is set to one of the node's. The gatekeeper would forward every
+    // call to itself until its connections run out.
+    let mut settings = valid();
+    settings["target_address"] = "127.0.0.1:7001".into();
+    assert_eq!(refused(&settings).place, "target_address");
+}
--- /dev/null
+++ b/node/tests/shell/admin.rs
@@ -0,0 +1,106 @@
+//! The operators' port over a real process.
+
+use crate::process::{NodeProcess, settings};
+use std::io::Write;
+
+/// More connections than the port serves at once.
+const MANY: usize = 40;
+
+#[test]
+fn status_before_configuration() {
+    let node = NodeProcess::start(&settings());
+    let status = node.json("/status");
+    assert_eq!(status["vm"], "vm-1");
+    assert!(status["in_force"].is_null(), "{status}");
+    assert_eq!(status["ready"], false);
+    let (head, _) = node.request("GET", "/ready");
+    assert!(head.starts_with("HTTP/1.1 503"), "{head}");
+}
+
+#[test]
+fn events_from_the_start() {
+    let node = NodeProcess::start(&settings());
+    let events = node.json("/events");
+    assert_eq!(events["events"][0]["kind"], "started");
+    assert_eq!(events["events"][0]["at"], events["started"]);
+}
+
+#[test]
+fn metrics_in_prometheus_text() {
+    let node = NodeProcess::start(&settings());
+    let (head, body) = node.request("GET", "/metrics");
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    assert!(body.contains("\nsycamore_version_in_force 0\n"), "{body}");
+    assert!(body.contains("sycamore_events_total{kind=\"started\"} 1\n"), "{body}");
+    // A kind that has not happened yet counts zero, so that an alarm on its rise sees the first.
+    assert!(body.contains("sycamore_events_total{kind=\"clock-gap\"} 0\n"), "{body}");
+}
+
+#[test]
+fn path_unknown() {
+    let node = NodeProcess::start(&settings());
+    let (head, body) = node.request("GET", "/nothing");
+    assert!(head.starts_with("HTTP/1.1 404"), "{head}");
+    assert!(body.contains("/status"), "the answer names the paths there are: {body}");
+}
+
+#[test]
+fn method_wrong() {
+    let node = NodeProcess::start(&settings());
+    for (method, path) in [("GET", "/drain"), ("POST", "/status")] {
+        let (head, _) = node.request(method, path);
+        assert!(head.starts_with("HTTP/1.1 405"), "{method} {path}: {head}");
+    }
+    assert_eq!(node.json("/status")["draining"], false);
+}
+
+#[test]
+fn rubbish_refused() {
+    let node = NodeProcess::start(&settings());
+    let answer = node.send(b"\x16\x03\x01\x00\xff rubbish\r\n\r\n");
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert_eq!(node.json("/status")["vm"], "vm-1");
+}
+
+#[test]
+fn head_too_large() {
+    let node = NodeProcess::start(&settings());
+    let mut request = b"GET /status HTTP/1.1\r\nx-large: ".to_vec();
+    request.resize(64 * 1024, b'a');
+    request.extend(b"\r\n\r\n");
+    let answer = node.send(&request);
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 431"), "{answer}");
+    assert_eq!(node.json("/status")["vm"], "vm-1");
+}
+
+#[test]
+fn body_ignored() {
+    // Story: a body follows a request on a port that takes none. Read whole, a body without an
+    // end would hold memory or the connection.
+    let node = NodeProcess::start(&settings());
+    let head = "GET /status HTTP/1.1\r\nhost: node\r\ncontent-length: 999999999\r\n\r\nbegin";
+    let answer = node.send(head.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+#[test]
+fn silent_clients_beyond_the_limit() {
+    // Story: something opens connections to the admin port and says nothing, or half a request,
+    // until no more are served. Operators see a node that answers nobody, for ever.
+    let node = NodeProcess::start(&settings());
+    let mut held: Vec<_> = (0..MANY).map(|_| node.connect()).collect();
+    for stream in held.iter_mut().step_by(2) {
+        stream.write_all(b"GET /status HTTP/1.1\r\nhost:").unwrap();
+    }
+    assert_eq!(node.json("/status")["vm"], "vm-1");
+    drop(held);
+}
+
+#[test]
+fn one_request_a_connection() {
+    // Story: a client keeps its connection open between requests, as many do by default. Thirty
+    // of them would hold every place of the port without asking anything.
+    let node = NodeProcess::start(&settings());
+    let answer = node.send(b"GET /ready HTTP/1.1\r\nhost: node\r\n\r\n");
+    assert!(answer.to_ascii_lowercase().contains("connection: close"), "{answer}");
+}
--- /dev/null
+++ b/node/tests/shell/main.rs
@@ -0,0 +1,5 @@
+//! The shell of a node over real processes: command line, signals, log lines, operators' port.
+
+mod admin;
+mod command_line;
+mod process;
--- /dev/null
+++ b/node/tests/shell/process.rs
@@ -0,0 +1,133 @@
+//! A `sycamore-node` process with ports and settings of its own.
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::fs::{self, File};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+use tempfile::TempDir;
+
+/// Gives each node of a test process an address of its own.
+static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+
+/// Longest wait for anything; passing it fails the test.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A running node; killed when dropped.
+pub struct NodeProcess {
+    child: Child,
+    dir: TempDir,
+    /// Address of its admin port.
+    pub admin: SocketAddr,
+}
+
+/// Valid settings with addresses that no other node of this machine's tests uses.
+pub fn settings() -> Value {
+    let pid = std::process::id();
+    let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+    let ip = format!("127.{}.{}.{host}", 64 + (pid >> 8) % 64, pid % 256);
+    json!({
+        "vm": "vm-1", "region": "alberta", "zone": "alberta-1",
+        "listen": {
+            "calls": format!("{ip}:7000"), "gate": format!("{ip}:7001"),
+            "peers": format!("{ip}:7002"), "admin": format!("{ip}:7003")
+        },
+        // Nothing listens there: the platform is down.
+        "platform_address": format!("{ip}:7009")
+    })
+}
+
+/// Runs the binary to its end.
+pub fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_sycamore-node")).args(args).output().unwrap()
+}
+
+/// Runs the binary to its end on a settings file with this text.
+pub fn run_with_settings(text: &str, args: &[&str]) -> Output {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("node.json");
+    fs::write(&path, text).unwrap();
+    run(&[&["--settings", path.to_str().unwrap()], args].concat())
+}
+
+impl NodeProcess {
+    /// Starts a node and waits until its admin port takes connections.
+    pub fn start(settings: &Value) -> NodeProcess {
+        let dir = tempfile::tempdir().unwrap();
+        let path = dir.path().join("node.json");
+        fs::write(&path, settings.to_string()).unwrap();
+        let log = File::create(dir.path().join("log")).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_sycamore-node"))
+            .args(["--settings", path.to_str().unwrap()])
+            .stderr(Stdio::from(log))
+            .spawn()
+            .unwrap();
+        let admin = settings["listen"]["admin"].as_str().unwrap().parse().unwrap();
+        let mut node = NodeProcess { child, dir, admin };
+        while TcpStream::connect(admin).is_err() {
+            assert!(node.child.try_wait().unwrap().is_none(), "ended: {}", node.log());
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        node
+    }
+
+    /// What it has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.log_path()).unwrap()
+    }
+
+    fn log_path(&self) -> PathBuf {
+        self.dir.path().join("log")
+    }
+
+    /// A connection to the admin port.
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.admin).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+    }
+
+    /// Sends raw bytes to the admin port and reads until the node closes.
+    pub fn send(&self, buf: &[u8]) -> String {
+        let mut stream = self.connect();
+        // A node may refuse a request before it has read it all, so that writing fails.
+        let _ = stream.write_all(buf);
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    /// The answer to one request: head and body.
+    pub fn request(&self, method: &str, path: &str) -> (String, String) {
+        let head = format!("{method} {path} HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n");
+        let answer = self.send(head.as_bytes());
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap_or((&answer, ""));
+        (head.to_owned(), body.to_owned())
+    }
+
+    /// The JSON body of an answer.
+    pub fn json(&self, path: &str) -> Value {
+        serde_json::from_str(&self.request("GET", path).1).unwrap()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    /// Waits for its end.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/tools/src/timeline/output.rs
+++ b/tools/src/timeline/output.rs
@@ -7,7 +7,6 @@
 use crate::text::utc;
 use std::fmt::{self, Display, Formatter};
 use std::io::Write;
-use sycamore_core::event::EventKind;
 use sycamore_core::{Code, Result, Time};
 
 /// Writes the time line to the file of `--output` or to `out`.
@@ -28,15 +27,9 @@
     }
 }
 
-/// The name of a kind of event, as in JSON.
-pub fn kind_name(kind: EventKind) -> String {
-    let json = serde_json::to_value(kind).unwrap_or_default();
-    json.as_str().unwrap_or_default().to_owned()
-}
-
 /// A mark in one line, without its time and place.
 pub fn describe(mark: &Mark) -> String {
-    let mut text = kind_name(mark.kind);
+    let mut text = mark.kind.name();
     if let Some(version) = mark.version {
         text += &format!(" version {version}");
     }
--- a/tools/src/timeline/picture.rs
+++ b/tools/src/timeline/picture.rs
@@ -5,7 +5,7 @@
 pub mod scale;
 
 use super::merge::{Band, Lane, Process, Timeline, VersionSpan};
-use super::output::{describe, describe_version, kind_name};
+use super::output::{describe, describe_version};
 use crate::text::utc;
 use glyph::Glyph;
 use scale::Scale;
@@ -222,7 +222,7 @@
         let ends: BTreeSet<_> = processes().map(|process| process.end).collect();
         let of_kinds = kinds
             .into_iter()
-            .filter_map(|kind| Some((Glyph::of_event(kind)?, kind_name(kind).replace('-', " "))));
+            .filter_map(|kind| Some((Glyph::of_event(kind)?, kind.name().replace('-', " "))));
         let of_ends = ends.into_iter().filter_map(|end| {
             let glyph = Glyph::of_end(end)?;
             Some((glyph, glyph::end_label(end).to_owned()))
