docs/CONFIGURATION.md, held against the programs

Cause: fields, units, defaults and limits stood only in the code. Ruled out: generating the page (no room for meaning); comparing names alone, which lets defaults and limits drift.

--- /dev/null
+++ b/tools/tests/configuration_doc.rs
@@ -0,0 +1,258 @@
+//! docs/CONFIGURATION.md against the documents that the programs read: every field stands in it,
+//! with the default that is taken and the limits that are kept.
+
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::fmt::Debug;
+use std::path::Path;
+use sycamore_core::config::validate;
+use sycamore_core::hash::Hash;
+use sycamore_core::member::VmList;
+use sycamore_node::settings::Settings;
+
+/// One row of a table.
+struct Row {
+    field: String,
+    default: String,
+    allowed: String,
+}
+
+/// A kind of document: its section in the page, its shortest valid form, one with every field,
+/// and how the programs read it. The reader returns the document as they hold it.
+struct Kind {
+    section: &'static str,
+    shortest: Value,
+    full: Value,
+    read: fn(&[u8]) -> Result<Value, String>,
+}
+
+fn text<E: Debug>(error: E) -> String {
+    format!("{error:?}")
+}
+
+fn read_settings(buf: &[u8]) -> Result<Value, String> {
+    serde_json::to_value(Settings::parse(buf).map_err(text)?).map_err(text)
+}
+
+fn read_in_force(buf: &[u8]) -> Result<Value, String> {
+    serde_json::to_value(validate::parse_in_force(buf).map_err(text)?).map_err(text)
+}
+
+fn read_preset(buf: &[u8]) -> Result<Value, String> {
+    let preset = validate::parse_body(buf).map_err(text)?;
+    validate::preset(&preset).map_err(text)?;
+    serde_json::to_value(preset).map_err(text)
+}
+
+fn read_vms(buf: &[u8]) -> Result<Value, String> {
+    serde_json::to_value(serde_json::from_slice::<VmList>(buf).map_err(text)?).map_err(text)
+}
+
+fn settings() -> Kind {
+    let shortest = json!({
+        "vm": "a", "region": "r", "zone": "z",
+        "listen": {"calls": "127.0.0.1:1", "gate": "127.0.0.1:2", "peers": "127.0.0.1:3",
+            "admin": "127.0.0.1:4"},
+        "platform_address": "127.0.0.1:9"
+    });
+    let mut full = shortest.clone();
+    full["target_address"] = "127.0.0.1:5".into();
+    full["platform_region"] = "r".into();
+    full["seeds"] = json!(["127.0.0.1:6"]);
+    full["scope"] = json!(["s"]);
+    full["limits"] = json!({});
+    full["log"] = json!({});
+    Kind { section: "Settings of a node", shortest, full, read: read_settings }
+}
+
+fn in_force() -> Kind {
+    let shortest = json!({"version": 1, "preset": "p", "digest": Hash::of(b"")});
+    let full = shortest.clone();
+    Kind { section: "The publication in force", shortest, full, read: read_in_force }
+}
+
+fn preset() -> Kind {
+    let target = json!({"vm": "a", "region": "r", "zone": "z", "gate": "127.0.0.1:2"});
+    let route = json!({"path_prefix": "/", "service": "NAME", "idempotent": true});
+    let shortest = json!({
+        "name": "p",
+        "services": {"NAME": {"targets": [target]}},
+        "routes": {"NAME": route}
+    });
+    let mut full = shortest.clone();
+    full["services"]["NAME"]["limits"] = json!({});
+    full["parts"] = json!([{"key": "part/1", "digest": Hash::of(b"")}]);
+    Kind { section: "A preset", shortest, full, read: read_preset }
+}
+
+fn vms() -> Kind {
+    let vm = json!({"vm": "a", "region": "r", "zone": "z", "peers": "127.0.0.1:3",
+        "admin": "127.0.0.1:4", "state": "live"});
+    let shortest = json!({"vms": [vm]});
+    let full = shortest.clone();
+    Kind { section: "The VM lists", shortest, full, read: read_vms }
+}
+
+fn kinds() -> [Kind; 4] {
+    [settings(), in_force(), preset(), vms()]
+}
+
+impl Kind {
+    fn rows(&self) -> Vec<Row> {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/CONFIGURATION.md");
+        let page = std::fs::read_to_string(path).unwrap();
+        let section = page.split("\n## ").find(|part| part.starts_with(self.section)).unwrap();
+        let row = |line: &str| {
+            let cells: Vec<_> = line.strip_prefix("| `")?.split(" | ").collect();
+            let plain = |cell: &str| cell.trim_matches('`').to_owned();
+            let allowed = cells[2].to_owned();
+            Some(Row { field: plain(cells[0]), default: plain(cells[1]), allowed })
+        };
+        section.lines().filter_map(row).collect()
+    }
+
+    fn read(&self, document: &Value) -> Result<Value, String> {
+        (self.read)(document.to_string().as_bytes())
+    }
+
+    /// Whether the document is accepted with this field set.
+    fn accepts(&self, field: &str, value: u128) -> bool {
+        let mut document = self.full.clone();
+        // Larger than any integer of the format: written as text and read back by serde.
+        let value = serde_json::from_str(&value.to_string()).unwrap();
+        // The connections limit follows the slots.
+        if field.ends_with("limits.slots") {
+            set(&mut document, &field.replace("slots", "connections"), json!(10_000));
+        }
+        set(&mut document, field, value);
+        self.read(&document).is_ok()
+    }
+}
+
+fn pointer(field: &str) -> String {
+    format!("/{}", field.replace("[]", ".0").replace('.', "/"))
+}
+
+/// Sets a field, and makes the objects on the way to it.
+fn set(document: &mut Value, field: &str, value: Value) {
+    let path = pointer(field);
+    let (parent, name) = path.rsplit_once('/').unwrap();
+    let parent = document.pointer_mut(parent).unwrap_or_else(|| panic!("{field}"));
+    parent[name] = value;
+}
+
+/// Paths of all values that are no objects; lists stand for themselves and by their elements.
+fn fields(prefix: &str, value: &Value, found: &mut BTreeSet<String>) {
+    let path = |name: &str| match prefix {
+        "" => name.to_owned(),
+        _ => format!("{prefix}.{name}"),
+    };
+    match value {
+        Value::Object(map) => {
+            if map.contains_key("NAME") {
+                found.insert(prefix.to_owned());
+            }
+            map.iter().for_each(|(name, inner)| fields(&path(name), inner, found));
+        }
+        Value::Array(list) => {
+            found.insert(prefix.to_owned());
+            list.iter().for_each(|inner| fields(&format!("{prefix}[]"), inner, found));
+        }
+        _ => {
+            found.insert(prefix.to_owned());
+        }
+    }
+}
+
+fn number(text: &str) -> Option<u128> {
+    text.replace(',', "").parse().ok()
+}
+
+#[test]
+fn page_lists_every_field() {
+    for kind in kinds() {
+        let held = kind.read(&kind.full).unwrap();
+        let mut known = BTreeSet::new();
+        fields("", &held, &mut known);
+        let rows = kind.rows();
+        let listed: BTreeSet<_> = rows.iter().map(|row| row.field.clone()).collect();
+        assert_eq!(listed, known, "{}", kind.section);
+        assert_eq!(rows.len(), listed.len(), "{}: a field stands twice", kind.section);
+    }
+}
+
+#[test]
+fn page_states_defaults() {
+    for kind in kinds() {
+        let held = kind.read(&kind.shortest).unwrap();
+        for row in kind.rows() {
+            let found = held.pointer(&pointer(&row.field));
+            let value = found.filter(|value| !value.is_null());
+            let expected = match row.default.as_str() {
+                // An element has no default, but its list does.
+                "none" => None,
+                "required" => {
+                    assert_required(&kind, &row.field);
+                    continue;
+                }
+                "[]" => {
+                    let empty = value.is_none_or(|value| *value == json!([]));
+                    assert!(empty, "{}", row.field);
+                    continue;
+                }
+                text => Some(number(text).map_or(json!(text), |n| json!(n as u64))),
+            };
+            assert_eq!(value.cloned(), expected, "{}: {}", kind.section, row.field);
+        }
+    }
+}
+
+fn assert_required(kind: &Kind, field: &str) {
+    let mut document = kind.full.clone();
+    let path = pointer(field);
+    let (parent, name) = path.rsplit_once('/').unwrap();
+    let parent = document.pointer_mut(parent).and_then(Value::as_object_mut).unwrap();
+    assert!(parent.remove(name).is_some(), "{field}");
+    assert!(kind.read(&document).is_err(), "{}: {field} may be left out", kind.section);
+}
+
+#[test]
+fn page_states_limits() {
+    let mut checked = 0;
+    for kind in kinds() {
+        for row in kind.rows() {
+            let Some((low, high)) = row.allowed.split_once(" to ") else {
+                continue;
+            };
+            // The one limit that follows another field, at its default here.
+            let low = if low == "`slots`" { "12" } else { low };
+            let (low, high) = (number(low).unwrap(), number(high).unwrap());
+            for value in [low, high] {
+                assert!(kind.accepts(&row.field, value), "{} = {value}", row.field);
+            }
+            for value in [low.checked_sub(1), high.checked_add(1)].into_iter().flatten() {
+                assert!(!kind.accepts(&row.field, value), "{} = {value}", row.field);
+            }
+            checked += 1;
+        }
+    }
+    assert!(checked > 15, "only {checked} rows state limits");
+}
+
+#[test]
+fn page_states_choices() {
+    for kind in kinds() {
+        for row in kind.rows() {
+            let choices: Vec<_> = row.allowed.split('`').skip(1).step_by(2).collect();
+            if choices.len() < 2 || row.allowed.contains(" to ") {
+                continue;
+            }
+            for choice in choices {
+                let mut document = kind.full.clone();
+                let value = serde_json::from_str(choice).unwrap_or_else(|_| json!(choice));
+                set(&mut document, &row.field, value);
+                assert!(kind.read(&document).is_ok(), "{} = {choice}", row.field);
+            }
+        }
+    }
+}
