--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -122,6 +122,8 @@
     TooManyConnections = 465,
     /// the key belongs to a different request
     KeyReused = 466,
+    /// calls were still running at the limit of the planned stop, and were cut
+    DrainCutCalls = 467,
     // 500 to 599: tools.
     /// a node does not answer
     NodeUnreachable = 501,
--- a/node/src/app.rs
+++ b/node/src/app.rs
@@ -43,6 +43,9 @@
     /// Calls are served by several threads; messages to peers, the platform and operators by the
     /// calling thread alone, since Cap'n Proto RPC works on one thread.
     pub fn run(self) -> Result<()> {
+        // Before any call is taken: until then a signal ends the process at once.
+        let signals = Signals::new([Signal::Term, Signal::Int])
+            .map_err(|e| Fault::new(Code::ListenFailed).with_place("signals").with_detail(e))?;
         let shared = Shared::new(self.settings, self.clock);
         let executor = Arc::new(Executor::new());
         let (stop, stopped) = async_channel::bounded::<()>(1);
@@ -54,26 +57,23 @@
                 scope.spawn(|| future::block_on(executor.run(stopped.recv())));
             }
             let local = LocalExecutor::new();
-            let result = future::block_on(local.run(async {
+            future::block_on(local.run(async {
                 let calls = calls::start(shared.clone(), listeners, executor.clone());
                 let control = spread::start(shared.clone(), peers, calls.clone(), &local);
                 local.spawn(admin::serve(shared.clone(), operators)).detach();
-                wait_for_stop(&shared).await?;
+                wait_for_stop(&shared, signals).await;
                 control.announce_leaving();
                 drain(&shared, &calls).await;
-                Ok(())
             }));
             drop(stop);
             shared.record(Event::new(shared.clock.now(), EventKind::Stopped));
-            result
-        })
+        });
+        Ok(())
     }
 }
 
 /// Waits for a signal or an operator's `POST /drain`.
-async fn wait_for_stop(shared: &Arc<Shared>) -> Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int])
-        .map_err(|e| Fault::new(Code::ListenFailed).with_place("signals").with_detail(e))?;
+async fn wait_for_stop(shared: &Arc<Shared>, mut signals: Signals) {
     let signal = async {
         signals.next().await;
     };
@@ -84,7 +84,6 @@
     };
     future::or(signal, asked).await;
     shared.start_draining();
-    Ok(())
 }
 
 /// Waits until every call has ended, or the service's limit for a planned stop has passed.
@@ -98,5 +97,9 @@
         }
         shared.clock.sleep(DRAIN_POLL).await;
     }
-    shared.record(Event::new(shared.clock.now(), EventKind::Drained));
+    let drained = Event::new(shared.clock.now(), EventKind::Drained);
+    shared.record(match shared.calls_open() {
+        0 => drained,
+        _ => drained.with_code(Code::DrainCutCalls),
+    });
 }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Counters and gauges of a node, in Prometheus' text form.
 
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+mod families;
+
+use families::Families;
+use prometheus::{IntCounter, IntCounterVec, IntGauge};
 use sycamore_core::Time;
 use sycamore_core::event::{Event, EventKind};
 use sycamore_core::status::Status;
@@ -8,7 +11,7 @@
 /// Counters and gauges of a node.
 #[derive(Debug)]
 pub struct Metrics {
-    registry: Registry,
+    families: Families,
     /// The version in force.
     pub version_in_force: IntGauge,
     /// The newest version heard of; above `version_in_force` while it is fetched, or if it was
@@ -18,6 +21,9 @@
     pub in_force_since_seconds: IntGauge,
     /// When the process started, in seconds since the Unix epoch.
     pub started_seconds: IntGauge,
+    /// Whether a peer has been asked about the version in force since the start or the last pause:
+    /// 0 or 1.
+    pub confirmed: IntGauge,
     /// Whether the platform left this node's last call to it without an answer: 0 or 1.
     pub platform_silent: IntGauge,
     /// Whether the node takes calls: 0 or 1.
@@ -51,50 +57,46 @@
 impl Metrics {
     /// A fresh set, registered in a registry of its own.
     pub fn new() -> Metrics {
-        let registry = Registry::new();
-        let r = &registry;
+        let mut families = Families::new();
+        let r = &mut families;
         Metrics {
-            version_in_force: gauge(r, "version_in_force", "Version in force."),
-            newest_version_heard: gauge(r, "newest_version_heard", "Newest version heard of."),
-            in_force_since_seconds: gauge(
-                r,
+            version_in_force: r.gauge("version_in_force", "Version in force."),
+            newest_version_heard: r.gauge("newest_version_heard", "Newest version heard of."),
+            in_force_since_seconds: r.gauge(
                 "in_force_since_seconds",
                 "When the version in force came into force, Unix time; 0 for never.",
             ),
-            started_seconds: gauge(r, "started_seconds", "When the process started, Unix time."),
-            platform_silent: gauge(
-                r,
+            started_seconds: r.gauge("started_seconds", "When the process started, Unix time."),
+            confirmed: r.gauge("confirmed", "Whether a peer confirmed the version in force."),
+            platform_silent: r.gauge(
                 "platform_silent",
                 "Whether the platform left the last call without an answer.",
             ),
-            ready: gauge(r, "ready", "Whether the node takes calls."),
-            draining: gauge(r, "draining", "Whether the node takes no new work."),
-            calls_open: gauge(r, "calls_open", "Calls being served."),
+            ready: r.gauge("ready", "Whether the node takes calls."),
+            draining: r.gauge("draining", "Whether the node takes no new work."),
+            calls_open: r.gauge("calls_open", "Calls being served."),
             events: event_counters(r),
-            outcomes: counters(r, "outcomes_total", "Outcomes of calls.", &["outcome", "code"]),
-            attempts: counters(r, "attempts_total", "Attempts forwarded.", &["kind"]),
-            refusals: counters(r, "refusals_total", "Requests not run.", &["code"]),
-            in_flight: gauge(r, "in_flight", "Requests that the target runs now."),
-            queued: gauge(r, "queued", "Requests that wait for the target."),
-            control_bytes: counters(
-                r,
+            outcomes: r.counters("outcomes_total", "Outcomes of calls.", &["outcome", "code"]),
+            attempts: r.counters("attempts_total", "Attempts forwarded.", &["kind"]),
+            refusals: r.counters("refusals_total", "Requests not run.", &["code"]),
+            in_flight: r.gauge("in_flight", "Requests that the target runs now."),
+            queued: r.gauge("queued", "Requests that wait for the target."),
+            control_bytes: r.counters(
                 "control_bytes_total",
                 "Bytes of control traffic sent.",
                 &["link"],
             ),
-            control_messages: counters(
-                r,
+            control_messages: r.counters(
                 "control_messages_total",
                 "Messages sent to peers.",
                 &["link"],
             ),
-            platform_calls: counter(r, "platform_calls_total", "Calls to the platform."),
-            connections_refused: counter(
-                r,
+            platform_calls: r.counter("platform_calls_total", "Calls to the platform."),
+            connections_refused: r.counter(
                 "connections_refused_total",
                 "Connections refused because the limit was reached.",
             ),
-            registry,
+            families,
         }
     }
 
@@ -109,6 +111,7 @@
         self.newest_version_heard.set(status.newest_heard as i64);
         self.in_force_since_seconds.set(status.in_force_since.map_or(0, seconds));
         self.started_seconds.set(seconds(status.started));
+        self.confirmed.set(status.confirmed.into());
         self.platform_silent.set((status.platform_answers == Some(false)).into());
         self.ready.set(status.ready.into());
         self.draining.set(status.draining.into());
@@ -117,10 +120,12 @@
 
     /// Everything in Prometheus' text form.
     pub fn to_text(&self) -> Vec<u8> {
-        let mut buf = Vec::new();
-        // Writing to memory fails only for a family without metrics, which is left out.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
-        buf
+        self.families.to_text()
+    }
+
+    /// Names of all metrics, those without a value yet included.
+    pub fn names(&self) -> &[String] {
+        self.families.names()
     }
 }
 
@@ -130,36 +135,12 @@
     }
 }
 
-const PREFIX: &str = "sycamore";
-
-fn options(name: &str, help: &str) -> Opts {
-    Opts::new(name, help).namespace(PREFIX)
-}
-
-fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
-    let made = IntCounter::with_opts(options(name, help)).expect("the name is valid");
-    registry.register(Box::new(made.clone())).expect("the name is registered once");
-    made
-}
-
-fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    let made = IntCounterVec::new(options(name, help), labels).expect("the name is valid");
-    registry.register(Box::new(made.clone())).expect("the name is registered once");
-    made
-}
-
 /// Counters of changes of state. Every kind counts from zero, so that an alarm on a rise sees the
 /// first one.
-fn event_counters(registry: &Registry) -> IntCounterVec {
-    let made = counters(registry, "events_total", "Changes of state.", &["kind"]);
+fn event_counters(families: &mut Families) -> IntCounterVec {
+    let made = families.counters("events_total", "Changes of state.", &["kind"]);
     for kind in EventKind::ALL {
         made.with_label_values(&[kind.name()]);
     }
     made
 }
-
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let made = IntGauge::with_opts(options(name, help)).expect("the name is valid");
-    registry.register(Box::new(made.clone())).expect("the name is registered once");
-    made
-}
--- /dev/null
+++ b/node/src/metrics/families.rs
@@ -0,0 +1,60 @@
+//! Makes and registers families of metrics.
+
+use prometheus::core::Collector;
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// First word of every name.
+const NAMESPACE: &str = "sycamore";
+
+/// Registered families and their names.
+#[derive(Debug, Default)]
+pub struct Families {
+    registry: Registry,
+    names: Vec<String>,
+}
+
+impl Families {
+    /// No family yet.
+    pub fn new() -> Families {
+        Families::default()
+    }
+
+    /// A counter.
+    pub fn counter(&mut self, name: &str, help: &str) -> IntCounter {
+        self.register(IntCounter::with_opts(options(name, help)))
+    }
+
+    /// Counters by labels.
+    pub fn counters(&mut self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+        self.register(IntCounterVec::new(options(name, help), labels))
+    }
+
+    /// A gauge.
+    pub fn gauge(&mut self, name: &str, help: &str) -> IntGauge {
+        self.register(IntGauge::with_opts(options(name, help)))
+    }
+
+    /// Names of all families. The registry itself only tells of those that have a value.
+    pub fn names(&self) -> &[String] {
+        &self.names
+    }
+
+    /// Everything in Prometheus' text form.
+    pub fn to_text(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        // Writing to memory fails only for a family without metrics, which is left out.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
+        buf
+    }
+
+    fn register<T: Collector + Clone + 'static>(&mut self, made: prometheus::Result<T>) -> T {
+        let made = made.expect("the name is valid");
+        self.names.extend(made.desc().iter().map(|desc| desc.fq_name.clone()));
+        self.registry.register(Box::new(made.clone())).expect("the name is registered once");
+        made
+    }
+}
+
+fn options(name: &str, help: &str) -> Opts {
+    Opts::new(name, help).namespace(NAMESPACE)
+}
--- /dev/null
+++ b/node/tests/shell/configured.rs
@@ -0,0 +1,83 @@
+//! A node that takes a configuration from the platform's stand-in.
+
+use crate::process::{NodeProcess, settings};
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use sycamore_core::hash::Hash;
+use sycamore_standins::platform::{Platform, PlatformConfig, Store};
+
+/// A preset with one service on the VM of [`settings`].
+fn preset(gate: &Value) -> String {
+    let target = json!({"vm": "vm-1", "region": "alberta", "zone": "alberta-1", "gate": gate});
+    let service = json!({"limits": {"drain_ms": 1_000}, "targets": [target]});
+    let route = json!({"path_prefix": "/", "service": "ledgers", "idempotent": true,
+        "deadline_ms": 600_000});
+    let preset = json!({"name": "ordinary", "services": {"ledgers": service},
+        "routes": {"all": route}});
+    preset.to_string()
+}
+
+/// A platform with this preset in force as version 1, and one zone with one VM.
+fn platform(preset: &str, settings: &Value) -> SocketAddr {
+    let digest = Hash::of(preset.as_bytes());
+    let in_force = json!({"version": 1, "preset": "ordinary", "digest": digest});
+    let listen = &settings["listen"];
+    let vm = json!({"vm": "vm-1", "region": "alberta", "zone": "alberta-1",
+        "peers": listen["peers"], "admin": listen["admin"], "state": "live"});
+    let mut store = Store::new();
+    store.put("preset/ordinary", preset.to_owned().into());
+    store.put("zones", r#"{"zones":[{"region":"alberta","zone":"alberta-1"}]}"#.into());
+    store.put("vms/alberta-1", json!({"vms": [vm]}).to_string().into());
+    store.put("in-force", in_force.to_string().into());
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let cfg =
+        PlatformConfig { listen: vec![any], control: any, max_calls_per_second: 2_000, store };
+    Platform::spawn(cfg).unwrap().readers[0]
+}
+
+/// A node that is ready to take calls, and its settings.
+fn ready_node(target: SocketAddr) -> (NodeProcess, Value) {
+    let mut settings = settings();
+    let preset = preset(&settings["listen"]["gate"]);
+    settings["platform_address"] = platform(&preset, &settings).to_string().into();
+    settings["target_address"] = target.to_string().into();
+    let node = NodeProcess::start(&settings);
+    while !node.request("GET", "/ready").0.starts_with("HTTP/1.1 200") {
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    (node, settings)
+}
+
+#[test]
+fn status_after_configuration() {
+    let target = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (node, _) = ready_node(target.local_addr().unwrap());
+    let status = node.json("/status");
+    assert_eq!(status["in_force"]["version"], 1);
+    assert_eq!(status["newest_heard"], 1);
+    assert_eq!(status["platform_answers"], true);
+    assert!(status["in_force_since"].as_u64() >= status["started"].as_u64(), "{status}");
+    let metrics = node.request("GET", "/metrics").1;
+    assert!(metrics.contains("\nsycamore_version_in_force 1\n"), "{metrics}");
+    assert!(metrics.contains("\nsycamore_ready 1\n"), "{metrics}");
+}
+
+#[test]
+fn drain_limit_passed() {
+    // Story: a target hangs while its VM is stopped as planned. The stop ends at the service's
+    // limit and cuts the call. Without a word of that, the operator takes it for a clean stop.
+    let target = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut node, settings) = ready_node(target.local_addr().unwrap());
+    let mut caller = TcpStream::connect(settings["listen"]["calls"].as_str().unwrap()).unwrap();
+    caller.write_all(b"GET /season HTTP/1.1\r\nhost: ledgers\r\n\r\n").unwrap();
+    // The target has the request, and never answers.
+    let (mut taken, _) = target.accept().unwrap();
+    assert!(taken.read(&mut [0; 1]).unwrap() > 0);
+    node.signal(Signal::TERM);
+    assert_eq!(node.wait().code(), Some(0));
+    let log = node.log();
+    let line = log.lines().find(|line| line.contains("kind=drained")).unwrap();
+    assert!(line.contains("level=WARN") && line.contains("code=467"), "{log}");
+}
--- a/node/tests/shell/main.rs
+++ b/node/tests/shell/main.rs
@@ -2,4 +2,5 @@
 
 mod admin;
 mod command_line;
+mod configured;
 mod process;
