--- a/bench/src/stack.rs
+++ b/bench/src/stack.rs
@@ -95,12 +95,13 @@
     }
 
     /// Waits until every node takes calls, while `go_on` says so.
-    pub fn wait_until_ready(&self, go_on: impl Fn() -> io::Result<()>) -> io::Result<()> {
+    pub fn wait_until_ready(&mut self, go_on: impl Fn() -> io::Result<()>) -> io::Result<()> {
         let end = Instant::now() + START_LIMIT;
         let mut waiting: Vec<_> =
             self.nodes.keys().map(|vm| self.settings[vm].listen.admin).collect();
         while !waiting.is_empty() {
             go_on()?;
+            self.check_running()?;
             if Instant::now() >= end {
                 let detail = format!("not ready after {START_LIMIT:?}: {waiting:?}");
                 return Err(io::Error::other(detail));
@@ -111,6 +112,17 @@
         Ok(())
     }
 
+    /// Fails if a process has ended by itself. Another deployment on the same addresses would
+    /// otherwise be taken for this one.
+    fn check_running(&mut self) -> io::Result<()> {
+        let ended = self.standins.iter_mut().chain(self.nodes.values_mut()).any(Process::ended);
+        if ended {
+            let logs = self.output.display();
+            return Err(io::Error::other(format!("a process has ended, see the logs in {logs}")));
+        }
+        Ok(())
+    }
+
     /// Publishes a preset under a version. Returns when, in microseconds since the Unix epoch.
     pub fn publish(&self, version: u64, preset: &str, file: &str) -> io::Result<u64> {
         let body = std::fs::read(self.file(file))?;
--- a/tools/src/load/caller.rs
+++ b/tools/src/load/caller.rs
@@ -18,7 +18,7 @@
 /// has lost its request.
 const GRACE: Duration = Duration::from_secs(1);
 
-/// Wait before a resend if the refusal names none, or if the connection broke.
+/// Wait before a resend after a broken connection, and once no entry node can be reached.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(20);
 
 /// Wait before a resend of an impatient caller.
@@ -137,7 +137,7 @@
         let exchange = async { Some(entry.send(req).await) };
         let (result, next) = match future::or(exchange, timeout).await {
             Some(Ok(exchange)) => self.take(entry, exchange, end).await,
-            Some(Err(SendError::NotSent)) => resend(SendResult::NotSent),
+            Some(Err(SendError::NotSent)) => (SendResult::NotSent, self.next_entry()),
             Some(Err(SendError::Broken)) => resend(SendResult::Broken),
             None => (SendResult::TimedOut, Next::Final),
         };
@@ -147,6 +147,12 @@
         next
     }
 
+    /// A caller that can't reach one entry node tries the next at once, until it has tried all.
+    fn next_entry(&self) -> Next {
+        let tried_all = self.record.sends.len() + 1 >= self.entries.len();
+        Next::Resend(if tried_all { DEFAULT_RETRY_AFTER } else { Duration::ZERO })
+    }
+
     fn request(&self) -> Outgoing {
         let class = self.job.class;
         let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
