--- a/bench/src/fleet/fault.rs
+++ b/bench/src/fleet/fault.rs
@@ -1,12 +1,13 @@
 //! Faults and operators' acts, as a plan that a run carries out.
 
 use super::platform::Health;
-use super::{Event, Fleet};
+use super::{Fleet, Happening};
 use crate::history::Record;
 use crate::links::PLATFORM_ZONE;
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
+use sycamore_core::member::VmState;
 use sycamore_core::spread::PeerMsg;
 
 /// What an operator publishes.
@@ -37,7 +38,7 @@
     StartStopped,
     /// These processes don't run for a while, and then go on.
     Pause(Vec<usize>, Duration),
-    /// This process takes messages and never answers, or answers again.
+    /// This process takes questions and never answers, or answers again.
     Silence(usize, bool),
     /// What this process sends does not match its hash, or does again.
     Lie(usize, bool),
@@ -53,6 +54,8 @@
     Platform(Health),
     /// The platform answers with a state so many changes ago.
     PlatformBack(u64),
+    /// The platform's list says so of these VMs; `None` leaves them out.
+    List(Vec<usize>, Option<VmState>),
     /// Links lose so many messages in a million, and delay some.
     Trouble(u32, u32),
     /// Every running node must hold at least this version by now.
@@ -97,6 +100,7 @@
                 let index = self.platform.index().saturating_sub(changes);
                 self.platform.set_health(Health::AsOf(index));
             }
+            Action::List(nodes, state) => self.list(&nodes, state),
             Action::Trouble(loss_ppm, jitter_percent) => {
                 let profile = self.setup.profile.with_trouble(loss_ppm, jitter_percent);
                 self.links.set_profile(profile);
@@ -110,6 +114,17 @@
         }
     }
 
+    fn list(&mut self, nodes: &[usize], state: Option<VmState>) {
+        for node in nodes {
+            self.listed[*node] = state;
+        }
+        let mut zones: Vec<u16> = nodes.iter().map(|node| self.site(*node).zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones.into_iter().for_each(|zone| self.publish_list(zone));
+        self.answer_watches();
+    }
+
     fn record_due(&mut self, version: u64) {
         self.history.push(Record::Due { at: self.links.now(), version });
     }
@@ -140,7 +155,7 @@
         let now = self.links.now();
         if self.slots[node].is_running() {
             self.slots[node].pause(now);
-            self.links.after(span, Event::Resume(node));
+            self.links.after(span, Happening::Resume(node));
         }
     }
 
--- a/bench/src/fleet/slot.rs
+++ b/bench/src/fleet/slot.rs
@@ -78,7 +78,7 @@
     pub since: Option<Time>,
     /// What the decider shows on `/status`.
     pub view: Option<View>,
-    /// Whether it takes messages and never answers.
+    /// Whether it takes questions and never answers.
     pub silent: bool,
     /// Whether what it sends does not match its hash.
     pub lies: bool,
