bench: a region cut within itself leaves each zone whole

Cause: CutRegions(a, a) also cut a zone from itself, which no network does. Change: pairs of one zone are left out.

--- a/bench/src/fleet/fault.rs
+++ b/bench/src/fleet/fault.rs
@@ -46,7 +46,7 @@
     Cut(u16, Option<u16>),
     /// No traffic between a zone and every other zone.
     CutZone(u16),
-    /// No traffic between two regions.
+    /// No traffic between two regions, or between the zones of one.
     CutRegions(u16, u16),
     /// Every link works again.
     HealLinks,
@@ -188,7 +188,7 @@
             (0..size.zones as u16).filter(move |zone| size.place_of(*zone).region == region)
         };
         for zone in zones(a) {
-            for other in zones(b) {
+            for other in zones(b).filter(|other| *other != zone) {
                 self.cut(zone, other);
             }
         }
