--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -394,7 +394,7 @@
                     self.events.push((node, event));
                 }
             }
-            Output::Note { .. } | Output::Members(_) | Output::Refused(_) => {}
+            Output::Confirmed | Output::Note { .. } | Output::Members(_) | Output::Refused(_) => {}
         }
     }
 
