--- a/node/src/spread/codec.rs
+++ b/node/src/spread/codec.rs
@@ -18,6 +18,9 @@
 
 type Result<T> = std::result::Result<T, Error>;
 
+/// Bytes of a call without its message, 112, of its empty return, 72, and of the finish, 40.
+const CALL_BYTES: u64 = 112 + 72 + 40;
+
 fn invalid(what: &str) -> Error {
     Error::failed(format!("{what} is not valid"))
 }
@@ -82,6 +85,14 @@
     Ok(())
 }
 
+/// Bytes that a message takes on the wire, with the call, return and finish of Cap'n Proto RPC
+/// that carry it.
+pub fn size(msg: &PeerMsg, payloads: &mut Payloads) -> Result<u64> {
+    let mut message = capnp::message::Builder::new_default();
+    write(msg, payloads, message.init_root())?;
+    Ok(CALL_BYTES + (message.size_in_words() * size_of::<capnp::Word>()) as u64)
+}
+
 /// Reads a message.
 pub fn read(from: wire::message::Reader<'_>) -> Result<PeerMsg> {
     use wire::message::Which;
