Notes between homes find their node by the version in force

Cause: a note about keys went to an address from the platform's VM lists. A target of another zone that a version dropped had no address at all, so that its keys were refused for ever. Ruled out: slow answers of the old homes; the notes waited for the list in core/src/spread. Change: a target's document names its peers' address; dropped targets are remembered (bounded), and the list of their zone is read, since only it can say that such a VM is gone. Seen failing: spread_notes, with the memory of dropped targets taken out: 'left: 14, right: 18'.

--- a/bench/src/fleet/workload.rs
+++ b/bench/src/fleet/workload.rs
@@ -249,6 +249,7 @@
             region: region_name(site.region),
             zone: zone_name(site.zone),
             gate: address(node, 7_002),
+            peers: address(node, 7_003),
         });
     }
     preset
--- a/core/src/config/document.rs
+++ b/core/src/config/document.rs
@@ -62,6 +62,8 @@
         pub zone: Name,
         /// Address on which that VM's node takes forwarded calls.
         pub gate: SocketAddr,
+        /// Address on which that VM's node takes messages from peers.
+        pub peers: SocketAddr,
     }
 
     /// Limits of each target of a service. Times are in milliseconds.
--- a/core/src/spread.rs
+++ b/core/src/spread.rs
@@ -22,6 +22,7 @@
 mod fetch;
 mod join;
 mod members;
+mod notes;
 mod reading;
 mod serve;
 mod source;
@@ -78,7 +79,8 @@
     /// Peers that answered the first questions: parents for a node that has no list to take one
     /// from, as when the platform is down at its start.
     acquainted: Vec<Peer>,
-    /// Zones whose lists are read because notes go there.
+    dropped: notes::Dropped,
+    /// Zones whose lists are read because a target there was dropped and may have failed.
     extra_zones: Vec<crate::place::Place>,
     newest_heard: u64,
     came_from: Option<Name>,
@@ -115,6 +117,7 @@
             snapshot: None,
             scope_at: Time::ZERO,
             acquainted: Vec::new(),
+            dropped: notes::Dropped::default(),
             extra_zones: Vec::new(),
             newest_heard: 0,
             came_from: None,
--- a/core/src/spread/limits.rs
+++ b/core/src/spread/limits.rs
@@ -151,6 +151,9 @@
 /// Zones whose list is read because a note goes there.
 pub const MAX_EXTRA_ZONES: usize = 64;
 
+/// Dropped targets whose address is remembered.
+pub const MAX_DROPPED: usize = 1_024;
+
 /// Pause between two readings of the list of a zone that notes go to.
 pub const EXTRA_PAUSE: Duration = Duration::from_secs(60);
 
--- a/core/src/spread/serve.rs
+++ b/core/src/spread/serve.rs
@@ -1,11 +1,10 @@
 //! Taking messages and answering them.
 
 use super::Spread;
-use super::limits::{MAX_EXTRA_ZONES, MAX_LIST_VMS, MAX_LISTS};
+use super::limits::{MAX_LIST_VMS, MAX_LISTS};
 use super::message::{Ask, PeerMsg, Ping, Pong, Pull, ZoneList, ZonesList};
 use super::port::{Output, Peer};
 use crate::Time;
-use crate::call::note::OutgoingNote;
 use crate::config::Scope;
 use std::sync::Arc;
 
@@ -119,20 +118,4 @@
             self.lists_changed();
         }
     }
-
-    /// Sends a note of the call path. A note to a VM in no list is dropped, and the list of its
-    /// zone is read: whoever waits for the note's effect asks again.
-    pub(super) fn send_note(&mut self, note: OutgoingNote, out: &mut Vec<Output>) {
-        if let Some(member) = self.members.find(&note.to) {
-            let peer = super::topology::peer(member);
-            self.send(&peer, PeerMsg::Note(note.note), out);
-            return;
-        }
-        let Some(snapshot) = &self.snapshot else { return };
-        let Some(key) = snapshot.target_on(&note.to) else { return };
-        let place = snapshot.target(key).target.place();
-        if !self.extra_zones.contains(&place) && self.extra_zones.len() < MAX_EXTRA_ZONES {
-            self.extra_zones.push(place);
-        }
-    }
 }
--- a/core/tests/call_entry.rs
+++ b/core/tests/call_entry.rs
@@ -24,7 +24,7 @@
     let target = |text: &&str| {
         let parts: Vec<&str> = text.split('/').collect();
         format!(
-            r#"{{"vm":"{}","region":"{}","zone":"{}","gate":"127.0.0.1:1"}}"#,
+            r#"{{"vm":"{}","region":"{}","zone":"{}","gate":"127.0.0.1:1","peers":"127.0.0.1:9"}}"#,
             parts[0], parts[1], parts[2]
         )
     };
--- a/core/tests/call_homes.rs
+++ b/core/tests/call_homes.rs
@@ -22,8 +22,11 @@
 }
 
 fn snapshot(version: u64, vms: &[&str]) -> Arc<Snapshot> {
-    let target =
-        |vm: &&str| format!(r#"{{"vm":"{vm}","region":"r","zone":"z","gate":"127.0.0.1:1"}}"#);
+    let target = |vm: &&str| {
+        format!(
+            r#"{{"vm":"{vm}","region":"r","zone":"z","gate":"127.0.0.1:1","peers":"127.0.0.1:9"}}"#
+        )
+    };
     let targets: Vec<String> = vms.iter().map(target).collect();
     let text = format!(
         r#"{{"name":"p","services":{{"s":{{"targets":[{}]}}}},"routes":{{
--- a/core/tests/config.rs
+++ b/core/tests/config.rs
@@ -5,7 +5,7 @@
 use sycamore_core::hash::Hash;
 
 const PRESET: &str = r#"{"name":"ordinary","services":{"roster":{"targets":[
-{"vm":"a","region":"r","zone":"z","gate":"127.0.0.1:1"}]}},
+{"vm":"a","region":"r","zone":"z","gate":"127.0.0.1:1","peers":"127.0.0.1:9"}]}},
 "routes":{"rosters":{"path_prefix":"/rosters","service":"roster","idempotent":true}}}"#;
 
 fn publication(body: &str) -> InForce {
@@ -72,7 +72,7 @@
 fn preset_name_repeated() {
     // Story: two changes that add a service of the same name are merged. A reader that lets the
     // later one win drops the targets of the first without a word, and its calls get no answer.
-    let again = r#""roster":{"targets":[{"vm":"b","region":"r","zone":"z","gate":"127.0.0.1:2"}]}"#;
+    let again = r#""roster":{"targets":[{"vm":"b","region":"r","zone":"z","gate":"127.0.0.1:2","peers":"127.0.0.1:9"}]}"#;
     let body = PRESET.replace(r#""services":{"#, &format!(r#""services":{{{again},"#));
     assert_eq!(check(&body), Err(Code::DocumentInvalid));
 }
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -10,7 +10,7 @@
 use sycamore_core::{Name, Time};
 
 const BODY: &str = r#"{"name":"ordinary","services":{"roster":{"targets":[
-{"vm":"a","region":"r","zone":"z","gate":"127.0.0.1:1"}]}},
+{"vm":"a","region":"r","zone":"z","gate":"127.0.0.1:1","peers":"127.0.0.1:9"}]}},
 "routes":{"rosters":{"path_prefix":"/rosters","service":"roster","idempotent":true}}}"#;
 
 fn name(text: &'static str) -> Name {
--- a/core/tests/support/fleet.rs
+++ b/core/tests/support/fleet.rs
@@ -92,8 +92,8 @@
 pub fn preset(mark: u32) -> String {
     format!(
         r#"{{"name":"ordinary","services":{{
-"roster":{{"limits":{{"slots":{}}},"targets":[{{"vm":"a-0","region":"r1","zone":"a","gate":"127.0.0.1:1"}}]}},
-"maps":{{"targets":[{{"vm":"b-0","region":"r1","zone":"b","gate":"127.0.0.1:2"}}]}}}},
+"roster":{{"limits":{{"slots":{}}},"targets":[{{"vm":"a-0","region":"r1","zone":"a","gate":"127.0.0.1:1","peers":"127.0.0.1:9"}}]}},
+"maps":{{"targets":[{{"vm":"b-0","region":"r1","zone":"b","gate":"127.0.0.1:2","peers":"127.0.0.1:9"}}]}}}},
 "routes":{{"rosters":{{"path_prefix":"/rosters","service":"roster","idempotent":true}},
 "maps":{{"path_prefix":"/maps","service":"maps","idempotent":true}}}}}}"#,
         mark % 100 + 1
--- a/node/tests/shell/configured.rs
+++ b/node/tests/shell/configured.rs
@@ -10,7 +10,7 @@
 
 /// A preset with one service on the VM of [`settings`].
 fn preset(gate: &Value) -> String {
-    let target = json!({"vm": "vm-1", "region": "alberta", "zone": "alberta-1", "gate": gate});
+    let target = json!({"vm": "vm-1", "region": "alberta", "zone": "alberta-1", "gate": gate, "peers": "127.0.0.1:9"});
     let service = json!({"limits": {"drain_ms": 1_000}, "targets": [target]});
     let route = json!({"path_prefix": "/", "service": "ledgers", "idempotent": true,
         "deadline_ms": 600_000});
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -220,7 +220,7 @@
 /// A preset with one service, `/idem` and `/once` routes, and these targets.
 pub fn preset(limits: &str, targets: &[(&str, SocketAddr)]) -> String {
     let target = |(vm, gate): &(&str, SocketAddr)| {
-        format!(r#"{{"vm":"{vm}","region":"r","zone":"z","gate":"{gate}"}}"#)
+        format!(r#"{{"vm":"{vm}","region":"r","zone":"z","gate":"{gate}","peers":"127.0.0.1:9"}}"#)
     };
     let targets: Vec<String> = targets.iter().map(target).collect();
     format!(
--- a/standins/src/example/presets.rs
+++ b/standins/src/example/presets.rs
@@ -1,6 +1,6 @@
 //! The presets of both deployments: what differs between ordinary days, peaks and maintenance.
 
-use super::deployment::{Deployment, GATE_PORT, RouteRow};
+use super::deployment::{Deployment, GATE_PORT, PEERS_PORT, RouteRow};
 use indexmap::IndexMap;
 use sycamore_core::Name;
 use sycamore_core::config::{Class, Preset, Route, Service, ServiceLimits, Target};
@@ -91,6 +91,7 @@
             region: to_name(vm.region),
             zone: to_name(&vm.zone),
             gate: vm.at(GATE_PORT),
+            peers: vm.at(PEERS_PORT),
         })
         .collect()
 }
--- a/tools/tests/check.rs
+++ b/tools/tests/check.rs
@@ -10,8 +10,8 @@
 
 const PRESET: &str = r#"{"name":"ordinary",
 "services":{"roster":{"limits":{"slots":12},"targets":[
-{"vm":"a","region":"hills","zone":"h1","gate":"127.0.0.1:1"},
-{"vm":"b","region":"hills","zone":"h2","gate":"127.0.0.2:1"}]}},
+{"vm":"a","region":"hills","zone":"h1","gate":"127.0.0.1:1","peers":"127.0.0.1:9"},
+{"vm":"b","region":"hills","zone":"h2","gate":"127.0.0.2:1","peers":"127.0.0.1:9"}]}},
 "routes":{"rosters":{"path_prefix":"/rosters","service":"roster","idempotent":true}}}"#;
 
 /// A directory with files in it, and the tool run among them.
@@ -255,7 +255,7 @@
 }
 
 const PART: &str = r#"{"services":{"maps":{"targets":[
-{"vm":"m","region":"hills","zone":"h1","gate":"127.0.0.3:1"}]}}}"#;
+{"vm":"m","region":"hills","zone":"h1","gate":"127.0.0.3:1","peers":"127.0.0.1:9"}]}}}"#;
 
 fn preset_with_part() -> String {
     let part = format!(r#""parts":[{{"key":"part/maps","digest":"{}"}}],"#, part_digest());
--- a/tools/tests/configuration_doc.rs
+++ b/tools/tests/configuration_doc.rs
@@ -72,7 +72,7 @@
 }
 
 fn preset() -> Kind {
-    let target = json!({"vm": "a", "region": "r", "zone": "z", "gate": "127.0.0.1:2"});
+    let target = json!({"vm": "a", "region": "r", "zone": "z", "gate": "127.0.0.1:2", "peers": "127.0.0.1:9"});
     let route = json!({"path_prefix": "/", "service": "NAME", "idempotent": true});
     let shortest = json!({
         "name": "p",
