--- /dev/null
+++ b/node/tests/calls_fleet.rs
@@ -0,0 +1,176 @@
+//! Several nodes and targets over loopback sockets.
+
+#[path = "support/calls.rs"]
+mod support;
+
+use std::net::TcpListener;
+use support::*;
+use sycamore_core::Name;
+use sycamore_core::call::RequestKey;
+use sycamore_core::call::note::HomeList;
+
+/// Targets and the nodes beside them, all on version 1, with notes between them.
+struct Fleet {
+    targets: Vec<Target>,
+    nodes: Vec<Node>,
+}
+
+const VMS: [&str; 3] = ["a", "b", "c"];
+
+impl Fleet {
+    fn new(limits: &str) -> Fleet {
+        let targets: Vec<Target> = VMS.iter().map(|_| Target::new()).collect();
+        let node = |(vm, target): (&&str, &Target)| Node::new(vm, Some(target.address));
+        let nodes: Vec<Node> = VMS.iter().zip(&targets).map(node).collect();
+        let fleet = Fleet { targets, nodes };
+        carry_notes(&fleet.nodes.iter().collect::<Vec<_>>());
+        fleet.configure(1, limits, &[0, 1, 2]);
+        fleet
+    }
+
+    fn configure(&self, version: u64, limits: &str, listed: &[usize]) {
+        let targets: Vec<_> = listed.iter().map(|at| (VMS[*at], self.nodes[*at].gate)).collect();
+        let preset = preset(limits, &targets);
+        self.nodes.iter().for_each(|node| node.configure(version, &preset));
+    }
+
+    fn ran(&self, part: &str) -> usize {
+        self.targets.iter().map(|target| target.ran(part)).sum()
+    }
+
+    /// Waits until signings are taken at every home.
+    fn wait_for_homes(&self) {
+        for at in 0..VMS.len() {
+            eventually("keys are taken", || {
+                let probe = sign("/once/probe", &key_at_home(&[0, 1, 2], at), "");
+                call(self.nodes[0].entry, &probe).outcome() == "answered"
+            });
+        }
+    }
+}
+
+/// A new key whose home is the VM at this place among the listed ones.
+fn key_at_home(listed: &[usize], home: usize) -> String {
+    let vms = listed.iter().map(|at| Name::new(VMS[*at]).unwrap()).collect();
+    let list = HomeList { version: 1, vms };
+    loop {
+        let key = key();
+        let parsed = RequestKey::parse(key.as_bytes()).unwrap();
+        if list.home_of(parsed).unwrap().as_str() == VMS[home] {
+            return key;
+        }
+    }
+}
+
+#[test]
+fn retry_past_dead_node() {
+    // Story: a node dies without a word. Lookups sent to it go elsewhere at once.
+    let (target, node) = single("{}");
+    let dead = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    node.configure(2, &preset("{}", &[("a", node.gate), ("b", dead)]));
+    for _ in 0..30 {
+        assert_eq!(call(node.entry, &get("/idem")).outcome(), "answered");
+    }
+    assert_eq!(target.log().len(), 30);
+}
+
+#[test]
+fn retry_past_broken_target() {
+    let fleet = Fleet::new("{}");
+    let answer = call(fleet.nodes[0].entry, &get("/idem/break"));
+    assert_eq!((answer.outcome(), answer.code()), ("unknown", Some(461)));
+    // Two targets broke; a third must not run it.
+    assert_eq!(fleet.ran("/idem/break"), 2);
+    eventually("all gatekeepers know", || {
+        let answer = call(fleet.nodes[1].entry, &get("/idem/break"));
+        (answer.outcome(), answer.code()) == ("not-run", Some(456))
+    });
+    assert_eq!(fleet.ran("/idem/break"), 2);
+    assert_eq!(call(fleet.nodes[1].entry, &get("/idem/other")).outcome(), "answered");
+}
+
+#[test]
+fn once_over_other_entry() {
+    // Story: the entry node dies with the answer in flight; the caller resends its signing through
+    // another node and gets the answer of the one run.
+    let fleet = Fleet::new("{}");
+    fleet.wait_for_homes();
+    let key = key();
+    let answers: Vec<String> = fleet
+        .nodes
+        .iter()
+        .map(|node| call(node.entry, &sign("/once/sign", &key, "bales")))
+        .map(|answer| format!("{} {}", answer.outcome(), answer.text()))
+        .collect();
+    assert!(answers[0].starts_with("answered"), "{answers:?}");
+    assert!(answers.iter().all(|answer| *answer == answers[0]), "{answers:?}");
+    assert_eq!(fleet.ran("/once/sign"), 1);
+}
+
+#[test]
+fn once_home_moves() {
+    // Story: a version takes a target out. Its keys move to new homes: a signing that ran at the
+    // old one is not run again, and new signings are taken as soon as the old home has let go.
+    let fleet = Fleet::new("{}");
+    fleet.wait_for_homes();
+    let key = key_at_home(&[0, 1, 2], 2);
+    let first = call(fleet.nodes[0].entry, &sign("/once/sign", &key, ""));
+    assert_eq!(first.outcome(), "answered");
+    fleet.configure(2, "{}", &[0, 1]);
+    eventually("the new home knows the key", || {
+        let again = call(fleet.nodes[0].entry, &sign("/once/sign", &key, ""));
+        match (again.outcome(), again.code()) {
+            ("unknown", Some(460)) => true,
+            ("not-run", Some(458)) => false,
+            other => panic!("{other:?}"),
+        }
+    });
+    assert_eq!(fleet.ran("/once/sign"), 1);
+    for _ in 0..5 {
+        let key = key_at_home(&[0, 1, 2], 2);
+        eventually("new signings are taken", || {
+            call(fleet.nodes[0].entry, &sign("/once/fresh", &key, "")).outcome() == "answered"
+        });
+    }
+    assert_eq!(fleet.ran("/once/fresh"), 5);
+}
+
+#[test]
+fn once_old_home_cut_off() {
+    // Story: the old home stays on the old version, cut off. Its keys are not run by their new
+    // home, which says "not run" truthfully and when to come back.
+    let fleet = Fleet::new("{}");
+    fleet.wait_for_homes();
+    let targets: Vec<_> = [0, 1].iter().map(|at| (VMS[*at], fleet.nodes[*at].gate)).collect();
+    let preset = preset("{}", &targets);
+    fleet.nodes[..2].iter().for_each(|node| node.configure(2, &preset));
+    let key = key_at_home(&[0, 1, 2], 2);
+    let answer = call(fleet.nodes[0].entry, &sign("/once/sign", &key, ""));
+    assert_eq!((answer.outcome(), answer.code()), ("not-run", Some(458)));
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(call(fleet.nodes[2].entry, &sign("/once/sign", &key, "")).outcome(), "answered");
+    assert_eq!(fleet.ran("/once/sign"), 1);
+}
+
+#[test]
+fn overload_refused_early() {
+    // Story: far more comes than the targets can run. What is not taken is refused at once and
+    // truthfully, and the targets stay within their slots.
+    let fleet = Fleet::new(r#"{"slots":2,"connections":4,"queue":2,"queue_wait_ms":50}"#);
+    let entries: Vec<_> = fleet.nodes.iter().map(|node| node.entry).collect();
+    let callers: Vec<_> = (0..30)
+        .map(|n| {
+            let entry = entries[n % entries.len()];
+            std::thread::spawn(move || call(entry, &get(&format!("/idem/hold/{n}"))))
+        })
+        .collect();
+    eventually("the slots are full", || fleet.ran("/hold") == 6);
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    fleet.targets.iter().for_each(Target::release);
+    let answers: Vec<Answer> = callers.into_iter().map(|caller| caller.join().unwrap()).collect();
+    let count = |outcome| answers.iter().filter(|answer| answer.outcome() == outcome).count();
+    assert_eq!((count("answered"), count("not-run")), (6, 24));
+    assert!(fleet.targets.iter().all(|target| target.most_running() <= 2));
+    assert!(fleet.targets.iter().all(|target| target.connections() <= 4));
+    assert_eq!(fleet.ran("/hold"), 6);
+}
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -85,6 +85,9 @@
         let size = headers.iter().find_map(|line| line.strip_prefix("content-length: "));
         let mut body = vec![0; size.map_or(0, |size| size.parse().unwrap())];
         reader.read_exact(&mut body).ok()?;
+        if headers.iter().any(|line| line == "transfer-encoding: chunked") {
+            body = read_chunks(&mut reader)?;
+        }
         let body = String::from_utf8_lossy(&body).into_owned();
         self.log.lock().unwrap().push(format!("{line} {body}"));
         let now = self.running.fetch_add(1, Ordering::SeqCst) + 1;
@@ -169,6 +172,21 @@
     Some((first, lines))
 }
 
+fn read_chunks(reader: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let size = usize::from_str_radix(line.trim_end(), 16).ok()?;
+        let mut chunk = vec![0; size + 2];
+        reader.read_exact(&mut chunk).ok()?;
+        if size == 0 {
+            return Some(body);
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
+
 /// The call path of one node, without a spread.
 pub struct Node {
     pub shared: Arc<Shared>,
