--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -53,6 +53,8 @@
     VersionOlder = 210,
     /// the document's name is not the preset's
     PresetMismatch = 211,
+    /// a part that the preset names is missing
+    PartMissing = 212,
     // 300 to 399: the platform and the spread of versions.
     /// the platform does not answer
     SourceUnreachable = 301,
@@ -120,6 +122,8 @@
     TooManyConnections = 465,
     /// the key belongs to a different request
     KeyReused = 466,
+    /// calls were still running at the limit of the planned stop, and were cut
+    DrainCutCalls = 467,
     // 500 to 599: tools.
     /// a node does not answer
     NodeUnreachable = 501,
@@ -127,6 +131,12 @@
     FleetBehind = 502,
     /// an output file can't be written
     OutputFailed = 503,
+    /// a node's answer is not understood
+    NodeInvalid = 504,
+    /// an input file can't be read
+    InputUnreadable = 505,
+    /// an input file is not valid
+    InputInvalid = 506,
 }
 
 impl Code {
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -23,6 +23,10 @@
     pub target_address: Option<SocketAddr>,
     /// Address of the platform's configuration service.
     pub platform_address: SocketAddr,
+    /// Region that the platform stands in: its nodes read bodies for the other regions. Absent if
+    /// not known.
+    #[serde(default)]
+    pub platform_region: Option<Name>,
     /// Addresses of peers to ask first after a start, before the platform; may be empty.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -70,6 +74,9 @@
     /// Longest wait for the first configuration before peers that can't be asked are given up;
     /// 100 to 600,000 ms.
     pub first_configuration_ms: u64,
+    /// Most VMs that the fleet may have; 1 to 1,000,000. A node that knows no peer spreads its
+    /// calls to the platform by it.
+    pub fleet_vms: u32,
 }
 
 impl Default for Limits {
@@ -82,6 +89,7 @@
             idle_body_timeout_ms: 10_000,
             event_ring: 512,
             first_configuration_ms: 5_000,
+            fleet_vms: 1_000,
         }
     }
 }
@@ -139,10 +147,14 @@
     /// Parses and checks the text of a settings file. The place of a failure is its JSON path.
     pub fn parse(buf: &[u8]) -> Result<Settings> {
         let deserializer = &mut serde_json::Deserializer::from_slice(buf);
-        let settings: Settings = serde_path_to_error::deserialize(deserializer).map_err(|e| {
-            let place = e.path().to_string();
-            Fault::new(Code::SettingsInvalid).with_place(place).with_detail(e.into_inner())
-        })?;
+        let settings: Settings =
+            serde_path_to_error::deserialize(&mut *deserializer).map_err(|e| {
+                let place = e.path().to_string();
+                Fault::new(Code::SettingsInvalid).with_place(place).with_detail(e.into_inner())
+            })?;
+        deserializer.end().map_err(|e| Fault::new(Code::SettingsInvalid).with_detail(e))?;
+        settings.listen.check()?;
+        settings.check_target()?;
         settings.limits.check()?;
         Ok(settings)
     }
@@ -151,6 +163,43 @@
     pub fn place(&self) -> Place {
         Place { region: self.region.clone(), zone: self.zone.clone() }
     }
+
+    /// Guards against a gatekeeper that forwards every call to its own node, which shows as
+    /// connections that run out.
+    fn check_target(&self) -> Result<()> {
+        let target = self.target_address;
+        match self.listen.by_name().into_iter().find(|(_, own)| Some(*own) == target) {
+            Some((name, own)) => {
+                let detail = format!("found {own}, which is listen.{name}");
+                Err(Fault::new(Code::SettingsInvalid)
+                    .with_place("target_address")
+                    .with_detail(detail))
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+impl Listen {
+    fn by_name(&self) -> [(&'static str, SocketAddr); 4] {
+        [("calls", self.calls), ("gate", self.gate), ("peers", self.peers), ("admin", self.admin)]
+    }
+
+    /// Guards against one address for two ports, which would show at the start as if another
+    /// process held it. Port 0 is a free port each time.
+    fn check(&self) -> Result<()> {
+        let addresses = self.by_name();
+        for (index, (name, address)) in addresses.iter().enumerate() {
+            let earlier = addresses[..index].iter().find(|(_, other)| other == address);
+            if let Some((other, _)) = earlier.filter(|_| address.port() != 0) {
+                let detail = format!("found {address}, which is listen.{other}");
+                return Err(Fault::new(Code::SettingsInvalid)
+                    .with_place(format!("listen.{name}"))
+                    .with_detail(detail));
+            }
+        }
+        Ok(())
+    }
 }
 
 impl Limits {
@@ -163,6 +212,7 @@
             ("idle_body_timeout_ms", self.idle_body_timeout_ms, 100..=600_000),
             ("event_ring", self.event_ring as u64, 16..=100_000),
             ("first_configuration_ms", self.first_configuration_ms, 100..=600_000),
+            ("fleet_vms", self.fleet_vms.into(), 1..=1_000_000),
         ];
         for (field, found, allowed) in ranges {
             if !allowed.contains(&found) {
--- /dev/null
+++ b/standins/src/bin/example-maker.rs
@@ -0,0 +1,23 @@
+//! `example-maker`: writes the files under `examples/` anew.
+
+use getopts::Options;
+use std::path::Path;
+use std::process::ExitCode;
+use sycamore_standins::command::{self, failed};
+use sycamore_standins::example::{COOPERATIVE, FRANCHISE_OFFICE, write};
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("d", "directory", "where they go; examples by default", "DIRECTORY");
+    let matches = match command::parse(options, "Usage: example-maker [options]") {
+        Ok(matches) => matches,
+        Err(code) => return code,
+    };
+    let directory = matches.opt_str("directory").unwrap_or_else(|| "examples".into());
+    for deployment in [FRANCHISE_OFFICE, COOPERATIVE] {
+        if let Err(e) = write(&deployment, &Path::new(&directory).join(deployment.name)) {
+            return failed(e);
+        }
+    }
+    ExitCode::SUCCESS
+}
