Differences pushed to children; a region that loses every relay finds another way

Change: an orphan that has got through to the platform holds everything and takes others below it; orphans ask random peers of the zone; a reading's calls follow on each other and the pause after is as much longer; children whose content is known are sent the difference unasked; heartbeats every 2 s, between regions 20 s; lists compared every fourth time; only a parent that sends wrong content or nothing is distrusted for 30 s.

--- a/bench/src/fleet/size.rs
+++ b/bench/src/fleet/size.rs
@@ -30,7 +30,8 @@
     fn argument(&mut self, msg: &PeerMsg) -> u64 {
         match msg {
             PeerMsg::Ping(ping) => {
-                let lists = ping.lists.iter().map(|mark| text(&mark.zone) + 24).sum::<u64>();
+                let lists =
+                    ping.lists.iter().flatten().map(|mark| text(&mark.zone) + 24).sum::<u64>();
                 64 + text(&ping.word.vm) + ping.have.as_ref().map_or(0, |_| SUMMARY) + lists
             }
             PeerMsg::Pong(pong) => {
--- a/core/src/spread.rs
+++ b/core/src/spread.rs
@@ -272,9 +272,12 @@
         }
     }
 
-    /// The scope that the node holds: relays hold everything, so that they can serve any child.
+    /// The scope that the node holds. Relays hold everything, so that they can serve any child;
+    /// so does a leaf that stands in for one.
     fn wanted_scope(&self) -> Scope {
+        let stands_in = !self.children.is_empty() || self.source.is_watching();
         match self.topology.role {
+            Role::Leaf if stands_in => Scope::All,
             Role::Leaf => self.scope.clone(),
             Role::Relay | Role::ZoneRelay | Role::RegionReader => Scope::All,
         }
--- a/core/src/spread/attach.rs
+++ b/core/src/spread/attach.rs
@@ -2,20 +2,24 @@
 
 use super::backoff::{around, jitter};
 use super::limits::{
-    ANSWER_WAIT, AWAY_PARENT_HOPS, CHILD_LEASE, COMPARE, COMPARE_AWAY, DISTRUST, HEARTBEAT,
-    MAX_ASKED, MAX_CHILDREN, MAX_DISTRUSTED, NO_PATH, RELAY_PARENT_HOPS, SEEK_AT_ONCE, SEEK_PAUSE,
-    TOP, UPGRADE,
+    ANSWER_WAIT, AWAY_PARENT_HOPS, CHILD_LEASE, CHILD_LEASE_ACROSS, COMPARE, COMPARE_AWAY,
+    HEARTBEAT, HEARTBEAT_ACROSS, LISTS_EVERY, MAX_ASKED, MAX_CHILDREN, MAX_DISTRUSTED, NO_PATH,
+    RELAY_PARENT_HOPS, SEEK_AT_ONCE, SEEK_PAUSE, SEEK_RANDOM, STRANGER_HOPS, TOP, UPGRADE,
 };
-use super::message::{Ask, PeerMsg, Ping, Pong, Summary};
+use super::message::{Ask, Base, Delta, PeerMsg, Ping, Pong, Summary};
 use super::port::{Output, Peer};
+use super::store::Store;
 use super::{Spread, topology};
+use crate::config::Scope;
 use crate::event::{Event, EventKind};
 use crate::member::VmState;
-use crate::place::Place;
+use crate::place::{Link, Place};
 use crate::{Code, Name, Time};
 use indexmap::IndexMap;
 use rand::RngExt;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
 /// The parent, or the search for one.
 #[derive(Debug, Default)]
@@ -52,6 +56,15 @@
 struct Child {
     peer: Peer,
     until: Time,
+    /// What it was sent last, from which the next difference is made; `None` if not known.
+    held: Option<Held>,
+}
+
+/// What a child holds, as far as its parent knows.
+#[derive(Clone, Debug)]
+struct Held {
+    base: Base,
+    scope: Scope,
 }
 
 /// The nodes that are sent notices.
@@ -100,15 +113,42 @@
 
 impl Children {
     /// Takes a child, or renews it. False if there is no room.
-    fn keep(&mut self, now: Time, peer: &Peer) -> bool {
-        self.children.retain(|_, child| child.until > now);
+    fn keep(&mut self, until: Time, now: Time, peer: &Peer) -> bool {
+        self.expire(now);
+        if let Some(child) = self.children.get_mut(&peer.vm) {
+            child.until = until;
+            child.peer = peer.clone();
+            return true;
+        }
         let room = self.children.len() < MAX_CHILDREN;
-        if !room && !self.children.contains_key(&peer.vm) {
-            return false;
+        if room {
+            let child = Child { peer: peer.clone(), until, held: None };
+            self.children.insert(peer.vm.clone(), child);
+        }
+        room
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.children.is_empty()
+    }
+
+    /// Lets those go whose lease has run out.
+    fn expire(&mut self, now: Time) {
+        self.children.retain(|_, child| child.until > now);
+    }
+
+    fn has(&self, vm: &Name) -> bool {
+        self.children.contains_key(vm)
+    }
+
+    /// Remembers what a child has been sent.
+    pub fn delivered(&mut self, vm: &Name, delta: &Delta, scope: &Scope) {
+        if let Some(child) = self.children.get_mut(vm) {
+            let version = delta.summary.in_force.version;
+            let base = Base { version, digest: delta.digest };
+            child.held = Some(Held { base, scope: scope.clone() });
         }
-        let child = Child { peer: peer.clone(), until: now + CHILD_LEASE };
-        self.children.insert(peer.vm.clone(), child);
-        true
     }
 
     /// Every child whose lease runs.
@@ -171,10 +211,25 @@
     pub(super) fn own_hops(&self) -> u8 {
         match self.topology.reader {
             Some(_) => 0,
+            None if self.is_orphan() && self.source.is_watching() => 1,
             None => self.attach.hops().saturating_add(1),
         }
     }
 
+    /// Whether any peer with a way to a reader will do as parent. Not for a node that has got
+    /// through to the platform: others take it for their way, and would be its own.
+    fn takes_strangers(&self) -> bool {
+        self.is_orphan() && !self.source.is_watching()
+    }
+
+    /// How often a peer is asked as parent.
+    fn heartbeat(&self, parent: &Peer) -> Duration {
+        match self.cfg.place.link_to(&parent.place) {
+            Link::Zone | Link::Region => HEARTBEAT,
+            Link::Across => HEARTBEAT_ACROSS,
+        }
+    }
+
     pub(super) fn attach_wake(&self, now: Time) -> Option<Time> {
         let searching = self.attach.parent.is_none();
         let has_uppers = !self.topology.uppers.is_empty();
@@ -195,20 +250,27 @@
     ///
     /// Guards against a parent that answers questions but sends wrong content, or none: its
     /// children would ask it again and again and stay behind.
-    pub(super) fn distrust(&mut self, now: Time, peer: &Peer, out: &mut Vec<Output>) {
+    pub(super) fn distrust(
+        &mut self,
+        now: Time,
+        peer: &Peer,
+        span: Duration,
+        out: &mut Vec<Output>,
+    ) {
         if self.attach.distrusted.len() >= MAX_DISTRUSTED {
             self.attach.distrusted.swap_remove_index(0);
         }
-        self.attach.distrusted.insert(peer.vm.clone(), now + DISTRUST);
+        self.attach.distrusted.insert(peer.vm.clone(), now + span);
         if self.attach.parent.as_ref() == Some(peer) {
             self.lose_parent(now, out);
         }
     }
 
     pub(super) fn tick_attach(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.children.expire(now);
         match self.attach.parent.clone() {
             Some(parent) if now >= self.attach.at => {
-                self.attach.at = now + around(HEARTBEAT, &mut self.rng);
+                self.attach.at = now + around(self.heartbeat(&parent), &mut self.rng);
                 self.ask(now, &parent, Ask::Attach, out);
             }
             Some(_) => {}
@@ -235,7 +297,7 @@
         }
         let round = self.attach.rounds;
         self.attach.rounds += 1;
-        let pause = if round < 2 { std::time::Duration::ZERO } else { SEEK_PAUSE };
+        let pause = if round < 2 { Duration::ZERO } else { SEEK_PAUSE };
         self.attach.at = now + jitter(pause, &mut self.rng);
         let (first, count) = match round {
             0 => (0, 1),
@@ -247,6 +309,25 @@
                 self.ask(now, &upper, Ask::Attach, out);
             }
         }
+        if self.topology.rank >= TOP && self.takes_strangers() {
+            self.seek_anyone(now, out);
+        }
+    }
+
+    /// Asks random peers of the zone.
+    ///
+    /// Guards against the loss of every relay of a region at once: each of the many nodes below
+    /// would read the platform, one after the other as the budget allows, which takes long in a
+    /// large fleet. So the first that has got through takes others below it, and these take more.
+    fn seek_anyone(&mut self, now: Time, out: &mut Vec<Output>) {
+        let (own, zone) = (self.cfg.vm.clone(), self.cfg.place.zone.clone());
+        for _ in 0..SEEK_RANDOM {
+            let member = self.members.random(now, &zone, &own, &mut self.rng);
+            let peer = member.map(topology::peer).filter(|peer| self.attach.trusts(now, peer));
+            if let Some(peer) = peer {
+                self.ask(now, &peer, Ask::Attach, out);
+            }
+        }
     }
 
     /// Compares versions with a random peer, so that what was lost on the way is found again and
@@ -264,11 +345,13 @@
         }
     }
 
-    /// A random zone other than the own one, of those whose list is held.
+    /// A random other zone of the region; of another region only if there is none.
     pub(super) fn random_zone(&mut self) -> Option<Name> {
-        let own = &self.cfg.place.zone;
+        let own = &self.cfg.place;
+        let others = self.members.lists().map(|list| &list.place).filter(|p| p.zone != own.zone);
+        let (near, far): (Vec<&Place>, Vec<&Place>) = others.partition(|p| p.region == own.region);
         let zones: Vec<&Name> =
-            self.members.lists().map(|list| &list.place.zone).filter(|z| *z != own).collect();
+            if near.is_empty() { far } else { near }.iter().map(|place| &place.zone).collect();
         if zones.is_empty() {
             return None;
         }
@@ -300,13 +383,15 @@
             return None;
         }
         let seq = self.asked.open(to, ask, now + ANSWER_WAIT)?;
+        let is_parent = self.attach.parent.as_ref().is_some_and(|parent| parent.address == to);
+        let with_lists = !(is_parent && ask == Ask::Attach && seq % LISTS_EVERY != 0);
         Some(PeerMsg::Ping(Box::new(Ping {
             seq,
             ask,
             word: self.word.clone(),
             have: self.have(),
             zones: self.members.zones().map_or(0, |zones| zones.index),
-            lists: self.members.marks(&self.wanted_lists()),
+            lists: with_lists.then(|| self.members.marks(&self.wanted_lists())),
         })))
     }
 
@@ -415,7 +500,7 @@
         self.attach.parent = Some(from.clone());
         self.attach.hops = pong.hops;
         self.attach.rounds = 0;
-        self.attach.at = now + around(HEARTBEAT, &mut self.rng);
+        self.attach.at = now + around(self.heartbeat(from), &mut self.rng);
         out.push(Output::Event(Event::new(now, EventKind::ParentChosen).with_peer(&from.vm)));
     }
 
@@ -423,6 +508,9 @@
         if self.topology.reader.is_some() || self.topology.zone_vms == 0 {
             return true;
         }
+        if !self.topology.uppers.contains(from) {
+            return self.takes_strangers() && hops <= STRANGER_HOPS && !self.children.has(&from.vm);
+        }
         if self.topology.rank < TOP {
             return hops <= RELAY_PARENT_HOPS;
         }
@@ -431,27 +519,50 @@
 
     fn is_better(&self, from: &Peer) -> bool {
         let place = |peer: &Peer| self.topology.uppers.iter().position(|upper| upper == peer);
-        let Some(new) = place(from) else { return false };
         let held = self.attach.parent.as_ref();
+        let Some(new) = place(from) else { return held.is_none() };
         held.is_none_or(|held| place(held).is_none_or(|held| new < held))
     }
 
     /// Whether a peer may hang below this node.
     pub(super) fn take_child(&mut self, now: Time, from: &Peer) -> bool {
         let open = self.word.state == VmState::Live && !self.rejoins();
-        open && self.children.keep(now, from)
+        let lease = match self.cfg.place.link_to(&from.place) {
+            Link::Zone | Link::Region => CHILD_LEASE,
+            Link::Across => CHILD_LEASE_ACROSS,
+        };
+        open && self.children.keep(now + lease, now, from)
     }
 
-    /// Tells children and the parent of the version in force, except whoever it came from.
+    /// Sends children the version in force, and tells the parent of it, except whoever it came
+    /// from. A child whose content is known is sent the difference at once; it would otherwise ask
+    /// for it, and each version take three messages instead of one.
     pub(super) fn notify(&mut self, now: Time, from: Option<&Peer>, out: &mut Vec<Output>) {
-        let Some(summary) = self.have() else { return };
-        let mut told: Vec<Peer> = self.children.live(now).cloned().collect();
-        told.extend(
-            self.attach.parent.iter().filter(|p| !told.contains(p)).cloned().collect::<Vec<_>>(),
-        );
-        told.retain(|peer| from.is_none_or(|from| from.vm != peer.vm));
-        for peer in told {
-            self.send(&peer, PeerMsg::Notice(Box::new(summary.clone())), out);
+        let Some(store) = &mut self.in_force else { return };
+        let notice = PeerMsg::Notice(Box::new(store.summary().clone()));
+        let told = |peer: &Peer| from.is_none_or(|from| from.vm != peer.vm);
+        let mut messages = Vec::new();
+        for child in self.children.children.values_mut() {
+            if child.until <= now || !told(&child.peer) {
+                continue;
+            }
+            let delta = child.held.as_mut().and_then(|held| push(store, held));
+            let msg = delta.map_or_else(|| notice.clone(), PeerMsg::Delta);
+            messages.push((child.peer.clone(), msg));
+        }
+        let children = &self.children;
+        let parent = self.attach.parent.as_ref().filter(|p| told(p) && !children.has(&p.vm));
+        messages.extend(parent.map(|parent| (parent.clone(), notice)));
+        for (peer, msg) in messages {
+            self.send(&peer, msg, out);
         }
     }
 }
+
+/// The difference for a child that holds `held`; `None` if it needs its whole scope.
+fn push(store: &mut Store, held: &mut Held) -> Option<Arc<Delta>> {
+    let delta = store.delta(Some(&held.base), &held.scope)?;
+    delta.base.as_ref()?;
+    held.base = Base { version: store.version(), digest: delta.digest };
+    Some(delta)
+}
--- a/core/src/spread/fetch.rs
+++ b/core/src/spread/fetch.rs
@@ -1,6 +1,8 @@
 //! Taking a version from a peer, and putting it into force.
 
-use super::limits::{ANSWER_WAIT, MAX_HOLDERS, SCOPE_RETRY, WHOLE_WAIT};
+use super::limits::{
+    ANSWER_WAIT, DISTRUST, DISTRUST_MISSING, MAX_HOLDERS, SCOPE_RETRY, WHOLE_WAIT,
+};
 use super::message::{Delta, PeerMsg, Pull, Summary};
 use super::port::{Output, Peer};
 use super::store::{self, Store};
@@ -93,7 +95,9 @@
     }
 
     pub(super) fn tick_fetch(&mut self, now: Time, out: &mut Vec<Output>) {
-        if self.fetch.as_ref().is_some_and(|fetch| fetch.until <= now) {
+        if let Some(fetch) = self.fetch.as_ref().filter(|fetch| fetch.until <= now) {
+            let from = fetch.from.clone();
+            self.distrust(now, &from, DISTRUST, out);
             self.fetch_next(now, out);
         }
         self.widen_scope(now, out);
@@ -124,14 +128,18 @@
     /// names the version again, and a reader reads it from the platform.
     fn fetch_next(&mut self, now: Time, out: &mut Vec<Output>) {
         let Some(mut fetch) = self.fetch.take() else { return };
-        self.distrust(now, &fetch.from, out);
         if let Some(next) = fetch.others.pop() {
             self.begin_fetch(now, next, fetch.wanted, fetch.others, out);
         }
     }
 
     pub(super) fn take_missing(&mut self, now: Time, from: &Peer, out: &mut Vec<Output>) {
-        self.fetch_failed(now, from.address, out);
+        if self.fetch.as_ref().is_some_and(|fetch| fetch.from.vm == from.vm) {
+            if self.attach.parent() == Some(from) {
+                self.distrust(now, from, DISTRUST_MISSING, out);
+            }
+            self.fetch_next(now, out);
+        }
     }
 
     /// Takes the content that was asked for; anything else is dropped.
@@ -142,10 +150,10 @@
         delta: &Delta,
         out: &mut Vec<Output>,
     ) {
-        let Some(fetch) = &self.fetch else { return };
-        if fetch.from.vm != from.vm {
-            return;
-        }
+        let base = self.newest_store().map(Store::base);
+        let usable = delta.base.is_none() || delta.base == base;
+        let asked = self.fetch.as_ref().filter(|fetch| usable && fetch.from.vm == from.vm);
+        let Some(fetch) = asked else { return self.take_push(now, from, delta, out) };
         let seen = &delta.summary.in_force;
         let older = *seen != fetch.wanted && !seen.replaces(&fetch.wanted);
         let scope = fetch.scope.clone();
@@ -161,11 +169,41 @@
             }
             Err(fault) => {
                 self.refuse(now, seen.version, Some(from), fault, out);
+                self.distrust(now, from, DISTRUST, out);
                 self.fetch_next(now, out);
             }
         }
     }
 
+    /// Takes a difference that the parent sent unasked, if it fits what is held here. If not, the
+    /// version is fetched as if the parent had only told of it.
+    fn take_push(&mut self, now: Time, from: &Peer, delta: &Delta, out: &mut Vec<Output>) {
+        let seen = &delta.summary.in_force;
+        let base = self.newest_store().map(|store| (store.base(), store.scope().clone()));
+        let wanted = self.wanted_scope();
+        let fits =
+            base.filter(|(base, scope)| delta.base.as_ref() == Some(base) && *scope == wanted);
+        let Some((_, scope)) = fits.filter(|_| self.attach.parent() == Some(from)) else {
+            return self.hear(now, from, &delta.summary, out);
+        };
+        self.hear_of(now, seen.version, Some(from), out);
+        if !self.lacks(now, from, seen, out) {
+            return;
+        }
+        match self.check(delta, scope, from) {
+            Ok(checked) => {
+                if self.fetch.as_ref().is_some_and(|fetch| !fetch.wanted.replaces(seen)) {
+                    self.fetch = None;
+                }
+                self.offer(now, checked, out);
+            }
+            Err(fault) => {
+                self.refuse(now, seen.version, Some(from), fault, out);
+                self.distrust(now, from, DISTRUST, out);
+            }
+        }
+    }
+
     /// Builds a version whole from what a peer sent, beside the one in force.
     fn check(&self, delta: &Delta, scope: Scope, from: &Peer) -> crate::Result<Checked> {
         let content = store::apply(delta, self.newest_store(), &scope)?;
--- a/core/src/spread/limits.rs
+++ b/core/src/spread/limits.rs
@@ -13,19 +13,32 @@
 pub const MAX_CHILDREN: usize = 64;
 
 /// How often a child asks its parent.
-pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
+pub const HEARTBEAT: Duration = Duration::from_secs(2);
+
+/// The same between two regions, where traffic is paid by volume. A reader hears of versions from
+/// the platform too, so that a silent parent costs it no more than [`BODY_PATIENCE`].
+pub const HEARTBEAT_ACROSS: Duration = Duration::from_secs(20);
+
+/// Questions to a parent between two that also compare lists.
+pub const LISTS_EVERY: u32 = 4;
 
 /// How long an answer to a ping or a pull may take.
 pub const ANSWER_WAIT: Duration = Duration::from_millis(800);
 
 /// How long a child that says nothing is sent notices.
-pub const CHILD_LEASE: Duration = Duration::from_secs(6);
+pub const CHILD_LEASE: Duration = Duration::from_secs(8);
+
+/// The same between two regions.
+pub const CHILD_LEASE_ACROSS: Duration = Duration::from_secs(80);
 
 /// Parents asked at once by a node that has none.
 pub const SEEK_AT_ONCE: usize = 4;
 
-/// Pause between two rounds of asking every possible parent.
-pub const SEEK_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause between two rounds of asking every possible parent.
+pub const SEEK_PAUSE: Duration = Duration::from_millis(800);
+
+/// Random peers of the zone asked in each round by a node that has lost every possible parent.
+pub const SEEK_RANDOM: usize = 3;
 
 /// How often a node that is attached to its second choice tries its first one.
 pub const UPGRADE: Duration = Duration::from_secs(10);
@@ -33,7 +46,7 @@
 /// How often a node compares versions with a random peer.
 pub const COMPARE: Duration = Duration::from_secs(3);
 
-/// One comparison in this many is with a peer of another zone, if any is known.
+/// One comparison in this many is with a peer of another zone of the region.
 pub const COMPARE_AWAY: u32 = 4;
 
 /// How long words are gathered before they are passed on together.
@@ -65,7 +78,10 @@
 pub const WATCH_WAIT: Duration = Duration::from_secs(30);
 
 /// How long after the end of its wait a call to the platform is given up.
-pub const SOURCE_ANSWER: Duration = Duration::from_secs(2);
+pub const SOURCE_ANSWER: Duration = Duration::from_secs(1);
+
+/// The same for a body or a list, which may be as large as a value can be.
+pub const SOURCE_ANSWER_LARGE: Duration = Duration::from_secs(2);
 
 /// Shortest pause between two readings of one VM list, which changes often in a storm.
 pub const LIST_PAUSE: Duration = Duration::from_secs(5);
@@ -75,7 +91,7 @@
 
 /// First and longest pause of a reader between failed calls to the platform.
 pub const READER_BACKOFF: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_millis(1_500));
+    (Duration::from_millis(100), Duration::from_millis(1_000));
 
 /// Longest pause of any other node between failed calls to the platform.
 pub const ORPHAN_BACKOFF: Duration = Duration::from_secs(60);
@@ -84,6 +100,9 @@
 /// small fleet a node that nobody else can help soon tries again.
 pub const ORPHAN_BACKOFF_INTERVALS: u32 = 4;
 
+/// Calls of one reading that may follow on each other before the pause that they cost.
+pub const CALLS_AHEAD: u32 = 8;
+
 /// Calls a second that all zone relays together may make when they have lost every reader.
 pub const RELAY_CALLS_PER_S: u32 = 250;
 
@@ -124,6 +143,10 @@
 /// each content and neither reading the platform.
 pub const RELAY_PARENT_HOPS: u8 = 1;
 
+/// Most hops of a parent that is no upper: one of the zone that has found a way when all uppers
+/// are lost. Bounded, so that nodes which hang below each other in a circle let go.
+pub const STRANGER_HOPS: u8 = 4;
+
 /// Most hops of a parent in another zone.
 pub const AWAY_PARENT_HOPS: u8 = 2;
 
@@ -157,8 +180,11 @@
 /// First and longest pause between readings of a body that fails its digest.
 pub const TORN_BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(30));
 
-/// How long a peer that did not deliver what it said it held is not taken as parent.
+/// How long a peer that sent wrong content, or nothing, is not taken as parent.
 pub const DISTRUST: Duration = Duration::from_secs(30);
 
+/// The same for one that can't serve the scope now, as a relay that is just becoming one.
+pub const DISTRUST_MISSING: Duration = Duration::from_secs(3);
+
 /// Peers distrusted at once.
 pub const MAX_DISTRUSTED: usize = 64;
--- a/core/src/spread/message.rs
+++ b/core/src/spread/message.rs
@@ -68,8 +68,8 @@
         pub have: Option<Summary>,
         /// Index of the asking node's list of zones; zero if it holds none.
         pub zones: u64,
-        /// Lists of VMs that the asking node keeps.
-        pub lists: Vec<ListMark>,
+        /// Lists of VMs that the asking node keeps; `None` to leave lists aside this time.
+        pub lists: Option<Vec<ListMark>>,
     }
 
     /// Answer to a [`Ping`].
--- a/core/src/spread/reading.rs
+++ b/core/src/spread/reading.rs
@@ -6,7 +6,7 @@
 
 use super::backoff::jitter;
 use super::limits::{
-    BODY_PATIENCE, EXTRA_PAUSE, LIST_PAUSE, ORPHAN_BACKOFF, ORPHAN_BACKOFF_INTERVALS,
+    BODY_PATIENCE, CALLS_AHEAD, EXTRA_PAUSE, LIST_PAUSE, ORPHAN_BACKOFF, ORPHAN_BACKOFF_INTERVALS,
     ORPHAN_CALLS_PER_S, READER_BACKOFF, RELAY_CALLS_PER_S, TOP, TORN_BACKOFF, TORN_REPORTED,
     WATCH_PAUSE, WATCH_WAIT,
 };
@@ -130,6 +130,7 @@
         let dropped = self.source.drop_calls(|_| true);
         out.extend(dropped.into_iter().map(Output::DropSource));
         self.source.reading = None;
+        self.source.in_force.index = 0;
         self.source.budget_at = None;
     }
 
@@ -150,6 +151,7 @@
         let (due, next) = self.due(now, access);
         let Some(call) = due.into_iter().next() else {
             self.source.budget_at = self.source.budget_at.filter(|at| now < *at);
+            self.source.follows &= self.source.budget_at.is_some();
             return next;
         };
         let interval = self.interval(access);
@@ -157,13 +159,19 @@
         // together, and nodes whose watches waited hear of a version in one instant.
         let first = now + jitter(interval, &mut self.rng);
         let at = *self.source.budget_at.get_or_insert(first);
-        if now < at {
+        // What follows on a call goes at once, and the pause after it is as much longer: a body
+        // without its parts helps nobody.
+        let follows = self.source.follows && call.purpose.is_reading();
+        let ahead = at.since(now) <= interval * CALLS_AHEAD;
+        if now < at && !(follows && ahead) {
             return Some(at);
         }
+        self.source.follows = true;
         self.call(now, call, out);
         let pause = interval / 2 + jitter(interval, &mut self.rng);
-        self.source.budget_at = Some(now + pause);
-        Some(now + pause)
+        let next = at.max(now) + pause;
+        self.source.budget_at = Some(next);
+        Some(next)
     }
 
     fn call(&mut self, now: Time, due: Due, out: &mut Vec<Output>) {
--- a/core/src/spread/serve.rs
+++ b/core/src/spread/serve.rs
@@ -77,17 +77,18 @@
 
     /// Sends the lists that the asking node lacks, and asks for those that this node lacks.
     fn send_lists(&mut self, now: Time, from: &Peer, ping: &Ping, out: &mut Vec<Output>) {
+        let Some(marks) = &ping.lists else { return };
         if let Some(zones) = self.members.zones().filter(|zones| zones.index > ping.zones) {
             self.send(from, PeerMsg::Zones(zones.clone()), out);
         }
-        let lists = self.members.lists_beyond(&ping.lists, &from.place.region);
+        let lists = self.members.lists_beyond(marks, &from.place.region);
         if !lists.is_empty() {
             self.send(from, PeerMsg::Lists(lists), out);
         }
         let newer = |mark: &super::message::ListMark| {
             self.members.list(&mark.zone).is_some_and(|list| list.index < mark.index)
         };
-        if ping.ask != Ask::Compare && ping.lists.iter().any(newer) {
+        if ping.ask != Ask::Compare && marks.iter().any(newer) {
             self.ask(now, from, Ask::Compare, out);
         }
     }
@@ -98,7 +99,10 @@
         let store = self.in_force.as_mut().filter(|store| open && store.version() >= pull.version);
         let delta = store.and_then(|store| store.delta(pull.base.as_ref(), &scope));
         let msg = match delta {
-            Some(delta) => PeerMsg::Delta(delta),
+            Some(delta) => {
+                self.children.delivered(&from.vm, &delta, &scope);
+                PeerMsg::Delta(delta)
+            }
             None => PeerMsg::Missing(self.in_force().map_or(0, |in_force| in_force.version)),
         };
         self.send(from, msg, out);
--- a/core/src/spread/source.rs
+++ b/core/src/spread/source.rs
@@ -1,7 +1,7 @@
 //! Calls to the platform that a node has open, and what it has read so far.
 
 use super::backoff::Backoff;
-use super::limits::{MAX_BAD, SOURCE_ANSWER};
+use super::limits::{MAX_BAD, SOURCE_ANSWER, SOURCE_ANSWER_LARGE};
 use super::port::{CallId, SourceCall};
 use crate::config::document::{Part, PartRef};
 use crate::config::{InForce, Preset};
@@ -39,6 +39,13 @@
     }
 }
 
+impl Purpose {
+    /// Whether it is for the body of a preset.
+    pub fn is_reading(&self) -> bool {
+        matches!(self, Purpose::Body | Purpose::Part(_))
+    }
+}
+
 /// A key that is read again and again.
 #[derive(Debug, Default)]
 pub struct Watch {
@@ -86,6 +93,8 @@
     pub rubbish: Option<Hash>,
     /// For nodes that are not readers: no call before this time; `None` while none is needed.
     pub budget_at: Option<Time>,
+    /// Whether a call was made within the budget and its pause still runs.
+    pub follows: bool,
     /// When the next call may be due.
     pub wake_at: Option<Time>,
     bad: VecDeque<InForce>,
@@ -117,9 +126,14 @@
         self.calls.values().any(|call| call.purpose == *purpose)
     }
 
+    /// Whether the key `in-force` is read again and again, and was answered the last time.
+    pub fn is_watching(&self) -> bool {
+        self.answers == Some(true) && self.in_force.index > 0
+    }
+
     /// Whether a call for the body or a part is open.
     pub fn is_reading(&self) -> bool {
-        self.calls.values().any(|call| matches!(call.purpose, Purpose::Body | Purpose::Part(_)))
+        self.calls.values().any(|call| call.purpose.is_reading())
     }
 
     /// A call whose answer is overdue.
@@ -174,6 +188,10 @@
 
 impl OpenCall {
     fn give_up(&self) -> Time {
-        self.began + self.wait + SOURCE_ANSWER
+        let answer = match self.purpose {
+            Purpose::InForce | Purpose::Zones => SOURCE_ANSWER,
+            Purpose::Body | Purpose::Part(_) | Purpose::List(_) => SOURCE_ANSWER_LARGE,
+        };
+        self.began + self.wait + answer
     }
 }
--- a/node/schema/spread.capnp
+++ b/node/schema/spread.capnp
@@ -95,6 +95,7 @@
   # Absent before the first version.
   have @3 :Summary;
   zones @4 :UInt64;
+  # Absent to leave lists aside.
   lists @5 :List(ListMark);
 }
 
--- a/node/src/spread/codec.rs
+++ b/node/src/spread/codec.rs
@@ -183,11 +183,13 @@
     if let Some(have) = &ping.have {
         write_summary(have, to.reborrow().init_have());
     }
-    let mut lists = to.init_lists(ping.lists.len() as u32);
-    for (index, mark) in ping.lists.iter().enumerate() {
-        let mut to = lists.reborrow().get(index as u32);
-        to.set_zone(mark.zone.as_bytes());
-        to.set_index(mark.index);
+    if let Some(marks) = &ping.lists {
+        let mut lists = to.init_lists(marks.len() as u32);
+        for (index, mark) in marks.iter().enumerate() {
+            let mut to = lists.reborrow().get(index as u32);
+            to.set_zone(mark.zone.as_bytes());
+            to.set_index(mark.index);
+        }
     }
 }
 
@@ -201,13 +203,18 @@
     let mark = |mark: wire::list_mark::Reader<'_>| {
         Ok(ListMark { zone: read_name(mark.get_zone()?)?, index: mark.get_index() })
     };
+    let lists = if from.has_lists() {
+        Some(from.get_lists()?.iter().map(mark).collect::<Result<Vec<_>>>()?)
+    } else {
+        None
+    };
     Ok(Ping {
         seq: from.get_seq(),
         ask,
         word: read_word(from.get_word()?)?,
         have,
         zones: from.get_zones(),
-        lists: from.get_lists()?.iter().map(mark).collect::<Result<Vec<_>>>()?,
+        lists,
     })
 }
 
