Balance: nearly equal targets share the work; measured times fade

Cause: with two targets of one tier the one measured a little faster got everything for 10 s (calls_drain/drain_gate took 2.4 s or 12 s). Change: a target counts as cheaper only under 80% of the other's cost, differences under 1 ms don't count, and a measured time fades over 5 s.

--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -13,19 +13,23 @@
 
 /// Answer time assumed of a target that has not been measured lately, by the link to it: the
 /// least that it can be, since one that is assumed slower than its neighbours would never be tried.
-const ZONE_ANSWER_TIME: Duration = Duration::from_micros(200);
-const REGION_ANSWER_TIME: Duration = Duration::from_millis(1);
+const ZONE_ANSWER_TIME: Duration = Duration::from_millis(1);
+const REGION_ANSWER_TIME: Duration = Duration::from_millis(2);
 const ACROSS_ANSWER_TIME: Duration = Duration::from_millis(40);
 
 /// Shortest answer time that is told from a shorter one; below it the load decides.
 const MIN_ANSWER_TIME: Duration = ZONE_ANSWER_TIME;
 
+/// Share of the other's cost, in percent, under which a target counts as cheaper. Nearly equal
+/// ones share the work, and so each stays measured.
+const CHEAPER_PERCENT: u32 = 80;
+
 /// Weight of the newest answer time in the running mean, as one part in so many.
 const ANSWER_TIME_WEIGHT: u32 = 8;
 
-/// How long a measured answer time counts. After it the target is tried as if new, so that one
-/// that was slow gets its share back.
-const ANSWER_TIME_LIFE: Duration = Duration::from_secs(10);
+/// How long a measured answer time counts, ever less. A target that was slow is tried again the
+/// sooner the less slow it was, and after this time as if new.
+const ANSWER_TIME_LIFE: Duration = Duration::from_secs(5);
 
 /// How long a reported load counts.
 const LOAD_LIFE: Duration = Duration::from_secs(1);
@@ -237,7 +241,8 @@
         let Some(second) = self.draw(want, link, Some(first)) else {
             return Some(first);
         };
-        let cheaper = self.peers[second].cost(want.now) < self.peers[first].cost(want.now);
+        let limit = self.peers[first].cost(want.now) * CHEAPER_PERCENT / 100;
+        let cheaper = self.peers[second].cost(want.now) < limit;
         Some(if cheaper { second } else { first })
     }
 
@@ -299,9 +304,7 @@
     /// Expected time to an answer: the measured time, stretched by how full the target is.
     fn cost(&self, now: Time) -> Duration {
         let recent = |at: Time, life: Duration| now.since(at) < life;
-        let measured = self.answer_time.filter(|(_, at)| recent(*at, ANSWER_TIME_LIFE));
-        let answer_time = measured.map_or(first_answer_time(self.link), |(mean, _)| mean);
-        let answer_time = answer_time.max(MIN_ANSWER_TIME);
+        let answer_time = self.expected_answer_time(now);
         let load = self.load.filter(|(_, at)| recent(*at, LOAD_LIFE)).map(|(load, _)| load);
         let slots = load.map_or(UNKNOWN_SLOTS, |load| load.slots.max(1));
         let reported = load.map_or(0, |load| load.in_flight + load.queued);
@@ -311,6 +314,19 @@
     }
 }
 
+impl Peer {
+    fn expected_answer_time(&self, now: Time) -> Duration {
+        let first = first_answer_time(self.link);
+        let Some((mean, at)) = self.answer_time else {
+            return first;
+        };
+        let age = now.since(at).min(ANSWER_TIME_LIFE);
+        let left = (ANSWER_TIME_LIFE - age).as_millis() as u32;
+        let above = mean.saturating_sub(first) * left / ANSWER_TIME_LIFE.as_millis() as u32;
+        (mean.min(first) + above).max(MIN_ANSWER_TIME)
+    }
+}
+
 fn first_answer_time(link: Link) -> Duration {
     match link {
         Link::Zone => ZONE_ANSWER_TIME,
