sycamore-status groups refusals; sycamore-timeline tells stops between polls

Cause: in a trial with 18 nodes a bad version was refused by the few nodes that read bodies, and the report's list hid the reason among sixteen 'heard of no newer one'; a drained node showed as lost, since it ends with its last event. Ruled out: nodes that wait at their end to be polled (they would stop later). Change: each refusal once with the count of nodes; a process that was draining and no longer answers counts as stopped; wider labels in the picture.

--- a/tools/src/status/output.rs
+++ b/tools/src/status/output.rs
@@ -37,6 +37,9 @@
             "nodes: {}, holding {}, newer {}, lagging {}, leaving {}",
             report.nodes, report.holding, report.newer, report.lagging, report.leaving
         )?;
+        for refusal in &report.refusals {
+            writeln!(f, "refused by {} nodes: {}", refusal.nodes, refusal.fault)?;
+        }
         let listed = report.fleet.iter().filter(|node| self.all || node.lag.is_some());
         for node in listed {
             write_node(f, node, report.asked)?;
--- a/tools/src/status/report.rs
+++ b/tools/src/status/report.rs
@@ -1,7 +1,7 @@
 //! What `sycamore-status` reports.
 
 use crate::survey::Answer;
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use serde::Serialize;
 use std::net::SocketAddr;
 use sycamore_core::config::InForce;
@@ -94,10 +94,21 @@
     pub lagging: usize,
     /// Nodes that lag but are leaving.
     pub leaving: usize,
+    /// Why nodes that heard of the version refused it, each reason once.
+    pub refusals: Vec<Refusal>,
     /// Every node.
     pub fleet: Vec<NodeReport>,
 }
 
+/// One reason that nodes refused a version for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Refusal {
+    /// The reason.
+    pub fault: String,
+    /// Nodes that gave it.
+    pub nodes: usize,
+}
+
 impl Report {
     /// Judges the answers of a fleet. Without an expected version it is the newest that any node
     /// holds.
@@ -121,11 +132,23 @@
             newer: count(&|node| node.version() > version),
             lagging,
             leaving: count(&|node| node.lag.is_some() && node.leaving),
+            refusals: refusals(&fleet),
             fleet,
         }
     }
 }
 
+/// Few nodes read a body that is refused, and the others never hear of it; together they tell why.
+fn refusals(fleet: &[NodeReport]) -> Vec<Refusal> {
+    let mut nodes = IndexMap::<&str, usize>::new();
+    for lag in fleet.iter().filter_map(|node| node.lag.as_ref()) {
+        if let Lag::Refused { fault, .. } = lag {
+            *nodes.entry(fault).or_default() += 1;
+        }
+    }
+    nodes.into_iter().map(|(fault, nodes)| Refusal { fault: fault.to_owned(), nodes }).collect()
+}
+
 /// What every node should hold.
 struct Expected {
     version: u64,
--- a/tools/src/timeline/merge.rs
+++ b/tools/src/timeline/merge.rs
@@ -155,10 +155,13 @@
 fn process(record: &Record, next_start: Option<Time>, end: Time) -> Process {
     let last_seen = record.corrected(record.last_seen);
     let stop = record.events.iter().rev().find(|event| event.kind == EventKind::Stopped);
+    let unseen = end.since(last_seen) > UNSEEN_AFTER;
     let (ended, how) = match (stop, next_start) {
         (Some(stop), _) => (record.corrected(stop.at), End::Stopped),
+        // The last events of a planned stop are seldom read: the process ends with them.
+        (None, next) if drains(record) && (next.is_some() || unseen) => (last_seen, End::Stopped),
         (None, Some(next)) => (last_seen.min(next), End::Killed),
-        (None, None) if end.since(last_seen) > UNSEEN_AFTER => (last_seen, End::Unseen),
+        (None, None) if unseen => (last_seen, End::Unseen),
         (None, None) => (end, End::Running),
     };
     Process {
@@ -172,6 +175,11 @@
     }
 }
 
+/// Whether a planned stop has begun.
+fn drains(record: &Record) -> bool {
+    record.events.iter().any(|event| event.kind == EventKind::Draining)
+}
+
 fn marks(record: &Record) -> Vec<Mark> {
     let mark = |event: &sycamore_core::event::Event| Mark {
         at: record.corrected(event.at),
--- a/tools/src/timeline/picture.rs
+++ b/tools/src/timeline/picture.rs
@@ -31,7 +31,7 @@
 /// Rows of labels over the lanes, used in turn so that close versions stay readable.
 const LABEL_ROWS: usize = 3;
 /// Width that one label of a version needs.
-const LABEL_WIDTH: f64 = 190.0;
+const LABEL_WIDTH: f64 = 215.0;
 /// Width of one entry of the legend.
 const LEGEND_WIDTH: f64 = 180.0;
 /// Narrowest band that its version is written in.
--- a/tools/tests/status.rs
+++ b/tools/tests/status.rs
@@ -79,6 +79,9 @@
     let report = run.json();
     assert_eq!(report["fleet"][0]["lag"]["why"], "not-heard");
     assert_eq!(report["fleet"][1]["lag"], json!({"why": "refused", "version": 3, "fault": fault}));
+    assert_eq!(report["refusals"], json!([{"fault": fault, "nodes": 1}]));
+    let text = ask(&fleet.addresses, &["--version-in-force", "4"]).stdout;
+    assert!(text.contains(&format!("\nrefused by 1 nodes: {fault}\n")), "{text}");
 }
 
 #[test]
@@ -217,10 +220,32 @@
     }
 }
 
+/// Asks 300 nodes and some that take the connection and say nothing. Prints how long it took, and
+/// judges only what was found, so that a slow machine gives the same verdict.
+fn ask_hundreds(silent: usize) -> Run {
+    let fleet = fleet((0..300).map(|i| status(i, 4)).collect());
+    let silent: Vec<_> = (0..silent).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    let mut addresses = fleet.addresses.clone();
+    let every = |index: usize| index * 300 / silent.len().max(1);
+    for (index, listener) in silent.iter().enumerate() {
+        addresses.insert(every(index), listener.local_addr().unwrap());
+    }
+    let start = std::time::Instant::now();
+    let run = ask(&addresses, &["--timeout-ms", "1000"]);
+    println!("300 nodes and {} silent ones: {:?}", silent.len(), start.elapsed());
+    run
+}
+
 #[test]
 fn fleet_of_hundreds() {
-    let fleet = fleet((0..300).map(|i| status(i, 4)).collect());
-    let run = ask(&fleet.addresses, &["--timeout-ms", "10000"]);
+    let run = ask_hundreds(0);
     assert_eq!(run.code, Some(0), "{}", run.stdout);
     assert!(run.stdout.contains("nodes: 300, holding 300"), "{}", run.stdout);
 }
+
+#[test]
+fn fleet_of_hundreds_with_silent_nodes() {
+    let run = ask_hundreds(20);
+    assert_eq!(run.code, Some(1), "{}", run.stdout);
+    assert!(run.stdout.contains("nodes: 320, holding 300, newer 0, lagging 20"), "{}", run.stdout);
+}
--- a/tools/tests/timeline.rs
+++ b/tools/tests/timeline.rs
@@ -78,6 +78,23 @@
     assert_eq!(line["lanes"][0]["processes"][0]["end"], "stopped");
 }
 
+#[test]
+fn process_stopped_between_polls() {
+    // Story: a node is drained. It records its stop and ends at once, so that no poll reads that
+    // event. The picture would show a planned stop as a node that was lost.
+    let dir = tempfile::tempdir().unwrap();
+    let drained = [event(START, "started"), event(START + SECOND, "draining")];
+    let running = [event(START, "started")];
+    let line = merged(
+        dir.path(),
+        &[
+            events("a", START, START + SECOND, &drained),
+            events("b", START, START + 60 * SECOND, &running),
+        ],
+    );
+    assert_eq!(line["lanes"][0]["processes"][0]["end"], "stopped");
+}
+
 #[test]
 fn process_unseen() {
     let dir = tempfile::tempdir().unwrap();
