A test that sycamore-check and a node judge alike

Cause: the tool runs the nodes' code, but nothing showed that the whole paths agree. Ruled out: comparing the two functions alone, which are one function. Change: eighteen publications, good and bad, go to the tool and, through the platform's stand-in, to a node; both must accept, or refuse with the same code.

--- /dev/null
+++ b/tools/tests/check_agrees.rs
@@ -0,0 +1,168 @@
+//! `sycamore-check` against a node: both judge the same publications.
+
+#[path = "support/tool.rs"]
+mod tool;
+
+use serde_json::{Value, json};
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::time::Duration;
+use sycamore_core::hash::Hash;
+use sycamore_node::app::App;
+use sycamore_node::settings::Settings;
+use sycamore_standins::platform::{Addresses, Platform, PlatformConfig, Store};
+
+/// Polls of a node before the test fails, at [`POLL_PAUSE`].
+const MAX_POLLS: u32 = 3_000;
+const POLL_PAUSE: Duration = Duration::from_millis(20);
+
+/// Changes of a good preset, each with whether it makes a bad one.
+fn changes() -> Vec<(&'static str, &'static str, bool)> {
+    vec![
+        (r#""slots":12"#, r#""slots":18"#, false),
+        (r#""slots":12"#, r#""slots":0"#, true),
+        (r#""slots":12"#, r#""slots":111"#, true),
+        (r#""slots":12"#, r#""slots":12,"queue":100001"#, true),
+        (r#""slots":12"#, r#""slots":12,"drain_ms":999"#, true),
+        (r#""slots":12"#, r#""slots":12,"colour":1"#, true),
+        (r#""slots":12"#, r#""slots":"12""#, true),
+        (r#""vm":"b""#, r#""vm":"a""#, true),
+        (r#""vm":"b""#, r#""vm":"two words""#, true),
+        (r#""gate":"127.0.0.2:1""#, r#""gate":"nowhere""#, true),
+        (r#""service":"roster""#, r#""service":"maps""#, true),
+        (r#""path_prefix":"/crews""#, r#""path_prefix":"/rosters""#, true),
+        (r#""path_prefix":"/crews""#, r#""path_prefix":"crews""#, true),
+        (r#""idempotent":true"#, r#""idempotent":true,"max_attempts":0"#, true),
+        (r#""idempotent":true"#, r#""idempotent":true,"class":"bulk""#, false),
+        (r#""crews":"#, r#""rosters":"#, true),
+        (r#""name":"ordinary""#, r#""name":"peak""#, true),
+        ("]}}", "]}", true),
+    ]
+}
+
+const PRESET: &str = r#"{"name":"ordinary","services":{"roster":{"limits":{"slots":12},"targets":[
+{"vm":"a","region":"hills","zone":"h1","gate":"127.0.0.1:1"},
+{"vm":"b","region":"hills","zone":"h1","gate":"127.0.0.2:1"}]}},"routes":{
+"rosters":{"path_prefix":"/rosters","service":"roster","idempotent":true},
+"crews":{"path_prefix":"/crews","service":"roster","idempotent":true}}}"#;
+
+fn in_force(version: u64, preset: &str) -> String {
+    let digest = Hash::of(preset.as_bytes());
+    json!({"version": version, "preset": "ordinary", "digest": digest}).to_string()
+}
+
+fn exchange(address: SocketAddr, head: &str, body: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    let size = body.len();
+    let head = format!("{head} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n");
+    write!(stream, "{head}content-length: {size}\r\n\r\n{body}").ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    Some(answer.split_once("\r\n\r\n")?.1.to_owned())
+}
+
+/// A free address of this machine, which the node binds soon after.
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A platform and a node in this process.
+struct Bench {
+    platform: Addresses,
+    admin: SocketAddr,
+}
+
+impl Bench {
+    fn start() -> Bench {
+        let [calls, gate, peers, admin] = [free(), free(), free(), free()];
+        let vm = json!({"vm": "a", "region": "hills", "zone": "h1", "peers": peers,
+            "admin": admin, "state": "live"});
+        let mut store = Store::new();
+        store.put("preset/ordinary", PRESET.into());
+        store.put("in-force", in_force(1, PRESET).into());
+        store.put("zones", r#"{"zones":[{"region":"hills","zone":"h1"}]}"#.into());
+        store.put("vms/h1", json!({"vms": [vm]}).to_string().into());
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let cfg =
+            PlatformConfig { listen: vec![any], control: any, max_calls_per_second: 2_000, store };
+        let platform = Platform::spawn(cfg).unwrap();
+        let settings = json!({"vm": "a", "region": "hills", "zone": "h1",
+            "listen": {"calls": calls, "gate": gate, "peers": peers, "admin": admin},
+            "platform_address": platform.readers[0], "platform_region": "hills"});
+        let settings = Settings::parse(settings.to_string().as_bytes()).unwrap();
+        std::thread::spawn(move || App::new(settings).run().unwrap());
+        let bench = Bench { platform, admin };
+        bench.event_of(1);
+        bench
+    }
+
+    fn publish(&self, version: u64, preset: &str) {
+        let control = self.platform.control;
+        exchange(control, "PUT /v1/kv/preset/ordinary", preset).unwrap();
+        exchange(control, "PUT /v1/kv/in-force", &in_force(version, preset)).unwrap();
+    }
+
+    /// What became of a version on the node: `version-in-force` or `version-refused`.
+    fn event_of(&self, version: u64) -> Value {
+        for _ in 0..MAX_POLLS {
+            let body = exchange(self.admin, "GET /events", "").unwrap_or_default();
+            let answer: Value = serde_json::from_str(&body).unwrap_or_default();
+            let events = answer["events"].as_array().cloned().unwrap_or_default();
+            let ends = ["version-in-force", "version-refused"];
+            let is_end = |event: &Value| {
+                event["version"] == version && ends.iter().any(|end| event["kind"] == *end)
+            };
+            if let Some(event) = events.into_iter().find(is_end) {
+                return event;
+            }
+            std::thread::sleep(POLL_PAUSE);
+        }
+        panic!("version {version} neither came into force nor was refused");
+    }
+}
+
+/// What the tool says of a publication after version 1: nothing, or the code of each failure.
+fn check(dir: &Path, version: u64, preset: &str) -> Vec<u64> {
+    let path = |name: &str| dir.join(name).display().to_string();
+    fs::write(path("new.json"), preset).unwrap();
+    fs::write(path("new-in-force.json"), in_force(version, preset)).unwrap();
+    fs::write(path("old.json"), PRESET).unwrap();
+    fs::write(path("old-in-force.json"), in_force(1, PRESET)).unwrap();
+    let run = tool::run(
+        env!("CARGO_BIN_EXE_sycamore-check"),
+        &[
+            &path("new.json"),
+            "--in-force",
+            &path("new-in-force.json"),
+            "--previous",
+            &path("old.json"),
+            "--previous-in-force",
+            &path("old-in-force.json"),
+            "--format",
+            "json",
+        ],
+    );
+    let report = run.json();
+    assert_eq!(run.code, Some(if report["accepted"] == true { 0 } else { 1 }));
+    let findings = report["findings"].as_array().unwrap();
+    findings.iter().map(|finding| finding["code"].as_u64().unwrap()).collect()
+}
+
+#[test]
+fn verdict_same_as_nodes() {
+    let dir = tempfile::tempdir().unwrap();
+    let bench = Bench::start();
+    for (index, (old, new, bad)) in changes().into_iter().enumerate() {
+        let version = index as u64 + 2;
+        let preset = PRESET.replacen(old, new, 1);
+        let codes = check(dir.path(), version, &preset);
+        assert_eq!(!codes.is_empty(), bad, "{new}: {codes:?}");
+        bench.publish(version, &preset);
+        let event = bench.event_of(version);
+        assert_eq!(event["code"].as_u64(), codes.first().copied(), "{new}: {event}");
+        let kind = if bad { "version-refused" } else { "version-in-force" };
+        assert_eq!(event["kind"], kind, "{new}");
+    }
+}
