--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Benches and history checks of sycamorescale.
 
 pub mod baseline;
+pub mod calls;
 pub mod demo;
 pub mod fleet;
 pub mod history;
