--- a/tools/tests/check.rs
+++ b/tools/tests/operators/check.rs
@@ -1,12 +1,9 @@
 //! `sycamore-check` over files.
 
-#[path = "support/tool.rs"]
-mod tool;
-
+use crate::tool::{self, Run};
 use std::fs;
 use sycamore_core::hash::Hash;
 use tempfile::TempDir;
-use tool::Run;
 
 const PRESET: &str = r#"{"name":"ordinary",
 "services":{"roster":{"limits":{"slots":12},"targets":[
--- a/tools/tests/check_agrees.rs
+++ b/tools/tests/operators/check_agrees.rs
@@ -1,8 +1,6 @@
 //! `sycamore-check` against a node: both judge the same publications.
 
-#[path = "support/tool.rs"]
-mod tool;
-
+use crate::tool;
 use serde_json::{Value, json};
 use std::fs;
 use std::io::{Read, Write};
--- /dev/null
+++ b/tools/tests/operators/main.rs
@@ -0,0 +1,8 @@
+//! The operators' tools, run as real processes.
+
+mod check;
+mod check_agrees;
+mod fake_nodes;
+mod status;
+mod timeline;
+mod tool;
--- a/tools/tests/status.rs
+++ b/tools/tests/operators/status.rs
@@ -1,16 +1,11 @@
 //! `sycamore-status` over admin ports.
 
-#[path = "support/fake_nodes.rs"]
-mod fake_nodes;
-#[path = "support/tool.rs"]
-mod tool;
-
-use fake_nodes::FakeNodes;
+use crate::fake_nodes::FakeNodes;
+use crate::tool::{self, Run};
 use indexmap::IndexMap;
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tool::Run;
 
 fn now_us() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as u64
--- a/tools/tests/timeline.rs
+++ b/tools/tests/operators/timeline.rs
@@ -1,17 +1,12 @@
 //! `sycamore-timeline` over files and admin ports.
 
-#[path = "support/fake_nodes.rs"]
-mod fake_nodes;
-#[path = "support/tool.rs"]
-mod tool;
-
-use fake_nodes::FakeNodes;
+use crate::fake_nodes::FakeNodes;
+use crate::tool::{self, Run};
 use indexmap::IndexMap;
 use serde_json::{Value, json};
 use std::fs;
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
-use tool::Run;
 
 const SECOND: u64 = 1_000_000;
 const START: u64 = 1_700_000_000 * SECOND;
