The node's clock follows a wall clock that has run ahead

Cause: the clock was the wall clock at the start carried on by the monotonic one, which stands still while a VM is suspended. The node would stay behind for ever and refuse new Idempotency-Keys as minted in the future. Ruled out: the wall clock alone (it goes back); following it backwards (leases and kept answers that expired would live again); CLOCK_BOOTTIME, which the standard library does not give and which stands still on some hypervisors too. Change: a lead of the wall clock over 250 ms is followed, forwards only; the manual clock wakes its sleepers instead of having them spin; a test over the examples. A reading of the clock now reads two clocks: cost not measured.

--- a/node/src/clock.rs
+++ b/node/src/clock.rs
@@ -1,62 +1,112 @@
-//! The clock port: the system's clock in production, one that is set by hand in tests.
+//! The clock port: the system's clocks in production, one that is set by hand in tests.
 
+use event_listener::Event;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use sycamore_core::Time;
 
-/// Where a process takes the time from.
+/// How far the wall clock may be ahead before it is followed. Smaller differences are left to the
+/// daemon that sets the wall clock.
+const MAX_LAG: Duration = Duration::from_millis(250);
+
+/// Where a process takes the time from. Clones show the same time.
 #[derive(Clone, Debug)]
 pub enum Clock {
-    /// The wall clock as it was at the start, carried on by the monotonic clock.
-    System {
-        /// Wall clock at the start.
-        start: Time,
-        /// Monotonic clock at the start.
-        origin: Instant,
-    },
-    /// A clock that stands still until it is advanced; in microseconds since the Unix epoch.
-    Manual(Arc<AtomicU64>),
+    /// The system's clocks.
+    System(Arc<SystemClock>),
+    /// A clock that stands still until it is advanced.
+    Manual(Arc<ManualClock>),
+}
+
+/// The wall clock as it was at the start, carried on by the monotonic clock, so that it never goes
+/// back.
+#[derive(Debug)]
+pub struct SystemClock {
+    start: Time,
+    origin: Instant,
+    // By how much the wall clock has run ahead of the monotonic one, in microseconds.
+    ahead_us: AtomicU64,
+}
+
+/// A clock set by hand.
+#[derive(Debug)]
+pub struct ManualClock {
+    // Microseconds since the Unix epoch.
+    now_us: AtomicU64,
+    advanced: Event,
+}
+
+impl SystemClock {
+    fn starting_at(start: Time) -> SystemClock {
+        SystemClock { start, origin: Instant::now(), ahead_us: AtomicU64::new(0) }
+    }
+
+    /// Guards against a VM that was suspended: its monotonic clock stood still meanwhile, and the
+    /// node would stay behind all others and refuse new keys as minted in the future. The wall
+    /// clock is followed forwards when it is ahead by more than [`MAX_LAG`], and never backwards.
+    fn now(&self) -> Time {
+        let carried = self.start + self.origin.elapsed();
+        let ahead = Duration::from_micros(self.ahead_us.load(Ordering::Relaxed));
+        let now = carried + ahead;
+        let wall = wall_clock();
+        if wall.since(now) <= MAX_LAG {
+            return now;
+        }
+        // The largest wins if several threads see the step at once.
+        let ahead_us = wall.0 - carried.0;
+        let ahead_us = self.ahead_us.fetch_max(ahead_us, Ordering::Relaxed).max(ahead_us);
+        carried + Duration::from_micros(ahead_us)
+    }
 }
 
 impl Clock {
-    /// The system's clock.
+    /// The system's clocks.
     pub fn new() -> Clock {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock::System { start: Time::ZERO + wall, origin: Instant::now() }
+        Clock::starting_at(wall_clock())
+    }
+
+    /// The system's clocks, as if the wall clock had read `start` when the process started.
+    pub fn starting_at(start: Time) -> Clock {
+        Clock::System(Arc::new(SystemClock::starting_at(start)))
     }
 
     /// A clock that stands at `start` until [`Clock::advance`].
     pub fn manual(start: Time) -> Clock {
-        Clock::Manual(Arc::new(AtomicU64::new(start.0)))
+        let now_us = AtomicU64::new(start.0);
+        Clock::Manual(Arc::new(ManualClock { now_us, advanced: Event::new() }))
     }
 
     /// The time now.
     pub fn now(&self) -> Time {
         match self {
-            Clock::System { start, origin } => *start + origin.elapsed(),
-            Clock::Manual(now) => Time(now.load(Ordering::Relaxed)),
+            Clock::System(clock) => clock.now(),
+            Clock::Manual(clock) => Time(clock.now_us.load(Ordering::SeqCst)),
         }
     }
 
-    /// Moves a manual clock on; a system clock ignores it.
+    /// Moves a manual clock on; the system's clocks ignore it.
     pub fn advance(&self, span: Duration) {
-        if let Clock::Manual(now) = self {
-            now.fetch_add(span.as_micros() as u64, Ordering::Relaxed);
+        if let Clock::Manual(clock) = self {
+            clock.now_us.fetch_add(span.as_micros() as u64, Ordering::SeqCst);
+            clock.advanced.notify(usize::MAX);
         }
     }
 
     /// Waits until `at`.
     pub async fn sleep_until(&self, at: Time) {
         match self {
-            Clock::System { .. } => {
-                async_io::Timer::after(at.since(self.now())).await;
+            Clock::System(clock) => {
+                async_io::Timer::after(at.since(clock.now())).await;
             }
-            Clock::Manual(_) => {
-                while self.now() < at {
-                    futures_lite::future::yield_now().await;
+            Clock::Manual(clock) => loop {
+                // Listens before it looks, so that no advance falls between the two.
+                let advanced = clock.advanced.listen();
+                if self.now() >= at {
+                    return;
                 }
-            }
+                advanced.await;
+            },
         }
     }
 
@@ -71,3 +121,7 @@
         Clock::new()
     }
 }
+
+fn wall_clock() -> Time {
+    Time::ZERO + SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- /dev/null
+++ b/node/tests/clock.rs
@@ -0,0 +1,56 @@
+//! The clock port.
+
+use futures_lite::future;
+use std::time::Duration;
+use sycamore_core::Time;
+use sycamore_node::clock::Clock;
+
+const HOUR: Duration = Duration::from_secs(3_600);
+
+#[test]
+fn system_after_a_suspended_vm() {
+    // Story: a VM is suspended for an hour. Its monotonic clock stood still, its wall clock is set
+    // right on waking. A node that goes on by the monotonic clock alone stays an hour behind: it
+    // refuses every new signing, whose key seems to come from the future, until it is restarted.
+    let wall = Clock::new().now();
+    let clock = Clock::starting_at(wall - HOUR);
+    assert!(clock.now() >= wall);
+}
+
+#[test]
+fn system_never_goes_back() {
+    // Story: the wall clock was an hour ahead and is set right. Time that goes back would bring
+    // leases and kept answers that have expired back to life.
+    let wall = Clock::new().now();
+    let clock = Clock::starting_at(wall + HOUR);
+    let first = clock.now();
+    assert!(first >= wall + HOUR);
+    assert!(clock.now() >= first);
+}
+
+#[test]
+fn manual_stands_still() {
+    let clock = Clock::manual(Time::from_millis(7));
+    assert_eq!(clock.now(), Time::from_millis(7));
+    assert_eq!(clock.now(), Time::from_millis(7));
+    clock.advance(Duration::from_millis(3));
+    assert_eq!(clock.now(), Time::from_millis(10));
+}
+
+#[test]
+fn manual_sleep_ends_when_advanced() {
+    let clock = Clock::manual(Time::ZERO);
+    let sleeper = clock.clone();
+    let sleep = async {
+        sleeper.sleep(Duration::from_secs(5)).await;
+        sleeper.now()
+    };
+    let advance = async {
+        for _ in 0..5 {
+            future::yield_now().await;
+            clock.advance(Duration::from_secs(1));
+        }
+    };
+    let (woken, ()) = future::block_on(future::zip(sleep, advance));
+    assert_eq!(woken, Time::from_millis(5_000));
+}
--- /dev/null
+++ b/tools/tests/operators/examples.rs
@@ -0,0 +1,51 @@
+//! The examples that the demo runs are valid, and the documents that nodes must refuse are not.
+
+use crate::tool;
+use std::fs;
+use std::path::{Path, PathBuf};
+use sycamore_node::settings::Settings;
+
+const DEPLOYMENTS: [&str; 2] = ["franchise-office", "cooperative"];
+
+/// The JSON files of one folder of a deployment.
+fn files(deployment: &str, folder: &str) -> Vec<PathBuf> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples");
+    let entries = fs::read_dir(root.join(deployment).join(folder)).unwrap();
+    let files: Vec<_> = entries.map(|entry| entry.unwrap().path()).collect();
+    assert!(!files.is_empty(), "{deployment}/{folder}");
+    files
+}
+
+fn check(file: &Path) -> tool::Run {
+    tool::run(env!("CARGO_BIN_EXE_sycamore-check"), &[file.to_str().unwrap()])
+}
+
+#[test]
+fn settings_valid() {
+    for deployment in DEPLOYMENTS {
+        let files = files(deployment, "nodes");
+        assert_eq!(files.len(), 18, "{deployment}");
+        for file in files {
+            Settings::read(&file).unwrap();
+        }
+    }
+}
+
+#[test]
+fn presets_accepted() {
+    for deployment in DEPLOYMENTS {
+        for file in files(deployment, "published/preset") {
+            let run = check(&file);
+            assert_eq!(run.code, Some(0), "{}", run.stdout);
+        }
+    }
+}
+
+#[test]
+fn refused_presets_refused() {
+    for deployment in DEPLOYMENTS {
+        for file in files(deployment, "refused") {
+            assert_eq!(check(&file).code, Some(1), "{}", file.display());
+        }
+    }
+}
--- a/tools/tests/operators/main.rs
+++ b/tools/tests/operators/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod check_agrees;
+mod examples;
 mod fake_nodes;
 mod status;
 mod timeline;
