Tools read nodes of later releases; long lists of nodes are cut

Cause: a tool that refuses unknown fields shows every upgraded node as lost during an upgrade; a report over thousands of lagging nodes filled the screen; waits of the shell's tests had no end. Ruled out: a version number in /status (old tools would still have to pass over what it adds).

--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -58,7 +58,7 @@
     Stopped,
 }
 
-json! {
+report! {
     /// One change of state.
     pub struct Event {
         /// When, in microseconds since the Unix epoch by this node's clock.
--- a/core/src/macros.rs
+++ b/core/src/macros.rs
@@ -14,6 +14,15 @@
     )* };
 }
 
+/// What a node tells operators of itself, in JSON. Unknown fields are passed over, so that tools
+/// read nodes of later releases while a fleet is upgraded.
+macro_rules! report {
+    ($($item:item)*) => { $(
+        #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+        $item
+    )* };
+}
+
 /// A small closed set written to JSON in kebab case.
 macro_rules! choice {
     ($($item:item)*) => { $(
--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -18,7 +18,7 @@
     }
 }
 
-json! {
+report! {
     /// Body of `GET /status` on the admin port.
     pub struct Status {
         /// VM that the node runs on.
--- a/node/tests/shell/configured.rs
+++ b/node/tests/shell/configured.rs
@@ -43,10 +43,9 @@
     let preset = preset(&settings["listen"]["gate"]);
     settings["platform_address"] = platform(&preset, &settings).to_string().into();
     settings["target_address"] = target.to_string().into();
-    let node = NodeProcess::start(&settings);
-    while !node.request("GET", "/ready").0.starts_with("HTTP/1.1 200") {
-        std::thread::sleep(std::time::Duration::from_millis(20));
-    }
+    let mut node = NodeProcess::start(&settings);
+    let ready = |node: &NodeProcess| node.request("GET", "/ready").0.starts_with("HTTP/1.1 200");
+    node.wait_until("it is ready", ready);
     (node, settings)
 }
 
--- a/node/tests/shell/process.rs
+++ b/node/tests/shell/process.rs
@@ -8,7 +8,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
 /// Gives each node of a test process an address of its own.
@@ -68,11 +68,18 @@
             .unwrap();
         let admin = settings["listen"]["admin"].as_str().unwrap().parse().unwrap();
         let mut node = NodeProcess { child, dir, admin };
-        while TcpStream::connect(admin).is_err() {
-            assert!(node.child.try_wait().unwrap().is_none(), "ended: {}", node.log());
+        node.wait_until("it listens", |_| TcpStream::connect(admin).is_ok());
+        node
+    }
+
+    /// Waits until `holds`; fails the test if the process ends first or [`PATIENCE`] has passed.
+    pub fn wait_until(&mut self, what: &str, holds: impl Fn(&NodeProcess) -> bool) {
+        let start = Instant::now();
+        while !holds(self) {
+            let runs = self.child.try_wait().unwrap().is_none();
+            assert!(runs && start.elapsed() < PATIENCE, "{what}: {}", self.log());
             std::thread::sleep(Duration::from_millis(10));
         }
-        node
     }
 
     /// What it has logged.
--- a/tools/src/status/output.rs
+++ b/tools/src/status/output.rs
@@ -8,6 +8,9 @@
 use std::io::Write;
 use sycamore_core::{Name, Result, Time};
 
+/// Nodes listed without `--all`: a zone that is cut off would fill the screen.
+const MAX_LISTED: usize = 40;
+
 /// Writes the report.
 pub fn write(report: &Report, cfg: &Config, out: &mut dyn Write) -> Result<()> {
     match cfg.format {
@@ -40,11 +43,15 @@
         for refusal in &report.refusals {
             writeln!(f, "refused by {} nodes: {}", refusal.nodes, refusal.fault)?;
         }
-        let listed = report.fleet.iter().filter(|node| self.all || node.lag.is_some());
-        for node in listed {
+        let lagging = report.fleet.iter().filter(|node| self.all || node.lag.is_some());
+        let listed = if self.all { usize::MAX } else { MAX_LISTED };
+        for node in lagging.clone().take(listed) {
             write_node(f, node, report.asked)?;
         }
-        Ok(())
+        match lagging.count().saturating_sub(listed) {
+            0 => Ok(()),
+            more => writeln!(f, "  and {more} more; --all lists them"),
+        }
     }
 }
 
--- a/tools/tests/operators/check_agrees.rs
+++ b/tools/tests/operators/check_agrees.rs
@@ -41,8 +41,8 @@
 }
 
 const PRESET: &str = r#"{"name":"ordinary","services":{"roster":{"limits":{"slots":12},"targets":[
-{"vm":"a","region":"hills","zone":"h1","gate":"127.0.0.1:1"},
-{"vm":"b","region":"hills","zone":"h1","gate":"127.0.0.2:1"}]}},"routes":{
+{"vm":"a","region":"hills","zone":"h1","gate":"127.0.0.1:1","peers":"127.0.0.1:3"},
+{"vm":"b","region":"hills","zone":"h1","gate":"127.0.0.2:1","peers":"127.0.0.2:3"}]}},"routes":{
 "rosters":{"path_prefix":"/rosters","service":"roster","idempotent":true},
 "crews":{"path_prefix":"/crews","service":"roster","idempotent":true}}}"#;
 
--- a/tools/tests/operators/status.rs
+++ b/tools/tests/operators/status.rs
@@ -141,6 +141,23 @@
     assert!(run.stdout.contains("E504"), "{}", run.stdout);
 }
 
+#[test]
+fn node_of_a_later_release() {
+    // Story: a fleet is upgraded node by node, and the new release tells more of itself. A tool
+    // that refuses what it does not know would show every upgraded node as lost.
+    let run = ask(&fleet(vec![with(status(0, 4), "colour", 1.into())]).addresses, &[]);
+    assert_eq!(run.code, Some(0), "{}", run.stdout);
+}
+
+#[test]
+fn node_list_cut_short() {
+    let late = (1..100).map(|i| status(i, 3));
+    let fleet = fleet(std::iter::once(status(0, 4)).chain(late).collect());
+    let text = ask(&fleet.addresses, &[]).stdout;
+    assert!(text.contains("lagging 99") && text.contains("and 59 more"), "{text}");
+    assert_eq!(ask(&fleet.addresses, &["--all"]).stdout.matches(" in h1 at ").count(), 100);
+}
+
 #[test]
 fn node_leaving_does_not_count() {
     let leaving = with(status(1, 3), "draining", true.into());
--- a/tools/tests/operators/timeline.rs
+++ b/tools/tests/operators/timeline.rs
@@ -3,6 +3,7 @@
 use crate::fake_nodes::FakeNodes;
 use crate::tool::{self, Run};
 use indexmap::IndexMap;
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::fs;
 use std::path::Path;
@@ -180,6 +181,29 @@
     assert!(run.stdout.contains(" started\n"), "{}", run.stdout);
 }
 
+#[test]
+fn follow_ended_by_signal() {
+    // Story: the demo follows a run whose length it does not know, and ends the tool by a signal.
+    // A tool that dies of it leaves no picture.
+    let body = events("a", START, START + SECOND, &[event(START, "started")]).to_string();
+    let nodes = FakeNodes::start(1, |_| IndexMap::from([("/events".to_owned(), body.clone())]));
+    let dir = tempfile::tempdir().unwrap();
+    let (save, picture) = (dir.path().join("records"), dir.path().join("picture.svg"));
+    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_sycamore-timeline"))
+        .args(["--node", &nodes.addresses[0].to_string(), "--follow", "3600", "--format", "svg"])
+        .args(["--save", save.to_str().unwrap(), "--output", picture.to_str().unwrap()])
+        .spawn()
+        .unwrap();
+    // A saved record shows that the tool has set up its signals before.
+    while fs::read_dir(&save).map_or(0, Iterator::count) == 0 {
+        assert!(child.try_wait().unwrap().is_none(), "it ended before it saved anything");
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    assert!(fs::read_to_string(picture).unwrap().contains("started"));
+}
+
 #[test]
 fn picture_of_names_with_markup() {
     let dir = tempfile::tempdir().unwrap();
