--- a/tools/tests/timeline.rs
+++ b/tools/tests/operators/timeline.rs
@@ -1,17 +1,13 @@
 //! `sycamore-timeline` over files and admin ports.
 
-#[path = "support/fake_nodes.rs"]
-mod fake_nodes;
-#[path = "support/tool.rs"]
-mod tool;
-
-use fake_nodes::FakeNodes;
+use crate::fake_nodes::FakeNodes;
+use crate::tool::{self, Run};
 use indexmap::IndexMap;
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::fs;
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
-use tool::Run;
 
 const SECOND: u64 = 1_000_000;
 const START: u64 = 1_700_000_000 * SECOND;
@@ -78,6 +74,23 @@
     assert_eq!(line["lanes"][0]["processes"][0]["end"], "stopped");
 }
 
+#[test]
+fn process_stopped_between_polls() {
+    // Story: a node is drained. It records its stop and ends at once, so that no poll reads that
+    // event. The picture would show a planned stop as a node that was lost.
+    let dir = tempfile::tempdir().unwrap();
+    let drained = [event(START, "started"), event(START + SECOND, "draining")];
+    let running = [event(START, "started")];
+    let line = merged(
+        dir.path(),
+        &[
+            events("a", START, START + SECOND, &drained),
+            events("b", START, START + 60 * SECOND, &running),
+        ],
+    );
+    assert_eq!(line["lanes"][0]["processes"][0]["end"], "stopped");
+}
+
 #[test]
 fn process_unseen() {
     let dir = tempfile::tempdir().unwrap();
@@ -168,6 +181,29 @@
     assert!(run.stdout.contains(" started\n"), "{}", run.stdout);
 }
 
+#[test]
+fn follow_ended_by_signal() {
+    // Story: the demo follows a run whose length it does not know, and ends the tool by a signal.
+    // A tool that dies of it leaves no picture.
+    let body = events("a", START, START + SECOND, &[event(START, "started")]).to_string();
+    let nodes = FakeNodes::start(1, |_| IndexMap::from([("/events".to_owned(), body.clone())]));
+    let dir = tempfile::tempdir().unwrap();
+    let (save, picture) = (dir.path().join("records"), dir.path().join("picture.svg"));
+    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_sycamore-timeline"))
+        .args(["--node", &nodes.addresses[0].to_string(), "--follow", "3600", "--format", "svg"])
+        .args(["--save", save.to_str().unwrap(), "--output", picture.to_str().unwrap()])
+        .spawn()
+        .unwrap();
+    // A saved record shows that the tool has set up its signals before.
+    while fs::read_dir(&save).map_or(0, Iterator::count) == 0 {
+        assert!(child.try_wait().unwrap().is_none(), "it ended before it saved anything");
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    assert!(fs::read_to_string(picture).unwrap().contains("started"));
+}
+
 #[test]
 fn picture_of_names_with_markup() {
     let dir = tempfile::tempdir().unwrap();
