--- a/bench/src/calls/timeseries.rs
+++ b/bench/src/calls/timeseries.rs
@@ -40,11 +40,11 @@
 
     /// Share of the calls due from one time to another that were answered in time.
     pub fn share(&self, from_us: u64, to_us: u64) -> f64 {
-        let index = |at_us: u64| {
-            let index = at_us.saturating_sub(self.start_us).div_ceil(STEP_US) as usize;
-            index.min(self.steps.len())
-        };
-        share(&self.steps[index(from_us)..index(to_us).max(index(from_us))])
+        // Steps that lie within the time as a whole.
+        let first = from_us.saturating_sub(self.start_us).div_ceil(STEP_US) as usize;
+        let end = (to_us.saturating_sub(self.start_us) / STEP_US) as usize;
+        let end = end.min(self.steps.len());
+        share(&self.steps[first.min(end)..end])
     }
 
     /// How long after a time the share answered in time is back, and stays so for half a second,
--- a/tools/src/load/caller.rs
+++ b/tools/src/load/caller.rs
@@ -128,19 +128,24 @@
 
     async fn send(&mut self, entry: &Pool, end: Instant) -> Next {
         let at_us = now_us();
-        let req = self.request();
         self.record.code = None;
-        let timeout = async {
-            Timer::at(end).await;
-            None
+        let Some(permit) = before(self.deadline, entry.permit()).await else {
+            // Too many of the caller's own requests are under way.
+            self.record.outcome = Outcome::NotRun;
+            return self.push(entry, at_us, SendResult::NotSent, Next::Final);
         };
-        let exchange = async { Some(entry.send(req).await) };
-        let (result, next) = match future::or(exchange, timeout).await {
+        let req = self.request();
+        let exchange = before(end, entry.send_with(permit, req));
+        let (result, next) = match exchange.await {
             Some(Ok(exchange)) => self.take(entry, exchange, end).await,
             Some(Err(SendError::NotSent)) => (SendResult::NotSent, self.next_entry()),
             Some(Err(SendError::Broken)) => resend(SendResult::Broken),
             None => (SendResult::TimedOut, Next::Final),
         };
+        self.push(entry, at_us, result, next)
+    }
+
+    fn push(&mut self, entry: &Pool, at_us: u64, result: SendResult, next: Next) -> Next {
         let code = self.record.code;
         let send = Send { entry: entry.address(), at_us, end_us: now_us(), result, code };
         self.record.sends.push(send);
@@ -194,12 +199,8 @@
                 (SendResult::Unknown, Next::Final)
             }
             _ => {
-                let timeout = async {
-                    Timer::at(end).await;
-                    (SendResult::TimedOut, Next::Final)
-                };
-                let read = self.read(entry, response, connection);
-                future::or(read, timeout).await
+                let read = before(end, self.read(entry, response, connection)).await;
+                read.unwrap_or((SendResult::TimedOut, Next::Final))
             }
         }
     }
@@ -236,6 +237,15 @@
     }
 }
 
+/// The output of a future, if it comes before a time.
+async fn before<T>(end: Instant, work: impl Future<Output = T>) -> Option<T> {
+    let timeout = async {
+        Timer::at(end).await;
+        None
+    };
+    future::or(async { Some(work.await) }, timeout).await
+}
+
 fn resend(result: SendResult) -> (SendResult, Next) {
     (result, Next::Resend(DEFAULT_RETRY_AFTER))
 }
--- a/tools/src/load/client.rs
+++ b/tools/src/load/client.rs
@@ -56,7 +56,7 @@
 
 /// Lets one more exchange begin when it is dropped.
 #[derive(Debug)]
-struct Permit(Receiver<()>);
+pub struct Permit(Receiver<()>);
 
 impl Drop for Permit {
     fn drop(&mut self) {
@@ -76,14 +76,23 @@
         self.address
     }
 
+    /// Waits until one more exchange may begin.
+    pub async fn permit(&self) -> Permit {
+        // Sending fails only on a closed channel, and the pool holds both of its ends.
+        let _ = self.take_permit.send(()).await;
+        Permit(self.give_permit.clone())
+    }
+
     /// Sends a request and waits for the head of its answer.
+    pub async fn send(&self, req: Outgoing) -> Result<Exchange, SendError> {
+        self.send_with(self.permit().await, req).await
+    }
+
+    /// The same with a permit that has been waited for.
     ///
     /// A kept connection that the other side has closed hands the request back unsent; it then
     /// goes out on a fresh one.
-    pub async fn send(&self, req: Outgoing) -> Result<Exchange, SendError> {
-        // Sending fails only on a closed channel, and the pool holds both of its ends.
-        let _ = self.take_permit.send(()).await;
-        let permit = Permit(self.give_permit.clone());
+    pub async fn send_with(&self, permit: Permit, req: Outgoing) -> Result<Exchange, SendError> {
         let mut req = req;
         while let Some(sender) = self.take_idle() {
             match exchange(sender, req).await {
