--- /dev/null
+++ b/bench/src/fleet/size.rs
@@ -0,0 +1,69 @@
+//! Bytes that a message takes on the wire, as a node's adapter encodes it.
+
+use indexmap::IndexMap;
+use std::sync::Arc;
+use sycamore_core::Name;
+use sycamore_core::hash::Hash;
+use sycamore_core::spread::message::{Delta, PeerMsg, ZoneList};
+use sycamore_node::spread::codec;
+use sycamore_node::spread::payload::Payloads;
+
+/// Contents whose size is kept.
+const KEPT: usize = 8_192;
+
+/// Names the content of a delta: its version, base and result.
+type DeltaKey = (u64, Option<Hash>, Hash);
+
+/// Names a list of VMs: its zone and index.
+type ListKey = (Name, u64);
+
+/// Sizes of messages, with those of large contents kept: one content goes to many nodes, each of
+/// which holds its own copy, and is compressed here only once.
+#[derive(Debug, Default)]
+pub struct Sizes {
+    payloads: Payloads,
+    deltas: IndexMap<DeltaKey, u64>,
+    lists: IndexMap<ListKey, u64>,
+}
+
+impl Sizes {
+    /// Bytes of a message and of the call that carries it, without the heads of TCP and IP.
+    pub fn of(&mut self, msg: &PeerMsg) -> u64 {
+        match msg {
+            PeerMsg::Delta(delta) => self.delta(delta),
+            PeerMsg::Lists(lists) => lists.iter().map(|list| self.list(list)).sum(),
+            _ => self.encoded(msg),
+        }
+    }
+
+    fn encoded(&mut self, msg: &PeerMsg) -> u64 {
+        codec::size(msg, &mut self.payloads).unwrap_or(0)
+    }
+
+    fn delta(&mut self, delta: &Arc<Delta>) -> u64 {
+        let base = delta.base.as_ref().map(|base| base.digest);
+        let key = (delta.summary.in_force.version, base, delta.digest);
+        if let Some(size) = self.deltas.get(&key) {
+            return *size;
+        }
+        let size = self.encoded(&PeerMsg::Delta(delta.clone()));
+        keep(&mut self.deltas, key, size)
+    }
+
+    fn list(&mut self, list: &Arc<ZoneList>) -> u64 {
+        let key = (list.place.zone.clone(), list.index);
+        if let Some(size) = self.lists.get(&key) {
+            return *size;
+        }
+        let size = self.encoded(&PeerMsg::Lists(vec![list.clone()]));
+        keep(&mut self.lists, key, size)
+    }
+}
+
+fn keep<K: std::hash::Hash + Eq>(kept: &mut IndexMap<K, u64>, key: K, size: u64) -> u64 {
+    if kept.len() == KEPT {
+        kept.clear();
+    }
+    kept.insert(key, size);
+    size
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,7 +1,11 @@
 //! Benches and history checks of sycamorescale.
 
+pub mod baseline;
 pub mod calls;
 pub mod demo;
+pub mod fleet;
+pub mod history;
 pub mod http;
+pub mod links;
 pub mod process;
 pub mod stack;
--- a/core/src/spread.rs
+++ b/core/src/spread.rs
@@ -22,6 +22,7 @@
 mod fetch;
 mod join;
 mod members;
+mod notes;
 mod reading;
 mod serve;
 mod source;
@@ -75,7 +76,11 @@
     snapshot: Option<Arc<Snapshot>>,
     /// Not before this time is the rest of the version in force asked for.
     scope_at: Time,
-    /// Zones whose lists are read because notes go there.
+    /// Peers that answered the first questions: parents for a node that has no list to take one
+    /// from, as when the platform is down at its start.
+    acquainted: Vec<Peer>,
+    dropped: notes::Dropped,
+    /// Zones whose lists are read because a target there was dropped and may have failed.
     extra_zones: Vec<crate::place::Place>,
     newest_heard: u64,
     came_from: Option<Name>,
@@ -111,6 +116,8 @@
             staged: None,
             snapshot: None,
             scope_at: Time::ZERO,
+            acquainted: Vec::new(),
+            dropped: notes::Dropped::default(),
             extra_zones: Vec::new(),
             newest_heard: 0,
             came_from: None,
@@ -218,8 +225,8 @@
         let times = [
             Some(self.topology_at),
             self.asked.next(),
-            self.join_wake(),
-            self.attach_wake(),
+            self.join_wake(now),
+            self.attach_wake(now),
             self.fetch.as_ref().map(|fetch| fetch.until),
             self.source_wake(),
             self.words.next(),
@@ -235,7 +242,10 @@
         }
         self.topology_at = now + limits::TOPOLOGY;
         let staying = self.word.state == VmState::Live;
-        let topology = Topology::new(now, &self.cfg, &self.members, staying);
+        let mut topology = Topology::new(now, &self.cfg, &self.members, staying);
+        if self.members.list(&self.cfg.place.zone).is_none() {
+            topology.uppers = self.acquainted.clone();
+        }
         if topology.uppers != self.topology.uppers {
             self.attach.uppers_changed(now);
         }
--- a/core/src/spread/limits.rs
+++ b/core/src/spread/limits.rs
@@ -80,6 +80,10 @@
 /// Longest pause of any other node between failed calls to the platform.
 pub const ORPHAN_BACKOFF: Duration = Duration::from_secs(60);
 
+/// The same as a multiple of the mean time between its calls, which grows with the fleet. In a
+/// small fleet a node that nobody else can help soon tries again.
+pub const ORPHAN_BACKOFF_INTERVALS: u32 = 4;
+
 /// Calls a second that all zone relays together may make when they have lost every reader.
 pub const RELAY_CALLS_PER_S: u32 = 250;
 
@@ -147,8 +151,17 @@
 /// Zones whose list is read because a note goes there.
 pub const MAX_EXTRA_ZONES: usize = 64;
 
+/// Dropped targets whose address is remembered.
+pub const MAX_DROPPED: usize = 1_024;
+
 /// Pause between two readings of the list of a zone that notes go to.
 pub const EXTRA_PAUSE: Duration = Duration::from_secs(60);
 
 /// First and longest pause between readings of a body that fails its digest.
 pub const TORN_BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(30));
+
+/// How long a peer that did not deliver what it said it held is not taken as parent.
+pub const DISTRUST: Duration = Duration::from_secs(30);
+
+/// Peers distrusted at once.
+pub const MAX_DISTRUSTED: usize = 64;
--- a/core/src/spread/serve.rs
+++ b/core/src/spread/serve.rs
@@ -1,11 +1,10 @@
 //! Taking messages and answering them.
 
 use super::Spread;
-use super::limits::{MAX_EXTRA_ZONES, MAX_LIST_VMS, MAX_LISTS};
+use super::limits::{MAX_LIST_VMS, MAX_LISTS};
 use super::message::{Ask, PeerMsg, Ping, Pong, Pull, ZoneList, ZonesList};
 use super::port::{Output, Peer};
 use crate::Time;
-use crate::call::note::OutgoingNote;
 use crate::config::Scope;
 use std::sync::Arc;
 
@@ -61,11 +60,20 @@
         };
         self.send(from, PeerMsg::Pong(Box::new(pong)), out);
         self.send_lists(now, from, ping, out);
+        self.meet(now, from, out);
         if let Some(have) = &ping.have {
             self.hear(now, from, have, out);
         }
     }
 
+    /// Asks whoever is heard from, while the node knows of nobody to ask: one that started while
+    /// the platform was down and has no seeds would stay alone for as long as the outage lasts.
+    fn meet(&mut self, now: Time, from: &Peer, out: &mut Vec<Output>) {
+        if self.members.list(&self.cfg.place.zone).is_none() {
+            self.ask(now, from, Ask::Join, out);
+        }
+    }
+
     /// Sends the lists that the asking node lacks, and asks for those that this node lacks.
     fn send_lists(&mut self, now: Time, from: &Peer, ping: &Ping, out: &mut Vec<Output>) {
         if let Some(zones) = self.members.zones().filter(|zones| zones.index > ping.zones) {
@@ -110,20 +118,4 @@
             self.lists_changed();
         }
     }
-
-    /// Sends a note of the call path. A note to a VM in no list is dropped, and the list of its
-    /// zone is read: whoever waits for the note's effect asks again.
-    pub(super) fn send_note(&mut self, note: OutgoingNote, out: &mut Vec<Output>) {
-        if let Some(member) = self.members.find(&note.to) {
-            let peer = super::topology::peer(member);
-            self.send(&peer, PeerMsg::Note(note.note), out);
-            return;
-        }
-        let Some(snapshot) = &self.snapshot else { return };
-        let Some(key) = snapshot.target_on(&note.to) else { return };
-        let place = snapshot.target(key).target.place();
-        if !self.extra_zones.contains(&place) && self.extra_zones.len() < MAX_EXTRA_ZONES {
-            self.extra_zones.push(place);
-        }
-    }
 }
--- a/node/src/spread.rs
+++ b/node/src/spread.rs
@@ -3,9 +3,9 @@
 //! The decisions are those of [`sycamore_core::spread::Spread`]; the adapters here carry them out
 //! on one thread, since Cap'n Proto RPC works on one thread.
 
-mod codec;
+pub mod codec;
 mod link;
-mod payload;
+pub mod payload;
 mod peers;
 mod platform;
 mod server;
@@ -189,6 +189,7 @@
                 shown.platform_answers = view.platform_answers;
                 shown.confirmed = view.confirmed;
             }),
+            Output::Confirmed => self.calls.confirmed(),
             Output::Event(event) => shared.record(event),
             Output::Refused(fault) => shared.update_spread(|shown| {
                 shown.last_refusal = Some(fault);
