bench: naive nodes that are refused poll again at another phase; parts of 20 KB above 100 KB

Cause: the polling herd came back in the same order each time, so that the same nodes were refused for ever, which no real herd does; and a whole preset of 127 KB is read again at each change. Change: a new phase after a refusal; presets above 100 KB are published in parts of 20 KB.

--- a/bench/src/baseline.rs
+++ b/bench/src/baseline.rs
@@ -46,6 +46,7 @@
     whole: u64,
     interval: Duration,
     lives: Vec<u32>,
+    rng: Pcg64Mcg,
 }
 
 impl Baseline {
@@ -59,12 +60,12 @@
         let whole = first.whole;
         let platform = Platform::new();
         let lives = vec![0; size.nodes];
+        let rng = Pcg64Mcg::seed_from_u64(seed);
         let mut fleet =
-            Baseline { size, links, platform, workload, convergence, whole, interval, lives };
+            Baseline { size, links, platform, workload, convergence, whole, interval, lives, rng };
         fleet.put(&first);
-        let mut rng = Pcg64Mcg::seed_from_u64(seed);
         for node in 0..size.nodes {
-            let phase = rng.random_range(0..interval.as_micros() as u64);
+            let phase = fleet.rng.random_range(0..interval.as_micros() as u64);
             fleet.links.after(Duration::from_micros(phase), Event::Poll(node, 0));
             fleet.convergence.in_force(node, 1, Time::ZERO);
         }
@@ -116,12 +117,19 @@
             self.links.after(Duration::ZERO, Event::Poll(*node, self.lives[*node]));
         }
         let end = since + LONGEST_STORM;
+        let mut last = since;
         while self.convergence.behind(1) > 0 && self.links.next_at() <= Some(end) {
-            let Some(event) = self.links.pop() else { break };
-            self.handle(event);
+            // Counting the nodes after each event would cost more than the run.
+            for _ in 0..nodes.len() {
+                let Some(event) = self.links.pop() else { break };
+                if let Event::Answered(node, 1..) = event {
+                    last = if self.convergence.held(node) == 0 { self.links.now() } else { last };
+                }
+                self.handle(event);
+            }
         }
         let behind = self.convergence.behind(1);
-        let span = self.links.now().since(since);
+        let span = last.since(since);
         let calls = self.platform.calls();
         let bytes = self.links.traffic().bytes;
         StormFigures {
@@ -175,7 +183,7 @@
             let get = Get { caller: node, key, above: None, until: now };
             match self.platform.get(now, get) {
                 Some(Answer::Value(_, found)) => index = Some(found),
-                _ => return,
+                _ => return self.poll_later(node),
             }
         }
         // One value is written for each version, so that the index is the version.
@@ -186,6 +194,14 @@
         }
     }
 
+    /// A refused node polls again at another phase. With the old one the same nodes would be
+    /// refused each time.
+    fn poll_later(&mut self, node: usize) {
+        self.lives[node] += 1;
+        let phase = self.rng.random_range(0..self.interval.as_micros() as u64);
+        self.links.after(Duration::from_micros(phase), Event::Poll(node, self.lives[node]));
+    }
+
     fn put(&mut self, publication: &Publication) {
         self.whole = publication.whole;
         self.platform.put(name("document".to_owned()), Bytes::new());
--- a/bench/src/fleet/publication.rs
+++ b/bench/src/fleet/publication.rs
@@ -10,11 +10,13 @@
 use sycamore_core::config::in_force::InForce;
 use sycamore_core::hash::Hash;
 
-/// Largest preset that is published as one value.
-const WHOLE_BYTES: usize = 950_000;
+/// Largest preset that is published as one value. The platform takes ten times as much, but the
+/// readers that fetch a changed value would spend more than a node may.
+const WHOLE_BYTES: usize = 100_000;
 
-/// Usual size of a part. Small parts let a change rewrite little.
-const PART_BYTES: usize = 64_000;
+/// Usual size of a part: about where a part and the root that lists all parts are equally large
+/// at the two-year size, so that a change rewrites least.
+const PART_BYTES: usize = 20_000;
 
 /// One version: values to write in this order, so that `in-force` names only what is there.
 #[derive(Clone, Debug)]
