Homes of keys: a gatekeeper that leaves hands its keys to the next home in order

Ruled out: taking over from a VM that the platform's list calls gone: the list may be wrong about a zone that is cut off, and both would run. Only the leaving gatekeeper's own word counts. Change: on drain it lets go of every key and names those that ran; the next home in order asks for them; when the VM starts again it asks all fellow targets before it runs a key. Entry nodes send on to the next home after a refusal that says not run. Conclusion: planned stops no longer stop signings; kills still do until restart.

--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -220,6 +220,11 @@
         }
     }
 
+    /// Whether a target is leaving, by its own word or by the view of members.
+    pub fn is_leaving(&self, now: Time, vm: &Name) -> bool {
+        self.peers.get(vm).is_some_and(|peer| peer.leaving || peer.leaving_until > now)
+    }
+
     /// The nearest tier's pick, or a farther one's if that is cheaper by what was measured.
     fn pick_among(&mut self, want: Want<'_>) -> Option<usize> {
         let mut best: Option<(usize, Duration)> = None;
--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -18,6 +18,9 @@
 const COME_BACK_SOON: Duration = Duration::from_millis(200);
 const COME_BACK_LATER: Duration = Duration::from_secs(1);
 
+/// Homes of a key that are tried: the home and those next in order.
+const MAX_HOMES: usize = 3;
+
 /// Less time than this is not worth another attempt.
 const MIN_ATTEMPT: Duration = Duration::from_millis(1);
 
@@ -270,7 +273,7 @@
         self.forward(now, arrival.call, vm, out);
     }
 
-    /// The target for the next attempt. A key has one home, whatever the state of its VM.
+    /// The target for the first attempt.
     fn choose(
         &mut self,
         now: Time,
@@ -281,7 +284,7 @@
     ) -> Option<Name> {
         let service = snapshot.route(route).service;
         match key {
-            Some(key) => home_of(snapshot, service, key),
+            Some(key) => self.home_for(now, snapshot, service, key, tried),
             None => self.balancer.pick(now, service, tried),
         }
     }
@@ -383,23 +386,49 @@
             return None;
         }
         match call.key {
-            Some(request_key) => self.next_home(key, request_key, code),
+            Some(request_key) => self.next_home(now, key, request_key, code),
             None => self.next_target(now, key, code),
         }
     }
 
     /// A request that may run only once is sent again only after a refusal that says that it did
-    /// not run, and only if the version in force names another home by now.
-    fn next_home(&self, key: CallKey, request_key: RequestKey, code: Code) -> Option<Name> {
+    /// not run: to its home under a newer version, or to the next home in order when the home
+    /// before is leaving. Whoever gets it checks that it is the home.
+    fn next_home(
+        &self,
+        now: Time,
+        key: CallKey,
+        request_key: RequestKey,
+        code: Code,
+    ) -> Option<Name> {
         let call = self.calls.get(&key)?;
-        if call.unknown.is_some() || code != Code::NotHome {
+        let elsewhere =
+            matches!(code, Code::NotHome | Code::Draining | Code::GatekeeperUnreachable);
+        if call.unknown.is_some() || !elsewhere {
             return None;
         }
         let snapshot = self.snapshot.as_ref()?;
         let service = &call.snapshot.service(call.snapshot.route(call.route).service).name;
         let index = snapshot.services().iter().position(|entry| entry.name == *service)?;
-        let home = home_of(snapshot, ServiceKey(index as u32), request_key)?;
-        (!call.tried.contains(&home)).then_some(home)
+        self.home_for(now, snapshot, ServiceKey(index as u32), request_key, &call.tried)
+    }
+
+    /// The home of a key, or the next in order for one that is leaving.
+    fn home_for(
+        &self,
+        now: Time,
+        snapshot: &Snapshot,
+        service: ServiceKey,
+        key: RequestKey,
+        tried: &[Name],
+    ) -> Option<Name> {
+        let subject = key.to_bytes();
+        let targets = snapshot.service(service).targets.iter();
+        let vms: Vec<&Name> = targets.map(|target| &snapshot.target(*target).target.vm).collect();
+        let order = HomeList::order(&subject, &vms, MAX_HOMES);
+        let mut untried = order.iter().filter(|vm| !tried.contains(vm));
+        let staying = untried.clone().find(|vm| !self.balancer.is_leaving(now, vm));
+        staying.or_else(|| untried.next()).map(|vm| Name::clone(vm))
     }
 
     fn next_target(&mut self, now: Time, key: CallKey, code: Code) -> Option<Name> {
@@ -480,10 +509,3 @@
         _ => RetryKind::Never,
     }
 }
-
-fn home_of(snapshot: &Snapshot, service: ServiceKey, key: RequestKey) -> Option<Name> {
-    let subject = key.to_bytes();
-    let targets = snapshot.service(service).targets.iter();
-    let vms = targets.map(|target| &snapshot.target(*target).target.vm);
-    HomeList::choose(&subject, vms).cloned()
-}
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -1,8 +1,8 @@
 //! Decisions beside the target: what reaches it, when, and what is said of what does not.
 
 use super::admit::{Admission, Popped, Slots};
-use super::home::{Answer, Homes, Right};
-use super::note::{HomeList, Note, OutgoingNote};
+use super::home::{Homes, Right};
+use super::note::{Ask, HomeList, Note, OutgoingNote};
 use super::once::{KeptAnswer, Once, Seen};
 use super::quarantine::{MAX_CRASHES, Suspects};
 use super::{CallKey, Fingerprint, Load, MAX_CLOCK_SKEW, Members, Outcome, RequestKey};
@@ -195,7 +195,7 @@
             Input::Configure(snapshot) => self.configure(now, snapshot),
             Input::View(members) => self.members = members,
             Input::Confirm => self.confirmed = true,
-            Input::Drain => self.draining = true,
+            Input::Drain => self.drain(out),
             Input::Arrive(arrival) => self.arrive(now, &arrival, out),
             Input::Expire(call) => self.expire(now, call, out),
             Input::Withdraw(call) => self.withdraw(call),
@@ -223,6 +223,13 @@
         }
     }
 
+    fn drain(&mut self, out: &mut Vec<Output>) {
+        self.draining = true;
+        if let Some(homes) = &mut self.homes {
+            out.extend(homes.leave().into_iter().map(Output::Send));
+        }
+    }
+
     fn configure(&mut self, now: Time, snapshot: Arc<Snapshot>) {
         let target = snapshot.target_on(&self.vm);
         self.service = target.map(|target| snapshot.target(target).service);
@@ -246,6 +253,9 @@
         }
         if let Some(homes) = &mut self.homes {
             homes.take_up(now, list);
+            if self.draining {
+                homes.leave();
+            }
         }
     }
 
@@ -304,6 +314,7 @@
         let right = self.homes.as_ref().map_or(Right::NotHome, |homes| homes.right(key));
         match right {
             Right::Unknown => Some(unknown(Code::KeyOutcomeUnknown)),
+            Right::Left => Some(not_run(Code::Draining, COME_BACK_SOON)),
             Right::NotHome => Some(not_run(Code::NotHome, COME_BACK_SOON)),
             Right::Moving => Some(not_run(Code::HomeMoving, COME_BACK_SOON)),
             Right::Home if !self.confirmed => Some(not_run(Code::ClockGap, COME_BACK_SOON)),
@@ -531,30 +542,17 @@
 
     fn take_note(&mut self, now: Time, from: &Name, note: &Note, out: &mut Vec<Output>) {
         match note {
-            Note::AskRelease { id, service, list, since } => {
-                let Some(homes) = &self.homes else {
-                    return;
-                };
-                if !homes.may_release(service, list) {
-                    return;
-                }
-                let keys = self.once.ran(|key| homes.is_home(from, key));
-                let notes = homes.release(from, *id, since.as_ref(), &keys, self.once.forgotten());
-                out.extend(notes.into_iter().map(Output::Send));
-            }
-            Note::Released { id, part, parts, keys, fence, lists, unreleased } => {
-                let answer = Answer {
-                    id: *id,
-                    part: *part,
-                    parts: *parts,
-                    fence: *fence,
-                    lists,
-                    unreleased,
-                };
+            Note::AskRelease(ask) => self.release(from, ask, out),
+            Note::Released(answer) => {
                 let taken =
-                    self.homes.as_mut().is_some_and(|homes| homes.released(now, from, &answer));
+                    self.homes.as_mut().is_some_and(|homes| homes.released(now, from, answer));
                 if taken {
-                    self.once.import(now, keys);
+                    self.once.import(now, &answer.keys);
+                }
+            }
+            Note::Leaving => {
+                if let Some(homes) = &mut self.homes {
+                    homes.says_leaving(now, from);
                 }
             }
             Note::Suspect { crash, fingerprints } => self.suspects.add(now, *crash, fingerprints),
@@ -564,6 +562,22 @@
         }
     }
 
+    fn release(&mut self, from: &Name, ask: &Ask, out: &mut Vec<Output>) {
+        let Some(homes) = &mut self.homes else {
+            return;
+        };
+        if !homes.may_release(&ask.service, &ask.list) {
+            return;
+        }
+        if ask.since.is_none() {
+            homes.returns(from);
+        }
+        let left = ask.left.iter().cloned().collect();
+        let keys = self.once.ran(|key| homes.gives(from, &left, key));
+        let notes = homes.release(from, ask, &keys, self.once.forgotten());
+        out.extend(notes.into_iter().map(Output::Send));
+    }
+
     fn keep_homes(&mut self, now: Time, out: &mut Vec<Output>) {
         let Some(homes) = &mut self.homes else {
             return;
--- a/core/src/call/home.rs
+++ b/core/src/call/home.rs
@@ -6,7 +6,7 @@
 //! so no longer runs the key) and names the keys that it ran. docs/design/calls.md has the
 //! argument and the ways weighed.
 
-use super::note::{HomeList, ListId, Note, OutgoingNote, Unreleased};
+use super::note::{Ask, HomeList, ListId, Note, OutgoingNote, Release, Unreleased};
 use super::{KEY_LIFE, MAX_CLOCK_SKEW, Members, RequestKey};
 use crate::hash::Hash;
 use crate::member::VmState;
@@ -40,13 +40,20 @@
     Moving,
     /// It is the home, but the key may have run already.
     Unknown,
+    /// It is leaving and has let go of every key.
+    Left,
 }
 
-/// Keys that an earlier home may hold: all, or those whose home it was under a list.
+/// Keys that another home may hold.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Cover {
+    // Any.
     All,
+    // Those whose home this gatekeeper was not under a list. Not only those whose home the other
+    // was: it may have taken others over from a home that left.
     List(Arc<HomeList>, Hash),
+    // None yet: it is leaving and is asked for its keys.
+    Leaving,
 }
 
 #[derive(Debug)]
@@ -66,10 +73,9 @@
     released: Option<Time>,
 }
 
-/// Keys minted up to `until` that `vm` may have run without anyone knowing.
+/// Keys minted up to `until` that may have run without anyone knowing.
 #[derive(Debug)]
 struct Fence {
-    vm: Name,
     cover: Cover,
     until: Time,
 }
@@ -86,6 +92,12 @@
     waiting: IndexMap<Name, Waiting>,
     inherited: Vec<Inherited>,
     released: IndexSet<Name>,
+    // VMs of the list in force that have left by their own word, so that the next home in order
+    // has their keys.
+    left: IndexSet<Name>,
+    // VMs that have come back since a view that calls them leaving.
+    returned: IndexSet<Name>,
+    leaving: bool,
     fences: Vec<Fence>,
     next_ask: u64,
 }
@@ -114,6 +126,9 @@
             waiting: IndexMap::new(),
             inherited: Vec::new(),
             released: IndexSet::new(),
+            left: IndexSet::new(),
+            returned: IndexSet::new(),
+            leaving: false,
             fences: Vec::new(),
             next_ask: started.0,
         }
@@ -134,6 +149,7 @@
         let before_digest = std::mem::replace(&mut self.digest, digest);
         self.inherit();
         self.released.clear();
+        self.left.clear();
         self.close_questions(now);
         for vm in &before.vms {
             self.wait_for(now, vm, Cover::List(before.clone(), before_digest));
@@ -147,7 +163,10 @@
 
     /// Whether this gatekeeper may run a key that it knows nothing of.
     pub fn right(&self, key: RequestKey) -> Right {
-        if self.current.home_of(key) != Some(&self.me) {
+        if self.leaving {
+            return Right::Left;
+        }
+        if self.current.home_without(key, &self.left) != Some(&self.me) {
             return Right::NotHome;
         }
         // First what may have run: a key that ran must never be called not run.
@@ -155,15 +174,48 @@
             return Right::Unknown;
         }
         let fenced = |fence: &Fence| {
-            key.minted() <= fence.until + MAX_CLOCK_SKEW && covers(&fence.cover, &fence.vm, key)
+            key.minted() <= fence.until + MAX_CLOCK_SKEW && self.covers(&fence.cover, key)
         };
         if self.fences.iter().any(fenced) {
             return Right::Unknown;
         }
-        let held = |(vm, waiting): (&Name, &Waiting)| {
-            waiting.covers.iter().any(|cover| covers(cover, vm, key))
-        };
-        if self.waiting.iter().any(held) { Right::Moving } else { Right::Home }
+        let mut covers = self.waiting.values().flat_map(|waiting| &waiting.covers);
+        if covers.any(|cover| self.covers(cover, key)) { Right::Moving } else { Right::Home }
+    }
+
+    fn covers(&self, cover: &Cover, key: RequestKey) -> bool {
+        match cover {
+            Cover::All => true,
+            Cover::List(list, _) => list.home_of(key) != Some(&self.me),
+            Cover::Leaving => false,
+        }
+    }
+
+    /// Lets go of every key, since this gatekeeper is leaving. Final.
+    pub fn leave(&mut self) -> Vec<OutgoingNote> {
+        self.leaving = true;
+        let others = self.current.vms.iter().filter(|vm| **vm != self.me);
+        others.map(|vm| OutgoingNote { to: vm.clone(), note: Note::Leaving }).collect()
+    }
+
+    /// A gatekeeper says that it is leaving. Only its answer to a question that is asked from now
+    /// on is heard: an earlier process on its VM may have said so, or answered, long ago.
+    pub fn says_leaving(&mut self, now: Time, vm: &Name) {
+        self.returned.swap_remove(vm);
+        if let Some(waiting) = self.waiting.get_mut(vm) {
+            waiting.ask = NO_QUESTION;
+            waiting.asked_again = now;
+            waiting.parts.clear();
+        }
+        self.leaves(now, vm);
+    }
+
+    /// Asks a gatekeeper that is leaving for its keys.
+    fn leaves(&mut self, now: Time, vm: &Name) {
+        let listed = self.current.vms.contains(vm) && *vm != self.me;
+        if listed && !self.left.contains(vm) && !self.leaving {
+            self.add_cover(now, vm, Cover::Leaving);
+        }
     }
 
     /// Whether an earlier home is still waited for.
@@ -181,13 +233,24 @@
         for vm in lost {
             self.let_go(now, &vm, now);
         }
+        let leaving = |vm: &Name| members.get(vm) == Some(&VmState::Leaving);
+        self.returned.retain(|vm| leaving(vm));
+        for vm in self.current.clone().vms.iter().filter(|vm| leaving(vm)) {
+            if !self.returned.contains(vm) {
+                self.leaves(now, vm);
+            }
+        }
     }
 
     /// Asks again those who have not answered.
     pub fn tick(&mut self, now: Time, out: &mut Vec<OutgoingNote>) {
         self.fences.retain(|fence| now.since(fence.until) <= KEY_LIFE + MAX_CLOCK_SKEW * 2);
         self.inherited.retain(|entry| entry.released.is_none_or(|at| now.since(at) <= KEY_LIFE));
+        if self.leaving {
+            return;
+        }
         let since = self.earlier.back().map(|list| list.id());
+        let left: Vec<Name> = self.left.iter().cloned().collect();
         for (vm, waiting) in &mut self.waiting {
             if waiting.asked_again > now {
                 continue;
@@ -197,13 +260,14 @@
             waiting.parts.clear();
             waiting.asked_again = now + waiting.interval;
             waiting.interval = (waiting.interval * 2).min(LAST_ASK_AGAIN);
-            let note = Note::AskRelease {
+            let ask = Ask {
                 id: waiting.ask,
                 service: self.service.clone(),
                 list: self.digest,
                 since: since.clone(),
+                left: left.clone(),
             };
-            out.push(OutgoingNote { to: vm.clone(), note });
+            out.push(OutgoingNote { to: vm.clone(), note: Note::AskRelease(Box::new(ask)) });
         }
     }
 
@@ -215,67 +279,113 @@
         *service == self.service && *list == self.digest
     }
 
-    /// Whether `vm` is the home of a key under the list in force here.
-    pub fn is_home(&self, vm: &Name, key: RequestKey) -> bool {
-        self.current.home_of(key) == Some(vm)
+    /// Whether `vm` gets a key from here: it is the home once those whose keys it has taken over
+    /// don't count. A gatekeeper that is leaving gives every key to everyone, since it can't know
+    /// who will be next.
+    pub fn gives(&self, vm: &Name, left: &IndexSet<Name>, key: RequestKey) -> bool {
+        self.leaving || self.current.home_without(key, left) == Some(vm)
+    }
+
+    /// A gatekeeper that has started again asks for its keys. They go back to it, and what its
+    /// earlier process still has to say of them is not heard.
+    pub fn returns(&mut self, vm: &Name) {
+        self.left.swap_remove(vm);
+        self.returned.insert(vm.clone());
+        if let Some(waiting) = self.waiting.get_mut(vm) {
+            waiting.covers.retain(|cover| *cover != Cover::Leaving);
+            if waiting.covers.is_empty() {
+                self.waiting.swap_remove(vm);
+            }
+        }
     }
 
     /// The answer to an asker with the same list. `keys` are those that ran here or may have run
-    /// and whose home is the asker; `forgotten` is the time up to which such keys were forgotten.
+    /// and that the asker gets; `forgotten` is the time up to which such keys were forgotten.
     pub fn release(
         &self,
         to: &Name,
-        id: u64,
-        since: Option<&ListId>,
+        ask: &Ask,
         keys: &[RequestKey],
         forgotten: Time,
     ) -> Vec<OutgoingNote> {
         let known = self.fences.iter().map(|fence| fence.until).max().unwrap_or(Time::ZERO);
         let fence = known.max(self.started).max(forgotten);
-        let lists: Vec<HomeList> = self.lists_since(since);
-        let unreleased: Vec<Unreleased> = self.inherited.iter().map(Inherited::to_note).collect();
+        let lists = self.lists_since(ask.since.as_ref());
+        let unreleased = self.unreleased();
         let chunks: Vec<&[RequestKey]> =
             if keys.is_empty() { vec![keys] } else { keys.chunks(PART_KEYS).collect() };
         let parts = chunks.len() as u32;
-        let part = |(index, chunk): (usize, &&[RequestKey])| Note::Released {
-            id,
+        let part = |(index, chunk): (usize, &&[RequestKey])| Release {
+            id: ask.id,
             part: index as u32,
             parts,
             keys: chunk.to_vec(),
             fence,
             lists: lists.clone(),
             unreleased: unreleased.clone(),
+            left: self.leaving,
         };
-        let notes = chunks.iter().enumerate().map(part);
+        let notes = chunks.iter().enumerate().map(part).map(|part| Note::Released(Box::new(part)));
         notes.map(|note| OutgoingNote { to: to.clone(), note }).collect()
     }
 
+    fn unreleased(&self) -> Vec<Unreleased> {
+        let mut all: Vec<Unreleased> =
+            self.inherited.iter().filter_map(Inherited::to_note).collect();
+        if self.leaving {
+            for (vm, waiting) in &self.waiting {
+                all.extend(waiting.covers.iter().filter_map(|cover| cover.to_note(vm)));
+            }
+        }
+        all
+    }
+
     /// Takes one part of an answer in. Returns false if it answers no open question.
-    pub fn released(&mut self, now: Time, from: &Name, answer: &Answer<'_>) -> bool {
+    pub fn released(&mut self, now: Time, from: &Name, answer: &Release) -> bool {
         let Some(waiting) = self.waiting.get_mut(from) else {
             return false;
         };
-        if waiting.ask == NO_QUESTION || waiting.ask != answer.id {
+        let stale = answer.left && self.returned.contains(from);
+        if waiting.ask == NO_QUESTION || waiting.ask != answer.id || stale {
             return false;
         }
         waiting.parts.insert(answer.part);
         let whole = waiting.parts.len() as u32 >= answer.parts;
-        for list in answer.lists {
+        let just_left = answer.left && !self.left.contains(from);
+        for list in &answer.lists {
             let list = Arc::new(list.clone());
             let digest = list.digest();
             for vm in &list.vms {
                 self.wait_for(now, vm, Cover::List(list.clone(), digest));
             }
         }
-        for entry in answer.unreleased {
+        for entry in &answer.unreleased {
+            if just_left && entry.vm != *from {
+                // It let go before the home that is leaving was known to be: it is asked again,
+                // once, or two homes that leave would have each other asked for ever.
+                self.released.swap_remove(&entry.vm);
+            }
             self.wait_for(now, &entry.vm, Cover::of(entry.list.as_ref()));
         }
         if whole {
             self.let_go(now, from, answer.fence);
+            if answer.left {
+                self.take_over(from, answer.fence);
+            } else {
+                // It is not leaving, whatever a view says that lags: it isn't asked for that again.
+                self.returned.insert(from.clone());
+            }
         }
         true
     }
 
+    /// The next home in order has the keys of `vm` from here on.
+    fn take_over(&mut self, vm: &Name, fence: Time) {
+        self.left.insert(vm.clone());
+        let cover = Cover::List(self.current.clone(), self.digest);
+        self.fences.push(Fence { cover, until: fence });
+    }
+
     /// Guards against an answer that was given under the list before: it would count as a release
     /// under the list in force now.
     fn close_questions(&mut self, now: Time) {
@@ -310,7 +420,9 @@
         };
         self.released.insert(vm.clone());
         for cover in waiting.covers {
-            self.fences.push(Fence { vm: vm.clone(), cover, until: fence });
+            if cover != Cover::Leaving {
+                self.fences.push(Fence { cover, until: fence });
+            }
         }
         for entry in self.inherited.iter_mut().filter(|entry| entry.vm == *vm) {
             entry.released.get_or_insert(now);
@@ -321,7 +433,7 @@
     /// home of such a key must wait for them too.
     fn inherit(&mut self) {
         for (vm, waiting) in &self.waiting {
-            for cover in &waiting.covers {
+            for cover in waiting.covers.iter().filter(|cover| **cover != Cover::Leaving) {
                 let entry = Inherited { vm: vm.clone(), cover: cover.clone(), released: None };
                 let same = |other: &&mut Inherited| other.vm == *vm && other.cover == *cover;
                 match self.inherited.iter_mut().find(same) {
@@ -334,9 +446,12 @@
 
     fn wait_for(&mut self, now: Time, vm: &Name, cover: Cover) {
         // A VM that has let go under this list has let go of every key that is ours under it.
-        if *vm == self.me || self.released.contains(vm) {
-            return;
+        if *vm != self.me && !self.released.contains(vm) {
+            self.add_cover(now, vm, cover);
         }
+    }
+
+    fn add_cover(&mut self, now: Time, vm: &Name, cover: Cover) {
         let fresh = || Waiting {
             covers: Vec::new(),
             ask: NO_QUESTION,
@@ -351,23 +466,6 @@
     }
 }
 
-/// One part of an answer, as the note carries it.
-#[derive(Clone, Copy, Debug)]
-pub struct Answer<'a> {
-    /// The question.
-    pub id: u64,
-    /// Which part.
-    pub part: u32,
-    /// How many parts.
-    pub parts: u32,
-    /// Keys minted up to this time may have run unknown to the sender.
-    pub fence: Time,
-    /// Lists that the sender held before.
-    pub lists: &'a [HomeList],
-    /// Homes that the sender was waiting for.
-    pub unreleased: &'a [Unreleased],
-}
-
 impl Cover {
     fn of(list: Option<&HomeList>) -> Cover {
         match list {
@@ -375,21 +473,19 @@
             None => Cover::All,
         }
     }
-}
 
-impl Inherited {
-    fn to_note(&self) -> Unreleased {
-        let list = match &self.cover {
+    fn to_note(&self, vm: &Name) -> Option<Unreleased> {
+        let list = match self {
             Cover::All => None,
             Cover::List(list, _) => Some(HomeList::clone(list)),
+            Cover::Leaving => return None,
         };
-        Unreleased { vm: self.vm.clone(), list }
+        Some(Unreleased { vm: vm.clone(), list })
     }
 }
 
-fn covers(cover: &Cover, vm: &Name, key: RequestKey) -> bool {
-    match cover {
-        Cover::All => true,
-        Cover::List(list, _) => list.home_of(key) == Some(vm),
+impl Inherited {
+    fn to_note(&self) -> Option<Unreleased> {
+        self.cover.to_note(&self.vm)
     }
 }
--- a/core/src/call/note.rs
+++ b/core/src/call/note.rs
@@ -6,6 +6,7 @@
 use super::{Fingerprint, RequestKey};
 use crate::hash::Hash;
 use crate::{Name, Time};
+use indexmap::IndexSet;
 
 json! {
     /// The targets of a service as one version lists them; they decide where a key's home is.
@@ -24,6 +25,44 @@
         pub digest: Hash,
     }
 
+    /// The sender is home of keys that the receiver may have been home of, and asks it to let go
+    /// of them.
+    pub struct Ask {
+        /// Names the question; the answer repeats it.
+        pub id: u64,
+        /// The service.
+        pub service: Name,
+        /// Digest of the list of targets that makes the sender their home.
+        pub list: Hash,
+        /// The list that the sender held before; absent if it has just started.
+        pub since: Option<ListId>,
+        /// Homes whose keys the sender has taken over, since they are leaving.
+        pub left: Vec<Name>,
+    }
+
+    /// One of several parts of an answer to [`Note::AskRelease`]: the sender holds the same list
+    /// as the asker and has let go of every key whose home is the asker.
+    pub struct Release {
+        /// The question that this answers.
+        pub id: u64,
+        /// Which part this is, from 0.
+        pub part: u32,
+        /// How many parts there are.
+        pub parts: u32,
+        /// Keys that ran or may have run.
+        pub keys: Vec<RequestKey>,
+        /// Keys minted before this time that are not named may have run all the same.
+        pub fence: Time,
+        /// Lists that the sender held before, for keys that passed through other homes.
+        pub lists: Vec<HomeList>,
+        /// Homes that the sender itself was still waiting for when it took the list up; of a
+        /// sender that is leaving, all that it is waiting for.
+        pub unreleased: Vec<Unreleased>,
+        /// Whether the sender is leaving and has let go of every key, also of those whose home it
+        /// is: they go to the next home in order.
+        pub left: bool,
+    }
+
     /// A VM that has not let go of keys yet.
     pub struct Unreleased {
         /// The VM.
@@ -35,36 +74,12 @@
     /// A note from one node's call path to another's.
     #[serde(tag = "kind", rename_all = "kebab-case")]
     pub enum Note {
-        /// The sender is home of keys that the receiver may have been home of, and asks it to
-        /// let go of them.
-        AskRelease {
-            /// Names the question; the answer repeats it.
-            id: u64,
-            /// The service.
-            service: Name,
-            /// Digest of the list of targets that makes the sender their home.
-            list: Hash,
-            /// The list that the sender held before; absent if it has just started.
-            since: Option<ListId>,
-        },
-        /// The sender holds the same list as the asker and has let go of every key whose home is
-        /// the asker. One of several parts.
-        Released {
-            /// The question that this answers.
-            id: u64,
-            /// Which part this is, from 0.
-            part: u32,
-            /// How many parts there are.
-            parts: u32,
-            /// Keys that ran or may have run.
-            keys: Vec<RequestKey>,
-            /// Keys minted before this time that are not named may have run all the same.
-            fence: Time,
-            /// Lists that the sender held before, for keys that passed through other homes.
-            lists: Vec<HomeList>,
-            /// Homes that the sender itself was still waiting for when it took the list up.
-            unreleased: Vec<Unreleased>,
-        },
+        /// The sender asks for keys.
+        AskRelease(Box<Ask>),
+        /// The sender has let go of keys.
+        Released(Box<Release>),
+        /// The sender is leaving; whoever is next home of its keys may ask for them.
+        Leaving,
         /// The sender's target stopped while it ran these requests.
         Suspect {
             /// Names the crash.
@@ -111,6 +126,26 @@
         HomeList::choose(&key.to_bytes(), self.vms.iter())
     }
 
+    /// The home of a key when some VMs have left.
+    pub fn home_without(&self, key: RequestKey, left: &IndexSet<Name>) -> Option<&Name> {
+        let staying = self.vms.iter().filter(|vm| !left.contains(*vm));
+        HomeList::choose(&key.to_bytes(), staying)
+    }
+
+    /// The first `count` homes of a key in order: each is the home if those before it have left.
+    pub fn order<'a>(subject: &[u8], vms: &[&'a Name], count: usize) -> Vec<&'a Name> {
+        let mut left: Vec<&Name> = vms.to_vec();
+        let mut order = Vec::with_capacity(count);
+        while order.len() < count {
+            let Some(next) = HomeList::choose(subject, left.iter().copied()) else {
+                break;
+            };
+            order.push(next);
+            left.retain(|vm| *vm != next);
+        }
+        order
+    }
+
     /// The home among some VMs by rendezvous hashing: a VM that joins or leaves moves only the
     /// keys that it wins.
     pub fn choose<'a>(subject: &[u8], vms: impl Iterator<Item = &'a Name>) -> Option<&'a Name> {
--- a/core/tests/call_homes.rs
+++ b/core/tests/call_homes.rs
@@ -195,6 +195,14 @@
         self.gone.insert(name(VMS[index]), VmState::Gone);
     }
 
+    /// Starts the planned stop of a VM, which the list shows as leaving.
+    fn leave(&mut self, index: usize) {
+        if self.nodes[index].alive {
+            self.gone.insert(name(VMS[index]), VmState::Leaving);
+            self.handle(index, Input::Drain);
+        }
+    }
+
     fn view(&mut self, index: usize) {
         let members = Arc::new(self.gone.clone());
         self.handle(index, Input::View(members));
@@ -371,6 +379,37 @@
     fleet.check();
 }
 
+#[test]
+fn homes_leave() {
+    // Story: a VM is stopped as planned. Its keys go to the next home in order at once, so that
+    // signings with them are taken; one that ran before is not run again. Then the VM comes back.
+    let mut fleet = Fleet::new(&["a", "b", "c"]);
+    fleet.settle();
+    let with_home = |fleet: &Fleet, home| {
+        (0..).map(|low| key_at(fleet.now, low)).find(|key| fleet.home(1, *key) == home).unwrap()
+    };
+    let ran = with_home(&fleet, 0);
+    assert_eq!(fleet.submit(0, ran), Some(Outcome::Answered));
+    fleet.leave(0);
+    assert_eq!(code(fleet.submit(0, with_home(&fleet, 0))), None);
+    fleet.settle();
+    let fresh = RequestKey { low: ran.low, ..with_home(&fleet, 0) };
+    let next = |fleet: &mut Fleet, key| {
+        [1, 2].map(|index| fleet.submit(index, key)).into_iter().flatten().collect::<Vec<_>>()
+    };
+    let outcomes = next(&mut fleet, ran);
+    assert!(outcomes.contains(&Outcome::Unknown { code: Code::KeyOutcomeUnknown }));
+    assert!(next(&mut fleet, fresh).contains(&Outcome::Answered));
+    fleet.restart(0);
+    fleet.gone.clear();
+    fleet.settle();
+    assert_eq!(code(fleet.submit(0, fresh)), Some(Code::KeyOutcomeUnknown));
+    let later = with_home(&fleet, 0);
+    assert!(!next(&mut fleet, later).contains(&Outcome::Answered));
+    assert_eq!(fleet.submit(0, later), Some(Outcome::Answered));
+    fleet.check();
+}
+
 #[test]
 fn homes_pause() {
     // Story: a gatekeeper is paused for longer than any view stays fresh, and its VM is given up
@@ -423,6 +462,7 @@
     Resend(usize, usize),
     Restart(usize),
     Stop(usize),
+    Leave(usize),
     View(usize),
     Settle,
 }
@@ -439,6 +479,7 @@
         14 => (node.clone(), 0usize..8).prop_map(|(node, back)| Step::Resend(node, back)),
         1 => node.clone().prop_map(Step::Restart),
         1 => node.clone().prop_map(Step::Stop),
+        2 => node.clone().prop_map(Step::Leave),
         2 => node.prop_map(Step::View),
         2 => Just(Step::Settle),
     ]
@@ -478,6 +519,7 @@
             Step::Restart(node) if fleet.may_restart(*node) => fleet.restart(*node),
             Step::Restart(_) => {}
             Step::Stop(node) => fleet.stop(*node),
+            Step::Leave(node) => fleet.leave(*node),
             Step::View(node) => fleet.view(*node),
             Step::Settle => fleet.settle(),
         }
