--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -43,8 +43,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
     call: CallKey,
+    // At most its caller's deadline.
     until: Time,
-    deadline: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -107,7 +107,7 @@
         if now + wait > until {
             return Admission::Refuse(Code::QueueFull, wait);
         }
-        self.queues[class as usize].push_back(Waiting { call, until, deadline });
+        self.queues[class as usize].push_back(Waiting { call, until });
         Admission::Queue(until)
     }
 
@@ -149,9 +149,6 @@
         }
         let class = self.next_class(now)?;
         let waiting = self.queues[class as usize].pop_front()?;
-        if waiting.deadline <= now {
-            return Some(Popped::Expired(waiting.call));
-        }
         self.start(now, waiting.call, class);
         Some(Popped::Run(waiting.call))
     }
--- a/core/tests/call_homes.rs
+++ b/core/tests/call_homes.rs
@@ -424,31 +424,55 @@
 }
 
 #[test]
-fn homes_note_of_earlier_list() {
+fn homes_answer_of_earlier_list() {
     // Story: an answer to a question under one list arrives after the asker took up another. It
-    // says nothing about who holds what under the new one.
+    // says nothing about who holds what under the new one, and its sender goes on under the old.
     let mut fleet = Fleet::new(&["a", "b", "c"]);
     fleet.settle();
     fleet.publish(vec!["a", "b", "c", "d"]);
-    fleet.publish(vec!["a", "b", "c", "e"]);
+    fleet.publish(vec!["a", "c", "d"]);
     (0..4).for_each(|index| fleet.adopt(index, 2));
-    fleet.pass(300);
-    let late = std::mem::take(&mut fleet.notes);
-    (0..5).for_each(|index| fleet.adopt(index, 3));
-    fleet.notes = late;
+    let asked = std::mem::take(&mut fleet.notes);
+    for (from, note) in asked {
+        fleet.notes.push((from, note));
+        let last = fleet.notes.len() - 1;
+        fleet.deliver(last, false);
+    }
+    fleet.adopt(0, 3);
     while !fleet.notes.is_empty() {
         fleet.deliver(0, false);
     }
-    let held =
-        (0..).map(|low| key_at(fleet.now, low)).find(|key| fleet.home(3, *key) == 4).unwrap();
-    assert_eq!(code(fleet.submit(4, held)), Some(Code::HomeMoving));
-    fleet.settle();
-    assert_eq!(fleet.submit(4, key_like(&fleet, 4)), Some(Outcome::Answered));
+    fleet.now = fleet.now + Duration::from_secs(1);
+    let homes = |key| (fleet.home(2, key), fleet.home(3, key));
+    let key = (0..).map(|low| key_at(fleet.now, low)).find(|key| homes(*key) == (1, 0)).unwrap();
+    assert_eq!(code(fleet.submit(0, key)), Some(Code::HomeMoving));
 }
 
-fn key_like(fleet: &Fleet, home: usize) -> RequestKey {
-    let version = fleet.newest();
-    (0..).map(|low| key_at(fleet.now, low)).find(|key| fleet.home(version, *key) == home).unwrap()
+#[test]
+fn homes_answer_of_earlier_process() {
+    // Story: a gatekeeper leaves and says so to one that asks; the answer is late. Meanwhile it
+    // has started again and has its keys back. The late answer must not make the other their home.
+    let mut fleet = Fleet::new(&["a", "b"]);
+    fleet.settle();
+    fleet.restart(1);
+    let ask = fleet.notes.pop().unwrap();
+    assert!(fleet.notes.is_empty());
+    fleet.leave(0);
+    fleet.notes = vec![ask];
+    fleet.deliver(0, false);
+    let late = std::mem::take(&mut fleet.notes);
+    fleet.restart(0);
+    fleet.notes.retain(|(from, _)| *from == 0);
+    while !fleet.notes.is_empty() {
+        fleet.deliver(0, false);
+    }
+    fleet.notes = late;
+    while !fleet.notes.is_empty() {
+        fleet.deliver(0, false);
+    }
+    fleet.now = fleet.now + Duration::from_secs(1);
+    let key = (0..).map(|low| key_at(fleet.now, low)).find(|key| fleet.home(1, *key) == 0).unwrap();
+    assert_eq!(code(fleet.submit(1, key)), Some(Code::NotHome));
 }
 
 #[derive(Clone, Debug)]
--- a/node/tests/calls_path.rs
+++ b/node/tests/calls_path.rs
@@ -3,9 +3,12 @@
 #[path = "support/calls.rs"]
 mod support;
 
+use hyper::Response;
+use hyper::header::HeaderValue;
 use std::io::Write;
 use std::time::Duration;
 use support::*;
+use sycamore_node::calls::headers::{self, Verdict};
 
 #[test]
 fn path_whole() {
@@ -122,8 +125,9 @@
     // not a short ledger.
     let (_target, node) = single("{}");
     // If the break is seen before the head has gone out, the caller is told so instead.
-    for _ in 0..20 {
-        let answer = call(node.entry, &get("/idem/cut"));
+    for n in 0..20 {
+        let path = if n % 2 == 0 { "/idem/cut" } else { "/idem/chunks-cut" };
+        let answer = call(node.entry, &get(path));
         let told = (answer.outcome(), answer.code()) == ("unknown", Some(464));
         assert!(!answer.whole || told, "{answer:?}");
     }
@@ -137,6 +141,19 @@
     assert_eq!((answer.outcome(), answer.code()), ("unknown", Some(461)), "{}", answer.text());
 }
 
+#[test]
+fn verdict_crossed() {
+    // The same at the entry node: an answer to another request is not given to this caller.
+    let id = HeaderValue::from_static("mine");
+    let mut response = Response::new(());
+    response.headers_mut().insert(headers::OUTCOME, HeaderValue::from_static("answered"));
+    assert_eq!(headers::verdict(&response, &id), Verdict::Foreign);
+    response.headers_mut().insert(headers::REQUEST_ID, HeaderValue::from_static("other"));
+    assert_eq!(headers::verdict(&response, &id), Verdict::Foreign);
+    response.headers_mut().insert(headers::REQUEST_ID, id.clone());
+    assert_eq!(headers::verdict(&response, &id), Verdict::Answered);
+}
+
 #[test]
 fn cancel_caller_gone() {
     let (target, node) = single("{}");
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -123,6 +123,11 @@
             stream.write_all(answer.as_bytes()).ok()?;
             return Some(());
         }
+        if path.contains("/chunks-cut") {
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            stream.write_all(format!("{head}4\r\nhalf\r\n").as_bytes()).ok()?;
+            return None;
+        }
         if path.contains("/cut") {
             stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf").ok()?;
             return None;
@@ -306,6 +311,10 @@
     if let Some(size) = answer.header("content-length").map(|size| size.parse::<u64>().unwrap()) {
         let read = reader.take(size).read_to_end(&mut answer.body);
         answer.whole = read.is_ok_and(|count| count as u64 == size);
+    } else {
+        let body = read_chunks(&mut reader);
+        answer.whole = body.is_some();
+        answer.body = body.unwrap_or_default();
     }
     answer
 }
