--- a/core/src/call/home.rs
+++ b/core/src/call/home.rs
@@ -97,6 +97,8 @@
     left: IndexSet<Name>,
     // VMs that have come back since a view that calls them leaving.
     returned: IndexSet<Name>,
+    // VMs that have started again since they were last asked whether they are leaving.
+    restarted: IndexSet<Name>,
     leaving: bool,
     fences: Vec<Fence>,
     next_ask: u64,
@@ -128,6 +130,7 @@
             released: IndexSet::new(),
             left: IndexSet::new(),
             returned: IndexSet::new(),
+            restarted: IndexSet::new(),
             leaving: false,
             fences: Vec::new(),
             next_ask: started.0,
@@ -198,23 +201,26 @@
         others.map(|vm| OutgoingNote { to: vm.clone(), note: Note::Leaving }).collect()
     }
 
-    /// A gatekeeper says that it is leaving. Only its answer to a question that is asked from now
-    /// on is heard: an earlier process on its VM may have said so, or answered, long ago.
+    /// A gatekeeper says that it is leaving.
     pub fn says_leaving(&mut self, now: Time, vm: &Name) {
         self.returned.swap_remove(vm);
-        if let Some(waiting) = self.waiting.get_mut(vm) {
-            waiting.ask = NO_QUESTION;
-            waiting.asked_again = now;
-            waiting.parts.clear();
-        }
         self.leaves(now, vm);
     }
 
-    /// Asks a gatekeeper that is leaving for its keys.
+    /// Asks a gatekeeper that is leaving for its keys. Only its answer to a question that is asked
+    /// from now on is heard: an earlier process on its VM may have answered long ago.
     fn leaves(&mut self, now: Time, vm: &Name) {
         let listed = self.current.vms.contains(vm) && *vm != self.me;
-        if listed && !self.left.contains(vm) && !self.leaving {
-            self.add_cover(now, vm, Cover::Leaving);
+        let asked = self.waiting.get(vm).is_some_and(|w| w.covers.contains(&Cover::Leaving));
+        if !listed || asked || self.left.contains(vm) || self.leaving {
+            return;
+        }
+        self.restarted.swap_remove(vm);
+        self.add_cover(now, vm, Cover::Leaving);
+        if let Some(waiting) = self.waiting.get_mut(vm) {
+            waiting.ask = NO_QUESTION;
+            waiting.asked_again = now;
+            waiting.parts.clear();
         }
     }
 
@@ -291,6 +297,7 @@
     pub fn returns(&mut self, vm: &Name) {
         self.left.swap_remove(vm);
         self.returned.insert(vm.clone());
+        self.restarted.insert(vm.clone());
         if let Some(waiting) = self.waiting.get_mut(vm) {
             waiting.covers.retain(|cover| *cover != Cover::Leaving);
             if waiting.covers.is_empty() {
@@ -345,7 +352,7 @@
         let Some(waiting) = self.waiting.get_mut(from) else {
             return false;
         };
-        let stale = answer.left && self.returned.contains(from);
+        let stale = answer.left && self.restarted.contains(from);
         if waiting.ask == NO_QUESTION || waiting.ask != answer.id || stale {
             return false;
         }
--- a/core/tests/call_homes.rs
+++ b/core/tests/call_homes.rs
@@ -438,7 +438,10 @@
         let last = fleet.notes.len() - 1;
         fleet.deliver(last, false);
     }
+    let late = std::mem::take(&mut fleet.notes);
+    assert!(!late.is_empty());
     fleet.adopt(0, 3);
+    fleet.notes = late;
     while !fleet.notes.is_empty() {
         fleet.deliver(0, false);
     }
