Latency bench: both ways at the same time

Cause: on a machine that others use, two runs one after the other differ by more than the path adds (p99 direct 1.3 to 4 ms).

--- a/bench/src/calls/latency.rs
+++ b/bench/src/calls/latency.rs
@@ -71,9 +71,7 @@
     let direct: Vec<SocketAddr> = direct_targets().iter().map(|target| target.address).collect();
     let mut measured = Vec::new();
     for depth in [1, DEEP] {
-        let through = run(&cluster.entries(), depth, RATE, span)?;
-        let direct = run(&direct, depth, RATE, span)?;
-        measured.push(Measured::new(depth, through, direct));
+        measured.push(Measured::take(&cluster.entries(), &direct, depth, span)?);
     }
     let before = cluster.usage().1;
     let busy = run(&cluster.entries(), 1, BUSY_RATE, span)?;
@@ -136,6 +134,21 @@
 }
 
 impl Measured {
+    /// Measures both ways at the same time, so that others who use the machine slow both alike.
+    fn take(
+        entries: &[SocketAddr],
+        targets: &[SocketAddr],
+        depth: u32,
+        span: Duration,
+    ) -> io::Result<Measured> {
+        std::thread::scope(|scope| {
+            let through = scope.spawn(|| run(entries, depth, RATE, span));
+            let direct = run(targets, depth, RATE, span)?;
+            let through = through.join().map_err(|_| io::Error::other("a thread failed"))??;
+            Ok(Measured::new(depth, through, direct))
+        })
+    }
+
     fn new(depth: u32, through: Row, direct: Row) -> Measured {
         let (through, direct) = (Quantiles::new(&through), Quantiles::new(&direct));
         let added = |through: f64, direct: f64| (through - direct) / f64::from(depth);
