--- a/core/src/spread.rs
+++ b/core/src/spread.rs
@@ -92,6 +92,8 @@
     fetch: Option<fetch::Fetch>,
     source: source::Source,
     words: words::Words,
+    /// Not before this time is a peer asked because it was heard from.
+    meet_at: Time,
     shown: Option<View>,
 }
 
@@ -129,6 +131,7 @@
             fetch: None,
             source: source::Source::default(),
             words: words::Words::default(),
+            meet_at: Time::ZERO,
             shown: None,
         }
     }
@@ -275,9 +278,12 @@
         }
     }
 
-    /// The scope that the node holds: relays hold everything, so that they can serve any child.
+    /// The scope that the node holds. Relays hold everything, so that they can serve any child;
+    /// so does a leaf that stands in for one.
     fn wanted_scope(&self) -> Scope {
+        let stands_in = !self.children.is_empty() || self.source.is_watching();
         match self.topology.role {
+            Role::Leaf if stands_in => Scope::All,
             Role::Leaf => self.scope.clone(),
             Role::Relay | Role::ZoneRelay | Role::RegionReader => Scope::All,
         }
--- a/core/src/spread/serve.rs
+++ b/core/src/spread/serve.rs
@@ -1,7 +1,7 @@
 //! Taking messages and answering them.
 
 use super::Spread;
-use super::limits::{MAX_LIST_VMS, MAX_LISTS};
+use super::limits::{MAX_LIST_VMS, MAX_LISTS, MEET_PAUSE};
 use super::message::{Ask, PeerMsg, Ping, Pong, Pull, ZoneList, ZonesList};
 use super::port::{Output, Peer};
 use crate::Time;
@@ -68,25 +68,31 @@
 
     /// Asks whoever is heard from, while the node knows of nobody to ask: one that started while
     /// the platform was down and has no seeds would stay alone for as long as the outage lasts.
+    ///
+    /// The pause guards against two such nodes that each answer a question with a question: they
+    /// would do so as fast as messages travel, until one of them learns a list.
     fn meet(&mut self, now: Time, from: &Peer, out: &mut Vec<Output>) {
-        if self.members.list(&self.cfg.place.zone).is_none() {
+        let alone = self.members.list(&self.cfg.place.zone).is_none();
+        if alone && now >= self.meet_at {
+            self.meet_at = now + MEET_PAUSE;
             self.ask(now, from, Ask::Join, out);
         }
     }
 
     /// Sends the lists that the asking node lacks, and asks for those that this node lacks.
     fn send_lists(&mut self, now: Time, from: &Peer, ping: &Ping, out: &mut Vec<Output>) {
+        let Some(marks) = &ping.lists else { return };
         if let Some(zones) = self.members.zones().filter(|zones| zones.index > ping.zones) {
             self.send(from, PeerMsg::Zones(zones.clone()), out);
         }
-        let lists = self.members.lists_beyond(&ping.lists, &from.place.region);
+        let lists = self.members.lists_beyond(marks, &from.place.region);
         if !lists.is_empty() {
             self.send(from, PeerMsg::Lists(lists), out);
         }
         let newer = |mark: &super::message::ListMark| {
             self.members.list(&mark.zone).is_some_and(|list| list.index < mark.index)
         };
-        if ping.ask != Ask::Compare && ping.lists.iter().any(newer) {
+        if ping.ask != Ask::Compare && marks.iter().any(newer) {
             self.ask(now, from, Ask::Compare, out);
         }
     }
@@ -97,7 +103,10 @@
         let store = self.in_force.as_mut().filter(|store| open && store.version() >= pull.version);
         let delta = store.and_then(|store| store.delta(pull.base.as_ref(), &scope));
         let msg = match delta {
-            Some(delta) => PeerMsg::Delta(delta),
+            Some(delta) => {
+                self.children.delivered(&from.vm, &delta, &scope);
+                PeerMsg::Delta(delta)
+            }
             None => PeerMsg::Missing(self.in_force().map_or(0, |in_force| in_force.version)),
         };
         self.send(from, msg, out);
