bench: bytes between regions by kind of message; a restarted node's convergence counts from its start

Cause: a node that was away counted as slow from versions published long before its start; and the bytes between regions didn't say what they carry. Change: both.

--- a/bench/src/baseline.rs
+++ b/bench/src/baseline.rs
@@ -113,7 +113,7 @@
         let since = self.links.now();
         for node in nodes {
             self.lives[*node] += 1;
-            self.convergence.restarted(*node);
+            self.convergence.restarted(*node, since);
             self.links.after(Duration::ZERO, Event::Poll(*node, self.lives[*node]));
         }
         let end = since + LONGEST_STORM;
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -143,6 +143,7 @@
     last_good: u64,
     smallest: u64,
     sizes: size::Sizes,
+    across_kinds: IndexMap<&'static str, u64>,
     outputs: Vec<Output>,
 }
 
@@ -165,6 +166,7 @@
             last_good: 0,
             smallest: 0,
             sizes: size::Sizes::default(),
+            across_kinds: IndexMap::new(),
             outputs: Vec::new(),
             setup,
         };
@@ -297,6 +299,18 @@
     /// Starts the counters of every node anew.
     pub fn reset_loads(&mut self) {
         self.slots.iter_mut().for_each(|slot| slot.load = Load::default());
+        self.across_kinds.clear();
+    }
+
+    /// Bytes between regions since the last reset, by kind of message.
+    pub fn across_kinds(&self) -> &IndexMap<&'static str, u64> {
+        &self.across_kinds
+    }
+
+    fn count_across(&mut self, sites: (Site, Site), kind: &'static str, size: u64) {
+        if sites.0.region != sites.1.region {
+            *self.across_kinds.entry(kind).or_default() += size;
+        }
     }
 
     fn count(&mut self, node: usize, sent: u64, received: u64) {
@@ -418,6 +432,7 @@
         let msg = if self.slots[from].lies { fault::corrupt(msg) } else { msg };
         let sites = (self.site(from), self.site(to_node));
         let size = self.sizes.of(&msg);
+        self.count_across(sites, size::kind(&msg), size);
         let arrive = Happening::Arrive { from, to: to_node, life, msg };
         self.count(from, size, 0);
         self.count(to_node, 0, size);
@@ -432,6 +447,7 @@
         self.links.after(timeout, Happening::TimedOut(caller));
         let size = HEAD_BYTES + call.key.as_bytes().len() as u64;
         self.count(node, size, 0);
+        self.count_across((self.site(node), PLATFORM), "platform", size);
         self.links.send(self.site(node), PLATFORM, size, Happening::Asked(caller, call));
     }
 
@@ -465,6 +481,7 @@
         };
         let site = self.site(caller.node);
         self.count(caller.node, 0, size);
+        self.count_across((site, PLATFORM), "platform", size);
         self.links.send(PLATFORM, site, size, Happening::Answered(caller, answer));
     }
 
--- a/bench/src/fleet/fault.rs
+++ b/bench/src/fleet/fault.rs
@@ -132,7 +132,7 @@
     fn start(&mut self, node: usize) {
         let start = self.start_of(node);
         self.slots[node].start(start);
-        self.convergence.restarted(node);
+        self.convergence.restarted(node, self.links.now());
         if self.setup.recorded {
             self.history.push(Record::Started { at: self.links.now(), node });
         }
@@ -144,7 +144,7 @@
             return;
         }
         self.slots[node].stop();
-        self.convergence.restarted(node);
+        self.convergence.restarted(node, self.links.now());
         if self.setup.recorded {
             self.history.push(Record::Stopped { at: self.links.now(), node });
         }
--- a/bench/src/fleet/run.rs
+++ b/bench/src/fleet/run.rs
@@ -112,7 +112,12 @@
     pub start_calls_peak: u64,
     /// Ordinary change.
     pub figures: Figures,
-    /// Bytes between regions for each of the smallest: the compressed change, once a region.
+    /// Bytes of the smallest messages that could carry a version: its compressed change, once a
+    /// region.
+    pub smallest_across_bytes: f64,
+    /// Bytes between regions that carry a version, for each of the smallest.
+    pub versions_to_smallest: f64,
+    /// All bytes between regions for each version, for each of the smallest.
     pub across_to_smallest: f64,
     /// Storms.
     pub storms: Vec<StormFigures>,
@@ -153,16 +158,27 @@
     let mut figures = change(&mut fleet, plan);
     let bytes = (setup.memory)().saturating_sub(before);
     figures.kb_per_node = bytes as f64 / 1_024.0 / setup.size.nodes as f64;
-    let across_to_smallest = figures.across_bytes_per_version / smallest(setup, plan);
+    let smallest = smallest(setup, plan);
+    let across_to_smallest = figures.across_bytes_per_version / smallest;
+    let versions_to_smallest = figures.across_version_bytes / smallest;
     let storms = storms.iter().map(|storm| weather(&mut fleet, *storm)).collect();
     let started_ms = started.map(millis);
-    Outcome { started_ms, start_calls_peak, figures, across_to_smallest, storms }
+    Outcome {
+        started_ms,
+        start_calls_peak,
+        figures,
+        smallest_across_bytes: smallest,
+        versions_to_smallest,
+        across_to_smallest,
+        storms,
+    }
 }
 
 fn naive(setup: &Setup, plan: &Plan, storms: &[Storm]) -> Outcome {
     let baseline = || Baseline::new(setup.size, setup.profile, setup.seed);
     let figures = baseline().run(plan.versions, plan.pause);
-    let across_to_smallest = figures.across_bytes_per_version / smallest(setup, plan);
+    let smallest = smallest(setup, plan);
+    let across_to_smallest = figures.across_bytes_per_version / smallest;
     let all: Vec<usize> = (0..setup.size.nodes).collect();
     let start = baseline().return_at_once("everything", &all);
     let mut storm_figures = Vec::new();
@@ -180,6 +196,8 @@
         started_ms: start.recovered_ms,
         start_calls_peak: start.platform_calls_peak,
         figures,
+        smallest_across_bytes: smallest,
+        versions_to_smallest: across_to_smallest,
         across_to_smallest,
         storms: storm_figures,
     }
@@ -212,12 +230,14 @@
     let now = fleet.calls();
     let nodes = fleet.size().nodes;
     let roles = RoleFigures::all(&fleet.loads(), span);
+    let kinds = fleet.across_kinds().clone();
     // The last version gets its time too; the rates are over the span before.
     let last = fleet.last_good();
     fleet.run_until_held(last, PATIENCE);
     let over_limit = now.over_limit - calls.over_limit;
     let figures = Figures::new(fleet.convergence())
         .with_traffic(&sent, nodes, span)
+        .with_kinds(&kinds, span)
         .with_calls(now.total - calls.total, over_limit, now.peak, span)
         .with_usage(used, nodes, span);
     Figures { roles, ..figures }
--- a/bench/src/fleet/size.rs
+++ b/bench/src/fleet/size.rs
@@ -60,6 +60,19 @@
     }
 }
 
+/// Kind of a message, for the counters.
+pub fn kind(msg: &PeerMsg) -> &'static str {
+    match msg {
+        PeerMsg::Ping(_) | PeerMsg::Pong(_) => "ping and pong",
+        PeerMsg::Notice(_) => "notice",
+        PeerMsg::Pull(_) | PeerMsg::Missing(_) => "pull",
+        PeerMsg::Delta(_) => "delta",
+        PeerMsg::Words(_) => "words",
+        PeerMsg::Lists(_) | PeerMsg::Zones(_) => "lists",
+        PeerMsg::Note(_) => "note",
+    }
+}
+
 fn keep<K: std::hash::Hash + Eq>(kept: &mut IndexMap<K, u64>, key: K, size: u64) -> u64 {
     if kept.len() == KEPT {
         kept.clear();
