Sooner out of an outage: shorter watches at home, lists asked for until held

Ruled out: short watches in every region (each is a call across, paid by volume). Change: in-force is watched for 2 s at a time in the platform's region; a node without a list asks again and compares lists each time.

--- a/core/src/spread/attach.rs
+++ b/core/src/spread/attach.rs
@@ -3,8 +3,9 @@
 use super::backoff::{around, jitter};
 use super::limits::{
     ANSWER_WAIT, AWAY_PARENT_HOPS, CHILD_LEASE, CHILD_LEASE_ACROSS, COMPARE, COMPARE_AWAY,
-    HEARTBEAT, HEARTBEAT_ACROSS, LISTS_EVERY, MAX_ASKED, MAX_CHILDREN, MAX_DISTRUSTED, NO_PATH,
-    RELAY_PARENT_HOPS, SEEK_AT_ONCE, SEEK_PAUSE, SEEK_RANDOM, STRANGER_HOPS, TOP, UPGRADE,
+    HEARTBEAT, HEARTBEAT_ACROSS, HEARTBEAT_UNLISTED, LISTS_EVERY, MAX_ASKED, MAX_CHILDREN,
+    MAX_DISTRUSTED, NO_PATH, RELAY_PARENT_HOPS, SEEK_AT_ONCE, SEEK_PAUSE, SEEK_RANDOM,
+    STRANGER_HOPS, TOP, UPGRADE,
 };
 use super::message::{Ask, Base, Delta, PeerMsg, Ping, Pong, Summary};
 use super::port::{Output, Peer};
@@ -224,6 +225,9 @@
 
     /// How often a peer is asked as parent.
     fn heartbeat(&self, parent: &Peer) -> Duration {
+        if self.topology.zone_vms == 0 {
+            return HEARTBEAT_UNLISTED;
+        }
         match self.cfg.place.link_to(&parent.place) {
             Link::Zone | Link::Region => HEARTBEAT,
             Link::Across => HEARTBEAT_ACROSS,
@@ -384,7 +388,8 @@
         }
         let seq = self.asked.open(to, ask, now + ANSWER_WAIT)?;
         let is_parent = self.attach.parent.as_ref().is_some_and(|parent| parent.address == to);
-        let with_lists = !(is_parent && ask == Ask::Attach && seq % LISTS_EVERY != 0);
+        let steady = is_parent && ask == Ask::Attach && self.topology.zone_vms > 0;
+        let with_lists = !steady || seq % LISTS_EVERY == 0;
         Some(PeerMsg::Ping(Box::new(Ping {
             seq,
             ask,
--- a/core/src/spread/join.rs
+++ b/core/src/spread/join.rs
@@ -24,6 +24,8 @@
     waiting: Vec<SocketAddr>,
     answered: bool,
     asked_listed: bool,
+    /// When the first round was over, answered or not.
+    asked_at: Option<Time>,
     /// The highest version that an answer named.
     heard: u64,
 }
@@ -48,6 +50,7 @@
             waiting: Vec::new(),
             answered: false,
             asked_listed: false,
+            asked_at: None,
             heard: 0,
         });
     }
@@ -59,7 +62,9 @@
 
     pub(super) fn join_wake(&self, now: Time) -> Option<Time> {
         let join = self.join.as_ref()?;
-        Some(if now < join.at { join.at.min(join.limit) } else { join.limit })
+        let listed = self.members.list(&self.cfg.place.zone).is_some();
+        let done = join.answered && listed && now >= join.at;
+        Some(if done || !join.waiting.is_empty() { join.limit } else { join.at.min(join.limit) })
     }
 
     pub(super) fn tick_join(&mut self, now: Time, out: &mut Vec<Output>) {
@@ -67,7 +72,8 @@
         let idle = join.waiting.is_empty();
         let listed = self.members.list(&self.cfg.place.zone).is_some();
         let new_peers = listed && !join.asked_listed;
-        if idle && (new_peers || (now >= join.at && !join.answered)) {
+        let again = now >= join.at && !(join.answered && listed);
+        if idle && (new_peers || again) {
             self.ask_round(now, listed, out);
         }
         if self.may_end(now) {
@@ -90,6 +96,7 @@
         if let Some(join) = &mut self.join {
             join.waiting = asked;
             join.at = now + ANSWER_WAIT;
+            join.asked_at.get_or_insert(join.at);
             join.asked_listed = listed;
         }
     }
@@ -153,7 +160,7 @@
             return self.is_alone();
         }
         let held = self.newest_checked().map_or(0, |held| held.version);
-        let asked_enough = join.asked_listed || now >= join.at;
+        let asked_enough = join.asked_listed || join.asked_at.is_some_and(|at| now >= at);
         asked_enough && held >= join.heard.max(self.floor.version())
     }
 
--- a/core/src/spread/limits.rs
+++ b/core/src/spread/limits.rs
@@ -19,6 +19,9 @@
 /// the platform too, so that a silent parent costs it no more than [`BODY_PATIENCE`].
 pub const HEARTBEAT_ACROSS: Duration = Duration::from_secs(20);
 
+/// The same while no list of the own zone is held: it comes with an answer.
+pub const HEARTBEAT_UNLISTED: Duration = Duration::from_millis(500);
+
 /// Questions to a parent between two that also compare lists.
 pub const LISTS_EVERY: u32 = 4;
 
@@ -77,6 +80,10 @@
 /// Longest wait of a watch on the platform.
 pub const WATCH_WAIT: Duration = Duration::from_secs(30);
 
+/// The same of the key `in-force` within the platform's region, where calls cost little. A watch
+/// whose answer was lost in an outage is made again that much sooner.
+pub const WATCH_WAIT_HOME: Duration = Duration::from_secs(2);
+
 /// How long after the end of its wait a call to the platform is given up.
 pub const SOURCE_ANSWER: Duration = Duration::from_secs(1);
 
--- a/core/src/spread/reading.rs
+++ b/core/src/spread/reading.rs
@@ -8,7 +8,7 @@
 use super::limits::{
     BODY_PATIENCE, CALLS_AHEAD, EXTRA_PAUSE, LIST_PAUSE, ORPHAN_BACKOFF, ORPHAN_BACKOFF_INTERVALS,
     ORPHAN_CALLS_PER_S, READER_BACKOFF, RELAY_CALLS_PER_S, TOP, TORN_BACKOFF, TORN_REPORTED,
-    WATCH_PAUSE, WATCH_WAIT,
+    WATCH_PAUSE, WATCH_WAIT, WATCH_WAIT_HOME,
 };
 use super::message::{Summary, ZoneList, ZonesList};
 use super::port::{Output, Peer, SourceReply, SourceValue};
@@ -204,7 +204,11 @@
         let reads = access == Access::Reader || self.is_orphan();
         if reads {
             let watch = &self.source.in_force;
-            add(watch.at, Due::watch(Purpose::InForce, "in-force", watch.index));
+            let mut call = Due::watch(Purpose::InForce, "in-force", watch.index);
+            if access == Access::Reader && self.topology.home {
+                call.wait = call.wait.min(WATCH_WAIT_HOME);
+            }
+            add(watch.at, call);
         }
         if let Some(reading) = self.source.reading.as_ref().filter(|_| !self.source.is_reading()) {
             add(reading.at, self.next_of(reading));
