Platform stand-in: a fault cuts only the connections that it concerns

Cause: any change of faults cut every reader's connection, so that one cut zone looked like an outage of the platform to all nodes (found by the lead). Change: each connection is kept with its two ends and ends when a fault concerns them; waiting calls look again. A silent platform answers what waits once it is healed.

--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -113,8 +113,9 @@
     at: Option<SocketAddr>,
 ) {
     http::listen(listener, move |stream, peer| {
-        let addresses = at.iter().chain(std::iter::once(&peer)).map(SocketAddr::ip);
-        let Some(cut) = state.borrow().admit(addresses) else { return };
+        let Some(cut) = state.borrow_mut().admit([at.unwrap_or(peer).ip(), peer.ip()]) else {
+            return;
+        };
         executor.spawn(serve(state.clone(), stream, cut)).detach();
     })
     .await;
@@ -130,9 +131,6 @@
 
 /// Answers one read or blocking query.
 async fn read(state: Rc<RefCell<State>>, req: Request<Incoming>) -> Option<Response<Body>> {
-    if state.borrow().faults.silent {
-        future::pending::<()>().await;
-    }
     if !state.borrow_mut().count_call() {
         return Some(http::answer(StatusCode::TOO_MANY_REQUESTS, "too many calls"));
     }
@@ -146,6 +144,10 @@
     let end = Instant::now() + query.wait;
     loop {
         let (found, changed) = state.borrow_mut().look_up(&key);
+        if state.borrow().faults.silent {
+            let _ = changed.recv().await;
+            continue;
+        }
         let index = found.as_ref().map_or(0, |value| value.index);
         let wanted = query.index.is_none_or(|known| index > known);
         if wanted || Instant::now() >= end {
--- a/standins/src/platform/control.rs
+++ b/standins/src/platform/control.rs
@@ -1,7 +1,7 @@
 //! Faults of the platform stand-in, its counts, and the control port that a test drives it by.
 
 use super::store::{Store, Value};
-use crate::http::{self, Body, Cutter};
+use crate::http::{self, Body};
 use async_channel::{Receiver, Sender};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -18,7 +18,7 @@
 pub struct Faults {
     /// Closes every connection at once.
     pub down: bool,
-    /// Takes requests and never answers.
+    /// Takes requests and answers none while it lasts.
     pub silent: bool,
     /// Answers what is no value.
     pub rubbish: bool,
@@ -29,6 +29,20 @@
     pub as_of: Option<u64>,
 }
 
+impl Faults {
+    /// Whether a connection between these addresses can't be.
+    fn cuts(&self, ends: &[IpAddr]) -> bool {
+        self.down || ends.iter().any(|ip| self.cut.contains(ip))
+    }
+}
+
+/// A connection of a reader; it ends when this is dropped.
+#[derive(Debug)]
+struct Connection {
+    ends: [IpAddr; 2],
+    alive: Sender<()>,
+}
+
 /// What the stand-in has counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
@@ -48,7 +62,7 @@
     /// Faults shown now.
     pub faults: Faults,
     store: Store,
-    cutter: Cutter,
+    connections: Vec<Connection>,
     waiting: Vec<Sender<()>>,
     counts: Counts,
     max_calls_per_second: u64,
@@ -63,7 +77,7 @@
         State {
             faults: Faults::default(),
             store,
-            cutter: Cutter::new(),
+            connections: Vec::new(),
             waiting: Vec::new(),
             counts: Counts::default(),
             max_calls_per_second,
@@ -74,9 +88,14 @@
     }
 
     /// Takes a new connection, unless its ends are cut off. It ends when the result does.
-    pub fn admit(&self, mut addresses: impl Iterator<Item = IpAddr>) -> Option<Receiver<()>> {
-        let cut = self.faults.down || addresses.any(|ip| self.faults.cut.contains(&ip));
-        (!cut).then(|| self.cutter.watch())
+    pub fn admit(&mut self, ends: [IpAddr; 2]) -> Option<Receiver<()>> {
+        if self.faults.cuts(&ends) {
+            return None;
+        }
+        let (alive, cut) = async_channel::bounded(1);
+        self.connections.retain(|connection| !connection.alive.is_closed());
+        self.connections.push(Connection { ends, alive });
+        Some(cut)
     }
 
     /// Counts a call. Returns false if there were too many in this second.
@@ -110,10 +129,10 @@
         index
     }
 
-    /// Sets the faults. Connections are cut, so that the faults hold for callers that wait.
+    /// Sets the faults, also for callers that wait. Connections of others stay as they are.
     fn set_faults(&mut self, faults: Faults) {
+        self.connections.retain(|connection| !faults.cuts(&connection.ends));
         self.faults = faults;
-        self.cutter = Cutter::new();
         self.waiting.clear();
     }
 
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -75,6 +75,39 @@
     });
 }
 
+#[test]
+fn faults_cut_one_of_two() {
+    // Story: one zone is cut from the platform; the watches of other zones stay as they are, or
+    // the cut would look like an outage of the whole platform.
+    let mut store = Store::new();
+    store.put("in-force", Bytes::from_static(b"first"));
+    let listen = vec![ANY, "127.0.0.2:0".parse().unwrap()];
+    let cfg = PlatformConfig { listen, control: ANY, max_calls_per_second: 100, store };
+    let at = Platform::spawn(cfg).unwrap();
+    future::block_on(async {
+        let path = "/v1/kv/in-force?index=1&wait=30s";
+        let watches = future::zip(get(at.readers[0], path), get(at.readers[1], path));
+        let act = async {
+            put(at.control, "/faults", r#"{"cut":["127.0.0.2"]}"#).await;
+            put(at.control, "/v1/kv/in-force", "second").await;
+        };
+        let ((other, cut), ()) = future::zip(watches, act).await;
+        assert_eq!((other, cut), (value("second", "2"), None));
+    });
+}
+
+#[test]
+fn faults_silent_until_healed() {
+    let at = start(100);
+    future::block_on(async {
+        put(at.control, "/faults", r#"{"silent":true}"#).await;
+        let read = get(at.readers[0], "/v1/kv/in-force");
+        let heal = put(at.control, "/faults", "{}");
+        let (seen, _) = future::zip(read, heal).await;
+        assert_eq!(seen, value("first", "1"));
+    });
+}
+
 #[test]
 fn read_over_limit() {
     let at = start(0);
