--- a/bench/src/bin/sycamore-demo.rs
+++ b/bench/src/bin/sycamore-demo.rs
@@ -79,7 +79,7 @@
     let set = interrupted.clone();
     let mut signals = Signals::new([Signal::Int, Signal::Term])?;
     std::thread::spawn(move || {
-        futures_lite::future::block_on(signals.next());
+        async_io::block_on(signals.next());
         set.store(true, Ordering::Release);
     });
     Ok(interrupted)
--- a/bench/src/calls/naive.rs
+++ b/bench/src/calls/naive.rs
@@ -4,7 +4,6 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use bytes::Bytes;
-use futures_lite::future;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -34,7 +33,7 @@
     let listener = Async::<TcpListener>::bind(listen)?;
     let targets = targets.iter().map(|at| Pool::new(*at, executor.clone())).collect();
     let naive = Rc::new(Naive { targets, next: Cell::new(0) });
-    future::block_on(executor.run(async {
+    async_io::block_on(executor.run(async {
         loop {
             let (stream, _) = listener.accept().await?;
             executor.spawn(naive.clone().serve(stream)).detach();
--- a/bench/src/demo/observer.rs
+++ b/bench/src/demo/observer.rs
@@ -5,7 +5,6 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use bytes::Bytes;
-use futures_lite::future;
 use indexmap::IndexMap;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -91,7 +90,7 @@
             executor.spawn(watch(node.vm, pool, seen.clone(), stop.clone()))
         })
         .collect();
-    future::block_on(executor.run(async {
+    async_io::block_on(executor.run(async {
         for watch in watches {
             watch.await;
         }
--- a/standins/src/bin/standin-platform.rs
+++ b/standins/src/bin/standin-platform.rs
@@ -13,7 +13,7 @@
 fn main() -> ExitCode {
     match start() {
         Ok(platform) => {
-            futures_lite::future::block_on(platform.run());
+            async_io::block_on(platform.run());
             ExitCode::SUCCESS
         }
         Err(code) => code,
--- a/standins/src/bin/standin-target.rs
+++ b/standins/src/bin/standin-target.rs
@@ -10,7 +10,7 @@
 fn main() -> ExitCode {
     match start() {
         Ok(targets) => {
-            futures_lite::future::block_on(targets.run());
+            async_io::block_on(targets.run());
             ExitCode::SUCCESS
         }
         Err(code) => code,
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -71,7 +71,7 @@
             let addresses = platform.as_ref().map(Platform::addresses);
             let _ = tx.send(addresses.map_err(|e| std::io::Error::new(e.kind(), e.to_string())));
             if let Ok(platform) = platform {
-                future::block_on(platform.run());
+                async_io::block_on(platform.run());
             }
         });
         rx.recv().map_err(std::io::Error::other)?
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -105,7 +105,7 @@
         std::thread::spawn(move || match Targets::bind(cfg, log) {
             Ok(targets) => {
                 let _ = tx.send(targets.addresses());
-                future::block_on(targets.run());
+                async_io::block_on(targets.run());
             }
             Err(e) => {
                 let _ = tx.send(Err(e));
--- a/tools/src/load/plan.rs
+++ b/tools/src/load/plan.rs
@@ -75,7 +75,7 @@
         });
         let mut rng = StdRng::seed_from_u64(self.seed.wrapping_add(thread as u64));
         let total = (self.rate * self.duration.as_secs_f64()) as u64;
-        future::block_on(executor.run(async {
+        async_io::block_on(executor.run(async {
             let mut running = Vec::new();
             for (count, index) in (thread as u64..total).step_by(self.threads).enumerate() {
                 let due = start + Duration::from_secs_f64(index as f64 / self.rate);
