bench: memory of one node alone with presets of several sizes

Cause: nodes of one process share content, so the fleet's memory says too little of a process. Change: sycamore-fleet memory.

--- a/bench/src/bin/sycamore-fleet.rs
+++ b/bench/src/bin/sycamore-fleet.rs
@@ -7,7 +7,7 @@
 use sycamore_bench::fleet::run::{Comparison, Plan, Storm, compare};
 use sycamore_bench::fleet::slopes::{self, Factor};
 use sycamore_bench::fleet::workload::{CHANGES_PER_DAY, Size};
-use sycamore_bench::fleet::{Setup, table};
+use sycamore_bench::fleet::{Setup, memory, table};
 use sycamore_bench::history::trial::{Finding, Trial};
 use sycamore_bench::links::Profile;
 use sycamore_core::{Code, Fault, Result};
@@ -22,11 +22,12 @@
 /// Exit code if an aim is missed or a history breaks a rule.
 const EXIT_FAILED: u8 = 1;
 
-const BRIEF: &str = "Usage: sycamore-fleet convergence|bytes|slopes|history [options]
+const BRIEF: &str = "Usage: sycamore-fleet convergence|bytes|slopes|memory|history [options]
 
 Runs the spread's decisions of many nodes in one thread over in-memory links, in simulated time.
 convergence and bytes run the system and the naive baseline side by side; the last line is JSON.
 slopes lets one thing grow at a time and fits lines; with --out it writes the tables to a file.
+memory measures one node alone with presets of several sizes.
 history runs small fleets under random faults and checks what happened against the rules.
 Exit code: 0 done, 1 nodes were left behind or a rule was broken, 2 the command line is not valid.";
 
@@ -51,6 +52,7 @@
     match matches.free.iter().map(String::as_str).collect::<Vec<_>>()[..] {
         ["convergence"] => compare_all(&matches, table::convergence),
         ["slopes"] => slopes(&matches),
+        ["memory"] => memories(&matches),
         ["history"] => histories(&matches),
         ["bytes"] => compare_all(&matches, table::bytes),
         _ => Err(usage("one command is needed; see --help")),
@@ -90,7 +92,7 @@
     for nodes in sizes {
         let setup = Setup::new(Size::of(nodes as usize), number(matches, "seed", 1)?)
             .with_profile(profile(matches)?)
-            .with_memory(memory);
+            .with_memory(memory_in_use);
         eprintln!("{nodes} nodes ...");
         comparisons.push(compare(&setup, &plan, &storms));
     }
@@ -105,7 +107,8 @@
 
 fn slopes(matches: &Matches) -> Result<ExitCode> {
     let versions = number(matches, "versions", 10)? as usize;
-    let options = slopes::Options { versions, seed: number(matches, "seed", 1)?, memory };
+    let options =
+        slopes::Options { versions, seed: number(matches, "seed", 1)?, memory: memory_in_use };
     let mut text = String::new();
     let mut all = Vec::new();
     for factor in Factor::ALL {
@@ -125,6 +128,19 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn memories(matches: &Matches) -> Result<ExitCode> {
+    let options =
+        slopes::Options { versions: 0, seed: number(matches, "seed", 1)?, memory: memory_in_use };
+    let points = memory::measure(&options);
+    println!("{:>7} {:>9} {:>14} {:>14}", "nodes", "services", "full scope KB", "usual scope KB");
+    for p in &points {
+        println!("{:>7} {:>9} {:>14.0} {:>14.0}", p.nodes, p.services, p.full_kb, p.usual_kb);
+    }
+    let line = memory::full_line(&points);
+    println!("{}", serde_json::json!({ "points": points, "full_scope": line }));
+    Ok(ExitCode::SUCCESS)
+}
+
 fn histories(matches: &Matches) -> Result<ExitCode> {
     let first = number(matches, "seed", 1)?;
     let count = number(matches, "seeds", 20)?;
@@ -185,7 +201,7 @@
     list.split(',').map(parse).collect()
 }
 
-fn memory() -> u64 {
+fn memory_in_use() -> u64 {
     ALLOCATOR.allocated() as u64
 }
 
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -5,6 +5,7 @@
 
 pub mod fault;
 pub mod measure;
+pub mod memory;
 pub mod platform;
 pub mod publication;
 pub mod run;
@@ -56,6 +57,9 @@
 pub struct Setup {
     /// Its size.
     pub size: Size,
+    /// The size of the fleet that the preset is for; the same, unless the memory of a few nodes
+    /// with a large preset is measured.
+    pub preset_size: Size,
     /// Its links.
     pub profile: Profile,
     /// Seed of every random choice.
@@ -74,6 +78,7 @@
         let profile = Profile::franchise();
         Setup {
             size,
+            preset_size: size,
             profile,
             seed,
             called_services: workload::CALLED_SERVICES,
@@ -88,6 +93,12 @@
         self
     }
 
+    /// The same with the preset of another fleet.
+    pub fn with_preset_of(mut self, size: Size) -> Setup {
+        self.preset_size = size;
+        self
+    }
+
     /// The same with another scope.
     pub fn with_called_services(mut self, called: usize) -> Setup {
         self.called_services = called;
@@ -156,7 +167,7 @@
             links: Links::new(setup.profile, START, setup.seed),
             platform: Platform::new(),
             slots,
-            workload: Workload::new(size, setup.seed),
+            workload: Workload::new(setup.preset_size, setup.seed),
             convergence: Convergence::new(size.nodes),
             history: Vec::new(),
             events: Vec::new(),
--- /dev/null
+++ b/bench/src/fleet/memory.rs
@@ -0,0 +1,54 @@
+//! Memory of one node's decider, alone with presets of several sizes.
+
+use super::run::start;
+use super::slopes::{Line, Options};
+use super::workload::{CALLED_SERVICES, Size};
+use super::{Fleet, Setup};
+use serde::Serialize;
+use std::time::Duration;
+
+/// Sizes of the fleets that the presets are for.
+const FLEETS: [usize; 4] = [1_000, 5_000, 10_000, 23_000];
+
+/// The memory of one node at one size of the preset.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Point {
+    /// Nodes that the preset is for.
+    pub nodes: usize,
+    /// Services in it.
+    pub services: usize,
+    /// KB of a node that needs every route, as a reader of the platform does.
+    pub full_kb: f64,
+    /// KB of a node with the usual scope that reads the platform itself, its worst case.
+    pub usual_kb: f64,
+}
+
+/// Measures every size.
+pub fn measure(options: &Options) -> Vec<Point> {
+    FLEETS.iter().map(|nodes| point(Size::of(*nodes), options)).collect()
+}
+
+/// The growth of a full scope with the number of nodes.
+pub fn full_line(points: &[Point]) -> Line {
+    let points: Vec<(f64, f64)> = points.iter().map(|p| (p.nodes as f64, p.full_kb)).collect();
+    Line::fit(&points)
+}
+
+fn point(size: Size, options: &Options) -> Point {
+    let Size { nodes, services, .. } = size;
+    let full_kb = alone(size, usize::MAX, options);
+    let usual_kb = alone(size, CALLED_SERVICES, options);
+    Point { nodes, services, full_kb, usual_kb }
+}
+
+/// Memory that one node takes from its start until it has a version in force and has settled.
+fn alone(preset: Size, called_services: usize, options: &Options) -> f64 {
+    let one = Size { nodes: 1, services: 1, zones: 1, regions: 1 };
+    let setup =
+        Setup::new(one, options.seed).with_preset_of(preset).with_called_services(called_services);
+    let mut fleet = Fleet::new(setup);
+    let before = (options.memory)();
+    start(&mut fleet);
+    fleet.run_for(Duration::from_secs(60));
+    (options.memory)().saturating_sub(before) as f64 / 1_024.0
+}
--- a/bench/src/fleet/slot.rs
+++ b/bench/src/fleet/slot.rs
@@ -105,7 +105,7 @@
         Slot {
             peer,
             seeds: seeds(setup, node),
-            scope: size.scope(node, setup.called_services),
+            scope: setup.preset_size.scope(node, setup.called_services),
             life: 0,
             wake: None,
             queued_wake: None,
