--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -98,8 +98,6 @@
     Draining = 453,
     /// no target can take the request
     NoTarget = 454,
-    /// the retry budget is used up
-    RetryBudgetSpent = 455,
     /// the request has crashed targets and is held off
     Quarantined = 456,
     /// this node is not the home of the key
@@ -122,6 +120,8 @@
     TooManyConnections = 465,
     /// the key belongs to a different request
     KeyReused = 466,
+    /// calls were still running at the limit of the planned stop, and were cut
+    DrainCutCalls = 467,
     // 500 to 599: tools.
     /// a node does not answer
     NodeUnreachable = 501,
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -3,51 +3,58 @@
 use crate::{Code, Name, Time};
 use std::collections::VecDeque;
 
-choice! {
-    /// What changed.
-    pub enum EventKind {
-        /// The process started.
-        Started,
-        /// A version was heard of for the first time.
-        VersionHeard,
-        /// A version was refused.
-        VersionRefused,
-        /// A version came into force on this node.
-        VersionInForce,
-        /// The platform stopped answering.
-        SourceLost,
-        /// The platform answers again.
-        SourceBack,
-        /// A relay was chosen as parent.
-        ParentChosen,
-        /// The parent stopped answering.
-        ParentLost,
-        /// A peer was given up as unreachable.
-        PeerLost,
-        /// A peer answers again.
-        PeerBack,
-        /// The local target stopped answering.
-        TargetLost,
-        /// The local target answers again.
-        TargetBack,
-        /// A request was held off because it crashed targets.
-        Quarantined,
-        /// Homes of keys are moving to or from this node.
-        HomesMoving,
-        /// Every moved key has been released.
-        HomesMoved,
-        /// The node takes no new work.
-        Draining,
-        /// The last work has finished.
-        Drained,
-        /// The process was not running for a while.
-        ClockGap,
-        /// The process stops.
-        Stopped,
-    }
+macro_rules! kinds {
+    ($($(#[$doc:meta])* $name:ident,)*) => {
+        choice! {
+            /// What changed.
+            pub enum EventKind { $($(#[$doc])* $name,)* }
+        }
+
+        impl EventKind {
+            /// Every kind.
+            pub const ALL: &'static [EventKind] = &[$(EventKind::$name,)*];
+        }
+    };
+}
+
+kinds! {
+    /// The process started.
+    Started,
+    /// A version was heard of for the first time.
+    VersionHeard,
+    /// A version was refused.
+    VersionRefused,
+    /// A version came into force on this node.
+    VersionInForce,
+    /// The platform stopped answering.
+    SourceLost,
+    /// The platform answers again.
+    SourceBack,
+    /// A relay was chosen as parent.
+    ParentChosen,
+    /// The parent stopped answering.
+    ParentLost,
+    /// The local target stopped answering.
+    TargetLost,
+    /// The local target answers again.
+    TargetBack,
+    /// A request was held off because it crashed targets.
+    Quarantined,
+    /// Homes of keys are moving to or from this node.
+    HomesMoving,
+    /// Every moved key has been released.
+    HomesMoved,
+    /// The node takes no new work.
+    Draining,
+    /// The last work has finished.
+    Drained,
+    /// The process was not running for a while.
+    ClockGap,
+    /// The process stops.
+    Stopped,
 }
 
-json! {
+report! {
     /// One change of state.
     pub struct Event {
         /// When, in microseconds since the Unix epoch by this node's clock.
@@ -66,12 +73,30 @@
     }
 }
 
+impl EventKind {
+    /// The kind's name in JSON, metrics and logs.
+    pub fn name(self) -> String {
+        let json = serde_json::to_value(self).unwrap_or_default();
+        json.as_str().unwrap_or_default().to_owned()
+    }
+}
+
 impl Event {
     /// An event with nothing but its time and kind.
     pub fn new(at: Time, kind: EventKind) -> Event {
         Event { at, kind, version: None, peer: None, code: None }
     }
 
+    /// The same event with the code of its kind, if the kind is a failure by itself.
+    pub fn with_own_code(self) -> Event {
+        match self.kind {
+            EventKind::TargetLost => self.with_code(Code::TargetUnreachable),
+            EventKind::Quarantined => self.with_code(Code::Quarantined),
+            EventKind::ClockGap => self.with_code(Code::ClockGap),
+            _ => self,
+        }
+    }
+
     /// The same event with the version concerned.
     pub fn with_version(mut self, version: u64) -> Event {
         self.version = Some(version);
