Admission: nested requests first, and slots kept for them; sockets driven by their own threads

Each call holds a slot at every depth. After a stall new calls took the slots that came free, nested ones waited behind them, nothing ended before its deadline, and callers asked again. Change: within a class the deepest waits first, a nested interactive request waits with the gating ones, and while nested requests come, up to a quarter of the slots is kept for them by depth. Seen failing: with the order by depth taken out, slots_nested_first: left [Run(2), None, Run(4), None, None], right [Run(4), Run(2), Run(5), Run(1), Run(3)]; with nothing kept free, slots_kept_for_nested: left 12, right 9. slots_like_naive fails with either.

--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -20,6 +20,18 @@
 /// steady traffic of the classes before it can't hold it off for ever.
 const BULK_TURN: u32 = 8;
 
+/// Weight of the newest arrival in the running share of nested requests, as one part in so many.
+const NESTED_WEIGHT: u32 = 64;
+
+/// Parts of the share of nested requests; the share is counted in these.
+const NESTED_WHOLE: u32 = 1_024;
+
+/// A smaller share of nested requests than this keeps no slot free for them.
+const NESTED_LEAST: u32 = NESTED_WHOLE / 64;
+
+/// At most one slot in so many is kept free for nested requests.
+const NESTED_SLOTS: u32 = 4;
+
 /// What becomes of a request on arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -40,11 +52,33 @@
     Expired(CallKey),
 }
 
+/// What admission looks at in a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Offer {
+    /// The call.
+    pub call: CallKey,
+    /// Class of its route.
+    pub class: Class,
+    /// Calls that wait for this one, each holding a slot: 0 for a caller's own request.
+    pub depth: u8,
+    /// When its caller stops waiting.
+    pub deadline: Time,
+}
+
+impl Offer {
+    /// The class in which it waits: a caller's request waits for a nested one too.
+    fn queue(&self) -> Class {
+        match self.class {
+            Class::Interactive if self.depth > 0 => Class::Gating,
+            class => class,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
-    call: CallKey,
+    offer: Offer,
     until: Time,
-    deadline: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -63,6 +97,7 @@
     queues: [VecDeque<Waiting>; 3],
     bulk_turn: u32,
     run_times: [Duration; 3],
+    nested_share: u32,
 }
 
 impl Slots {
@@ -76,6 +111,7 @@
             queues: [VecDeque::new(), VecDeque::new(), VecDeque::new()],
             bulk_turn: 0,
             run_times: [FIRST_RUN_TIME; 3],
+            nested_share: 0,
         }
     }
 
@@ -90,27 +126,41 @@
     }
 
     /// Takes a request in, or refuses it at once if it could not end in time.
-    pub fn offer(&mut self, now: Time, call: CallKey, class: Class, deadline: Time) -> Admission {
-        if deadline <= now {
+    pub fn offer(&mut self, now: Time, offer: Offer) -> Admission {
+        self.count_nested(offer.depth);
+        if offer.deadline <= now {
             return Admission::Refuse(Code::DeadlinePassed, Duration::ZERO);
         }
-        if self.queued() == 0 && self.has_slot(now, class) {
-            self.start(now, call, class);
+        let first = self.queued() == 0 || (offer.depth > 0 && self.ahead_of(&offer) == 0);
+        if first && self.has_slot(now, &offer) {
+            self.start(now, &offer);
             return Admission::Run;
         }
+        let wait = self.expected_wait(now, &offer);
         if self.queued() >= self.limits.queue {
-            return Admission::Refuse(Code::QueueFull, self.expected_wait(now, class));
+            return Admission::Refuse(Code::QueueFull, wait);
         }
         let patience = Duration::from_millis(self.limits.queue_wait_ms.into());
-        let until = deadline.min(now + patience);
-        let wait = self.expected_wait(now, class);
+        let until = offer.deadline.min(now + patience);
         if now + wait > until {
             return Admission::Refuse(Code::QueueFull, wait);
         }
-        self.queues[class as usize].push_back(Waiting { call, until, deadline });
+        self.enqueue(Waiting { offer, until });
         Admission::Queue(until)
     }
 
+    /// Puts a request behind those of its class that are nested as deep or deeper.
+    ///
+    /// Guards against a collapse that outlasts its cause: calls that hold slots wait for calls of
+    /// their own, and new ones that went first would take every slot that comes free. Then
+    /// nothing ends before its deadline, callers ask again, and it goes on. The deepest first
+    /// means that what holds most slots ends first.
+    fn enqueue(&mut self, waiting: Waiting) {
+        let queue = &mut self.queues[waiting.offer.queue() as usize];
+        let place = queue.partition_point(|other| other.offer.depth >= waiting.offer.depth);
+        queue.insert(place, waiting);
+    }
+
     /// Frees the slot of a request that did not reach the target.
     pub fn give_back(&mut self, call: CallKey) {
         self.free(call);
@@ -129,7 +179,7 @@
     /// Takes a waiting request out. Returns false if it does not wait.
     pub fn withdraw(&mut self, call: CallKey) -> bool {
         for queue in &mut self.queues {
-            if let Some(index) = queue.iter().position(|waiting| waiting.call == call) {
+            if let Some(index) = queue.iter().position(|waiting| waiting.offer.call == call) {
                 queue.remove(index);
                 return true;
             }
@@ -143,17 +193,15 @@
     /// this process was paused, and the work would be for nobody.
     pub fn pop(&mut self, now: Time) -> Option<Popped> {
         for queue in &mut self.queues {
-            if queue.front().is_some_and(|waiting| waiting.until <= now) {
-                return queue.pop_front().map(|waiting| Popped::Expired(waiting.call));
+            // A nested request may stand before one whose time is up sooner.
+            if let Some(index) = queue.iter().position(|waiting| waiting.until <= now) {
+                return queue.remove(index).map(|late| Popped::Expired(late.offer.call));
             }
         }
         let class = self.next_class(now)?;
         let waiting = self.queues[class as usize].pop_front()?;
-        if waiting.deadline <= now {
-            return Some(Popped::Expired(waiting.call));
-        }
-        self.start(now, waiting.call, class);
-        Some(Popped::Run(waiting.call))
+        self.start(now, &waiting.offer);
+        Some(Popped::Run(waiting.offer.call))
     }
 
     /// What the target runs and what waits for it.
@@ -162,8 +210,8 @@
     }
 
     /// When a request that is refused now may come back.
-    pub fn retry_after(&self, now: Time, class: Class) -> Duration {
-        self.expected_wait(now, class)
+    pub fn retry_after(&self, now: Time, offer: &Offer) -> Duration {
+        self.expected_wait(now, offer)
     }
 
     /// Slots in use now: fewer than the limit while the target is cold.
@@ -185,16 +233,36 @@
         (self.slots(now) * self.limits.bulk_share_percent / 100).max(1)
     }
 
-    fn has_slot(&self, now: Time, class: Class) -> bool {
-        let free = (self.running.len() as u32) < self.slots(now);
-        free && (class != Class::Bulk || self.running_bulk < self.bulk_slots(now))
+    /// Slots that a request at this depth must leave free.
+    ///
+    /// Guards against a deadlock: if callers' requests hold every slot of a service that their
+    /// own nested requests need, none of them ends before its deadline. The deeper a request is,
+    /// the more it may use. Nothing is kept free where nested requests don't come.
+    fn kept_free(&self, now: Time, depth: u8) -> u32 {
+        if self.nested_share < NESTED_LEAST {
+            return 0;
+        }
+        let slots = self.slots(now);
+        let wanted = (slots * self.nested_share).div_ceil(NESTED_WHOLE);
+        wanted.min(slots / NESTED_SLOTS).saturating_sub(depth.into())
+    }
+
+    fn has_slot(&self, now: Time, offer: &Offer) -> bool {
+        let used = self.running.len() as u32 + self.kept_free(now, offer.depth);
+        let free = used < self.slots(now);
+        free && (offer.class != Class::Bulk || self.running_bulk < self.bulk_slots(now))
     }
 
-    fn start(&mut self, now: Time, call: CallKey, class: Class) {
-        if class == Class::Bulk {
+    fn count_nested(&mut self, depth: u8) {
+        let newest = if depth > 0 { NESTED_WHOLE } else { 0 };
+        self.nested_share = (self.nested_share * (NESTED_WEIGHT - 1) + newest) / NESTED_WEIGHT;
+    }
+
+    fn start(&mut self, now: Time, offer: &Offer) {
+        if offer.class == Class::Bulk {
             self.running_bulk += 1;
         }
-        self.running.insert(call, Running { class, started: now });
+        self.running.insert(offer.call, Running { class: offer.class, started: now });
     }
 
     fn free(&mut self, call: CallKey) -> Option<Running> {
@@ -209,23 +277,35 @@
         self.queues.iter().map(|queue| queue.len() as u32).sum()
     }
 
+    /// How many requests that wait go before this one.
+    fn ahead_of(&self, offer: &Offer) -> usize {
+        let queue = offer.queue();
+        let before = self.queues[..queue as usize].iter().map(VecDeque::len).sum::<usize>();
+        let own = &self.queues[queue as usize];
+        before + own.partition_point(|other| other.offer.depth >= offer.depth)
+    }
+
     /// How long a request would wait behind those that go before it, from the mean run times.
-    fn expected_wait(&self, now: Time, class: Class) -> Duration {
-        let mut work = self.run_times[class as usize];
-        for (queue, run_time) in self.queues.iter().zip(self.run_times).take(class as usize + 1) {
-            work += run_time * queue.len() as u32;
+    fn expected_wait(&self, now: Time, offer: &Offer) -> Duration {
+        let queue = offer.queue() as usize;
+        let mut work = self.run_times[offer.class as usize];
+        for (waiting, run_time) in self.queues.iter().zip(self.run_times).take(queue) {
+            work += run_time * waiting.len() as u32;
         }
+        let own = &self.queues[queue];
+        let same = own.partition_point(|other| other.offer.depth >= offer.depth);
+        work += self.run_times[offer.class as usize] * same as u32;
         work / self.slots(now)
     }
 
     fn next_class(&mut self, now: Time) -> Option<Class> {
         let bulk_waits = !self.queues[Class::Bulk as usize].is_empty();
-        if bulk_waits && self.bulk_turn + 1 >= BULK_TURN && self.has_slot(now, Class::Bulk) {
+        if bulk_waits && self.bulk_turn + 1 >= BULK_TURN && self.may_run_next(now, Class::Bulk) {
             self.bulk_turn = 0;
             return Some(Class::Bulk);
         }
         for class in [Class::Gating, Class::Interactive, Class::Bulk] {
-            if !self.queues[class as usize].is_empty() && self.has_slot(now, class) {
+            if self.may_run_next(now, class) {
                 let passed_over = bulk_waits && class != Class::Bulk;
                 self.bulk_turn = if passed_over { self.bulk_turn + 1 } else { 0 };
                 return Some(class);
@@ -233,4 +313,9 @@
         }
         None
     }
+
+    fn may_run_next(&self, now: Time, class: Class) -> bool {
+        let first = self.queues[class as usize].front();
+        first.is_some_and(|waiting| self.has_slot(now, &waiting.offer))
+    }
 }
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -1,6 +1,6 @@
 //! Decisions beside the target: what reaches it, when, and what is said of what does not.
 
-use super::admit::{Admission, Popped, Slots};
+use super::admit::{Admission, Offer, Popped, Slots};
 use super::home::{Answer, Homes, Right};
 use super::note::{HomeList, Note, OutgoingNote};
 use super::once::{KeptAnswer, Once, Seen};
@@ -45,6 +45,8 @@
         pub fingerprint: Fingerprint,
         /// Crashes that the entry node knows of.
         pub crashes: u32,
+        /// Calls that wait for this one: 0 for a caller's own request.
+        pub depth: u8,
         /// When its caller stops waiting.
         pub deadline: Time,
     }
@@ -134,10 +136,9 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Call {
-    class: Class,
+    offer: Offer,
     key: Option<RequestKey>,
     fingerprint: Fingerprint,
-    deadline: Time,
     running: bool,
 }
 
@@ -340,15 +341,15 @@
         out: &mut Vec<Output>,
     ) {
         let call = arrival.call;
-        let admission = self.slots.offer(now, call, class, arrival.deadline);
+        let offer = Offer { call, class, depth: arrival.depth, deadline: arrival.deadline };
+        let admission = self.slots.offer(now, offer);
         if let Admission::Refuse(code, wait) = admission {
             let wait = self.spread_out(wait);
             return self.refuse(now, arrival, Outcome::not_run(code, wait), out);
         }
         let running = admission == Admission::Run;
         let fingerprint = arrival.fingerprint;
-        let deadline = arrival.deadline;
-        self.calls.insert(call, Call { class, key, fingerprint, deadline, running });
+        self.calls.insert(call, Call { offer, key, fingerprint, running });
         if let (Some(key), Some(digest)) = (key, arrival.digest) {
             self.once.wait(now, key, digest, call);
         }
@@ -413,9 +414,9 @@
         let Some(known) = self.forget_waiting(call) else {
             return;
         };
-        let late = known.deadline <= now;
+        let late = known.offer.deadline <= now;
         let code = if late { Code::DeadlinePassed } else { Code::QueueTimeout };
-        let wait = self.slots.retry_after(now, known.class);
+        let wait = self.slots.retry_after(now, &known.offer);
         let outcome = Outcome::not_run(code, self.spread_out(wait));
         let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
         out.push(Output::Refuse { call, outcome, crashes });
--- a/core/tests/call_admit.rs
+++ b/core/tests/call_admit.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use std::time::Duration;
 use sycamore_core::call::CallKey;
-use sycamore_core::call::admit::{Admission, Popped, Slots};
+use sycamore_core::call::admit::{Admission, Offer, Popped, Slots};
 use sycamore_core::config::{Class, ServiceLimits};
 use sycamore_core::{Code, Time};
 
@@ -18,7 +18,57 @@
 }
 
 fn offer(slots: &mut Slots, call: u64, class: Class) -> Admission {
-    slots.offer(START, CallKey(call), class, after(10_000))
+    offer_at(slots, call, class, 0)
+}
+
+fn offer_at(slots: &mut Slots, call: u64, class: Class, depth: u8) -> Admission {
+    slots.offer(START, Offer { call: CallKey(call), class, depth, deadline: after(10_000) })
+}
+
+#[test]
+fn slots_nested_first() {
+    // Story: nine services deep, each call holds a slot while it waits for the next. After a
+    // short stall new calls take every slot that comes free, the nested ones wait behind them,
+    // nothing ends in time, and callers ask again for as long as they live.
+    let mut slots = Slots::new(limits(1, 10));
+    assert_eq!(offer(&mut slots, 0, Class::Interactive), Admission::Run);
+    for (call, depth) in [(1, 0), (2, 1), (3, 0), (4, 8), (5, 1)] {
+        let queued = offer_at(&mut slots, call, Class::Interactive, depth);
+        assert_eq!(queued, Admission::Queue(after(1_000)));
+    }
+    let mut order = Vec::new();
+    for running in [0, 4, 2, 5, 1] {
+        slots.end(after(1), CallKey(running));
+        order.push(slots.pop(after(1)));
+    }
+    assert_eq!(order, [4, 2, 5, 1, 3].map(|call| Some(Popped::Run(CallKey(call)))));
+}
+
+#[test]
+fn slots_kept_for_nested() {
+    // Story: callers' requests take every slot of a service, and each waits for a nested request
+    // to the same service. None can end before its deadline.
+    let mut slots = Slots::new(limits(12, 100));
+    for call in 0..200 {
+        offer_at(&mut slots, call, Class::Interactive, (call % 2) as u8);
+        slots.end(START, CallKey(call));
+    }
+    let mut running_at = |depth: u8, calls: std::ops::Range<u64>| {
+        let admitted =
+            |call: &u64| offer_at(&mut slots, *call, Class::Interactive, depth) == Admission::Run;
+        calls.filter(admitted).count()
+    };
+    assert_eq!(running_at(0, 1_000..1_020), 9);
+    assert_eq!(running_at(1, 1_020..1_040), 1);
+    assert_eq!(running_at(2, 1_040..1_050), 1);
+    assert_eq!(running_at(3, 1_050..1_060), 1);
+}
+
+#[test]
+fn slots_not_kept_without_nested() {
+    let mut slots = Slots::new(limits(12, 100));
+    let admitted = |call: &u64| offer(&mut slots, *call, Class::Interactive) == Admission::Run;
+    assert_eq!((0..20).filter(admitted).count(), 12);
 }
 
 #[test]
@@ -86,7 +136,8 @@
     // A request that could not end in time is refused at once, with the time to come back.
     let mut slots = Slots::new(limits(1, 100));
     for call in 0..8 {
-        slots.offer(START, CallKey(call), Class::Interactive, after(60_000));
+        let class = Class::Interactive;
+        slots.offer(START, Offer { call: CallKey(call), class, depth: 0, deadline: after(60_000) });
         slots.end(after(900), CallKey(call));
     }
     assert_eq!(offer(&mut slots, 10, Class::Interactive), Admission::Run);
@@ -95,7 +146,8 @@
         Admission::Refuse(Code::QueueFull, wait) => assert!(wait > Duration::from_millis(500)),
         other => panic!("{other:?}"),
     }
-    let late = slots.offer(after(5), CallKey(13), Class::Gating, after(5));
+    let late = Offer { call: CallKey(13), class: Class::Gating, depth: 0, deadline: after(5) };
+    let late = slots.offer(after(5), late);
     assert!(matches!(late, Admission::Refuse(Code::DeadlinePassed, _)));
 }
 
@@ -113,39 +165,79 @@
 /// An obviously right version: one list of everything, looked through each time.
 #[derive(Default)]
 struct Naive {
-    waiting: Vec<(u64, Class, Time)>,
-    running: Vec<(u64, Class)>,
+    waiting: Vec<(Offer, Time)>,
+    running: Vec<Offer>,
     turn: u32,
+    nested_share: u32,
+}
+
+/// A request nested in another waits with those that others wait for.
+fn queue(offer: &Offer) -> Class {
+    match offer.class {
+        Class::Interactive if offer.depth > 0 => Class::Gating,
+        class => class,
+    }
 }
 
 impl Naive {
-    fn free(&self, limits: &ServiceLimits, class: Class) -> bool {
-        let bulk = self.running.iter().filter(|(_, class)| *class == Class::Bulk).count() as u32;
+    fn count(&mut self, depth: u8) {
+        let newest = if depth > 0 { 1_024 } else { 0 };
+        self.nested_share = (self.nested_share * 63 + newest) / 64;
+    }
+
+    fn free(&self, limits: &ServiceLimits, offer: &Offer) -> bool {
+        let bulk = self.running.iter().filter(|running| running.class == Class::Bulk).count();
         let most = (limits.slots * limits.bulk_share_percent / 100).max(1);
-        (self.running.len() as u32) < limits.slots && (class != Class::Bulk || bulk < most)
+        let share = if self.nested_share < 16 { 0 } else { limits.slots * self.nested_share };
+        let kept = share.div_ceil(1_024).min(limits.slots / 4).saturating_sub(offer.depth.into());
+        let slots_left = limits.slots - self.running.len() as u32;
+        slots_left > kept && (offer.class != Class::Bulk || (bulk as u32) < most)
+    }
+
+    /// The place in the list of the next of a class: the deepest, of these the oldest.
+    fn next(&self, class: Class) -> Option<usize> {
+        let of_class = |at: &usize| queue(&self.waiting[*at].0) == class;
+        let deepest = (0..self.waiting.len()).filter(of_class).map(|at| self.waiting[at].0.depth);
+        let deepest = deepest.max()?;
+        (0..self.waiting.len()).filter(of_class).find(|at| self.waiting[*at].0.depth == deepest)
+    }
+
+    /// Whether a request must wait for one that waits already.
+    fn blocked(&self, offer: &Offer) -> bool {
+        let before = |(other, _): &(Offer, Time)| {
+            queue(other) < queue(offer)
+                || (queue(other) == queue(offer) && other.depth >= offer.depth)
+        };
+        if offer.depth == 0 { !self.waiting.is_empty() } else { self.waiting.iter().any(before) }
+    }
+
+    /// The late ones in order of class, depth and age.
+    fn expired(&mut self, now: Time) -> Option<CallKey> {
+        let late = (0..self.waiting.len()).filter(|at| self.waiting[*at].1 <= now);
+        let rank = |at: &usize| {
+            let offer = &self.waiting[*at].0;
+            (queue(offer), std::cmp::Reverse(offer.depth), *at)
+        };
+        let first = late.min_by_key(rank)?;
+        Some(self.waiting.remove(first).0.call)
     }
 
     fn pop(&mut self, limits: &ServiceLimits, now: Time) -> Option<Popped> {
-        let by_class = |class: Class| move |entry: &(u64, Class, Time)| entry.1 == class;
-        for class in [Class::Gating, Class::Interactive, Class::Bulk] {
-            if let Some(at) = self.waiting.iter().position(by_class(class)) {
-                if self.waiting[at].2 <= now {
-                    return Some(Popped::Expired(CallKey(self.waiting.remove(at).0)));
-                }
-            }
+        if let Some(call) = self.expired(now) {
+            return Some(Popped::Expired(call));
         }
-        let bulk_waits = self.waiting.iter().any(by_class(Class::Bulk));
+        let bulk_waits = self.next(Class::Bulk).is_some();
         let mut order = vec![Class::Gating, Class::Interactive, Class::Bulk];
         if bulk_waits && self.turn >= 7 {
             order.insert(0, Class::Bulk);
         }
         for class in order {
-            let at = self.waiting.iter().position(by_class(class));
-            if let Some(at) = at.filter(|_| self.free(limits, class)) {
+            let next = self.next(class).filter(|at| self.free(limits, &self.waiting[*at].0));
+            if let Some(at) = next {
                 self.turn = if bulk_waits && class != Class::Bulk { self.turn + 1 } else { 0 };
-                let (call, class, _) = self.waiting.remove(at);
-                self.running.push((call, class));
-                return Some(Popped::Run(CallKey(call)));
+                let (offer, _) = self.waiting.remove(at);
+                self.running.push(offer);
+                return Some(Popped::Run(offer.call));
             }
         }
         None
@@ -154,7 +246,7 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    Offer(Class),
+    Offer(Class, u8),
     End(usize),
     Withdraw(usize),
     Pass(u64),
@@ -162,8 +254,9 @@
 
 fn step() -> impl Strategy<Value = Step> {
     let class = prop_oneof![Just(Class::Gating), Just(Class::Interactive), Just(Class::Bulk)];
+    let depth = prop_oneof![3 => Just(0u8), 2 => 1u8..4];
     prop_oneof![
-        5 => class.prop_map(Step::Offer),
+        5 => (class, depth).prop_map(|(class, depth)| Step::Offer(class, depth)),
         4 => any::<usize>().prop_map(Step::End),
         1 => any::<usize>().prop_map(Step::Withdraw),
         1 => (0u64..800).prop_map(Step::Pass),
@@ -176,7 +269,7 @@
     /// The same random sequence through the real decision and the naive one.
     #[test]
     fn slots_like_naive(
-        slots in 1u32..6,
+        slots in 1u32..10,
         queue in 0u32..8,
         steps in prop::collection::vec(step(), 1..120),
     ) {
@@ -185,34 +278,38 @@
         let mut naive = Naive::default();
         let mut now = START;
         for (number, step) in steps.into_iter().enumerate() {
-            let call = number as u64;
+            let call = CallKey(number as u64);
             match step {
-                Step::Offer(class) => {
+                Step::Offer(class, depth) => {
                     let deadline = now + Duration::from_secs(3_600);
-                    match real.offer(now, CallKey(call), class, deadline) {
+                    let offer = Offer { call, class, depth, deadline };
+                    naive.count(depth);
+                    let may_run = !naive.blocked(&offer) && naive.free(&limits, &offer);
+                    match real.offer(now, offer) {
                         Admission::Run => {
-                            prop_assert!(naive.waiting.is_empty() && naive.free(&limits, class));
-                            naive.running.push((call, class));
+                            prop_assert!(may_run);
+                            naive.running.push(offer);
                         }
                         Admission::Queue(until) => {
+                            prop_assert!(!may_run);
                             prop_assert!((naive.waiting.len() as u32) < queue);
-                            naive.waiting.push((call, class, until));
+                            naive.waiting.push((offer, until));
                         }
                         Admission::Refuse(code, _) => {
                             // Early refusals depend on the mean run time; a full queue must refuse.
                             prop_assert_eq!(code, Code::QueueFull);
-                            prop_assert!(!naive.waiting.is_empty() || !naive.free(&limits, class));
+                            prop_assert!(!may_run);
                         }
                     }
                     prop_assert!(naive.waiting.len() as u32 <= queue);
                 }
                 Step::End(at) if !naive.running.is_empty() => {
-                    let (ended, _) = naive.running.remove(at % naive.running.len());
-                    real.end(now, CallKey(ended));
+                    let ended = naive.running.remove(at % naive.running.len());
+                    real.end(now, ended.call);
                 }
                 Step::Withdraw(at) if !naive.waiting.is_empty() => {
-                    let (gone, ..) = naive.waiting.remove(at % naive.waiting.len());
-                    prop_assert!(real.withdraw(CallKey(gone)));
+                    let (gone, _) = naive.waiting.remove(at % naive.waiting.len());
+                    prop_assert!(real.withdraw(gone.call));
                 }
                 Step::Pass(ms) => now = now + Duration::from_millis(ms),
                 _ => {}
--- a/core/tests/call_homes.rs
+++ b/core/tests/call_homes.rs
@@ -149,6 +149,7 @@
             digest: Some(Hash::of(&key.to_bytes())),
             fingerprint: Fingerprint(key.low),
             crashes: 0,
+            depth: 0,
             deadline: self.now + Duration::from_secs(1),
         };
         let mut outcome = None;
--- a/node/src/app.rs
+++ b/node/src/app.rs
@@ -54,10 +54,10 @@
         let operators = admin::Listener::bind(&shared.settings.listen)?;
         std::thread::scope(|scope| {
             for _ in 0..shared.settings.limits.threads {
-                scope.spawn(|| future::block_on(executor.run(stopped.recv())));
+                scope.spawn(|| async_io::block_on(executor.run(stopped.recv())));
             }
             let local = LocalExecutor::new();
-            future::block_on(local.run(async {
+            async_io::block_on(local.run(async {
                 let calls = calls::start(shared.clone(), listeners, executor.clone());
                 let control = spread::start(shared.clone(), peers, calls.clone(), &local);
                 local.spawn(admin::serve(shared.clone(), operators)).detach();
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -188,6 +188,8 @@
             digest,
             fingerprint: fingerprint(&req, &head, held.as_ref()),
             crashes: head.crashes,
+            // The entry node has counted itself.
+            depth: head.depth.saturating_sub(1),
             deadline,
         };
         let decision = match self.decide(key, Input::Arrive(arrival)) {
