Test that few bodies are read when a region has lost every relay

Cause: the mutation without questions to random peers went unseen in a zone of six. Ruled out: a time limit in the small zone, where every node reads soon enough by itself. Change: a test over zones of 40.

--- a/core/tests/spread_faults.rs
+++ b/core/tests/spread_faults.rs
@@ -377,3 +377,25 @@
         assert_eq!(slot.members.get(&vm), None, "{}", slot.cfg.vm);
     }
 }
+
+#[test]
+fn herd_of_all_relays_of_a_region_reads_few_bodies() {
+    // Story: as above, in larger zones. Every node below is right to read the platform, which
+    // stands in another region: each body read is a whole configuration over a link that is paid
+    // by volume. Those that got through first take the others below them.
+    let mut fleet = settled(4, 40);
+    let relays = nodes_with(&fleet, |slot| {
+        slot.cfg.place.region.as_str() == "r2" && role(slot) != Role::Leaf
+    });
+    for node in &relays {
+        fleet.kill(*node);
+    }
+    fleet.run(5 * SECOND);
+    fleet.platform.calls.clear();
+    fleet.publish(2, &preset(2));
+    fleet.run(3 * SECOND);
+    assert!(fleet.versions().iter().all(|version| *version == 2), "{:?}", fleet.versions());
+    let bodies = fleet.platform.calls.iter().filter(|(_, key)| key.starts_with("preset/")).count();
+    println!("{bodies} bodies read");
+    assert!(bodies < 30, "{bodies} bodies read");
+}
