--- a/node/tests/support/processes.rs
+++ b/node/tests/support/processes.rs
@@ -80,7 +80,7 @@
     pub fn publish(&self, version: u64) {
         let body = format!(
             r#"{{"name":"ordinary","services":{{"roster":{{"limits":{{"slots":{}}},
-            "targets":[{{"vm":"a-0","region":"r1","zone":"a","gate":"127.0.0.1:1"}}]}}}},
+            "targets":[{{"vm":"a-0","region":"r1","zone":"a","gate":"127.0.0.1:1","peers":"127.0.0.1:2"}}]}}}},
             "routes":{{"rosters":{{"path_prefix":"/rosters","service":"roster","idempotent":true}}}}}}"#,
             version % 100 + 1
         );
