--- a/core/src/spread.rs
+++ b/core/src/spread.rs
@@ -5,8 +5,9 @@
 //! the adapter hands it [`Input::Wake`] at the time of the last [`Output::WakeAt`].
 //!
 //! - `topology`: who reads the platform, and who takes versions from whom
-//! - `reading`: reading the platform, and the budget for it
-//! - `attach`: finding a parent and keeping it; children
+//! - `budget`: which calls to the platform a node makes, and when; `reading`: what they bring
+//! - `attach`: finding a parent and keeping it; `children`: the nodes below
+//! - `questions`: what peers are asked, and what they answer
 //! - `fetch`: taking a version from a peer; `serve`: answering peers
 //! - `join`: what a node asks before it relies on what it holds
 //! - `words`: passing on what VMs say of themselves
@@ -19,10 +20,13 @@
 
 mod attach;
 mod backoff;
+mod budget;
+mod children;
 mod fetch;
 mod join;
 mod members;
 mod notes;
+mod questions;
 mod reading;
 mod serve;
 mod source;
@@ -87,8 +91,8 @@
     confirmed: bool,
     join: Option<join::Join>,
     attach: attach::Attach,
-    asked: attach::Asked,
-    children: attach::Children,
+    asked: questions::Asked,
+    children: children::Children,
     fetch: Option<fetch::Fetch>,
     source: source::Source,
     words: words::Words,
@@ -126,8 +130,8 @@
             confirmed: false,
             join: None,
             attach: attach::Attach::default(),
-            asked: attach::Asked::default(),
-            children: attach::Children::default(),
+            asked: questions::Asked::default(),
+            children: children::Children::default(),
             fetch: None,
             source: source::Source::default(),
             words: words::Words::default(),
--- a/core/src/spread/reading.rs
+++ b/core/src/spread/reading.rs
@@ -1,14 +1,8 @@
-//! Reading the platform, and the budget for it.
-//!
-//! Readers of a region watch the platform at all times. Any other node reads it only when it has
-//! lost every possible parent, or holds no list of its zone, and then within a share of a budget
-//! of calls a second that is divided by how many nodes may be doing the same.
+//! Reading the platform: what its values say, and how a body is put together.
 
-use super::backoff::jitter;
 use super::limits::{
     BODY_PATIENCE, EXTRA_PAUSE, LIST_PAUSE, ORPHAN_BACKOFF, ORPHAN_BACKOFF_INTERVALS,
-    ORPHAN_CALLS_PER_S, READER_BACKOFF, RELAY_CALLS_PER_S, TOP, TORN_BACKOFF, TORN_REPORTED,
-    WATCH_PAUSE, WATCH_WAIT, WATCH_WAIT_HOME,
+    READER_BACKOFF, TORN_BACKOFF, TORN_REPORTED, WATCH_PAUSE,
 };
 use super::message::{Summary, ZoneList, ZonesList};
 use super::port::{Output, Peer, SourceReply, SourceValue};
@@ -20,234 +14,12 @@
 use crate::hash::Hash;
 use crate::member::VmList;
 use crate::place::{Place, Zones};
-use crate::{Code, Fault, Name, Result, Time};
+use crate::{Code, Fault, Result, Time};
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// What a node may do at the platform.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Access {
-    /// Nothing.
-    None,
-    /// Watch at all times.
-    Reader,
-    /// Read within the zone relays' share of the budget.
-    Relay,
-    /// Read within the other nodes' share of the budget.
-    Orphan,
-}
-
-/// A call that is due.
-struct Due {
-    purpose: Purpose,
-    key: String,
-    index: u64,
-    wait: Duration,
-}
-
-impl Due {
-    fn now(purpose: Purpose, key: impl Into<String>) -> Due {
-        Due { purpose, key: key.into(), index: 0, wait: Duration::ZERO }
-    }
-
-    fn watch(purpose: Purpose, key: impl Into<String>, index: u64) -> Due {
-        let wait = if index == 0 { Duration::ZERO } else { WATCH_WAIT };
-        Due { purpose, key: key.into(), index, wait }
-    }
-}
-
 impl Spread {
-    fn access(&self, now: Time) -> Access {
-        if self.topology.reader.is_some() {
-            return Access::Reader;
-        }
-        let listed = self.members.list(&self.cfg.place.zone).is_some();
-        if !listed {
-            let seeds_silent = self.join.as_ref().is_none_or(|join| !join.is_asking(now));
-            return if seeds_silent { Access::Orphan } else { Access::None };
-        }
-        let is_relay = self.topology.rank < TOP;
-        if is_relay && (self.is_orphan() || self.lacks_lists()) {
-            return Access::Relay;
-        }
-        let needed = self.is_orphan() || !self.extra_zones.is_empty();
-        if needed { Access::Orphan } else { Access::None }
-    }
-
-    /// A zone relay can't tell who its region's readers are before it holds these lists.
-    fn lacks_lists(&self) -> bool {
-        let lacks = |place: &Place| self.members.list(&place.zone).is_none();
-        self.members.zones().is_none() || self.wanted_lists().iter().any(lacks)
-    }
-
-    /// Mean time between two calls of this node.
-    ///
-    /// Guards against a storm: when a zone, or everything, has lost its readers at once, every
-    /// node is right to read the platform, and together they would go over its limit, after which
-    /// it answers nobody. The time grows with the number of nodes that may be in the same state,
-    /// so that their calls together stay within their share, whoever else is alive.
-    fn interval(&self, access: Access) -> Duration {
-        let zones = self.topology.zones as u32;
-        let relays = zones * TOP as u32;
-        let vms = match self.topology.zone_vms as u32 {
-            0 => self.cfg.fleet_vms,
-            zone_vms => zone_vms.saturating_mul(zones).max(self.cfg.fleet_vms),
-        };
-        match access {
-            Access::None | Access::Reader => Duration::ZERO,
-            Access::Relay => Duration::from_secs(1) * relays / RELAY_CALLS_PER_S,
-            Access::Orphan => Duration::from_secs(1) * vms / ORPHAN_CALLS_PER_S,
-        }
-    }
-
-    pub(super) fn source_wake(&self) -> Option<Time> {
-        let overdue = self.source.next_overdue();
-        let at = self.source.wake_at;
-        overdue.into_iter().chain(at).min()
-    }
-
-    pub(super) fn tick_source(&mut self, now: Time, out: &mut Vec<Output>) {
-        while let Some(id) = self.source.overdue(now) {
-            out.push(Output::DropSource(id));
-            if let Some(call) = self.source.close(id) {
-                self.source_failed(now, &call, Code::SourceUnreachable, out);
-            }
-        }
-        let access = self.access(now);
-        self.source.wake_at = match access {
-            Access::None => {
-                self.leave_source(out);
-                self.join.as_ref().and_then(|join| join.asks_until())
-            }
-            Access::Reader => self.call_all_due(now, out),
-            Access::Relay | Access::Orphan => self.call_within_budget(now, access, out),
-        };
-    }
-
-    /// A node that has found a parent again gives up its calls.
-    fn leave_source(&mut self, out: &mut Vec<Output>) {
-        let dropped = self.source.drop_calls(|_| true);
-        out.extend(dropped.into_iter().map(Output::DropSource));
-        self.source.reading = None;
-        self.source.in_force.index = 0;
-        self.source.budget_at = None;
-    }
-
-    fn call_all_due(&mut self, now: Time, out: &mut Vec<Output>) -> Option<Time> {
-        let (due, next) = self.due(now, Access::Reader);
-        for call in due {
-            self.call(now, call, out);
-        }
-        next
-    }
-
-    fn call_within_budget(
-        &mut self,
-        now: Time,
-        access: Access,
-        out: &mut Vec<Output>,
-    ) -> Option<Time> {
-        let (due, next) = self.due(now, access);
-        let Some(call) = due.into_iter().next() else {
-            self.source.budget_at = self.source.budget_at.filter(|at| now < *at);
-            return next;
-        };
-        let interval = self.interval(access);
-        // Full jitter on the first call after a while: nodes that lost their parents lost them
-        // together, and nodes whose watches waited hear of a version in one instant.
-        let first = now + jitter(interval, &mut self.rng);
-        let at = *self.source.budget_at.get_or_insert(first);
-        // The body follows on `in-force` at once, and the pause after both is as much longer:
-        // what is published helps nobody without its body. Its parts keep to the budget, and so
-        // does a body after a watch, which ends for every node in the same instant.
-        let follows = self.source.follows && call.purpose == Purpose::Body;
-        if now < at && !follows {
-            return Some(at);
-        }
-        self.source.follows = call.purpose == Purpose::InForce && call.wait.is_zero();
-        self.call(now, call, out);
-        let pause = interval / 2 + jitter(interval, &mut self.rng);
-        let next = at.max(now) + pause;
-        self.source.budget_at = Some(next);
-        Some(next)
-    }
-
-    fn call(&mut self, now: Time, due: Due, out: &mut Vec<Output>) {
-        let Some(key) = Name::new(due.key) else { return };
-        let call = self.source.open(now, due.purpose, key, (due.index, due.wait));
-        out.push(Output::ReadSource(call));
-    }
-
-    /// The calls that are due, most urgent first, and when the next one will be.
-    fn due(&self, now: Time, access: Access) -> (Vec<Due>, Option<Time>) {
-        let mut due = Vec::new();
-        let mut next: Option<Time> = None;
-        let mut add = |at: Time, call: Due| {
-            if self.source.is_open(&call.purpose) {
-                return;
-            }
-            if at <= now {
-                due.push(call);
-            } else {
-                next = Some(next.map_or(at, |next| next.min(at)));
-            }
-        };
-        let own = &self.cfg.place;
-        let list = |place: &Place| format!("vms/{}", place.zone);
-        let list_at =
-            |place: &Place| self.source.lists.get(&place.zone).map_or(Time::ZERO, |w| w.at);
-        if self.members.list(&own.zone).is_none() {
-            add(list_at(own), Due::now(Purpose::List(own.clone()), list(own)));
-        }
-        let reads = access == Access::Reader || self.is_orphan();
-        if let Some(reading) = self.source.reading.as_ref().filter(|_| !self.source.is_reading()) {
-            add(reading.at, self.next_of(reading));
-        }
-        if reads {
-            let watch = &self.source.in_force;
-            let mut call = Due::watch(Purpose::InForce, "in-force", watch.index);
-            if access == Access::Reader && self.topology.home {
-                call.wait = call.wait.min(WATCH_WAIT_HOME);
-            }
-            add(watch.at, call);
-        }
-        // While the platform does not answer, one key is enough to find out when it does again.
-        let silent = self.source.answers == Some(false) && reads;
-        let relays = matches!(access, Access::Reader | Access::Relay);
-        if relays && !silent {
-            let watch = &self.source.zones;
-            let index = if access == Access::Reader { watch.index } else { 0 };
-            if index > 0 || self.members.zones().is_none() {
-                add(watch.at, Due::watch(Purpose::Zones, "zones", index));
-            }
-            for place in self.wanted_lists() {
-                let held = self.members.list(&place.zone).is_some();
-                let watched = access == Access::Reader && place.region == own.region;
-                if watched {
-                    let index = self.source.lists.get(&place.zone).map_or(0, |w| w.index);
-                    add(
-                        list_at(&place),
-                        Due::watch(Purpose::List(place.clone()), list(&place), index),
-                    );
-                } else if !held && place != *own {
-                    add(list_at(&place), Due::now(Purpose::List(place.clone()), list(&place)));
-                }
-            }
-        }
-        for place in &self.extra_zones {
-            add(list_at(place), Due::now(Purpose::List(place.clone()), list(place)));
-        }
-        (due, next)
-    }
-
-    fn next_of(&self, reading: &Reading) -> Due {
-        match self.source.missing_part() {
-            Some(part) => Due::now(Purpose::Part(part.digest), part.key.as_str()),
-            None => Due::now(Purpose::Body, format!("preset/{}", reading.publication.preset)),
-        }
-    }
-
     pub(super) fn take_reply(&mut self, now: Time, reply: SourceReply, out: &mut Vec<Output>) {
         let Some(call) = self.source.close(reply.id) else { return };
         match reply.result {
@@ -261,7 +33,13 @@
         }
     }
 
-    fn source_failed(&mut self, now: Time, call: &OpenCall, code: Code, out: &mut Vec<Output>) {
+    pub(super) fn source_failed(
+        &mut self,
+        now: Time,
+        call: &OpenCall,
+        code: Code,
+        out: &mut Vec<Output>,
+    ) {
         if self.source.answers.replace(false) != Some(false) {
             out.push(Output::Event(Event::new(now, EventKind::SourceLost).with_code(code)));
         }
