--- a/bench/src/bin/sycamore-demo.rs
+++ b/bench/src/bin/sycamore-demo.rs
@@ -4,15 +4,19 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use std::io;
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use sycamore_bench::demo::plan::Demo;
 use sycamore_bench::demo::report::Report;
-use sycamore_bench::stack::{Stack, on_free_network};
+use sycamore_bench::stack::Stack;
 use sycamore_standins::example::{self, COOPERATIVE, Deployment, FRANCHISE_OFFICE};
 
+/// Demonstrations of one deployment that can run on one machine at once.
+const MAX_AT_ONCE: u8 = 8;
+
 /// Exit code of a command line that is not valid.
 const USAGE: u8 = 2;
 
@@ -53,7 +57,12 @@
 /// demonstration.
 fn open(deployment: Deployment, output: &Path) -> io::Result<Stack> {
     let example = Path::new("examples").join(deployment.name);
-    let found = on_free_network(deployment)?;
+    let networks = deployment.network..deployment.network + MAX_AT_ONCE;
+    let candidates = networks.map(|network| Deployment { network, ..deployment });
+    let free = |found: &Deployment| TcpListener::bind(found.platform_control()).is_ok();
+    let Some(found) = candidates.into_iter().find(free) else {
+        return Err(io::ErrorKind::AddrInUse.into());
+    };
     if found.network == deployment.network {
         return Stack::new(found, &example, output);
     }
--- a/bench/src/demo/rules.rs
+++ b/bench/src/demo/rules.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use sycamore_core::Code;
 use sycamore_standins::target::run_log::{Line, Mark};
-use sycamore_tools::load::history::{Outcome, Record, Send, SendResult};
+use sycamore_tools::load::history::{Outcome, Record, SendResult};
 
 /// How long after a planned stop or a deadline its effects still show.
 const SETTLE_US: u64 = 1_000_000;
@@ -26,10 +26,8 @@
     pub samples: Vec<Sample>,
     /// Versions that were published.
     pub publications: Vec<Publication>,
-    /// Nodes and targets that were killed, and nodes that were paused.
+    /// A node that was killed.
     pub kills: Vec<Stop>,
-    /// Nodes that were paused: callers connected to one hear nothing while it lasts.
-    pub pauses: Vec<Stop>,
     /// A node that was stopped as planned.
     pub drains: Vec<Stop>,
     /// VMs that must have every version: those whose node runs to the end.
@@ -100,7 +98,7 @@
     /// Counts them.
     pub fn find(evidence: &Evidence) -> Violations {
         Violations {
-            lost: count(&evidence.records, |record| lost(evidence, record)),
+            lost: count(&evidence.records, |record| record.outcome == Outcome::None),
             run_twice: run_twice(&evidence.runs),
             false_not_run: false_not_run(evidence),
             truncated: count(&evidence.records, |record| {
@@ -155,17 +153,6 @@
     items.iter().filter(holds).count()
 }
 
-/// A caller who waits for a paused node hears nothing, whatever the system does.
-fn lost(evidence: &Evidence, record: &Record) -> bool {
-    let paused = |send: &Send| {
-        let holds = |pause: &Stop| {
-            pause.entry == send.entry && send.at_us <= pause.until_us && send.end_us >= pause.at_us
-        };
-        send.result == SendResult::TimedOut && evidence.pauses.iter().any(holds)
-    };
-    record.outcome == Outcome::None && !record.sends.iter().any(paused)
-}
-
 /// Whoever sends a key again must get its first run's answer. A second run bills a grower twice.
 fn run_twice(runs: &[Line]) -> usize {
     let mut starts: IndexMap<&str, usize> = IndexMap::new();
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -8,5 +8,4 @@
 pub mod http;
 pub mod links;
 pub mod process;
-pub mod process_history;
 pub mod stack;
--- a/bench/src/process.rs
+++ b/bench/src/process.rs
@@ -28,9 +28,7 @@
     pub fn new(logs: &Path) -> io::Result<Launcher> {
         std::fs::create_dir_all(logs)?;
         let own = std::env::current_exe()?;
-        // Tests lie one directory below the programs.
-        let programs = own.ancestors().skip(1).find(|path| !path.ends_with("deps"));
-        let programs = programs.unwrap_or(Path::new(".")).to_path_buf();
+        let programs = own.parent().unwrap_or(Path::new(".")).to_path_buf();
         Ok(Launcher { programs, logs: logs.to_path_buf() })
     }
 
--- a/bench/src/stack.rs
+++ b/bench/src/stack.rs
@@ -4,7 +4,6 @@
 use crate::process::{Launcher, Process};
 use indexmap::IndexMap;
 use std::io;
-use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 use sycamore_core::Name;
@@ -40,17 +39,6 @@
     standins: Vec<Process>,
 }
 
-/// Deployments that can run on one machine at once, each on a network of its own.
-const MAX_AT_ONCE: u8 = 8;
-
-/// The same deployment on addresses that no other one uses now.
-pub fn on_free_network(deployment: Deployment) -> io::Result<Deployment> {
-    let networks = deployment.network..deployment.network + MAX_AT_ONCE;
-    let mut candidates = networks.map(|network| Deployment { network, ..deployment });
-    let free = |found: &Deployment| TcpListener::bind(found.platform_control()).is_ok();
-    candidates.find(free).ok_or(io::ErrorKind::AddrInUse.into())
-}
-
 impl Stack {
     /// Reads the files of a deployment; output goes to another directory. Starts nothing yet.
     pub fn new(deployment: Deployment, files: &Path, output: &Path) -> io::Result<Stack> {
--- a/bench/tests/demo.rs
+++ b/bench/tests/demo.rs
@@ -69,7 +69,6 @@
             Publication { version: 3, at_us: 2_500_000, valid: false },
         ],
         kills: Vec::new(),
-        pauses: Vec::new(),
         drains: vec![Stop {
             vm: "vm-1".into(),
             entry: entry(),
@@ -100,16 +99,6 @@
     check(|evidence| evidence.records[0].outcome = Outcome::None, expected);
 }
 
-#[test]
-fn find_lost_at_paused_node() {
-    let change = |evidence: &mut Evidence| {
-        evidence.records[0].outcome = Outcome::None;
-        evidence.records[0].sends[0].result = SendResult::TimedOut;
-        evidence.pauses = evidence.drains.clone();
-    };
-    check(change, Violations::default());
-}
-
 #[test]
 fn find_run_twice() {
     let again = run(3, "a", 1_060_000, Mark::Start);
--- a/standins/src/example.rs
+++ b/standins/src/example.rs
@@ -6,4 +6,3 @@
 
 pub use deployment::{COOPERATIVE, Deployment, FRANCHISE_OFFICE, RouteRow, TARGET_PORT, Vm};
 pub use files::{File, files, write};
-pub use presets::to_name;
