Benches hold their network and end their processes on a signal

Cause: two demonstrations that started together took the same free network; a bench that was stopped by SIGTERM left its processes behind (seen with a trial that had no signal handling). Change: a claimed port holds the network while a deployment runs; one place kills, by their ids, all processes that were started, and then ends.

--- a/bench/src/bin/sycamore-bench-calls.rs
+++ b/bench/src/bin/sycamore-bench-calls.rs
@@ -11,6 +11,7 @@
 use sycamore_bench::calls::latency::{self, Latency};
 use sycamore_bench::calls::naive;
 use sycamore_bench::calls::overload::{self, Overload};
+use sycamore_bench::process;
 
 /// Exit code of a command line that is not valid.
 const USAGE: u8 = 2;
@@ -65,6 +66,7 @@
     if seconds <= overload::FILL.as_secs() {
         return Err(io::Error::other("--seconds is at least 2"));
     }
+    process::end_on_signals()?;
     let only = matches.opt_str("only");
     let measure = |system: System| {
         if only.as_ref().is_some_and(|only| only != system.name()) {
--- a/bench/src/bin/sycamore-demo.rs
+++ b/bench/src/bin/sycamore-demo.rs
@@ -1,22 +1,15 @@
 //! `sycamore-demo`: runs a deployment under load and faults, and checks what came of it.
 //! `scripts/demo.sh` builds everything and starts it.
 
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
 use std::io;
-use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use sycamore_bench::demo::plan::Demo;
 use sycamore_bench::demo::report::Report;
-use sycamore_bench::stack::Stack;
+use sycamore_bench::process;
+use sycamore_bench::stack::{Claim, Stack};
 use sycamore_standins::example::{self, COOPERATIVE, Deployment, FRANCHISE_OFFICE};
 
-/// Demonstrations of one deployment that can run on one machine at once.
-const MAX_AT_ONCE: u8 = 8;
-
 /// Exit code of a command line that is not valid.
 const USAGE: u8 = 2;
 
@@ -44,9 +37,9 @@
         Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
         _ => {}
     }
-    let interrupted = watch_signals()?;
+    process::end_on_signals()?;
     let stack = open(deployment, &output)?;
-    let (evidence, seen) = Demo::new(stack, interrupted).run()?;
+    let (evidence, seen) = Demo::new(stack).run()?;
     let report = Report::new(deployment.name, &evidence, seen.control_bytes());
     println!("\n{report}\ntime line: target/demo/timeline.svg");
     println!("{}", serde_json::to_string(&report)?);
@@ -57,30 +50,14 @@
 /// demonstration.
 fn open(deployment: Deployment, output: &Path) -> io::Result<Stack> {
     let example = Path::new("examples").join(deployment.name);
-    let networks = deployment.network..deployment.network + MAX_AT_ONCE;
-    let candidates = networks.map(|network| Deployment { network, ..deployment });
-    let free = |found: &Deployment| TcpListener::bind(found.platform_control()).is_ok();
-    let Some(found) = candidates.into_iter().find(free) else {
-        return Err(io::ErrorKind::AddrInUse.into());
-    };
+    let claim = Claim::new(deployment)?;
+    let found = claim.deployment;
     if found.network == deployment.network {
-        return Stack::new(found, &example, output);
+        return Ok(Stack::new(found, &example, output)?.with_claim(claim));
     }
     println!("addresses of the example are in use; 127.{}.0.0 is taken", found.network);
     let files = output.join("files");
     example::write(&found, &files)?;
     std::fs::copy(example.join("load.json"), files.join("load.json"))?;
-    Stack::new(found, &files, output)
-}
-
-/// Is set at Ctrl-C or SIGTERM, so that the run ends and drops, and so kills, what it started.
-fn watch_signals() -> io::Result<Arc<AtomicBool>> {
-    let interrupted = Arc::new(AtomicBool::new(false));
-    let set = interrupted.clone();
-    let mut signals = Signals::new([Signal::Int, Signal::Term])?;
-    std::thread::spawn(move || {
-        async_io::block_on(signals.next());
-        set.store(true, Ordering::Release);
-    });
-    Ok(interrupted)
+    Ok(Stack::new(found, &files, output)?.with_claim(claim))
 }
--- a/bench/src/calls/cluster.rs
+++ b/bench/src/calls/cluster.rs
@@ -3,7 +3,7 @@
 
 use crate::http;
 use crate::process::{Process, Usage};
-use crate::stack::Stack;
+use crate::stack::{Claim, Stack};
 use indexmap::IndexMap;
 use std::io;
 use std::net::SocketAddr;
@@ -80,13 +80,18 @@
     pub fn start(system: System, output: &Path) -> io::Result<Cluster> {
         let files = output.join("files");
         example::write(&DEPLOYMENT, &files)?;
-        let stack = Stack::new(DEPLOYMENT, &files, output)?;
+        // Only one at a time: two benches at once would measure each other.
+        let claim = Claim::new(DEPLOYMENT)?;
+        if claim.deployment.network != DEPLOYMENT.network {
+            return Err(io::ErrorKind::AddrInUse.into());
+        }
+        let stack = Stack::new(DEPLOYMENT, &files, output)?.with_claim(claim);
         let mut cluster = Cluster { stack, proxies: Vec::new() };
         cluster.stack.start_standins()?;
         match system {
             System::Ours => {
                 cluster.stack.start_nodes()?;
-                cluster.stack.wait_until_ready(|| Ok(()))?;
+                cluster.stack.wait_until_ready()?;
             }
             System::Naive => cluster.start_proxies()?,
         }
--- a/bench/src/demo/plan.rs
+++ b/bench/src/demo/plan.rs
@@ -3,11 +3,9 @@
 use super::observer::{Observer, Seen, Watched};
 use super::rules::{Evidence, Publication, Stop};
 use crate::process::Process;
-use crate::stack::{POLL, STOP_LIMIT, Stack};
+use crate::stack::{STOP_LIMIT, Stack};
 use std::io;
 use std::path::Path;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use sycamore_node::settings::Settings;
 use sycamore_standins::platform::Faults;
@@ -30,15 +28,14 @@
 #[derive(Debug)]
 pub struct Demo {
     stack: Stack,
-    interrupted: Arc<AtomicBool>,
     evidence: Evidence,
     start: Instant,
 }
 
 impl Demo {
-    /// A demonstration of a deployment. `interrupted` ends the run early.
-    pub fn new(stack: Stack, interrupted: Arc<AtomicBool>) -> Demo {
-        Demo { stack, interrupted, evidence: Evidence::default(), start: Instant::now() }
+    /// A demonstration of a deployment.
+    pub fn new(stack: Stack) -> Demo {
+        Demo { stack, evidence: Evidence::default(), start: Instant::now() }
     }
 
     /// Runs it all and returns what is known of the run.
@@ -48,14 +45,13 @@
         self.evidence.publications.push(first);
         self.stack.start_nodes()?;
         let observer = Observer::start(self.watched());
-        let interrupted = self.interrupted.clone();
-        self.stack.wait_until_ready(|| go_on(&interrupted))?;
+        self.stack.wait_until_ready()?;
         self.say("every node holds the first version");
         let mut timeline = self.start_timeline()?;
         let mut load = self.start_load()?;
         self.start = Instant::now();
         self.disturb()?;
-        if !self.wait_for(&mut load, LOAD_LIMIT.saturating_sub(self.start.elapsed()))? {
+        if !load.wait(LOAD_LIMIT.saturating_sub(self.start.elapsed())) {
             return Err(io::Error::other("the callers did not end"));
         }
         self.say("every caller has its outcome");
@@ -93,19 +89,19 @@
 
     /// The changes and faults, while load runs.
     fn disturb(&mut self) -> io::Result<()> {
-        self.until(4)?;
+        self.until(4);
         self.publish(2, "peak", "published/preset/peak.json", true)?;
-        self.until(9)?;
+        self.until(9);
         self.publish(3, "dangling", "refused/dangling.json", false)?;
-        self.until(12)?;
+        self.until(12);
         self.kill_and_restart(&self.vm(0, 1))?;
-        self.until(19)?;
+        self.until(19);
         self.drain(&self.vm(2, 0))?;
-        self.until(25)?;
+        self.until(25);
         self.cut_zone(4)?;
-        self.until(27)?;
+        self.until(27);
         self.publish(4, "maintenance", "published/preset/maintenance.json", true)?;
-        self.until(31)?;
+        self.until(31);
         self.stack.set_faults(&Faults::default())?;
         self.say("the cut zone reaches the platform again");
         Ok(())
@@ -124,7 +120,7 @@
         // Dropping the process kills it.
         self.stack.nodes.shift_remove(vm);
         self.say(&format!("killed {vm}"));
-        self.pause(AWAY)?;
+        std::thread::sleep(AWAY);
         self.stack.start_node(vm)?;
         self.say(&format!("restarted {vm}"));
         let stop = self.stop_of(vm, at_us);
@@ -137,7 +133,7 @@
         let Some(mut node) = self.stack.nodes.shift_remove(vm) else { return Ok(()) };
         node.terminate();
         self.say(&format!("asked {vm} to stop"));
-        let ended = self.wait_for(&mut node, STOP_LIMIT)?;
+        let ended = node.wait(STOP_LIMIT);
         self.say(&format!("{vm} {}", if ended { "has stopped" } else { "did not stop" }));
         let stop = self.stop_of(vm, at_us);
         self.evidence.drains.push(stop);
@@ -170,33 +166,10 @@
         Ok((self.evidence, seen))
     }
 
-    /// Waits for the end of a process, at most so long.
-    fn wait_for(&self, process: &mut Process, limit: Duration) -> io::Result<bool> {
-        let end = Instant::now() + limit;
-        while Instant::now() < end {
-            if process.ended() {
-                return Ok(true);
-            }
-            self.pause(POLL)?;
-        }
-        Ok(false)
-    }
-
     /// Waits until so many seconds after the start of the load.
-    fn until(&self, seconds: u64) -> io::Result<()> {
-        self.pause(Duration::from_secs(seconds).saturating_sub(self.start.elapsed()))
-    }
-
-    fn pause(&self, span: Duration) -> io::Result<()> {
-        let end = Instant::now() + span;
-        loop {
-            go_on(&self.interrupted)?;
-            let left = end.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return Ok(());
-            }
-            std::thread::sleep(left.min(POLL));
-        }
+    fn until(&self, seconds: u64) {
+        let left = Duration::from_secs(seconds).saturating_sub(self.start.elapsed());
+        std::thread::sleep(left);
     }
 
     fn say(&self, text: &str) {
@@ -219,11 +192,3 @@
         self.stack.settings.iter().map(watched).collect()
     }
 }
-
-/// Fails once the run has been interrupted.
-fn go_on(interrupted: &AtomicBool) -> io::Result<()> {
-    if interrupted.load(Ordering::Acquire) {
-        return Err(io::ErrorKind::Interrupted.into());
-    }
-    Ok(())
-}
--- a/bench/src/process.rs
+++ b/bench/src/process.rs
@@ -1,15 +1,50 @@
 //! Processes that a bench starts, and ends by their ids.
 
-use rustix::process::{Pid, Signal, kill_process};
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use rustix::process::{Pid, kill_process};
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// How often the end of a process is looked for.
 const POLL: Duration = Duration::from_millis(20);
 
+/// Exit code after a signal.
+const INTERRUPTED: i32 = 130;
+
+/// Ids of the processes that were started here and have not been waited for.
+static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
+/// From now on Ctrl-C and SIGTERM kill, by their ids, all processes that were started here, and
+/// then end this one. Without it a bench that is stopped would leave its processes behind.
+pub fn end_on_signals() -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Int, Signal::Term])?;
+    std::thread::spawn(move || {
+        async_io::block_on(signals.next());
+        // Held until the end, so that nothing more is started.
+        let running = running();
+        running.iter().for_each(|id| send_signal(*id, rustix::process::Signal::KILL));
+        std::process::exit(INTERRUPTED);
+    });
+    Ok(())
+}
+
+fn running() -> MutexGuard<'static, BTreeSet<u32>> {
+    RUNNING.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+fn send_signal(id: u32, signal: rustix::process::Signal) {
+    if let Some(pid) = i32::try_from(id).ok().and_then(Pid::from_raw) {
+        // One that has ended already needs no more.
+        let _ = kill_process(pid, signal);
+    }
+}
+
 /// A process that is killed if it still runs when this is dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -35,6 +70,7 @@
     /// Starts a program; its output goes to the file `log`, after what is there.
     pub fn start(&self, program: &str, args: &[&str], log: &str) -> io::Result<Process> {
         let log = File::options().create(true).append(true).open(self.logs.join(log))?;
+        let mut running = running();
         let child = Command::new(self.programs.join(program))
             .args(args)
             .stdin(Stdio::null())
@@ -42,6 +78,7 @@
             .stderr(log)
             .spawn()
             .map_err(|e| io::Error::new(e.kind(), format!("{program}: {e}")))?;
+        running.insert(child.id());
         Ok(Process { child })
     }
 }
@@ -49,29 +86,36 @@
 impl Process {
     /// Asks it to stop.
     pub fn terminate(&self) {
-        self.signal(Signal::TERM);
+        send_signal(self.child.id(), rustix::process::Signal::TERM);
     }
 
     /// Stops it from running, until [`Process::resume`].
     pub fn pause(&self) {
-        self.signal(Signal::STOP);
+        send_signal(self.child.id(), rustix::process::Signal::STOP);
     }
 
     /// Lets it run again.
     pub fn resume(&self) {
-        self.signal(Signal::CONT);
+        send_signal(self.child.id(), rustix::process::Signal::CONT);
     }
 
     /// Ends it at once.
     pub fn kill(&mut self) {
+        let mut running = running();
         // One that has ended already needs no more.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        running.remove(&self.child.id());
     }
 
     /// Whether it has ended.
     pub fn ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
+        let mut running = running();
+        let ended = !matches!(self.child.try_wait(), Ok(None));
+        if ended {
+            running.remove(&self.child.id());
+        }
+        ended
     }
 
     /// Waits for its end; returns false if it still runs after `timeout`.
@@ -95,13 +139,6 @@
     pub fn usage(&self) -> Usage {
         Usage::read(self.child.id()).unwrap_or_default()
     }
-
-    fn signal(&self, signal: Signal) {
-        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
-            // One that has ended already needs no more.
-            let _ = kill_process(pid, signal);
-        }
-    }
 }
 
 impl Drop for Process {
--- a/bench/src/stack.rs
+++ b/bench/src/stack.rs
@@ -4,6 +4,7 @@
 use crate::process::{Launcher, Process};
 use indexmap::IndexMap;
 use std::io;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 use sycamore_core::Name;
@@ -37,6 +38,34 @@
     files: PathBuf,
     output: PathBuf,
     standins: Vec<Process>,
+    claim: Option<Claim>,
+}
+
+/// Deployments that can run on one machine at once, each on a network of its own.
+const MAX_AT_ONCE: u8 = 8;
+
+/// Port that is held while a deployment's network is in use.
+const CLAIM_PORT: u16 = 7082;
+
+/// A network that nobody else uses while this lives.
+#[derive(Debug)]
+pub struct Claim {
+    /// The deployment, on that network.
+    pub deployment: Deployment,
+    _held: TcpListener,
+}
+
+impl Claim {
+    /// Claims the deployment's own network, or the next one that is free.
+    pub fn new(deployment: Deployment) -> io::Result<Claim> {
+        let networks = deployment.network..deployment.network + MAX_AT_ONCE;
+        let mut candidates = networks.map(|network| Deployment { network, ..deployment });
+        let claim = |deployment: Deployment| {
+            let at = SocketAddr::new(deployment.platform_control().ip(), CLAIM_PORT);
+            Some(Claim { deployment, _held: TcpListener::bind(at).ok()? })
+        };
+        candidates.find_map(claim).ok_or(io::ErrorKind::AddrInUse.into())
+    }
 }
 
 impl Stack {
@@ -56,9 +85,16 @@
             files: files.to_path_buf(),
             output: output.to_path_buf(),
             standins: Vec::new(),
+            claim: None,
         })
     }
 
+    /// The same, holding the claim on its network while it lives.
+    pub fn with_claim(mut self, claim: Claim) -> Stack {
+        self.claim = Some(claim);
+        self
+    }
+
     /// Starts the platform and the targets.
     pub fn start_standins(&mut self) -> io::Result<()> {
         let published = self.file("published");
@@ -94,13 +130,12 @@
         Ok(())
     }
 
-    /// Waits until every node takes calls, while `go_on` says so.
-    pub fn wait_until_ready(&mut self, go_on: impl Fn() -> io::Result<()>) -> io::Result<()> {
+    /// Waits until every node takes calls.
+    pub fn wait_until_ready(&mut self) -> io::Result<()> {
         let end = Instant::now() + START_LIMIT;
         let mut waiting: Vec<_> =
             self.nodes.keys().map(|vm| self.settings[vm].listen.admin).collect();
         while !waiting.is_empty() {
-            go_on()?;
             self.check_running()?;
             if Instant::now() >= end {
                 let detail = format!("not ready after {START_LIMIT:?}: {waiting:?}");
