bench: histories of calls over the same fleet and faults

Cause: at most once, true refusals and whole answers must hold under the faults of the spread too. Ruled out: a second harness; the fleet drives core::Node, which joins the spread and the call path. Change: callers and targets in memory, a record of requests, runs and ends, and its checker. Conclusion: the first runs showed sendings without an end, a fault of the bench: a process started over a running one did not break its calls.

--- a/bench/src/bin/sycamore-fleet.rs
+++ b/bench/src/bin/sycamore-fleet.rs
@@ -66,6 +66,7 @@
     options.optopt("", "seed", "seed of every random choice (1)", "N");
     options.optopt("", "seeds", "history: how many seeds, from --seed on (20)", "N");
     options.optflag("", "lossy", "history: links lose 1 message in 100");
+    options.optflag("", "calls", "history: callers send requests too, and their ends are checked");
     options.optflag("", "print", "history: print what was done and recorded");
     options.optopt("", "versions", "versions published while counting (20)", "N");
     options.optopt("", "changes", "changes a day (14000)", "N");
@@ -146,9 +147,10 @@
     let count = number(matches, "seeds", 20)?;
     let mut broken = 0;
     for seed in first..first + count {
-        let trial = Trial { seed, lossy: matches.opt_present("lossy") };
-        let finding = trial.run();
-        broken += u64::from(!finding.violations.is_empty());
+        let (lossy, called) = (matches.opt_present("lossy"), matches.opt_present("calls"));
+        let finding = Trial { seed, lossy, called }.run();
+        let sound = finding.violations.is_empty() && finding.call_violations.is_empty();
+        broken += u64::from(!sound);
         print_finding(&finding, matches.opt_present("print"));
     }
     println!("{}", serde_json::json!({ "first": first, "seeds": count, "broken": broken }));
@@ -156,8 +158,9 @@
 }
 
 fn print_finding(finding: &Finding, whole: bool) {
-    let count = finding.violations.len();
+    let count = finding.violations.len() + finding.call_violations.len();
     if whole {
+        finding.calls.iter().for_each(|record| println!("{record:?}"));
         finding.plan.iter().for_each(|(at, action)| println!("{at:?} {action:?}"));
         finding.events.iter().for_each(|(node, event)| println!("node {node} {event:?}"));
         finding.history.iter().for_each(|record| println!("{record:?}"));
@@ -166,6 +169,8 @@
         println!("seed {}: {count} violations", finding.trial.seed);
         let shown = if whole { count } else { 3 };
         finding.violations.iter().take(shown).for_each(|violation| println!("  {violation}"));
+        let calls = finding.call_violations.iter().take(shown);
+        calls.for_each(|violation| println!("  {violation}"));
     }
 }
 
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -3,6 +3,7 @@
 //! The fleet does what a node's adapters do: it carries messages, makes calls to the platform and
 //! wakes deciders. It decides nothing.
 
+pub mod calls;
 pub mod fault;
 pub mod measure;
 pub mod memory;
@@ -18,18 +19,20 @@
 use crate::history::{self, Content, Record};
 use crate::links::{Links, PLATFORM_ZONE, Profile, Site};
 use bytes::Bytes;
+use calls::{Calls, Step};
 use fault::{Action, Edition};
 use indexmap::IndexMap;
 use measure::Convergence;
 use platform::{Answer, Get, Platform};
 use publication::Publication;
-use slot::{Load, Slot, Start};
+use slot::{Given, Load, Slot, Start};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use sycamore_core::config::{InForce, Preset, Snapshot};
 use sycamore_core::event::Event;
 use sycamore_core::member::{Member, VmList, VmState};
+use sycamore_core::node;
 use sycamore_core::place::Place;
 use sycamore_core::spread::port::CallId;
 use sycamore_core::spread::{Input, Output, PeerMsg, SourceCall, SourceReply, SourceValue};
@@ -136,6 +139,7 @@
     TimedOut(Caller),
     WatchesDue,
     Act(Action),
+    Call(Step),
 }
 
 /// A fleet and its platform.
@@ -155,7 +159,8 @@
     smallest: u64,
     sizes: size::Sizes,
     across_kinds: IndexMap<&'static str, u64>,
-    outputs: Vec<Output>,
+    calls_made: Option<Calls>,
+    outputs: Vec<node::Output>,
 }
 
 impl Fleet {
@@ -178,6 +183,7 @@
             smallest: 0,
             sizes: size::Sizes::default(),
             across_kinds: IndexMap::new(),
+            calls_made: None,
             outputs: Vec::new(),
             setup,
         };
@@ -354,6 +360,7 @@
             Happening::TimedOut(caller) => self.end_call(caller, Err(Code::SourceUnreachable)),
             Happening::WatchesDue => self.answer_watches(),
             Happening::Act(action) => self.act(action),
+            Happening::Call(step) => self.step(step),
         }
     }
 
@@ -375,8 +382,8 @@
 
     fn resume(&mut self, node: usize) {
         let backlog = self.slots[node].resume(self.links.now());
-        for input in backlog {
-            self.hand_in(node, input);
+        for given in backlog {
+            self.give(node, given);
         }
     }
 
@@ -395,18 +402,33 @@
         self.links.send(sites.0, sites.1, 0, Happening::Refused { node: from, life, to });
     }
 
-    /// Hands an input to a node's decider and carries out what it wants done.
     fn hand_in(&mut self, node: usize, input: Input) {
+        self.give(node, Given::Spread(input));
+    }
+
+    /// Hands an input to a node's deciders and carries out what they want done.
+    fn give(&mut self, node: usize, given: Given) {
         let now = self.links.now();
         let mut outputs = std::mem::take(&mut self.outputs);
-        self.slots[node].handle(now, input, &mut outputs);
+        self.slots[node].handle(now, given, &mut outputs);
         for output in outputs.drain(..) {
-            self.carry_out(node, output);
+            match output {
+                node::Output::Spread(output) => self.carry_spread(node, output),
+                node::Output::Entry(output) => self.carry_entry(node, output),
+                node::Output::Gate(output) => self.carry_gate(node, output),
+                node::Output::Event(event) => self.record_event(node, event),
+            }
         }
         self.outputs = outputs;
     }
 
-    fn carry_out(&mut self, node: usize, output: Output) {
+    fn record_event(&mut self, node: usize, event: Event) {
+        if self.setup.recorded {
+            self.events.push((node, event));
+        }
+    }
+
+    fn carry_spread(&mut self, node: usize, output: Output) {
         match output {
             Output::ReadSource(call) => self.ask(node, call),
             Output::DropSource(id) => self.drop_call(node, id),
@@ -414,11 +436,7 @@
             Output::InForce(snapshot) => self.in_force(node, &snapshot),
             Output::WakeAt(at) => self.wake_at(node, at),
             Output::View(view) => self.slots[node].view = Some(view),
-            Output::Event(event) => {
-                if self.setup.recorded {
-                    self.events.push((node, event));
-                }
-            }
+            Output::Event(event) => self.record_event(node, event),
             Output::Confirmed | Output::Note { .. } | Output::Members(_) | Output::Refused(_) => {}
         }
     }
--- /dev/null
+++ b/bench/src/fleet/calls.rs
@@ -0,0 +1,513 @@
+//! Callers and targets of a fleet in memory: they do what the adapters of the call path do, and
+//! record every request, every run at a target and every answer.
+
+use super::slot::{Given, node_at};
+use super::{Fleet, Happening};
+use crate::history::calls::{CallEnd, CallRecord};
+use bytes::Bytes;
+use indexmap::IndexMap;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::sync::Arc;
+use std::time::Duration;
+use sycamore_core::call::entry::{AttemptEnd, Forward};
+use sycamore_core::call::gatekeeper::{self, End, TICK};
+use sycamore_core::call::once::KeptAnswer;
+use sycamore_core::call::{CallKey, Fingerprint, Outcome, RequestKey, entry};
+use sycamore_core::hash::Hash;
+use sycamore_core::{Code, Time};
+
+/// Bytes of a request or an answer.
+const BODY_BYTES: u64 = 600;
+
+/// How often a caller sends a request at most.
+const MOST_TRIES: u32 = 6;
+
+/// When a caller comes back that was told nothing.
+const COME_BACK: Duration = Duration::from_millis(300);
+
+/// How long a target takes to come back after a crash.
+const TARGET_RESTART: Duration = Duration::from_secs(2);
+
+/// How long it takes until a crash is seen.
+const CRASH_SEEN: Duration = Duration::from_millis(5);
+
+/// How often a paused process is looked at again.
+const SOCKET_WAIT: Duration = Duration::from_millis(100);
+
+/// One request in a thousand crashes each target that runs it.
+const DEADLY_PER_MILLE: u32 = 1;
+
+/// Runs in a thousand whose connection to the target breaks while the target goes on.
+const BROKEN_PER_MILLE: u32 = 10;
+
+/// What a caller wants.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Number of the request; its answer repeats it.
+    pub number: u64,
+    path: String,
+    key: Option<RequestKey>,
+    work: Duration,
+    deadly: bool,
+}
+
+impl Request {
+    fn digest(&self) -> Hash {
+        Hash::of(&self.number.to_be_bytes())
+    }
+
+    fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(&[&self.number.to_be_bytes()])
+    }
+}
+
+/// A step of a call that takes time.
+pub(super) enum Step {
+    /// A new request comes, and the next after it.
+    Call,
+    /// A request is sent, for the time that remains of its tries.
+    Submit(Arc<Request>, u32),
+    /// An attempt reaches the gatekeeper's host.
+    AtGate { submission: usize, entry_life: u32, forward: Box<Forward> },
+    /// What an attempt came to reaches the entry node.
+    Back(Back),
+    /// The entry node's deadline.
+    Deadline { submission: usize, entry_life: u32 },
+    /// A waiting request's time at the gatekeeper.
+    QueueEnd { gate: CallKey },
+    /// The entry node has closed the connection of an attempt.
+    Closed { submission: usize, attempt: u32 },
+    /// A run has ended.
+    Done { gate: CallKey, end: End },
+    /// Time passes for the gatekeepers.
+    Tick,
+}
+
+/// What an attempt came to, on its way to the entry node.
+pub(super) struct Back {
+    submission: usize,
+    entry_life: u32,
+    attempt: u32,
+    end: AttemptEnd,
+    /// Number of the request that the answer belongs to, if there is one.
+    body: Option<u64>,
+}
+
+struct Submission {
+    request: Arc<Request>,
+    tries: u32,
+    entry: usize,
+    attempt: u32,
+    ended: bool,
+}
+
+struct Gated {
+    node: usize,
+    life: u32,
+    submission: usize,
+    attempt: u32,
+    entry_life: u32,
+    running: bool,
+    once: bool,
+}
+
+/// The callers' and targets' side of a fleet.
+pub struct Calls {
+    rng: Pcg64Mcg,
+    pause: Duration,
+    until: Time,
+    requests: u64,
+    submissions: Vec<Submission>,
+    gated: IndexMap<CallKey, Gated>,
+    next_gate: u64,
+    targets_down: Vec<Time>,
+    /// What happened.
+    pub history: Vec<CallRecord>,
+}
+
+impl Calls {
+    /// Callers that send a new request each `pause` until a time.
+    pub fn new(nodes: usize, pause: Duration, until: Time, seed: u64) -> Calls {
+        Calls {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            pause,
+            until,
+            requests: 0,
+            submissions: Vec::new(),
+            gated: IndexMap::new(),
+            next_gate: 0,
+            targets_down: vec![Time::ZERO; nodes],
+            history: Vec::new(),
+        }
+    }
+
+    fn request(&mut self, now: Time, services: usize) -> Arc<Request> {
+        self.requests += 1;
+        let service = self.rng.random_range(0..services);
+        // The workload has a signing route for each third service.
+        let once = service % 3 == 0 && self.rng.random_bool(0.6);
+        let path = format!("/{service:04}/{}", if once { "signing" } else { "lookup" });
+        let random = self.rng.random::<u64>();
+        let high = now.as_millis() << 16 | 0x7000 | random & 0x0fff;
+        let low = 1 << 63 | self.rng.random::<u64>() >> 2;
+        let key = once.then_some(RequestKey { high, low });
+        let work = Duration::from_micros(self.rng.random_range(500..60_000));
+        let deadly = self.rng.random_range(0..1_000) < DEADLY_PER_MILLE;
+        Arc::new(Request { number: self.requests, path, key, work, deadly })
+    }
+
+    fn gate_of(&self, submission: usize, attempt: u32) -> Option<CallKey> {
+        let found =
+            self.gated.iter().find(|(_, g)| (g.submission, g.attempt) == (submission, attempt));
+        found.map(|(gate, _)| *gate)
+    }
+}
+
+impl Fleet {
+    /// Lets callers send requests, one each `pause`, for `span` from now.
+    pub fn add_callers(&mut self, pause: Duration, span: Duration) {
+        let until = self.now() + span;
+        let seed = self.setup.seed;
+        self.calls_made = Some(Calls::new(self.slots.len(), pause, until, seed));
+        self.links.after(pause, Happening::Call(Step::Call));
+        self.links.after(TICK, Happening::Call(Step::Tick));
+    }
+
+    /// What happened to calls.
+    pub fn call_history(&self) -> &[CallRecord] {
+        self.calls_made.as_ref().map_or(&[], |calls| &calls.history)
+    }
+
+    pub(super) fn step(&mut self, step: Step) {
+        match step {
+            Step::Call => self.new_call(),
+            Step::Submit(request, tries) => self.submit(request, tries),
+            Step::AtGate { submission, entry_life, forward } => {
+                self.at_gate(submission, entry_life, *forward);
+            }
+            Step::Back(back) => self.back(back),
+            Step::Deadline { submission, entry_life } => self.deadline(submission, entry_life),
+            Step::QueueEnd { gate } => self.queue_end(gate),
+            Step::Closed { submission, attempt } => self.closed(submission, attempt),
+            Step::Done { gate, end } => self.done(gate, end),
+            Step::Tick => self.tick(),
+        }
+    }
+
+    fn tick(&mut self) {
+        for node in 0..self.slots.len() {
+            self.give(node, Given::Tick);
+        }
+        self.links.after(TICK, Happening::Call(Step::Tick));
+    }
+
+    fn new_call(&mut self) {
+        let now = self.now();
+        let services = self.setup.size.services;
+        let Some(calls) = &mut self.calls_made else { return };
+        if now >= calls.until {
+            return;
+        }
+        let request = calls.request(now, services);
+        let pause = calls.pause;
+        self.links.after(pause, Happening::Call(Step::Call));
+        self.submit(request, MOST_TRIES);
+    }
+
+    /// A caller connects to a node; one that nothing listens on is passed over.
+    fn submit(&mut self, request: Arc<Request>, tries: u32) {
+        let at = self.now();
+        let nodes = self.slots.len();
+        let Some(calls) = &mut self.calls_made else { return };
+        let entry = calls.rng.random_range(0..nodes);
+        if !self.slots[entry].is_running() {
+            let again = Happening::Call(Step::Submit(request, tries));
+            return self.links.after(COME_BACK, again);
+        }
+        let submission = calls.submissions.len();
+        let number = request.number;
+        let once = request.key.is_some();
+        let made = Submission { request: request.clone(), tries, entry, attempt: 0, ended: false };
+        calls.submissions.push(made);
+        calls.history.push(CallRecord::Submitted { at, submission, request: number, once });
+        let given = Given::Arrive {
+            call: CallKey(submission as u64),
+            path: request.path.clone(),
+            key: request.key,
+        };
+        self.give(entry, given);
+    }
+
+    pub(super) fn carry_entry(&mut self, node: usize, output: entry::Output) {
+        match output {
+            entry::Output::Forward(forward) => self.forward(node, forward),
+            entry::Output::Finish { call, outcome } => {
+                let end = match outcome {
+                    Outcome::NotRun { retry_after, .. } => CallEnd::NotRun(retry_after),
+                    Outcome::Unknown { .. } | Outcome::Answered => CallEnd::Unknown,
+                };
+                self.end_submission(call.0 as usize, end);
+            }
+        }
+    }
+
+    fn forward(&mut self, node: usize, forward: Forward) {
+        let submission = forward.call.0 as usize;
+        let entry_life = self.slots[node].life;
+        let Some(calls) = &mut self.calls_made else { return };
+        calls.submissions[submission].attempt = forward.attempt;
+        if forward.attempt == 1 {
+            let deadline = Step::Deadline { submission, entry_life };
+            self.links.at(forward.deadline, Happening::Call(deadline));
+        }
+        let to = node_at(forward.gate);
+        let sites = (self.site(node), self.site(to));
+        let step = Step::AtGate { submission, entry_life, forward: Box::new(forward) };
+        self.links.send_call(sites.0, sites.1, BODY_BYTES, Happening::Call(step));
+    }
+
+    fn at_gate(&mut self, submission: usize, entry_life: u32, forward: Forward) {
+        let node = node_at(forward.gate);
+        let attempt = forward.attempt;
+        if !self.slots[node].is_running() {
+            let end = AttemptEnd::NotSent;
+            let back = Back { submission, entry_life, attempt, end, body: None };
+            return self.send_back(node, back);
+        }
+        let life = self.slots[node].life;
+        let Some(calls) = &mut self.calls_made else { return };
+        let request = calls.submissions[submission].request.clone();
+        calls.next_gate += 1;
+        let gate = CallKey(calls.next_gate);
+        let gated =
+            Gated { node, life, submission, attempt, entry_life, running: false, once: false };
+        calls.gated.insert(gate, gated);
+        let given = Given::GateArrive {
+            call: gate,
+            path: request.path.clone(),
+            key: request.key,
+            digest: request.digest(),
+            fingerprint: request.fingerprint(),
+            crashes: forward.crashes,
+            deadline: forward.deadline,
+        };
+        self.give(node, given);
+    }
+
+    pub(super) fn carry_gate(&mut self, node: usize, output: gatekeeper::Output) {
+        match output {
+            gatekeeper::Output::Run { call, once } => self.run(node, call, once),
+            gatekeeper::Output::Queue(gate, until) => {
+                self.links.at(until, Happening::Call(Step::QueueEnd { gate }));
+            }
+            gatekeeper::Output::Replay(gate, answer) => {
+                let body = answer.body.as_ref().try_into().map_or(0, u64::from_be_bytes);
+                self.answer(gate, AttemptEnd::Answering { load: None }, Some(body));
+            }
+            gatekeeper::Output::Refuse { call, outcome, crashes } => {
+                let end = match outcome {
+                    Outcome::NotRun { code, retry_after } => {
+                        AttemptEnd::Refused { code, retry_after, load: None, crashes }
+                    }
+                    Outcome::Unknown { code } => AttemptEnd::Failed { code, crashes },
+                    Outcome::Answered => AttemptEnd::Failed { code: Code::AnswerLost, crashes },
+                };
+                self.answer(call, end, None);
+            }
+            gatekeeper::Output::Send(_) | gatekeeper::Output::Record(_) => {}
+        }
+    }
+
+    /// The target takes the request, if it runs at all.
+    fn run(&mut self, node: usize, gate: CallKey, once: bool) {
+        let at = self.now();
+        let Some(calls) = &mut self.calls_made else { return };
+        let Some(gated) = calls.gated.get_mut(&gate) else { return };
+        gated.running = true;
+        gated.once = once;
+        let submission = gated.submission;
+        if calls.targets_down[node] > at {
+            let done = Step::Done { gate, end: End::NotSent };
+            return self.links.after(Duration::ZERO, Happening::Call(done));
+        }
+        let request = calls.submissions[submission].request.clone();
+        calls.history.push(CallRecord::Ran { at, node, submission, request: request.number });
+        if request.deadly {
+            return self.crash_target(node);
+        }
+        if calls.rng.random_range(0..1_000) < BROKEN_PER_MILLE {
+            let end = End::Broken { target_gone: false };
+            return self.links.after(CRASH_SEEN, Happening::Call(Step::Done { gate, end }));
+        }
+        let body = Bytes::copy_from_slice(&request.number.to_be_bytes());
+        let kept = KeptAnswer { status: 200, headers: Vec::new(), body };
+        let end = End::Answered { kept: once.then(|| Arc::new(kept)) };
+        self.links.after(request.work, Happening::Call(Step::Done { gate, end }));
+    }
+
+    fn crash_target(&mut self, node: usize) {
+        let now = self.now();
+        let Some(calls) = &mut self.calls_made else { return };
+        calls.targets_down[node] = now + TARGET_RESTART;
+        let running = |(_, g): &(&CallKey, &Gated)| g.node == node && g.running;
+        let gates: Vec<CallKey> =
+            calls.gated.iter().filter(running).map(|(gate, _)| *gate).collect();
+        for gate in gates {
+            let end = End::Broken { target_gone: true };
+            self.links.after(CRASH_SEEN, Happening::Call(Step::Done { gate, end }));
+        }
+    }
+
+    /// A run has ended; the gatekeeper's process may have been replaced meanwhile.
+    fn done(&mut self, gate: CallKey, end: End) {
+        let Some(calls) = &self.calls_made else { return };
+        let Some(gated) = calls.gated.get(&gate) else { return };
+        let (node, life, submission) = (gated.node, gated.life, gated.submission);
+        if self.slots[node].life != life {
+            return;
+        }
+        let back = match &end {
+            End::Answered { .. } => AttemptEnd::Answering { load: None },
+            End::NotSent => AttemptEnd::Refused {
+                code: Code::TargetUnreachable,
+                retry_after: COME_BACK,
+                load: None,
+                crashes: 0,
+            },
+            End::Broken { .. } | End::Cancelled => {
+                AttemptEnd::Failed { code: Code::TargetFailed, crashes: 0 }
+            }
+        };
+        let answered = matches!(end, End::Answered { .. });
+        let number = calls.submissions[submission].request.number;
+        self.give(node, Given::End { call: gate, end });
+        self.answer(gate, back, answered.then_some(number));
+    }
+
+    /// Sends what an attempt came to back to its entry node.
+    fn answer(&mut self, gate: CallKey, end: AttemptEnd, body: Option<u64>) {
+        let Some(calls) = &mut self.calls_made else { return };
+        let Some(gated) = calls.gated.swap_remove(&gate) else { return };
+        let Gated { node, submission, attempt, entry_life, .. } = gated;
+        self.send_back(node, Back { submission, entry_life, attempt, end, body });
+    }
+
+    fn send_back(&mut self, node: usize, back: Back) {
+        let Some(calls) = &self.calls_made else { return };
+        let entry = calls.submissions[back.submission].entry;
+        let sites = (self.site(node), self.site(entry));
+        self.links.send_call(sites.0, sites.1, BODY_BYTES, Happening::Call(Step::Back(back)));
+    }
+
+    fn back(&mut self, back: Back) {
+        let Some(calls) = &self.calls_made else { return };
+        let made = &calls.submissions[back.submission];
+        let entry = made.entry;
+        // The connection of an earlier attempt is closed by then.
+        let current = made.attempt == back.attempt && self.slots[entry].life == back.entry_life;
+        if made.ended || !current {
+            return;
+        }
+        if self.slots[entry].is_paused() {
+            // The answer waits in the socket.
+            return self.links.after(SOCKET_WAIT, Happening::Call(Step::Back(back)));
+        }
+        let call = CallKey(back.submission as u64);
+        self.give(entry, Given::Attempt { call, end: back.end });
+        if let Some(body) = back.body {
+            self.end_submission(back.submission, CallEnd::Answered(body));
+            self.give(entry, Given::Close(call));
+        }
+    }
+
+    fn deadline(&mut self, submission: usize, entry_life: u32) {
+        let Some(calls) = &self.calls_made else { return };
+        let made = &calls.submissions[submission];
+        if made.ended || self.slots[made.entry].life != entry_life {
+            return;
+        }
+        let (entry, attempt) = (made.entry, made.attempt);
+        if self.slots[entry].is_paused() {
+            let step = Step::Deadline { submission, entry_life };
+            return self.links.after(SOCKET_WAIT, Happening::Call(step));
+        }
+        self.give(entry, Given::Expire { call: CallKey(submission as u64) });
+        self.close_attempt(entry, submission, attempt);
+    }
+
+    fn close_attempt(&mut self, entry: usize, submission: usize, attempt: u32) {
+        let Some(calls) = &self.calls_made else { return };
+        let Some(gate) = calls.gate_of(submission, attempt) else { return };
+        let node = calls.gated[&gate].node;
+        let sites = (self.site(entry), self.site(node));
+        let step = Step::Closed { submission, attempt };
+        self.links.send_call(sites.0, sites.1, 0, Happening::Call(step));
+    }
+
+    /// The gatekeeper sees that the entry node has gone away.
+    fn closed(&mut self, submission: usize, attempt: u32) {
+        let Some(calls) = &mut self.calls_made else { return };
+        let Some(gate) = calls.gate_of(submission, attempt) else { return };
+        let gated = &calls.gated[&gate];
+        let (node, life, running, once) = (gated.node, gated.life, gated.running, gated.once);
+        if self.slots[node].life != life || (running && once) {
+            return;
+        }
+        calls.gated.swap_remove(&gate);
+        let given = match running {
+            true => Given::End { call: gate, end: End::Cancelled },
+            false => Given::Withdraw(gate),
+        };
+        self.give(node, given);
+    }
+
+    fn queue_end(&mut self, gate: CallKey) {
+        let Some(calls) = &self.calls_made else { return };
+        let Some(gated) = calls.gated.get(&gate) else { return };
+        if self.slots[gated.node].life == gated.life && !gated.running {
+            self.give(gated.node, Given::QueueEnd(gate));
+        }
+    }
+
+    fn end_submission(&mut self, submission: usize, end: CallEnd) {
+        let at = self.now();
+        let Some(calls) = &mut self.calls_made else { return };
+        let made = &mut calls.submissions[submission];
+        if std::mem::replace(&mut made.ended, true) {
+            return;
+        }
+        let (request, tries) = (made.request.clone(), made.tries - 1);
+        calls.history.push(CallRecord::Ended { at, submission, end });
+        let wait = match end {
+            CallEnd::Answered(_) => return,
+            CallEnd::NotRun(retry_after) => retry_after,
+            CallEnd::Unknown | CallEnd::Broken => COME_BACK,
+        };
+        if tries > 0 {
+            self.links.after(wait, Happening::Call(Step::Submit(request, tries)));
+        }
+    }
+
+    /// A process has died: its callers and the entry nodes of its calls see broken connections.
+    pub(super) fn break_calls(&mut self, node: usize) {
+        let Some(calls) = &mut self.calls_made else { return };
+        let open = |(_, s): &(usize, &Submission)| s.entry == node && !s.ended;
+        let submissions: Vec<(usize, u32)> = calls
+            .submissions
+            .iter()
+            .enumerate()
+            .filter(open)
+            .map(|(submission, made)| (submission, made.attempt))
+            .collect();
+        let here = |(_, g): &(&CallKey, &Gated)| g.node == node;
+        let gates: Vec<CallKey> = calls.gated.iter().filter(here).map(|(gate, _)| *gate).collect();
+        for (submission, attempt) in submissions {
+            self.end_submission(submission, CallEnd::Broken);
+            self.close_attempt(node, submission, attempt);
+        }
+        for gate in gates {
+            self.answer(gate, AttemptEnd::Lost, None);
+        }
+    }
+}
--- a/bench/src/fleet/fault.rs
+++ b/bench/src/fleet/fault.rs
@@ -130,6 +130,7 @@
     }
 
     fn start(&mut self, node: usize) {
+        self.kill(node);
         let start = self.start_of(node);
         self.slots[node].start(start);
         self.convergence.restarted(node, self.links.now());
@@ -144,6 +145,7 @@
             return;
         }
         self.slots[node].stop();
+        self.break_calls(node);
         self.convergence.restarted(node, self.links.now());
         if self.setup.recorded {
             self.history.push(Record::Stopped { at: self.links.now(), node });
--- a/bench/src/fleet/slot.rs
+++ b/bench/src/fleet/slot.rs
@@ -8,9 +8,12 @@
 use std::collections::HashSet;
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
+use sycamore_core::call::{CallKey, Fingerprint, RequestKey, entry, gatekeeper};
 use sycamore_core::config::InForce;
+use sycamore_core::hash::Hash;
+use sycamore_core::node::{self, Node};
 use sycamore_core::spread::port::{CallId, View};
-use sycamore_core::spread::{Config, Input, Output, Peer, Spread};
+use sycamore_core::spread::{Config, Input, Peer};
 use sycamore_core::status::Role;
 use sycamore_core::{Name, Time};
 
@@ -56,6 +59,66 @@
     pub busy: Duration,
 }
 
+/// An input to a node that owns what it names, so that a paused process can get it later.
+#[derive(Debug)]
+pub enum Given {
+    /// To the spread.
+    Spread(Input),
+    /// A request from a caller.
+    Arrive {
+        /// The call at the entry node.
+        call: CallKey,
+        /// Its path.
+        path: String,
+        /// Its `Idempotency-Key`.
+        key: Option<RequestKey>,
+    },
+    /// An attempt came to something.
+    Attempt {
+        /// The call at the entry node.
+        call: CallKey,
+        /// What it came to.
+        end: entry::AttemptEnd,
+    },
+    /// The answer has gone out.
+    Close(CallKey),
+    /// The deadline at the entry node.
+    Expire {
+        /// The call at the entry node.
+        call: CallKey,
+    },
+    /// A request from an entry node.
+    GateArrive {
+        /// The call at the gatekeeper.
+        call: CallKey,
+        /// Its path.
+        path: String,
+        /// Its `Idempotency-Key`.
+        key: Option<RequestKey>,
+        /// Its digest.
+        digest: Hash,
+        /// Its fingerprint.
+        fingerprint: Fingerprint,
+        /// Crashes that the entry node knows of.
+        crashes: u32,
+        /// When its caller stops waiting.
+        deadline: Time,
+    },
+    /// A waiting request's time is up.
+    QueueEnd(CallKey),
+    /// The entry node of a waiting request has gone away.
+    Withdraw(CallKey),
+    /// A run has ended.
+    End {
+        /// The call at the gatekeeper.
+        call: CallKey,
+        /// How.
+        end: gatekeeper::End,
+    },
+    /// Time passes for the gatekeeper.
+    Tick,
+}
+
 /// One node.
 pub struct Slot {
     /// How other nodes know it.
@@ -88,9 +151,9 @@
     pub load: Load,
     /// Its last start, while nothing is in force yet.
     pub start: Option<Start>,
-    spread: Option<Spread>,
+    node: Option<Node>,
     paused: bool,
-    backlog: Vec<Input>,
+    backlog: Vec<Given>,
     fleet_vms: u32,
     platform_region: Name,
     seed: u64,
@@ -118,7 +181,7 @@
             troubled: Time::ZERO,
             load: Load::default(),
             start: None,
-            spread: None,
+            node: None,
             paused: false,
             backlog: Vec::new(),
             fleet_vms: size.nodes as u32,
@@ -129,7 +192,12 @@
 
     /// Whether the process runs, paused or not.
     pub fn is_running(&self) -> bool {
-        self.spread.is_some()
+        self.node.is_some()
+    }
+
+    /// Whether the process does not run for now.
+    pub fn is_paused(&self) -> bool {
+        self.paused
     }
 
     /// Whether it can't be expected to answer well.
@@ -165,14 +233,15 @@
             fleet_vms: self.fleet_vms,
             first_configuration: Duration::from_secs(5),
         };
+        let now = start.at;
         self.start = Some(start);
-        self.spread = Some(Spread::new(cfg, self.seed + u64::from(self.life)));
+        self.node = Some(Node::new(cfg, now, self.seed + u64::from(self.life)));
     }
 
     /// Ends the process: it forgets everything.
     pub fn stop(&mut self) {
         self.life += 1;
-        self.spread = None;
+        self.node = None;
         self.wake = None;
         self.queued_wake = None;
         self.calls.clear();
@@ -190,7 +259,7 @@
     }
 
     /// Lets the process run again. Returns what came in meanwhile.
-    pub fn resume(&mut self, now: Time) -> Vec<Input> {
+    pub fn resume(&mut self, now: Time) -> Vec<Given> {
         if self.paused {
             self.troubled = now;
         }
@@ -205,22 +274,49 @@
         self.start = None;
     }
 
-    /// Hands an input to the decider; a paused process gets it later.
-    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+    /// Hands an input to the deciders; a paused process gets it later.
+    pub fn handle(&mut self, now: Time, given: Given, out: &mut Vec<node::Output>) {
         if self.paused {
-            if self.backlog.len() < BACKLOG {
-                self.backlog.push(input);
+            if self.backlog.len() < BACKLOG && !matches!(given, Given::Tick) {
+                self.backlog.push(given);
             }
             return;
         }
-        if let Some(spread) = &mut self.spread {
+        if let Some(node) = &mut self.node {
             let began = Instant::now();
-            spread.handle(now, input, out);
+            hand_in(node, now, given, out);
             self.load.busy += began.elapsed();
         }
     }
 }
 
+fn hand_in(node: &mut Node, now: Time, given: Given, out: &mut Vec<node::Output>) {
+    let input = match given {
+        Given::Spread(input) => node::Input::Spread(input),
+        Given::Arrive { call, ref path, key } => {
+            let arrival =
+                entry::Arrival { call, path, key, time_left: None, depth: 0, body_bytes: Some(0) };
+            node::Input::Entry(entry::Input::Arrive(arrival))
+        }
+        Given::Attempt { call, end } => {
+            node::Input::Entry(entry::Input::Attempt { call, end, whole: true })
+        }
+        Given::Close(call) => node::Input::Entry(entry::Input::Close(call)),
+        Given::Expire { call } => node::Input::Entry(entry::Input::Expire { call, sent: true }),
+        Given::GateArrive { call, ref path, key, digest, fingerprint, crashes, deadline } => {
+            let digest = Some(digest);
+            let arrival =
+                gatekeeper::Arrival { call, path, key, digest, fingerprint, crashes, deadline };
+            node::Input::Gate(gatekeeper::Input::Arrive(arrival))
+        }
+        Given::QueueEnd(call) => node::Input::Gate(gatekeeper::Input::Expire(call)),
+        Given::Withdraw(call) => node::Input::Gate(gatekeeper::Input::Withdraw(call)),
+        Given::End { call, end } => node::Input::Gate(gatekeeper::Input::End { call, end }),
+        Given::Tick => node::Input::Gate(gatekeeper::Input::Tick),
+    };
+    node.handle(now, input, out);
+}
+
 /// The number of the node with an address, from [`super::workload::address`].
 pub fn node_at(address: SocketAddr) -> usize {
     match address.ip() {
--- a/bench/src/history.rs
+++ b/bench/src/history.rs
@@ -3,6 +3,7 @@
 //! A run records every publication, start, stop and version that comes into force. The checker
 //! reads the record afterwards and knows nothing of how the fleet decides.
 
+pub mod calls;
 pub mod trial;
 
 use displaydoc::Display;
--- a/bench/src/history/trial.rs
+++ b/bench/src/history/trial.rs
@@ -1,5 +1,6 @@
 //! Trials: a small fleet under random faults from a seed, with its history.
 
+use super::calls::{CallRecord, CallViolation, check_calls};
 use super::{Record, Violation, check};
 use crate::fleet::fault::{Action, Edition, nodes_in_zone};
 use crate::fleet::platform::Health;
@@ -22,6 +23,9 @@
 /// How long a paused process does not run.
 const PAUSE: Duration = Duration::from_secs(30);
 
+/// Time between two new requests.
+const CALL_PAUSE: Duration = Duration::from_millis(40);
+
 /// Within so long of the heal every running node holds what the newest of them holds.
 const AGREEMENT: Duration = Duration::from_secs(10);
 
@@ -35,6 +39,8 @@
     pub seed: u64,
     /// Whether links lose messages too; a real link resends them.
     pub lossy: bool,
+    /// Whether callers send requests meanwhile.
+    pub called: bool,
 }
 
 /// What a trial came to.
@@ -42,8 +48,12 @@
 pub struct Finding {
     /// The trial.
     pub trial: Trial,
-    /// Rules broken; empty for a sound history.
+    /// Rules broken by versions; empty for a sound history.
     pub violations: Vec<Violation>,
+    /// Rules broken by calls; empty for a sound history.
+    pub call_violations: Vec<CallViolation>,
+    /// What happened to calls.
+    pub calls: Vec<CallRecord>,
     /// Everything that was recorded.
     pub history: Vec<Record>,
     /// What the nodes recorded for the time line, with their numbers.
@@ -55,7 +65,7 @@
 impl Trial {
     /// A trial over links that keep every message.
     pub fn new(seed: u64) -> Trial {
-        Trial { seed, lossy: false }
+        Trial { seed, lossy: false, called: false }
     }
 
     /// The same trial over links that lose some.
@@ -64,6 +74,12 @@
         self
     }
 
+    /// The same trial with callers.
+    pub fn with_calls(mut self) -> Trial {
+        self.called = true;
+        self
+    }
+
     /// Runs the trial and checks its history.
     pub fn run(self) -> Finding {
         let mut planner = Planner::new(self.seed);
@@ -78,11 +94,16 @@
         for (at, action) in &plan {
             fleet.plan(*at, action.clone());
         }
+        if self.called {
+            fleet.add_callers(CALL_PAUSE, TROUBLE + LONGEST_FAULT / 2);
+        }
         fleet.run_for(TROUBLE + LONGEST_FAULT + AGREEMENT + CONVERGENCE * 2);
         fleet.record_calls();
         let history = fleet.history().to_vec();
         let events = fleet.events().to_vec();
-        Finding { trial: self, violations: check(&history), history, events, plan }
+        let calls = fleet.call_history().to_vec();
+        let (violations, call_violations) = (check(&history), check_calls(&calls));
+        Finding { trial: self, violations, call_violations, calls, history, events, plan }
     }
 }
 
--- a/bench/src/links.rs
+++ b/bench/src/links.rs
@@ -216,6 +216,16 @@
         true
     }
 
+    /// Sends a call's bytes: like [`Links::send`], but not counted as control traffic, and never
+    /// lost, since a lost segment of a connection is sent again.
+    pub fn send_call(&mut self, from: Site, to: Site, size: u64, event: E) {
+        if !self.is_cut(from, to) {
+            let latency = self.profile.latency(from.link_to(to));
+            let at = self.transmitted(from, to, size) + latency + self.jitter(latency);
+            self.at(at, event);
+        }
+    }
+
     /// Whether nothing passes between two sites.
     pub fn is_cut(&self, from: Site, to: Site) -> bool {
         self.cuts.contains(&(from.zone, to.zone))
