--- a/bench/src/bin/sycamore-fleet.rs
+++ b/bench/src/bin/sycamore-fleet.rs
@@ -65,6 +65,7 @@
     options.optopt("", "sizes", "numbers of nodes (18,200,1000)", "N,N");
     options.optopt("", "seed", "seed of every random choice (1)", "N");
     options.optopt("", "seeds", "history: how many seeds, from --seed on (20)", "N");
+    options.optflag("", "spread-only", "without the call path's deciders and notes, for memory");
     options.optflag("", "lossy", "history: links lose 1 message in 100");
     options.optflag("", "calls", "history: callers send requests too, and their ends are checked");
     options.optflag("", "print", "history: print what was done and recorded");
@@ -93,7 +94,8 @@
     for nodes in sizes {
         let setup = Setup::new(Size::of(nodes as usize), number(matches, "seed", 1)?)
             .with_profile(profile(matches)?)
-            .with_memory(memory_in_use);
+            .with_memory(memory_in_use)
+            .with_spread_only(matches.opt_present("spread-only"));
         eprintln!("{nodes} nodes ...");
         comparisons.push(compare(&setup, &plan, &storms));
     }
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -71,6 +71,9 @@
     pub called_services: usize,
     /// Tells the memory in use, in bytes.
     pub memory: fn() -> u64,
+    /// Whether nodes are without the deciders of the call path, and so without the notes that
+    /// these send.
+    pub spread_only: bool,
     /// Whether a history is recorded and every configuration held against what was published.
     pub recorded: bool,
 }
@@ -86,6 +89,7 @@
             seed,
             called_services: workload::CALLED_SERVICES,
             memory: measure::resident_bytes,
+            spread_only: false,
             recorded: false,
         }
     }
@@ -114,6 +118,12 @@
         self
     }
 
+    /// The same with or without the call path.
+    pub fn with_spread_only(mut self, spread_only: bool) -> Setup {
+        self.spread_only = spread_only;
+        self
+    }
+
     /// The same with a record.
     pub fn with_record(mut self) -> Setup {
         self.recorded = true;
