--- a/bench/src/fleet/slot.rs
+++ b/bench/src/fleet/slot.rs
@@ -329,8 +329,16 @@
         Given::Expire { call } => node::Input::Entry(entry::Input::Expire { call, sent: true }),
         Given::GateArrive { call, ref path, key, digest, fingerprint, crashes, deadline } => {
             let digest = Some(digest);
-            let arrival =
-                gatekeeper::Arrival { call, path, key, digest, fingerprint, crashes, deadline };
+            let arrival = gatekeeper::Arrival {
+                call,
+                path,
+                key,
+                digest,
+                fingerprint,
+                crashes,
+                depth: 0,
+                deadline,
+            };
             node::Input::Gate(gatekeeper::Input::Arrive(arrival))
         }
         Given::QueueEnd(call) => node::Input::Gate(gatekeeper::Input::Expire(call)),
--- a/core/tests/node_random.rs
+++ b/core/tests/node_random.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::sync::Arc;
 use std::time::Duration;
-use sycamore_core::call::note::{HomeList, ListId, Unreleased};
+use sycamore_core::call::note::{self, HomeList, ListId, Unreleased};
 use sycamore_core::call::{CallKey, Fingerprint, Load, Note, RequestKey, entry, gatekeeper};
 use sycamore_core::config::{InForce, ResourceId, ResourceKind};
 use sycamore_core::hash::Hash;
@@ -132,14 +132,15 @@
     }
 
     fn note(&mut self) -> Note {
-        match self.0.random_range(0..4) {
-            0 => Note::AskRelease {
+        match self.0.random_range(0..5) {
+            0 => Note::AskRelease(Box::new(note::Ask {
                 id: self.small(),
                 service: Name::new("s").unwrap(),
                 list: self.list().digest(),
                 since: self.maybe(|draw| ListId { version: draw.small(), digest: draw.hash() }),
-            },
-            1 => Note::Released {
+                left: self.several(Draw::vm),
+            })),
+            1 => Note::Released(Box::new(note::Release {
                 id: self.small(),
                 part: self.small() as u32,
                 parts: self.small() as u32,
@@ -148,8 +149,10 @@
                 lists: self.several(Draw::list),
                 unreleased: self
                     .several(|draw| Unreleased { vm: draw.vm(), list: draw.maybe(Draw::list) }),
-            },
-            2 => Note::Suspect {
+                left: self.flip(),
+            })),
+            2 => Note::Leaving,
+            3 => Note::Suspect {
                 crash: self.small(),
                 fingerprints: self.several(|draw| Fingerprint(draw.small())),
             },
@@ -290,6 +293,7 @@
                 digest: self.maybe(Draw::hash),
                 fingerprint: Fingerprint(self.small()),
                 crashes: self.small() as u32,
+                depth: self.small() as u8,
                 deadline: START + Duration::from_millis(self.small() % 10_000),
             }),
             4 => gatekeeper::Input::Expire(call),
