--- a/core/src/spread/limits.rs
+++ b/core/src/spread/limits.rs
@@ -19,6 +19,9 @@
 /// the platform too, so that a silent parent costs it no more than [`BODY_PATIENCE`].
 pub const HEARTBEAT_ACROSS: Duration = Duration::from_secs(20);
 
+/// The same while no list of the own zone is held: it comes with an answer.
+pub const HEARTBEAT_UNLISTED: Duration = Duration::from_millis(500);
+
 /// Questions to a parent between two that also compare lists.
 pub const LISTS_EVERY: u32 = 4;
 
@@ -80,6 +83,10 @@
 /// Longest wait of a watch on the platform.
 pub const WATCH_WAIT: Duration = Duration::from_secs(30);
 
+/// The same of the key `in-force` within the platform's region, where calls cost little. A watch
+/// whose answer was lost in an outage is made again that much sooner.
+pub const WATCH_WAIT_HOME: Duration = Duration::from_secs(2);
+
 /// How long after the end of its wait a call to the platform is given up.
 pub const SOURCE_ANSWER: Duration = Duration::from_secs(1);
 
@@ -103,15 +110,13 @@
 /// small fleet a node that nobody else can help soon tries again.
 pub const ORPHAN_BACKOFF_INTERVALS: u32 = 4;
 
-/// Calls of one reading that may follow on each other before the pause that they cost.
-pub const CALLS_AHEAD: u32 = 8;
-
 /// Calls a second that all zone relays together may make when they have lost every reader.
 pub const RELAY_CALLS_PER_S: u32 = 250;
 
-/// Calls a second that all other nodes together may make when they have lost every parent. With
-/// the relays' and the readers' share this stays under half of the platform's 2,000 a second.
-pub const ORPHAN_CALLS_PER_S: u32 = 500;
+/// Calls a second that all other nodes together may make when they have lost every parent. The
+/// first second may see twice as many, since a body follows on the key that names it; with the
+/// relays' and the readers' share this stays under half of the platform's 2,000 a second.
+pub const ORPHAN_CALLS_PER_S: u32 = 300;
 
 /// Zones assumed while the list of zones is not known.
 pub const ASSUMED_ZONES: usize = 32;
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -147,7 +147,8 @@
                     self.shared.notes.send(note);
                 }
                 Output::Record(kind) => {
-                    self.shared.record(Event::new(self.shared.clock.now(), kind));
+                    let event = Event::new(self.shared.clock.now(), kind);
+                    self.shared.record(event.with_own_code());
                 }
                 _ => {}
             }
@@ -187,6 +188,8 @@
             digest,
             fingerprint: fingerprint(&req, &head, held.as_ref()),
             crashes: head.crashes,
+            // The entry node has counted itself.
+            depth: head.depth.saturating_sub(1),
             deadline,
         };
         let decision = match self.decide(key, Input::Arrive(arrival)) {
