--- /dev/null
+++ b/core/src/call/entry/port.rs
@@ -0,0 +1,120 @@
+//! What the entry node's decider takes in and gives out.
+
+use crate::call::{CallKey, Load, Members, Outcome, RequestKey};
+use crate::config::Snapshot;
+use crate::{Code, Name, Time};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+data! {
+    /// A request as the adapter has read its head.
+    pub struct Arrival<'a> {
+        /// The call.
+        pub call: CallKey,
+        /// Path without query.
+        pub path: &'a str,
+        /// The `Idempotency-Key`.
+        pub key: Option<RequestKey>,
+        /// Time that the caller gives; absent for the route's.
+        pub time_left: Option<Duration>,
+        /// Nodes passed as entry node before this one.
+        pub depth: u8,
+        /// Size of the body, if stated.
+        pub body_bytes: Option<u64>,
+    }
+
+    /// What comes in.
+    pub enum Input<'a> {
+        /// A version came into force.
+        Configure(Arc<Snapshot>),
+        /// The states of VMs changed.
+        View(Arc<Members>),
+        /// The planned stop starts.
+        Drain,
+        /// A request came.
+        Arrive(Arrival<'a>),
+        /// An attempt has come to something.
+        Attempt {
+            /// The call.
+            call: CallKey,
+            /// What it came to.
+            end: AttemptEnd,
+            /// Whether the request can be sent again: nothing of its body has been used up.
+            whole: bool,
+        },
+        /// The answer's body has ended, or the caller went away, or the deadline cut it.
+        Close(CallKey),
+        /// The deadline has passed and no answer has begun.
+        Expire {
+            /// The call.
+            call: CallKey,
+            /// Whether a byte of the present attempt may have left.
+            sent: bool,
+        },
+    }
+
+    /// What an attempt came to.
+    pub enum AttemptEnd {
+        /// The answer begins. From here on nothing is sent again.
+        Answering {
+            /// The target's load.
+            load: Option<Load>,
+        },
+        /// The gatekeeper says that the request did not reach the target.
+        Refused {
+            /// Why.
+            code: Code,
+            /// When to come back.
+            retry_after: Duration,
+            /// The target's load.
+            load: Option<Load>,
+            /// Crashes that the request is suspected of.
+            crashes: u32,
+        },
+        /// The gatekeeper says that the target may have run the request.
+        Failed {
+            /// Why.
+            code: Code,
+            /// Crashes that the request is suspected of.
+            crashes: u32,
+        },
+        /// No byte left for the gatekeeper.
+        NotSent,
+        /// The connection to the gatekeeper broke after a byte left, or its answer was rubbish.
+        Lost,
+    }
+
+    /// What is to be done.
+    pub enum Output {
+        /// Forward the request.
+        Forward(Forward),
+        /// Tell the caller that there is no answer.
+        Finish {
+            /// The call.
+            call: CallKey,
+            /// What to say.
+            outcome: Outcome,
+        },
+    }
+
+    /// One attempt.
+    pub struct Forward {
+        /// The call.
+        pub call: CallKey,
+        /// Attempt, from 1.
+        pub attempt: u32,
+        /// VM of the target.
+        pub vm: Name,
+        /// Address of its gatekeeper.
+        pub gate: SocketAddr,
+        /// When the caller stops waiting.
+        pub deadline: Time,
+        /// Crashes that the request is suspected of.
+        pub crashes: u32,
+        /// Largest body of the request.
+        pub max_body_bytes: u64,
+        /// Whether it may be run more than once.
+        pub idempotent: bool,
+    }
+}
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -1,14 +1,19 @@
 //! Decisions beside the target: what reaches it, when, and what is said of what does not.
 
+mod homes;
+mod port;
+
+pub use port::{Arrival, End, Input, Output};
+
 use super::admit::{Admission, Offer, Popped, Slots};
 use super::home::{Homes, Right};
-use super::note::{Ask, HomeList, Note, OutgoingNote};
+use super::note::{Note, OutgoingNote};
 use super::once::{KeptAnswer, Once, Seen};
 use super::quarantine::{MAX_CRASHES, Suspects};
 use super::{CallKey, Fingerprint, Load, MAX_CLOCK_SKEW, Members, Outcome, RequestKey};
 use crate::config::{Class, ServiceKey, ServiceLimits, Snapshot};
 use crate::event::EventKind;
-use crate::hash::{Hash, score};
+use crate::hash::score;
 use crate::{Code, Name, Time};
 use indexmap::IndexMap;
 use rand::RngExt;
@@ -29,111 +34,6 @@
 const COME_BACK_LATER: Duration = Duration::from_secs(1);
 const COME_BACK_QUARANTINED: Duration = Duration::from_secs(10);
 
-data! {
-    /// A request as the adapter has read it.
-    pub struct Arrival<'a> {
-        /// The call.
-        pub call: CallKey,
-        /// Path without query.
-        pub path: &'a str,
-        /// The `Idempotency-Key`.
-        pub key: Option<RequestKey>,
-        /// Digest over method, path and body: equal for the same request. Absent if the body is
-        /// too large to be held.
-        pub digest: Option<Hash>,
-        /// The same for the quarantine.
-        pub fingerprint: Fingerprint,
-        /// Crashes that the entry node knows of.
-        pub crashes: u32,
-        /// Calls that wait for this one: 0 for a caller's own request.
-        pub depth: u8,
-        /// When its caller stops waiting.
-        pub deadline: Time,
-    }
-
-    /// What comes in.
-    pub enum Input<'a> {
-        /// A version came into force.
-        Configure(Arc<Snapshot>),
-        /// The states of VMs changed.
-        View(Arc<Members>),
-        /// Peers or the platform confirmed that the version in force is the newest.
-        Confirm,
-        /// The planned stop starts.
-        Drain,
-        /// A request came.
-        Arrive(Arrival<'a>),
-        /// A waiting request's time is up.
-        Expire(CallKey),
-        /// The caller of a waiting request went away. It was not forwarded, even if a slot was
-        /// given to it meanwhile.
-        Withdraw(CallKey),
-        /// A running request ended.
-        End {
-            /// The call.
-            call: CallKey,
-            /// How.
-            end: End,
-        },
-        /// Another gatekeeper says something.
-        Note {
-            /// VM of the sender.
-            from: &'a Name,
-            /// What it says.
-            note: &'a Note,
-        },
-        /// Time passes.
-        Tick,
-    }
-
-    /// How a running request ended.
-    pub enum End {
-        /// The whole answer came; `kept` if it may be asked for again.
-        Answered {
-            /// The answer, of a request with a key.
-            kept: Option<Arc<KeptAnswer>>,
-        },
-        /// No byte of it left for the target.
-        NotSent,
-        /// The connection to the target broke after a byte may have left.
-        Broken {
-            /// Whether the target takes no more connections.
-            target_gone: bool,
-        },
-        /// It was cancelled, at its deadline or because the caller went away.
-        Cancelled,
-    }
-
-    /// What is to be done.
-    pub enum Output {
-        /// Forward the request to the target now.
-        Run {
-            /// The call.
-            call: CallKey,
-            /// Whether it runs only once: its answer is kept, and it isn't cancelled when its
-            /// caller goes away.
-            once: bool,
-        },
-        /// Let the request wait, at most until this time.
-        Queue(CallKey, Time),
-        /// Give the kept answer.
-        Replay(CallKey, Arc<KeptAnswer>),
-        /// Tell the entry node that there is no answer.
-        Refuse {
-            /// The call.
-            call: CallKey,
-            /// What to say.
-            outcome: Outcome,
-            /// Crashes that the request is suspected of.
-            crashes: u32,
-        },
-        /// Send a note.
-        Send(OutgoingNote),
-        /// Record a change of state.
-        Record(EventKind),
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Call {
     offer: Offer,
@@ -241,36 +141,6 @@
         self.snapshot = Some(snapshot);
     }
 
-    /// A gatekeeper that is no longer listed still answers for the keys that it was home of.
-    fn take_up_homes(&mut self, now: Time, snapshot: &Snapshot) {
-        let own = self.service.map(|service| snapshot.service(service).name.clone());
-        let before = self.homes.as_ref().map(|homes| homes.service().clone());
-        let Some(name) = own.or(before) else {
-            return;
-        };
-        let list = home_list(snapshot, &name);
-        if self.homes.as_ref().is_none_or(|homes| *homes.service() != name) {
-            self.homes = Some(self.first_homes(now, &name, &list));
-        }
-        if let Some(homes) = &mut self.homes {
-            homes.take_up(now, list);
-            if self.draining {
-                homes.leave();
-            }
-        }
-    }
-
-    /// The homes of a service that this VM is a target of for the first time since its start. If
-    /// an earlier version is known, its targets are the homes to take over from.
-    fn first_homes(&self, now: Time, name: &Name, list: &HomeList) -> Homes {
-        let started = if self.homes.is_none() { self.started } else { now };
-        let vm = self.vm.clone();
-        match &self.snapshot {
-            Some(before) => Homes::joining(started, vm, name.clone(), home_list(before, name)),
-            None => Homes::new(started, vm, name.clone(), list.clone()),
-        }
-    }
-
     fn arrive(&mut self, now: Time, arrival: &Arrival<'_>, out: &mut Vec<Output>) {
         let refuse = match self.check(now, arrival) {
             Checked::Take(class, key) => return self.admit(now, arrival, class, key, out),
@@ -553,65 +423,6 @@
         }
     }
 
-    fn take_note(&mut self, now: Time, from: &Name, note: &Note, out: &mut Vec<Output>) {
-        match note {
-            Note::AskRelease(ask) => self.release(from, ask, out),
-            Note::Released(answer) => {
-                let taken =
-                    self.homes.as_mut().is_some_and(|homes| homes.released(now, from, answer));
-                if taken {
-                    self.once.import(now, &answer.keys);
-                }
-            }
-            Note::Leaving => {
-                if let Some(homes) = &mut self.homes {
-                    homes.says_leaving(now, from);
-                }
-            }
-            Note::Suspect { crash, fingerprints } => {
-                self.take_suspects(now, *crash, fingerprints, out);
-            }
-            Note::Cleared { fingerprint } => {
-                self.suspects.clear(*fingerprint);
-            }
-        }
-    }
-
-    fn release(&mut self, from: &Name, ask: &Ask, out: &mut Vec<Output>) {
-        let Some(homes) = &mut self.homes else {
-            return;
-        };
-        if !homes.may_release(&ask.service, &ask.list) {
-            return;
-        }
-        if ask.since.is_none() {
-            homes.returns(from);
-        }
-        let left = ask.left.iter().cloned().collect();
-        let keys = self.once.ran(|key| homes.gives(from, &left, key));
-        let notes = homes.release(from, ask, &keys, self.once.forgotten());
-        out.extend(notes.into_iter().map(Output::Send));
-    }
-
-    fn keep_homes(&mut self, now: Time, out: &mut Vec<Output>) {
-        let Some(homes) = &mut self.homes else {
-            return;
-        };
-        if !homes.moving() && !self.moving {
-            return;
-        }
-        homes.view(now, &self.members);
-        let mut notes = Vec::new();
-        homes.tick(now, &mut notes);
-        out.extend(notes.into_iter().map(Output::Send));
-        let moving = homes.moving();
-        if moving != self.moving {
-            self.moving = moving;
-            let kind = if moving { EventKind::HomesMoving } else { EventKind::HomesMoved };
-            out.push(Output::Record(kind));
-        }
-    }
-
     /// Up to a quarter longer, so that those who were refused together don't return together.
     fn spread_out(&mut self, wait: Duration) -> Duration {
         wait + wait * self.rng.random_range(0..=25) / 100
@@ -631,10 +442,3 @@
 fn unknown(code: Code) -> Checked {
     Checked::Refuse(Outcome::Unknown { code })
 }
-
-fn home_list(snapshot: &Snapshot, name: &Name) -> HomeList {
-    let service = snapshot.services().iter().find(|service| service.name == *name);
-    let targets = service.map(|service| service.targets.as_slice()).unwrap_or_default();
-    let vms = targets.iter().map(|target| snapshot.target(*target).target.vm.clone()).collect();
-    HomeList { version: snapshot.version(), vms }
-}
--- /dev/null
+++ b/core/src/call/gatekeeper/homes.rs
@@ -0,0 +1,106 @@
+//! How a gatekeeper follows the homes of its service's keys: versions and notes that concern them.
+
+use super::{Gatekeeper, Output};
+use crate::call::home::Homes;
+use crate::call::note::{Ask, HomeList, Note};
+use crate::config::Snapshot;
+use crate::event::EventKind;
+use crate::{Name, Time};
+
+impl Gatekeeper {
+    /// A gatekeeper that is no longer listed still answers for the keys that it was home of.
+    pub(super) fn take_up_homes(&mut self, now: Time, snapshot: &Snapshot) {
+        let own = self.service.map(|service| snapshot.service(service).name.clone());
+        let before = self.homes.as_ref().map(|homes| homes.service().clone());
+        let Some(name) = own.or(before) else {
+            return;
+        };
+        let list = home_list(snapshot, &name);
+        if self.homes.as_ref().is_none_or(|homes| *homes.service() != name) {
+            self.homes = Some(self.first_homes(now, &name, &list));
+        }
+        if let Some(homes) = &mut self.homes {
+            homes.take_up(now, list);
+            if self.draining {
+                homes.leave();
+            }
+        }
+    }
+
+    /// The homes of a service that this VM is a target of for the first time since its start. If
+    /// an earlier version is known, its targets are the homes to take over from.
+    fn first_homes(&self, now: Time, name: &Name, list: &HomeList) -> Homes {
+        let started = if self.homes.is_none() { self.started } else { now };
+        let vm = self.vm.clone();
+        match &self.snapshot {
+            Some(before) => Homes::joining(started, vm, name.clone(), home_list(before, name)),
+            None => Homes::new(started, vm, name.clone(), list.clone()),
+        }
+    }
+
+    pub(super) fn take_note(&mut self, now: Time, from: &Name, note: &Note, out: &mut Vec<Output>) {
+        match note {
+            Note::AskRelease(ask) => self.release(from, ask, out),
+            Note::Released(answer) => {
+                let taken =
+                    self.homes.as_mut().is_some_and(|homes| homes.released(now, from, answer));
+                if taken {
+                    self.once.import(now, &answer.keys);
+                }
+            }
+            Note::Leaving => {
+                if let Some(homes) = &mut self.homes {
+                    homes.says_leaving(now, from);
+                }
+            }
+            Note::Suspect { crash, fingerprints } => {
+                self.take_suspects(now, *crash, fingerprints, out);
+            }
+            Note::Cleared { fingerprint } => {
+                self.suspects.clear(*fingerprint);
+            }
+        }
+    }
+
+    fn release(&mut self, from: &Name, ask: &Ask, out: &mut Vec<Output>) {
+        let Some(homes) = &mut self.homes else {
+            return;
+        };
+        if !homes.may_release(&ask.service, &ask.list) {
+            return;
+        }
+        if ask.since.is_none() {
+            homes.returns(from);
+        }
+        let left = ask.left.iter().cloned().collect();
+        let keys = self.once.ran(|key| homes.gives(from, &left, key));
+        let notes = homes.release(from, ask, &keys, self.once.forgotten());
+        out.extend(notes.into_iter().map(Output::Send));
+    }
+
+    pub(super) fn keep_homes(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Some(homes) = &mut self.homes else {
+            return;
+        };
+        if !homes.moving() && !self.moving {
+            return;
+        }
+        homes.view(now, &self.members);
+        let mut notes = Vec::new();
+        homes.tick(now, &mut notes);
+        out.extend(notes.into_iter().map(Output::Send));
+        let moving = homes.moving();
+        if moving != self.moving {
+            self.moving = moving;
+            let kind = if moving { EventKind::HomesMoving } else { EventKind::HomesMoved };
+            out.push(Output::Record(kind));
+        }
+    }
+}
+
+fn home_list(snapshot: &Snapshot, name: &Name) -> HomeList {
+    let service = snapshot.services().iter().find(|service| service.name == *name);
+    let targets = service.map(|service| service.targets.as_slice()).unwrap_or_default();
+    let vms = targets.iter().map(|target| snapshot.target(*target).target.vm.clone()).collect();
+    HomeList { version: snapshot.version(), vms }
+}
