--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -78,6 +78,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
     offer: Offer,
+    // At most its caller's deadline.
     until: Time,
 }
 
