--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -1,8 +1,8 @@
 //! Decisions beside the target: what reaches it, when, and what is said of what does not.
 
-use super::admit::{Admission, Popped, Slots};
-use super::home::{Answer, Homes, Right};
-use super::note::{HomeList, Note, OutgoingNote};
+use super::admit::{Admission, Offer, Popped, Slots};
+use super::home::{Homes, Right};
+use super::note::{Ask, HomeList, Note, OutgoingNote};
 use super::once::{KeptAnswer, Once, Seen};
 use super::quarantine::{MAX_CRASHES, Suspects};
 use super::{CallKey, Fingerprint, Load, MAX_CLOCK_SKEW, Members, Outcome, RequestKey};
@@ -45,6 +45,8 @@
         pub fingerprint: Fingerprint,
         /// Crashes that the entry node knows of.
         pub crashes: u32,
+        /// Calls that wait for this one: 0 for a caller's own request.
+        pub depth: u8,
         /// When its caller stops waiting.
         pub deadline: Time,
     }
@@ -134,10 +136,9 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Call {
-    class: Class,
+    offer: Offer,
     key: Option<RequestKey>,
     fingerprint: Fingerprint,
-    deadline: Time,
     running: bool,
 }
 
@@ -195,7 +196,7 @@
             Input::Configure(snapshot) => self.configure(now, snapshot),
             Input::View(members) => self.members = members,
             Input::Confirm => self.confirmed = true,
-            Input::Drain => self.draining = true,
+            Input::Drain => self.drain(out),
             Input::Arrive(arrival) => self.arrive(now, &arrival, out),
             Input::Expire(call) => self.expire(now, call, out),
             Input::Withdraw(call) => self.withdraw(call),
@@ -223,6 +224,13 @@
         }
     }
 
+    fn drain(&mut self, out: &mut Vec<Output>) {
+        self.draining = true;
+        if let Some(homes) = &mut self.homes {
+            out.extend(homes.leave().into_iter().map(Output::Send));
+        }
+    }
+
     fn configure(&mut self, now: Time, snapshot: Arc<Snapshot>) {
         let target = snapshot.target_on(&self.vm);
         self.service = target.map(|target| snapshot.target(target).service);
@@ -246,6 +254,9 @@
         }
         if let Some(homes) = &mut self.homes {
             homes.take_up(now, list);
+            if self.draining {
+                homes.leave();
+            }
         }
     }
 
@@ -304,6 +315,7 @@
         let right = self.homes.as_ref().map_or(Right::NotHome, |homes| homes.right(key));
         match right {
             Right::Unknown => Some(unknown(Code::KeyOutcomeUnknown)),
+            Right::Left => Some(not_run(Code::Draining, COME_BACK_SOON)),
             Right::NotHome => Some(not_run(Code::NotHome, COME_BACK_SOON)),
             Right::Moving => Some(not_run(Code::HomeMoving, COME_BACK_SOON)),
             Right::Home if !self.confirmed => Some(not_run(Code::ClockGap, COME_BACK_SOON)),
@@ -340,15 +352,15 @@
         out: &mut Vec<Output>,
     ) {
         let call = arrival.call;
-        let admission = self.slots.offer(now, call, class, arrival.deadline);
+        let offer = Offer { call, class, depth: arrival.depth, deadline: arrival.deadline };
+        let admission = self.slots.offer(now, offer);
         if let Admission::Refuse(code, wait) = admission {
             let wait = self.spread_out(wait);
             return self.refuse(now, arrival, Outcome::not_run(code, wait), out);
         }
         let running = admission == Admission::Run;
         let fingerprint = arrival.fingerprint;
-        let deadline = arrival.deadline;
-        self.calls.insert(call, Call { class, key, fingerprint, deadline, running });
+        self.calls.insert(call, Call { offer, key, fingerprint, running });
         if let (Some(key), Some(digest)) = (key, arrival.digest) {
             self.once.wait(now, key, digest, call);
         }
@@ -413,9 +425,9 @@
         let Some(known) = self.forget_waiting(call) else {
             return;
         };
-        let late = known.deadline <= now;
+        let late = known.offer.deadline <= now;
         let code = if late { Code::DeadlinePassed } else { Code::QueueTimeout };
-        let wait = self.slots.retry_after(now, known.class);
+        let wait = self.slots.retry_after(now, &known.offer);
         let outcome = Outcome::not_run(code, self.spread_out(wait));
         let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
         out.push(Output::Refuse { call, outcome, crashes });
@@ -543,30 +555,17 @@
 
     fn take_note(&mut self, now: Time, from: &Name, note: &Note, out: &mut Vec<Output>) {
         match note {
-            Note::AskRelease { id, service, list, since } => {
-                let Some(homes) = &self.homes else {
-                    return;
-                };
-                if !homes.may_release(service, list) {
-                    return;
-                }
-                let keys = self.once.ran(|key| homes.is_home(from, key));
-                let notes = homes.release(from, *id, since.as_ref(), &keys, self.once.forgotten());
-                out.extend(notes.into_iter().map(Output::Send));
-            }
-            Note::Released { id, part, parts, keys, fence, lists, unreleased } => {
-                let answer = Answer {
-                    id: *id,
-                    part: *part,
-                    parts: *parts,
-                    fence: *fence,
-                    lists,
-                    unreleased,
-                };
+            Note::AskRelease(ask) => self.release(from, ask, out),
+            Note::Released(answer) => {
                 let taken =
-                    self.homes.as_mut().is_some_and(|homes| homes.released(now, from, &answer));
+                    self.homes.as_mut().is_some_and(|homes| homes.released(now, from, answer));
                 if taken {
-                    self.once.import(now, keys);
+                    self.once.import(now, &answer.keys);
+                }
+            }
+            Note::Leaving => {
+                if let Some(homes) = &mut self.homes {
+                    homes.says_leaving(now, from);
                 }
             }
             Note::Suspect { crash, fingerprints } => {
@@ -578,6 +577,22 @@
         }
     }
 
+    fn release(&mut self, from: &Name, ask: &Ask, out: &mut Vec<Output>) {
+        let Some(homes) = &mut self.homes else {
+            return;
+        };
+        if !homes.may_release(&ask.service, &ask.list) {
+            return;
+        }
+        if ask.since.is_none() {
+            homes.returns(from);
+        }
+        let left = ask.left.iter().cloned().collect();
+        let keys = self.once.ran(|key| homes.gives(from, &left, key));
+        let notes = homes.release(from, ask, &keys, self.once.forgotten());
+        out.extend(notes.into_iter().map(Output::Send));
+    }
+
     fn keep_homes(&mut self, now: Time, out: &mut Vec<Output>) {
         let Some(homes) = &mut self.homes else {
             return;
