--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -139,6 +139,8 @@
     offer: Offer,
     key: Option<RequestKey>,
     fingerprint: Fingerprint,
+    // Crashes that the entry node knows of.
+    crashes: u32,
     running: bool,
 }
 
@@ -343,6 +345,10 @@
         arrival.crashes.max(self.suspects.crashes(now, arrival.fingerprint) as u32)
     }
 
+    fn crashes_of(&self, now: Time, call: &Call) -> u32 {
+        call.crashes.max(self.suspects.crashes(now, call.fingerprint) as u32)
+    }
+
     fn admit(
         &mut self,
         now: Time,
@@ -360,7 +366,8 @@
         }
         let running = admission == Admission::Run;
         let fingerprint = arrival.fingerprint;
-        self.calls.insert(call, Call { offer, key, fingerprint, running });
+        let crashes = arrival.crashes;
+        self.calls.insert(call, Call { offer, key, fingerprint, crashes, running });
         if let (Some(key), Some(digest)) = (key, arrival.digest) {
             self.once.wait(now, key, digest, call);
         }
@@ -408,7 +415,7 @@
             Some(Checked::Refuse(outcome)) => {
                 self.slots.give_back(call);
                 self.forget_waiting(call);
-                let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
+                let crashes = self.crashes_of(now, &known);
                 out.push(Output::Refuse { call, outcome, crashes });
             }
             _ => self.run(call, out),
@@ -429,7 +436,7 @@
         let code = if late { Code::DeadlinePassed } else { Code::QueueTimeout };
         let wait = self.slots.retry_after(now, &known.offer);
         let outcome = Outcome::not_run(code, self.spread_out(wait));
-        let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
+        let crashes = self.crashes_of(now, &known);
         out.push(Output::Refuse { call, outcome, crashes });
     }
 
@@ -466,7 +473,7 @@
                 }
                 self.target_lost(out);
                 let outcome = Outcome::not_run(Code::TargetUnreachable, COME_BACK_LATER);
-                let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
+                let crashes = self.crashes_of(now, &known);
                 out.push(Output::Refuse { call, outcome, crashes });
             }
             End::Broken { target_gone } => {
@@ -474,7 +481,8 @@
                 self.finish_key(&known, None);
                 self.suspect(now, &known, target_gone, out);
                 let outcome = Outcome::Unknown { code: Code::TargetFailed };
-                let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
+                // Guards against a third target: the note of the crash before may not be here yet.
+                let crashes = self.crashes_of(now, &known).max(known.crashes.saturating_add(1));
                 out.push(Output::Refuse { call, outcome, crashes });
             }
             End::Cancelled => {
