--- a/node/tests/calls_path.rs
+++ b/node/tests/calls_path.rs
@@ -125,7 +125,7 @@
     // not a short ledger.
     let (_target, node) = single("{}");
     // If the break is seen before the head has gone out, the caller is told so instead.
-    for n in 0..20 {
+    for n in 0..40 {
         let path = if n % 2 == 0 { "/idem/cut" } else { "/idem/chunks-cut" };
         let answer = call(node.entry, &get(path));
         let told = (answer.outcome(), answer.code()) == ("unknown", Some(464));
