Less memory in readers and relays of large configurations

Cause: four processes with 2,500 services of 9 targets (2.8 MB in ten parts), full scope: 45 to 61 MB resident after the first version, 56 to 79 MB after the second; the limit is 32 MB. Ruled out: nothing yet of the documents' own size (names and addresses of 22,500 targets). Change: cached differences and compressed contents bounded by what they hold; parts kept as read and not as documents; bodies shared between versions and kept without spare room.

--- a/core/src/config/content.rs
+++ b/core/src/config/content.rs
@@ -120,6 +120,16 @@
         Manifest { entries }
     }
 
+    /// Takes the bodies that are equal from `older`, so that two versions share them.
+    pub fn share(&mut self, older: &Content) {
+        for (id, entry) in &mut self.entries {
+            let same = older.get(id).filter(|old| old.resource.hash == entry.resource.hash);
+            if let Some(same) = same {
+                *entry = same.clone();
+            }
+        }
+    }
+
     /// Drops what is outside a scope.
     pub fn keep(&mut self, scope: &Scope) {
         self.entries.retain(|_, entry| scope.covers(&entry.service));
--- a/core/src/config/resource.rs
+++ b/core/src/config/resource.rs
@@ -65,7 +65,9 @@
     fn of<T: serde::Serialize>(content: &T) -> Resource {
         // The types given here hold no map with keys that are not text, so that writing them as
         // JSON can't fail.
-        Resource::new(Bytes::from(serde_json::to_vec(content).unwrap_or_default()))
+        let body = serde_json::to_vec(content).unwrap_or_default();
+        // Without the room that the writer left at its end: bodies are kept for long.
+        Resource::new(Bytes::from(body.into_boxed_slice()))
     }
 
     /// The resource for the limits of a service.
--- a/core/src/spread/reading.rs
+++ b/core/src/spread/reading.rs
@@ -211,13 +211,13 @@
     }
 
     fn take_part(&mut self, now: Time, digest: Hash, body: Option<Bytes>, out: &mut Vec<Output>) {
-        let parsed = match &body {
-            Some(body) => validate::parse_part(body, &digest),
+        let parsed = match body {
+            Some(body) => validate::parse_part(&body, &digest).map(|_| body),
             None => Err(Fault::new(Code::DigestMismatch).with_detail("no value")),
         };
         match parsed {
-            Ok(part) => {
-                self.source.parts.insert(digest, Arc::new(part));
+            Ok(body) => {
+                self.source.parts.insert(digest, body);
                 self.finish_reading(now, out);
             }
             Err(fault) => self.body_refused(now, fault, out),
@@ -263,13 +263,18 @@
     fn check_preset(&mut self, publication: &InForce, mut preset: Preset) -> Result<Checked> {
         let refs = std::mem::take(&mut preset.parts);
         for part in &refs {
-            if let Some(part) = self.source.parts.get(&part.digest) {
-                validate::add_part(&mut preset, part.as_ref().clone())?;
+            if let Some(body) = self.source.parts.get(&part.digest) {
+                validate::add_part(&mut preset, validate::parse_part(body, &part.digest)?)?;
             }
         }
         validate::preset(&preset)?;
         self.source.parts.retain(|digest, _| refs.iter().any(|part| part.digest == *digest));
         let mut content = Content::new(resource::split(&preset))?;
+        // The documents take several times the memory of what is kept of them.
+        drop(preset);
+        if let Some(held) = &self.in_force {
+            content.share(held.content());
+        }
         let whole = content.manifest(&Scope::All).digest();
         let scope = self.wanted_scope();
         content.keep(&scope);
--- a/core/src/spread/source.rs
+++ b/core/src/spread/source.rs
@@ -3,14 +3,14 @@
 use super::backoff::Backoff;
 use super::limits::{MAX_BAD, SOURCE_ANSWER, SOURCE_ANSWER_LARGE};
 use super::port::{CallId, SourceCall};
-use crate::config::document::{Part, PartRef};
+use crate::config::document::PartRef;
 use crate::config::{InForce, Preset};
 use crate::hash::Hash;
 use crate::place::Place;
 use crate::{Name, Time};
+use bytes::Bytes;
 use indexmap::IndexMap;
 use std::collections::VecDeque;
-use std::sync::Arc;
 use std::time::Duration;
 
 data! {
@@ -85,8 +85,9 @@
     pub lists: IndexMap<Name, Watch>,
     /// The body being read.
     pub reading: Option<Reading>,
-    /// The parts of the last preset read.
-    pub parts: IndexMap<Hash, Arc<Part>>,
+    /// The parts of the last preset read, by digest: their JSON as read, which takes a fraction of
+    /// the memory of the documents.
+    pub parts: IndexMap<Hash, Bytes>,
     /// The last publication refused, so that it is reported once.
     pub refused: Option<InForce>,
     /// Hash of the last value that was not understood, so that it is reported once.
--- a/core/src/spread/store.rs
+++ b/core/src/spread/store.rs
@@ -17,6 +17,9 @@
 /// Differences kept to be sent to several nodes.
 const MAX_CACHED: usize = 32;
 
+/// Resources over all differences kept; bounds the memory of those that hold a whole scope.
+const MAX_CACHED_RESOURCES: usize = 15_000;
+
 /// Largest number of resources in a difference that is taken from a peer.
 pub const MAX_DELTA_RESOURCES: usize = 100_000;
 
@@ -116,14 +119,20 @@
         }
         let delta = base.and_then(|base| self.difference(base, scope));
         let delta = Arc::new(delta.unwrap_or_else(|| self.everything(scope)));
-        if self.cached.len() == MAX_CACHED {
-            self.cached.pop_front();
-        }
         let base = base.cloned();
         self.cached.push_back(Cached { base, scope: scope.clone(), delta: delta.clone() });
+        self.trim_cached();
         Some(delta)
     }
 
+    fn trim_cached(&mut self) {
+        let mut resources: usize = self.cached.iter().map(|c| c.delta.changed.len()).sum();
+        while self.cached.len() > MAX_CACHED || resources > MAX_CACHED_RESOURCES {
+            let Some(oldest) = self.cached.pop_front() else { return };
+            resources -= oldest.delta.changed.len();
+        }
+    }
+
     fn everything(&self, scope: &Scope) -> Delta {
         let resources = self.content.within(scope);
         Delta {
--- a/node/src/spread/payload.rs
+++ b/node/src/spread/payload.rs
@@ -30,6 +30,9 @@
 /// Contents kept compressed for the next peer that needs them.
 const MAX_KEPT: usize = 32;
 
+/// Bytes of all contents kept compressed.
+const MAX_KEPT_BYTES: usize = 2 << 20;
+
 /// Contents compressed of late.
 #[derive(Debug, Default)]
 pub struct Payloads {
@@ -58,10 +61,12 @@
         return Ok(packed.clone());
     }
     let packed = Rc::new(pack(content)?);
-    if kept.len() == MAX_KEPT {
-        kept.pop_front();
-    }
     kept.push_back((content.clone(), packed.clone()));
+    let mut bytes: usize = kept.iter().map(|(_, packed)| packed.len()).sum();
+    while kept.len() > MAX_KEPT || bytes > MAX_KEPT_BYTES {
+        let Some((_, oldest)) = kept.pop_front() else { break };
+        bytes -= oldest.len();
+    }
     Ok(packed)
 }
 
