--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -311,7 +311,7 @@
     if let Some(size) = answer.header("content-length").map(|size| size.parse::<u64>().unwrap()) {
         let read = reader.take(size).read_to_end(&mut answer.body);
         answer.whole = read.is_ok_and(|count| count as u64 == size);
-    } else {
+    } else if answer.header("transfer-encoding") == Some("chunked") {
         let body = read_chunks(&mut reader);
         answer.whole = body.is_some();
         answer.body = body.unwrap_or_default();
