--- a/bench/src/process_history/forwarder.rs
+++ b/bench/src/process_history/forwarder.rs
@@ -65,12 +65,18 @@
         let shared = state.clone();
         let thread = std::thread::spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
-            for (listener, port) in listeners {
-                let serve = serve(executor.clone(), shared.clone(), listener, port);
-                executor.spawn(serve).detach();
-            }
-            // Fails once the sender is dropped, which is the sign to stop.
-            let _ = future::block_on(executor.run(stopped.recv()));
+            let serve = |(listener, port)| {
+                executor.spawn(serve(executor.clone(), shared.clone(), listener, port))
+            };
+            let serving: Vec<_> = listeners.into_iter().map(serve).collect();
+            future::block_on(executor.run(async {
+                // Fails once the sender is dropped, which is the sign to stop.
+                let _ = stopped.recv().await;
+                // They hold the executor, which would keep them and their sockets for ever.
+                for task in serving {
+                    task.cancel().await;
+                }
+            }));
         });
         Ok(Forwarder { state, stop: Some(stop), thread: Some(thread) })
     }
