--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -123,14 +123,13 @@
             stream.write_all(answer.as_bytes()).ok()?;
             return Some(());
         }
-        if path.contains("/cut") {
-            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf").ok()?;
+        if path.contains("/chunks-cut") {
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            stream.write_all(format!("{head}4\r\nhalf\r\n").as_bytes()).ok()?;
             return None;
         }
-        if path.contains("/chunk-cut") {
-            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
-            stream.write_all(head.as_bytes()).ok()?;
-            stream.write_all(b"4\r\nhalf\r\n").ok()?;
+        if path.contains("/cut") {
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf").ok()?;
             return None;
         }
         if path.contains("/stream") {
