Trials send again only signings that were not refused

A fault of the trial, not of the nodes. Change: refused signings are not sent again after their outcome.

--- a/bench/src/process_history/callers.rs
+++ b/bench/src/process_history/callers.rs
@@ -18,7 +18,7 @@
 use std::time::{Duration, Instant};
 use sycamore_tools::load::caller::{Job, Resend, call_with_grace};
 use sycamore_tools::load::client::{Outgoing, Pool};
-use sycamore_tools::load::history::Record;
+use sycamore_tools::load::history::{Outcome, Record};
 use sycamore_tools::load::mix::{Mix, MixClass};
 
 /// Callers at the same time.
@@ -114,7 +114,11 @@
 }
 
 impl Signed {
+    /// None for one that was refused: it may run yet, and the refusal would look untrue.
     fn new(class: &MixClass, number: u32, record: &Record) -> Option<Signed> {
+        if record.outcome == Outcome::NotRun {
+            return None;
+        }
         let key = record.key.clone()?;
         let body = vec![b'.'; class.request_bytes].into();
         Some(Signed { id: record.id.clone(), key, target: class.target(number), body })
