--- a/bench/src/bin/sycamore-fleet.rs
+++ b/bench/src/bin/sycamore-fleet.rs
@@ -76,7 +76,8 @@
     options.optopt(
         "",
         "faults",
-        "storms: none, all, or some of zone-cut,relays,zone,everything,source (all)",
+        "storms: none, all, or some of rack,zone-cut,relays,zone,everything,source,regions; all is \
+         without regions, which takes an hour of simulated time (all)",
         "LIST",
     );
     options
@@ -180,7 +181,7 @@
     let list = matches.opt_str("faults").unwrap_or_else(|| "all".to_owned());
     match list.as_str() {
         "none" => Ok(Vec::new()),
-        "all" => Ok(Storm::ALL.to_vec()),
+        "all" => Ok(Storm::USUAL.to_vec()),
         names => names.split(',').map(storm).collect(),
     }
 }
--- a/bench/src/fleet/run.rs
+++ b/bench/src/fleet/run.rs
@@ -18,6 +18,14 @@
 /// How long a zone stays cut in the storm of that name.
 const CUT: Duration = Duration::from_secs(30);
 
+/// How long regions stay apart, and the versions published meanwhile: one a minute, since one
+/// each six seconds would only take longer to run.
+const APART: Duration = Duration::from_secs(3_600);
+const APART_VERSIONS: u32 = 60;
+
+/// Nodes of a rack.
+const RACK: usize = 40;
+
 /// How long killed processes stay away.
 const AWAY: Duration = Duration::from_secs(10);
 
@@ -62,14 +70,29 @@
     Zone,
     /// Every process is killed; all return at the same moment.
     Everything,
+    /// A rack of a zone fails for good.
+    Rack,
+    /// A region is cut from all others and the platform for an hour of changes.
+    Regions,
     /// The platform is away while versions are published; it returns.
     Source,
 }
 
 impl Storm {
-    /// Every storm, mildest first.
-    pub const ALL: [Storm; 5] =
-        [Storm::ZoneCut, Storm::Relays, Storm::Zone, Storm::Everything, Storm::Source];
+    /// Every storm that takes at most a few minutes of simulated time.
+    pub const USUAL: [Storm; 6] =
+        [Storm::Rack, Storm::ZoneCut, Storm::Relays, Storm::Zone, Storm::Everything, Storm::Source];
+
+    /// Every storm.
+    pub const ALL: [Storm; 7] = [
+        Storm::Rack,
+        Storm::ZoneCut,
+        Storm::Relays,
+        Storm::Zone,
+        Storm::Everything,
+        Storm::Source,
+        Storm::Regions,
+    ];
 
     /// Its name on the command line and in results.
     pub fn name(self) -> &'static str {
@@ -79,6 +102,8 @@
             Storm::Zone => "zone",
             Storm::Everything => "everything",
             Storm::Source => "source",
+            Storm::Rack => "rack",
+            Storm::Regions => "regions",
         }
     }
 }
@@ -189,7 +214,7 @@
                 storm_figures.push(baseline().return_at_once(storm.name(), &zone));
             }
             Storm::Everything => storm_figures.push(start.clone()),
-            Storm::ZoneCut | Storm::Relays | Storm::Source => {}
+            _ => {}
         }
     }
     Outcome {
@@ -308,6 +333,27 @@
             fleet.run_for(AWAY);
             now(fleet, Action::Start(nodes));
         }
+        Storm::Rack => {
+            let rack = nodes_in_zone(&size, 1).into_iter().take(RACK);
+            now(fleet, Action::Kill(rack.collect()));
+            now(fleet, publish());
+        }
+        Storm::Regions => {
+            let region = size.regions as u16 - 1;
+            let zones: Vec<u16> =
+                (0..size.zones as u16).filter(|z| size.place_of(*z).region == region).collect();
+            for zone in zones {
+                now(fleet, Action::Cut(zone, None));
+            }
+            for other in 0..region {
+                now(fleet, Action::CutRegions(region, other));
+            }
+            for index in 0..APART_VERSIONS {
+                fleet.plan(APART / APART_VERSIONS * index, publish());
+            }
+            fleet.run_for(APART);
+            now(fleet, Action::HealLinks);
+        }
         Storm::Source => {
             now(fleet, Action::Platform(super::platform::Health::Down));
             fleet.plan(CUT, publish());
