Bench of what calls cost the nodes, over rate and depth

Cause: docs/CAPACITY.md had no slope for calls. Change: scripts/bench.sh call-slopes, with the line that the spread's slopes use. Conclusion: kept.

--- a/bench/src/bin/sycamore-bench-calls.rs
+++ b/bench/src/bin/sycamore-bench-calls.rs
@@ -11,6 +11,7 @@
 use sycamore_bench::calls::latency::{self, Latency};
 use sycamore_bench::calls::naive;
 use sycamore_bench::calls::overload::{self, Overload};
+use sycamore_bench::calls::slopes::{self, Point, Slopes};
 use sycamore_bench::process;
 
 /// Exit code of a command line that is not valid.
@@ -39,6 +40,7 @@
     let result = match matches.free.first().map(String::as_str) {
         Some("latency") => run(&matches, latency::measure, print_latency),
         Some("overload") => run(&matches, overload::measure, print_overload),
+        Some("call-slopes") => run(&matches, slopes::measure, print_slopes),
         Some("naive") => run_naive(&matches),
         _ => return usage(&options, ""),
     };
@@ -52,7 +54,7 @@
 }
 
 fn usage(options: &Options, problem: &str) -> ExitCode {
-    let brief = "Usage: sycamore-bench-calls latency|overload [--seconds N]";
+    let brief = "Usage: sycamore-bench-calls latency|overload|call-slopes [--seconds N]";
     eprintln!("{problem}\n{}", options.usage(brief));
     ExitCode::from(USAGE)
 }
@@ -139,6 +141,27 @@
     );
 }
 
+fn print_slopes(system: System, slopes: &Slopes) {
+    println!("{}: processor time and memory of six nodes", system.name());
+    println!("{:>10}{:>14}{:>16}", "calls/s", "cpu ms/s", "largest KiB");
+    let print = |point: &Point| {
+        print!("{:>10.0}{:>14.1}", point.calls_per_second, point.cpu_ms_per_second);
+        println!("{:>16}", point.memory_kib);
+    };
+    for (name, points, line) in [
+        ("by rate, one deep", &slopes.rates, &slopes.by_rate),
+        ("by depth", &slopes.depths, &slopes.by_depth),
+    ] {
+        println!("{name}");
+        points.iter().for_each(print);
+        println!(
+            "cpu ms/s = {:.1} + {:.4} x calls/s, error of the slope {:.4}, spread {:.1}",
+            line.at_zero, line.slope, line.slope_error, line.spread
+        );
+    }
+    println!();
+}
+
 fn run_naive(matches: &Matches) -> io::Result<()> {
     let address = |text: String| text.parse::<SocketAddr>().map_err(io::Error::other);
     let listen = matches.opt_str("listen").ok_or(io::ErrorKind::InvalidInput)?;
--- a/bench/src/calls.rs
+++ b/bench/src/calls.rs
@@ -4,4 +4,5 @@
 pub mod latency;
 pub mod naive;
 pub mod overload;
+pub mod slopes;
 pub mod timeseries;
--- a/bench/src/calls/latency.rs
+++ b/bench/src/calls/latency.rs
@@ -22,7 +22,7 @@
 /// Calls a second while processor time is measured.
 const BUSY_RATE: f64 = 4_000.0;
 /// Calls before those that count.
-const WARM_UP: Duration = Duration::from_secs(1);
+pub(super) const WARM_UP: Duration = Duration::from_secs(1);
 /// Calls that one call leads to, itself included, in the deep measurement.
 const DEEP: u32 = 9;
 /// Second number of the addresses of targets that call each other directly.
@@ -86,7 +86,13 @@
     Ok(Latency { measured, calls_per_second_per_core, memory_kib })
 }
 
-fn run(entries: &[SocketAddr], depth: u32, rate: f64, span: Duration) -> io::Result<Row> {
+/// Calls through `entries` for so long.
+pub(super) fn run(
+    entries: &[SocketAddr],
+    depth: u32,
+    rate: f64,
+    span: Duration,
+) -> io::Result<Row> {
     let mut class = class("work", 1, Duration::ZERO);
     class.chain = vec![class.path.clone(); depth as usize - 1];
     let mut plan = Plan {
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,14 +1,14 @@
 #!/usr/bin/env bash
 # Measures the call path or the spread of versions; the last line is one JSON object.
-# Usage: scripts/bench.sh latency|overload|convergence|bytes|slopes [options]
+# Usage: scripts/bench.sh latency|overload|call-slopes|convergence|bytes|slopes [options]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 case "${1:-}" in
   "" | -h | --help)
-    echo "Usage: scripts/bench.sh latency|overload|convergence|bytes|slopes [options]"
+    echo "Usage: scripts/bench.sh latency|overload|call-slopes|convergence|bytes|slopes [options]"
     [ -n "${1:-}" ] || exit 2
     ;;
-  latency | overload)
+  latency | overload | call-slopes)
     cargo build --release --locked --workspace --bins
     exec target/release/sycamore-bench-calls "$@"
     ;;
