Readings that follow on each other, spread over as much time; lists watched for long

Ruled out: a larger share for orphans (the burst after a publish grows with it). Change: a reading's calls follow on each other, the first ones of all nodes are spread over eight times as long, and the pause is as much longer; lists and zones are watched for 600 s and anew after an outage.

--- a/core/src/spread/budget.rs
+++ b/core/src/spread/budget.rs
@@ -6,7 +6,10 @@
 
 use super::Spread;
 use super::backoff::jitter;
-use super::limits::{ORPHAN_CALLS_PER_S, RELAY_CALLS_PER_S, TOP, WATCH_WAIT, WATCH_WAIT_HOME};
+use super::limits::{
+    CALLS_OF_READING, LIST_WAIT, ORPHAN_CALLS_PER_S, RELAY_CALLS_PER_S, TOP, WATCH_WAIT,
+    WATCH_WAIT_HOME,
+};
 use super::port::Output;
 use super::source::{Purpose, Reading};
 use crate::place::Place;
@@ -40,7 +43,11 @@
     }
 
     fn watch(purpose: Purpose, key: impl Into<String>, index: u64) -> Due {
-        let wait = if index == 0 { Duration::ZERO } else { WATCH_WAIT };
+        let longest = match purpose {
+            Purpose::List(_) | Purpose::Zones => LIST_WAIT,
+            Purpose::InForce | Purpose::Body | Purpose::Part(_) => WATCH_WAIT,
+        };
+        let wait = if index == 0 { Duration::ZERO } else { longest };
         Due { purpose, key: key.into(), index, wait }
     }
 }
@@ -143,17 +150,19 @@
         };
         let interval = self.interval(access);
         // Full jitter on the first call after a while: nodes that lost their parents lost them
-        // together, and nodes whose watches waited hear of a version in one instant.
-        let first = now + jitter(interval, &mut self.rng);
+        // together, and nodes whose watches waited hear of a version in one instant. A body and
+        // its parts follow on each other, since one helps nobody without the others, and the pause
+        // after them is as much longer; so is the time over which the first calls are spread.
+        let calls = if call.purpose.begins_reading() { CALLS_OF_READING } else { 1 };
+        let first = now + jitter(interval * calls, &mut self.rng);
         let at = *self.source.budget_at.get_or_insert(first);
-        // The body follows on `in-force` at once, and the pause after both is as much longer:
-        // what is published helps nobody without its body. Its parts keep to the budget, and so
-        // does a body after a watch, which ends for every node in the same instant.
-        let follows = self.source.follows && call.purpose == Purpose::Body;
+        let ahead = at.since(now) <= interval * CALLS_OF_READING;
+        let follows = self.source.follows && call.purpose.is_reading() && ahead;
         if now < at && !follows {
             return Some(at);
         }
-        self.source.follows = call.purpose == Purpose::InForce && call.wait.is_zero();
+        self.source.follows = call.purpose.begins_reading() && call.wait.is_zero();
+        self.source.follows |= call.purpose.is_reading();
         self.call(now, call, out);
         let pause = interval / 2 + jitter(interval, &mut self.rng);
         let next = at.max(now) + pause;
--- a/core/src/spread/limits.rs
+++ b/core/src/spread/limits.rs
@@ -83,6 +83,9 @@
 /// Longest wait of a watch on the platform.
 pub const WATCH_WAIT: Duration = Duration::from_secs(30);
 
+/// The same of lists. A watch that ends without a change answers with the whole list.
+pub const LIST_WAIT: Duration = Duration::from_secs(600);
+
 /// The same of the key `in-force` within the platform's region, where calls cost little. A watch
 /// whose answer was lost in an outage is made again that much sooner.
 pub const WATCH_WAIT_HOME: Duration = Duration::from_secs(2);
@@ -110,12 +113,14 @@
 /// small fleet a node that nobody else can help soon tries again.
 pub const ORPHAN_BACKOFF_INTERVALS: u32 = 4;
 
+/// Calls that a reading may take at once: the key `in-force`, the body and its parts.
+pub const CALLS_OF_READING: u32 = 8;
+
 /// Calls a second that all zone relays together may make when they have lost every reader.
 pub const RELAY_CALLS_PER_S: u32 = 250;
 
-/// Calls a second that all other nodes together may make when they have lost every parent. The
-/// first second may see twice as many, since a body follows on the key that names it; with the
-/// relays' and the readers' share this stays under half of the platform's 2,000 a second.
+/// Calls a second that all other nodes together may make when they have lost every parent. With
+/// the relays' and the readers' share this stays under half of the platform's 2,000 a second.
 pub const ORPHAN_CALLS_PER_S: u32 = 300;
 
 /// Zones assumed while the list of zones is not known.
--- a/core/src/spread/reading.rs
+++ b/core/src/spread/reading.rs
@@ -26,6 +26,7 @@
             Ok(value) => {
                 if self.source.answers.replace(true) == Some(false) {
                     out.push(Output::Event(Event::new(now, EventKind::SourceBack)));
+                    self.watch_lists_again(out);
                 }
                 self.take_value(now, &call, value, out);
             }
@@ -33,6 +34,14 @@
         }
     }
 
+    /// Makes the watches on lists anew after an outage, which may have swallowed their answers
+    /// without a sign; they would otherwise be missed only after their long wait.
+    fn watch_lists_again(&mut self, out: &mut Vec<Output>) {
+        let is_list = |p: &Purpose| matches!(p, Purpose::List(_) | Purpose::Zones);
+        let dropped = self.source.drop_calls(is_list);
+        out.extend(dropped.into_iter().map(Output::DropSource));
+    }
+
     pub(super) fn source_failed(
         &mut self,
         now: Time,
--- a/core/src/spread/source.rs
+++ b/core/src/spread/source.rs
@@ -40,6 +40,11 @@
 }
 
 impl Purpose {
+    /// Whether a body may be read after it.
+    pub fn begins_reading(&self) -> bool {
+        matches!(self, Purpose::InForce | Purpose::Body)
+    }
+
     /// Whether it is for the body of a preset.
     pub fn is_reading(&self) -> bool {
         matches!(self, Purpose::Body | Purpose::Part(_))
@@ -94,7 +99,7 @@
     pub rubbish: Option<Hash>,
     /// For nodes that are not readers: no call before this time; `None` while none is needed.
     pub budget_at: Option<Time>,
-    /// Whether the last call within the budget was for `in-force`, so that a body may follow.
+    /// Whether the last call within the budget was one that a body or a part may follow.
     pub follows: bool,
     /// When the next call may be due.
     pub wake_at: Option<Time>,
