--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -1,16 +1,19 @@
 //! Decisions at the node that a caller connects to: where a request goes, whether it is sent
 //! again, and what its caller is told in the end.
 
+mod port;
+
+pub use port::{Arrival, AttemptEnd, Forward, Input, Output};
+
 use super::balance::Balancer;
 use super::budget::Budget;
 use super::note::HomeList;
 use super::quarantine::MAX_CRASHES;
-use super::{CallKey, Load, MAX_DEPTH, Members, Outcome, RequestKey};
+use super::{CallKey, MAX_DEPTH, Members, Outcome, RequestKey};
 use crate::config::{RouteKey, ServiceKey, Snapshot};
 use crate::place::Place;
 use crate::{Code, Name, Time};
 use indexmap::IndexMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,121 +21,12 @@
 const COME_BACK_SOON: Duration = Duration::from_millis(200);
 const COME_BACK_LATER: Duration = Duration::from_secs(1);
 
+/// Homes of a key that are tried: the home and those next in order.
+const MAX_HOMES: usize = 3;
+
 /// Less time than this is not worth another attempt.
 const MIN_ATTEMPT: Duration = Duration::from_millis(1);
 
-data! {
-    /// A request as the adapter has read its head.
-    pub struct Arrival<'a> {
-        /// The call.
-        pub call: CallKey,
-        /// Path without query.
-        pub path: &'a str,
-        /// The `Idempotency-Key`.
-        pub key: Option<RequestKey>,
-        /// Time that the caller gives; absent for the route's.
-        pub time_left: Option<Duration>,
-        /// Nodes passed as entry node before this one.
-        pub depth: u8,
-        /// Size of the body, if stated.
-        pub body_bytes: Option<u64>,
-    }
-
-    /// What comes in.
-    pub enum Input<'a> {
-        /// A version came into force.
-        Configure(Arc<Snapshot>),
-        /// The states of VMs changed.
-        View(Arc<Members>),
-        /// The planned stop starts.
-        Drain,
-        /// A request came.
-        Arrive(Arrival<'a>),
-        /// An attempt has come to something.
-        Attempt {
-            /// The call.
-            call: CallKey,
-            /// What it came to.
-            end: AttemptEnd,
-            /// Whether the request can be sent again: nothing of its body has been used up.
-            whole: bool,
-        },
-        /// The answer's body has ended, or the caller went away, or the deadline cut it.
-        Close(CallKey),
-        /// The deadline has passed and no answer has begun.
-        Expire {
-            /// The call.
-            call: CallKey,
-            /// Whether a byte of the present attempt may have left.
-            sent: bool,
-        },
-    }
-
-    /// What an attempt came to.
-    pub enum AttemptEnd {
-        /// The answer begins. From here on nothing is sent again.
-        Answering {
-            /// The target's load.
-            load: Option<Load>,
-        },
-        /// The gatekeeper says that the request did not reach the target.
-        Refused {
-            /// Why.
-            code: Code,
-            /// When to come back.
-            retry_after: Duration,
-            /// The target's load.
-            load: Option<Load>,
-            /// Crashes that the request is suspected of.
-            crashes: u32,
-        },
-        /// The gatekeeper says that the target may have run the request.
-        Failed {
-            /// Why.
-            code: Code,
-            /// Crashes that the request is suspected of.
-            crashes: u32,
-        },
-        /// No byte left for the gatekeeper.
-        NotSent,
-        /// The connection to the gatekeeper broke after a byte left, or its answer was rubbish.
-        Lost,
-    }
-
-    /// What is to be done.
-    pub enum Output {
-        /// Forward the request.
-        Forward(Forward),
-        /// Tell the caller that there is no answer.
-        Finish {
-            /// The call.
-            call: CallKey,
-            /// What to say.
-            outcome: Outcome,
-        },
-    }
-
-    /// One attempt.
-    pub struct Forward {
-        /// The call.
-        pub call: CallKey,
-        /// Attempt, from 1.
-        pub attempt: u32,
-        /// VM of the target.
-        pub vm: Name,
-        /// Address of its gatekeeper.
-        pub gate: SocketAddr,
-        /// When the caller stops waiting.
-        pub deadline: Time,
-        /// Crashes that the request is suspected of.
-        pub crashes: u32,
-        /// Largest body of the request.
-        pub max_body_bytes: u64,
-        /// Whether it may be run more than once.
-        pub idempotent: bool,
-    }
-}
-
 #[derive(Debug)]
 struct Call {
     route: RouteKey,
@@ -270,7 +164,7 @@
         self.forward(now, arrival.call, vm, out);
     }
 
-    /// The target for the next attempt. A key has one home, whatever the state of its VM.
+    /// The target for the first attempt.
     fn choose(
         &mut self,
         now: Time,
@@ -281,7 +175,7 @@
     ) -> Option<Name> {
         let service = snapshot.route(route).service;
         match key {
-            Some(key) => home_of(snapshot, service, key),
+            Some(key) => self.home_for(now, snapshot, service, key, tried),
             None => self.balancer.pick(now, service, tried),
         }
     }
@@ -383,23 +277,49 @@
             return None;
         }
         match call.key {
-            Some(request_key) => self.next_home(key, request_key, code),
+            Some(request_key) => self.next_home(now, key, request_key, code),
             None => self.next_target(now, key, code),
         }
     }
 
     /// A request that may run only once is sent again only after a refusal that says that it did
-    /// not run, and only if the version in force names another home by now.
-    fn next_home(&self, key: CallKey, request_key: RequestKey, code: Code) -> Option<Name> {
+    /// not run: to its home under a newer version, or to the next home in order when the home
+    /// before is leaving. Whoever gets it checks that it is the home.
+    fn next_home(
+        &self,
+        now: Time,
+        key: CallKey,
+        request_key: RequestKey,
+        code: Code,
+    ) -> Option<Name> {
         let call = self.calls.get(&key)?;
-        if call.unknown.is_some() || code != Code::NotHome {
+        let elsewhere =
+            matches!(code, Code::NotHome | Code::Draining | Code::GatekeeperUnreachable);
+        if call.unknown.is_some() || !elsewhere {
             return None;
         }
         let snapshot = self.snapshot.as_ref()?;
         let service = &call.snapshot.service(call.snapshot.route(call.route).service).name;
         let index = snapshot.services().iter().position(|entry| entry.name == *service)?;
-        let home = home_of(snapshot, ServiceKey(index as u32), request_key)?;
-        (!call.tried.contains(&home)).then_some(home)
+        self.home_for(now, snapshot, ServiceKey(index as u32), request_key, &call.tried)
+    }
+
+    /// The home of a key, or the next in order for one that is leaving.
+    fn home_for(
+        &self,
+        now: Time,
+        snapshot: &Snapshot,
+        service: ServiceKey,
+        key: RequestKey,
+        tried: &[Name],
+    ) -> Option<Name> {
+        let subject = key.to_bytes();
+        let targets = snapshot.service(service).targets.iter();
+        let vms: Vec<&Name> = targets.map(|target| &snapshot.target(*target).target.vm).collect();
+        let order = HomeList::order(&subject, &vms, MAX_HOMES);
+        let mut untried = order.iter().filter(|vm| !tried.contains(vm));
+        let staying = untried.clone().find(|vm| !self.balancer.is_leaving(now, vm));
+        staying.or_else(|| untried.next()).map(|vm| Name::clone(vm))
     }
 
     fn next_target(&mut self, now: Time, key: CallKey, code: Code) -> Option<Name> {
@@ -480,10 +400,3 @@
         _ => RetryKind::Never,
     }
 }
-
-fn home_of(snapshot: &Snapshot, service: ServiceKey, key: RequestKey) -> Option<Name> {
-    let subject = key.to_bytes();
-    let targets = snapshot.service(service).targets.iter();
-    let vms = targets.map(|target| &snapshot.target(*target).target.vm);
-    HomeList::choose(&subject, vms).cloned()
-}
