--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -7,38 +7,40 @@
 pub mod fault;
 pub mod measure;
 pub mod memory;
+mod operator;
 pub mod platform;
 pub mod publication;
+mod record;
 pub mod run;
+pub mod setup;
 pub mod size;
 pub mod slopes;
 pub mod slot;
+mod source;
 pub mod table;
 pub mod workload;
 
-use crate::history::{self, Content, Record};
-use crate::links::{Links, PLATFORM_ZONE, Profile, Site};
-use bytes::Bytes;
+pub use setup::Setup;
+
+use crate::history::Record;
+use crate::links::{Links, PLATFORM_ZONE, Site};
 use calls::{Calls, Step};
 use fault::{Action, Edition};
 use indexmap::IndexMap;
 use measure::Convergence;
-use platform::{Answer, Get, Platform};
-use publication::Publication;
-use slot::{Given, Load, Slot, Start};
+use platform::{Answer, Platform};
+use slot::{Given, Load, Slot};
+use source::Caller;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
-use sycamore_core::config::{InForce, Preset, Snapshot};
+use sycamore_core::config::{InForce, Preset};
 use sycamore_core::event::Event;
-use sycamore_core::member::{Member, VmList, VmState};
+use sycamore_core::member::VmState;
 use sycamore_core::node;
-use sycamore_core::place::Place;
-use sycamore_core::spread::port::CallId;
-use sycamore_core::spread::{Input, Output, PeerMsg, SourceCall, SourceReply, SourceValue};
+use sycamore_core::spread::{Input, Output, PeerMsg, SourceCall};
 use sycamore_core::status::Role;
-use sycamore_core::{Code, Name, Time};
-use workload::{Size, Workload, name};
+use sycamore_core::{Code, Time};
+use workload::{Size, Workload};
 
 /// Where the platform stands.
 pub const PLATFORM: Site = Site { region: 0, zone: PLATFORM_ZONE };
@@ -46,99 +48,9 @@
 /// When a fleet's clock starts: late enough that differences of times don't reach zero.
 pub const START: Time = Time(1_000_000_000_000_000);
 
-/// How long a caller waits for the platform beyond the wait that it asked for.
-const SOURCE_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// How long a connection to a host that does not answer is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Bytes of the head of a request to the platform and of an answer.
-const HEAD_BYTES: u64 = 120;
-
-/// What a fleet is made of.
-#[derive(Clone, Debug)]
-pub struct Setup {
-    /// Its size.
-    pub size: Size,
-    /// The size of the fleet that the preset is for; the same, unless the memory of a few nodes
-    /// with a large preset is measured.
-    pub preset_size: Size,
-    /// Its links.
-    pub profile: Profile,
-    /// Seed of every random choice.
-    pub seed: u64,
-    /// Services that a target calls besides its own.
-    pub called_services: usize,
-    /// Tells the memory in use, in bytes.
-    pub memory: fn() -> u64,
-    /// Whether nodes are without the deciders of the call path, and so without the notes that
-    /// these send.
-    pub spread_only: bool,
-    /// Whether a history is recorded and every configuration held against what was published.
-    pub recorded: bool,
-}
-
-impl Setup {
-    /// A fleet of the Franchise Office's links with the usual scope, without a record.
-    pub fn new(size: Size, seed: u64) -> Setup {
-        let profile = Profile::franchise();
-        Setup {
-            size,
-            preset_size: size,
-            profile,
-            seed,
-            called_services: workload::CALLED_SERVICES,
-            memory: measure::resident_bytes,
-            spread_only: false,
-            recorded: false,
-        }
-    }
-
-    /// The same with these links.
-    pub fn with_profile(mut self, profile: Profile) -> Setup {
-        self.profile = profile;
-        self
-    }
-
-    /// The same with the preset of another fleet.
-    pub fn with_preset_of(mut self, size: Size) -> Setup {
-        self.preset_size = size;
-        self
-    }
-
-    /// The same with another scope.
-    pub fn with_called_services(mut self, called: usize) -> Setup {
-        self.called_services = called;
-        self
-    }
-
-    /// The same with a better gauge of the memory in use.
-    pub fn with_memory(mut self, memory: fn() -> u64) -> Setup {
-        self.memory = memory;
-        self
-    }
-
-    /// The same with or without the call path.
-    pub fn with_spread_only(mut self, spread_only: bool) -> Setup {
-        self.spread_only = spread_only;
-        self
-    }
-
-    /// The same with a record.
-    pub fn with_record(mut self) -> Setup {
-        self.recorded = true;
-        self
-    }
-}
-
-/// Names a call to the platform: the node, its life and the node's own id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Caller {
-    node: usize,
-    life: u32,
-    id: CallId,
-}
-
 enum Happening {
     Wake(usize, Time),
     Resume(usize),
@@ -477,193 +389,4 @@
         self.count(to_node, 0, size);
         self.links.send(sites.0, sites.1, size, arrive);
     }
-
-    fn ask(&mut self, node: usize, call: SourceCall) {
-        let slot = &mut self.slots[node];
-        let caller = Caller { node, life: slot.life, id: call.id };
-        slot.calls.insert(call.id);
-        let timeout = SOURCE_TIMEOUT + call.wait;
-        self.links.after(timeout, Happening::TimedOut(caller));
-        let size = HEAD_BYTES + call.key.as_bytes().len() as u64;
-        self.count(node, size, 0);
-        self.count_across((self.site(node), PLATFORM), "platform", size);
-        self.links.send(self.site(node), PLATFORM, size, Happening::Asked(caller, call));
-    }
-
-    fn drop_call(&mut self, node: usize, id: CallId) {
-        self.slots[node].calls.remove(&id);
-        let life = self.slots[node].life;
-        self.platform.forget(|caller| *caller == Caller { node, life, id });
-    }
-
-    fn asked(&mut self, caller: Caller, call: SourceCall) {
-        let now = self.links.now();
-        let until = now + call.wait;
-        let above = (call.index > 0).then_some(call.index);
-        let get = Get { caller, key: call.key, above, until };
-        match self.platform.get(now, get) {
-            Some(answer) => self.reply(caller, answer),
-            None => self.links.at(until, Happening::WatchesDue),
-        }
-    }
-
-    fn answer_watches(&mut self) {
-        for (caller, answer) in self.platform.due(self.links.now()) {
-            self.reply(caller, answer);
-        }
-    }
-
-    fn reply(&mut self, caller: Caller, answer: Answer) {
-        let size = match &answer {
-            Answer::Value(value, _) => HEAD_BYTES + value.len() as u64,
-            Answer::Missing | Answer::OverLimit | Answer::Refused => HEAD_BYTES,
-        };
-        let site = self.site(caller.node);
-        self.count(caller.node, 0, size);
-        self.count_across((site, PLATFORM), "platform", size);
-        self.links.send(PLATFORM, site, size, Happening::Answered(caller, answer));
-    }
-
-    fn answered(&mut self, caller: Caller, answer: Answer) {
-        let result = match answer {
-            Answer::Value(body, index) => Ok(SourceValue { index, body: Some(body) }),
-            Answer::Missing => Ok(SourceValue { index: 0, body: None }),
-            Answer::OverLimit => Err(Code::SourceOverLimit),
-            Answer::Refused => Err(Code::SourceUnreachable),
-        };
-        self.end_call(caller, result);
-    }
-
-    fn end_call(&mut self, caller: Caller, result: Result<SourceValue, Code>) {
-        let slot = &mut self.slots[caller.node];
-        if slot.life == caller.life && slot.calls.remove(&caller.id) {
-            let reply = SourceReply { id: caller.id, result };
-            self.hand_in(caller.node, Input::Source(reply));
-        }
-    }
-
-    fn in_force(&mut self, node: usize, snapshot: &Arc<Snapshot>) {
-        let now = self.links.now();
-        let in_force = &snapshot.in_force;
-        if self.setup.recorded {
-            self.record_in_force(node, snapshot);
-        }
-        self.convergence.in_force(node, in_force.version, now);
-        self.slots[node].take_in_force(in_force.clone(), now);
-    }
-
-    fn record_in_force(&mut self, node: usize, snapshot: &Arc<Snapshot>) {
-        let at = self.links.now();
-        if self.slots[node].in_force.is_none() && self.setup.profile.loss_ppm == 0 {
-            let version = self.remembered(node);
-            self.history.push(Record::Remembered { at, node, version });
-        }
-        let scope = self.slots[node].scope.as_deref();
-        let content = match self.published.get(&snapshot.in_force) {
-            Some(preset) => history::content(snapshot, preset, scope),
-            None => Content::Unknown,
-        };
-        let publication = history::Publication {
-            version: snapshot.in_force.version,
-            digest: snapshot.in_force.digest,
-        };
-        self.history.push(Record::InForce { at, node, publication, content });
-    }
-
-    /// The newest version that a neighbour held when the node started, of those that the node
-    /// could ask from then till now.
-    fn remembered(&self, node: usize) -> u64 {
-        let Some(start) = &self.slots[node].start else { return 0 };
-        let could_ask = |other: usize, life: u32| {
-            let slot = &self.slots[other];
-            slot.life == life && slot.troubled < start.at && self.uncut_since(node, other, start.at)
-        };
-        let versions = start.neighbours.iter().filter(|n| could_ask(n.node, n.life));
-        versions.map(|neighbour| neighbour.version).max().unwrap_or(0)
-    }
-
-    fn uncut_since(&self, a: usize, b: usize, since: Time) -> bool {
-        let sites = (self.site(a), self.site(b));
-        let cut_before = |site: Site| self.last_cut[site.zone as usize] < since;
-        let uncut = !self.links.is_cut(sites.0, sites.1);
-        uncut && (sites.0.zone == sites.1.zone || cut_before(sites.0) && cut_before(sites.1))
-    }
-
-    fn start_of(&self, node: usize) -> Start {
-        let zone = self.site(node).zone;
-        let near = |other: &usize| {
-            *other != node
-                && (self.site(*other).zone == zone || self.slots[node].seeds.contains(other))
-        };
-        let askable = |other: &usize| {
-            let slot = &self.slots[*other];
-            slot.is_running()
-                && !slot.is_troubled()
-                && !self.links.is_cut(self.site(node), self.site(*other))
-        };
-        let others = (0..self.slots.len()).filter(near).filter(askable);
-        let neighbours = others.map(|other| self.slots[other].as_neighbour(other)).collect();
-        Start { at: self.links.now(), neighbours }
-    }
-
-    fn publish_places(&mut self) {
-        let size = self.setup.size;
-        let places: Vec<Place> = (0..size.zones).map(|zone| size.place(zone as u16)).collect();
-        let zones = serde_json::json!({ "zones": places });
-        self.put(name("zones".to_owned()), encode(&zones));
-        (0..size.zones as u16).for_each(|zone| self.publish_list(zone));
-    }
-
-    fn publish_list(&mut self, zone: u16) {
-        let size = self.setup.size;
-        let mut list = VmList { vms: Vec::new() };
-        for node in fault::nodes_in_zone(&size, zone) {
-            if let Some(state) = self.listed[node] {
-                list.vms.push(Member { state, ..size.member(node) });
-            }
-        }
-        self.put(name(format!("vms/{}", workload::zone_name(zone))), encode(&list));
-    }
-
-    fn put(&mut self, key: Name, value: Bytes) {
-        self.platform.put(key, value);
-    }
-
-    fn publish(&mut self, edition: Edition) {
-        let (publication, valid) = match edition {
-            Edition::First => (self.workload.publish(), true),
-            Edition::Change => (self.workload.change(), true),
-            Edition::Bad => (self.workload.bad(), false),
-            Edition::Rival => (self.workload.rival(), true),
-        };
-        let now = self.links.now();
-        let version = publication.in_force.version;
-        if edition != Edition::Rival && valid {
-            self.last_good = version;
-            self.convergence.published(version, now);
-        }
-        self.smallest += publication.smallest;
-        if self.setup.recorded {
-            self.record_published(&publication, valid);
-        }
-        for (key, value) in publication.values {
-            self.put(key, value);
-        }
-        self.answer_watches();
-    }
-
-    fn record_published(&mut self, publication: &Publication, valid: bool) {
-        let in_force = publication.in_force.clone();
-        let (version, digest) = (in_force.version, in_force.digest);
-        let at = self.links.now();
-        let record = history::Publication { version, digest };
-        self.history.push(Record::Published { at, publication: record, valid });
-        if valid {
-            self.published.insert(in_force, publication.preset.clone());
-        }
-    }
-}
-
-fn encode<T: serde::Serialize>(content: &T) -> Bytes {
-    Bytes::from(serde_json::to_vec(content).unwrap_or_default())
 }
--- /dev/null
+++ b/bench/src/fleet/operator.rs
@@ -0,0 +1,61 @@
+//! What operators and the platform itself write: versions, zones and lists of VMs.
+
+use super::Fleet;
+use super::fault::{Edition, nodes_in_zone};
+use super::workload::{name, zone_name};
+use bytes::Bytes;
+use sycamore_core::Name;
+use sycamore_core::member::{Member, VmList};
+use sycamore_core::place::Place;
+
+impl Fleet {
+    pub(super) fn publish_places(&mut self) {
+        let size = self.setup.size;
+        let places: Vec<Place> = (0..size.zones).map(|zone| size.place(zone as u16)).collect();
+        let zones = serde_json::json!({ "zones": places });
+        self.put(name("zones".to_owned()), encode(&zones));
+        (0..size.zones as u16).for_each(|zone| self.publish_list(zone));
+    }
+
+    pub(super) fn publish_list(&mut self, zone: u16) {
+        let size = self.setup.size;
+        let mut list = VmList { vms: Vec::new() };
+        for node in nodes_in_zone(&size, zone) {
+            if let Some(state) = self.listed[node] {
+                list.vms.push(Member { state, ..size.member(node) });
+            }
+        }
+        self.put(name(format!("vms/{}", zone_name(zone))), encode(&list));
+    }
+
+    pub(super) fn put(&mut self, key: Name, value: Bytes) {
+        self.platform.put(key, value);
+    }
+
+    pub(super) fn publish(&mut self, edition: Edition) {
+        let (publication, valid) = match edition {
+            Edition::First => (self.workload.publish(), true),
+            Edition::Change => (self.workload.change(), true),
+            Edition::Bad => (self.workload.bad(), false),
+            Edition::Rival => (self.workload.rival(), true),
+        };
+        let now = self.links.now();
+        let version = publication.in_force.version;
+        if edition != Edition::Rival && valid {
+            self.last_good = version;
+            self.convergence.published(version, now);
+        }
+        self.smallest += publication.smallest;
+        if self.setup.recorded {
+            self.record_published(&publication, valid);
+        }
+        for (key, value) in publication.values {
+            self.put(key, value);
+        }
+        self.answer_watches();
+    }
+}
+
+fn encode<T: serde::Serialize>(content: &T) -> Bytes {
+    Bytes::from(serde_json::to_vec(content).unwrap_or_default())
+}
--- /dev/null
+++ b/bench/src/fleet/record.rs
@@ -0,0 +1,87 @@
+//! What a fleet records of versions for its history.
+
+use super::Fleet;
+use super::publication::Publication;
+use super::slot::Start;
+use crate::history::{self, Content, Record};
+use crate::links::Site;
+use std::sync::Arc;
+use sycamore_core::Time;
+use sycamore_core::config::Snapshot;
+
+impl Fleet {
+    pub(super) fn in_force(&mut self, node: usize, snapshot: &Arc<Snapshot>) {
+        let now = self.links.now();
+        let in_force = &snapshot.in_force;
+        if self.setup.recorded {
+            self.record_in_force(node, snapshot);
+        }
+        self.convergence.in_force(node, in_force.version, now);
+        self.slots[node].take_in_force(in_force.clone(), now);
+    }
+
+    pub(super) fn record_in_force(&mut self, node: usize, snapshot: &Arc<Snapshot>) {
+        let at = self.links.now();
+        if self.slots[node].in_force.is_none() && self.setup.profile.loss_ppm == 0 {
+            let version = self.remembered(node);
+            self.history.push(Record::Remembered { at, node, version });
+        }
+        let scope = self.slots[node].scope.as_deref();
+        let content = match self.published.get(&snapshot.in_force) {
+            Some(preset) => history::content(snapshot, preset, scope),
+            None => Content::Unknown,
+        };
+        let publication = history::Publication {
+            version: snapshot.in_force.version,
+            digest: snapshot.in_force.digest,
+        };
+        self.history.push(Record::InForce { at, node, publication, content });
+    }
+
+    /// The newest version that a neighbour held when the node started, of those that the node
+    /// could ask from then till now.
+    pub(super) fn remembered(&self, node: usize) -> u64 {
+        let Some(start) = &self.slots[node].start else { return 0 };
+        let could_ask = |other: usize, life: u32| {
+            let slot = &self.slots[other];
+            slot.life == life && slot.troubled < start.at && self.uncut_since(node, other, start.at)
+        };
+        let versions = start.neighbours.iter().filter(|n| could_ask(n.node, n.life));
+        versions.map(|neighbour| neighbour.version).max().unwrap_or(0)
+    }
+
+    pub(super) fn uncut_since(&self, a: usize, b: usize, since: Time) -> bool {
+        let sites = (self.site(a), self.site(b));
+        let cut_before = |site: Site| self.last_cut[site.zone as usize] < since;
+        let uncut = !self.links.is_cut(sites.0, sites.1);
+        uncut && (sites.0.zone == sites.1.zone || cut_before(sites.0) && cut_before(sites.1))
+    }
+
+    pub(super) fn start_of(&self, node: usize) -> Start {
+        let zone = self.site(node).zone;
+        let near = |other: &usize| {
+            *other != node
+                && (self.site(*other).zone == zone || self.slots[node].seeds.contains(other))
+        };
+        let askable = |other: &usize| {
+            let slot = &self.slots[*other];
+            slot.is_running()
+                && !slot.is_troubled()
+                && !self.links.is_cut(self.site(node), self.site(*other))
+        };
+        let others = (0..self.slots.len()).filter(near).filter(askable);
+        let neighbours = others.map(|other| self.slots[other].as_neighbour(other)).collect();
+        Start { at: self.links.now(), neighbours }
+    }
+
+    pub(super) fn record_published(&mut self, publication: &Publication, valid: bool) {
+        let in_force = publication.in_force.clone();
+        let (version, digest) = (in_force.version, in_force.digest);
+        let at = self.links.now();
+        let record = history::Publication { version, digest };
+        self.history.push(Record::Published { at, publication: record, valid });
+        if valid {
+            self.published.insert(in_force, publication.preset.clone());
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/fleet/source.rs
@@ -0,0 +1,91 @@
+//! Calls of nodes to the platform, carried as the adapter does.
+
+use super::platform::{Answer, Get};
+use super::{Fleet, Happening, PLATFORM};
+use std::time::Duration;
+use sycamore_core::Code;
+use sycamore_core::spread::port::CallId;
+use sycamore_core::spread::{Input, SourceCall, SourceReply, SourceValue};
+
+/// How long a caller waits for the platform beyond the wait that it asked for.
+const SOURCE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Bytes of the head of a request to the platform and of an answer.
+const HEAD_BYTES: u64 = 120;
+
+/// Names a call to the platform: the node, its life and the node's own id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Caller {
+    /// Number of the node.
+    pub node: usize,
+    /// Its life.
+    pub life: u32,
+    /// Its id.
+    pub id: CallId,
+}
+
+impl Fleet {
+    pub(super) fn ask(&mut self, node: usize, call: SourceCall) {
+        let slot = &mut self.slots[node];
+        let caller = Caller { node, life: slot.life, id: call.id };
+        slot.calls.insert(call.id);
+        let timeout = SOURCE_TIMEOUT + call.wait;
+        self.links.after(timeout, Happening::TimedOut(caller));
+        let size = HEAD_BYTES + call.key.as_bytes().len() as u64;
+        self.count(node, size, 0);
+        self.count_across((self.site(node), PLATFORM), "platform", size);
+        self.links.send(self.site(node), PLATFORM, size, Happening::Asked(caller, call));
+    }
+
+    pub(super) fn drop_call(&mut self, node: usize, id: CallId) {
+        self.slots[node].calls.remove(&id);
+        let life = self.slots[node].life;
+        self.platform.forget(|caller| *caller == Caller { node, life, id });
+    }
+
+    pub(super) fn asked(&mut self, caller: Caller, call: SourceCall) {
+        let now = self.links.now();
+        let until = now + call.wait;
+        let above = (call.index > 0).then_some(call.index);
+        let get = Get { caller, key: call.key, above, until };
+        match self.platform.get(now, get) {
+            Some(answer) => self.reply(caller, answer),
+            None => self.links.at(until, Happening::WatchesDue),
+        }
+    }
+
+    pub(super) fn answer_watches(&mut self) {
+        for (caller, answer) in self.platform.due(self.links.now()) {
+            self.reply(caller, answer);
+        }
+    }
+
+    pub(super) fn reply(&mut self, caller: Caller, answer: Answer) {
+        let size = match &answer {
+            Answer::Value(value, _) => HEAD_BYTES + value.len() as u64,
+            Answer::Missing | Answer::OverLimit | Answer::Refused => HEAD_BYTES,
+        };
+        let site = self.site(caller.node);
+        self.count(caller.node, 0, size);
+        self.count_across((site, PLATFORM), "platform", size);
+        self.links.send(PLATFORM, site, size, Happening::Answered(caller, answer));
+    }
+
+    pub(super) fn answered(&mut self, caller: Caller, answer: Answer) {
+        let result = match answer {
+            Answer::Value(body, index) => Ok(SourceValue { index, body: Some(body) }),
+            Answer::Missing => Ok(SourceValue { index: 0, body: None }),
+            Answer::OverLimit => Err(Code::SourceOverLimit),
+            Answer::Refused => Err(Code::SourceUnreachable),
+        };
+        self.end_call(caller, result);
+    }
+
+    pub(super) fn end_call(&mut self, caller: Caller, result: Result<SourceValue, Code>) {
+        let slot = &mut self.slots[caller.node];
+        if slot.life == caller.life && slot.calls.remove(&caller.id) {
+            let reply = SourceReply { id: caller.id, result };
+            self.hand_in(caller.node, Input::Source(reply));
+        }
+    }
+}
