--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -1,14 +1,19 @@
 //! Decisions beside the target: what reaches it, when, and what is said of what does not.
 
-use super::admit::{Admission, Popped, Slots};
-use super::home::{Answer, Homes, Right};
-use super::note::{HomeList, Note, OutgoingNote};
+mod homes;
+mod port;
+
+pub use port::{Arrival, End, Input, Output};
+
+use super::admit::{Admission, Offer, Popped, Slots};
+use super::home::{Homes, Right};
+use super::note::{Note, OutgoingNote};
 use super::once::{KeptAnswer, Once, Seen};
 use super::quarantine::{MAX_CRASHES, Suspects};
 use super::{CallKey, Fingerprint, Load, MAX_CLOCK_SKEW, Members, Outcome, RequestKey};
 use crate::config::{Class, ServiceKey, ServiceLimits, Snapshot};
 use crate::event::EventKind;
-use crate::hash::{Hash, score};
+use crate::hash::score;
 use crate::{Code, Name, Time};
 use indexmap::IndexMap;
 use rand::RngExt;
@@ -29,115 +34,13 @@
 const COME_BACK_LATER: Duration = Duration::from_secs(1);
 const COME_BACK_QUARANTINED: Duration = Duration::from_secs(10);
 
-data! {
-    /// A request as the adapter has read it.
-    pub struct Arrival<'a> {
-        /// The call.
-        pub call: CallKey,
-        /// Path without query.
-        pub path: &'a str,
-        /// The `Idempotency-Key`.
-        pub key: Option<RequestKey>,
-        /// Digest over method, path and body: equal for the same request. Absent if the body is
-        /// too large to be held.
-        pub digest: Option<Hash>,
-        /// The same for the quarantine.
-        pub fingerprint: Fingerprint,
-        /// Crashes that the entry node knows of.
-        pub crashes: u32,
-        /// When its caller stops waiting.
-        pub deadline: Time,
-    }
-
-    /// What comes in.
-    pub enum Input<'a> {
-        /// A version came into force.
-        Configure(Arc<Snapshot>),
-        /// The states of VMs changed.
-        View(Arc<Members>),
-        /// Peers or the platform confirmed that the version in force is the newest.
-        Confirm,
-        /// The planned stop starts.
-        Drain,
-        /// A request came.
-        Arrive(Arrival<'a>),
-        /// A waiting request's time is up.
-        Expire(CallKey),
-        /// The caller of a waiting request went away. It was not forwarded, even if a slot was
-        /// given to it meanwhile.
-        Withdraw(CallKey),
-        /// A running request ended.
-        End {
-            /// The call.
-            call: CallKey,
-            /// How.
-            end: End,
-        },
-        /// Another gatekeeper says something.
-        Note {
-            /// VM of the sender.
-            from: &'a Name,
-            /// What it says.
-            note: &'a Note,
-        },
-        /// Time passes.
-        Tick,
-    }
-
-    /// How a running request ended.
-    pub enum End {
-        /// The whole answer came; `kept` if it may be asked for again.
-        Answered {
-            /// The answer, of a request with a key.
-            kept: Option<Arc<KeptAnswer>>,
-        },
-        /// No byte of it left for the target.
-        NotSent,
-        /// The connection to the target broke after a byte may have left.
-        Broken {
-            /// Whether the target takes no more connections.
-            target_gone: bool,
-        },
-        /// It was cancelled, at its deadline or because the caller went away.
-        Cancelled,
-    }
-
-    /// What is to be done.
-    pub enum Output {
-        /// Forward the request to the target now.
-        Run {
-            /// The call.
-            call: CallKey,
-            /// Whether it runs only once: its answer is kept, and it isn't cancelled when its
-            /// caller goes away.
-            once: bool,
-        },
-        /// Let the request wait, at most until this time.
-        Queue(CallKey, Time),
-        /// Give the kept answer.
-        Replay(CallKey, Arc<KeptAnswer>),
-        /// Tell the entry node that there is no answer.
-        Refuse {
-            /// The call.
-            call: CallKey,
-            /// What to say.
-            outcome: Outcome,
-            /// Crashes that the request is suspected of.
-            crashes: u32,
-        },
-        /// Send a note.
-        Send(OutgoingNote),
-        /// Record a change of state.
-        Record(EventKind),
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Call {
-    class: Class,
+    offer: Offer,
     key: Option<RequestKey>,
     fingerprint: Fingerprint,
-    deadline: Time,
+    // Crashes that the entry node knows of.
+    crashes: u32,
     running: bool,
 }
 
@@ -195,7 +98,7 @@
             Input::Configure(snapshot) => self.configure(now, snapshot),
             Input::View(members) => self.members = members,
             Input::Confirm => self.confirmed = true,
-            Input::Drain => self.draining = true,
+            Input::Drain => self.drain(out),
             Input::Arrive(arrival) => self.arrive(now, &arrival, out),
             Input::Expire(call) => self.expire(now, call, out),
             Input::Withdraw(call) => self.withdraw(call),
@@ -223,6 +126,13 @@
         }
     }
 
+    fn drain(&mut self, out: &mut Vec<Output>) {
+        self.draining = true;
+        if let Some(homes) = &mut self.homes {
+            out.extend(homes.leave().into_iter().map(Output::Send));
+        }
+    }
+
     fn configure(&mut self, now: Time, snapshot: Arc<Snapshot>) {
         let target = snapshot.target_on(&self.vm);
         self.service = target.map(|target| snapshot.target(target).service);
@@ -233,33 +143,6 @@
         self.snapshot = Some(snapshot);
     }
 
-    /// A gatekeeper that is no longer listed still answers for the keys that it was home of.
-    fn take_up_homes(&mut self, now: Time, snapshot: &Snapshot) {
-        let own = self.service.map(|service| snapshot.service(service).name.clone());
-        let before = self.homes.as_ref().map(|homes| homes.service().clone());
-        let Some(name) = own.or(before) else {
-            return;
-        };
-        let list = home_list(snapshot, &name);
-        if self.homes.as_ref().is_none_or(|homes| *homes.service() != name) {
-            self.homes = Some(self.first_homes(now, &name, &list));
-        }
-        if let Some(homes) = &mut self.homes {
-            homes.take_up(now, list);
-        }
-    }
-
-    /// The homes of a service that this VM is a target of for the first time since its start. If
-    /// an earlier version is known, its targets are the homes to take over from.
-    fn first_homes(&self, now: Time, name: &Name, list: &HomeList) -> Homes {
-        let started = if self.homes.is_none() { self.started } else { now };
-        let vm = self.vm.clone();
-        match &self.snapshot {
-            Some(before) => Homes::joining(started, vm, name.clone(), home_list(before, name)),
-            None => Homes::new(started, vm, name.clone(), list.clone()),
-        }
-    }
-
     fn arrive(&mut self, now: Time, arrival: &Arrival<'_>, out: &mut Vec<Output>) {
         let refuse = match self.check(now, arrival) {
             Checked::Take(class, key) => return self.admit(now, arrival, class, key, out),
@@ -304,6 +187,7 @@
         let right = self.homes.as_ref().map_or(Right::NotHome, |homes| homes.right(key));
         match right {
             Right::Unknown => Some(unknown(Code::KeyOutcomeUnknown)),
+            Right::Left => Some(not_run(Code::Draining, COME_BACK_SOON)),
             Right::NotHome => Some(not_run(Code::NotHome, COME_BACK_SOON)),
             Right::Moving => Some(not_run(Code::HomeMoving, COME_BACK_SOON)),
             Right::Home if !self.confirmed => Some(not_run(Code::ClockGap, COME_BACK_SOON)),
@@ -331,6 +215,10 @@
         arrival.crashes.max(self.suspects.crashes(now, arrival.fingerprint) as u32)
     }
 
+    fn crashes_of(&self, now: Time, call: &Call) -> u32 {
+        call.crashes.max(self.suspects.crashes(now, call.fingerprint) as u32)
+    }
+
     fn admit(
         &mut self,
         now: Time,
@@ -340,15 +228,16 @@
         out: &mut Vec<Output>,
     ) {
         let call = arrival.call;
-        let admission = self.slots.offer(now, call, class, arrival.deadline);
+        let offer = Offer { call, class, depth: arrival.depth, deadline: arrival.deadline };
+        let admission = self.slots.offer(now, offer);
         if let Admission::Refuse(code, wait) = admission {
             let wait = self.spread_out(wait);
             return self.refuse(now, arrival, Outcome::not_run(code, wait), out);
         }
         let running = admission == Admission::Run;
         let fingerprint = arrival.fingerprint;
-        let deadline = arrival.deadline;
-        self.calls.insert(call, Call { class, key, fingerprint, deadline, running });
+        let crashes = arrival.crashes;
+        self.calls.insert(call, Call { offer, key, fingerprint, crashes, running });
         if let (Some(key), Some(digest)) = (key, arrival.digest) {
             self.once.wait(now, key, digest, call);
         }
@@ -396,7 +285,7 @@
             Some(Checked::Refuse(outcome)) => {
                 self.slots.give_back(call);
                 self.forget_waiting(call);
-                let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
+                let crashes = self.crashes_of(now, &known);
                 out.push(Output::Refuse { call, outcome, crashes });
             }
             _ => self.run(call, out),
@@ -413,11 +302,11 @@
         let Some(known) = self.forget_waiting(call) else {
             return;
         };
-        let late = known.deadline <= now;
+        let late = known.offer.deadline <= now;
         let code = if late { Code::DeadlinePassed } else { Code::QueueTimeout };
-        let wait = self.slots.retry_after(now, known.class);
+        let wait = self.slots.retry_after(now, &known.offer);
         let outcome = Outcome::not_run(code, self.spread_out(wait));
-        let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
+        let crashes = self.crashes_of(now, &known);
         out.push(Output::Refuse { call, outcome, crashes });
     }
 
@@ -454,7 +343,7 @@
                 }
                 self.target_lost(out);
                 let outcome = Outcome::not_run(Code::TargetUnreachable, COME_BACK_LATER);
-                let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
+                let crashes = self.crashes_of(now, &known);
                 out.push(Output::Refuse { call, outcome, crashes });
             }
             End::Broken { target_gone } => {
@@ -462,7 +351,8 @@
                 self.finish_key(&known, None);
                 self.suspect(now, &known, target_gone, out);
                 let outcome = Outcome::Unknown { code: Code::TargetFailed };
-                let crashes = self.suspects.crashes(now, known.fingerprint) as u32;
+                // Guards against a third target: the note of the crash before may not be here yet.
+                let crashes = self.crashes_of(now, &known).max(known.crashes.saturating_add(1));
                 out.push(Output::Refuse { call, outcome, crashes });
             }
             End::Cancelled => {
@@ -541,62 +431,6 @@
         }
     }
 
-    fn take_note(&mut self, now: Time, from: &Name, note: &Note, out: &mut Vec<Output>) {
-        match note {
-            Note::AskRelease { id, service, list, since } => {
-                let Some(homes) = &self.homes else {
-                    return;
-                };
-                if !homes.may_release(service, list) {
-                    return;
-                }
-                let keys = self.once.ran(|key| homes.is_home(from, key));
-                let notes = homes.release(from, *id, since.as_ref(), &keys, self.once.forgotten());
-                out.extend(notes.into_iter().map(Output::Send));
-            }
-            Note::Released { id, part, parts, keys, fence, lists, unreleased } => {
-                let answer = Answer {
-                    id: *id,
-                    part: *part,
-                    parts: *parts,
-                    fence: *fence,
-                    lists,
-                    unreleased,
-                };
-                let taken =
-                    self.homes.as_mut().is_some_and(|homes| homes.released(now, from, &answer));
-                if taken {
-                    self.once.import(now, keys);
-                }
-            }
-            Note::Suspect { crash, fingerprints } => {
-                self.take_suspects(now, *crash, fingerprints, out);
-            }
-            Note::Cleared { fingerprint } => {
-                self.suspects.clear(*fingerprint);
-            }
-        }
-    }
-
-    fn keep_homes(&mut self, now: Time, out: &mut Vec<Output>) {
-        let Some(homes) = &mut self.homes else {
-            return;
-        };
-        if !homes.moving() && !self.moving {
-            return;
-        }
-        homes.view(now, &self.members);
-        let mut notes = Vec::new();
-        homes.tick(now, &mut notes);
-        out.extend(notes.into_iter().map(Output::Send));
-        let moving = homes.moving();
-        if moving != self.moving {
-            self.moving = moving;
-            let kind = if moving { EventKind::HomesMoving } else { EventKind::HomesMoved };
-            out.push(Output::Record(kind));
-        }
-    }
-
     /// Up to a quarter longer, so that those who were refused together don't return together.
     fn spread_out(&mut self, wait: Duration) -> Duration {
         wait + wait * self.rng.random_range(0..=25) / 100
@@ -616,10 +450,3 @@
 fn unknown(code: Code) -> Checked {
     Checked::Refuse(Outcome::Unknown { code })
 }
-
-fn home_list(snapshot: &Snapshot, name: &Name) -> HomeList {
-    let service = snapshot.services().iter().find(|service| service.name == *name);
-    let targets = service.map(|service| service.targets.as_slice()).unwrap_or_default();
-    let vms = targets.iter().map(|target| snapshot.target(*target).target.vm.clone()).collect();
-    HomeList { version: snapshot.version(), vms }
-}
