Spread: a node counts its own word, so that no zone is left without readers

Each node believes the others' words, which say live, over the list, but holds no word of its own, so that each leaves the first places to the others: nobody reads the platform, and two nodes are each other's parents. Change: a node takes its own word like any other's before it works out its place.

--- a/core/src/spread.rs
+++ b/core/src/spread.rs
@@ -248,6 +248,10 @@
             return;
         }
         self.topology_at = now + limits::TOPOLOGY;
+        // Guards against a zone without relays and readers: a list that calls its VMs leaving
+        // goes for each of them for less than their own words, and a node that didn't count its
+        // own word would leave the first places to others, who do the same.
+        self.members.take_word(now, &self.word, true);
         let staying = self.word.state == VmState::Live;
         let mut topology = Topology::new(now, &self.cfg, &self.members, staying);
         if self.members.list(&self.cfg.place.zone).is_none() {
@@ -257,7 +261,9 @@
             self.attach.uppers_changed(now);
         }
         self.topology = topology;
-        let not_live = self.members.not_live(now);
+        let mut not_live = self.members.not_live(now);
+        // The call path knows by itself whether its own node is leaving.
+        not_live.shift_remove(&self.cfg.vm);
         if not_live != self.not_live {
             self.not_live = not_live.clone();
             out.push(Output::Members(not_live));
