Restart: a node asks on while a peer names a version that it can't get

Ruled out: taking any version named for a floor, since one faulty peer could keep a node from serving for ever. Change: the limit after a start is put off while a peer names a newer version than can be had, 11 times, a minute by default; a round that ended with nothing is followed by another.

--- a/bench/tests/history_spread.rs
+++ b/bench/tests/history_spread.rs
@@ -50,6 +50,17 @@
     }
 }
 
+#[test]
+fn history_restart_beside_bad_version() {
+    // Story: VMs restart while the platform shows a bad version, or an older state than before,
+    // and the peers that hold the last good one can't send it in time. A node stayed without any
+    // version until the next good one (1062), or went back below the version of its life before
+    // (844, 928).
+    for seed in seeds(&[844, 928, 1062]) {
+        assert_sound(Trial::new(seed));
+    }
+}
+
 #[test]
 fn trial_run_deterministic() {
     let (first, second) = (Trial::new(1).with_calls().run(), Trial::new(1).with_calls().run());
--- a/core/src/spread/join.rs
+++ b/core/src/spread/join.rs
@@ -6,7 +6,7 @@
 //! version heard of can't be had, or nobody can be asked, it waits a bounded time and then serves
 //! the best it has; only the remembered version still holds.
 
-use super::limits::{ANSWER_WAIT, JOIN_PARENTS, JOIN_RANDOM, JOIN_SEEDS};
+use super::limits::{ANSWER_WAIT, JOIN_EXTENSIONS, JOIN_PARENTS, JOIN_RANDOM, JOIN_SEEDS};
 use super::message::{Ask, Pong};
 use super::port::{Output, Peer};
 use super::{Spread, topology};
@@ -28,6 +28,8 @@
     asked_at: Option<Time>,
     /// The highest version that an answer named.
     heard: u64,
+    /// How often the limit has been put off.
+    extended: u32,
 }
 
 impl Join {
@@ -52,6 +54,7 @@
             asked_listed: false,
             asked_at: None,
             heard: 0,
+            extended: 0,
         });
     }
 
@@ -68,6 +71,7 @@
     }
 
     pub(super) fn tick_join(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.extend_join(now);
         let Some(join) = &self.join else { return };
         let idle = join.waiting.is_empty();
         let listed = self.members.list(&self.cfg.place.zone).is_some();
@@ -81,6 +85,21 @@
         }
     }
 
+    /// Guards against going back at a restart: a peer that answers holds a newer version, but
+    /// could not send it in time, and the platform shows an older state. The node may have held
+    /// that version in its life before, so it asks again before it serves less, and its callers
+    /// go elsewhere meanwhile. Bounded, so that a version which nobody can send, or that a faulty
+    /// peer made up, doesn't keep it from serving for ever.
+    fn extend_join(&mut self, now: Time) {
+        let held = self.newest_checked().map_or(0, |held| held.version);
+        let Some(join) = &mut self.join else { return };
+        if now >= join.limit && held < join.heard && join.extended < JOIN_EXTENSIONS {
+            join.extended += 1;
+            join.answered = false;
+            join.limit = now + self.cfg.first_configuration;
+        }
+    }
+
     fn ask_round(&mut self, now: Time, listed: bool, out: &mut Vec<Output>) {
         let mut asked = Vec::new();
         for peer in self.join_peers(now) {
@@ -176,9 +195,14 @@
         if self.is_alone() {
             out.push(Output::Confirmed);
         }
-        let Some(staged) = self.staged.take() else { return };
-        if staged.store.version() >= self.floor.version() {
+        let staged = self.staged.take();
+        if let Some(staged) = staged.filter(|held| held.store.version() >= self.floor.version()) {
             self.put_in_force(now, staged, out);
         }
+        // Guards against a node that is left with nothing: the platform shows a bad version, and
+        // the peers that hold the last good one could not be reached. It asks for another round.
+        if self.in_force.is_none() && !self.is_alone() {
+            self.begin_join(now);
+        }
     }
 }
--- a/core/src/spread/limits.rs
+++ b/core/src/spread/limits.rs
@@ -73,6 +73,10 @@
 /// A wake this late means that the process was not running.
 pub const CLOCK_GAP: Duration = Duration::from_secs(3);
 
+/// How often a starting node puts off its limit while a peer names a version that it can't get:
+/// a minute in all by default.
+pub const JOIN_EXTENSIONS: u32 = 11;
+
 /// Peers asked after a start: seeds, likely parents, others of the zone, others elsewhere.
 pub const JOIN_SEEDS: usize = 4;
 /// Likely parents asked after a start.
