--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -108,7 +108,8 @@
             return Err(Outcome::not_run(Code::Draining, COME_BACK_SOON));
         }
         let Some(snapshot) = &self.snapshot else {
-            return refuse(Code::NotConfigured);
+            // Only this node lacks it, and not for long; another takes the call at once.
+            return Err(Outcome::not_run(Code::NotConfigured, COME_BACK_SOON));
         };
         if arrival.depth >= MAX_DEPTH {
             return refuse(Code::TooDeep);
