--- a/core/tests/call_entry_naive.rs
+++ b/core/tests/call_entry_naive.rs
@@ -1,16 +1,20 @@
 //! The entry node against a naive version of it: random attempts, ends and versions lead to the
 //! same decisions. Which of several fitting targets is taken is left to the balancer.
 
+#[path = "support/snapshot.rs"]
+mod support;
+
 use proptest::prelude::*;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use support::name;
 use sycamore_core::call::entry::{Arrival, AttemptEnd, Entry, Forward, Input, Output};
 use sycamore_core::call::{CallKey, Outcome, RequestKey};
-use sycamore_core::config::{InForce, Preset, Snapshot};
-use sycamore_core::hash::{Hash, score};
+use sycamore_core::config::Snapshot;
+use sycamore_core::hash::score;
 use sycamore_core::place::Place;
-use sycamore_core::{Code, Name, Time};
+use sycamore_core::{Code, Time};
 
 const START: Time = Time(1_000_000_000_000_000);
 const VMS: [&str; 5] = ["a", "b", "c", "d", "e"];
@@ -30,27 +34,11 @@
     (Code::DeadlinePassed, false, false),
 ];
 
-fn name(text: &str) -> Name {
-    Name::new(text.to_owned()).unwrap()
-}
-
 fn snapshot(version: u64, vms: &[&str]) -> Arc<Snapshot> {
-    let target = |vm: &&str| {
-        format!(
-            r#"{{"vm":"{vm}","region":"r","zone":"z","gate":"127.0.0.1:1","peers":"127.0.0.1:9"}}"#
-        )
-    };
-    let targets: Vec<String> = vms.iter().map(target).collect();
-    let text = format!(
-        r#"{{"name":"p","services":{{"s":{{"limits":{{"retry_budget_percent":20}},"targets":[{}]}}}},
-        "routes":{{"once":{{"path_prefix":"/once","service":"s","idempotent":false,
-        "max_attempts":3,"deadline_ms":2000}},"idem":{{"path_prefix":"/idem","service":"s",
-        "idempotent":true,"max_attempts":3,"deadline_ms":2000}}}}}}"#,
-        targets.join(",")
-    );
-    let preset: Preset = serde_json::from_str(&text).unwrap();
-    let in_force = InForce { version, preset: name("p"), digest: Hash::of(b"") };
-    Snapshot::new(in_force, &preset).unwrap()
+    let routes = r#"{"once":{"path_prefix":"/once","service":"s","idempotent":false,
+        "max_attempts":3,"deadline_ms":2000},"idem":{"path_prefix":"/idem","service":"s",
+        "idempotent":true,"max_attempts":3,"deadline_ms":2000}}"#;
+    support::snapshot(version, vms, r#"{"retry_budget_percent":20}"#, routes)
 }
 
 /// What the naive version expects.
--- a/core/tests/call_homes.rs
+++ b/core/tests/call_homes.rs
@@ -1,41 +1,29 @@
 //! Homes of keys: a request that may run only once runs once, whatever versions, restarts and
 //! lost notes do.
 
+#[path = "support/snapshot.rs"]
+mod support;
+
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use support::name;
 use sycamore_core::call::gatekeeper::{Arrival, End, Input, Output};
 use sycamore_core::call::note::OutgoingNote;
 use sycamore_core::call::once::KeptAnswer;
 use sycamore_core::call::{CallKey, Fingerprint, Gatekeeper, Members, Outcome, RequestKey};
-use sycamore_core::config::{InForce, Preset, Snapshot};
+use sycamore_core::config::Snapshot;
 use sycamore_core::hash::Hash;
 use sycamore_core::member::VmState;
-use sycamore_core::{Code, Name, Time};
+use sycamore_core::{Code, Time};
 
 const START: Time = Time(1_700_000_000_000_000);
 const VMS: [&str; 5] = ["a", "b", "c", "d", "e"];
 
-fn name(text: &str) -> Name {
-    Name::new(text.to_owned()).unwrap()
-}
-
 fn snapshot(version: u64, vms: &[&str]) -> Arc<Snapshot> {
-    let target = |vm: &&str| {
-        format!(
-            r#"{{"vm":"{vm}","region":"r","zone":"z","gate":"127.0.0.1:1","peers":"127.0.0.1:9"}}"#
-        )
-    };
-    let targets: Vec<String> = vms.iter().map(target).collect();
-    let text = format!(
-        r#"{{"name":"p","services":{{"s":{{"targets":[{}]}}}},"routes":{{
-        "once":{{"path_prefix":"/once","service":"s","idempotent":false}}}}}}"#,
-        targets.join(",")
-    );
-    let preset: Preset = serde_json::from_str(&text).unwrap();
-    let in_force = InForce { version, preset: name("p"), digest: Hash::of(b"") };
-    Snapshot::new(in_force, &preset).unwrap()
+    let routes = r#"{"once":{"path_prefix":"/once","service":"s","idempotent":false}}"#;
+    support::snapshot(version, vms, "{}", routes)
 }
 
 fn key_at(minted: Time, low: u64) -> RequestKey {
--- a/core/tests/call_quarantine.rs
+++ b/core/tests/call_quarantine.rs
@@ -1,39 +1,26 @@
 //! A request that crashes each target that runs it, and those that ran beside it.
 
+#[path = "support/snapshot.rs"]
+mod support;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
+use support::name;
 use sycamore_core::call::gatekeeper::{Arrival, End, Input, Output};
 use sycamore_core::call::quarantine::{MAX_SUSPECTS, SUSPICION_LIFE, Suspects};
 use sycamore_core::call::{CallKey, Fingerprint, Gatekeeper, Outcome};
-use sycamore_core::config::{InForce, Preset, Snapshot};
+use sycamore_core::config::Snapshot;
 use sycamore_core::event::EventKind;
-use sycamore_core::hash::Hash;
-use sycamore_core::{Code, Name, Time};
+use sycamore_core::{Code, Time};
 
 const START: Time = Time(1_700_000_000_000_000);
 const VMS: [&str; 4] = ["a", "b", "c", "d"];
 const DEADLY: Fingerprint = Fingerprint(666);
 
-fn name(text: &str) -> Name {
-    Name::new(text.to_owned()).unwrap()
-}
-
 fn snapshot() -> Arc<Snapshot> {
-    let target = |vm: &&str| {
-        format!(
-            r#"{{"vm":"{vm}","region":"r","zone":"z","gate":"127.0.0.1:1","peers":"127.0.0.1:9"}}"#
-        )
-    };
-    let targets: Vec<String> = VMS.iter().map(target).collect();
-    let text = format!(
-        r#"{{"name":"p","services":{{"s":{{"targets":[{}]}}}},"routes":{{
-        "idem":{{"path_prefix":"/idem","service":"s","idempotent":true}}}}}}"#,
-        targets.join(",")
-    );
-    let preset: Preset = serde_json::from_str(&text).unwrap();
-    let in_force = InForce { version: 1, preset: name("p"), digest: Hash::of(b"") };
-    Snapshot::new(in_force, &preset).unwrap()
+    let routes = r#"{"idem":{"path_prefix":"/idem","service":"s","idempotent":true}}"#;
+    support::snapshot(1, &VMS, "{}", routes)
 }
 
 struct Fleet {
