Restart: a pause before another round of questions

Since a node whose round ended with nothing began the next at once, and peers that hold nothing either answer at once: a fleet that starts before its first version asked itself at the speed of its links. Ruled out: notes between homes (the burst ends with the first version, when they begin).

--- a/core/src/spread/join.rs
+++ b/core/src/spread/join.rs
@@ -6,7 +6,9 @@
 //! version heard of can't be had, or nobody can be asked, it waits a bounded time and then serves
 //! the best it has; only the remembered version still holds.
 
-use super::limits::{ANSWER_WAIT, JOIN_EXTENSIONS, JOIN_PARENTS, JOIN_RANDOM, JOIN_SEEDS};
+use super::limits::{
+    ANSWER_WAIT, HEARTBEAT, JOIN_EXTENSIONS, JOIN_PARENTS, JOIN_RANDOM, JOIN_SEEDS,
+};
 use super::message::{Ask, Pong};
 use super::port::{Output, Peer};
 use super::{Spread, topology};
@@ -58,6 +60,17 @@
         });
     }
 
+    /// Another round after one that ended with nothing, with a pause before it: peers that hold
+    /// nothing either answer at once, and the rounds would follow on each other as fast.
+    fn join_again(&mut self, now: Time) {
+        self.begin_join(now);
+        let listed = self.members.list(&self.cfg.place.zone).is_some();
+        if let Some(join) = &mut self.join {
+            join.at = now + HEARTBEAT;
+            join.asked_listed = listed;
+        }
+    }
+
     /// Whether the node has a version in force but must ask again before it acts as a relay.
     pub(super) fn rejoins(&self) -> bool {
         self.join.is_some() && self.in_force.is_some()
@@ -202,7 +215,7 @@
         // Guards against a node that is left with nothing: the platform shows a bad version, and
         // the peers that hold the last good one could not be reached. It asks for another round.
         if self.in_force.is_none() && !self.is_alone() {
-            self.begin_join(now);
+            self.join_again(now);
         }
     }
 }
--- a/core/tests/spread_budget.rs
+++ b/core/tests/spread_budget.rs
@@ -123,3 +123,21 @@
     let per_node_and_second = sent.get() / (18 * 5);
     assert!(per_node_and_second <= 40, "{per_node_and_second} messages a node and second");
 }
+
+#[test]
+fn start_without_version_is_quiet() {
+    // Story: a fleet starts before its first version is published. A node that ended its round of
+    // questions with nothing began the next one at once, and the fleet asked itself at the speed
+    // of its links until a version came.
+    let mut fleet = Fleet::new(6, 3);
+    let sent = Rc::new(Cell::new(0));
+    let counter = sent.clone();
+    fleet.filter = Box::new(move |_, _, msg| {
+        counter.set(counter.get() + 1);
+        Some(msg.clone())
+    });
+    fleet.start_all();
+    fleet.run(Duration::from_secs(5));
+    let per_node_and_second = sent.get() / (18 * 5);
+    assert!(per_node_and_second <= 40, "{per_node_and_second} messages a node and second");
+}
