--- /dev/null
+++ b/core/tests/call_budget.rs
@@ -0,0 +1,82 @@
+//! The retry budget that holds over the whole fleet.
+
+use proptest::prelude::*;
+use std::time::Duration;
+use sycamore_core::Time;
+use sycamore_core::call::budget::{Allowance, Budget};
+
+const START: Time = Time(1_700_000_000_000_000);
+const RESERVE: u32 = 56;
+const NODES: u32 = 18;
+const ALLOWANCE: Allowance = Allowance { percent: 20, reserve: Some(RESERVE), nodes: NODES };
+
+fn at(ms: u64) -> Time {
+    START + Duration::from_millis(ms)
+}
+
+#[test]
+fn window_bounds_the_sum_over_all_nodes() {
+    // Story: a service fails after a calm hour. Each of 18 nodes has saved up ten retries, and
+    // the service is hit by 180 at once, although 103 are allowed.
+    let mut budgets = [Budget::new(); NODES as usize];
+    let mut first = 0;
+    for ms in (0..60_000).step_by(100) {
+        for budget in &mut budgets {
+            budget.count_first(at(ms), ALLOWANCE);
+            first += u32::from(ms >= 50_000);
+        }
+    }
+    let mut retries = 0;
+    for budget in &mut budgets {
+        while budget.take(at(60_000)) {
+            retries += 1;
+        }
+    }
+    assert!(retries <= first * 20 / 100 + RESERVE, "{retries} retries");
+    assert!(retries >= first * 10 / 100, "{retries} retries");
+}
+
+#[test]
+fn window_gives_back_after_its_end() {
+    let mut budget = Budget::new();
+    budget.count_first(START, Allowance { nodes: 1, ..ALLOWANCE });
+    let mut used = 0;
+    while budget.take(START) {
+        used += 1;
+    }
+    assert_eq!(used, RESERVE);
+    assert!(!budget.take(at(9_000)));
+    assert!(budget.take(at(13_000)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// In no span of ten seconds, wherever it starts, a node makes more retries than its share of
+    /// the first attempts of that span or the one before, and its part of the reserve.
+    #[test]
+    fn window_holds_wherever_it_starts(steps in prop::collection::vec((0u64..900, 0u32..3), 1..200)) {
+        let mut budget = Budget::new();
+        // Every retry follows some first attempt.
+        budget.count_first(START, ALLOWANCE);
+        let (mut now, mut first, mut retries) = (0, vec![0], Vec::new());
+        for (pause, kind) in steps {
+            now += pause;
+            match kind {
+                0 => {
+                    budget.count_first(at(now), ALLOWANCE);
+                    first.push(now);
+                }
+                _ if budget.take(at(now)) => retries.push(now),
+                _ => {}
+            }
+        }
+        for start in &retries {
+            let used = retries.iter().filter(|at| (*start..start + 10_000).contains(at)).count();
+            let from = start.saturating_sub(10_000);
+            let counted = first.iter().filter(|at| (from..start + 10_000).contains(at)).count();
+            let allowed = counted as u32 * 20 + RESERVE * 100 / NODES;
+            prop_assert!(used as u32 * 100 <= allowed, "{used} retries after {counted}");
+        }
+    }
+}
--- /dev/null
+++ b/core/tests/call_waiting.rs
@@ -0,0 +1,147 @@
+//! Who waits at a target, and for how long, when it is offered more than it can run.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+use sycamore_core::Time;
+use sycamore_core::call::CallKey;
+use sycamore_core::call::admit::{Admission, Objective, Offer, Popped, Slots};
+use sycamore_core::config::{Class, ServiceLimits};
+
+const START: Time = Time(1_700_000_000_000_000);
+const RUN: u64 = 160;
+const OBJECTIVE: u64 = 600;
+const DEADLINE: u64 = 4_000;
+
+fn at(ms: u64) -> Time {
+    START + Duration::from_millis(ms)
+}
+
+fn limits() -> ServiceLimits {
+    ServiceLimits { slots: 12, queue: 64, queue_wait_ms: 3_000, ..ServiceLimits::default() }
+}
+
+fn offer(call: u64, now: u64, rank: u8, objective: Option<u64>, patient: bool) -> Offer {
+    Offer {
+        call: CallKey(call),
+        class: Class::Interactive,
+        rank,
+        depth: 0,
+        deadline: at(now + DEADLINE),
+        objective: objective.map(|ms| Objective { by: at(now + ms), patient }),
+    }
+}
+
+/// What callers saw of one replay.
+#[derive(Debug, Default)]
+struct Seen {
+    offered: u32,
+    in_time: u32,
+    late: u32,
+    refused: u32,
+    longest_wait_of_refused: u64,
+}
+
+/// Offers one request every `gap` ms for ten seconds to a target that runs twelve at once.
+fn replay(gap: u64, objective: Option<u64>) -> Seen {
+    let mut slots = Slots::new(limits());
+    let mut running: VecDeque<(u64, u64)> = VecDeque::new();
+    let mut waiting: BTreeMap<u64, Time> = BTreeMap::new();
+    let mut came: Vec<u64> = Vec::new();
+    let mut seen = Seen::default();
+    for now in 0..14_000 {
+        while running.front().is_some_and(|(_, end)| *end <= now) {
+            let (call, _) = running.pop_front().unwrap();
+            slots.end(at(now), CallKey(call));
+            let took = now - came[call as usize];
+            seen.in_time += u32::from(took <= OBJECTIVE);
+            seen.late += u32::from(took > OBJECTIVE && took <= DEADLINE);
+        }
+        if now < 10_000 && now % gap == 0 {
+            let call = came.len() as u64;
+            came.push(now);
+            seen.offered += 1;
+            match slots.offer(at(now), offer(call, now, 0, objective, true)) {
+                Admission::Run => running.push_back((call, now + RUN)),
+                Admission::Queue(until) => {
+                    waiting.insert(call, until);
+                }
+                Admission::Refuse(..) => seen.refused += 1,
+            }
+        }
+        let expired: Vec<u64> =
+            waiting.iter().filter(|(_, until)| **until <= at(now)).map(|(call, _)| *call).collect();
+        let mut refused = Vec::new();
+        for call in expired {
+            slots.withdraw(CallKey(call));
+            refused.push(call);
+        }
+        while let Some(popped) = slots.pop(at(now)) {
+            match popped {
+                Popped::Run(CallKey(call)) => {
+                    waiting.remove(&call);
+                    running.push_back((call, now + RUN));
+                }
+                Popped::Expired(CallKey(call)) => refused.push(call),
+            }
+        }
+        for call in refused {
+            waiting.remove(&call);
+            seen.refused += 1;
+            let waited = now - came[call as usize];
+            seen.longest_wait_of_refused = seen.longest_wait_of_refused.max(waited);
+        }
+    }
+    seen
+}
+
+#[test]
+fn overload_in_time_first() {
+    // Story: a service loses a third of its targets before a meeting and is offered a third more
+    // than the rest can run. First come, first served answers everybody after 800 ms, and nobody
+    // within the 600 ms that callers count on. Run 10 ms apart, 12 slots finish 75 a second.
+    let without = replay(10, None);
+    let with = replay(10, Some(OBJECTIVE));
+    assert!(without.in_time < 150, "{without:?}");
+    assert!(with.in_time > 650, "{with:?}");
+    // No run is lost for it: as many are answered in all.
+    let answered = |seen: &Seen| seen.in_time + seen.late;
+    assert!(answered(&with) * 100 >= answered(&without) * 97, "{with:?} {without:?}");
+    assert!(with.longest_wait_of_refused <= OBJECTIVE + 700, "{with:?}");
+}
+
+#[test]
+fn room_enough_nobody_refused() {
+    let seen = replay(15, Some(OBJECTIVE));
+    assert_eq!((seen.refused, seen.late), (0, 0), "{seen:?}");
+}
+
+#[test]
+fn impatient_refused_at_once() {
+    // A request that can't be in time here is refused at once, so that its entry node may ask
+    // another target.
+    let mut slots = Slots::new(limits());
+    for call in 0..200 {
+        slots.offer(at(0), offer(call, 0, 0, None, false));
+        slots.end(at(RUN * 4), CallKey(call));
+    }
+    let mut last = None;
+    for call in 200..300 {
+        last = Some(slots.offer(at(0), offer(call, 0, 0, Some(OBJECTIVE), false)));
+    }
+    assert!(matches!(last, Some(Admission::Refuse(..))), "{last:?}");
+}
+
+#[test]
+fn urgent_before_others_of_its_class() {
+    let mut slots = Slots::new(ServiceLimits { slots: 1, ..limits() });
+    slots.offer(at(0), offer(0, 0, 2, None, true));
+    for (call, rank) in [(1, 2), (2, 1), (3, 2), (4, 1)] {
+        slots.offer(at(0), offer(call, 0, rank, None, true));
+    }
+    let mut order = Vec::new();
+    for running in [0, 2, 4, 1] {
+        slots.end(at(1), CallKey(running));
+        order.push(slots.pop(at(1)));
+    }
+    assert_eq!(order, [2, 4, 1, 3].map(|call| Some(Popped::Run(CallKey(call)))));
+}
--- /dev/null
+++ b/core/tests/discovery.rs
@@ -0,0 +1,385 @@
+//! Following a store in which targets register themselves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use sycamore_core::config::{Preset, Snapshot};
+use sycamore_core::discovery::{
+    Call, Change, Collection, Config, Discovery, Input, Output, Publication, ReadError, Reply,
+    Request, TargetEntry, TargetState,
+};
+use sycamore_core::place::Place;
+use sycamore_core::spread::{Peer, PeerMsg};
+use sycamore_core::{Code, Name, Time};
+
+const START: Time = Time(1_700_000_000_000_000);
+
+fn name(text: &str) -> Name {
+    Name::new(text.to_owned()).unwrap()
+}
+
+fn place() -> Place {
+    Place { region: name("r"), zone: name("z") }
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn publication(version: u64) -> Change {
+    let text = r#"{"name":"p","services":{"s":{"targets":[]}},
+        "routes":{"a":{"path_prefix":"/a/","service":"s","idempotent":true}}}"#;
+    let preset: Preset = serde_json::from_str(text).unwrap();
+    Change::Published(Ok(Arc::new(Publication { version, preset })))
+}
+
+fn entry(address: &str, state: TargetState, started_ms: u64, sequence: u64) -> TargetEntry {
+    let address = address.parse().unwrap();
+    let service = name("s");
+    TargetEntry { service, address, place: place(), slots: 12, state, started_ms, sequence }
+}
+
+fn target(id: &str, entry: TargetEntry) -> Change {
+    Change::Target { id: name(id), entry: Some(entry) }
+}
+
+fn ready(id: &str, ip: u8) -> Change {
+    target(id, entry(&format!("10.0.0.{ip}:80"), TargetState::Ready, 1_000, 1))
+}
+
+/// A node whose store is this test.
+struct Node {
+    discovery: Discovery,
+    now: Time,
+    calls: Vec<Call>,
+    sent: Vec<(SocketAddr, PeerMsg)>,
+    snapshot: Option<Arc<Snapshot>>,
+    wake: Option<Time>,
+}
+
+impl Node {
+    fn new() -> Node {
+        let seeds = vec!["10.0.0.9:7".parse().unwrap()];
+        let cfg = Config { place: place(), seeds, gate_port: 5, peers_port: 7 };
+        let mut node = Node {
+            discovery: Discovery::new(cfg, 1),
+            now: START,
+            calls: Vec::new(),
+            sent: Vec::new(),
+            snapshot: None,
+            wake: None,
+        };
+        node.input(Input::Start);
+        node
+    }
+
+    /// A node that has read a version and these targets.
+    fn with_targets(targets: Vec<Change>) -> Node {
+        let mut node = Node::new();
+        node.reply(Collection::Publication, 10, vec![publication(1)]);
+        node.reply(Collection::Targets, 10, targets);
+        node
+    }
+
+    fn input(&mut self, input: Input) {
+        let mut out = Vec::new();
+        self.wake = None;
+        self.discovery.handle(self.now, input, &mut out);
+        for output in out {
+            match output {
+                Output::Read(call) => self.calls.push(call),
+                Output::InForce(snapshot) => self.snapshot = Some(snapshot),
+                Output::Send { to, msg, .. } => self.sent.push((to, msg)),
+                Output::WakeAt(at) => self.wake = Some(at),
+                _ => {}
+            }
+        }
+    }
+
+    /// Lets time pass, with every wake on the way.
+    fn pass(&mut self, span: Duration) {
+        let until = self.now + span;
+        while let Some(wake) = self.wake.filter(|wake| *wake <= until) {
+            self.now = self.now.max(wake);
+            self.input(Input::Wake);
+        }
+        self.now = until;
+    }
+
+    /// The call under way to a collection.
+    fn call(&mut self, collection: Collection) -> Call {
+        let at = self.calls.iter().position(|call| call.collection == collection);
+        self.calls.remove(at.expect("no call is under way"))
+    }
+
+    fn end(&mut self, collection: Collection, result: Result<Reply, ReadError>) {
+        let call = self.call(collection);
+        self.input(Input::Reply { id: call.id, result });
+    }
+
+    fn reply(&mut self, collection: Collection, revision: u64, changes: Vec<Change>) {
+        self.end(collection, Ok(Reply { revision, changes, next: None }));
+    }
+
+    fn fail(&mut self, collection: Collection) {
+        self.end(collection, Err(ReadError::Failed(Code::SourceUnreachable)));
+    }
+
+    /// The targets in force that take work.
+    fn targets(&self) -> Vec<String> {
+        let Some(snapshot) = &self.snapshot else { return Vec::new() };
+        let staying = snapshot.targets().iter().filter(|entry| !entry.target.leaving);
+        staying.map(|entry| entry.target.vm.to_string()).collect()
+    }
+
+    fn version(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.version())
+    }
+
+    /// Makes the store fail until `span` has passed.
+    fn outage(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            while !self.calls.is_empty() {
+                let collection = self.calls[0].collection;
+                self.fail(collection);
+            }
+            self.pass(ms(100));
+        }
+    }
+}
+
+#[test]
+fn follow_merges_version_and_targets() {
+    let mut node = Node::with_targets(vec![ready("a", 1), ready("b", 2)]);
+    assert_eq!((node.version(), node.targets()), (1, vec!["a".into(), "b".into()]));
+    let snapshot = node.snapshot.clone().unwrap();
+    let target = &snapshot.targets()[0].target;
+    assert_eq!(target.gate, "10.0.0.1:5".parse().unwrap());
+    assert_eq!(target.peers, "10.0.0.1:7".parse().unwrap());
+    node.reply(Collection::Publication, 11, vec![publication(4)]);
+    assert_eq!((node.version(), node.targets().len()), (4, 2));
+}
+
+#[test]
+fn follow_reads_every_page() {
+    let mut node = Node::new();
+    node.reply(Collection::Publication, 10, vec![publication(1)]);
+    let next = Some("servers/a".to_owned());
+    let page = Reply { revision: 10, changes: vec![ready("a", 1)], next };
+    node.end(Collection::Targets, Ok(page));
+    assert_eq!(node.targets().len(), 0, "half a list is none");
+    let call = node.call(Collection::Targets);
+    assert!(matches!(&call.request, Request::List { after: Some(after) } if after == "servers/a"));
+    let changes = vec![ready("b", 2)];
+    let last = Reply { revision: 14, changes, next: None };
+    node.input(Input::Reply { id: call.id, result: Ok(last) });
+    assert_eq!(node.targets().len(), 2);
+    // What changed while the pages were read is watched from the first page's revision on.
+    let watch = node.call(Collection::Targets).request;
+    assert!(matches!(watch, Request::Watch { revision: 10, .. }), "{watch:?}");
+}
+
+#[test]
+fn follow_version_never_falls() {
+    let mut node = Node::with_targets(vec![ready("a", 1)]);
+    node.reply(Collection::Publication, 11, vec![publication(9)]);
+    node.pass(ms(2_000));
+    node.reply(Collection::Publication, 12, vec![publication(3)]);
+    assert_eq!(node.version(), 9);
+}
+
+#[test]
+fn follow_unreadable_version_changes_nothing() {
+    let mut node = Node::with_targets(vec![ready("a", 1)]);
+    let fault = sycamore_core::Fault::new(Code::DocumentInvalid);
+    node.reply(Collection::Publication, 11, vec![Change::Published(Err(fault))]);
+    assert_eq!((node.version(), node.targets().len()), (1, 1));
+    node.pass(ms(2_000));
+    node.reply(Collection::Publication, 12, vec![publication(2)]);
+    assert_eq!(node.version(), 2);
+}
+
+#[test]
+fn follow_history_gone_lists_again() {
+    let mut node = Node::with_targets(vec![ready("a", 1), ready("b", 2)]);
+    node.end(Collection::Targets, Err(ReadError::HistoryGone));
+    node.reply(Collection::Targets, 40, vec![ready("b", 2)]);
+    assert_eq!(node.targets(), ["b"]);
+}
+
+#[test]
+fn follow_short_watch_after_failure() {
+    // Story: an added route is answered 404 for seconds after the operators were told that it
+    // holds. The store cut the watches, took new ones, and dropped its history only then; it says
+    // so when the wait of such a watch is over, and nothing that changed meanwhile is heard.
+    let mut node = Node::with_targets(vec![]);
+    node.fail(Collection::Publication);
+    node.pass(ms(1_000));
+    match node.call(Collection::Publication).request {
+        Request::Watch { wait, .. } => assert!(wait <= ms(1_000), "{wait:?}"),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn follow_storm_is_read_in_few_calls() {
+    // Story: versions come every 60 ms for five seconds. A node that reads each one whole fills
+    // the links between regions.
+    let mut node = Node::with_targets(vec![ready("a", 1)]);
+    let mut read = 0;
+    for step in 0..84 {
+        if node.calls.iter().any(|call| call.collection == Collection::Publication) {
+            node.reply(Collection::Publication, 100 + step, vec![publication(10 + step)]);
+            read += 1;
+        }
+        node.pass(ms(60));
+    }
+    assert!((4..=7).contains(&read), "{read} reads");
+    node.pass(ms(1_100));
+    node.reply(Collection::Publication, 900, vec![publication(900)]);
+    assert_eq!(node.version(), 900);
+}
+
+#[test]
+fn follow_store_down_backs_off() {
+    let mut node = Node::with_targets(vec![]);
+    let mut calls = 0;
+    for _ in 0..100 {
+        while !node.calls.is_empty() {
+            let collection = node.calls[0].collection;
+            calls += 1;
+            node.fail(collection);
+        }
+        node.pass(ms(100));
+    }
+    // Ten seconds, two collections, about 0.75 s between calls to each.
+    assert!((15..=45).contains(&calls), "{calls} calls");
+}
+
+#[test]
+fn registry_malformed_entry_harms_no_other() {
+    let rubbish = Change::Target { id: name("x"), entry: None };
+    let node = Node::with_targets(vec![ready("a", 1), rubbish, ready("b", 2)]);
+    assert_eq!(node.targets(), ["a", "b"]);
+}
+
+#[test]
+fn registry_unknown_service_is_no_target() {
+    let mut other = entry("10.0.0.3:80", TargetState::Ready, 1, 1);
+    other.service = name("nobody");
+    let node = Node::with_targets(vec![ready("a", 1), target("x", other)]);
+    assert_eq!(node.targets(), ["a"]);
+}
+
+#[test]
+fn registry_draining_takes_no_work() {
+    let mut node = Node::with_targets(vec![ready("a", 1), ready("b", 2)]);
+    let draining = entry("10.0.0.1:80", TargetState::Draining, 1_000, 5);
+    node.reply(Collection::Targets, 11, vec![target("a", draining)]);
+    assert_eq!(node.targets(), ["b"]);
+}
+
+#[test]
+fn registry_late_entry_changes_nothing() {
+    // Story: a target has said that it is leaving. An entry that it wrote before arrives after it,
+    // and callers are sent to a target that is about to end.
+    let mut node = Node::with_targets(vec![ready("a", 1), ready("b", 2)]);
+    let draining = entry("10.0.0.1:80", TargetState::Draining, 1_000, 5);
+    let older = entry("10.0.0.1:80", TargetState::Ready, 1_000, 4);
+    node.reply(Collection::Targets, 11, vec![target("a", draining), target("a", older)]);
+    assert_eq!(node.targets(), ["b"]);
+    // A new run under the same id counts anew.
+    node.pass(ms(1_000));
+    let again = entry("10.0.0.1:80", TargetState::Ready, 2_000, 1);
+    node.reply(Collection::Targets, 12, vec![target("a", again)]);
+    assert_eq!(node.targets().len(), 2);
+}
+
+#[test]
+fn registry_address_used_again() {
+    // Story: a target ends, and another one gets its address before the first one's entry lapses.
+    let mut node = Node::with_targets(vec![ready("a", 1)]);
+    let next = entry("10.0.0.1:80", TargetState::Ready, 9_000, 1);
+    node.reply(Collection::Targets, 11, vec![target("b", next)]);
+    assert_eq!(node.targets(), ["b"]);
+}
+
+#[test]
+fn registry_removed_at_once_in_calm() {
+    let mut node = Node::with_targets(vec![ready("a", 1), ready("b", 2)]);
+    node.reply(Collection::Targets, 11, vec![Change::Removed { id: name("a") }]);
+    assert_eq!(node.targets(), ["b"]);
+}
+
+#[test]
+fn registry_outage_keeps_targets() {
+    // Story: the store is away for eight seconds. Every entry lapses, since nobody can renew it;
+    // a node that believes this has no target left, although all of them live.
+    let mut node = Node::with_targets(vec![ready("a", 1), ready("b", 2)]);
+    node.outage(ms(8_000));
+    assert_eq!(node.targets().len(), 2);
+    let removed = |id| Change::Removed { id: name(id) };
+    node.reply(Collection::Targets, 30, vec![removed("a"), removed("b")]);
+    assert_eq!(node.targets().len(), 2, "they may come back");
+    node.pass(ms(1_000));
+    node.reply(Collection::Targets, 31, vec![ready("a", 1)]);
+    // One is back; the other is taken as gone two seconds after the store's return.
+    node.pass(ms(1_500));
+    assert_eq!(node.targets(), ["a"]);
+}
+
+#[test]
+fn registry_one_cut_watch_is_no_outage() {
+    let mut node = Node::with_targets(vec![ready("a", 1), ready("b", 2)]);
+    node.fail(Collection::Targets);
+    node.pass(ms(400));
+    node.reply(Collection::Targets, 12, vec![Change::Removed { id: name("a") }]);
+    assert_eq!(node.targets(), ["b"]);
+}
+
+#[test]
+fn rejoin_store_away() {
+    // Story: every process of a zone is killed while the store is away. A node keeps nothing over
+    // its end, and refuses every call until the store is back, though peers know everything.
+    let peer_node = Node::with_targets(vec![ready("a", 1), ready("b", 2)]);
+    let mut node = Node::new();
+    node.outage(ms(500));
+    let (to, question) = node.sent.first().cloned().expect("a peer is asked");
+    assert_eq!(to, "10.0.0.9:7".parse().unwrap());
+    let mut peer_node = peer_node;
+    let from = Peer { vm: name("n"), place: place(), address: "10.0.0.8:7".parse().unwrap() };
+    peer_node.input(Input::Peer { from: from.clone(), msg: question });
+    let (_, answer) = peer_node.sent.pop().expect("the peer answers");
+    node.input(Input::Peer { from, msg: answer });
+    assert_eq!((node.version(), node.targets().len()), (1, 2));
+    // The store returns with other targets; what it says goes before the peer's word.
+    node.outage(ms(1_000));
+    node.pass(ms(1_000));
+    node.reply(Collection::Publication, 50, vec![publication(2)]);
+    node.reply(Collection::Targets, 50, vec![ready("c", 3)]);
+    node.pass(ms(2_500));
+    assert_eq!((node.version(), node.targets()), (2, vec!["c".into()]));
+}
+
+#[test]
+fn rejoin_changed_bytes_refused() {
+    let mut peer_node = Node::with_targets(vec![ready("a", 1)]);
+    let mut node = Node::new();
+    node.outage(ms(500));
+    let (_, question) = node.sent.remove(0);
+    let from = Peer { vm: name("n"), place: place(), address: "10.0.0.8:7".parse().unwrap() };
+    peer_node.input(Input::Peer { from: from.clone(), msg: question });
+    let Some((_, PeerMsg::Delta(delta))) = peer_node.sent.pop() else { panic!("no answer") };
+    let mut changed = (*delta).clone();
+    changed.changed[0].1 = b"{}".as_slice().into();
+    node.input(Input::Peer { from, msg: PeerMsg::Delta(Arc::new(changed)) });
+    assert_eq!(node.version(), 0);
+}
+
+#[test]
+fn rejoin_not_asked_while_the_store_answers() {
+    let mut node = Node::with_targets(vec![ready("a", 1)]);
+    node.pass(ms(5_000));
+    assert!(node.sent.is_empty());
+}
