Log lines for each decision about a request, on standard output; histograms of times

Cause: an engineer with a request's id could not tell which target it was sent to, why, and what it came to: lines stood for changes of state alone, on standard error, and a full pipe held calls up. Histograms of the time of calls, waits and runs.

--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -1,5 +1,6 @@
 //! Which target a request goes to: the cheaper of two drawn at random, near ones first.
 
+use super::entry::Reason;
 use super::{Load, Members};
 use crate::config::{Class, ServiceKey, Snapshot};
 use crate::member::VmState;
@@ -206,6 +207,16 @@
         self.peers.get(vm).map(|peer| (peer.gate, peer.incarnation.clone()))
     }
 
+    /// What is known of a target, for the log.
+    pub fn reason(&self, now: Time, vm: &Name, class: Class) -> Reason {
+        let Some(peer) = self.peers.get(vm) else {
+            return Reason::default();
+        };
+        let times = self.typical.get_index(peer.service);
+        let typical = times.map_or(Duration::ZERO, |(_, times)| times[class as usize]);
+        Reason { expected: peer.cost(now, class, typical), load: peer.load }
+    }
+
     /// A request goes to this target.
     pub fn begin(&mut self, vm: &Name) {
         if let Some(peer) = self.peers.get_mut(vm) {
--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -3,7 +3,7 @@
 
 mod port;
 
-pub use port::{Arrival, AttemptEnd, Forward, Input, Output};
+pub use port::{Arrival, AttemptEnd, Forward, Input, Output, Reason};
 
 use super::balance::Balancer;
 use super::budget::{Allowance, Budget};
@@ -224,6 +224,7 @@
             return;
         };
         let route = &call.snapshot.route(call.route).route;
+        let reason = self.balancer.reason(now, &vm, call.terms.class);
         let Some((gate, incarnation)) = self.balancer.gate(&vm) else {
             // The target left with the version that came into force meanwhile.
             let outcome = call.final_outcome(Code::NoTarget, COME_BACK_SOON);
@@ -242,6 +243,7 @@
             gate,
             incarnation,
             terms: call.terms.clone(),
+            reason,
             deadline: call.deadline,
             crashes: call.crashes,
             max_body_bytes: route.max_body_bytes,
--- a/core/src/call/entry/port.rs
+++ b/core/src/call/entry/port.rs
@@ -106,6 +106,15 @@
         },
     }
 
+    /// What was known of a target when it was chosen.
+    #[derive(Default)]
+    pub struct Reason {
+        /// Time expected to the answer, the load counted in.
+        pub expected: Duration,
+        /// The load that its gatekeeper reported last, and when.
+        pub load: Option<(Load, Time)>,
+    }
+
     /// One attempt.
     pub struct Forward {
         /// The call.
@@ -120,6 +129,8 @@
         pub incarnation: Option<Name>,
         /// What the route says of the request.
         pub terms: Terms,
+        /// Why this target was chosen.
+        pub reason: Reason,
         /// When the caller stops waiting.
         pub deadline: Time,
         /// Crashes that the request is suspected of.
--- a/core/src/config/document.rs
+++ b/core/src/config/document.rs
@@ -178,6 +178,17 @@
     }
 }
 
+impl Class {
+    /// The name of the class in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Class::Gating => "gating",
+            Class::Interactive => "interactive",
+            Class::Bulk => "bulk",
+        }
+    }
+}
+
 choice! {
     /// How a request that runs at most once is told from others.
     #[derive(Default)]
--- a/node/src/calls.rs
+++ b/node/src/calls.rs
@@ -8,6 +8,7 @@
 pub mod pool;
 pub mod serve;
 pub mod socket;
+pub mod trace;
 pub mod watch;
 
 use crate::settings::Listen;
--- a/node/src/calls/entry.rs
+++ b/node/src/calls/entry.rs
@@ -3,7 +3,9 @@
 use super::body::{self, Body, Guard, Lease};
 use super::headers::{self, CallHead, Verdict};
 use super::pool::{Connection, Pool, SendError};
+use super::trace::{self, Fields, Step};
 use super::watch::{Phase, Watch};
+use crate::metrics::Metrics;
 use crate::shared::Shared;
 use async_executor::Executor;
 use futures_lite::future;
@@ -46,6 +48,7 @@
 #[derive(Debug)]
 struct Call {
     open: OpenEntry,
+    began: Time,
     watch: Arc<Watch>,
     method: Method,
     uri: Uri,
@@ -67,6 +70,7 @@
 #[derive(Debug)]
 struct NewCall {
     open: OpenEntry,
+    began: Time,
     watch: Arc<Watch>,
     id: HeaderValue,
     depth: u8,
@@ -157,6 +161,7 @@
         req: Request<Incoming>,
     ) -> Response<Body> {
         watch.begin(self.shared.open_call());
+        let began = self.shared.clock.now();
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
         let read = self.read_head(&watch, &req);
         let id = self.request_id(number, read.as_ref().ok());
@@ -182,7 +187,7 @@
             Some(Output::Forward(forward)) => {
                 watch.set_deadline(forward.deadline);
                 let open = OpenEntry { side: self.clone(), shard, call };
-                let new = NewCall { open, watch, id, depth: head.depth };
+                let new = NewCall { open, began, watch, id, depth: head.depth };
                 self.take(new, req, forward).await
             }
             Some(Output::Finish { outcome, .. }) => self.refuse(&watch, &id, outcome),
@@ -200,7 +205,7 @@
     }
 
     async fn take(&self, new: NewCall, req: Request<Incoming>, forward: Forward) -> Response<Body> {
-        let NewCall { open, watch, id, depth } = new;
+        let NewCall { open, began, watch, id, depth } = new;
         let (head, incoming) = req.into_parts();
         let body = match self.hold(incoming, &forward).await {
             Ok(body) => body,
@@ -211,7 +216,7 @@
         let uri = origin_form(head.uri);
         let depth = depth.saturating_add(1);
         let method = head.method;
-        let call = Call { open, watch, method, uri, headers, id, depth, body };
+        let call = Call { open, began, watch, method, uri, headers, id, depth, body };
         self.forward(call, forward).await
     }
 
@@ -226,13 +231,19 @@
                     let input = Input::Attempt { call: key, end, whole };
                     match self.decide(call.open.shard, input) {
                         Some(Output::Forward(next)) => forward = next,
-                        _ => return self.pass_on(call, response, connection),
+                        _ => {
+                            let took = self.shared.clock.now().since(call.began);
+                            let times = &self.shared.metrics.call_seconds;
+                            Metrics::observe_time(times, forward.terms.class, took);
+                            return self.pass_on(call, response, connection);
+                        }
                     }
                     continue;
                 }
                 Attempt::Ended(end) => Input::Attempt { call: key, end, whole },
                 Attempt::Late { sent } => Input::Expire { call: key, sent },
             };
+            self.trace_failure(&call, &forward, &input);
             match self.decide(call.open.shard, input) {
                 Some(Output::Forward(next)) => forward = next,
                 Some(Output::Finish { outcome, .. }) => {
@@ -246,7 +257,27 @@
         }
     }
 
+    fn trace_failure(&self, call: &Call, forward: &Forward, input: &Input<'_>) {
+        let (code, sent) = match input {
+            Input::Attempt { end: AttemptEnd::Refused { code, .. }, .. } => (*code, false),
+            Input::Attempt { end: AttemptEnd::Failed { code, .. }, .. } => (*code, true),
+            Input::Attempt { end: AttemptEnd::NotSent, .. } => (Code::GatekeeperUnreachable, false),
+            Input::Expire { sent, .. } => (Code::DeadlinePassed, *sent),
+            _ => (Code::AnswerLost, true),
+        };
+        let fields = Fields {
+            attempt: Some(forward.attempt),
+            target: Some(forward.vm.as_str()),
+            code: Some(code.number()),
+            sent: Some(sent),
+            ..Fields::default()
+        };
+        trace::line(&self.shared, &call.id, Step::AttemptFailed, fields);
+    }
+
     async fn attempt(&self, call: &mut Call, forward: &Forward) -> Attempt {
+        let fields = Fields::of_forward(&self.shared, forward);
+        trace::line(&self.shared, &call.id, Step::Forwarded, fields);
         let kind = if forward.attempt > 1 { "retry" } else { "first" };
         self.shared.metrics.attempts.with_label_values(&[kind]).inc();
         let Some(req) = self.request(call, forward) else {
@@ -345,6 +376,8 @@
         if self.shared.draining() {
             head.headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        let fields = Fields { status: Some(head.status.as_u16()), ..Fields::default() };
+        trace::line(&self.shared, &call.id, Step::Answered, fields);
         call.watch.set_phase(Phase::Answer);
         let lease = Lease::new(connection);
         let answer = Answer { open: call.open, lease, watch: call.watch };
@@ -355,6 +388,11 @@
 
     fn refuse(&self, watch: &Arc<Watch>, id: &HeaderValue, outcome: Outcome) -> Response<Body> {
         self.count(outcome);
+        let fields = Fields {
+            version: self.shared.in_force().map(|snapshot| snapshot.version()),
+            ..Fields::of_outcome(outcome)
+        };
+        trace::line(&self.shared, id, Step::Ended, fields);
         let mut head = Response::new(());
         headers::write_outcome(&mut head, outcome);
         let dialect = &self.shared.dialect;
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -10,7 +10,9 @@
 use super::entry::MAX_HELD_BODY_BYTES;
 use super::headers::{self, CallHead};
 use super::pool::Pool;
+use super::trace::{self, Fields, Step};
 use super::watch::{Phase, Watch};
+use crate::metrics::Metrics;
 use crate::shared::Shared;
 use async_channel::{Receiver, Sender};
 use async_executor::Executor;
@@ -31,7 +33,7 @@
 use sycamore_core::call::{
     CallKey, Fingerprint, Gatekeeper, Load, Members, Note, Outcome, RequestKey,
 };
-use sycamore_core::config::Snapshot;
+use sycamore_core::config::{Class, Snapshot};
 use sycamore_core::event::Event;
 use sycamore_core::hash::Hash;
 use sycamore_core::{Code, Name, Time};
@@ -183,6 +185,8 @@
             Err(code) => return self.refuse(&watch, &id, refusal(code), 0),
         };
         let idempotent = terms.as_ref().is_none_or(|terms| terms.idempotent);
+        let class = terms.as_ref().map_or(Class::Interactive, |terms| terms.class);
+        let came = self.shared.clock.now();
         let host = headers::host(&req);
         let (req, held) = match self.hold(req, deadline).await {
             Ok(held) => held,
@@ -206,11 +210,19 @@
             deadline,
         };
         let decision = match self.decide(key, Input::Arrive(arrival)) {
-            Some(Decision::Queue(until, granted)) => self.wait(key, until, granted).await,
+            Some(Decision::Queue(until, granted)) => {
+                self.trace(&id, Step::GateQueued);
+                self.wait(key, until, granted).await
+            }
             Some(decision) => decision,
             None => Decision::Refuse(refusal(Code::NoTarget), 0),
         };
-        let call = Call { key, id, deadline, idempotent, req };
+        if matches!(decision, Decision::Run { .. }) {
+            self.trace(&id, Step::GateRun);
+            let waited = self.shared.clock.now().since(came);
+            Metrics::observe_time(&self.shared.metrics.wait_seconds, class, waited);
+        }
+        let call = Call { key, id, deadline, class, idempotent, req };
         match decision {
             Decision::Run { once: true } => self.run_once(&watch, call).await,
             Decision::Run { once: false } => self.run(&watch, call).await,
@@ -220,6 +232,11 @@
         }
     }
 
+    fn trace(&self, id: &HeaderValue, step: Step) {
+        let load = self.state.lock().gatekeeper.load(self.shared.clock.now());
+        trace::line(&self.shared, id, step, Fields::default().with_load(load));
+    }
+
     /// Waits for a slot.
     async fn wait(
         self: &Arc<GateSide>,
@@ -300,6 +317,9 @@
             let number = code.number().to_string();
             self.shared.metrics.refusals.with_label_values(&[&number]).inc();
         }
+        let load = self.state.lock().gatekeeper.load(self.shared.clock.now());
+        let fields = Fields::of_outcome(outcome).with_load(load);
+        trace::line(&self.shared, id, Step::GateRefused, fields);
         let mut head = Response::new(());
         headers::write_outcome(&mut head, outcome);
         let headers = head.headers_mut();
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -6,6 +6,7 @@
 use crate::calls::headers;
 use crate::calls::pool::{Connection, SendError};
 use crate::calls::watch::{Phase, Watch};
+use crate::metrics::Metrics;
 use futures_lite::future;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
@@ -19,6 +20,7 @@
 use sycamore_core::call::gatekeeper::End;
 use sycamore_core::call::once::KeptAnswer;
 use sycamore_core::call::{CallKey, Outcome};
+use sycamore_core::config::Class;
 use sycamore_core::{Code, Time};
 
 /// Largest answer to a request that runs only once; it is read whole before it goes out, so that
@@ -44,6 +46,8 @@
     pub id: HeaderValue,
     /// When its caller stops waiting.
     pub deadline: Time,
+    /// Class of its route.
+    pub class: Class,
     /// Whether it may be run more than once.
     pub idempotent: bool,
     /// The request.
@@ -162,6 +166,7 @@
             };
             let linger = connection.linger();
             let sent = AtomicBool::new(false);
+            let began = self.shared.clock.now();
             // Dropped after `running`, so that a connection that closes because this wait is
             // given up already holds the slot.
             let mut send = pin!(connection.send(req, &sent));
@@ -172,6 +177,8 @@
                     return Err(Ended::unknown(Code::DeadlinePassed));
                 }
                 Some(Ok((response, connection))) if self.is_own(&response, &call.id) => {
+                    let took = self.shared.clock.now().since(began);
+                    Metrics::observe_time(&self.shared.metrics.run_seconds, call.class, took);
                     return match self.rejected(&response) {
                         None => Ok(Answering { response, connection, running }),
                         Some(code) => Err(rejected(running, response, connection, code)),
--- /dev/null
+++ b/node/src/calls/trace.rs
@@ -0,0 +1,142 @@
+//! Log lines about single requests: one for each decision, with what decided it.
+//!
+//! docs/OPERATIONS.md shows how to get from a request's id to the cause of its failure by them.
+
+use crate::shared::Shared;
+use hyper::header::HeaderValue;
+use serde::Serialize;
+use sycamore_core::Code;
+use sycamore_core::call::entry::Forward;
+use sycamore_core::call::{Load, Outcome};
+
+/// Target of log records whose text is a JSON object of fields.
+pub const REQUEST: &str = "request";
+
+/// What was decided about a request.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Step {
+    /// The entry node sends it to a target's gatekeeper.
+    Forwarded,
+    /// An attempt came to nothing; the entry node goes on or ends the request.
+    AttemptFailed,
+    /// The target's answer went out.
+    Answered,
+    /// The entry node ended the request without an answer of a target.
+    Ended,
+    /// The gatekeeper refused it, or could not get an answer.
+    GateRefused,
+    /// The gatekeeper lets it wait for a slot.
+    GateQueued,
+    /// The target runs it.
+    GateRun,
+}
+
+/// The fields of a line; those without a value are left out.
+#[derive(Debug, Default, Serialize)]
+pub struct Fields<'a> {
+    /// Attempt, from 1.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub attempt: Option<u32>,
+    /// Name of the target.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub target: Option<&'a str>,
+    /// The service asked for.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub service: Option<&'a str>,
+    /// Number of the result code.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub code: Option<u16>,
+    /// `answered`, `not-run` or `unknown`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<&'static str>,
+    /// Status of the answer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub status: Option<u16>,
+    /// Version in force at this node.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub version: Option<u64>,
+    /// Time left for the request, in ms.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub left_ms: Option<u64>,
+    /// Time that the answer was expected to take, in ms.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub expected_ms: Option<u64>,
+    /// Load of the target, as running/slots/waiting.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub load: Option<String>,
+    /// Age of that load, in ms.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub load_age_ms: Option<u64>,
+    /// When the caller is to come back, in ms.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+    /// Whether the target may have run it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub sent: Option<bool>,
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    vm: &'a str,
+    request: &'a str,
+    step: Step,
+    #[serde(flatten)]
+    fields: Fields<'a>,
+}
+
+/// Writes the line of a decision. Those that a caller suffers from are warnings.
+pub fn line(shared: &Shared, id: &HeaderValue, step: Step, fields: Fields<'_>) {
+    let level = match step {
+        Step::Ended => log::Level::Warn,
+        _ => log::Level::Info,
+    };
+    if !log::log_enabled!(target: REQUEST, level) {
+        return;
+    }
+    let request = id.to_str().unwrap_or("unprintable");
+    let line = Line { vm: shared.settings.vm.as_str(), request, step, fields };
+    // The fields are plain values, so that writing them can't fail.
+    let text = serde_json::to_string(&line).unwrap_or_default();
+    log::log!(target: REQUEST, level, "{text}");
+}
+
+impl<'a> Fields<'a> {
+    /// The fields of a forward.
+    pub fn of_forward(shared: &Shared, forward: &'a Forward) -> Fields<'a> {
+        let now = shared.clock.now();
+        let reason = &forward.reason;
+        Fields {
+            attempt: Some(forward.attempt),
+            target: Some(forward.vm.as_str()),
+            service: Some(forward.terms.service.as_str()),
+            version: shared.in_force().map(|snapshot| snapshot.version()),
+            left_ms: Some(forward.deadline.since(now).as_millis() as u64),
+            expected_ms: Some(reason.expected.as_millis() as u64),
+            load: reason.load.map(|(load, _)| load.to_string()),
+            load_age_ms: reason.load.map(|(_, at)| now.since(at).as_millis() as u64),
+            ..Fields::default()
+        }
+    }
+
+    /// The fields of an outcome.
+    pub fn of_outcome(outcome: Outcome) -> Fields<'a> {
+        let (outcome, code, retry_after) = match outcome {
+            Outcome::Answered => ("answered", None, None),
+            Outcome::NotRun { code, retry_after } => ("not-run", Some(code), Some(retry_after)),
+            Outcome::Unknown { code } => ("unknown", Some(code), None),
+        };
+        Fields {
+            outcome: Some(outcome),
+            code: code.map(Code::number),
+            retry_after_ms: retry_after.map(|wait| wait.as_millis() as u64),
+            ..Fields::default()
+        }
+    }
+
+    /// The same fields with the load of the local target.
+    pub fn with_load(mut self, load: Load) -> Fields<'a> {
+        self.load = Some(load.to_string());
+        self
+    }
+}
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -3,8 +3,10 @@
 mod families;
 
 use families::Families;
-use prometheus::{IntCounter, IntCounterVec, IntGauge};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge};
+use std::time::Duration;
 use sycamore_core::Time;
+use sycamore_core::config::Class;
 use sycamore_core::event::{Event, EventKind};
 use sycamore_core::status::Status;
 
@@ -52,6 +54,12 @@
     pub platform_calls: IntCounter,
     /// Connections refused because the limit was reached.
     pub connections_refused: IntCounter,
+    /// Time from a call's head to the head of its answer at the entry node, by class.
+    pub call_seconds: HistogramVec,
+    /// Time that a request waited for a slot of the local target, by class.
+    pub wait_seconds: HistogramVec,
+    /// Time from a request's last byte to the head of the local target's answer, by class.
+    pub run_seconds: HistogramVec,
 }
 
 impl Metrics {
@@ -96,10 +104,18 @@
                 "connections_refused_total",
                 "Connections refused because the limit was reached.",
             ),
+            call_seconds: r.times("call_seconds", "Time to the head of an answer.", &["class"]),
+            wait_seconds: r.times("wait_seconds", "Wait for the local target.", &["class"]),
+            run_seconds: r.times("run_seconds", "Run time at the local target.", &["class"]),
             families,
         }
     }
 
+    /// Counts a time of requests of a class.
+    pub fn observe_time(times: &HistogramVec, class: Class, took: Duration) {
+        times.with_label_values(&[class.label()]).observe(took.as_secs_f64());
+    }
+
     /// Counts a change of state.
     pub fn count_event(&self, event: &Event) {
         self.events.with_label_values(&[event.kind.name()]).inc();
--- a/node/src/metrics/families.rs
+++ b/node/src/metrics/families.rs
@@ -1,11 +1,19 @@
 //! Makes and registers families of metrics.
 
 use prometheus::core::Collector;
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
 
 /// First word of every name.
 const NAMESPACE: &str = "sycamore";
 
+/// Upper bounds of the times counted together, in seconds: from what a node adds by itself to the
+/// longest wait of a caller.
+const BUCKETS: [f64; 13] =
+    [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
 /// Registered families and their names.
 #[derive(Debug, Default)]
 pub struct Families {
@@ -34,6 +42,12 @@
         self.register(IntGauge::with_opts(options(name, help)))
     }
 
+    /// Histograms of times in seconds, by labels.
+    pub fn times(&mut self, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+        let options = HistogramOpts::new(name, help).namespace(NAMESPACE).buckets(BUCKETS.into());
+        self.register(HistogramVec::new(options, labels))
+    }
+
     /// Names of all families. The registry itself only tells of those that have a value.
     pub fn names(&self) -> &[String] {
         &self.names
--- a/node/src/output.rs
+++ b/node/src/output.rs
@@ -1,8 +1,12 @@
 //! Log lines: one a change of state, as key=value pairs or as JSON.
 
+mod lines;
+
+use crate::calls::trace;
 use crate::settings::{Log, LogFormat, LogLevel};
 use flexi_logger::{DeferredNow, Logger, LoggerHandle};
 use indexmap::IndexMap;
+use lines::Lines;
 use log::Record;
 use serde::Serialize;
 use serde_json::Value;
@@ -10,7 +14,7 @@
 use sycamore_core::event::Event;
 use sycamore_core::{Code, Fault, Result};
 
-/// Starts logging to standard error; keep the handle for the life of the process.
+/// Starts logging to standard output; keep the handle for the life of the process.
 pub fn start(log: &Log) -> Result<LoggerHandle> {
     let level = match log.level {
         LogLevel::Error => "error",
@@ -22,7 +26,7 @@
         LogFormat::Json => write_json,
     };
     Logger::try_with_str(level)
-        .and_then(|logger| logger.format(format).log_to_stderr().start())
+        .and_then(|logger| logger.log_to_writer(Box::new(Lines::new(format))).start())
         .map_err(|e| Fault::new(Code::OutputFailed).with_place("log").with_detail(e))
 }
 
@@ -53,7 +57,9 @@
     fields.insert("time".to_owned(), now.format_rfc3339().into());
     fields.insert("level".to_owned(), record.level().as_str().into());
     match serde_json::from_str::<Fields>(&text) {
-        Ok(of_event) if record.target() == EVENT => fields.extend(of_event),
+        Ok(of_event) if [EVENT, trace::REQUEST].contains(&record.target()) => {
+            fields.extend(of_event)
+        }
         _ => {
             fields.insert("text".to_owned(), text.into());
         }
--- a/node/tests/shell/process.rs
+++ b/node/tests/shell/process.rs
@@ -63,7 +63,7 @@
         let log = File::create(dir.path().join("log")).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_sycamore-node"))
             .args(["--settings", path.to_str().unwrap()])
-            .stderr(Stdio::from(log))
+            .stdout(Stdio::from(log))
             .spawn()
             .unwrap();
         let admin = settings["listen"]["admin"].as_str().unwrap().parse().unwrap();
