--- a/node/src/app.rs
+++ b/node/src/app.rs
@@ -11,6 +11,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use sycamore_core::event::{Event, EventKind};
@@ -76,7 +77,8 @@
 
     /// Runs the node until its planned stop has ended.
     ///
-    /// Calls are served by several threads; messages to peers, the platform and operators by the
+    /// Calls are served by several threads, or by the calling one if there is to be only one;
+    /// messages to peers, the platform and operators by the
     /// calling thread alone, since Cap'n Proto RPC works on one thread.
     pub fn run(self) -> Result<()> {
         // Before any call is taken: until then a signal ends the process at once.
@@ -90,34 +92,20 @@
         let peers = spread::Listener::bind(&shared.settings.listen)?;
         let operators = admin::Listener::bind(&shared.settings.listen)?;
         std::thread::scope(|scope| {
-            for _ in 0..shared.settings.limits.threads {
+            // One thread alone serves everything: two would hand each event over to each other.
+            let alone = shared.settings.limits.threads == 1;
+            for _ in 0..if alone { 0 } else { shared.settings.limits.threads } {
                 scope.spawn(|| async_io::block_on(executor.run(stopped.recv())));
             }
-            let local = LocalExecutor::new();
-            async_io::block_on(local.run(async {
-                let calls = calls::start(shared.clone(), listeners, executor.clone());
-                let control = match self.store {
-                    None => {
-                        Control::Spread(spread::start(shared.clone(), peers, calls.clone(), &local))
-                    }
-                    Some(store) => Control::Discovery(discovery::start(
-                        shared.clone(),
-                        peers,
-                        store,
-                        calls.clone(),
-                        &local,
-                    )),
-                };
-                if let Some(reload) = reload {
-                    let control = control.clone();
-                    let changed = move || control.settings_changed();
-                    local.spawn(reload.run(shared.clone(), changed)).detach();
-                }
-                local.spawn(admin::serve(shared.clone(), operators)).detach();
-                wait_for_stop(&shared, signals).await;
-                control.announce_leaving();
-                drain(&shared, &calls).await;
-            }));
+            let local = Rc::new(LocalExecutor::new());
+            let parts = Parts { listeners, peers, operators, reload, signals, store: self.store };
+            // A task of its own: what is given to `run` is polled at every wake of the thread.
+            let main = local.spawn(parts.serve(shared.clone(), executor.clone(), local.clone()));
+            let main = local.run(main);
+            match alone {
+                true => async_io::block_on(executor.run(main)),
+                false => async_io::block_on(main),
+            }
             drop(stop);
             shared.record(Event::new(shared.clock.now(), EventKind::Stopped));
         });
@@ -125,6 +113,48 @@
     }
 }
 
+/// What a node has opened before it serves.
+struct Parts {
+    listeners: calls::Listeners,
+    peers: spread::Listener,
+    operators: admin::Listener,
+    reload: Option<Reload>,
+    signals: Signals,
+    store: Option<Box<dyn Store>>,
+}
+
+impl Parts {
+    /// Starts everything, and goes on until the planned stop has ended.
+    async fn serve(
+        self,
+        shared: Arc<Shared>,
+        executor: Arc<Executor<'static>>,
+        local: Rc<LocalExecutor<'static>>,
+    ) {
+        let calls = calls::start(shared.clone(), self.listeners, executor);
+        let control = match self.store {
+            None => {
+                let control = spread::start(shared.clone(), self.peers, calls.clone(), &local);
+                Control::Spread(control)
+            }
+            Some(store) => {
+                let (shared, calls) = (shared.clone(), calls.clone());
+                let control = discovery::start(shared, self.peers, store, calls, &local);
+                Control::Discovery(control)
+            }
+        };
+        if let Some(reload) = self.reload {
+            let control = control.clone();
+            let changed = move || control.settings_changed();
+            local.spawn(reload.run(shared.clone(), changed)).detach();
+        }
+        local.spawn(admin::serve(shared.clone(), self.operators)).detach();
+        wait_for_stop(&shared, self.signals).await;
+        control.announce_leaving();
+        drain(&shared, &calls).await;
+    }
+}
+
 /// Where the configuration comes from.
 #[derive(Clone, Debug)]
 enum Control {
@@ -155,12 +185,7 @@
     let signal = async {
         signals.next().await;
     };
-    let asked = async {
-        while !shared.draining() {
-            shared.clock.sleep(DRAIN_POLL).await;
-        }
-    };
-    future::or(signal, asked).await;
+    future::or(signal, shared.drain_started()).await;
     shared.start_draining();
 }
 
--- a/node/src/calls.rs
+++ b/node/src/calls.rs
@@ -6,6 +6,7 @@
 pub mod gate;
 pub mod headers;
 pub mod pool;
+mod quiet;
 pub mod serve;
 pub mod socket;
 pub mod trace;
--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -3,6 +3,7 @@
 use super::body::Body;
 use super::gate::Slot;
 use super::headers;
+use super::quiet::Quiet;
 use crate::clock::Clock;
 use async_executor::Executor;
 use async_io::Async;
@@ -121,7 +122,7 @@
         let stream = future::or(Async::<TcpStream>::connect(address), timeout).await?;
         stream.get_ref().set_nodelay(true)?;
         let (sender, driver) =
-            http1::handshake(FuturesIo::new(stream)).await.map_err(io::Error::other)?;
+            http1::handshake(FuturesIo::new(Quiet::new(stream))).await.map_err(io::Error::other)?;
         let linger = Arc::new(Linger::default());
         let pool = self.clone();
         pool.open.fetch_add(1, Ordering::AcqRel);
@@ -130,7 +131,7 @@
             if let Ok(parts) = driver.without_shutdown().await {
                 let cancelled = held.lock().is_some();
                 if cancelled {
-                    let stream = parts.io.into_inner();
+                    let stream = parts.io.into_inner().into_inner();
                     let timeout = async {
                         pool.clock.sleep(LINGER).await;
                     };
--- a/node/src/calls/serve.rs
+++ b/node/src/calls/serve.rs
@@ -37,9 +37,6 @@
 /// already on its way is still answered.
 const DRAIN_NOTICE: Duration = Duration::from_millis(1_500);
 
-/// How often a connection looks whether the node is leaving.
-const DRAIN_POLL: Duration = Duration::from_millis(250);
-
 /// Pause after a failure to accept, as when the process has no descriptors left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -179,9 +176,7 @@
     /// Guards against a request cut on an idle connection: closed at once, it would meet a
     /// request on its way. Until then a request is still answered, with `connection: close`.
     async fn wait_for_drain(&self) {
-        while !self.shared.draining() {
-            self.shared.clock.sleep(DRAIN_POLL).await;
-        }
+        self.shared.drain_started().await;
         self.shared.clock.sleep(DRAIN_NOTICE).await;
     }
 }
--- a/node/src/calls/socket.rs
+++ b/node/src/calls/socket.rs
@@ -4,6 +4,7 @@
 //! gives the first a numbered code and makes the second visible.
 
 use super::headers;
+use super::quiet::Quiet;
 use super::watch::{Phase, Watch};
 use async_io::Async;
 use futures_lite::{AsyncRead, AsyncWrite};
@@ -20,7 +21,7 @@
 /// A watched socket.
 #[derive(Debug)]
 pub struct Socket {
-    stream: Async<TcpStream>,
+    stream: Quiet,
     watch: Arc<Watch>,
     scan: HeadScan,
     // A changed answer on its way out, and how many bytes hyper believes to have written.
@@ -30,7 +31,7 @@
 impl Socket {
     /// Watches a socket.
     pub fn new(stream: Async<TcpStream>, watch: Arc<Watch>) -> Socket {
-        Socket { stream, watch, scan: HeadScan::default(), changed: None }
+        Socket { stream: Quiet::new(stream), watch, scan: HeadScan::default(), changed: None }
     }
 
     fn poll_changed(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
--- a/node/src/output/lines.rs
+++ b/node/src/output/lines.rs
@@ -16,6 +16,10 @@
 /// at the size aimed at, with three lines each.
 const MAX_A_SECOND: u64 = 400;
 
+/// How long lines are gathered before they are written in one piece, and up to what size.
+const TOGETHER: Duration = Duration::from_millis(50);
+const MAX_TOGETHER: usize = 65_536;
+
 /// How long the end of the process waits for lines to be written.
 const LAST_LINES: Duration = Duration::from_millis(200);
 
@@ -106,13 +110,21 @@
 /// else: there is nowhere left to report it to.
 fn write_all(lines: &Receiver<Vec<u8>>, counts: &Counts) {
     let mut out = io::stdout();
-    while let Ok(line) = lines.recv() {
+    while let Ok(first) = lines.recv() {
+        // More lines come within the pause than would be worth a wake each.
+        std::thread::sleep(TOGETHER);
+        let mut text = first;
+        let mut count = 1;
+        while let Some(line) = lines.try_recv().ok().filter(|_| text.len() < MAX_TOGETHER) {
+            text.extend_from_slice(&line);
+            count += 1;
+        }
         let dropped = counts.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
             let _ = writeln!(out, "{{\"lines-dropped\":{dropped}}}");
         }
-        let _ = out.write_all(&line);
+        let _ = out.write_all(&text);
         let _ = out.flush();
-        counts.written.fetch_add(1, Ordering::Relaxed);
+        counts.written.fetch_add(count, Ordering::Relaxed);
     }
 }
--- a/node/src/shared.rs
+++ b/node/src/shared.rs
@@ -36,6 +36,7 @@
     events: Mutex<Ring>,
     spread: Mutex<SpreadView>,
     draining: AtomicBool,
+    drain_started: event_listener::Event,
     // Microseconds since the Unix epoch; the end of time before the planned stop.
     draining_since: AtomicU64,
     calls_open: AtomicU64,
@@ -124,6 +125,7 @@
                 confirmed: false,
             }),
             draining: AtomicBool::new(false),
+            drain_started: event_listener::Event::new(),
             draining_since: AtomicU64::new(u64::MAX),
             calls_open: AtomicU64::new(0),
             connections: Arc::new(()),
@@ -202,11 +204,23 @@
         let first = !self.draining.swap(true, Ordering::AcqRel);
         if first {
             self.draining_since.store(self.clock.now().0, Ordering::Release);
+            self.drain_started.notify(usize::MAX);
             self.record(Event::new(self.clock.now(), EventKind::Draining));
         }
         first
     }
 
+    /// Waits until the planned stop starts.
+    pub async fn drain_started(&self) {
+        while !self.draining() {
+            // Listens before it looks again, so that no start falls between the two.
+            let started = self.drain_started.listen();
+            if !self.draining() {
+                started.await;
+            }
+        }
+    }
+
     /// Whether callers' requests are taken: always before a planned stop, and for a while after
     /// its start, since callers learn of it only by and by.
     pub fn takes_calls(&self) -> bool {
