Large answers are started only as fast as a narrow link takes them

Ruled out: processor time (0.04 of 0.1 core at most), the store's refusal of that node (over 1 s before its calls still failed, all in the time for a connection). Seen failing: without the link the replay piles up over 1,000 ms, with it under 350 ms.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod gatekeeper;
 pub mod home;
+pub mod link;
 pub mod note;
 pub mod once;
 pub mod patience;
--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -1,5 +1,6 @@
 //! Admission to one target: slots, a short queue by class, and refusals that come early.
 
+use super::link::Link;
 use super::{CallKey, Load};
 use crate::config::{Class, ServiceLimits};
 use crate::{Code, Time};
@@ -126,6 +127,7 @@
     bulk_turn: u32,
     run_times: [Duration; 3],
     nested_share: u32,
+    link: Link,
 }
 
 impl Slots {
@@ -141,9 +143,21 @@
             bulk_turn: 0,
             run_times: [FIRST_RUN_TIME; 3],
             nested_share: 0,
+            link: Link::new(None),
         }
     }
 
+    /// The same slots on a VM whose link is narrow.
+    pub fn with_link(mut self, link: Link) -> Slots {
+        self.link = link;
+        self
+    }
+
+    /// An answer of this many bytes begins to go out over the link.
+    pub fn sends(&mut self, now: Time, class: Class, bytes: u64) {
+        self.link.send(now, class, bytes);
+    }
+
     /// Changes the limits. What runs or waits goes on.
     pub fn set_limits(&mut self, limits: ServiceLimits) {
         self.limits = limits;
@@ -324,7 +338,8 @@
     fn has_slot(&self, now: Time, offer: &Offer) -> bool {
         let used = self.running.len() as u32 + self.kept_free(now, offer.depth);
         let free = used < self.slots(now);
-        free && (offer.class != Class::Bulk || self.running_bulk < self.bulk_slots(now))
+        let bulk = || self.running_bulk < self.bulk_slots(now) && self.link.has_room(now);
+        free && (offer.class != Class::Bulk || bulk())
     }
 
     fn count_nested(&mut self, depth: u8) {
@@ -335,6 +350,7 @@
     fn start(&mut self, now: Time, offer: &Offer) {
         if offer.class == Class::Bulk {
             self.running_bulk += 1;
+            self.link.reserve(now);
         }
         self.running.insert(offer.call, Running { class: offer.class, started: now });
     }
@@ -369,7 +385,11 @@
         let own = &self.queues[queue];
         let same = own.partition_point(|other| other.offer.goes_before(offer));
         work += self.run_times[offer.class as usize] * same as u32;
-        work / self.slots(now)
+        let wait = work / self.slots(now);
+        match offer.class {
+            Class::Bulk => wait.max(self.link.wait(now, same as u32)),
+            Class::Gating | Class::Interactive => wait,
+        }
     }
 
     fn next_class(&mut self, now: Time) -> Option<Class> {
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -7,6 +7,7 @@
 
 use super::admit::{Admission, Objective, Offer, Popped, Slots};
 use super::home::{Homes, Right};
+use super::link::Link;
 use super::note::{Note, OutgoingNote};
 use super::once::{KeptAnswer, Once, Seen};
 use super::quarantine::{MAX_CRASHES, Suspects};
@@ -109,6 +110,12 @@
         self
     }
 
+    /// The same gatekeeper on a VM whose link takes this many kilobits a second.
+    pub fn with_link(mut self, kbps: Option<u64>) -> Gatekeeper {
+        self.slots = self.slots.with_link(Link::new(kbps));
+        self
+    }
+
     /// The one entry: takes an input in and appends what follows from it.
     pub fn handle(&mut self, now: Time, input: Input<'_>, out: &mut Vec<Output>) {
         self.notice_gap(now, out);
@@ -120,6 +127,7 @@
             Input::Arrive(arrival) => self.arrive(now, &arrival, out),
             Input::Expire(call) => self.expire(now, call, out),
             Input::Withdraw(call) => self.withdraw(call),
+            Input::Sends { class, bytes } => self.slots.sends(now, class, bytes),
             Input::End { call, end } => self.end(now, call, end, out),
             Input::Note { from, note } => self.take_note(now, from, note, out),
             Input::Tick => {}
--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -9,7 +9,7 @@
 /// Longest wait of a watch. A store whose answer to a watch was lost looks like one without
 /// changes, so this bounds how long a node may stay behind after such a loss; each wait costs a
 /// call.
-pub const WATCH_WAIT: Duration = Duration::from_secs(4);
+pub const WATCH_WAIT: Duration = Duration::from_millis(3_500);
 
 /// Longest wait of a watch within [`SETTLING`] of a failure.
 ///
@@ -18,9 +18,9 @@
 const SETTLING_WAIT: Duration = Duration::from_millis(700);
 const SETTLING: Duration = Duration::from_secs(2);
 
-/// How long after its wait a call is given up. A hundred times the store's usual 4 ms, so that
-/// one that is slow is still heard.
-pub const ANSWER_WAIT: Duration = Duration::from_millis(900);
+/// How long after its wait a call is given up: hundreds of times the store's usual 4 ms, so that
+/// one that is slow, or behind a link that is full, is still heard.
+pub const ANSWER_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Pause between an answer that brought changes and the next watch. Versions come as often as
 /// every 60 ms, and each is read whole, over links that are paid by volume; targets come and go
--- a/core/tests/call_waiting.rs
+++ b/core/tests/call_waiting.rs
@@ -5,6 +5,7 @@
 use sycamore_core::Time;
 use sycamore_core::call::CallKey;
 use sycamore_core::call::admit::{Admission, Objective, Offer, Popped, Slots};
+use sycamore_core::call::link::Link;
 use sycamore_core::config::{Class, ServiceLimits};
 
 const START: Time = Time(1_700_000_000_000_000);
@@ -145,3 +146,51 @@
     }
     assert_eq!(order, [2, 4, 1, 3].map(|call| Some(Popped::Run(CallKey(call)))));
 }
+
+/// Bytes of a ledger, and of the link a second: 15.4 Mbit/s.
+const LEDGER: u64 = 90_000;
+const LINK: u64 = 1_925_000;
+
+/// Offers a ledger every 40 ms for ten seconds. Returns how many were sent, and for how long at
+/// most what was let in would have kept the link busy.
+fn replay_ledgers(link: Link) -> (u32, u64) {
+    let mut slots =
+        Slots::new(ServiceLimits { bulk_share_percent: 100, ..limits() }).with_link(link);
+    let mut running: VecDeque<(u64, u64)> = VecDeque::new();
+    let (mut busy_until, mut sent, mut longest) = (0, 0, 0);
+    for now in 0..10_000 {
+        while running.front().is_some_and(|(_, end)| *end <= now) {
+            let (call, _) = running.pop_front().unwrap();
+            slots.sends(at(now), Class::Bulk, LEDGER);
+            slots.end(at(now), CallKey(call));
+            busy_until = busy_until.max(now) + LEDGER * 1_000 / LINK;
+            longest = longest.max(busy_until - now);
+            sent += 1;
+        }
+        if now % 40 == 0 {
+            let offer = Offer { class: Class::Bulk, ..offer(now, now, 0, Some(OBJECTIVE), true) };
+            if slots.offer(at(now), offer) == Admission::Run {
+                running.push_back((now, now + RUN));
+            }
+        }
+        while let Some(popped) = slots.pop(at(now)) {
+            if let Popped::Run(CallKey(call)) = popped {
+                running.push_back((call, now + RUN));
+            }
+        }
+    }
+    (sent, longest)
+}
+
+#[test]
+fn narrow_link_not_filled_by_large_answers() {
+    // Story: ledgers come a fifth faster than the link of a VM takes them. They pile up before
+    // it, the calls that signings wait for queue behind them and miss their deadlines, and the
+    // node falls behind the configuration.
+    let (_, without) = replay_ledgers(Link::new(None));
+    let (sent, with) = replay_ledgers(Link::new(Some(LINK * 8 / 1_000)));
+    assert!(without > 1_000, "{without} ms");
+    assert!(with < 350, "{with} ms");
+    // The share of the link that is meant for them is used.
+    assert!(u64::from(sent) * LEDGER > LINK * 10 * 75 / 100, "{sent}");
+}
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -72,7 +72,9 @@
     /// The gatekeeper side of a node.
     pub fn new(shared: Arc<Shared>, executor: &Arc<Executor<'static>>, seed: u64) -> GateSide {
         let settings = &shared.settings;
-        let mut gatekeeper = Gatekeeper::new(settings.vm.clone(), shared.clock.now(), seed);
+        let link = settings.limits.link_mbps.map(|rate| rate.kbps);
+        let mut gatekeeper =
+            Gatekeeper::new(settings.vm.clone(), shared.clock.now(), seed).with_link(link);
         if let Some(service) = &settings.service {
             gatekeeper = gatekeeper.with_discovered_target(settings.listen.gate, service.clone());
         }
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
-use sycamore_core::call::gatekeeper::End;
+use sycamore_core::call::gatekeeper::{End, Input};
 use sycamore_core::call::once::KeptAnswer;
 use sycamore_core::call::{CallKey, Outcome};
 use sycamore_core::config::Class;
@@ -91,12 +91,15 @@
 impl GateSide {
     /// Runs a request whose answer is passed on as it comes.
     pub async fn run(self: &Arc<GateSide>, watch: &Arc<Watch>, call: Call) -> Response<Body> {
-        let id = call.id.clone();
+        let (id, class) = (call.id.clone(), call.class);
         let answering = match self.send(call).await {
             Ok(answering) => answering,
             Err(ended) => return self.refuse(watch, &id, ended.outcome, ended.crashes),
         };
         let (mut head, incoming) = answering.response.into_parts();
+        // An answer to a caller on this VM does not use the link.
+        let bytes = if watch.is_local() { 0 } else { incoming.size_hint().lower() };
+        self.tell(Input::Sends { class, bytes });
         self.finish_head(&mut head.headers, &id, self.load());
         watch.set_phase(Phase::Answer);
         let lease = Lease::new(answering.connection);
--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -57,6 +57,7 @@
 pub struct Pool {
     clock: Clock,
     executor: Arc<Executor<'static>>,
+    connect_timeout: Duration,
     idle: Mutex<IndexMap<SocketAddr, Vec<Idle>>>,
     open: AtomicUsize,
 }
@@ -84,8 +85,18 @@
 impl Pool {
     /// No connections yet; their tasks will run on `executor`.
     pub fn new(clock: Clock, executor: Arc<Executor<'static>>) -> Arc<Pool> {
+        Pool::with_connect_timeout(clock, executor, CONNECT_TIMEOUT)
+    }
+
+    /// The same with another longest wait for a connection to be opened, where there is no other
+    /// side to turn to.
+    pub fn with_connect_timeout(
+        clock: Clock,
+        executor: Arc<Executor<'static>>,
+        connect_timeout: Duration,
+    ) -> Arc<Pool> {
         let (idle, open) = (Mutex::new(IndexMap::new()), AtomicUsize::new(0));
-        Arc::new(Pool { clock, executor, idle, open })
+        Arc::new(Pool { clock, executor, connect_timeout, idle, open })
     }
 
     /// Connections that are open, used or not.
@@ -116,7 +127,7 @@
     /// Opens a connection.
     pub async fn connect(self: &Arc<Pool>, address: SocketAddr) -> io::Result<Connection> {
         let timeout = async {
-            self.clock.sleep(CONNECT_TIMEOUT).await;
+            self.clock.sleep(self.connect_timeout).await;
             Err(io::ErrorKind::TimedOut.into())
         };
         let stream = future::or(Async::<TcpStream>::connect(address), timeout).await?;
--- a/node/src/calls/serve.rs
+++ b/node/src/calls/serve.rs
@@ -107,7 +107,7 @@
 
     fn start(self: Arc<Server>, stream: Async<TcpStream>, number: usize) {
         let open = self.shared.open_connection();
-        let watch = Watch::new(self.shared.clock.clone());
+        let watch = Watch::new(self.shared.clock.clone(), is_local(&stream));
         if !self.watches.add(&watch, self.shared.settings.limits.max_connections) {
             self.shared.metrics.connections_refused.inc();
             return refuse_connection(&stream);
@@ -181,6 +181,12 @@
     }
 }
 
+/// Whether the other side has this side's address.
+fn is_local(stream: &Async<TcpStream>) -> bool {
+    let ends = (stream.get_ref().peer_addr(), stream.get_ref().local_addr());
+    matches!(ends, (Ok(peer), Ok(own)) if peer.ip() == own.ip())
+}
+
 /// Tells whoever opened one connection too many so, in one write, and closes it.
 fn refuse_connection(stream: &Async<TcpStream>) {
     let (outcome, name, number) =
--- a/node/src/calls/watch.rs
+++ b/node/src/calls/watch.rs
@@ -45,14 +45,15 @@
     head_since: AtomicU64,
     deadline: AtomicU64,
     ambiguous: AtomicBool,
+    local: bool,
     open: Mutex<Option<OpenCall>>,
     close: Sender<()>,
     closed: Receiver<()>,
 }
 
 impl Watch {
-    /// A connection that waits for its first request.
-    pub fn new(clock: Clock) -> Arc<Watch> {
+    /// A connection that waits for its first request; `local` if it comes from this VM.
+    pub fn new(clock: Clock, local: bool) -> Arc<Watch> {
         let (close, closed) = async_channel::bounded(1);
         let now = clock.now();
         Arc::new(Watch {
@@ -62,12 +63,18 @@
             head_since: AtomicU64::new(now.0),
             deadline: AtomicU64::new(u64::MAX),
             ambiguous: AtomicBool::new(false),
+            local,
             open: Mutex::new(None),
             close,
             closed,
         })
     }
 
+    /// Whether the other side is on this VM.
+    pub fn is_local(&self) -> bool {
+        self.local
+    }
+
     /// What the connection does.
     pub fn phase(&self) -> Phase {
         match self.phase.load(Ordering::Acquire) {
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -94,6 +94,31 @@
     pub percent: u32,
 }
 
+/// The rate of a link, written in megabits a second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct LinkRate {
+    /// The rate in kilobits a second.
+    pub kbps: u64,
+}
+
+impl TryFrom<f64> for LinkRate {
+    type Error = String;
+
+    fn try_from(mbps: f64) -> std::result::Result<LinkRate, String> {
+        match (0.1..=1_000_000.0).contains(&mbps) {
+            true => Ok(LinkRate { kbps: (mbps * 1_000.0).round() as u64 }),
+            false => Err(format!("found {mbps}, allowed 0.1 to 1000000")),
+        }
+    }
+}
+
+impl From<LinkRate> for f64 {
+    fn from(rate: LinkRate) -> f64 {
+        rate.kbps as f64 / 1_000.0
+    }
+}
+
 impl TryFrom<f64> for Share {
     type Error = String;
 
@@ -133,6 +158,8 @@
     /// How long a node that is leaving still takes callers' requests before it refuses them;
     /// 0 to 600,000 ms. What other nodes forward to its target is refused at once.
     pub serve_while_leaving_ms: u64,
+    /// What the VM's link takes each way, in megabits a second; absent if it is not narrow.
+    pub link_mbps: Option<LinkRate>,
     /// Most VMs that the fleet may have; 1 to 1,000,000. A node that knows no peer spreads its
     /// calls to the platform by it.
     pub fleet_vms: u32,
@@ -149,6 +176,7 @@
             event_ring: 512,
             first_configuration_ms: 5_000,
             serve_while_leaving_ms: 0,
+            link_mbps: None,
             fleet_vms: 1_000,
         }
     }
--- a/tools/tests/configuration_doc.rs
+++ b/tools/tests/configuration_doc.rs
@@ -60,7 +60,7 @@
     full["platform_region"] = "r".into();
     full["seeds"] = json!(["127.0.0.1:6"]);
     full["scope"] = json!(["s"]);
-    full["limits"] = json!({});
+    full["limits"] = json!({"link_mbps": 15.4});
     full["log"] = json!({});
     full["service"] = "s".into();
     full["fleet_retries"] = json!({});
