One call follows the whole store

Cause: a call to the store costs, and each node had two watches open. Change: one list and one watch over every key; what it holds is told apart by its key.

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -1,13 +1,13 @@
 //! Following a store that keeps targets apart from the configuration.
 //!
 //! Where targets register themselves, a version names services without targets. [`Discovery`] is
-//! the decider of one node: it reads both collections of the store, watches them, and puts a
-//! snapshot into force whenever either has changed. It is told what happens as an [`Input`] and
+//! the decider of one node: it reads the store, watches it, and puts a snapshot into force
+//! whenever the version or a target has changed. It is told what happens as an [`Input`] and
 //! answers with [`Output`]s that an adapter carries out; [`Output::WakeAt`] asks for
 //! [`Input::Wake`].
 //!
 //! - `port`: what comes in and goes out
-//! - `follow`: when one collection is listed, watched, and tried again
+//! - `follow`: when the store is listed, watched, and tried again
 //! - `registry`: which targets there are, by their own entries
 //! - `rejoin`: what a node that has just started asks its peers while the store is silent
 
@@ -17,8 +17,8 @@
 mod rejoin;
 
 pub use port::{
-    Call, Change, Collection, Config, Input, Output, Publication, ReadError, Reply, Request,
-    TargetEntry, TargetState, View,
+    Call, Change, Config, Input, Output, Publication, ReadError, Reply, Request, TargetEntry,
+    TargetState, View,
 };
 pub use registry::{RETURN_GRACE, Registry};
 
@@ -44,8 +44,7 @@
 pub struct Discovery {
     cfg: Config,
     rng: Pcg64Mcg,
-    publication: Follow,
-    targets: Follow,
+    follow: Follow,
     registry: Registry,
     published: Option<Arc<Publication>>,
     // Newest version refused, so that it is reported once.
@@ -62,8 +61,7 @@
     pub fn new(cfg: Config, seed: u64) -> Discovery {
         Discovery {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            publication: Follow::new(Collection::Publication),
-            targets: Follow::new(Collection::Targets),
+            follow: Follow::new(),
             registry: Registry::new(),
             published: None,
             refused: 0,
@@ -81,8 +79,7 @@
         self.notice_gap(now, out);
         match input {
             Input::Start => {
-                self.publication.start(now);
-                self.targets.start(now);
+                self.follow.start(now);
                 self.rejoin.start(now);
             }
             Input::Reply { id, result } => self.take_reply(now, id, result, out),
@@ -100,20 +97,13 @@
     }
 
     fn advance(&mut self, now: Time, out: &mut Vec<Output>) {
-        for follow in [&mut self.publication, &mut self.targets] {
-            out.extend(follow.next_call(now).map(Output::Read));
-        }
+        out.extend(self.follow.next_call(now).map(Output::Read));
         self.stale |= self.registry.expire(now);
         if std::mem::take(&mut self.stale) {
             self.put_in_force(now, out);
         }
         self.ask_peers(now, out);
-        let wakes = [
-            self.publication.wake_at(),
-            self.targets.wake_at(),
-            self.registry.wake_at(),
-            self.rejoin.wake_at(),
-        ];
+        let wakes = [self.follow.wake_at(), self.registry.wake_at(), self.rejoin.wake_at()];
         if let Some(wake) = wakes.into_iter().flatten().min() {
             out.push(Output::WakeAt(wake));
         }
@@ -139,36 +129,25 @@
         result: Result<Reply, ReadError>,
         out: &mut Vec<Output>,
     ) {
-        let Some(collection) = self.collection_of(id) else {
+        if !self.follow.awaits(id) {
             return;
-        };
+        }
         let answered = !matches!(result, Err(ReadError::Failed(_)));
         self.note_answer(now, answered, out);
-        match collection {
-            Collection::Publication => {
-                let (changes, _) = self.publication.take(now, result, &mut self.rng);
-                for change in changes {
-                    self.take_publication(now, change, out);
-                }
-            }
-            Collection::Targets => {
-                if answered {
-                    self.registry.store_answers(now);
-                } else {
-                    self.registry.store_fails(now);
-                }
-                let (changes, listed) = self.targets.take(now, result, &mut self.rng);
-                self.stale |= match listed {
-                    true => self.registry.replace(now, changes),
-                    false => self.registry.change(now, changes),
-                };
-            }
+        match answered {
+            true => self.registry.store_answers(now),
+            false => self.registry.store_fails(now),
+        }
+        let (changes, listed) = self.follow.take(now, result, &mut self.rng);
+        let is_target = |change: &Change| !matches!(change, Change::Published(_));
+        let (targets, publications): (Vec<_>, Vec<_>) = changes.into_iter().partition(is_target);
+        self.stale |= match listed {
+            true => self.registry.replace(now, targets),
+            false => self.registry.change(now, targets),
+        };
+        for publication in publications {
+            self.take_publication(now, publication, out);
         }
-    }
-
-    fn collection_of(&self, id: u64) -> Option<Collection> {
-        let both = [&self.publication, &self.targets];
-        both.into_iter().find(|follow| follow.awaits(id)).map(Follow::collection)
     }
 
     fn note_answer(&mut self, now: Time, answered: bool, out: &mut Vec<Output>) {
@@ -281,7 +260,7 @@
     fn take_delta(&mut self, now: Time, delta: &crate::spread::Delta, out: &mut Vec<Output>) {
         match rejoin::read(delta) {
             Ok((published, entries)) => {
-                if !self.targets.has_listed() {
+                if !self.follow.has_listed() {
                     self.stale |= self.registry.take_from_peer(now, entries);
                 }
                 self.take_version(now, Arc::new(published), out);
@@ -292,8 +271,7 @@
     }
 
     fn ask_peers(&mut self, now: Time, out: &mut Vec<Output>) {
-        let known = self.publication.has_listed() && self.targets.has_listed();
-        if known {
+        if self.follow.has_listed() {
             return self.rejoin.stop();
         }
         for to in self.rejoin.questions(now, &self.cfg.seeds, &mut self.rng) {
--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -1,6 +1,6 @@
-//! When one collection of the store is listed, watched, and tried again.
+//! When the store is listed, watched, and tried again.
 
-use super::port::{Call, Change, Collection, ReadError, Reply, Request};
+use super::port::{Call, Change, ReadError, Reply, Request};
 use crate::Time;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -26,8 +26,7 @@
 /// every 60 ms, and each is read whole, over links that are paid by volume; targets come and go
 /// in groups. What comes within the pause is read at once after it, within the 2.5 s that a change
 /// may take.
-const PUBLICATION_PAUSE: Duration = Duration::from_millis(1_000);
-const TARGETS_PAUSE: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(900);
 
 /// Shortest and longest pause after a failed call; drawn at random between half and the whole.
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
@@ -37,10 +36,9 @@
 /// every watch at once, which would cost a call each round trip.
 const EMPTY_PAUSE: Duration = Duration::from_millis(300);
 
-/// One collection as this node follows it.
+/// The store as this node follows it.
 #[derive(Debug)]
 pub struct Follow {
-    collection: Collection,
     state: State,
     // Items of the pages that have come so far.
     pages: Vec<Change>,
@@ -63,9 +61,8 @@
 
 impl Follow {
     /// Follows nothing yet.
-    pub fn new(collection: Collection) -> Follow {
+    pub fn new() -> Follow {
         Follow {
-            collection,
             state: State::Off,
             pages: Vec::new(),
             first_revision: None,
@@ -77,12 +74,7 @@
         }
     }
 
-    /// Which collection it is.
-    pub fn collection(&self) -> Collection {
-        self.collection
-    }
-
-    /// Whether the collection has been read whole.
+    /// Whether the store has been read whole.
     pub fn has_listed(&self) -> bool {
         self.listed
     }
@@ -118,16 +110,15 @@
         if let Request::Watch { wait, .. } = &mut request {
             *wait = if settling { SETTLING_WAIT } else { WATCH_WAIT };
         }
-        // Odd and even numbers keep the calls of the two collections apart.
-        self.next_id += 2;
-        let id = self.next_id + u64::from(self.collection == Collection::Targets);
+        self.next_id += 1;
+        let id = self.next_id;
         let wait = match &request {
             Request::Watch { wait, .. } => *wait,
             Request::List { .. } => Duration::ZERO,
         };
         self.watch_since = now;
         self.state = State::Waiting(id, request.clone());
-        Some(Call { id, collection: self.collection, request, timeout: wait + ANSWER_WAIT })
+        Some(Call { id, request, timeout: wait + ANSWER_WAIT })
     }
 
     /// Takes the end of the call under way. Returns what it brought, and whether that is
@@ -147,7 +138,7 @@
                 self.failures = 0;
                 let quick = now.since(self.watch_since) < EMPTY_PAUSE;
                 let pause = match reply.changes.is_empty() {
-                    false => self.pause(),
+                    false => PAUSE,
                     true if quick => EMPTY_PAUSE,
                     true => Duration::ZERO,
                 };
@@ -189,13 +180,6 @@
         self.state = State::Due(Request::Watch { revision, wait: WATCH_WAIT }, at);
     }
 
-    fn pause(&self) -> Duration {
-        match self.collection {
-            Collection::Publication => PUBLICATION_PAUSE,
-            Collection::Targets => TARGETS_PAUSE,
-        }
-    }
-
     fn backoff(&mut self, rng: &mut Pcg64Mcg) -> Duration {
         let longest = (MIN_BACKOFF * (1 << self.failures.min(4))).min(MAX_BACKOFF);
         self.failures += 1;
--- a/core/src/discovery/port.rs
+++ b/core/src/discovery/port.rs
@@ -59,14 +59,6 @@
         /// It finishes what it has.
         Draining,
     }
-
-    /// A part of the store that is read on its own.
-    pub enum Collection {
-        /// The newest publication.
-        Publication,
-        /// The entries of targets.
-        Targets,
-    }
 }
 
 data! {
@@ -74,15 +66,13 @@
     pub struct Call {
         /// Comes back with the reply.
         pub id: u64,
-        /// What is read.
-        pub collection: Collection,
-        /// How.
+        /// What is asked.
         pub request: Request,
         /// When the call is given up.
         pub timeout: Duration,
     }
 
-    /// How a collection is read.
+    /// How the store is read.
     pub enum Request {
         /// A page of what is there.
         List {
