--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -281,6 +281,15 @@
         }
     }
 
+    /// The target's gatekeeper can't be reached. Unlike a request that failed, this is no matter of
+    /// chance: the next would wait for a connection in vain as well.
+    pub fn unreachable(&mut self, now: Time, vm: &Name) {
+        if let Some(peer) = self.peers.get_mut(vm) {
+            peer.failures = peer.failures.max(MAX_FAILURES - 1);
+        }
+        self.failed(now, vm);
+    }
+
     /// The target's gatekeeper refused for load.
     pub fn full(&mut self, now: Time, vm: &Name, retry_after: Duration) {
         if let Some(peer) = self.peers.get_mut(vm) {
--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -316,7 +316,7 @@
                 (code, COME_BACK_SOON)
             }
             AttemptEnd::NotSent => {
-                self.balancer.failed(now, &vm);
+                self.balancer.unreachable(now, &vm);
                 (Code::GatekeeperUnreachable, COME_BACK_LATER)
             }
             AttemptEnd::Lost => {
--- a/core/tests/call_entry.rs
+++ b/core/tests/call_entry.rs
@@ -423,3 +423,21 @@
         }
     }
 }
+
+#[test]
+fn balance_unreachable_tried_once() {
+    // Story: a VM has lost power. Each request that is sent there waits for a connection in vain,
+    // for a third of the time that its caller counts on.
+    let mut driver = Driver::new(&SIX);
+    let mut tried = 0;
+    for _ in 0..60 {
+        let sent = driver.arrive();
+        if sent.vm.as_str() == "a" {
+            tried += 1;
+            driver.end(sent.call, AttemptEnd::NotSent);
+        } else {
+            driver.answer(&sent, Duration::from_millis(1));
+        }
+    }
+    assert_eq!(tried, 1);
+}
--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -24,7 +24,7 @@
 /// Longest wait for a connection to be opened. Regions are 40 ms apart there and back; an
 /// opening packet that was lost is sent again only after a second, and another target answers
 /// sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// How long an unused connection is kept; shorter than a listener keeps it, so that it is not
 /// closed on the other side just as a request goes out on it.
