--- /dev/null
+++ b/core/tests/call_once_by_attempt.rs
@@ -0,0 +1,219 @@
+//! Requests that run at most once and carry no key, split routes, and what an entry node tells.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use sycamore_core::call::entry::{Arrival, AttemptEnd, Forward, Input, Output};
+use sycamore_core::call::{CallKey, Entry, Outcome};
+use sycamore_core::config::{InForce, Preset, Snapshot};
+use sycamore_core::hash::Hash;
+use sycamore_core::place::Place;
+use sycamore_core::{Code, Name, Time};
+
+const START: Time = Time(1_700_000_000_000_000);
+
+fn name(text: &str) -> Name {
+    Name::new(text.to_owned()).unwrap()
+}
+
+fn snapshot() -> Arc<Snapshot> {
+    let target = |vm: &str| {
+        format!(
+            r#"{{"vm":"{vm}","region":"r","zone":"z","gate":"127.0.0.1:1","peers":"127.0.0.1:9",
+            "incarnation":"run-{vm}"}}"#
+        )
+    };
+    let service = |vms: [&str; 3]| {
+        let targets: Vec<String> = vms.iter().map(|vm| target(vm)).collect();
+        let limits = r#"{"retry_budget_percent":100,"retry_reserve":1000}"#;
+        format!(r#"{{"limits":{limits},"targets":[{}]}}"#, targets.join(","))
+    };
+    let route = r#""service":"s","idempotent":false,"once":"attempt","max_attempts":2,
+        "spare_forwards":2,"objective_ms":600"#;
+    let text = format!(
+        r#"{{"name":"p","services":{{"s":{},"t":{}}},"routes":{{
+        "sign":{{"host":"h.example","path_prefix":"/sign/",{route}}},
+        "part":{{"host":"h.example","path_prefix":"/part/",{route},
+            "split":[{{"service":"s","weight":9}},{{"service":"t","weight":1}}]}}}}}}"#,
+        service(["a", "b", "c"]),
+        service(["d", "e", "f"])
+    );
+    let preset: Preset = serde_json::from_str(&text).unwrap();
+    let in_force = InForce { version: 1, preset: name("p"), digest: Hash::of(b"") };
+    Snapshot::new(in_force, &preset).unwrap()
+}
+
+struct Driver {
+    entry: Entry,
+    next: u64,
+}
+
+impl Driver {
+    fn new(seed: u64) -> Driver {
+        let place = Place { region: name("r"), zone: name("z") };
+        let mut driver = Driver { entry: Entry::new(place, seed), next: 0 };
+        driver.input(Input::Configure(snapshot()));
+        driver
+    }
+
+    fn input(&mut self, input: Input<'_>) -> Option<Output> {
+        let mut out = Vec::new();
+        self.entry.handle(START, input, &mut out);
+        out.pop()
+    }
+
+    fn arrive(&mut self, host: &str, path: &str) -> Option<Output> {
+        self.next += 1;
+        let arrival = Arrival {
+            call: CallKey(self.next),
+            host,
+            path,
+            key: None,
+            time_left: Some(Duration::from_secs(4)),
+            depth: 0,
+            body_bytes: None,
+        };
+        self.input(Input::Arrive(arrival))
+    }
+
+    fn sign(&mut self) -> Forward {
+        forward(self.arrive("h.example", "/sign/1"))
+    }
+
+    fn end(&mut self, call: CallKey, end: AttemptEnd) -> Option<Output> {
+        self.input(Input::Attempt { call, end, whole: true })
+    }
+}
+
+fn forward(output: Option<Output>) -> Forward {
+    match output {
+        Some(Output::Forward(forward)) => forward,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn outcome(output: Option<Output>) -> Outcome {
+    match output {
+        Some(Output::Finish { outcome, .. }) => outcome,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn refused(code: Code) -> AttemptEnd {
+    let retry_after = Duration::from_millis(50);
+    AttemptEnd::Refused { code, retry_after, load: None, crashes: 0 }
+}
+
+#[test]
+fn once_never_again_after_it_may_have_run() {
+    // Story: a target runs a signing, and the answer is lost. Sent again it would land twice, and
+    // a grower is billed for the same bark a second time.
+    let ends = [
+        AttemptEnd::Lost,
+        AttemptEnd::Failed { code: Code::TargetFailed, crashes: 0 },
+        AttemptEnd::Failed { code: Code::DeadlinePassed, crashes: 0 },
+    ];
+    for end in ends {
+        let mut driver = Driver::new(1);
+        let sent = driver.sign();
+        let told = outcome(driver.end(sent.call, end.clone()));
+        assert!(matches!(told, Outcome::Unknown { .. }), "{end:?}: {told:?}");
+    }
+    // A target's own failure is its answer.
+    let mut driver = Driver::new(1);
+    let sent = driver.sign();
+    assert_eq!(driver.end(sent.call, AttemptEnd::AnsweringFailure { load: None }), None);
+}
+
+#[test]
+fn once_again_after_it_has_not_run() {
+    for code in [Code::Draining, Code::QueueFull, Code::TargetRefused, Code::TargetReplaced] {
+        let mut driver = Driver::new(1);
+        let sent = driver.sign();
+        let next = forward(driver.end(sent.call, refused(code)));
+        assert_ne!(next.vm, sent.vm, "{code:?}");
+        // Once it may have run, a later refusal does not make it one that has not.
+        let told = outcome(driver.end(next.call, AttemptEnd::Lost));
+        assert!(matches!(told, Outcome::Unknown { .. }), "{told:?}");
+    }
+}
+
+#[test]
+fn once_attempts_count_targets_alone() {
+    // Refusals of gatekeepers cost no target any work; two refusals of targets use the attempts up.
+    let mut driver = Driver::new(1);
+    let sent = driver.sign();
+    let next = forward(driver.end(sent.call, refused(Code::QueueFull)));
+    let next = forward(driver.end(next.call, refused(Code::QueueFull)));
+    let told = outcome(driver.end(next.call, refused(Code::TargetRefused)));
+    assert!(matches!(told, Outcome::NotRun { code: Code::TargetRefused, .. }), "{told:?}");
+}
+
+#[test]
+fn waits_where_no_target_is_in_time() {
+    // Story: every target of a service is full. A request that is refused by all of them at once
+    // is turned away, although its caller would wait for seconds.
+    let mut driver = Driver::new(1);
+    let mut sent = driver.sign();
+    for _ in 0..3 {
+        assert!(!sent.terms.patient);
+        sent = forward(driver.end(sent.call, refused(Code::QueueFull)));
+    }
+    assert!(sent.terms.patient, "it waits at the last one");
+    let told = outcome(driver.end(sent.call, refused(Code::QueueFull)));
+    assert!(matches!(told, Outcome::NotRun { code: Code::QueueFull, .. }), "{told:?}");
+}
+
+#[test]
+fn terms_name_service_and_run() {
+    let mut driver = Driver::new(1);
+    let sent = driver.sign();
+    assert_eq!(sent.terms.service, name("s"));
+    assert_eq!(sent.terms.objective, START + Duration::from_millis(600));
+    assert_eq!(sent.incarnation, Some(name(&format!("run-{}", sent.vm))));
+}
+
+#[test]
+fn route_of_the_host_alone() {
+    let mut driver = Driver::new(1);
+    for (host, path) in [("other.example", "/sign/1"), ("", "/sign/1"), ("h.example", "/signs/1")] {
+        let told = outcome(driver.arrive(host, path));
+        assert!(matches!(told, Outcome::NotRun { code: Code::NoRoute, .. }), "{host} {path}");
+    }
+}
+
+#[test]
+fn split_shares_over_few_requests_a_node() {
+    // Story: a tenth of the requests is to go to another service, and eighteen nodes see twenty
+    // requests each. Nodes that all begin with the larger part send it too much.
+    let mut shares: BTreeMap<Name, u32> = BTreeMap::new();
+    for seed in 0..18 {
+        let mut driver = Driver::new(seed);
+        for _ in 0..20 {
+            let sent = forward(driver.arrive("h.example", "/part/1"));
+            *shares.entry(sent.terms.service).or_default() += 1;
+        }
+    }
+    let smaller = shares[&name("t")];
+    assert!((30..=42).contains(&smaller), "{smaller} of 360");
+}
+
+#[test]
+fn caller_that_asks_again_has_waited() {
+    // Story: a caller is turned away, comes back, and looks new: it is put before others although
+    // its answer comes too late in any case.
+    let mut driver = Driver::new(1);
+    driver.sign();
+    driver.next += 1;
+    let arrival = Arrival {
+        call: CallKey(driver.next),
+        host: "h.example",
+        path: "/sign/1",
+        key: None,
+        time_left: Some(Duration::from_millis(3_500)),
+        depth: 0,
+        body_bytes: None,
+    };
+    let sent = forward(driver.input(Input::Arrive(arrival)));
+    assert_eq!(sent.terms.objective, START + Duration::from_millis(100));
+}
