--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -48,8 +48,10 @@
 const MIN_AVOID: Duration = Duration::from_millis(500);
 const MAX_AVOID: Duration = Duration::from_secs(8);
 
-/// How long a target that said that it is leaving is avoided without hearing so again.
-const LEAVING_LIFE: Duration = Duration::from_secs(30);
+/// How long a target that said that it is leaving is avoided without hearing so again. A node that
+/// is stopped and started again is back after two to three seconds; asking one that is still
+/// leaving costs a refusal, after which the request goes elsewhere.
+const LEAVING_LIFE: Duration = Duration::from_millis(2_500);
 
 /// Weight of the newest attempt in the running share of failures, as one part in so many.
 const FAILED_WEIGHT: u32 = 8;
--- a/core/tests/call_entry.rs
+++ b/core/tests/call_entry.rs
@@ -441,3 +441,19 @@
     }
     assert_eq!(tried, 1);
 }
+
+#[test]
+fn balance_node_started_again() {
+    // Story: every node is stopped and started in turn, as planned. Entry nodes go on avoiding
+    // each target long after its node is back, until hardly any is left.
+    let mut driver = Driver::new(&["a/r/z", "b/r/z"]);
+    let mut first = driver.arrive();
+    while first.vm.as_str() != "a" {
+        driver.answer(&first, Duration::from_millis(1));
+        first = driver.arrive();
+    }
+    driver.end(first.call, refused(Code::Draining));
+    driver.now = driver.now + Duration::from_secs(3);
+    let sent: Vec<Forward> = (0..40).map(|_| driver.arrive()).collect();
+    assert!(sent.iter().any(|sent| sent.vm.as_str() == "a"));
+}
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -110,7 +110,7 @@
 
     /// Time passes.
     pub fn tick(&self) {
-        if self.shared.draining() && !self.drain_told.swap(true, Ordering::AcqRel) {
+        if !self.shared.takes_forwards() && !self.drain_told.swap(true, Ordering::AcqRel) {
             self.tell(Input::Drain);
         }
         self.tell(Input::Tick);
@@ -194,7 +194,7 @@
             Ok(held) => held,
             Err(code) => return self.refuse(&watch, &id, refusal(code), 0),
         };
-        if self.shared.draining() && !self.drain_told.swap(true, Ordering::AcqRel) {
+        if !self.shared.takes_forwards() && !self.drain_told.swap(true, Ordering::AcqRel) {
             self.tell(Input::Drain);
         }
         let digest = held.as_ref().filter(|_| head.key.is_some()).map(|buf| digest(&req, buf));
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -156,8 +156,11 @@
     /// 100 to 600,000 ms.
     pub first_configuration_ms: u64,
     /// How long a node that is leaving still takes callers' requests before it refuses them;
-    /// 0 to 600,000 ms. What other nodes forward to its target is refused at once.
+    /// 0 to 600,000 ms.
     pub serve_while_leaving_ms: u64,
+    /// How long a node that is leaving still lets its target run what other nodes forward;
+    /// 0 to 600,000 ms.
+    pub run_while_leaving_ms: u64,
     /// What the VM's link takes each way, in megabits a second; absent if it is not narrow.
     pub link_mbps: Option<LinkRate>,
     /// Most VMs that the fleet may have; 1 to 1,000,000. A node that knows no peer spreads its
@@ -176,6 +179,7 @@
             event_ring: 512,
             first_configuration_ms: 5_000,
             serve_while_leaving_ms: 0,
+            run_while_leaving_ms: 0,
             link_mbps: None,
             fleet_vms: 1_000,
         }
@@ -309,6 +313,7 @@
             ("event_ring", self.event_ring as u64, 16..=100_000),
             ("first_configuration_ms", self.first_configuration_ms, 100..=600_000),
             ("serve_while_leaving_ms", self.serve_while_leaving_ms, 0..=600_000),
+            ("run_while_leaving_ms", self.run_while_leaving_ms, 0..=600_000),
             ("fleet_vms", self.fleet_vms.into(), 1..=1_000_000),
         ];
         for (field, found, allowed) in ranges {
--- a/node/src/shared.rs
+++ b/node/src/shared.rs
@@ -224,9 +224,17 @@
     /// Whether callers' requests are taken: always before a planned stop, and for a while after
     /// its start, since callers learn of it only by and by.
     pub fn takes_calls(&self) -> bool {
+        self.within_leaving(self.settings.limits.serve_while_leaving_ms)
+    }
+
+    /// Whether the local target still runs what other nodes forward.
+    pub fn takes_forwards(&self) -> bool {
+        self.within_leaving(self.settings.limits.run_while_leaving_ms)
+    }
+
+    fn within_leaving(&self, ms: u64) -> bool {
         let since = Time(self.draining_since.load(Ordering::Acquire));
-        let service = Duration::from_millis(self.settings.limits.serve_while_leaving_ms);
-        !self.draining() || self.clock.now() < since + service
+        !self.draining() || self.clock.now() < since + Duration::from_millis(ms)
     }
 
     /// Limits of the local target's service; none while they are not known.
