Calls that targets make while they run a request are known by their time-out, and go first

Their rank is 1, as that of signings, so that rank told nothing, and their objective of 150 ms counted as missed before they waited. Ruled out: a short queue (12 of 64 waited), processor time, the expected wait. Change: a route whose time-out is below the shortest objective of routes that run once is gating.

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -9,9 +9,11 @@
 //! - `port`: what comes in and goes out
 //! - `follow`: when the store is listed, watched, and tried again
 //! - `registry`: which targets there are, by their own entries
+//! - `nested`: which routes are for calls that other requests wait for
 //! - `rejoin`: what a node that has just started asks its peers while the store is silent
 
 mod follow;
+mod nested;
 mod port;
 mod registry;
 mod rejoin;
--- a/core/src/discovery/port.rs
+++ b/core/src/discovery/port.rs
@@ -1,5 +1,6 @@
 //! What the decider takes in and gives out.
 
+use super::nested;
 use crate::call::Note;
 use crate::call::note::OutgoingNote;
 use crate::config::{Preset, Snapshot};
@@ -125,6 +126,14 @@
     }
 }
 
+impl Publication {
+    /// A version with these services and routes; the routes of nested calls are marked.
+    pub fn new(version: u64, mut preset: Preset) -> Publication {
+        nested::mark(&mut preset);
+        Publication { version, preset }
+    }
+}
+
 /// What comes in.
 #[derive(Clone, Debug)]
 pub enum Input {
