--- a/core/tests/call_once_by_attempt.rs
+++ b/core/tests/call_once_by_attempt.rs
@@ -144,7 +144,7 @@
     let mut driver = Driver::new(1);
     let sent = driver.sign();
     let next = forward(driver.end(sent.call, refused(Code::QueueFull)));
-    let next = forward(driver.end(next.call, refused(Code::QueueFull)));
+    let next = forward(driver.end(next.call, refused(Code::TargetRefused)));
     let told = outcome(driver.end(next.call, refused(Code::TargetRefused)));
     assert!(matches!(told, Outcome::NotRun { code: Code::TargetRefused, .. }), "{told:?}");
 }
@@ -184,18 +184,18 @@
 
 #[test]
 fn split_shares_over_few_requests_a_node() {
-    // Story: a tenth of the requests is to go to another service, and eighteen nodes see twenty
-    // requests each. Nodes that all begin with the larger part send it too much.
+    // Story: a tenth of the requests is to go to another service, and forty nodes see five requests
+    // each. Nodes that all begin with the larger part send it everything.
     let mut shares: BTreeMap<Name, u32> = BTreeMap::new();
-    for seed in 0..18 {
+    for seed in 0..40 {
         let mut driver = Driver::new(seed);
-        for _ in 0..20 {
+        for _ in 0..5 {
             let sent = forward(driver.arrive("h.example", "/part/1"));
             *shares.entry(sent.terms.service).or_default() += 1;
         }
     }
-    let smaller = shares[&name("t")];
-    assert!((30..=42).contains(&smaller), "{smaller} of 360");
+    let smaller = shares.get(&name("t")).copied().unwrap_or(0);
+    assert!((10..=30).contains(&smaller), "{smaller} of 200");
 }
 
 #[test]
--- a/core/tests/call_waiting.rs
+++ b/core/tests/call_waiting.rs
@@ -194,3 +194,19 @@
     // The share of the link that is meant for them is used.
     assert!(u64::from(sent) * LEDGER > LINK * 10 * 75 / 100, "{sent}");
 }
+
+#[test]
+fn late_gives_way_to_what_can_be_in_time() {
+    // Story: a target stalls for 700 ms. What waited meanwhile is late in any case; if it goes
+    // first all the same, those that come now are late as well, and so on for ever.
+    let mut slots = Slots::new(ServiceLimits { slots: 1, ..limits() });
+    slots.offer(at(0), offer(0, 0, 0, Some(OBJECTIVE), true));
+    let waits = slots.offer(at(0), offer(1, 0, 0, Some(OBJECTIVE), true));
+    assert!(matches!(waits, Admission::Queue(_)), "{waits:?}");
+    let newer = slots.offer(at(690), offer(2, 690, 0, Some(OBJECTIVE), true));
+    assert!(matches!(newer, Admission::Queue(_)), "{newer:?}");
+    slots.end(at(700), CallKey(0));
+    assert_eq!(slots.pop(at(700)), Some(Popped::Run(CallKey(2))));
+    slots.end(at(860), CallKey(2));
+    assert_eq!(slots.pop(at(860)), Some(Popped::Run(CallKey(1))));
+}
