--- /dev/null
+++ b/core/src/call/entry/again.rs
@@ -0,0 +1,156 @@
+//! Whether a request is sent again, and to which target.
+
+use super::Entry;
+use crate::call::note::HomeList;
+use crate::call::quarantine::MAX_CRASHES;
+use crate::call::{CallKey, RequestKey};
+use crate::config::{ServiceKey, Snapshot};
+use crate::{Code, Name, Time};
+use std::time::Duration;
+
+/// Homes of a key that are tried: the home and those next in order.
+const MAX_HOMES: usize = 3;
+
+/// Less time than this is not worth another attempt.
+const MIN_ATTEMPT: Duration = Duration::from_millis(1);
+
+impl Entry {
+    /// The target for another attempt, if there is to be one.
+    pub(super) fn next_attempt(
+        &mut self,
+        now: Time,
+        key: CallKey,
+        code: Code,
+        whole: bool,
+    ) -> Option<Name> {
+        let call = self.calls.get(&key)?;
+        let route = &call.snapshot.route(call.route).route;
+        let time_left = call.deadline.since(now);
+        let spared = call.spared.min(route.spare_forwards);
+        let attempts = call.attempt - spared;
+        if !whole || time_left < MIN_ATTEMPT {
+            return None;
+        }
+        if attempts >= route.max_attempts {
+            // Where every attempt was refused without work for a target, none is used up.
+            let unused = call.key.is_none() && call.spared == call.attempt;
+            return unused.then(|| self.wait_somewhere(now, key, code)).flatten();
+        }
+        match call.key {
+            Some(request_key) => self.next_home(now, key, request_key, code),
+            None => {
+                let next = self.next_target(now, key, code);
+                next.or_else(|| self.wait_somewhere(now, key, code))
+            }
+        }
+    }
+
+    /// The target at which a request waits that no target can answer within its objective.
+    fn wait_somewhere(&mut self, now: Time, key: CallKey, code: Code) -> Option<Name> {
+        let call = self.calls.get(&key)?;
+        let full = matches!(code, Code::QueueFull | Code::QueueTimeout);
+        let asked = call.terms.patient || call.unknown.is_some();
+        if !full || asked {
+            return None;
+        }
+        let service = self.snapshot.as_ref()?.service_named(&call.service)?;
+        let vm = self.balancer.pick(now, service, call.terms.class, &[])?;
+        let call = self.calls.get_mut(&key)?;
+        call.terms.patient = true;
+        Some(vm)
+    }
+
+    /// A request that may run only once is sent again only after a refusal that says that it did
+    /// not run: to its home under a newer version, or to the next home in order when the home
+    /// before is leaving. Whoever gets it checks that it is the home.
+    fn next_home(
+        &self,
+        now: Time,
+        key: CallKey,
+        request_key: RequestKey,
+        code: Code,
+    ) -> Option<Name> {
+        let call = self.calls.get(&key)?;
+        let elsewhere =
+            matches!(code, Code::NotHome | Code::Draining | Code::GatekeeperUnreachable);
+        if call.unknown.is_some() || !elsewhere {
+            return None;
+        }
+        let snapshot = self.snapshot.as_ref()?;
+        let service = snapshot.service_named(&call.service)?;
+        self.home_for(now, snapshot, service, request_key, &call.tried)
+    }
+
+    /// The home of a key, or the next in order for one that is leaving.
+    pub(super) fn home_for(
+        &self,
+        now: Time,
+        snapshot: &Snapshot,
+        service: ServiceKey,
+        key: RequestKey,
+        tried: &[Name],
+    ) -> Option<Name> {
+        let subject = key.to_bytes();
+        let targets = snapshot.service(service).targets.iter();
+        let vms: Vec<&Name> = targets.map(|target| &snapshot.target(*target).target.vm).collect();
+        let order = HomeList::order(&subject, &vms, MAX_HOMES);
+        let mut untried = order.iter().filter(|vm| !tried.contains(vm));
+        let staying = untried.clone().find(|vm| !self.balancer.is_leaving(now, vm));
+        staying.or_else(|| untried.next()).map(|vm| Name::clone(vm))
+    }
+
+    fn next_target(&mut self, now: Time, key: CallKey, code: Code) -> Option<Name> {
+        let call = self.calls.get(&key)?;
+        let kind = retry_kind(code, call.snapshot.route(call.route).route.spare_forwards);
+        let once = !call.terms.idempotent;
+        if kind == RetryKind::Never || call.crashes >= MAX_CRASHES as u32 {
+            return None;
+        }
+        // Guards against a request that runs twice: without a key nobody can tell the second run
+        // from the first, so it is sent again only while it is certain that it has not run.
+        if once && call.unknown.is_some() {
+            return None;
+        }
+        // The balancer knows the targets of the version in force now.
+        let service = self.snapshot.as_ref()?.service_named(&call.service)?;
+        let vm = self.balancer.pick(now, service, call.terms.class, &call.tried)?;
+        let budget = self.budgets.entry(call.service.clone()).or_default();
+        let paid = kind == RetryKind::Free || budget.take(now);
+        paid.then_some(vm)
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum RetryKind {
+    // No target has worked on the request, and the next may.
+    Free,
+    // It costs the service work, or the service is short of it.
+    Budgeted,
+    // Another target would say the same.
+    Never,
+}
+
+/// Whether a refusal says that no target has worked on the request.
+pub(super) fn spares_target(code: Code) -> bool {
+    !matches!(code, Code::TargetRefused | Code::TargetReplaced | Code::TargetUnreachable)
+}
+
+fn retry_kind(code: Code, spare_forwards: u32) -> RetryKind {
+    match code {
+        Code::Draining
+        | Code::NoTarget
+        | Code::NotConfigured
+        | Code::TooManyConnections
+        | Code::GatekeeperUnreachable => RetryKind::Free,
+        // Where a route allows it, another gatekeeper is asked before the caller is turned away.
+        Code::QueueFull | Code::QueueTimeout if spare_forwards > 0 => RetryKind::Free,
+        Code::TargetUnreachable
+        | Code::TargetRefused
+        | Code::TargetReplaced
+        | Code::QueueFull
+        | Code::QueueTimeout
+        | Code::TargetFailed
+        | Code::AnswerLost => RetryKind::Budgeted,
+        _ => RetryKind::Never,
+    }
+}
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -1,22 +1,23 @@
 //! Decisions beside the target: what reaches it, when, and what is said of what does not.
 
+mod check;
 mod homes;
 mod port;
+mod suspects;
 
 pub use port::{Arrival, End, Input, Output};
 
 use super::admit::{Admission, Objective, Offer, Popped, Slots};
-use super::home::{Homes, Right};
+use super::home::Homes;
 use super::link::Link;
-use super::note::{Note, OutgoingNote};
-use super::once::{KeptAnswer, Once, Seen};
-use super::quarantine::{MAX_CRASHES, Suspects};
-use super::{CallKey, Fingerprint, Load, MAX_CLOCK_SKEW, Members, Outcome, RequestKey, Terms};
+use super::once::{KeptAnswer, Once};
+use super::quarantine::Suspects;
+use super::{CallKey, Fingerprint, Load, Members, Outcome, RequestKey, Terms};
 use crate::config::snapshot::RouteEntry;
 use crate::config::{Class, OnceBy, ServiceKey, ServiceLimits, Snapshot, TargetKey};
 use crate::event::EventKind;
-use crate::hash::score;
 use crate::{Code, Name, Time};
+use check::Checked;
 use indexmap::IndexMap;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -205,100 +206,6 @@
         self.refuse(now, arrival, refuse, out);
     }
 
-    fn check(&self, now: Time, arrival: &Arrival<'_>) -> Checked {
-        let terms = match self.terms(now, arrival) {
-            Ok(terms) => terms,
-            Err(code) => return not_run(code, COME_BACK_SOON),
-        };
-        if !terms.is_keyed() {
-            return self.check_load(now, arrival, terms, None);
-        }
-        let Some(key) = arrival.key.filter(|key| key.minted() <= now + MAX_CLOCK_SKEW) else {
-            return not_run(Code::KeyMissing, COME_BACK_LATER);
-        };
-        let Some(digest) = &arrival.digest else {
-            return not_run(Code::RequestTooLarge, COME_BACK_LATER);
-        };
-        // What is known of the key goes before every reason for a refusal: a request that ran is
-        // never called not run.
-        match self.once.look_up(now, key, digest) {
-            Seen::Answered(answer) => Checked::Replay(answer),
-            Seen::InProgress => unknown(Code::KeyInProgress),
-            Seen::Unknown => unknown(Code::KeyOutcomeUnknown),
-            Seen::Reused => not_run(Code::KeyReused, COME_BACK_LATER),
-            Seen::New => match self.check_right(key) {
-                Some(refuse) => refuse,
-                None => self.check_load(now, arrival, terms, Some(key)),
-            },
-        }
-    }
-
-    /// What is asked for: as the entry node says, except for keys, whose homes follow from the
-    /// version that this node itself holds.
-    ///
-    /// Guards against a refusal of every target of a service while a version comes into force: the
-    /// entry node may hold it already and this node not yet, or the other way round.
-    fn terms(&self, now: Time, arrival: &Arrival<'_>) -> Result<Terms, Code> {
-        if let Some(told) = arrival.terms.as_ref().filter(|terms| !terms.is_keyed()) {
-            let own = self.service_name.as_ref() == Some(&told.service);
-            return if own { Ok(told.clone()) } else { Err(Code::NoTarget) };
-        }
-        let snapshot = self.snapshot.as_ref().ok_or(Code::NotConfigured)?;
-        let route = snapshot.route_for(arrival.host, arrival.path);
-        let route = route.map(|route| snapshot.route(route));
-        let own = |entry: &&RouteEntry| {
-            let parts = entry.split.iter().map(|(service, _)| *service);
-            parts.chain([entry.service]).any(|service| Some(service) == self.service)
-        };
-        let entry = route.filter(own).ok_or(Code::NoTarget)?;
-        let service = self.service.ok_or(Code::NoTarget)?;
-        Ok(Terms {
-            service: snapshot.service(service).name.clone(),
-            idempotent: entry.route.idempotent,
-            once: entry.route.once,
-            class: entry.route.class,
-            rank: entry.route.rank,
-            objective: now + Duration::from_millis(entry.route.objective_ms.into()),
-            patient: true,
-        })
-    }
-
-    fn check_right(&self, key: RequestKey) -> Option<Checked> {
-        let right = self.homes.as_ref().map_or(Right::NotHome, |homes| homes.right(key));
-        match right {
-            Right::Unknown => Some(unknown(Code::KeyOutcomeUnknown)),
-            Right::Left => Some(not_run(Code::Draining, COME_BACK_SOON)),
-            Right::NotHome => Some(not_run(Code::NotHome, COME_BACK_SOON)),
-            Right::Moving => Some(not_run(Code::HomeMoving, COME_BACK_SOON)),
-            Right::Home if !self.confirmed => Some(not_run(Code::ClockGap, COME_BACK_SOON)),
-            Right::Home => None,
-        }
-    }
-
-    fn check_load(
-        &self,
-        now: Time,
-        arrival: &Arrival<'_>,
-        terms: Terms,
-        key: Option<RequestKey>,
-    ) -> Checked {
-        if self.crashes(now, arrival) >= MAX_CRASHES as u32 {
-            return not_run(Code::Quarantined, COME_BACK_QUARANTINED);
-        }
-        if self.draining || self.target_leaving {
-            return not_run(Code::Draining, COME_BACK_SOON);
-        }
-        Checked::Take(terms, key)
-    }
-
-    fn crashes(&self, now: Time, arrival: &Arrival<'_>) -> u32 {
-        arrival.crashes.max(self.suspects.crashes(now, arrival.fingerprint) as u32)
-    }
-
-    fn crashes_of(&self, now: Time, call: &Call) -> u32 {
-        call.crashes.max(self.suspects.crashes(now, call.fingerprint) as u32)
-    }
-
     fn admit(
         &mut self,
         now: Time,
@@ -470,85 +377,8 @@
         }
     }
 
-    /// A request that broke alone is suspected alone; when the target has gone, all that it ran.
-    fn suspect(&mut self, now: Time, broken: &Call, target_gone: bool, out: &mut Vec<Output>) {
-        let mut fingerprints = vec![broken.fingerprint];
-        let fresh = score(self.vm.as_bytes(), &now.0.to_le_bytes());
-        // What breaks before the target answers again breaks in one crash.
-        let crash = self.crash.filter(|_| target_gone).unwrap_or(fresh);
-        if target_gone {
-            self.crash = Some(crash);
-            let running = self.calls.values().filter(|call| call.running);
-            fingerprints.extend(running.map(|call| call.fingerprint));
-            fingerprints.sort();
-            fingerprints.dedup();
-            self.target_lost(out);
-        }
-        self.take_suspects(now, crash, &fingerprints, out);
-        self.tell_all(&Note::Suspect { crash, fingerprints }, out);
-    }
-
-    fn take_suspects(
-        &mut self,
-        now: Time,
-        crash: u64,
-        fingerprints: &[Fingerprint],
-        out: &mut Vec<Output>,
-    ) {
-        if self.suspects.add(now, crash, fingerprints) {
-            out.push(Output::Record(EventKind::Quarantined));
-        }
-    }
-
-    fn clear(&mut self, fingerprint: Fingerprint, out: &mut Vec<Output>) {
-        if self.suspects.clear(fingerprint) {
-            self.tell_all(&Note::Cleared { fingerprint }, out);
-        }
-    }
-
-    fn target_lost(&mut self, out: &mut Vec<Output>) {
-        if std::mem::replace(&mut self.target_up, false) {
-            out.push(Output::Record(EventKind::TargetLost));
-        }
-    }
-
-    fn target_answers(&mut self, now: Time, out: &mut Vec<Output>) {
-        if !std::mem::replace(&mut self.target_up, true) {
-            self.slots.set_cold(now);
-            self.crash = None;
-            out.push(Output::Record(EventKind::TargetBack));
-        }
-    }
-
-    fn tell_all(&self, note: &Note, out: &mut Vec<Output>) {
-        let (Some(snapshot), Some(service)) = (&self.snapshot, self.service) else {
-            return;
-        };
-        let own = self.own_target(snapshot);
-        for target in &snapshot.service(service).targets {
-            let vm = &snapshot.target(*target).target.vm;
-            if Some(*target) != own {
-                out.push(Output::Send(OutgoingNote { to: vm.clone(), note: note.clone() }));
-            }
-        }
-    }
-
     /// Up to a quarter longer, so that those who were refused together don't return together.
     fn spread_out(&mut self, wait: Duration) -> Duration {
         wait + wait * self.rng.random_range(0..=25) / 100
     }
 }
-
-enum Checked {
-    Take(Terms, Option<RequestKey>),
-    Replay(Arc<KeptAnswer>),
-    Refuse(Outcome),
-}
-
-fn not_run(code: Code, retry_after: Duration) -> Checked {
-    Checked::Refuse(Outcome::not_run(code, retry_after))
-}
-
-fn unknown(code: Code) -> Checked {
-    Checked::Refuse(Outcome::Unknown { code })
-}
--- /dev/null
+++ b/core/src/call/gatekeeper/suspects.rs
@@ -0,0 +1,79 @@
+//! What crashed the target, told to the gatekeepers of its service; and whether the target answers.
+
+use super::{Call, Gatekeeper, Output};
+use crate::Time;
+use crate::call::Fingerprint;
+use crate::call::note::{Note, OutgoingNote};
+use crate::event::EventKind;
+use crate::hash::score;
+
+impl Gatekeeper {
+    /// A request that broke alone is suspected alone; when the target has gone, all that it ran.
+    pub(super) fn suspect(
+        &mut self,
+        now: Time,
+        broken: &Call,
+        target_gone: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let mut fingerprints = vec![broken.fingerprint];
+        let fresh = score(self.vm.as_bytes(), &now.0.to_le_bytes());
+        // What breaks before the target answers again breaks in one crash.
+        let crash = self.crash.filter(|_| target_gone).unwrap_or(fresh);
+        if target_gone {
+            self.crash = Some(crash);
+            let running = self.calls.values().filter(|call| call.running);
+            fingerprints.extend(running.map(|call| call.fingerprint));
+            fingerprints.sort();
+            fingerprints.dedup();
+            self.target_lost(out);
+        }
+        self.take_suspects(now, crash, &fingerprints, out);
+        self.tell_all(&Note::Suspect { crash, fingerprints }, out);
+    }
+
+    pub(super) fn take_suspects(
+        &mut self,
+        now: Time,
+        crash: u64,
+        fingerprints: &[Fingerprint],
+        out: &mut Vec<Output>,
+    ) {
+        if self.suspects.add(now, crash, fingerprints) {
+            out.push(Output::Record(EventKind::Quarantined));
+        }
+    }
+
+    pub(super) fn clear(&mut self, fingerprint: Fingerprint, out: &mut Vec<Output>) {
+        if self.suspects.clear(fingerprint) {
+            self.tell_all(&Note::Cleared { fingerprint }, out);
+        }
+    }
+
+    pub(super) fn target_lost(&mut self, out: &mut Vec<Output>) {
+        if std::mem::replace(&mut self.target_up, false) {
+            out.push(Output::Record(EventKind::TargetLost));
+        }
+    }
+
+    pub(super) fn target_answers(&mut self, now: Time, out: &mut Vec<Output>) {
+        if !std::mem::replace(&mut self.target_up, true) {
+            self.slots.set_cold(now);
+            self.crash = None;
+            out.push(Output::Record(EventKind::TargetBack));
+        }
+    }
+
+    fn tell_all(&self, note: &Note, out: &mut Vec<Output>) {
+        let (Some(snapshot), Some(service)) = (&self.snapshot, self.service) else {
+            return;
+        };
+        let own = self.own_target(snapshot);
+        for target in &snapshot.service(service).targets {
+            let vm = &snapshot.target(*target).target.vm;
+            if Some(*target) != own {
+                out.push(Output::Send(OutgoingNote { to: vm.clone(), note: note.clone() }));
+            }
+        }
+    }
+}
--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -26,7 +26,7 @@
 /// every 60 ms, and each is read whole, over links that are paid by volume; targets come and go
 /// in groups. What comes within the pause is read at once after it, within the 2.5 s that a change
 /// may take.
-const PAUSE: Duration = Duration::from_millis(900);
+const PAUSE: Duration = Duration::from_millis(700);
 
 /// Shortest and longest pause after a failed call; drawn at random between half and the whole.
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
--- a/node/src/calls/entry.rs
+++ b/node/src/calls/entry.rs
@@ -1,17 +1,20 @@
 //! The entry node's adapter: takes calls from callers and forwards them to gatekeepers.
 
+mod attempt;
+
 use super::body::{self, Body, Guard, Lease};
-use super::headers::{self, CallHead, Verdict};
+use super::headers::{self, CallHead};
 use super::pool::{Connection, Pool, SendError};
 use super::trace::{self, Fields, Step};
 use super::watch::{Phase, Watch};
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 use async_executor::Executor;
+use attempt::{Attempt, HeldBody, answering, judge};
 use futures_lite::future;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Uri, Version};
+use hyper::{Method, Request, Response, Uri, Version};
 use parking_lot::Mutex;
 use std::future::Future;
 use std::sync::Arc;
@@ -58,14 +61,6 @@
     body: HeldBody,
 }
 
-#[derive(Debug)]
-enum HeldBody {
-    /// In memory: can be sent again.
-    Whole(bytes::Bytes),
-    /// Passed on as it comes: absent once it has been sent.
-    Stream(Option<Box<Body>>),
-}
-
 /// A call whose body has not been read yet.
 #[derive(Debug)]
 struct NewCall {
@@ -76,17 +71,6 @@
     depth: u8,
 }
 
-/// What one attempt came to.
-#[derive(Debug)]
-enum Attempt {
-    Answer(Response<Incoming>, Connection),
-    Ended(AttemptEnd),
-    /// The deadline passed.
-    Late {
-        sent: bool,
-    },
-}
-
 /// An answer on its way to the caller.
 #[derive(Debug)]
 pub struct Answer {
@@ -437,54 +421,6 @@
     }
 }
 
-/// What the head of a target's answer says.
-fn answering(response: &Response<Incoming>) -> AttemptEnd {
-    let load = headers::load(response.headers());
-    let failed = response.status().is_server_error();
-    match failed && response.status() != StatusCode::GATEWAY_TIMEOUT {
-        true => AttemptEnd::AnsweringFailure { load },
-        false => AttemptEnd::Answering { load },
-    }
-}
-
-/// Takes a gatekeeper's answer apart.
-fn judge(id: &HeaderValue, response: Response<Incoming>, connection: Connection) -> Attempt {
-    let crashes = headers::number(response.headers(), &headers::CRASHES).ok().flatten();
-    let crashes = crashes.unwrap_or(0).min(u32::MAX.into()) as u32;
-    let load = headers::load(response.headers());
-    let end = match headers::verdict(&response, id) {
-        Verdict::Answered => return Attempt::Answer(response, connection),
-        Verdict::NotRun(code, retry_after) => {
-            AttemptEnd::Refused { code, retry_after, load, crashes }
-        }
-        Verdict::Unknown(code) => AttemptEnd::Failed { code, crashes },
-        Verdict::Foreign => return Attempt::Ended(AttemptEnd::Lost),
-    };
-    if response.body().is_end_stream() {
-        connection.give_back();
-    }
-    Attempt::Ended(end)
-}
-
-impl HeldBody {
-    fn is_whole(&self) -> bool {
-        !matches!(self, HeldBody::Stream(None))
-    }
-
-    fn take(&mut self) -> Option<Body> {
-        match self {
-            HeldBody::Whole(buf) => Some(Body::whole(buf.clone())),
-            HeldBody::Stream(body) => body.take().map(|body| *body),
-        }
-    }
-
-    fn put_back(&mut self, unsent: Body) {
-        if let HeldBody::Stream(body) = self {
-            *body = Some(Box::new(unsent));
-        }
-    }
-}
-
 impl Answer {
     /// The answer's body is over: to its end, or cut.
     pub fn over(mut self, whole: bool) {
