A target that never answers loses its work

Ruled out: refusals (451) come after it, where fewer targets are left. Seen failing: balance_target_that_never_answers, 18 of 120 (6 at most now).

--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -257,7 +257,7 @@
         }
     }
 
-    /// The target answered with a failure of its own.
+    /// The target answered with a failure of its own, or not before the deadline.
     pub fn answered_failure(&mut self, now: Time, vm: &Name) {
         if let Some(peer) = self.peers.get_mut(vm) {
             peer.count_end(now, true);
--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -83,7 +83,7 @@
             Input::Arrive(arrival) => self.arrive(now, &arrival, out),
             Input::Attempt { call, end, whole } => self.attempt_ended(now, call, end, whole, out),
             Input::Close(call) => self.close(call),
-            Input::Expire { call, sent } => self.expire(call, sent, out),
+            Input::Expire { call, sent } => self.expire(now, call, sent, out),
         }
     }
 
@@ -304,8 +304,10 @@
             AttemptEnd::Failed { code, crashes } => {
                 call.crashes = call.crashes.max(crashes);
                 call.unknown.get_or_insert(code);
-                if code == Code::TargetFailed {
-                    self.balancer.failed(now, &vm);
+                match code {
+                    Code::TargetFailed => self.balancer.failed(now, &vm),
+                    Code::DeadlinePassed => self.balancer.answered_failure(now, &vm),
+                    _ => {}
                 }
                 (code, COME_BACK_SOON)
             }
@@ -339,12 +341,17 @@
         }
     }
 
-    fn expire(&mut self, key: CallKey, sent: bool, out: &mut Vec<Output>) {
+    fn expire(&mut self, now: Time, key: CallKey, sent: bool, out: &mut Vec<Output>) {
         let Some(mut call) = self.calls.swap_remove(&key) else {
             return;
         };
         if let Some(vm) = &call.vm {
             self.balancer.finish(vm);
+            // Guards against a target that takes requests and never answers: nothing but its
+            // silence tells it from a good one.
+            if sent {
+                self.balancer.answered_failure(now, vm);
+            }
         }
         if sent {
             call.unknown.get_or_insert(Code::DeadlinePassed);
--- a/core/tests/call_entry.rs
+++ b/core/tests/call_entry.rs
@@ -457,3 +457,22 @@
     let sent: Vec<Forward> = (0..40).map(|_| driver.arrive()).collect();
     assert!(sent.iter().any(|sent| sent.vm.as_str() == "a"));
 }
+
+#[test]
+fn balance_target_that_never_answers() {
+    // Story: a target takes requests and never answers, while its health check is good. Each
+    // request that is sent there ends at its caller's deadline, one after the other for minutes.
+    let mut driver = Driver::new(&SIX);
+    let mut mute = 0;
+    for _ in 0..120 {
+        let sent = driver.arrive();
+        if sent.vm.as_str() == "a" {
+            mute += 1;
+            driver.now = driver.now + Duration::from_millis(100);
+            driver.input(Input::Expire { call: sent.call, sent: true });
+        } else {
+            driver.answer(&sent, Duration::from_millis(20));
+        }
+    }
+    assert!(mute <= 6, "{mute} of 120 to a target that never answers");
+}
