--- /dev/null
+++ b/node/tests/reload.rs
@@ -0,0 +1,78 @@
+//! Settings that change while a node runs.
+
+use futures_lite::future;
+use std::cell::Cell;
+use std::path::Path;
+use std::time::Duration;
+use sycamore_core::event::EventKind;
+use sycamore_node::clock::Clock;
+use sycamore_node::reload::Reload;
+use sycamore_node::settings::Settings;
+use sycamore_node::shared::Shared;
+
+fn text(seed: u16) -> String {
+    format!(
+        r#"{{"vm":"n","region":"r","zone":"z","listen":{{"calls":"127.0.0.1:0",
+        "gate":"127.0.0.1:0","peers":"127.0.0.1:0","admin":"127.0.0.1:0"}},
+        "seeds":["127.0.0.1:{seed}"],"platform_address":"127.0.0.1:1"}}"#
+    )
+}
+
+/// Follows `path`, changes it by `write` once it has been read, and goes on until so many changes
+/// were taken up, for a minute at most.
+fn follow(path: &Path, shared: &std::sync::Arc<Shared>, write: impl FnOnce(), expected: usize) {
+    let changes = Cell::new(0);
+    let reload = Reload::new(path).unwrap();
+    let run = reload.run(shared.clone(), || changes.set(changes.get() + 1));
+    // Polled after `run`, which has read the file by then.
+    let seen = async {
+        write();
+        for _ in 0..6_000 {
+            if changes.get() == expected {
+                return;
+            }
+            async_io::Timer::after(Duration::from_millis(10)).await;
+        }
+        panic!("never");
+    };
+    async_io::block_on(future::or(run, seen));
+}
+
+fn reads(shared: &Shared) -> Vec<Option<u16>> {
+    let (events, _) = shared.events();
+    let read = events.iter().filter(|event| event.kind == EventKind::SettingsRead);
+    read.map(|event| event.code).collect()
+}
+
+#[test]
+fn reload_without_a_signal() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("node.json");
+    std::fs::write(&path, text(6)).unwrap();
+    let shared = Shared::new(Settings::read(&path).unwrap(), Clock::new());
+    follow(&path, &shared, || std::fs::write(&path, text(7)).unwrap(), 1);
+    assert_eq!(shared.current().seeds, ["127.0.0.1:7".parse().unwrap()]);
+    assert_eq!(reads(&shared), [None]);
+}
+
+#[test]
+fn reload_refuses_what_is_not_valid() {
+    // Story: a settings file is written in two steps, and the node reads it in between. It must go
+    // on with what it has, and take the whole file up afterwards.
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("node.json");
+    std::fs::write(&path, text(6)).unwrap();
+    let shared = Shared::new(Settings::read(&path).unwrap(), Clock::new());
+    let (writer, seen) = (path.clone(), shared.clone());
+    let rest = std::thread::spawn(move || {
+        while reads(&seen).is_empty() {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        assert_eq!(seen.current().seeds, ["127.0.0.1:6".parse().unwrap()]);
+        std::fs::write(&writer, text(7)).unwrap();
+    });
+    follow(&path, &shared, || std::fs::write(&path, &text(7)[..40]).unwrap(), 1);
+    rest.join().unwrap();
+    assert_eq!(reads(&shared), [Some(102), None]);
+    assert_eq!(shared.current().seeds, ["127.0.0.1:7".parse().unwrap()]);
+}
