--- a/tools/tests/operators/check_agrees.rs
+++ b/tools/tests/operators/check_agrees.rs
@@ -61,9 +61,11 @@
     Some(answer.split_once("\r\n\r\n")?.1.to_owned())
 }
 
-/// A free address of this machine, which the node binds soon after.
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// Four free addresses of this machine, which the node binds soon after. All are held until the
+/// last is drawn: one that is given back may be drawn again.
+fn four_free() -> [SocketAddr; 4] {
+    let held = [(); 4].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    held.map(|listener| listener.local_addr().unwrap())
 }
 
 /// A platform and a node in this process.
@@ -74,7 +76,7 @@
 
 impl Bench {
     fn start() -> Bench {
-        let [calls, gate, peers, admin] = [free(), free(), free(), free()];
+        let [calls, gate, peers, admin] = four_free();
         let vm = json!({"vm": "a", "region": "hills", "zone": "h1", "peers": peers,
             "admin": admin, "state": "live"});
         let mut store = Store::new();
