A lookup that ran and was tried again is not called not run; comments that the code did not keep

Cause, found by reading: a target's failure that was sent again left no mark, so that a later refusal by another target told the caller that nothing had run. Seen failing: failure_that_was_tried_again_is_not_called_not_run, NotRun { code: TargetRefused }. Besides: a check that could not fail (kinds of a peer's resources) and a limit that never applied (3 s, below the longest wait) are gone; split routes of old versions are forgotten.

--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -96,6 +96,7 @@
         self.balancer.configure(&snapshot, &self.members);
         let services = snapshot.services();
         self.budgets.retain(|name, _| services.iter().any(|service| service.name == *name));
+        self.splits.retain(snapshot.routes());
         self.snapshot = Some(snapshot);
     }
 
@@ -276,6 +277,10 @@
                 let next = again.then(|| self.next_attempt(now, key, Code::TargetFailed, whole));
                 if let Some(next) = next.flatten() {
                     self.balancer.finish(&vm);
+                    // It has run, so that no later refusal may say that it has not.
+                    if let Some(call) = self.calls.get_mut(&key) {
+                        call.unknown.get_or_insert(Code::TargetFailed);
+                    }
                     self.forward(now, key, next, out);
                 }
                 return;
--- a/core/src/call/split.rs
+++ b/core/src/call/split.rs
@@ -31,6 +31,11 @@
         Splits { rng: Pcg64Mcg::seed_from_u64(seed), routes: IndexMap::new() }
     }
 
+    /// Forgets the routes that a version no longer has.
+    pub fn retain(&mut self, routes: &[RouteEntry]) {
+        self.routes.retain(|name, _| routes.iter().any(|entry| entry.name == *name));
+    }
+
     /// The service for the next request of a route.
     pub fn choose(&mut self, entry: &RouteEntry) -> ServiceKey {
         if entry.split.is_empty() {
--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -38,8 +38,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest time without an input after which the process is taken to have been paused.
-const CLOCK_GAP: Duration = Duration::from_secs(3);
+/// A longer time without any input means that the process was paused: a call to the store ends
+/// sooner, whatever becomes of it.
+const CLOCK_GAP: Duration =
+    follow::WATCH_WAIT.saturating_add(follow::ANSWER_WAIT).saturating_add(follow::ANSWER_WAIT);
 
 /// The decider of one node.
 #[derive(Debug)]
@@ -111,19 +113,15 @@
         }
     }
 
-    /// Records that the process was paused. Its watches may have ended meanwhile; they are made
-    /// again at once, since a target that left during the pause must get nothing more.
+    /// Records that the process was paused. Nothing else follows: the call to the store that was
+    /// under way has passed its time-out by then, and the next one is made at once.
     fn notice_gap(&mut self, now: Time, out: &mut Vec<Output>) {
         let last = self.last_input.replace(now).unwrap_or(now);
-        if now.since(last) > CLOCK_GAP.max(self.longest_wait()) {
+        if now.since(last) > CLOCK_GAP {
             out.push(Output::Event(Event::new(now, EventKind::ClockGap).with_own_code()));
         }
     }
 
-    fn longest_wait(&self) -> Duration {
-        follow::WATCH_WAIT + follow::ANSWER_WAIT * 2
-    }
-
     fn take_reply(
         &mut self,
         now: Time,
--- a/core/src/discovery/rejoin.rs
+++ b/core/src/discovery/rejoin.rs
@@ -5,7 +5,7 @@
 
 use super::port::{Publication, TargetEntry, TargetState};
 use crate::config::document::Target;
-use crate::config::{Preset, ResourceId, ResourceKind, Snapshot, resource, validate};
+use crate::config::{Preset, ResourceId, Snapshot, resource, validate};
 use crate::hash::Hash;
 use crate::spread::message::{Delta, PeerMsg, Pull, Summary};
 use crate::{Code, Fault, Name, Result, Time};
@@ -103,7 +103,7 @@
         |(id, body): &(ResourceId, Bytes)| (id.clone(), resource::Resource::new(body.clone()));
     let resources: IndexMap<_, _> = delta.changed.iter().map(content).collect();
     let digest: Hash = resource::manifest(&resources).digest();
-    if digest != delta.digest || resources.iter().any(|(id, _)| id.kind > ResourceKind::Route) {
+    if digest != delta.digest {
         return Err(Fault::new(Code::PeerHashMismatch));
     }
     Ok(resources)
--- a/core/tests/call_once_by_attempt.rs
+++ b/core/tests/call_once_by_attempt.rs
@@ -33,6 +33,8 @@
     let text = format!(
         r#"{{"name":"p","services":{{"s":{},"t":{}}},"routes":{{
         "sign":{{"host":"h.example","path_prefix":"/sign/",{route}}},
+        "look":{{"host":"h.example","path_prefix":"/look/","service":"s","idempotent":true,
+            "max_attempts":2}},
         "part":{{"host":"h.example","path_prefix":"/part/",{route},
             "split":[{{"service":"s","weight":9}},{{"service":"t","weight":1}}]}}}}}}"#,
         service(["a", "b", "c"]),
@@ -217,3 +219,14 @@
     let sent = forward(driver.input(Input::Arrive(arrival)));
     assert_eq!(sent.terms.objective, START + Duration::from_millis(100));
 }
+
+#[test]
+fn failure_that_was_tried_again_is_not_called_not_run() {
+    // Story: a target runs a lookup and answers with a failure. It is sent again, every other
+    // target refuses, and the caller is told that its request has not run, though it has.
+    let mut driver = Driver::new(1);
+    let sent = forward(driver.arrive("h.example", "/look/1"));
+    let next = forward(driver.end(sent.call, AttemptEnd::AnsweringFailure { load: None }));
+    let told = outcome(driver.end(next.call, refused(Code::TargetRefused)));
+    assert!(matches!(told, Outcome::Unknown { code: Code::TargetFailed }), "{told:?}");
+}
