--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -10,10 +10,12 @@
 //! - `follow`: when the store is listed, watched, and tried again
 //! - `registry`: which targets there are, by their own entries
 //! - `nested`: which routes are for calls that other requests wait for
+//! - `policy`: limits where documents do not state them
 //! - `rejoin`: what a node that has just started asks its peers while the store is silent
 
 mod follow;
 mod nested;
+pub mod policy;
 mod port;
 mod registry;
 mod rejoin;
--- /dev/null
+++ b/core/src/discovery/policy.rs
@@ -0,0 +1,38 @@
+//! Limits of services and routes where documents do not state them.
+
+use crate::config::ServiceLimits;
+
+/// Further gatekeepers asked after refusals that cost no target any work: with two attempts, four
+/// of the six targets of today's services.
+pub const SPARE_FORWARDS: u32 = 2;
+
+/// Of the retries that are allowed to a whole fleet, this share is used, in percent: nodes start,
+/// end and count at different moments.
+const RETRIES_USED_PERCENT: u32 = 60;
+
+/// Requests that wait beside one target, and for how long at most. The longest that a caller waits
+/// is 5 s; requests that can't end in time are refused on arrival, so the queue is short in fact.
+const QUEUE: u32 = 64;
+const QUEUE_WAIT_MS: u32 = 3_000;
+
+/// Longest planned stop: a second less than the 6 s after which a process is killed.
+const DRAIN_MS: u32 = 5_000;
+
+/// Limits of a service whose targets take this many connections each. The fleet may make retries
+/// up to `retry_percent` of its first attempts and `retry_reserve` beside, in any ten seconds.
+pub fn limits(connections: u32, retry_percent: u32, retry_reserve: u32) -> ServiceLimits {
+    ServiceLimits {
+        // Each target states its own slots.
+        slots: 1,
+        connections: connections.max(1),
+        queue: QUEUE,
+        queue_wait_ms: QUEUE_WAIT_MS,
+        retry_budget_percent: retry_percent * RETRIES_USED_PERCENT / 100,
+        retry_reserve: Some(retry_reserve * RETRIES_USED_PERCENT / 100),
+        // A cold target is slow and not short of slots; its answer times show it.
+        warm_up_ms: 0,
+        // What large answers may take is bounded by the link.
+        bulk_share_percent: 100,
+        drain_ms: DRAIN_MS,
+    }
+}
