--- a/core/tests/call_homes.rs
+++ b/core/tests/call_homes.rs
@@ -10,6 +10,7 @@
 use sycamore_core::Code;
 use sycamore_core::call::gatekeeper::Input;
 use sycamore_core::call::{Outcome, RequestKey};
+
 fn code(outcome: Option<Outcome>) -> Option<Code> {
     match outcome? {
         Outcome::Answered => None,
