Large answers leave a narrow link to small ones; no slot is kept for calls that never come

Ledgers were started at the pace of the link, but their bytes were written at once, and small answers waited behind them. Each target of eleven slots also kept one free for calls of a depth that nobody makes.

Change: bytes of large answers are given to the link in pieces of 16 KB, each when the one before has left; slots are kept only for depths that have been seen.

--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -1,7 +1,7 @@
 //! Admission to one target: slots, a short queue by class, and refusals that come early.
 
 use super::link::Link;
-use super::{CallKey, Load};
+use super::{CallKey, Load, MAX_DEPTH};
 use crate::config::{Class, ServiceLimits};
 use crate::{Code, Time};
 use indexmap::IndexMap;
@@ -126,7 +126,8 @@
     late: VecDeque<Waiting>,
     bulk_turn: u32,
     run_times: [Duration; 3],
-    nested_share: u32,
+    // Share of arrivals that are nested deeper than the index.
+    deeper_share: [u32; MAX_DEPTH as usize],
     link: Link,
 }
 
@@ -142,7 +143,7 @@
             late: VecDeque::new(),
             bulk_turn: 0,
             run_times: [FIRST_RUN_TIME; 3],
-            nested_share: 0,
+            deeper_share: [0; MAX_DEPTH as usize],
             link: Link::new(None),
         }
     }
@@ -153,6 +154,11 @@
         self
     }
 
+    /// When the next bytes of an answer may be given to the link.
+    pub fn piece(&mut self, now: Time, class: Class, bytes: u64) -> Time {
+        self.link.piece(now, class, bytes)
+    }
+
     /// An answer of this many bytes has been given to the link.
     pub fn sends(&mut self, now: Time, class: Class, bytes: u64) {
         self.link.send(now, class, bytes);
@@ -170,7 +176,7 @@
 
     /// Takes a request in, or refuses it at once if it could not end in time.
     pub fn offer(&mut self, now: Time, offer: Offer) -> Admission {
-        self.count_nested(offer.depth);
+        self.count_depth(offer.depth);
         if offer.deadline <= now {
             return Admission::Refuse(Code::DeadlinePassed, Duration::ZERO);
         }
@@ -325,13 +331,15 @@
     ///
     /// Guards against a deadlock: if callers' requests hold every slot of a service that their
     /// own nested requests need, none of them ends before its deadline. The deeper a request is,
-    /// the more it may use. Nothing is kept free where nested requests don't come.
+    /// the more it may use. Nothing is kept free where no deeper requests come: a slot that nobody
+    /// may take is a ninth of a target of eleven slots.
     fn kept_free(&self, now: Time, depth: u8) -> u32 {
-        if self.nested_share < NESTED_LEAST {
+        let deeper = self.deeper_share.get(usize::from(depth)).copied();
+        if deeper.is_none_or(|share| share < NESTED_LEAST) {
             return 0;
         }
         let slots = self.slots(now);
-        let wanted = (slots * self.nested_share).div_ceil(NESTED_WHOLE);
+        let wanted = (slots * self.deeper_share[0]).div_ceil(NESTED_WHOLE);
         wanted.min(slots / NESTED_SLOTS).saturating_sub(depth.into())
     }
 
@@ -342,9 +350,11 @@
         free && (offer.class != Class::Bulk || bulk())
     }
 
-    fn count_nested(&mut self, depth: u8) {
-        let newest = if depth > 0 { NESTED_WHOLE } else { 0 };
-        self.nested_share = (self.nested_share * (NESTED_WEIGHT - 1) + newest) / NESTED_WEIGHT;
+    fn count_depth(&mut self, depth: u8) {
+        for (level, share) in self.deeper_share.iter_mut().enumerate() {
+            let newest = if usize::from(depth) > level { NESTED_WHOLE } else { 0 };
+            *share = (*share * (NESTED_WEIGHT - 1) + newest) / NESTED_WEIGHT;
+        }
     }
 
     fn start(&mut self, now: Time, offer: &Offer) {
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -137,6 +137,11 @@
         self.run_waiting(now, out);
     }
 
+    /// When the next bytes of an answer may be given to the link.
+    pub fn piece(&mut self, now: Time, class: Class, bytes: u64) -> Time {
+        self.slots.piece(now, class, bytes)
+    }
+
     /// What the target runs and what waits for it.
     pub fn load(&self, now: Time) -> Load {
         self.slots.load(now)
--- a/node/src/calls.rs
+++ b/node/src/calls.rs
@@ -5,6 +5,7 @@
 pub mod entry;
 pub mod gate;
 pub mod headers;
+pub mod pace;
 pub mod pool;
 mod quiet;
 pub mod serve;
--- a/node/src/calls/body.rs
+++ b/node/src/calls/body.rs
@@ -1,5 +1,6 @@
 //! Bodies on their way through a node.
 
+use super::pace::Pace;
 use super::pool::Connection;
 use super::watch::{Phase, Watch};
 use super::{entry, gate};
@@ -38,6 +39,7 @@
     idle: Duration,
     timer: Option<Timer>,
     failed: bool,
+    pace: Option<Pace>,
 }
 
 /// Who is told that a body is over.
@@ -68,10 +70,26 @@
     /// A body that is passed on as it comes, up to `most` bytes, and given up if nothing comes
     /// for `idle`.
     pub fn relay(incoming: Incoming, most: u64, idle: Duration) -> Body {
-        let relay = Relay { incoming, passed: 0, left: most, idle, timer: None, failed: false };
+        let relay = Relay {
+            incoming,
+            passed: 0,
+            left: most,
+            idle,
+            timer: None,
+            failed: false,
+            pace: None,
+        };
         Body { content: Content::Relay(relay), guard: Guard::None }
     }
 
+    /// The same body, its bytes given to the VM's link at the pace that it takes.
+    pub fn with_pace(mut self, pace: Pace) -> Body {
+        if let Content::Relay(relay) = &mut self.content {
+            relay.pace = Some(pace);
+        }
+        self
+    }
+
     /// The same body; `guard` is told when it is over.
     pub fn with_guard(mut self, guard: Guard) -> Body {
         self.guard = guard;
@@ -88,7 +106,7 @@
             Content::Empty => true,
             // hyper takes it in one piece.
             Content::Whole(_) => false,
-            Content::Relay(relay) => !relay.failed && relay.incoming.is_end_stream(),
+            Content::Relay(relay) => !relay.failed && relay.is_end_stream(),
         }
     }
 }
@@ -116,7 +134,7 @@
         match &self.content {
             Content::Empty => true,
             Content::Whole(_) => false,
-            Content::Relay(relay) => relay.incoming.is_end_stream(),
+            Content::Relay(relay) => relay.is_end_stream(),
         }
     }
 
@@ -124,7 +142,7 @@
         match &self.content {
             Content::Empty => SizeHint::with_exact(0),
             Content::Whole(buf) => SizeHint::with_exact(buf.len() as u64),
-            Content::Relay(relay) => relay.incoming.size_hint(),
+            Content::Relay(relay) => relay.size_hint(),
         }
     }
 }
@@ -146,9 +164,48 @@
 }
 
 impl Relay {
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream() && self.held() == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let incoming = self.incoming.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(incoming.lower() + self.held());
+        if let Some(upper) = incoming.upper() {
+            hint.set_upper(upper + self.held());
+        }
+        hint
+    }
+
+    /// Bytes that have come and wait for the link.
+    fn held(&self) -> u64 {
+        self.pace.as_ref().map_or(0, Pace::held)
+    }
+
+    fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        loop {
+            if let Some(pace) = self.pace.as_mut().filter(|pace| pace.held() > 0) {
+                return pace.poll_piece(cx).map(|piece| Some(Ok(Frame::data(piece))));
+            }
+            let frame = match self.poll_incoming(cx) {
+                Poll::Ready(Some(Ok(frame))) => frame,
+                other => return other,
+            };
+            match (&mut self.pace, frame.into_data()) {
+                (Some(pace), Ok(data)) => pace.hold(data),
+                (None, Ok(data)) => return Poll::Ready(Some(Ok(Frame::data(data)))),
+                (_, Err(frame)) => return Poll::Ready(Some(Ok(frame))),
+            }
+        }
+    }
+
     /// An error here makes hyper break the connection off, so that the reader can't take what it
     /// got for the whole body.
-    fn poll_frame(
+    fn poll_incoming(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -164,6 +164,17 @@
         }
     }
 
+    /// When the next bytes of an answer may be given to the link.
+    pub(super) fn piece(&self, class: Class, bytes: u64) -> Time {
+        let now = self.shared.clock.now();
+        self.state.lock().gatekeeper.piece(now, class, bytes)
+    }
+
+    /// For how long a decision of [`GateSide::piece`] is still to be waited for.
+    pub(super) fn until(&self, time: Time) -> Duration {
+        time.since(self.shared.clock.now())
+    }
+
     /// Serves one request that another node forwards.
     pub async fn serve(
         self: Arc<GateSide>,
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -4,6 +4,7 @@
 use super::{Decision, GateSide, refusal};
 use crate::calls::body::{self, Body, Guard, Lease};
 use crate::calls::headers;
+use crate::calls::pace::Pace;
 use crate::calls::pool::{Connection, SendError};
 use crate::calls::watch::{Phase, Watch};
 use crate::metrics::Metrics;
@@ -101,7 +102,11 @@
         watch.set_phase(Phase::Answer);
         let lease = Lease::new(answering.connection);
         let answer = Answer::new(answering.running, lease, watch.clone(), class);
-        let body = Body::relay(incoming, u64::MAX, self.idle()).with_guard(Guard::Gate(answer));
+        let mut body = Body::relay(incoming, u64::MAX, self.idle()).with_guard(Guard::Gate(answer));
+        // An answer to a caller on this VM does not use the link.
+        if !watch.is_local() {
+            body = body.with_pace(Pace::new(self.clone(), class));
+        }
         Response::from_parts(head, body)
     }
 
