One node reads the store for many of its region

Ruled out: two watches (they double the calls); longer pauses (the watch brings every version that came meanwhile all the same).

Change: a node with a wide link reads the store twice a second and tells its followers the difference; they read it themselves when it is silent for 1.6 s, when it says so, or when much has changed.

--- a/core/src/config/resource.rs
+++ b/core/src/config/resource.rs
@@ -4,8 +4,8 @@
 //! not send the limits again, and the other way round.
 
 use super::document::{Preset, Route, ServiceLimits, Target};
-use crate::Name;
 use crate::hash::Hash;
+use crate::{Code, Fault, Name, Result};
 use bytes::Bytes;
 use indexmap::IndexMap;
 use std::collections::BTreeMap;
@@ -62,6 +62,12 @@
         Resource { hash: Hash::of(&body), body }
     }
 
+    /// The content, of the type that the kind of `id` says.
+    pub fn read<T: serde::de::DeserializeOwned>(&self, id: &ResourceId) -> Result<T> {
+        serde_json::from_slice(&self.body)
+            .map_err(|e| Fault::new(Code::PeerInvalid).with_place(&id.name).with_detail(e))
+    }
+
     fn of<T: serde::Serialize>(content: &T) -> Resource {
         // The types given here hold no map with keys that are not text, so that writing them as
         // JSON can't fail.
--- a/core/src/config/snapshot.rs
+++ b/core/src/config/snapshot.rs
@@ -112,15 +112,15 @@
         for (id, resource) in resources {
             match id.kind {
                 ResourceKind::Service => {
-                    let limits = parse(id, resource)?;
+                    let limits = resource.read(id)?;
                     service_of(&mut preset, &id.name).limits = limits;
                 }
                 ResourceKind::Targets => {
-                    let targets = parse(id, resource)?;
+                    let targets = resource.read(id)?;
                     service_of(&mut preset, &id.name).targets = targets;
                 }
                 ResourceKind::Route => {
-                    preset.routes.insert(id.name.clone(), parse(id, resource)?);
+                    preset.routes.insert(id.name.clone(), resource.read(id)?);
                 }
             }
         }
@@ -241,8 +241,3 @@
     let empty = || Service { limits: ServiceLimits::default(), targets: Vec::new() };
     preset.services.entry(name.clone()).or_insert_with(empty)
 }
-
-fn parse<T: serde::de::DeserializeOwned>(id: &ResourceId, resource: &Resource) -> Result<T> {
-    serde_json::from_slice(&resource.body)
-        .map_err(|e| Fault::new(Code::PeerInvalid).with_place(&id.name).with_detail(e))
-}
--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -11,6 +11,8 @@
 //! - `registry`: which targets there are, by their own entries
 //! - `nested`: which routes are for calls that other requests wait for
 //! - `policy`: limits where documents do not state them
+//! - `relay`: one node reads the store for many of its region
+//! - `view`: what a node holds, and the difference between two such views
 //! - `rejoin`: what a node that has just started asks its peers while the store is silent
 
 mod follow;
@@ -19,26 +21,32 @@
 mod port;
 mod registry;
 mod rejoin;
+mod relay;
+mod view;
 
 pub use port::{
     Call, Change, Config, Input, Output, Publication, ReadError, Reply, Request, TargetEntry,
     TargetState, View,
 };
 pub use registry::{RETURN_GRACE, Registry};
+pub use relay::LAPSE;
 
 use crate::call::note::OutgoingNote;
 use crate::config::{InForce, Snapshot};
 use crate::event::{Event, EventKind};
 use crate::hash::Hash;
 use crate::place::Link;
-use crate::spread::{Peer, PeerMsg};
+use crate::spread::message::{Delta, Pull};
+use crate::spread::{Peer, PeerMsg, Summary};
 use crate::{Code, Time};
 use follow::Follow;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rejoin::Rejoin;
+use relay::{Message, Relay};
 use std::sync::Arc;
 use std::time::Duration;
+use view::View as Held;
 
 /// A longer time without any input means that the process was paused: a call to the store ends
 /// sooner, whatever becomes of it.
@@ -57,7 +65,12 @@
     refused: u64,
     snapshot: Option<Arc<Snapshot>>,
     rejoin: Rejoin,
+    relay: Relay,
+    // What is in force, as it is compared with what other nodes hold.
+    held: Option<Arc<Held>>,
     stale: bool,
+    // The store has answered since followers were told last.
+    proven: bool,
     store_answers: Option<bool>,
     last_input: Option<Time>,
 }
@@ -73,7 +86,10 @@
             refused: 0,
             snapshot: None,
             rejoin: Rejoin::new(),
+            relay: Relay::new(),
+            held: None,
             stale: false,
+            proven: false,
             store_answers: None,
             last_input: None,
             cfg,
@@ -103,13 +119,20 @@
     }
 
     fn advance(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.relay.lapses(now) {
+            self.leave_reader(now, out);
+        }
+        self.follow.read_for_others(now, self.relay.reads_for_others(now));
         out.extend(self.follow.next_call(now).map(Output::Read));
         self.stale |= self.registry.expire(now);
         if std::mem::take(&mut self.stale) {
             self.put_in_force(now, out);
         }
         self.ask_peers(now, out);
-        let wakes = [self.follow.wake_at(), self.registry.wake_at(), self.rejoin.wake_at()];
+        self.relay_news(now, out);
+        let seeks = self.held.is_some() && self.follow.has_listed();
+        let relay = seeks.then(|| self.relay.wake_at()).flatten();
+        let wakes = [self.follow.wake_at(), self.registry.wake_at(), self.rejoin.wake_at(), relay];
         if let Some(wake) = wakes.into_iter().flatten().min() {
             out.push(Output::WakeAt(wake));
         }
@@ -137,7 +160,11 @@
         let answered = !matches!(result, Err(ReadError::Failed(_)));
         self.note_answer(now, answered, out);
         match answered {
-            true => self.registry.store_answers(now),
+            true => {
+                self.registry.store_answers(now);
+                self.relay.store_answers(now);
+                self.proven = true;
+            }
             false => self.registry.store_fails(now),
         }
         let (changes, listed) = self.follow.take(now, result, &mut self.rng);
@@ -208,7 +235,10 @@
             return;
         };
         let mut preset = published.preset.clone();
-        for target in self.registry.targets(&self.cfg) {
+        let listed = self.registry.targets(&self.cfg);
+        self.held = Some(Arc::new(Held::new(published.clone(), &listed)));
+        self.relay.remember(&published);
+        for target in listed {
             if let Some(service) = preset.services.get_mut(&target.service) {
                 service.targets.push(target.target);
             }
@@ -246,20 +276,102 @@
     fn take_message(&mut self, now: Time, from: &Peer, msg: PeerMsg, out: &mut Vec<Output>) {
         match msg {
             PeerMsg::Note(note) => out.push(Output::Note { from: from.vm.clone(), note }),
-            PeerMsg::Pull(pull) => {
-                let msg = rejoin::answer(self.snapshot.as_deref(), &pull);
-                let link = self.cfg.place.link_to(&from.place);
-                out.push(Output::Send { to: from.address, link, msg });
+            PeerMsg::Pull(pull) => self.answer(now, from, &pull, out),
+            PeerMsg::Delta(delta) if delta.base.is_none() => self.take_delta(now, &delta, out),
+            PeerMsg::Delta(delta) if self.relay.listens_to(from.address) => {
+                self.take_difference(now, from, &delta, out);
+            }
+            PeerMsg::Notice(summary) if self.relay.listens_to(from.address) => {
+                self.take_notice(now, from, &summary, out);
+            }
+            PeerMsg::Missing(_) if self.relay.listens_to(from.address) => {
+                self.leave_reader(now, out);
             }
-            PeerMsg::Delta(delta) => self.take_delta(now, &delta, out),
             // Peers that spread versions themselves say more; here the store does.
             _ => {}
         }
     }
 
+    fn answer(&mut self, now: Time, from: &Peer, pull: &Pull, out: &mut Vec<Output>) {
+        let link = self.cfg.place.link_to(&from.place);
+        let msg = match &pull.base {
+            None => rejoin::answer(self.snapshot.as_deref(), pull),
+            Some(base) => {
+                let held = self.held.as_ref().filter(|_| self.follow.has_listed());
+                self.relay.answer(now, &self.cfg, (from.address, link), base, held)
+            }
+        };
+        out.push(Output::Send { to: from.address, link, msg });
+    }
+
+    /// Tells followers what the store has said, or looks for somebody to follow.
+    fn relay_news(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Some(held) = self.held.clone() else {
+            return;
+        };
+        if std::mem::take(&mut self.proven) {
+            out.extend(self.relay.tell(now, &held).into_iter().map(send));
+        }
+        if self.follow.has_listed() {
+            out.extend(self.relay.seek(now, &self.cfg, &held).map(send));
+        }
+    }
+
+    /// The reader, or whoever is asked to be it, names what it holds.
+    fn take_notice(&mut self, now: Time, from: &Peer, summary: &Summary, out: &mut Vec<Output>) {
+        let Some(held) = self.held.clone() else {
+            return;
+        };
+        match held.digest == summary.whole {
+            true => self.in_step(now, from, out),
+            false => out.extend(self.relay.resync(now, &held).map(send)),
+        }
+    }
+
+    fn take_difference(&mut self, now: Time, from: &Peer, delta: &Delta, out: &mut Vec<Output>) {
+        let Some(held) = self.held.clone() else {
+            return;
+        };
+        match held.after(delta) {
+            Ok(after) => {
+                let targets = after.targets.iter();
+                let entries = targets.flat_map(|(service, listed)| {
+                    listed.iter().map(|target| (target.vm.clone(), rejoin::entry(service, target)))
+                });
+                self.registry.take_from_reader(entries.collect());
+                self.take_version(now, after.published, out);
+                self.stale = true;
+                self.in_step(now, from, out);
+            }
+            // Made for another state than this node's, as after a message that was lost.
+            Err(_) if delta.base.as_ref().is_none_or(|base| base.digest != held.digest) => {
+                out.extend(self.relay.resync(now, &held).map(send));
+            }
+            Err(fault) => {
+                out.push(Output::Refused(fault));
+                self.leave_reader(now, out);
+            }
+        }
+    }
+
+    fn in_step(&mut self, now: Time, from: &Peer, out: &mut Vec<Output>) {
+        if self.relay.in_step(now) {
+            self.follow.stop();
+            out.push(Output::Event(Event::new(now, EventKind::ParentChosen).with_peer(&from.vm)));
+        }
+    }
+
+    /// Reads the store again, if another node was followed.
+    fn leave_reader(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.relay.let_go(now, &self.cfg) {
+            self.follow.start(now);
+            out.push(Output::Event(Event::new(now, EventKind::ParentLost)));
+        }
+    }
+
     /// Takes what a peer holds until the store answers: its version if it is newer, and its
     /// targets if none are known.
-    fn take_delta(&mut self, now: Time, delta: &crate::spread::Delta, out: &mut Vec<Output>) {
+    fn take_delta(&mut self, now: Time, delta: &Delta, out: &mut Vec<Output>) {
         match rejoin::read(delta) {
             Ok((published, entries)) => {
                 if !self.follow.has_listed() {
@@ -282,3 +394,7 @@
         }
     }
 }
+
+fn send((to, link, msg): Message) -> Output {
+    Output::Send { to, link, msg }
+}
--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -28,6 +28,10 @@
 /// may take.
 const PAUSE: Duration = Duration::from_millis(700);
 
+/// The same two for a node that reads for others: they rely on hearing from it.
+const READER_WAIT: Duration = Duration::from_millis(500);
+const READER_PAUSE: Duration = Duration::from_millis(500);
+
 /// Shortest and longest pause after a failed call; drawn at random between half and the whole.
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
@@ -49,6 +53,7 @@
     failed_at: Option<Time>,
     next_id: u64,
     watch_since: Time,
+    for_others: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -71,6 +76,7 @@
             failed_at: None,
             next_id: 0,
             watch_since: Time::ZERO,
+            for_others: false,
         }
     }
 
@@ -84,6 +90,23 @@
         self.list(now);
     }
 
+    /// Makes no more calls; what is under way is not awaited.
+    pub fn stop(&mut self) {
+        self.state = State::Off;
+    }
+
+    /// Sets how often the store is asked: more often if others rely on this node. A long watch that
+    /// is under way is not awaited then: until its end nothing could be said to them.
+    pub fn read_for_others(&mut self, now: Time, for_others: bool) {
+        let begins = for_others && !self.for_others;
+        self.for_others = for_others;
+        if let State::Waiting(_, Request::Watch { revision, .. }) = self.state {
+            if begins {
+                self.watch(revision, now);
+            }
+        }
+    }
+
     /// Whether the call with this id is the one under way.
     pub fn awaits(&self, id: u64) -> bool {
         matches!(self.state, State::Waiting(waiting, _) if waiting == id)
@@ -108,7 +131,11 @@
         let mut request = request.clone();
         let settling = self.failed_at.is_some_and(|failed| now.since(failed) < SETTLING);
         if let Request::Watch { wait, .. } = &mut request {
-            *wait = if settling { SETTLING_WAIT } else { WATCH_WAIT };
+            *wait = match (self.for_others, settling) {
+                (true, _) => READER_WAIT,
+                (false, true) => SETTLING_WAIT,
+                (false, false) => WATCH_WAIT,
+            };
         }
         self.next_id += 1;
         let id = self.next_id;
@@ -138,6 +165,7 @@
                 self.failures = 0;
                 let quick = now.since(self.watch_since) < EMPTY_PAUSE;
                 let pause = match reply.changes.is_empty() {
+                    false if self.for_others => READER_PAUSE,
                     false => PAUSE,
                     true if quick => EMPTY_PAUSE,
                     true => Duration::ZERO,
--- a/core/src/discovery/port.rs
+++ b/core/src/discovery/port.rs
@@ -17,6 +17,11 @@
     pub struct Config {
         /// Where the node is.
         pub place: Place,
+        /// Address on which the node takes messages from peers.
+        pub address: SocketAddr,
+        /// What the VM's link takes, in kilobits a second; absent if that is not known to be
+        /// little.
+        pub link_kbps: Option<u64>,
         /// Peers to ask after a start while the store is silent.
         pub seeds: Vec<SocketAddr>,
         /// Port of every node's gatekeeper.
--- a/core/src/discovery/registry.rs
+++ b/core/src/discovery/registry.rs
@@ -106,6 +106,14 @@
         changed
     }
 
+    /// Takes the targets that a reader of the store holds, in place of all that were known.
+    pub fn take_from_reader(&mut self, entries: Vec<(Name, TargetEntry)>) {
+        let known = |(id, entry)| (id, Known { entry, missing: false });
+        self.entries = entries.into_iter().map(known).collect();
+        self.failing_since = None;
+        self.back_since = None;
+    }
+
     /// Drops what did not come back in time. Returns whether any target changed.
     pub fn expire(&mut self, now: Time) -> bool {
         let over = |since: Time| now.since(since) >= RETURN_GRACE;
--- a/core/src/discovery/rejoin.rs
+++ b/core/src/discovery/rejoin.rs
@@ -109,7 +109,8 @@
     Ok(resources)
 }
 
-fn entry(service: &Name, target: &Target) -> TargetEntry {
+/// The entry of a target as another node lists it.
+pub fn entry(service: &Name, target: &Target) -> TargetEntry {
     TargetEntry {
         service: service.clone(),
         // Only its IP counts: the ports of nodes are the same everywhere.
--- /dev/null
+++ b/core/src/discovery/view.rs
@@ -0,0 +1,173 @@
+//! What a node holds, version and targets, and the difference between two such views.
+//!
+//! A version is known by its number, so that the digest of a view covers the number and the
+//! targets. Targets of one service travel together; routes and limits travel one by one.
+
+use super::port::Publication;
+use super::registry::Listed;
+use crate::config::resource::{Resource, ResourceId, ResourceKind};
+use crate::config::{Preset, Target, validate};
+use crate::hash::Hash;
+use crate::spread::message::{Base, Delta};
+use crate::{Code, Fault, Name, Result};
+use bytes::Bytes;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Largest difference that is sent, in bytes of its parts. A reader with sixty followers sends it
+/// sixty times; whoever lacks more reads the store.
+const MAX_DIFFERENCE: usize = 65_536;
+
+/// A version and the targets known beside it.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// The version.
+    pub published: Arc<Publication>,
+    /// The targets of each service, in the order of their names.
+    pub targets: BTreeMap<Name, Vec<Target>>,
+    /// Equal for the same version with the same targets.
+    pub digest: Hash,
+}
+
+impl View {
+    /// The view of a node that lists these targets.
+    pub fn new(published: Arc<Publication>, listed: &[Listed]) -> View {
+        let mut targets: BTreeMap<Name, Vec<Target>> = BTreeMap::new();
+        for entry in listed {
+            targets.entry(entry.service.clone()).or_default().push(entry.target.clone());
+        }
+        View::of(published, targets)
+    }
+
+    fn of(published: Arc<Publication>, mut targets: BTreeMap<Name, Vec<Target>>) -> View {
+        targets.retain(|_, listed| !listed.is_empty());
+        for listed in targets.values_mut() {
+            listed.sort_by(|a, b| a.vm.cmp(&b.vm));
+        }
+        let mut text = published.version.to_be_bytes().to_vec();
+        for (service, listed) in &targets {
+            text.extend_from_slice(service.as_bytes());
+            text.extend_from_slice(Resource::of_targets(listed).hash.as_bytes());
+        }
+        View { published, targets, digest: Hash::of(&text) }
+    }
+
+    /// The view after a difference. Fails if it is not from this view, or if something else comes
+    /// out than its sender holds.
+    pub fn after(&self, delta: &Delta) -> Result<View> {
+        let base = delta.base.as_ref().map(|base| base.version);
+        if base != Some(self.published.version) {
+            return Err(Fault::new(Code::PeerHashMismatch));
+        }
+        let mut targets = self.targets.clone();
+        let mut preset = None;
+        for (id, body) in &delta.changed {
+            if id.kind == ResourceKind::Targets {
+                targets.insert(id.name.clone(), Resource::new(body.clone()).read(id)?);
+                continue;
+            }
+            let preset: &mut Preset = preset.get_or_insert_with(|| self.published.preset.clone());
+            change(preset, id, body)?;
+        }
+        for id in &delta.removed {
+            let preset = preset.get_or_insert_with(|| self.published.preset.clone());
+            match id.kind {
+                ResourceKind::Route => preset.routes.shift_remove(&id.name).map(|_| ()),
+                ResourceKind::Service => preset.services.shift_remove(&id.name).map(|_| ()),
+                ResourceKind::Targets => targets.remove(&id.name).map(|_| ()),
+            };
+        }
+        let version = delta.summary.in_force.version;
+        let published = match preset {
+            None if version == self.published.version => self.published.clone(),
+            preset => {
+                let preset = preset.unwrap_or_else(|| self.published.preset.clone());
+                validate::preset_without_targets(&preset)?;
+                Arc::new(Publication { version, preset })
+            }
+        };
+        let view = View::of(published, targets);
+        match view.digest == delta.digest {
+            true => Ok(view),
+            false => Err(Fault::new(Code::PeerHashMismatch)),
+        }
+    }
+}
+
+/// The difference to `view` from a node that holds `base`: `older` is the version of `base`, and
+/// `known` the view that it holds, where these are known. `None` if the version is not known any
+/// more, or if the difference is large.
+pub fn difference(
+    view: &View,
+    base: &Base,
+    older: Option<&Publication>,
+    known: Option<&View>,
+) -> Option<Delta> {
+    let mut changed: Vec<(ResourceId, Bytes)> = Vec::new();
+    let mut removed: Vec<ResourceId> = Vec::new();
+    if base.version != view.published.version {
+        compare_versions(&older?.preset, &view.published.preset, &mut changed, &mut removed);
+    }
+    let none = BTreeMap::new();
+    let before = known.map_or(&none, |known| &known.targets);
+    for (service, listed) in &view.targets {
+        if before.get(service) != Some(listed) {
+            let id = ResourceId::new(ResourceKind::Targets, service);
+            changed.push((id, Resource::of_targets(listed).body));
+        }
+    }
+    // Of a node whose targets are not known, any service of its version may have some.
+    let services = view.published.preset.services.keys().chain(before.keys());
+    for service in services.filter(|service| !view.targets.contains_key(*service)) {
+        removed.push(ResourceId::new(ResourceKind::Targets, service));
+    }
+    let size: usize = changed.iter().map(|(_, body)| body.len()).sum();
+    (size <= MAX_DIFFERENCE).then(|| Delta {
+        summary: view.summary(),
+        base: Some(base.clone()),
+        changed,
+        removed,
+        digest: view.digest,
+    })
+}
+
+fn compare_versions(
+    before: &Preset,
+    after: &Preset,
+    changed: &mut Vec<(ResourceId, Bytes)>,
+    removed: &mut Vec<ResourceId>,
+) {
+    for (name, service) in &after.services {
+        let same = |old: &crate::config::Service| old.limits == service.limits;
+        if !before.services.get(name).is_some_and(same) {
+            let id = ResourceId::new(ResourceKind::Service, name);
+            changed.push((id, Resource::of_limits(&service.limits).body));
+        }
+    }
+    for (name, route) in &after.routes {
+        if before.routes.get(name) != Some(route) {
+            let id = ResourceId::new(ResourceKind::Route, name);
+            changed.push((id, Resource::of_route(route).body));
+        }
+    }
+    let services = before.services.keys().filter(|name| !after.services.contains_key(*name));
+    removed.extend(services.map(|name| ResourceId::new(ResourceKind::Service, name)));
+    let routes = before.routes.keys().filter(|name| !after.routes.contains_key(*name));
+    removed.extend(routes.map(|name| ResourceId::new(ResourceKind::Route, name)));
+}
+
+fn change(preset: &mut Preset, id: &ResourceId, body: &Bytes) -> Result<()> {
+    let resource = Resource::new(body.clone());
+    match id.kind {
+        ResourceKind::Route => {
+            preset.routes.insert(id.name.clone(), resource.read(id)?);
+        }
+        ResourceKind::Service => {
+            let service =
+                crate::config::Service { limits: resource.read(id)?, targets: Vec::new() };
+            preset.services.insert(id.name.clone(), service);
+        }
+        ResourceKind::Targets => {}
+    }
+    Ok(())
+}
--- a/core/tests/discovery.rs
+++ b/core/tests/discovery.rs
@@ -60,7 +60,14 @@
 impl Node {
     fn new() -> Node {
         let seeds = vec!["10.0.0.9:7".parse().unwrap()];
-        let cfg = Config { place: place(), seeds, gate_port: 5, peers_port: 7 };
+        let cfg = Config {
+            place: place(),
+            address: "10.0.0.1:7".parse().unwrap(),
+            link_kbps: None,
+            seeds,
+            gate_port: 5,
+            peers_port: 7,
+        };
         let mut node = Node {
             discovery: Discovery::new(cfg, 1),
             now: START,
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -73,6 +73,8 @@
 fn config(settings: &Settings) -> Config {
     Config {
         place: settings.place(),
+        address: settings.listen.peers,
+        link_kbps: settings.limits.link_mbps.map(|rate| rate.kbps),
         seeds: settings.seeds.clone(),
         gate_port: settings.listen.gate.port(),
         peers_port: settings.listen.peers.port(),
