--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 pub mod balance;
 pub mod budget;
+pub mod depth;
 pub mod entry;
 pub mod gatekeeper;
 pub mod home;
--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -1,7 +1,8 @@
 //! Admission to one target: slots, a short queue by class, and refusals that come early.
 
+use super::depth::Depths;
 use super::link::Link;
-use super::{CallKey, Load, MAX_DEPTH};
+use super::{CallKey, Load};
 use crate::config::{Class, ServiceLimits};
 use crate::{Code, Time};
 use indexmap::IndexMap;
@@ -21,18 +22,6 @@
 /// steady traffic of the classes before it can't hold it off for ever.
 const BULK_TURN: u32 = 8;
 
-/// Weight of the newest arrival in the running share of nested requests, as one part in so many.
-const NESTED_WEIGHT: u32 = 64;
-
-/// Parts of the share of nested requests; the share is counted in these.
-const NESTED_WHOLE: u32 = 1_024;
-
-/// A smaller share of nested requests than this keeps no slot free for them.
-const NESTED_LEAST: u32 = NESTED_WHOLE / 64;
-
-/// At most one slot in so many is kept free for nested requests.
-const NESTED_SLOTS: u32 = 4;
-
 /// How long a request may wait beyond its objective, behind all that can still meet theirs.
 /// Callers wait for seconds; one that is turned away instead can come back elsewhere.
 const LATE_WAIT: Duration = Duration::from_millis(600);
@@ -129,8 +118,7 @@
     late: VecDeque<Waiting>,
     bulk_turn: u32,
     run_times: [Duration; 3],
-    // Share of arrivals that are nested deeper than the index.
-    deeper_share: [u32; MAX_DEPTH as usize],
+    depths: Depths,
     link: Link,
 }
 
@@ -146,7 +134,7 @@
             late: VecDeque::new(),
             bulk_turn: 0,
             run_times: [FIRST_RUN_TIME; 3],
-            deeper_share: [0; MAX_DEPTH as usize],
+            depths: Depths::new(),
             link: Link::new(None),
         }
     }
@@ -182,7 +170,7 @@
 
     /// Takes a request in, or refuses it at once if it could not end in time.
     pub fn offer(&mut self, now: Time, offer: Offer) -> Admission {
-        self.count_depth(offer.depth);
+        self.depths.count(offer.depth);
         if offer.deadline <= now {
             return Admission::Refuse(Code::DeadlinePassed, Duration::ZERO);
         }
@@ -337,37 +325,15 @@
         (self.slots(now) * self.limits.bulk_share_percent / 100).max(1)
     }
 
-    /// Slots that a request at this depth must leave free.
-    ///
-    /// Guards against a deadlock: if callers' requests hold every slot of a service that their
-    /// own nested requests need, none of them ends before its deadline. The deeper a request is,
-    /// the more it may use. Nothing is kept free where no deeper requests come: a slot that nobody
-    /// may take is a ninth of a target of eleven slots.
-    fn kept_free(&self, now: Time, depth: u8) -> u32 {
-        let deeper = self.deeper_share.get(usize::from(depth)).copied();
-        if deeper.is_none_or(|share| share < NESTED_LEAST) {
-            return 0;
-        }
-        let slots = self.slots(now);
-        let wanted = (slots * self.deeper_share[0]).div_ceil(NESTED_WHOLE);
-        wanted.min(slots / NESTED_SLOTS).saturating_sub(depth.into())
-    }
-
     fn has_slot(&self, now: Time, offer: &Offer) -> bool {
-        let used = self.running.len() as u32 + self.kept_free(now, offer.depth);
-        let free = used < self.slots(now);
+        let slots = self.slots(now);
+        let used = self.running.len() as u32 + self.depths.kept_free(slots, offer.depth);
+        let free = used < slots;
         let bulk =
             || self.running_bulk < self.bulk_slots(now) && self.link.has_room(now, self.to_come());
         free && (offer.class != Class::Bulk || bulk())
     }
 
-    fn count_depth(&mut self, depth: u8) {
-        for (level, share) in self.deeper_share.iter_mut().enumerate() {
-            let newest = if usize::from(depth) > level { NESTED_WHOLE } else { 0 };
-            *share = (*share * (NESTED_WEIGHT - 1) + newest) / NESTED_WEIGHT;
-        }
-    }
-
     /// Bytes that the large answers which run will have.
     fn to_come(&self) -> u64 {
         self.running.values().map(|running| running.to_come).sum()
--- /dev/null
+++ b/core/src/call/depth.rs
@@ -0,0 +1,52 @@
+//! How deep the requests that come are nested, and the slots that are kept free for the deeper ones.
+
+use super::MAX_DEPTH;
+
+/// Weight of the newest arrival in the running shares, as one part in so many.
+const WEIGHT: u32 = 64;
+
+/// Parts of a share; shares are counted in these.
+const WHOLE: u32 = 1_024;
+
+/// A smaller share of deeper requests than this keeps no slot free for them.
+const LEAST: u32 = WHOLE / 64;
+
+/// At most one slot in so many is kept free.
+const SLOTS: u32 = 4;
+
+/// Which share of the arrivals is nested how deep.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Depths {
+    // Share of arrivals that are nested deeper than the index.
+    deeper: [u32; MAX_DEPTH as usize],
+}
+
+impl Depths {
+    /// Nothing has come.
+    pub fn new() -> Depths {
+        Depths::default()
+    }
+
+    /// Counts an arrival. `depth` is how many calls wait for it.
+    pub fn count(&mut self, depth: u8) {
+        for (level, share) in self.deeper.iter_mut().enumerate() {
+            let newest = if usize::from(depth) > level { WHOLE } else { 0 };
+            *share = (*share * (WEIGHT - 1) + newest) / WEIGHT;
+        }
+    }
+
+    /// Of so many slots, those that a request at this depth must leave free.
+    ///
+    /// Guards against a deadlock: if callers' requests hold every slot of a service that their
+    /// own nested requests need, none of them ends before its deadline. The deeper a request is,
+    /// the more it may use. Nothing is kept free where no deeper requests come: a slot that nobody
+    /// may take is one of eleven.
+    pub fn kept_free(&self, slots: u32, depth: u8) -> u32 {
+        let deeper = self.deeper.get(usize::from(depth)).copied();
+        if deeper.is_none_or(|share| share < LEAST) {
+            return 0;
+        }
+        let wanted = (slots * self.deeper[0]).div_ceil(WHOLE);
+        wanted.min(slots / SLOTS).saturating_sub(depth.into())
+    }
+}
--- a/core/src/call/link.rs
+++ b/core/src/call/link.rs
@@ -8,9 +8,9 @@
 /// configuration, and for the headers of packets.
 const USED_PERCENT: u64 = 85;
 
-/// Bytes that wait for the link while the target still runs others: what keeps the link busy
-/// between two runs of different length.
-const IN_HAND: Duration = Duration::from_millis(60);
+/// Bytes that wait for the link while the target still runs others, beside one whole answer: what
+/// keeps the link busy between two runs of different length.
+const IN_HAND: Duration = Duration::from_millis(20);
 
 /// How far ahead of the link the bytes of large answers are handed over. A timer that fires a few
 /// milliseconds late then leaves the link no idle time, and a small answer waits no longer behind
@@ -26,9 +26,13 @@
 /// Time assumed from the start of a run to the first byte of its answer.
 const FIRST_LEAD: Duration = Duration::from_millis(150);
 
-/// Longest such time that is believed. A target that slows down as it fills up would otherwise be
-/// let in more and more, and slow down further.
-const MAX_LEAD: Duration = Duration::from_millis(200);
+/// Weight of a longer time than the mean. A target that slows down as it fills up would otherwise
+/// be let in more and more, and slow down further; so the mean stays near what a target takes that
+/// is not full.
+const LONGER_WEIGHT: u32 = 64;
+
+/// Longest such time that is believed: a target that stalls says nothing about the next run.
+const MAX_LEAD: Duration = Duration::from_millis(500);
 
 /// When the link will have sent what it has been given.
 ///
@@ -89,7 +93,8 @@
 
     /// The first byte of a large answer came this long after its start.
     pub fn began(&mut self, lead: Duration) {
-        self.lead = (self.lead * (WEIGHT - 1) + lead.min(MAX_LEAD)) / WEIGHT;
+        let weight = if lead > self.lead { LONGER_WEIGHT } else { WEIGHT };
+        self.lead = (self.lead * (weight - 1) + lead.min(MAX_LEAD)) / weight;
     }
 
     /// A large answer of this many bytes has been handed over whole.
@@ -101,7 +106,7 @@
     /// What may be on its way to the link: as much as it sends until a run that starts now brings
     /// its first byte.
     fn ahead(&self) -> Duration {
-        self.lead + IN_HAND
+        self.lead + IN_HAND + self.time(self.mean_size)
     }
 
     fn backlog(&self, now: Time, to_come: u64) -> Duration {
--- a/node/tests/calls_path.rs
+++ b/node/tests/calls_path.rs
@@ -40,6 +40,30 @@
     assert_eq!(answer.body.len(), 5_000_000);
 }
 
+#[test]
+fn path_paced_whole() {
+    // Story: a ledger leaves a VM with a narrow link in pieces, with waits between them. Its reader
+    // must get every byte, in order, and the connection must serve the next request.
+    let target = Target::new();
+    let limits = r#"{"link_mbps":40}"#;
+    let node = Node::with_gate_on("a", Some(target.address), limits, "127.0.0.2");
+    let plain = preset("{}", &[("a", node.gate)]);
+    node.configure(
+        1,
+        &plain.replace("\"idempotent\":true", "\"idempotent\":true,\"class\":\"bulk\""),
+    );
+    let (_other, unpaced) = single("{}");
+    let expected = call(unpaced.entry, &get("/idem/stream/300000"));
+    let mut stream = open(node.entry, "");
+    for _ in 0..2 {
+        stream.write_all(get("/idem/stream/300000").as_bytes()).unwrap();
+        let answer = read(&stream);
+        assert!(answer.whole);
+        assert!(answer.body == expected.body, "{} bytes", answer.body.len());
+    }
+    eventually("the slot is free", || node.shared.metrics.in_flight.get() == 0);
+}
+
 #[test]
 fn path_not_configured() {
     let node = Node::new("a", None);
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -207,10 +207,15 @@
     }
 
     pub fn with_limits(vm: &str, target: Option<SocketAddr>, limits: &str) -> Node {
+        Node::with_gate_on(vm, target, limits, "127.0.0.1")
+    }
+
+    /// A node whose gatekeeper listens on an address that differs from its callers'.
+    pub fn with_gate_on(vm: &str, target: Option<SocketAddr>, limits: &str, gate: &str) -> Node {
         let target = target.map_or("null".into(), |address| format!("\"{address}\""));
         let text = format!(
             r#"{{"vm":"{vm}","region":"r","zone":"z","target_address":{target},
-            "listen":{{"calls":"127.0.0.1:0","gate":"127.0.0.1:0","peers":"127.0.0.1:0",
+            "listen":{{"calls":"127.0.0.1:0","gate":"{gate}:0","peers":"127.0.0.1:0",
             "admin":"127.0.0.1:0"}},"platform_address":"127.0.0.1:1","limits":{limits}}}"#
         );
         let settings = Settings::parse(text.as_bytes()).unwrap();
