--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -1,5 +1,7 @@
 //! Which target a request goes to: the cheaper of two drawn at random, near ones first.
 
+mod peer;
+
 use super::entry::Reason;
 use super::{Load, Members};
 use crate::config::{Class, ServiceKey, Snapshot};
@@ -7,20 +9,12 @@
 use crate::place::{Link, Place};
 use crate::{Name, Time};
 use indexmap::IndexMap;
+use peer::{ANSWER_TIME_LIFE, Peer, Strictness, first_answer_time};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Answer time assumed of a target that has not been measured lately, by the link to it: the
-/// least that it can be, since one that is assumed slower than its neighbours would never be tried.
-const ZONE_ANSWER_TIME: Duration = Duration::from_millis(1);
-const REGION_ANSWER_TIME: Duration = Duration::from_millis(2);
-const ACROSS_ANSWER_TIME: Duration = Duration::from_millis(40);
-
-/// Shortest answer time that is told from a shorter one; below it the load decides.
-const MIN_ANSWER_TIME: Duration = ZONE_ANSWER_TIME;
-
 /// Share of the other's cost, in percent, under which a target counts as cheaper. Nearly equal
 /// ones share the work, and so each stays measured.
 const CHEAPER_PERCENT: u32 = 80;
@@ -31,16 +25,6 @@
 /// The same for the usual answer time of a service, which changes more slowly than a target's.
 const TYPICAL_WEIGHT: u32 = 32;
 
-/// How long a measured answer time counts, ever less. A target that was slow is tried again the
-/// sooner the less slow it was, and after this time as if new.
-const ANSWER_TIME_LIFE: Duration = Duration::from_secs(5);
-
-/// How long a reported load counts.
-const LOAD_LIFE: Duration = Duration::from_secs(1);
-
-/// Slots assumed of a target that has reported none.
-const UNKNOWN_SLOTS: u32 = 8;
-
 /// Failures in a row after which a target is avoided.
 const MAX_FAILURES: u32 = 2;
 
@@ -53,16 +37,6 @@
 /// leaving costs a refusal, after which the request goes elsewhere.
 const LEAVING_LIFE: Duration = Duration::from_millis(2_500);
 
-/// Weight of the newest attempt in the running share of failures, as one part in so many.
-const FAILED_WEIGHT: u32 = 8;
-
-/// Parts of the share of failures; the share is counted in these.
-const FAILED_WHOLE: u32 = 1_024;
-
-/// How much dearer a target counts that fails every request, as a multiple. One that fails half
-/// of them while its health check is good then gets work only when the others are far from free.
-const FAILED_COST: u32 = 8;
-
 /// What the way of an answer costs beyond its time, in percent of the service's usual answer time,
 /// by class (gating, interactive, bulk) and link (zone, region, across): traffic between regions
 /// is paid by volume, and large answers fill the slow links. Another zone is worth it for a wait
@@ -76,29 +50,6 @@
 /// Most that a queue at one target is avoided for.
 const MAX_FULL: Duration = Duration::from_millis(500);
 
-#[derive(Clone, Debug)]
-struct Peer {
-    gate: SocketAddr,
-    incarnation: Option<Name>,
-    service: usize,
-    link: Link,
-    // By the configuration, until the target reports its own.
-    slots: Option<u32>,
-    in_flight: u32,
-    load: Option<(Load, Time)>,
-    // By class.
-    answer_time: [Option<(Duration, Time)>; 3],
-    // Share of attempts that failed of late, and when the last one ended.
-    failed_share: (u32, Time),
-    failures: u32,
-    avoid_until: Time,
-    full_until: Time,
-    leaving_until: Time,
-    // By the view of members or the target's own entry.
-    leaving: bool,
-    listed_leaving: bool,
-}
-
 #[derive(Clone, Debug, Default)]
 struct Tiers {
     // Indexes of peers by link, nearest first.
@@ -107,15 +58,6 @@
     distrust: bool,
 }
 
-/// How strictly targets are chosen.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Strictness {
-    // Neither leaving nor failing nor full.
-    Healthy,
-    // Not leaving by its own word.
-    Staying,
-}
-
 /// What a target is picked for.
 #[derive(Clone, Copy)]
 struct Want<'a> {
@@ -416,86 +358,3 @@
         tier[start..].iter().chain(&tier[..start]).copied().find(usable)
     }
 }
-
-impl Peer {
-    fn new(gate: SocketAddr, link: Link) -> Peer {
-        Peer {
-            gate,
-            incarnation: None,
-            service: 0,
-            link,
-            slots: None,
-            in_flight: 0,
-            load: None,
-            answer_time: [None; 3],
-            failed_share: (0, Time::ZERO),
-            failures: 0,
-            avoid_until: Time::ZERO,
-            full_until: Time::ZERO,
-            leaving_until: Time::ZERO,
-            leaving: false,
-            listed_leaving: false,
-        }
-    }
-
-    fn is_usable(&self, now: Time, strictness: Strictness, distrust: bool) -> bool {
-        if self.leaving_until > now || self.listed_leaving {
-            return false;
-        }
-        match strictness {
-            Strictness::Healthy => {
-                let listed = !self.leaving || distrust;
-                listed && self.avoid_until <= now && self.full_until <= now
-            }
-            Strictness::Staying => true,
-        }
-    }
-
-    /// Expected time to an answer: the measured time, stretched by how full the target is and by
-    /// how often it has failed of late.
-    fn cost(&self, now: Time, class: Class, typical: Duration) -> Duration {
-        let recent = |at: Time, life: Duration| now.since(at) < life;
-        let answer_time = self.expected_answer_time(now, class, typical);
-        let load = self.load.filter(|(_, at)| recent(*at, LOAD_LIFE)).map(|(load, _)| load);
-        let known = load.map(|load| load.slots).or(self.slots);
-        let slots = known.unwrap_or(UNKNOWN_SLOTS).max(1);
-        let reported = load.map_or(0, |load| load.in_flight + load.queued);
-        let outstanding = reported.max(self.in_flight);
-        let waiting = outstanding.saturating_sub(slots);
-        let time = answer_time * (slots + outstanding + waiting * 2) / slots;
-        time + time * FAILED_COST * self.failed(now) / FAILED_WHOLE
-    }
-
-    fn expected_answer_time(&self, now: Time, class: Class, typical: Duration) -> Duration {
-        let first = first_answer_time(self.link) + typical;
-        let Some((mean, at)) = self.answer_time[class as usize] else {
-            return first;
-        };
-        let age = now.since(at).min(ANSWER_TIME_LIFE);
-        let left = (ANSWER_TIME_LIFE - age).as_millis() as u32;
-        let above = mean.saturating_sub(first) * left / ANSWER_TIME_LIFE.as_millis() as u32;
-        (mean.min(first) + above).max(MIN_ANSWER_TIME)
-    }
-
-    fn count_end(&mut self, now: Time, failed: bool) {
-        let newest = if failed { FAILED_WHOLE } else { 0 };
-        let share = self.failed(now) * (FAILED_WEIGHT - 1) + newest;
-        self.failed_share = (share / FAILED_WEIGHT, now);
-    }
-
-    /// The share of failures, which counts ever less while nothing is tried.
-    fn failed(&self, now: Time) -> u32 {
-        let (share, at) = self.failed_share;
-        let age = now.since(at).min(ANSWER_TIME_LIFE);
-        let left = (ANSWER_TIME_LIFE - age).as_millis() as u32;
-        share * left / ANSWER_TIME_LIFE.as_millis() as u32
-    }
-}
-
-fn first_answer_time(link: Link) -> Duration {
-    match link {
-        Link::Zone => ZONE_ANSWER_TIME,
-        Link::Region => REGION_ANSWER_TIME,
-        Link::Across => ACROSS_ANSWER_TIME,
-    }
-}
--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -43,7 +43,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rejoin::Rejoin;
-use relay::{Message, Relay};
+use relay::{Outgoing, Relay};
 use std::sync::Arc;
 use std::time::Duration;
 use view::View as Held;
@@ -395,6 +395,6 @@
     }
 }
 
-fn send((to, link, msg): Message) -> Output {
+fn send(Outgoing { to, link, msg }: Outgoing) -> Output {
     Output::Send { to, link, msg }
 }
--- a/core/src/discovery/relay.rs
+++ b/core/src/discovery/relay.rs
@@ -13,12 +13,12 @@
 
 use super::port::{Config, Publication};
 use super::view::{View, difference};
-use crate::config::InForce;
-use crate::hash::{Hash, score};
+use crate::Time;
+use crate::config::Target;
+use crate::hash::score;
 use crate::place::Link;
 use crate::spread::PeerMsg;
-use crate::spread::message::{Base, Pull, Summary};
-use crate::{Name, Time};
+use crate::spread::message::{Base, Pull};
 use indexmap::IndexMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -102,7 +102,15 @@
 }
 
 /// A message to send.
-pub type Message = (SocketAddr, Link, PeerMsg);
+#[derive(Debug)]
+pub struct Outgoing {
+    /// Address of the peer.
+    pub to: SocketAddr,
+    /// The link to it.
+    pub link: Link,
+    /// The message.
+    pub msg: PeerMsg,
+}
 
 impl Relay {
     /// Follows nobody and has no follower.
@@ -168,13 +176,14 @@
     }
 
     /// Asks the next node in order, if this one follows none, or renews.
-    pub fn seek(&mut self, now: Time, cfg: &Config, view: &View) -> Option<Message> {
+    pub fn seek(&mut self, now: Time, cfg: &Config, view: &View) -> Option<Outgoing> {
         if let Some(reader) = &mut self.reader {
             if now < reader.renew_at {
                 return None;
             }
             reader.renew_at = now + RENEW;
-            return Some((reader.address, reader.link, question(view)));
+            let (to, link) = (reader.address, reader.link);
+            return Some(Outgoing { to, link, msg: question(view) });
         }
         // A reader stays one: its followers would have to find another.
         if now < self.ask_at || !self.followers.is_empty() {
@@ -187,7 +196,7 @@
         }
         self.asked = None;
         let order = order(cfg, view);
-        let Some((address, link)) = order.get(self.asked_before).copied() else {
+        let Some(Asked { address, link }) = order.get(self.asked_before).copied() else {
             self.asked_before = 0;
             self.ask_at = now + ROUND_PAUSE;
             return None;
@@ -195,7 +204,7 @@
         self.asked_before += 1;
         self.ask_at = now + ASK_WAIT;
         self.asked = Some(Asked { address, link });
-        Some((address, link, question(view)))
+        Some(Outgoing { to: address, link, msg: question(view) })
     }
 
     /// The reader holds what this node holds. Returns whether it is followed from now on.
@@ -215,14 +224,14 @@
     }
 
     /// Asks the reader for the difference to what it holds, though not at every message.
-    pub fn resync(&mut self, now: Time, view: &View) -> Option<Message> {
+    pub fn resync(&mut self, now: Time, view: &View) -> Option<Outgoing> {
         if now < self.resync_at {
             return None;
         }
         self.resync_at = now + RESYNC_PAUSE;
         let reader = self.reader.as_ref().map(|reader| (reader.address, reader.link));
         let (to, link) = reader.or(self.asked.map(|asked| (asked.address, asked.link)))?;
-        Some((to, link, question(view)))
+        Some(Outgoing { to, link, msg: question(view) })
     }
 
     /// The node that was asked or followed can't say what has changed. Returns whether it was
@@ -270,7 +279,7 @@
     }
 
     /// What followers are told after the store has answered.
-    pub fn tell(&mut self, now: Time, view: &Arc<View>) -> Vec<Message> {
+    pub fn tell(&mut self, now: Time, view: &Arc<View>) -> Vec<Outgoing> {
         self.followers.retain(|_, follower| follower.until > now);
         let told = self.told.replace(view.clone());
         if self.followers.is_empty() {
@@ -281,7 +290,11 @@
             difference(view, &base, self.version(base.version), Some(&told))
         });
         let msg = changed.map_or_else(|| notice(view), |delta| PeerMsg::Delta(Arc::new(delta)));
-        let send = |(to, follower): (&SocketAddr, &Follower)| (*to, follower.link, msg.clone());
+        let send = |(to, follower): (&SocketAddr, &Follower)| Outgoing {
+            to: *to,
+            link: follower.link,
+            msg: msg.clone(),
+        };
         self.followers.iter().map(send).collect()
     }
 
@@ -297,7 +310,7 @@
 
 /// Nodes to ask, first the one that all others ask first. A node that may read itself asks only
 /// those before it, so that no two follow each other.
-fn order(cfg: &Config, view: &View) -> Vec<(SocketAddr, Link)> {
+fn order(cfg: &Config, view: &View) -> Vec<Asked> {
     if view.targets.values().map(Vec::len).sum::<usize>() < MIN_FLEET {
         return Vec::new();
     }
@@ -307,12 +320,14 @@
     let near = view.targets.values().flatten().filter(|target| {
         target.region == cfg.place.region && !target.leaving && target.peers != cfg.address
     });
-    let mut ranked: Vec<(u64, SocketAddr, Link)> = near
-        .map(|target| (rank(&target.peers), target.peers, cfg.place.link_to(&target.place())))
-        .filter(|(rank, ..)| !may_read(cfg) || *rank > own)
-        .collect();
-    ranked.sort_by_key(|(rank, address, _)| (std::cmp::Reverse(*rank), *address));
-    ranked.into_iter().map(|(_, address, link)| (address, link)).collect()
+    let candidate = |target: &Target| {
+        let asked = Asked { address: target.peers, link: cfg.place.link_to(&target.place()) };
+        (rank(&target.peers), asked)
+    };
+    let mut ranked: Vec<(u64, Asked)> = near.map(candidate).collect();
+    ranked.retain(|(rank, _)| !may_read(cfg) || *rank > own);
+    ranked.sort_by_key(|(rank, asked)| (std::cmp::Reverse(*rank), asked.address));
+    ranked.into_iter().map(|(_, asked)| asked).collect()
 }
 
 fn question(view: &View) -> PeerMsg {
@@ -324,13 +339,3 @@
 fn notice(view: &View) -> PeerMsg {
     PeerMsg::Notice(Box::new(view.summary()))
 }
-
-impl View {
-    /// Names what is held.
-    pub fn summary(&self) -> Summary {
-        let name: Name = self.published.preset.name.clone();
-        let digest = Hash::of(b"");
-        let in_force = InForce { version: self.published.version, preset: name, digest };
-        Summary { in_force, whole: self.digest }
-    }
-}
--- a/core/src/discovery/view.rs
+++ b/core/src/discovery/view.rs
@@ -6,9 +6,9 @@
 use super::port::Publication;
 use super::registry::Listed;
 use crate::config::resource::{Resource, ResourceId, ResourceKind};
-use crate::config::{Preset, Target, validate};
+use crate::config::{InForce, Preset, Service, Target, validate};
 use crate::hash::Hash;
-use crate::spread::message::{Base, Delta};
+use crate::spread::message::{Base, Delta, Summary};
 use crate::{Code, Fault, Name, Result};
 use bytes::Bytes;
 use std::collections::BTreeMap;
@@ -52,6 +52,13 @@
         View { published, targets, digest: Hash::of(&text) }
     }
 
+    /// Names what is held.
+    pub fn summary(&self) -> Summary {
+        let preset: Name = self.published.preset.name.clone();
+        let in_force = InForce { version: self.published.version, preset, digest: Hash::of(b"") };
+        Summary { in_force, whole: self.digest }
+    }
+
     /// The view after a difference. Fails if it is not from this view, or if something else comes
     /// out than its sender holds.
     pub fn after(&self, delta: &Delta) -> Result<View> {
@@ -138,7 +145,7 @@
     removed: &mut Vec<ResourceId>,
 ) {
     for (name, service) in &after.services {
-        let same = |old: &crate::config::Service| old.limits == service.limits;
+        let same = |old: &Service| old.limits == service.limits;
         if !before.services.get(name).is_some_and(same) {
             let id = ResourceId::new(ResourceKind::Service, name);
             changed.push((id, Resource::of_limits(&service.limits).body));
@@ -163,8 +170,7 @@
             preset.routes.insert(id.name.clone(), resource.read(id)?);
         }
         ResourceKind::Service => {
-            let service =
-                crate::config::Service { limits: resource.read(id)?, targets: Vec::new() };
+            let service = Service { limits: resource.read(id)?, targets: Vec::new() };
             preset.services.insert(id.name.clone(), service);
         }
         ResourceKind::Targets => {}
