The test of a half-written settings file puts its texts in place in one step

The test wrote by cutting the file and then writing it, and the node may read it in between. The node did right, so the test now renames; what it expects is unchanged.

--- a/node/tests/reload.rs
+++ b/node/tests/reload.rs
@@ -18,6 +18,14 @@
     )
 }
 
+/// Puts a text in place of the file in one step. A file that is cut and then written may be read
+/// in between, and its beginning be refused once more than the test counts.
+fn replace(path: &Path, text: &str) {
+    let next = path.with_extension("next");
+    std::fs::write(&next, text).unwrap();
+    std::fs::rename(&next, path).unwrap();
+}
+
 /// Follows `path`, changes it by `write` once it has been read, and goes on until so many changes
 /// were taken up, for a minute at most.
 fn follow(path: &Path, shared: &std::sync::Arc<Shared>, write: impl FnOnce(), expected: usize) {
@@ -50,7 +58,7 @@
     let path = dir.path().join("node.json");
     std::fs::write(&path, text(6)).unwrap();
     let shared = Shared::new(Settings::read(&path).unwrap(), Clock::new());
-    follow(&path, &shared, || std::fs::write(&path, text(7)).unwrap(), 1);
+    follow(&path, &shared, || replace(&path, &text(7)), 1);
     assert_eq!(shared.current().seeds, ["127.0.0.1:7".parse().unwrap()]);
     assert_eq!(reads(&shared), [None]);
 }
@@ -69,9 +77,9 @@
             std::thread::sleep(Duration::from_millis(10));
         }
         assert_eq!(seen.current().seeds, ["127.0.0.1:6".parse().unwrap()]);
-        std::fs::write(&writer, text(7)).unwrap();
+        replace(&writer, &text(7));
     });
-    follow(&path, &shared, || std::fs::write(&path, &text(7)[..40]).unwrap(), 1);
+    follow(&path, &shared, || replace(&path, &text(7)[..40]), 1);
     rest.join().unwrap();
     assert_eq!(reads(&shared), [Some(102), None]);
     assert_eq!(shared.current().seeds, ["127.0.0.1:7".parse().unwrap()]);
