--- a/core/src/discovery/relay.rs
+++ b/core/src/discovery/relay.rs
@@ -55,8 +55,8 @@
 /// Shortest time between two questions for a difference.
 const RESYNC_PAUSE: Duration = Duration::from_millis(150);
 
-/// Followers of one reader; three regions of the size aimed at hold more, and those turned away
-/// follow the next in order.
+/// Followers of one reader. It sends a difference of up to 64 KB to each, 4 MB in all, which its
+/// link takes in a third of a second; those turned away follow the next in order.
 const MAX_FOLLOWERS: usize = 64;
 
 /// Versions from which a difference can be made.
