Two tests of the reader that could not fail see their faults now

relay_message_lost passed with the guard broken, since the question that followers ask every two seconds told them too; the change now falls between two of these. relay_large_version_read_from_store looked only at what nodes held, and now at the largest difference sent.

--- a/core/tests/discovery_relay.rs
+++ b/core/tests/discovery_relay.rs
@@ -106,6 +106,8 @@
     messages: VecDeque<(Time, usize, usize, PeerMsg)>,
     // Drops every message until then.
     deaf_until: Time,
+    // Bytes of the largest difference sent.
+    largest: usize,
 }
 
 fn discovery(node: usize) -> Discovery {
@@ -139,6 +141,7 @@
             nodes: (0..NODES).map(node).collect(),
             messages: VecDeque::new(),
             deaf_until: START,
+            largest: 0,
         };
         fleet.store.changes.push(version(1, 10));
         fleet.store.changes.extend((0..NODES).map(|node| entry(node, TargetState::Ready, 1)));
@@ -164,6 +167,10 @@
                     self.nodes[node].called = self.now;
                 }
                 Output::Send { to, msg, .. } => {
+                    if let PeerMsg::Delta(delta) = &msg {
+                        let size = delta.changed.iter().map(|(_, body)| body.len()).sum();
+                        self.largest = self.largest.max(size);
+                    }
                     let to = (0..NODES).find(|node| address(*node, 7) == to).unwrap();
                     self.messages.push_back((self.now + WAY, node, to, msg));
                 }
@@ -313,6 +320,7 @@
     fleet.store.changes.push(version(2, 1_200));
     fleet.pass(ms(1_500));
     assert_eq!(fleet.behind(), Vec::<usize>::new());
+    assert!(fleet.largest <= 65_536, "{} bytes to each follower", fleet.largest);
 }
 
 #[test]
@@ -353,6 +361,8 @@
     // Story: a connection breaks just as a reader tells of a change. The reader goes on speaking,
     // so that its followers see nothing wrong, and do without the change.
     let mut fleet = Fleet::new();
+    // Past the question that every follower asks each two seconds and that would tell it too.
+    fleet.pass(ms(500));
     fleet.store.changes.push(entry(3, TargetState::Draining, 2));
     fleet.deaf_until = fleet.now + ms(50);
     fleet.pass(ms(1_200));
