Nodes that still hold the configuration offer it to those that have lost it

Cause: with the store silent and 16 of 18 processes killed, the seeds among them, the 16 ask only their seeds, which know nothing; the two that know talk to nobody. Ruled out: asking more widely from the node that starts: it knows no address but its seeds'. Change: a node that can't reach a gatekeeper offers what it holds to the node beside it; while the store is known to fail, or has not been read since the start, offers go to any peers, four a round. An offer names what is held; only a process that has not read the store takes it up, and never an older version.

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -13,10 +13,12 @@
 //! - `policy`: limits where documents do not state them
 //! - `relay`: one node reads the store for many of its region
 //! - `view`: what a node holds, and the difference between two such views
+//! - `offer`: what a node that knows tells peers that may have lost everything
 //! - `rejoin`: what a node that has just started asks its peers while the store is silent
 
 mod follow;
 mod nested;
+mod offer;
 pub mod policy;
 mod port;
 mod registry;
@@ -40,10 +42,12 @@
 use crate::spread::{Peer, PeerMsg, Summary};
 use crate::{Code, Time};
 use follow::Follow;
+use offer::Offers;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rejoin::Rejoin;
 use relay::{Outgoing, Relay};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use view::View as Held;
@@ -65,6 +69,7 @@
     refused: u64,
     snapshot: Option<Arc<Snapshot>>,
     rejoin: Rejoin,
+    offers: Offers,
     relay: Relay,
     // What is in force, as it is compared with what other nodes hold.
     held: Option<Arc<Held>>,
@@ -86,6 +91,7 @@
             refused: 0,
             snapshot: None,
             rejoin: Rejoin::new(),
+            offers: Offers::new(),
             relay: Relay::new(),
             held: None,
             stale: false,
@@ -107,6 +113,7 @@
             Input::Reply { id, result } => self.take_reply(now, id, result, out),
             Input::Peer { from, msg } => self.take_message(now, &from, msg, out),
             Input::Note(note) => self.send_note(&note, out),
+            Input::PeerLost(gate) => self.lose_peer(now, gate),
             Input::Seeds(seeds) => self.cfg.seeds = seeds,
             Input::Wake => {}
         }
@@ -129,10 +136,13 @@
             self.put_in_force(now, out);
         }
         self.ask_peers(now, out);
+        self.make_offers(now, out);
         self.relay_news(now, out);
         let seeks = self.held.is_some() && self.follow.has_listed();
         let relay = seeks.then(|| self.relay.wake_at()).flatten();
-        let wakes = [self.follow.wake_at(), self.registry.wake_at(), self.rejoin.wake_at(), relay];
+        let offers = self.held.as_ref().and_then(|_| self.offers.wake_at());
+        let wakes =
+            [self.follow.wake_at(), self.registry.wake_at(), self.rejoin.wake_at(), offers, relay];
         if let Some(wake) = wakes.into_iter().flatten().min() {
             out.push(Output::WakeAt(wake));
         }
@@ -284,6 +294,7 @@
             PeerMsg::Notice(summary) if self.relay.listens_to(from.address) => {
                 self.take_notice(now, from, &summary, out);
             }
+            PeerMsg::Notice(summary) => self.take_offer(now, from, &summary, out),
             PeerMsg::Missing(_) if self.relay.listens_to(from.address) => {
                 self.leave_reader(now, out);
             }
@@ -295,7 +306,10 @@
     fn answer(&mut self, now: Time, from: &Peer, pull: &Pull, out: &mut Vec<Output>) {
         let link = self.cfg.place.link_to(&from.place);
         let msg = match &pull.base {
-            None => rejoin::answer(self.snapshot.as_deref(), pull),
+            None => {
+                self.offers.given_to(from.address);
+                rejoin::answer(self.snapshot.as_deref(), pull)
+            }
             Some(base) => {
                 let held = self.held.as_ref().filter(|_| self.follow.has_listed());
                 self.relay.answer(now, &self.cfg, (from.address, link), base, held)
@@ -304,6 +318,42 @@
         out.push(Output::Send { to: from.address, link, msg });
     }
 
+    /// The process beside a gatekeeper could not be reached: when it is back, it may know nothing.
+    fn lose_peer(&mut self, now: Time, gate: SocketAddr) {
+        let address = SocketAddr::new(gate.ip(), self.cfg.peers_port);
+        if address != self.cfg.address {
+            self.offers.peer_lost(now, address);
+        }
+    }
+
+    /// Names what is held to peers that may have lost it.
+    fn make_offers(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Some(held) = self.held.clone() else {
+            return;
+        };
+        let silent = self.store_answers == Some(false) && !self.relay.is_follower();
+        self.offers.set_wide(silent || !self.follow.has_listed());
+        for (to, link) in self.offers.round(now, &self.cfg, &held, &mut self.rng) {
+            let msg = PeerMsg::Notice(Box::new(held.summary()));
+            out.push(Output::Send { to, link, msg });
+        }
+    }
+
+    /// Asks a peer that offers what this node lacks.
+    ///
+    /// Guards against going back to what a peer that is cut off still believes: only a process
+    /// that has not read the store since its start takes anything from an offer, never an older
+    /// version, and what the store says goes before it all.
+    fn take_offer(&mut self, now: Time, from: &Peer, summary: &Summary, out: &mut Vec<Output>) {
+        let known = self.published.as_ref().map_or(0, |held| held.version);
+        let lacks = !self.follow.has_listed() && summary.in_force.version > known;
+        if lacks && self.offers.may_ask(now) {
+            let link = self.cfg.place.link_to(&from.place);
+            let msg = rejoin::question(self.published.as_ref().map(|held| held.version));
+            out.push(Output::Send { to: from.address, link, msg });
+        }
+    }
+
     /// Tells followers what the store has said, or looks for somebody to follow.
     fn relay_news(&mut self, now: Time, out: &mut Vec<Output>) {
         let Some(held) = self.held.clone() else {
--- /dev/null
+++ b/core/src/discovery/offer.rs
@@ -0,0 +1,119 @@
+//! What a node that knows the configuration offers to peers that may have lost it.
+//!
+//! Guards against a fleet that stays down after most of its processes have ended while the store
+//! is silent: a process that starts then knows nobody but its seeds, which may have ended too,
+//! while the few that still hold everything are asked by nobody. So those who hold something
+//! speak first, to each peer that has just been lost from sight, and to any peer while the store
+//! is known to fail. Whoever gets what it lacked passes it on in the same way, so that the number
+//! of nodes that know grows severalfold with each round and one survivor is enough.
+//!
+//! An offer only names what is held. A peer that has read the store itself passes it over.
+
+use super::port::Config;
+use super::view::View;
+use crate::Time;
+use crate::config::Target;
+use crate::place::Link;
+use indexmap::IndexMap;
+use rand::RngExt;
+use rand::seq::SliceRandom;
+use rand_pcg::Pcg64Mcg;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time between two rounds of offers.
+const ROUND: Duration = Duration::from_millis(150);
+
+/// Peers that get an offer in one round, beside those lost from sight: one or two packets each.
+const PEERS_A_ROUND: usize = 4;
+
+/// For how long a peer that was lost from sight gets offers. Its process is back within a second or
+/// two where it is to return at all.
+const LOST_LIFE: Duration = Duration::from_secs(4);
+
+/// Peers lost from sight that are remembered at once.
+const MAX_LOST: usize = 32;
+
+/// How long a node that has asked for what it was offered waits before it asks another.
+const ASK_PAUSE: Duration = Duration::from_millis(200);
+
+/// The offers of one node, and its questions after those of others.
+#[derive(Debug)]
+pub struct Offers {
+    lost: IndexMap<SocketAddr, Time>,
+    next: Time,
+    // Whether any peer may lack what is held, since the store does not answer.
+    wide: bool,
+    ask_at: Time,
+}
+
+impl Offers {
+    /// Offers nothing.
+    pub fn new() -> Offers {
+        Offers { lost: IndexMap::new(), next: Time::ZERO, wide: false, ask_at: Time::ZERO }
+    }
+
+    /// A peer's process could not be reached, or its connection broke.
+    pub fn peer_lost(&mut self, now: Time, address: SocketAddr) {
+        if self.lost.len() < MAX_LOST || self.lost.contains_key(&address) {
+            self.lost.insert(address, now + LOST_LIFE);
+        }
+    }
+
+    /// A peer has asked, and has been given what is held.
+    pub fn given_to(&mut self, address: SocketAddr) {
+        self.lost.swap_remove(&address);
+    }
+
+    /// Whether the store is known to fail, so that any peer that starts lacks everything.
+    pub fn set_wide(&mut self, wide: bool) {
+        self.wide = wide;
+    }
+
+    /// When the next round is due.
+    pub fn wake_at(&self) -> Option<Time> {
+        (self.wide || !self.lost.is_empty()).then_some(self.next)
+    }
+
+    /// Whom to make an offer now.
+    pub fn round(
+        &mut self,
+        now: Time,
+        cfg: &Config,
+        view: &View,
+        rng: &mut Pcg64Mcg,
+    ) -> Vec<(SocketAddr, Link)> {
+        if now < self.next {
+            return Vec::new();
+        }
+        self.lost.retain(|_, until| *until > now);
+        if !self.wide && self.lost.is_empty() {
+            return Vec::new();
+        }
+        self.next = now + ROUND * rng.random_range(90..=110) / 100;
+        let mut peers: Vec<&Target> = view
+            .targets
+            .values()
+            .flatten()
+            .filter(|target| target.peers != cfg.address && !target.leaving)
+            .collect();
+        let is_lost = |target: &&&Target| self.lost.contains_key(&target.peers);
+        // One offer each, however a peer was chosen.
+        let mut chosen: IndexMap<SocketAddr, &Target> =
+            peers.iter().filter(is_lost).map(|target| (target.peers, *target)).collect();
+        let drawn = if self.wide { PEERS_A_ROUND } else { 0 };
+        let (drawn, _) = peers.partial_shuffle(rng, drawn);
+        chosen.extend(drawn.iter().map(|target| (target.peers, *target)));
+        let link = |target: &Target| cfg.place.link_to(&target.place());
+        chosen.into_iter().map(|(address, target)| (address, link(target))).collect()
+    }
+
+    /// Whether to ask the peer whose offer has just come. Several offer at once; one is asked.
+    pub fn may_ask(&mut self, now: Time) -> bool {
+        let may = now >= self.ask_at;
+        if may {
+            self.ask_at = now + ASK_PAUSE;
+        }
+        may
+    }
+}
--- a/core/src/discovery/port.rs
+++ b/core/src/discovery/port.rs
@@ -160,6 +160,8 @@
     },
     /// The call path has a note for another node.
     Note(OutgoingNote),
+    /// The process beside this gatekeeper could not be reached, or its connection broke.
+    PeerLost(SocketAddr),
     /// Other peers are to be asked after a start.
     Seeds(Vec<SocketAddr>),
     /// The time of the last [`Output::WakeAt`] has come.
--- a/core/src/discovery/registry.rs
+++ b/core/src/discovery/registry.rs
@@ -101,7 +101,14 @@
         self.failing_since.get_or_insert(now);
         let mut changed = false;
         for (id, entry) in entries {
-            changed |= self.set(id, entry);
+            // One peer may not have heard yet of a leaving that another has.
+            let leaving = self
+                .entries
+                .get(&id)
+                .is_some_and(|known| known.entry.state == TargetState::Draining);
+            if !leaving {
+                changed |= self.set(id, entry);
+            }
         }
         changed
     }
--- a/core/tests/node_random.rs
+++ b/core/tests/node_random.rs
@@ -105,7 +105,11 @@
     }
 
     fn word(&mut self) -> Word {
-        Word { vm: self.vm(), incarnation: START.0.saturating_add(self.small()), state: self.state() }
+        Word {
+            vm: self.vm(),
+            incarnation: START.0.saturating_add(self.small()),
+            state: self.state(),
+        }
     }
 
     fn base(&mut self) -> Base {
--- a/node/src/calls/entry.rs
+++ b/node/src/calls/entry.rs
@@ -229,6 +229,9 @@
                 Attempt::Late { sent } => Input::Expire { call: key, sent },
             };
             self.trace_failure(&call, &forward, &input);
+            if let Input::Attempt { end: AttemptEnd::NotSent | AttemptEnd::Lost, .. } = input {
+                self.shared.lost_gates.send(forward.gate);
+            }
             match self.decide(call.open.shard, input) {
                 Some(Output::Forward(next)) => forward = next,
                 Some(Output::Finish { outcome, .. }) => {
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -106,7 +106,7 @@
                 future::or(self.woken(), next_reply(&replied)),
                 future::or(
                     future::or(next_message(&received), self.next_note()),
-                    self.next_settings(&changes),
+                    future::or(self.next_lost_peer(), self.next_settings(&changes)),
                 ),
             )
             .await;
@@ -129,6 +129,13 @@
         }
     }
 
+    async fn next_lost_peer(&self) -> Input {
+        match self.cx.shared.lost_gates.next().await {
+            Some(gate) => Input::PeerLost(gate),
+            None => future::pending().await,
+        }
+    }
+
     async fn next_settings(&self, changes: &Receiver<()>) -> Input {
         match changes.recv().await {
             Ok(()) => Input::Seeds(self.cx.shared.current().seeds.clone()),
--- a/node/src/shared.rs
+++ b/node/src/shared.rs
@@ -6,6 +6,7 @@
 use crate::output;
 use crate::settings::Settings;
 use parking_lot::{Mutex, RwLock};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -30,7 +31,9 @@
     /// Counters and gauges.
     pub metrics: Metrics,
     /// Notes from the call path to other nodes; the spread sends them.
-    pub notes: NoteQueue,
+    pub notes: Queue<OutgoingNote>,
+    /// Gatekeepers that the call path could not reach, or whose connection broke.
+    pub lost_gates: Queue<SocketAddr>,
     current: RwLock<Arc<Settings>>,
     in_force: RwLock<Option<Arc<Snapshot>>>,
     members: RwLock<Arc<MemberView>>,
@@ -47,30 +50,33 @@
     started: Time,
 }
 
-/// Notes that wait for the spread to send them. Bounded: a note that no longer fits is dropped, and
-/// whoever waits for its effect asks again.
+/// What one part of the node has for another. Bounded: what no longer fits is dropped, and whoever
+/// waits for its effect asks again, or sees the same once more.
 #[derive(Debug)]
-pub struct NoteQueue {
-    tx: async_channel::Sender<OutgoingNote>,
-    rx: async_channel::Receiver<OutgoingNote>,
+pub struct Queue<T> {
+    tx: async_channel::Sender<T>,
+    rx: async_channel::Receiver<T>,
 }
 
 /// Notes that may wait at once.
 const MAX_NOTES: usize = 4_096;
 
-impl NoteQueue {
-    fn new() -> NoteQueue {
-        let (tx, rx) = async_channel::bounded(MAX_NOTES);
-        NoteQueue { tx, rx }
+/// Lost gatekeepers that may wait at once.
+const MAX_LOST_GATES: usize = 32;
+
+impl<T> Queue<T> {
+    fn new(most: usize) -> Queue<T> {
+        let (tx, rx) = async_channel::bounded(most);
+        Queue { tx, rx }
     }
 
-    /// Puts a note on its way. Returns false if it was dropped.
-    pub fn send(&self, note: OutgoingNote) -> bool {
-        self.tx.try_send(note).is_ok()
+    /// Puts an item on its way. Returns false if it was dropped.
+    pub fn send(&self, item: T) -> bool {
+        self.tx.try_send(item).is_ok()
     }
 
-    /// The next note to send.
-    pub async fn next(&self) -> Option<OutgoingNote> {
+    /// The next item.
+    pub async fn next(&self) -> Option<T> {
         self.rx.recv().await.ok()
     }
 }
@@ -113,7 +119,8 @@
             clock,
             dialect,
             metrics: Metrics::new(),
-            notes: NoteQueue::new(),
+            notes: Queue::new(MAX_NOTES),
+            lost_gates: Queue::new(MAX_LOST_GATES),
             in_force: RwLock::new(None),
             members: RwLock::new(Arc::new(MemberView::new())),
             events,
