--- /dev/null
+++ b/bench/src/bin/sycamore-lab.rs
@@ -0,0 +1,185 @@
+//! Plays modelled load over the call path's deciders, and says what each mechanism is worth.
+
+use getopts::{Matches, Options};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use sycamore_bench::lab::report::{self, Report};
+use sycamore_bench::lab::trial::{self, Trial};
+use sycamore_bench::lab::{Scenario, Tally, bound, plot};
+use sycamore_core::call::Policy;
+use sycamore_core::call::policy::Part;
+use sycamore_core::{Code, Fault, Result};
+
+/// Exit code if the command line or a scenario is not valid.
+const EXIT_USAGE: u8 = 2;
+
+const BRIEF: &str = "Usage: sycamore-lab run|compare|ablate|bound SCENARIO... [options]
+
+Plays scenarios (examples/lab/*.json) in virtual time over the deciders that nodes run with.
+run      what callers saw, the mean over the seeds; with --svg a picture of the first seed
+compare  the same seeds with everything at work, and with --without and --set
+ablate   the same seeds with every mechanism off in turn
+bound    the least bytes between zones and the best goodput that the load allows
+Tables go to standard output, progress to standard error. The same seed gives the same result.
+Exit code: 0 done, 2 the command line or a scenario is not valid.";
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("sycamore-lab: {fault}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+/// The command line, read once.
+struct Config {
+    scenarios: Vec<PathBuf>,
+    policy: Policy,
+    seeds: (u64, u64),
+    jobs: usize,
+    json: bool,
+    svg: Option<PathBuf>,
+}
+
+fn run(args: &[String]) -> Result<()> {
+    let options = options();
+    let matches = options.parse(args).map_err(usage)?;
+    if matches.opt_present("help") {
+        println!("{}", options.usage(BRIEF));
+        return Ok(());
+    }
+    let Some((command, files)) = matches.free.split_first() else {
+        return Err(usage("a command is needed; see --help"));
+    };
+    let cfg = Config::new(&matches, files)?;
+    for path in &cfg.scenarios {
+        let scenario = Scenario::read(path)?;
+        match command.as_str() {
+            "run" => play(&cfg, scenario)?,
+            "compare" => compare(&cfg, scenario)?,
+            "ablate" => ablate(&cfg, scenario)?,
+            "bound" => print!("{}", report::bounds(&bound::bound(&scenario))),
+            other => return Err(usage(format!("unknown command {other}; see --help"))),
+        }
+    }
+    Ok(())
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this");
+    options.optopt("", "seeds", "seeds, the last one left out (1..4)", "A..B");
+    options.optmulti("", "without", "a mechanism that is off; may stand several times", "PART");
+    options.optmulti("", "set", "a value, as late-wait-ms=300; may stand several times", "NAME=N");
+    options.optopt("", "jobs", "runs at one time (half of the processors)", "N");
+    options.optflag("", "json", "run: everything as JSON");
+    options.optopt("", "svg", "run: file for the picture", "FILE");
+    options
+}
+
+impl Config {
+    fn new(matches: &Matches, files: &[String]) -> Result<Config> {
+        if files.is_empty() {
+            return Err(usage("a scenario is needed; see --help"));
+        }
+        let mut policy = Policy::new();
+        for name in matches.opt_strs("without") {
+            policy = policy.with_off(part(&name)?);
+        }
+        for text in matches.opt_strs("set") {
+            let (name, value) = text.split_once('=').ok_or_else(|| usage("--set takes NAME=N"))?;
+            let value: u64 = value.parse().map_err(usage)?;
+            policy = policy.with_value(name, value).ok_or_else(|| {
+                usage(format!("unknown value {name}; there are {}", Policy::VALUES.join(", ")))
+            })?;
+        }
+        let half = std::thread::available_parallelism().map_or(1, |all| all.get().div_ceil(2));
+        let jobs = matches.opt_get_default("jobs", half).map_err(usage)?;
+        Ok(Config {
+            scenarios: files.iter().map(PathBuf::from).collect(),
+            policy,
+            seeds: seeds(&matches.opt_str("seeds").unwrap_or_else(|| "1..4".to_owned()))?,
+            jobs,
+            json: matches.opt_present("json"),
+            svg: matches.opt_str("svg").map(PathBuf::from),
+        })
+    }
+
+    fn trial(&self, scenario: Scenario) -> Trial {
+        Trial::new(scenario).with_seeds(self.seeds.0, self.seeds.1).with_jobs(self.jobs)
+    }
+}
+
+/// The first seed, and how many.
+fn seeds(text: &str) -> Result<(u64, u64)> {
+    let wrong = || usage(format!("--seeds {text}: two numbers as 1..4 are needed"));
+    let (first, end) = text.split_once("..").ok_or_else(wrong)?;
+    let (first, end): (u64, u64) =
+        (first.parse().map_err(|_| wrong())?, end.parse().map_err(|_| wrong())?);
+    if first < end { Ok((first, end - first)) } else { Err(wrong()) }
+}
+
+fn part(name: &str) -> Result<Part> {
+    serde_json::from_value(name.into()).map_err(|_| {
+        let label = |part: &Part| serde_json::to_string(part).unwrap_or_default();
+        let known: Vec<String> = Part::ALL.iter().map(label).collect();
+        usage(format!("unknown part {name}; there are {}", known.join(", ")))
+    })
+}
+
+fn play(cfg: &Config, scenario: Scenario) -> Result<()> {
+    let trial = cfg.trial(scenario).with_policy(cfg.policy.clone());
+    let runs = trial.run(progress(&trial.scenario))?;
+    let scenario = &trial.scenario;
+    let bound = bound::bound(scenario);
+    if let (Some(path), Some(first)) = (&cfg.svg, runs.first()) {
+        plot::draw(scenario, first, path)?;
+    }
+    if cfg.json {
+        return print_json(&Report {
+            scenario: &scenario.name,
+            nodes: scenario.nodes(),
+            seeds: cfg.seeds,
+            runs: &runs,
+            bound: &bound,
+        });
+    }
+    println!("{}", report::runs(scenario, &runs, &bound));
+    print!("{}", report::flows(scenario, &runs));
+    Ok(())
+}
+
+fn print_json(report: &Report<'_>) -> Result<()> {
+    let text = serde_json::to_string(report)
+        .map_err(|e| Fault::new(Code::OutputFailed).with_place("standard output").with_detail(e))?;
+    println!("{text}");
+    Ok(())
+}
+
+fn compare(cfg: &Config, scenario: Scenario) -> Result<()> {
+    let whole = cfg.trial(scenario);
+    let before: Vec<Tally> = whole.run(progress(&whole.scenario))?;
+    let changed = whole.clone().with_policy(cfg.policy.clone());
+    let after = changed.run(progress(&whole.scenario))?;
+    println!("{}\n\n{}", whole.scenario.name, report::compared(&before, &after));
+    Ok(())
+}
+
+fn ablate(cfg: &Config, scenario: Scenario) -> Result<()> {
+    let trial = cfg.trial(scenario).with_policy(cfg.policy.clone());
+    let rows = trial::ablate(&trial, |part| eprintln!("{}: without {part:?}", trial.scenario.name))?;
+    println!("{}", report::ablated(&trial.scenario, &rows));
+    Ok(())
+}
+
+fn progress(scenario: &Scenario) -> impl FnMut(u64) {
+    let name = scenario.name.clone();
+    move |seed| eprintln!("{name}: seed {seed} played")
+}
+
+fn usage(detail: impl std::fmt::Display) -> Fault {
+    Fault::new(Code::UsageInvalid).with_place(Path::new("command line").display()).with_detail(detail)
+}
--- /dev/null
+++ b/bench/src/lab/caller.rs
@@ -0,0 +1,176 @@
+//! Who asks, and who asks again.
+
+use super::path::Asker;
+use super::tally::Ending;
+use super::world::{Happening, Request, World};
+use rand::RngExt;
+use std::time::Duration;
+use sycamore_core::Time;
+use sycamore_core::call::Outcome;
+
+/// A caller comes back after what it is told, but not after more than this part of the time that
+/// it has left.
+const MOST_OF_TIME_LEFT: u32 = 3;
+
+/// When a caller that was told nothing asks again.
+const ASK_AGAIN: Duration = Duration::from_millis(20);
+
+impl World<'_> {
+    /// A new request of a kind comes, and the next one is planned.
+    pub(super) fn ask(&mut self, kind: usize) {
+        if !self.callers_ask() {
+            return;
+        }
+        let mut per_s = self.kinds[kind].cfg.per_s;
+        let weights = self.zone_weights();
+        per_s *= weights.iter().sum::<f64>() / self.usual_weight();
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / per_s.max(1e-9);
+        self.links.after(Duration::from_secs_f64(gap), Happening::Ask(kind));
+        let zone = self.draw(&weights);
+        let cfg = &self.kinds[kind].cfg;
+        let retries = cfg.caller_retries;
+        let abuse = self.now_troubles.abuse;
+        let abusive = abuse.is_some_and(|(share, _)| self.rng.random_bool(share));
+        let times = abuse.filter(|_| abusive).map_or(0, |(_, times)| times);
+        let leaves = self.now_troubles.give_up;
+        let after = leaves.filter(|(share, _)| self.rng.random_bool(*share));
+        let request = self.requests.len();
+        self.requests.push(Request {
+            kind,
+            zone,
+            born: self.links.now(),
+            retries_left: retries + times,
+            abusive,
+            ended: false,
+            call: None,
+        });
+        if let Some((_, after)) = after {
+            self.links.after(after, Happening::GiveUp(request));
+        }
+        self.submit(request);
+    }
+
+    /// Parts of the callers by zone, as they are now.
+    fn zone_weights(&self) -> Vec<f64> {
+        let zones = self.cfg.zones.values().map(|zone| zone.callers);
+        let mut weights: Vec<f64> = zones.collect();
+        self.now_troubles.change_weights(&mut weights);
+        weights
+    }
+
+    fn usual_weight(&self) -> f64 {
+        self.cfg.zones.values().map(|zone| zone.callers).sum::<f64>().max(1e-9)
+    }
+
+    fn draw(&mut self, weights: &[f64]) -> usize {
+        let mut left = self.rng.random::<f64>() * weights.iter().sum::<f64>();
+        for (index, weight) in weights.iter().enumerate() {
+            left -= weight;
+            if left < 0.0 {
+                return index;
+            }
+        }
+        weights.len() - 1
+    }
+
+    /// A caller sends its request to a node of its zone, or of any if that has none.
+    pub(super) fn submit(&mut self, request: usize) {
+        let Request { kind, zone, born, ended, .. } = self.requests[request];
+        if ended {
+            return;
+        }
+        let deadline = born + Duration::from_millis(self.kinds[kind].cfg.deadline_ms.into());
+        let now = self.links.now();
+        if now >= deadline {
+            return self.finish(request, Ending::Failed);
+        }
+        let Some(node) = self.draw_node(zone) else {
+            return self.come_back(request, ASK_AGAIN, Ending::Failed);
+        };
+        let call = self.arrive(node, kind, Asker::Caller(request), deadline.since(now));
+        self.requests[request].call = call;
+    }
+
+    fn draw_node(&mut self, zone: usize) -> Option<usize> {
+        let up = |node: &usize| self.nodes[*node].up;
+        let own = |node: &usize| self.mesh.sites[*node].zone == zone;
+        let near: Vec<usize> = (0..self.nodes.len()).filter(up).filter(own).collect();
+        let all = || (0..self.nodes.len()).filter(up).collect();
+        let nodes: Vec<usize> = if near.is_empty() { all() } else { near };
+        (!nodes.is_empty()).then(|| nodes[self.rng.random_range(0..nodes.len())])
+    }
+
+    /// A caller's attempt was answered by its target.
+    pub(super) fn caller_answered(&mut self, request: usize) {
+        let Request { kind, born, .. } = self.requests[request];
+        let way = Duration::from_secs_f64(self.cfg.links.caller_ms / 1e3) * 2;
+        let took = self.links.now().since(born) + way;
+        let cfg = &self.kinds[kind].cfg;
+        let ms = |ms: u32| Duration::from_millis(ms.into());
+        let ending = match took {
+            took if took <= ms(cfg.objective_ms) => Ending::InTime,
+            took if took <= ms(cfg.deadline_ms) => Ending::Late,
+            _ => Ending::Failed,
+        };
+        self.finish(request, ending);
+    }
+
+    /// A caller's attempt ended without an answer, or with a failure of the target's.
+    pub(super) fn caller_refused(&mut self, request: usize, outcome: Outcome) {
+        let kind = self.requests[request].kind;
+        let idempotent = self.kinds[kind].cfg.idempotent;
+        match outcome {
+            Outcome::NotRun { retry_after, .. } => {
+                self.tally.refusals += u64::from(self.counts(self.requests[request].born));
+                self.come_back(request, retry_after, Ending::Refused);
+            }
+            Outcome::Unknown { .. } | Outcome::Answered if idempotent => {
+                self.come_back(request, ASK_AGAIN, Ending::Failed);
+            }
+            Outcome::Unknown { .. } | Outcome::Answered => self.finish(request, Ending::Failed),
+        }
+    }
+
+    fn come_back(&mut self, request: usize, wait: Duration, otherwise: Ending) {
+        let Request { kind, born, retries_left, abusive, ended, .. } = self.requests[request];
+        if ended {
+            return;
+        }
+        let deadline = born + Duration::from_millis(self.kinds[kind].cfg.deadline_ms.into());
+        let left = deadline.since(self.links.now());
+        if retries_left == 0 || left.is_zero() {
+            return self.finish(request, otherwise);
+        }
+        let wait = if abusive { ASK_AGAIN } else { wait.min(left / MOST_OF_TIME_LEFT) };
+        self.requests[request].retries_left -= 1;
+        self.requests[request].call = None;
+        self.links.after(wait, Happening::AskAgain(request));
+    }
+
+    /// A caller leaves before it is answered.
+    pub(super) fn give_up(&mut self, request: usize) {
+        if self.requests[request].ended {
+            return;
+        }
+        if let Some(call) = self.requests[request].call.take() {
+            self.leave(call);
+        }
+        self.finish(request, Ending::GaveUp);
+    }
+
+    fn finish(&mut self, request: usize, ending: Ending) {
+        let known = &mut self.requests[request];
+        if std::mem::replace(&mut known.ended, true) {
+            return;
+        }
+        let (kind, born): (usize, Time) = (known.kind, known.born);
+        if !self.counts(born) {
+            return;
+        }
+        let info = &self.kinds[kind];
+        let worth = (info.cfg.worth, info.cfg.late_worth);
+        let second = self.second_of(born);
+        let name = info.name.clone();
+        self.tally.count(&name, worth, second, ending);
+    }
+}
--- /dev/null
+++ b/bench/src/lab/mesh.rs
@@ -0,0 +1,160 @@
+//! The nodes of a scenario, and the versions that list their targets.
+
+use super::scenario::{Kind, Scenario};
+use indexmap::IndexMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use sycamore_core::config::{InForce, OnceBy, Preset, Route, Service, Snapshot, Target};
+use sycamore_core::discovery::policy;
+use sycamore_core::hash::Hash;
+use sycamore_core::place::Place;
+use sycamore_core::{Code, Fault, Name, Result};
+
+/// Connections that each target takes.
+const CONNECTIONS: u32 = 500;
+
+/// Largest request, in bytes.
+const MAX_BODY_BYTES: u64 = 1 << 20;
+
+/// Where a node is and what runs beside it.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// Region and zone.
+    pub place: Place,
+    /// Number of the zone, in the order of names.
+    pub zone: usize,
+    /// Number of the service, in the order of names.
+    pub service: usize,
+    /// Number among the targets of its service.
+    pub rank: usize,
+}
+
+/// Whether a target is listed, and how.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// It takes work.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+    /// It is not there.
+    Gone,
+}
+
+/// The nodes, in the order of services and zones.
+#[derive(Clone, Debug)]
+pub struct Mesh {
+    /// Every node.
+    pub sites: Vec<Site>,
+    /// Names of zones, in order.
+    pub zones: Vec<Name>,
+    /// How each node's target is listed.
+    pub listed: Vec<Listed>,
+    services: IndexMap<Name, Service>,
+    slots: Vec<u32>,
+    routes: IndexMap<Name, Route>,
+    version: u64,
+}
+
+impl Mesh {
+    /// The nodes of a scenario, every target ready.
+    pub fn new(scenario: &Scenario) -> Mesh {
+        let zones: Vec<Name> = scenario.zones.keys().cloned().collect();
+        let mut sites = Vec::new();
+        for (service, model) in scenario.services.values().enumerate() {
+            let mut rank = 0;
+            for (zone, count) in &model.targets {
+                let region = scenario.zones[zone].region.clone();
+                let number = zones.iter().position(|known| known == zone).unwrap_or_default();
+                for _ in 0..*count {
+                    let place = Place { region: region.clone(), zone: zone.clone() };
+                    sites.push(Site { place, zone: number, service, rank });
+                    rank += 1;
+                }
+            }
+        }
+        let retries = scenario.retries;
+        let limits = policy::limits(CONNECTIONS, retries.percent, retries.reserve);
+        let service = |name: &Name| {
+            (name.clone(), Service { limits: limits.clone(), targets: Vec::new() })
+        };
+        let route = |(name, kind): (&Name, &Kind)| (name.clone(), route(name, kind));
+        Mesh {
+            listed: vec![Listed::Ready; sites.len()],
+            sites,
+            zones,
+            services: scenario.services.keys().map(service).collect(),
+            slots: scenario.services.values().map(|model| model.slots).collect(),
+            routes: scenario.kinds.iter().map(route).collect(),
+            version: 0,
+        }
+    }
+
+    /// The next version, with the targets as they are listed now.
+    pub fn publish(&mut self) -> Result<Arc<Snapshot>> {
+        self.version += 1;
+        let mut services = self.services.clone();
+        for (node, site) in self.sites.iter().enumerate() {
+            if self.listed[node] == Listed::Gone {
+                continue;
+            }
+            let target = Target {
+                vm: vm(node)?,
+                region: site.place.region.clone(),
+                zone: site.place.zone.clone(),
+                gate: gate(node),
+                peers: gate(node),
+                incarnation: None,
+                slots: Some(self.slots[site.service]),
+                leaving: self.listed[node] == Listed::Leaving,
+            };
+            services[site.service].targets.push(target);
+        }
+        let preset = Name::new("lab").ok_or_else(|| Fault::new(Code::DocumentInvalid))?;
+        let routes = self.routes.clone();
+        let document = Preset { name: preset.clone(), services, routes, parts: Vec::new() };
+        let in_force = InForce { version: self.version, preset, digest: Hash::of(b"") };
+        Snapshot::new(in_force, &document)
+    }
+}
+
+/// Name of a node's VM.
+pub fn vm(node: usize) -> Result<Name> {
+    Name::new(format!("vm{node}")).ok_or_else(|| Fault::new(Code::InputInvalid))
+}
+
+/// Address of a node's gatekeeper, from which [`node_at`] tells the node.
+fn gate(node: usize) -> SocketAddr {
+    let [_, _, high, low] = (node as u32).to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 5))
+}
+
+/// The node with this gatekeeper.
+pub fn node_at(gate: SocketAddr) -> usize {
+    match gate.ip() {
+        std::net::IpAddr::V4(ip) => (u32::from(ip) & 0xffff) as usize,
+        std::net::IpAddr::V6(_) => usize::MAX,
+    }
+}
+
+/// Path of the requests of a kind.
+pub fn path(kind: &Name) -> String {
+    format!("/{kind}/")
+}
+
+fn route(name: &Name, kind: &Kind) -> Route {
+    Route {
+        path_prefix: path(name),
+        host: None,
+        service: kind.service.clone(),
+        split: Vec::new(),
+        idempotent: kind.idempotent,
+        once: OnceBy::Attempt,
+        class: kind.class,
+        rank: kind.rank,
+        objective_ms: kind.objective_ms,
+        deadline_ms: kind.timeout_ms,
+        max_attempts: kind.attempts,
+        spare_forwards: policy::SPARE_FORWARDS,
+        max_body_bytes: MAX_BODY_BYTES,
+    }
+}
--- /dev/null
+++ b/bench/src/lab/report.rs
@@ -0,0 +1,148 @@
+//! What a trial came to, as tables and as JSON.
+
+use super::bound::Bound;
+use super::scenario::Scenario;
+use super::tally::{Counts, Tally};
+use super::trial::{Ablated, Estimate, Figure};
+use serde::Serialize;
+use std::fmt::Write;
+
+/// Everything that a trial came to.
+#[derive(Debug, Serialize)]
+pub struct Report<'a> {
+    /// Name of the scenario.
+    pub scenario: &'a str,
+    /// Number of nodes.
+    pub nodes: usize,
+    /// First seed, and how many.
+    pub seeds: (u64, u64),
+    /// One a seed.
+    pub runs: &'a [Tally],
+    /// What the scenario allows without its troubles.
+    pub bound: &'a Bound,
+}
+
+/// The table of a trial's runs: the mean over seeds of each kind's requests.
+pub fn runs(scenario: &Scenario, runs: &[Tally], bound: &Bound) -> String {
+    let mut text = format!("{} ({} nodes, {} seeds)\n\n", scenario.name, scenario.nodes(), runs.len());
+    let _ = writeln!(text, "| requests | asked | in time | late | refused | failed | worth |");
+    let _ = writeln!(text, "|---|---:|---:|---:|---:|---:|---:|");
+    for name in scenario.kinds.keys() {
+        let counts: Vec<Counts> =
+            runs.iter().filter_map(|run| run.kinds.get(name).copied()).collect();
+        if !counts.is_empty() {
+            text.push_str(&row(name.as_str(), &counts));
+        }
+    }
+    let totals: Vec<Counts> = runs.iter().map(Tally::total).collect();
+    text.push_str(&row("all", &totals));
+    let nested = mean(runs, |run| {
+        100.0 * run.nested.1 as f64 / (run.nested.0 + run.nested.1).max(1) as f64
+    });
+    let _ = writeln!(text);
+    let _ = writeln!(text, "nested calls not answered: {nested:.2} %");
+    let _ = writeln!(text, "repeats at targets: {:.2} %", mean(runs, Tally::repeats_percent));
+    let _ = writeln!(text, "refusals: {:.0}", mean(runs, |run| run.refusals as f64));
+    let (near, across) = (
+        mean(runs, |run| run.crossed.0 as f64 / 1e6),
+        mean(runs, |run| run.crossed.1 as f64 / 1e6),
+    );
+    let _ = writeln!(
+        text,
+        "between zones of a region {near:.2} MB, between regions {across:.2} MB; smallest {:.2} MB",
+        bound.crossed_mb
+    );
+    text
+}
+
+fn mean(runs: &[Tally], value: impl Fn(&Tally) -> f64) -> f64 {
+    runs.iter().map(value).sum::<f64>() / runs.len().max(1) as f64
+}
+
+fn row(name: &str, counts: &[Counts]) -> String {
+    let n = counts.len() as f64;
+    let asked = counts.iter().map(|counts| counts.asked as f64).sum::<f64>() / n;
+    let share = |value: fn(&Counts) -> u64| {
+        let sum: f64 = counts.iter().map(|of| value(of) as f64 / of.asked.max(1) as f64).sum();
+        100.0 * sum / n
+    };
+    let worth = counts.iter().map(Counts::worth).sum::<f64>() / n;
+    format!(
+        "| {name} | {asked:.0} | {:.1} % | {:.1} % | {:.1} % | {:.1} % | {worth:.3} |\n",
+        share(|of| of.in_time),
+        share(|of| of.late),
+        share(|of| of.refused),
+        share(|of| of.failed),
+    )
+}
+
+/// Bytes between zones as a matrix, in kB over a run: from rows to columns.
+pub fn flows(scenario: &Scenario, runs: &[Tally]) -> String {
+    let zones: Vec<&str> = scenario.zones.keys().map(|zone| zone.as_str()).collect();
+    let mut text = format!("| kB from, to | {} |\n", zones.join(" | "));
+    let _ = writeln!(text, "|---|{}", "---:|".repeat(zones.len()));
+    for (from, name) in zones.iter().enumerate() {
+        let cell = |to: usize| format!("{:.0}", mean(runs, |run| run.bytes[from][to] as f64 / 1e3));
+        let cells: Vec<String> = (0..zones.len()).map(cell).collect();
+        let _ = writeln!(text, "| {name} | {} |", cells.join(" | "));
+    }
+    text
+}
+
+/// The table of a comparison by pairs of seeds.
+pub fn compared(before: &[Tally], after: &[Tally]) -> String {
+    let mut text = String::from("| figure | before | after | difference | tells |\n");
+    text.push_str("|---|---:|---:|---:|---|\n");
+    for figure in Figure::ALL {
+        let of = |runs: &[Tally]| mean(runs, |run| figure.of(run));
+        let difference = Estimate::paired(figure, before, after);
+        let tells = if difference.tells() { "yes" } else { "no" };
+        let _ = writeln!(
+            text,
+            "| {} | {:.2} | {:.2} | {} | {tells} |",
+            figure.title(),
+            of(before),
+            of(after),
+            estimate(&difference),
+        );
+    }
+    text
+}
+
+/// The table of an ablation: differences of each figure without each part.
+pub fn ablated(scenario: &Scenario, rows: &[Ablated]) -> String {
+    let titles: Vec<&str> = Figure::ALL.iter().map(|figure| figure.title()).collect();
+    let mut text = format!("{}\n\n| without | {} |\n", scenario.name, titles.join(" | "));
+    let _ = writeln!(text, "|---|{}", "---:|".repeat(titles.len()));
+    for row in rows {
+        let cells: Vec<String> = row.differences.iter().map(estimate).collect();
+        let part = serde_json::to_string(&row.part).unwrap_or_default();
+        let _ = writeln!(text, "| {} | {} |", part.trim_matches('"'), cells.join(" | "));
+    }
+    text
+}
+
+fn estimate(estimate: &Estimate) -> String {
+    format!("{:+.2} ± {:.2}", estimate.mean, estimate.half)
+}
+
+/// What the scenario allows.
+pub fn bounds(bound: &Bound) -> String {
+    let mut text = String::from(
+        "| service | slots needed | slots | served at best | must cross, kB/s | across, kB/s |\n",
+    );
+    text.push_str("|---|---:|---:|---:|---:|---:|\n");
+    for (name, service) in &bound.services {
+        let _ = writeln!(
+            text,
+            "| {name} | {:.1} | {:.0} | {:.1} % | {:.1} | {:.1} |",
+            service.needed,
+            service.slots,
+            100.0 * service.served,
+            service.crossing / 1e3,
+            service.across / 1e3,
+        );
+    }
+    let _ = writeln!(text, "\nsmallest over the run: {:.2} MB", bound.crossed_mb);
+    text
+}
--- /dev/null
+++ b/bench/src/lab/target.rs
@@ -0,0 +1,123 @@
+//! A target: its slots, its speed, and its faults.
+
+use super::scenario::ServiceModel;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use std::collections::VecDeque;
+use std::time::Duration;
+use sycamore_core::Time;
+use sycamore_core::call::CallKey;
+
+/// Work of a run that fails, as a share of the whole.
+const FAILED_WORK: f64 = 0.2;
+
+/// What a target says to a request that it is handed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It runs.
+    Runs,
+    /// It waits for a slot of the target's own.
+    Waits,
+    /// It is refused, and has not run.
+    Refused,
+}
+
+/// Faults of one target while they last.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    /// How much longer work takes, as a multiple.
+    pub slow: f64,
+    /// Part of the requests that fail.
+    pub errors: f64,
+    /// Part of the requests that are refused.
+    pub shed: f64,
+}
+
+/// One target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    slots: usize,
+    queue: usize,
+    speed: f64,
+    near_full: f64,
+    cold_factor: f64,
+    cold: Duration,
+    started: Time,
+    running: Vec<CallKey>,
+    waiting: VecDeque<CallKey>,
+    /// What is wrong with it.
+    pub faults: Faults,
+}
+
+impl Faults {
+    /// Nothing is wrong.
+    pub fn none() -> Faults {
+        Faults { slow: 1.0, errors: 0.0, shed: 0.0 }
+    }
+}
+
+impl Target {
+    /// A warm target, the `rank`th of its service.
+    pub fn new(model: &ServiceModel, rank: usize) -> Target {
+        Target {
+            slots: model.slots as usize,
+            queue: model.queue as usize,
+            speed: model.speeds[rank % model.speeds.len()],
+            near_full: model.near_full_percent / 100.0,
+            cold_factor: model.cold.factor,
+            cold: Duration::from_secs_f64(model.cold.seconds.max(0.0)),
+            started: Time::ZERO,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            faults: Faults::none(),
+        }
+    }
+
+    /// It starts anew, cold, with nothing to do.
+    pub fn restart(&mut self, now: Time) {
+        self.started = now;
+        self.running.clear();
+        self.waiting.clear();
+    }
+
+    /// Takes a request in.
+    pub fn take(&mut self, call: CallKey, rng: &mut Pcg64Mcg) -> Taken {
+        if self.faults.shed > 0.0 && rng.random_bool(self.faults.shed) {
+            return Taken::Refused;
+        }
+        if self.running.len() < self.slots {
+            self.running.push(call);
+            return Taken::Runs;
+        }
+        if self.waiting.len() < self.queue {
+            self.waiting.push_back(call);
+            return Taken::Waits;
+        }
+        Taken::Refused
+    }
+
+    /// A request is over, or its connection was closed. Returns the one that runs in its place.
+    pub fn end(&mut self, call: CallKey) -> Option<CallKey> {
+        self.waiting.retain(|other| *other != call);
+        let at = self.running.iter().position(|other| *other == call)?;
+        self.running.swap_remove(at);
+        let next = self.waiting.pop_front()?;
+        self.running.push(next);
+        Some(next)
+    }
+
+    /// Whether a run fails.
+    pub fn fails(&self, rng: &mut Pcg64Mcg) -> bool {
+        self.faults.errors > 0.0 && rng.random_bool(self.faults.errors)
+    }
+
+    /// How long this much work takes here now.
+    pub fn time_for(&self, now: Time, work: Duration, fails: bool) -> Duration {
+        let used = self.running.len() as f64 / self.slots as f64;
+        let cold = now.since(self.started) < self.cold && self.started > Time::ZERO;
+        let cold = if cold { self.cold_factor.max(1.0) } else { 1.0 };
+        let done = if fails { FAILED_WORK } else { 1.0 };
+        let full = 1.0 + self.near_full * (used - 0.5).max(0.0) * 2.0;
+        work.mul_f64(self.speed * full * cold * self.faults.slow * done)
+    }
+}
--- /dev/null
+++ b/bench/src/lab/trial.rs
@@ -0,0 +1,196 @@
+//! Runs over several seeds, and what the difference between two ways of deciding is.
+
+use super::scenario::Scenario;
+use super::tally::Tally;
+use super::world::play;
+use serde::Serialize;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc;
+use sycamore_core::call::Policy;
+use sycamore_core::call::policy::Part;
+use sycamore_core::{Code, Fault, Result};
+
+/// One scenario under one policy, over several seeds.
+#[derive(Clone, Debug)]
+pub struct Trial {
+    /// The scenario.
+    pub scenario: Scenario,
+    /// What is at work.
+    pub policy: Policy,
+    /// First seed, and how many from it on.
+    pub seeds: (u64, u64),
+    /// Runs at one time.
+    pub jobs: usize,
+}
+
+/// A figure that runs are compared by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Figure {
+    /// Worth earned, in percent of that owed.
+    Worth,
+    /// Requests answered in time, in percent.
+    InTime,
+    /// Requests answered, in percent.
+    Served,
+    /// Megabytes between zones.
+    CrossedMb,
+    /// Repeats at targets, in percent of first arrivals.
+    Repeats,
+}
+
+/// A mean with the half width of its 95 % confidence interval.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Estimate {
+    /// The mean.
+    pub mean: f64,
+    /// Half width of the interval.
+    pub half: f64,
+}
+
+impl Figure {
+    /// Every figure.
+    pub const ALL: [Figure; 5] =
+        [Figure::Worth, Figure::InTime, Figure::Served, Figure::CrossedMb, Figure::Repeats];
+
+    /// Its name and unit.
+    pub fn title(self) -> &'static str {
+        match self {
+            Figure::Worth => "worth, %",
+            Figure::InTime => "in time, %",
+            Figure::Served => "answered, %",
+            Figure::CrossedMb => "between zones, MB",
+            Figure::Repeats => "repeats, %",
+        }
+    }
+
+    /// Its value in a run.
+    pub fn of(self, tally: &Tally) -> f64 {
+        let total = tally.total();
+        match self {
+            Figure::Worth => 100.0 * total.worth(),
+            Figure::InTime => 100.0 * total.in_time_share(),
+            Figure::Served => 100.0 * total.served_share(),
+            Figure::CrossedMb => tally.crossed_mb(),
+            Figure::Repeats => tally.repeats_percent(),
+        }
+    }
+}
+
+impl Trial {
+    /// Everything at work, seeds 1 to 3.
+    pub fn new(scenario: Scenario) -> Trial {
+        Trial { scenario, policy: Policy::new(), seeds: (1, 3), jobs: 1 }
+    }
+
+    /// The same with other mechanisms at work.
+    pub fn with_policy(mut self, policy: Policy) -> Trial {
+        self.policy = policy;
+        self
+    }
+
+    /// The same over other seeds: the first, and how many.
+    pub fn with_seeds(mut self, first: u64, count: u64) -> Trial {
+        self.seeds = (first, count);
+        self
+    }
+
+    /// The same with so many runs at one time.
+    pub fn with_jobs(mut self, jobs: usize) -> Trial {
+        self.jobs = jobs.max(1);
+        self
+    }
+
+    /// Plays every seed; `done` hears of each run that has ended. Results stand in the order of
+    /// seeds.
+    pub fn run(&self, mut done: impl FnMut(u64)) -> Result<Vec<Tally>> {
+        let (first, count) = self.seeds;
+        let next = AtomicUsize::new(0);
+        let (tx, rx) = mpsc::channel();
+        let mut results: Vec<Option<Result<Tally>>> = (0..count).map(|_| None).collect();
+        std::thread::scope(|scope| {
+            for _ in 0..self.jobs.min(count as usize) {
+                let (tx, next) = (tx.clone(), &next);
+                scope.spawn(move || {
+                    loop {
+                        let index = next.fetch_add(1, Ordering::Relaxed) as u64;
+                        if index >= count {
+                            return;
+                        }
+                        let result = play(&self.scenario, &self.policy, first + index);
+                        // The receiver waits for every result.
+                        let _ = tx.send((index, result));
+                    }
+                });
+            }
+            drop(tx);
+            for (index, result) in rx {
+                done(first + index);
+                results[index as usize] = Some(result);
+            }
+        });
+        let lost = || Fault::new(Code::InputInvalid).with_detail("a run ended without a result");
+        results.into_iter().map(|result| result.unwrap_or_else(|| Err(lost()))).collect()
+    }
+}
+
+impl Estimate {
+    /// The mean of these values.
+    pub fn of(values: &[f64]) -> Estimate {
+        let n = values.len().max(1) as f64;
+        let mean = values.iter().sum::<f64>() / n;
+        if values.len() < 2 {
+            return Estimate { mean, half: f64::INFINITY };
+        }
+        let variance = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / (n - 1.0);
+        Estimate { mean, half: student(values.len() - 1) * (variance / n).sqrt() }
+    }
+
+    /// The mean of the differences between pairs of runs with the same seed.
+    pub fn paired(figure: Figure, before: &[Tally], after: &[Tally]) -> Estimate {
+        let pairs = before.iter().zip(after);
+        let differences: Vec<f64> = pairs.map(|(a, b)| figure.of(b) - figure.of(a)).collect();
+        Estimate::of(&differences)
+    }
+
+    /// Whether the interval leaves out zero.
+    pub fn tells(&self) -> bool {
+        self.mean.abs() > self.half
+    }
+}
+
+/// The 97.5 % quantile of Student's distribution with so many degrees of freedom.
+fn student(freedom: usize) -> f64 {
+    const QUANTILES: [f64; 10] =
+        [12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23];
+    match freedom {
+        0 => f64::INFINITY,
+        1..=10 => QUANTILES[freedom - 1],
+        11..=20 => 2.15,
+        21..=40 => 2.05,
+        _ => 1.97,
+    }
+}
+
+/// One row of an ablation: what a scenario loses without a part.
+#[derive(Clone, Debug, Serialize)]
+pub struct Ablated {
+    /// What was off.
+    pub part: Part,
+    /// Difference of each figure to the run with everything at work.
+    pub differences: Vec<Estimate>,
+}
+
+/// Plays a trial once whole and once without each part in turn.
+pub fn ablate(trial: &Trial, mut done: impl FnMut(Part)) -> Result<Vec<Ablated>> {
+    let whole = trial.run(|_| {})?;
+    let mut rows = Vec::new();
+    for part in Part::ALL {
+        let policy = trial.policy.clone().with_off(part);
+        let without = trial.clone().with_policy(policy).run(|_| {})?;
+        let difference = |figure| Estimate::paired(figure, &whole, &without);
+        rows.push(Ablated { part, differences: Figure::ALL.map(difference).to_vec() });
+        done(part);
+    }
+    Ok(rows)
+}
--- /dev/null
+++ b/bench/src/lab/trouble.rs
@@ -0,0 +1,140 @@
+//! What goes wrong, and when.
+
+use super::mesh::Listed;
+use super::scenario::What;
+use super::world::World;
+use rand::seq::SliceRandom;
+use std::time::Duration;
+use sycamore_core::Name;
+
+/// What callers do while troubles last.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Conditions {
+    // Multiples by the number of the zone; all zones without one.
+    bursts: Vec<(Option<usize>, f64)>,
+    shifts: Vec<(usize, usize, f64)>,
+    /// Part of the callers that ask again at once, and how often.
+    pub abuse: Option<(f64, u32)>,
+    /// Part of the callers that leave, and when.
+    pub give_up: Option<(f64, Duration)>,
+}
+
+impl Conditions {
+    pub(super) fn none() -> Conditions {
+        Conditions::default()
+    }
+
+    /// Changes the parts of the callers by zone.
+    pub(super) fn change_weights(&self, weights: &mut [f64]) {
+        for (from, to, share) in &self.shifts {
+            let moved = weights[*from] * share;
+            weights[*from] -= moved;
+            weights[*to] += moved;
+        }
+        for (zone, factor) in &self.bursts {
+            let range = zone.map_or(0..weights.len(), |zone| zone..zone + 1);
+            weights[range].iter_mut().for_each(|weight| *weight *= factor);
+        }
+    }
+}
+
+impl World<'_> {
+    /// A trouble begins or ends.
+    pub(super) fn trouble(&mut self, index: usize, begins: bool) {
+        let what = self.cfg.troubles[index].what.clone();
+        match what {
+            What::Burst { factor, zone } => {
+                let burst = (zone.map(|zone| self.zone(&zone)), factor);
+                change(&mut self.now_troubles.bursts, burst, begins);
+            }
+            What::Shift { from, to, share } => {
+                let shift = (self.zone(&from), self.zone(&to), share);
+                change(&mut self.now_troubles.shifts, shift, begins);
+            }
+            What::Abuse { share, times } => {
+                self.now_troubles.abuse = begins.then_some((share, times));
+            }
+            What::GiveUp { share, after_ms } => {
+                let after = Duration::from_millis(after_ms.into());
+                self.now_troubles.give_up = begins.then_some((share, after));
+            }
+            What::Slow { service, share, factor } => {
+                let slow = if begins { factor } else { 1.0 };
+                self.for_some(&service, share, index, |world, node| {
+                    world.nodes[node].target.faults.slow = slow;
+                });
+            }
+            What::Grey { service, share, errors } => {
+                let errors = if begins { errors } else { 0.0 };
+                self.for_some(&service, share, index, |world, node| {
+                    world.nodes[node].target.faults.errors = errors;
+                });
+            }
+            What::Shed { service, share, part } => {
+                let shed = if begins { part } else { 0.0 };
+                self.for_some(&service, share, index, |world, node| {
+                    world.nodes[node].target.faults.shed = shed;
+                });
+            }
+            What::Leave { service, share } => {
+                let listed = if begins { Listed::Leaving } else { Listed::Ready };
+                self.for_some(&service, share, index, |world, node| {
+                    world.mesh.listed[node] = listed;
+                });
+                self.list_again();
+            }
+            What::Lost { zone, share } => self.lose(zone.as_ref(), share, index, begins),
+        }
+    }
+
+    /// VMs are gone with all that runs there, or are back, their targets cold.
+    fn lose(&mut self, zone: Option<&Name>, share: f64, index: usize, begins: bool) {
+        let zone = zone.map(|zone| self.zone(zone));
+        let in_zone = |node: &usize| zone.is_none_or(|zone| self.mesh.sites[*node].zone == zone);
+        let nodes = (0..self.nodes.len()).filter(in_zone).collect();
+        for node in self.some_of(nodes, share, index) {
+            self.mesh.listed[node] = if begins { Listed::Gone } else { Listed::Ready };
+            match begins {
+                true => self.stop(node),
+                false => self.start(node),
+            }
+        }
+        self.list_again();
+    }
+
+    fn zone(&self, name: &Name) -> usize {
+        self.mesh.zones.iter().position(|zone| zone == name).unwrap_or_default()
+    }
+
+    fn for_some(
+        &mut self,
+        service: &Name,
+        share: f64,
+        index: usize,
+        apply: impl Fn(&mut World<'_>, usize),
+    ) {
+        let number = self.cfg.services.keys().position(|known| known == service);
+        let own = |node: &usize| Some(self.mesh.sites[*node].service) == number;
+        let nodes = (0..self.nodes.len()).filter(own).collect();
+        for node in self.some_of(nodes, share, index) {
+            apply(self, node);
+        }
+    }
+
+    /// A share of these, one at least: the same at the begin and the end of a trouble.
+    fn some_of(&self, mut nodes: Vec<usize>, share: f64, index: usize) -> Vec<usize> {
+        use rand::SeedableRng;
+        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(index as u64);
+        nodes.shuffle(&mut rng);
+        let count = (nodes.len() as f64 * share).round().max(1.0) as usize;
+        nodes.truncate(count);
+        nodes
+    }
+}
+
+fn change<T: PartialEq>(list: &mut Vec<T>, item: T, begins: bool) {
+    match begins {
+        true => list.push(item),
+        false => list.retain(|other| *other != item),
+    }
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod history;
 pub mod http;
+pub mod lab;
 pub mod links;
 pub mod process;
 pub mod process_history;
--- a/bench/src/links.rs
+++ b/bench/src/links.rs
@@ -209,7 +209,7 @@
         if self.is_cut(from, to) || self.lost() {
             return false;
         }
-        let sent = self.transmitted(from, to, size);
+        let sent = self.transmitted(self.now, from, to, size);
         let latency = self.profile.latency(link);
         let at = sent + latency + self.jitter(latency);
         self.at(at, event);
@@ -219,9 +219,15 @@
     /// Sends a call's bytes: like [`Links::send`], but not counted as control traffic, and never
     /// lost, since a lost segment of a connection is sent again.
     pub fn send_call(&mut self, from: Site, to: Site, size: u64, event: E) {
+        self.send_call_at(self.now, from, to, size, event);
+    }
+
+    /// The same for bytes that leave their node only at `departs`.
+    pub fn send_call_at(&mut self, departs: Time, from: Site, to: Site, size: u64, event: E) {
         if !self.is_cut(from, to) {
             let latency = self.profile.latency(from.link_to(to));
-            let at = self.transmitted(from, to, size) + latency + self.jitter(latency);
+            let sent = self.transmitted(departs, from, to, size);
+            let at = sent + latency + self.jitter(latency);
             self.at(at, event);
         }
     }
@@ -254,13 +260,13 @@
     }
 
     /// When the last byte has left: links between regions send one message after another.
-    fn transmitted(&mut self, from: Site, to: Site, size: u64) -> Time {
+    fn transmitted(&mut self, departs: Time, from: Site, to: Site, size: u64) -> Time {
         if from.region == to.region {
-            return self.now;
+            return departs;
         }
         let span = Duration::from_micros(size * 1_000_000 / self.profile.across_bytes_per_s);
-        let busy = self.busy_until.entry((from.region, to.region)).or_insert(self.now);
-        *busy = (*busy).max(self.now) + span;
+        let busy = self.busy_until.entry((from.region, to.region)).or_insert(departs);
+        *busy = (*busy).max(departs) + span;
         *busy
     }
 
--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -14,12 +14,14 @@
 pub mod note;
 pub mod once;
 pub mod patience;
+pub mod policy;
 pub mod quarantine;
 pub mod split;
 
 pub use entry::Entry;
 pub use gatekeeper::Gatekeeper;
 pub use note::Note;
+pub use policy::Policy;
 
 use crate::Code;
 use crate::config::{Class, OnceBy};
--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -2,6 +2,7 @@
 
 use super::depth::Depths;
 use super::link::Link;
+use super::policy::{Part, Policy};
 use super::{CallKey, Load};
 use crate::config::{Class, ServiceLimits};
 use crate::{Code, Time};
@@ -22,10 +23,6 @@
 /// steady traffic of the classes before it can't hold it off for ever.
 const BULK_TURN: u32 = 8;
 
-/// How long a request may wait beyond its objective, behind all that can still meet theirs.
-/// Callers wait for seconds; one that is turned away instead can come back elsewhere.
-const LATE_WAIT: Duration = Duration::from_millis(600);
-
 /// What becomes of a request on arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -120,6 +117,7 @@
     run_times: [Duration; 3],
     depths: Depths,
     link: Link,
+    policy: Policy,
 }
 
 impl Slots {
@@ -136,9 +134,16 @@
             run_times: [FIRST_RUN_TIME; 3],
             depths: Depths::new(),
             link: Link::new(None),
+            policy: Policy::new(),
         }
     }
 
+    /// The same slots with other mechanisms at work.
+    pub fn with_policy(mut self, policy: Policy) -> Slots {
+        self.policy = policy;
+        self
+    }
+
     /// The same slots on a VM whose link is narrow.
     pub fn with_link(mut self, link: Link) -> Slots {
         self.link = link;
@@ -169,7 +174,11 @@
     }
 
     /// Takes a request in, or refuses it at once if it could not end in time.
-    pub fn offer(&mut self, now: Time, offer: Offer) -> Admission {
+    pub fn offer(&mut self, now: Time, mut offer: Offer) -> Admission {
+        if !self.policy.has(Part::NestedFirst) {
+            offer.depth = 0;
+        }
+        offer.objective = offer.objective.filter(|_| self.policy.has(Part::InTimeFirst));
         self.depths.count(offer.depth);
         if offer.deadline <= now {
             return Admission::Refuse(Code::DeadlinePassed, Duration::ZERO);
@@ -195,7 +204,7 @@
         let run_time = self.run_times[offer.class as usize];
         let in_time = objective.by - run_time;
         // Nothing is gained by a run that its caller's deadline cuts.
-        let until = until.min(in_time.max(now) + LATE_WAIT).min(offer.deadline - run_time);
+        let until = until.min(in_time.max(now) + self.policy.late_wait).min(offer.deadline - run_time);
         if now + wait <= in_time.min(until) {
             self.enqueue(Waiting { offer, in_time, until });
             return Admission::Queue(until);
@@ -322,12 +331,20 @@
     }
 
     fn bulk_slots(&self, now: Time) -> u32 {
-        (self.slots(now) * self.limits.bulk_share_percent / 100).max(1)
+        let percent = match self.policy.has(Part::BulkShare) {
+            true => self.limits.bulk_share_percent,
+            false => 100,
+        };
+        (self.slots(now) * percent / 100).max(1)
     }
 
     fn has_slot(&self, now: Time, offer: &Offer) -> bool {
         let slots = self.slots(now);
-        let used = self.running.len() as u32 + self.depths.kept_free(slots, offer.depth);
+        let kept = match self.policy.has(Part::SlotsKept) {
+            true => self.depths.kept_free(slots, offer.depth),
+            false => 0,
+        };
+        let used = self.running.len() as u32 + kept;
         let free = used < slots;
         let bulk =
             || self.running_bulk < self.bulk_slots(now) && self.link.has_room(now, self.to_come());
@@ -397,7 +414,8 @@
     }
 
     fn next_class(&mut self, now: Time) -> Option<Class> {
-        let bulk_waits = !self.queues[Class::Bulk as usize].is_empty();
+        let bulk_waits =
+            self.policy.has(Part::BulkTurn) && !self.queues[Class::Bulk as usize].is_empty();
         if bulk_waits && self.bulk_turn + 1 >= BULK_TURN && self.may_run_next(now, Class::Bulk) {
             self.bulk_turn = 0;
             return Some(Class::Bulk);
--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -3,6 +3,7 @@
 mod peer;
 
 use super::entry::Reason;
+use super::policy::{Part, Policy};
 use super::{Load, Members};
 use crate::config::{Class, ServiceKey, Snapshot};
 use crate::member::VmState;
@@ -78,6 +79,7 @@
     // Usual time of an answer by service and class, the way to the target left out; in the order
     // of `services`.
     typical: IndexMap<Name, [Duration; 3]>,
+    policy: Policy,
 }
 
 impl Balancer {
@@ -85,7 +87,13 @@
     pub fn new(place: Place, seed: u64) -> Balancer {
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let (peers, typical) = (IndexMap::new(), IndexMap::new());
-        Balancer { place, rng, peers, services: Vec::new(), typical }
+        Balancer { place, rng, peers, services: Vec::new(), typical, policy: Policy::new() }
+    }
+
+    /// The same balancer with other mechanisms at work.
+    pub fn with_policy(mut self, policy: Policy) -> Balancer {
+        self.policy = policy;
+        self
     }
 
     /// Takes the targets of a version up. What is known of those that stay is kept.
@@ -198,6 +206,9 @@
         peer.failures = 0;
         peer.avoid_until = Time::ZERO;
         peer.count_end(now, false);
+        if !self.policy.has(Part::AnswerTimes) {
+            return;
+        }
         let known = &mut peer.answer_time[class as usize];
         let mean = match *known {
             Some((mean, at)) if now.since(at) < ANSWER_TIME_LIFE => {
@@ -216,14 +227,14 @@
 
     /// The target answered with a failure of its own, or not before the deadline.
     pub fn answered_failure(&mut self, now: Time, vm: &Name) {
-        if let Some(peer) = self.peers.get_mut(vm) {
+        if let Some(peer) = self.peers.get_mut(vm).filter(|_| self.policy.has(Part::FailureShare)) {
             peer.count_end(now, true);
         }
     }
 
     /// The target's gatekeeper reported its load.
     pub fn reported(&mut self, now: Time, vm: &Name, load: Load) {
-        if let Some(peer) = self.peers.get_mut(vm) {
+        if let Some(peer) = self.peers.get_mut(vm).filter(|_| self.policy.has(Part::ReportedLoads)) {
             peer.load = Some((load, now));
         }
     }
@@ -251,14 +262,14 @@
 
     /// The target's gatekeeper refused for load.
     pub fn full(&mut self, now: Time, vm: &Name, retry_after: Duration) {
-        if let Some(peer) = self.peers.get_mut(vm) {
+        if let Some(peer) = self.peers.get_mut(vm).filter(|_| self.policy.has(Part::FullKnown)) {
             peer.full_until = now + retry_after.min(MAX_FULL);
         }
     }
 
     /// The target itself refused a request.
     pub fn shed(&mut self, now: Time, vm: &Name) {
-        if let Some(peer) = self.peers.get_mut(vm) {
+        if let Some(peer) = self.peers.get_mut(vm).filter(|_| self.policy.has(Part::FailureShare)) {
             peer.count_end(now, true);
         }
     }
@@ -279,7 +290,9 @@
 
     /// The nearest tier's pick, or a farther one's if that is cheaper by what was measured.
     fn pick_among(&mut self, want: Want<'_>) -> Option<usize> {
-        let stays_near = want.class == Class::Bulk && self.serves_region(want);
+        let stays = want.class == Class::Bulk && self.policy.has(Part::BulkStays);
+        let stays_near = stays && self.serves_region(want);
+        let dearer = u32::from(self.policy.has(Part::Distance));
         let mut best: Option<(usize, Duration)> = None;
         for link in Link::ALL {
             if link == Link::Across && stays_near {
@@ -289,7 +302,7 @@
                 continue;
             };
             let percent = DISTANCE_PERCENT[want.class as usize][link as usize];
-            let cost = self.cost(want, index) + self.typical(want) * percent / 100;
+            let cost = self.cost(want, index) + self.typical(want) * percent * dearer / 100;
             if best.is_none_or(|(_, least)| cost < least) {
                 best = Some((index, cost));
             }
--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -9,6 +9,7 @@
 
 use super::balance::Balancer;
 use super::patience::Patience;
+use super::policy::{Part, Policy};
 use super::split::Splits;
 use super::{CallKey, MAX_DEPTH, Members, Outcome, RequestKey, Terms};
 use crate::config::snapshot::RouteEntry;
@@ -53,6 +54,7 @@
     retries: Retries,
     splits: Splits,
     patience: Patience,
+    policy: Policy,
     calls: IndexMap<CallKey, Call>,
     draining: bool,
 }
@@ -67,11 +69,19 @@
             retries: Retries::new(seed),
             splits: Splits::new(seed),
             patience: Patience::new(),
+            policy: Policy::new(),
             calls: IndexMap::new(),
             draining: false,
         }
     }
 
+    /// The same entry node with other mechanisms at work.
+    pub fn with_policy(mut self, policy: Policy) -> Entry {
+        self.balancer = self.balancer.with_policy(policy.clone());
+        self.policy = policy;
+        self
+    }
+
     /// The one entry: takes an input in and appends what follows from it.
     pub fn handle(&mut self, now: Time, input: Input<'_>, out: &mut Vec<Output>) {
         match input {
@@ -189,8 +199,10 @@
     /// When the time ends within which an answer is worth most, from the caller's first attempt.
     fn objective(&mut self, now: Time, arrival: &Arrival<'_>, entry: &RouteEntry) -> Time {
         let waited = match arrival.time_left {
-            Some(left) => self.patience.waited(now, &entry.name, left),
-            None => Duration::ZERO,
+            Some(left) if self.policy.has(Part::Patience) => {
+                self.patience.waited(now, &entry.name, left)
+            }
+            _ => Duration::ZERO,
         };
         let objective = Duration::from_millis(entry.route.objective_ms.into());
         now + objective.saturating_sub(waited)
@@ -207,7 +219,7 @@
         }
         let class = call.terms.class;
         self.balancer.pick_free(now, service, class, &[]).or_else(|| {
-            call.terms.patient = true;
+            call.terms.patient = self.policy.has(Part::FullOnce);
             self.balancer.pick(now, service, class, &[])
         })
     }
--- a/core/src/call/entry/again.rs
+++ b/core/src/call/entry/again.rs
@@ -2,6 +2,7 @@
 
 use super::Entry;
 use crate::call::note::HomeList;
+use crate::call::policy::Part;
 use crate::call::quarantine::MAX_CRASHES;
 use crate::call::{CallKey, RequestKey};
 use crate::config::{ServiceKey, Snapshot};
@@ -115,12 +116,16 @@
         // The balancer knows the targets of the version in force now.
         let service = self.snapshot.as_ref()?.service_named(&call.service)?;
         let full = matches!(code, Code::QueueFull | Code::QueueTimeout);
+        if full && !self.policy.has(Part::SpareForwards) {
+            return None;
+        }
         let vm = match full && spare_forwards > 0 {
             // Others that are full as well would say the same; it may wait at one of them.
             true => self.balancer.pick_free(now, service, call.terms.class, &call.tried)?,
             false => self.balancer.pick(now, service, call.terms.class, &call.tried)?,
         };
-        let paid = kind == RetryKind::Free || self.retries.take(now, call);
+        let unbounded = !self.policy.has(Part::RetryBudget);
+        let paid = kind == RetryKind::Free || unbounded || self.retries.take(now, call);
         paid.then_some(vm)
     }
 }
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -11,6 +11,7 @@
 use super::home::Homes;
 use super::link::Link;
 use super::once::{KeptAnswer, Once};
+use super::policy::Policy;
 use super::quarantine::Suspects;
 use super::{CallKey, Fingerprint, Load, Members, Outcome, RequestKey, Runs, Terms};
 use crate::config::snapshot::RouteEntry;
@@ -118,6 +119,12 @@
         self
     }
 
+    /// The same gatekeeper with other mechanisms at work.
+    pub fn with_policy(mut self, policy: Policy) -> Gatekeeper {
+        self.slots = self.slots.with_policy(policy);
+        self
+    }
+
     /// The one entry: takes an input in and appends what follows from it.
     pub fn handle(&mut self, now: Time, input: Input<'_>, out: &mut Vec<Output>) {
         self.notice_gap(now, out);
