Requests stay at their nearest targets; what those can't take leaves, and late ones wait half a run

Cause: the balancer drew across zones as soon as a near target was half full, since its cost was stretched by what it ran; gatekeepers refused for load and two others were asked, also across regions; requests that could not be in time held a place for 600 ms. Change: a target reports how long a newcomer would wait; another zone is worth it when the wait saved is longer than half a usual run, another region a whole run. A first ask waits for 30 % of the time that is left, then the request waits at its nearest targets. Refusals are remembered by class and rank. Late requests wait for half a usual run, which follows what is observed. Large answers leave only where nothing near is up.

--- a/bench/src/fleet/calls/targets.rs
+++ b/bench/src/fleet/calls/targets.rs
@@ -51,7 +51,11 @@
             }
             gatekeeper::Output::Replay(gate, answer) => {
                 let body = answer.body.as_ref().try_into().map_or(0, u64::from_be_bytes);
-                self.answer(gate, AttemptEnd::Answering { load: None }, Some(body));
+                self.answer(
+                    gate,
+                    AttemptEnd::Answering { load: None, waited: Duration::ZERO },
+                    Some(body),
+                );
             }
             gatekeeper::Output::Refuse { call, outcome, crashes } => {
                 let end = match outcome {
@@ -116,7 +120,7 @@
             return;
         }
         let back = match &end {
-            End::Answered { .. } => AttemptEnd::Answering { load: None },
+            End::Answered { .. } => AttemptEnd::Answering { load: None, waited: Duration::ZERO },
             End::NotSent | End::Rejected(_) => AttemptEnd::Refused {
                 code: Code::TargetUnreachable,
                 retry_after: COME_BACK,
--- a/bench/src/lab/path.rs
+++ b/bench/src/lab/path.rs
@@ -45,6 +45,8 @@
     call: CallKey,
     kind: usize,
     deadline: Time,
+    came: Time,
+    waited: Duration,
     running: bool,
     fails: bool,
     // Kinds of the calls still to be made, and the work before each of them.
@@ -86,11 +88,11 @@
             body_bytes: Some(0),
             own_runs,
         };
-        self.to_entry(node, entry::Input::Arrive(arrival));
+        self.tell_entry(node, entry::Input::Arrive(arrival));
         self.calls.contains_key(&call).then_some(call)
     }
 
-    pub(super) fn to_entry(&mut self, node: usize, input: entry::Input<'_>) {
+    pub(super) fn tell_entry(&mut self, node: usize, input: entry::Input<'_>) {
         let mut out = Vec::new();
         self.nodes[node].entry.handle(self.links.now(), input, &mut out);
         for output in out {
@@ -101,7 +103,7 @@
         }
     }
 
-    pub(super) fn to_gate(&mut self, node: usize, input: gatekeeper::Input<'_>) {
+    pub(super) fn tell_gate(&mut self, node: usize, input: gatekeeper::Input<'_>) {
         let mut out = Vec::new();
         self.nodes[node].gate.handle(self.links.now(), input, &mut out);
         for output in out {
@@ -160,17 +162,22 @@
             return self.send_back(node, Back { call: key, gate, end: AttemptEnd::NotSent });
         }
         self.dealt_with(node);
-        self.gated.insert(gate, Gated {
-            node,
-            call: key,
-            kind,
-            deadline: forward.deadline,
-            running: false,
-            fails: false,
-            steps: Vec::new(),
-            part: Duration::ZERO,
-            child: None,
-        });
+        self.gated.insert(
+            gate,
+            Gated {
+                node,
+                call: key,
+                kind,
+                deadline: forward.deadline,
+                came: self.links.now(),
+                waited: Duration::ZERO,
+                running: false,
+                fails: false,
+                steps: Vec::new(),
+                part: Duration::ZERO,
+                child: None,
+            },
+        );
         let path = self.kinds[kind].path.clone();
         let arrival = gatekeeper::Arrival {
             call: gate,
@@ -184,7 +191,7 @@
             depth: if matches!(asker, Asker::Run(_)) { NESTED_DEPTH } else { 0 },
             deadline: forward.deadline,
         };
-        self.to_gate(node, gatekeeper::Input::Arrive(arrival));
+        self.tell_gate(node, gatekeeper::Input::Arrive(arrival));
     }
 
     fn send_back(&mut self, node: usize, back: Back) {
@@ -212,6 +219,7 @@
     fn start_run(&mut self, gate: RunKey) {
         let Some(gated) = self.gated.get_mut(&gate) else { return };
         gated.running = true;
+        gated.waited = self.links.now().since(gated.came);
         let (node, key) = (gated.node, gated.call);
         self.count_arrival(key);
         match self.nodes[node].target.take(gate, &mut self.rng) {
@@ -219,7 +227,7 @@
             Taken::Waits => {}
             Taken::Refused => {
                 let end = End::Rejected(Code::TargetRefused);
-                self.to_gate(node, gatekeeper::Input::End { call: gate, end });
+                self.tell_gate(node, gatekeeper::Input::End { call: gate, end });
             }
         }
     }
@@ -310,13 +318,13 @@
     /// The last byte of an answer has left the target's VM.
     pub(super) fn sent(&mut self, run: RunKey, failed: bool) {
         let Some(gated) = self.gated.get(&run) else { return };
-        let (node, key, kind) = (gated.node, gated.call, gated.kind);
+        let (node, key, kind, waited) = (gated.node, gated.call, gated.kind, gated.waited);
         self.free_target(node, run);
         let load = self.nodes[node].gate.load(self.links.now());
-        self.to_gate(node, gatekeeper::Input::End {
-            call: run,
-            end: End::Answered { kept: None },
-        });
+        self.tell_gate(
+            node,
+            gatekeeper::Input::End { call: run, end: End::Answered { kept: None } },
+        );
         self.gated.swap_remove(&run);
         let Some(call) = self.calls.get(&key) else { return };
         let to = call.node;
@@ -324,7 +332,7 @@
             true => (AttemptEnd::AnsweringFailure { load: Some(load) }, 0),
             false => {
                 let body = self.kinds[kind].cfg.answer_bytes;
-                (AttemptEnd::Answering { load: Some(load) }, body)
+                (AttemptEnd::Answering { load: Some(load), waited }, body)
             }
         };
         let departs = self.dealt_with(node);
@@ -349,14 +357,14 @@
         self.dealt_with(node);
         let answered = matches!(end, AttemptEnd::Answering { .. });
         let failure = matches!(end, AttemptEnd::AnsweringFailure { .. });
-        self.to_entry(node, entry::Input::Attempt { call: key, end, whole: true });
+        self.tell_entry(node, entry::Input::Attempt { call: key, end, whole: true });
         let same = self.calls.get(&key).is_some_and(|call| call.gate == Some(gate));
         if same && answered {
-            self.to_entry(node, entry::Input::Close(key));
+            self.tell_entry(node, entry::Input::Close(key));
             self.end_call(key, Ok(()));
         } else if same && failure {
             // It was not sent again: the failure is the answer.
-            self.to_entry(node, entry::Input::Close(key));
+            self.tell_entry(node, entry::Input::Close(key));
             self.end_call(key, Err(Outcome::Unknown { code: Code::TargetFailed }));
         }
     }
@@ -394,13 +402,13 @@
         let Some(call) = self.calls.get(&key) else { return };
         let (node, gate) = (call.node, call.gate);
         self.close_attempt(node, gate);
-        self.to_entry(node, entry::Input::Expire { call: key, sent: true });
+        self.tell_entry(node, entry::Input::Expire { call: key, sent: true });
     }
 
     /// Whoever asked has left.
     pub(super) fn leave(&mut self, key: CallKey) {
         let Some(call) = self.calls.swap_remove(&key) else { return };
-        self.to_entry(call.node, entry::Input::Close(key));
+        self.tell_entry(call.node, entry::Input::Close(key));
         self.close_attempt(call.node, call.gate);
     }
 
@@ -423,13 +431,13 @@
             false => gatekeeper::Input::Withdraw(gate),
         };
         self.free_target(gated.node, gate);
-        self.to_gate(gated.node, input);
+        self.tell_gate(gated.node, input);
     }
 
     /// A waiting request's time at its gatekeeper is up.
     pub(super) fn queue_end(&mut self, gate: CallKey) {
         if let Some(gated) = self.gated.get(&gate).filter(|gated| !gated.running) {
-            self.to_gate(gated.node, gatekeeper::Input::Expire(gate));
+            self.tell_gate(gated.node, gatekeeper::Input::Expire(gate));
         }
     }
 
--- a/bench/src/lab/world.rs
+++ b/bench/src/lab/world.rs
@@ -232,7 +232,7 @@
     fn tick(&mut self) {
         for node in 0..self.nodes.len() {
             if self.nodes[node].up {
-                self.to_gate(node, gatekeeper::Input::Tick);
+                self.tell_gate(node, gatekeeper::Input::Tick);
             }
         }
         if self.links.now() < self.end + TAIL {
@@ -263,8 +263,8 @@
 
     /// Tells one node a version.
     pub(super) fn configure_node(&mut self, node: usize, snapshot: &Arc<Snapshot>) {
-        self.to_gate(node, gatekeeper::Input::Configure(snapshot.clone()));
-        self.to_entry(node, entry::Input::Configure(snapshot.clone()));
+        self.tell_gate(node, gatekeeper::Input::Configure(snapshot.clone()));
+        self.tell_entry(node, entry::Input::Configure(snapshot.clone()));
     }
 
     /// The targets are listed otherwise; nodes hear of it a little later.
@@ -297,9 +297,8 @@
     /// Where a node stands, for the links.
     pub(super) fn link_site(&self, node: usize) -> links::Site {
         let site: &Site = &self.mesh.sites[node];
-        let region = self.mesh.sites.iter().position(|other| {
-            other.place.region == site.place.region
-        });
+        let region =
+            self.mesh.sites.iter().position(|other| other.place.region == site.place.region);
         links::Site { region: region.unwrap_or_default() as u16, zone: site.zone as u16 }
     }
 
--- /dev/null
+++ b/bench/tests/lab.rs
@@ -0,0 +1,204 @@
+//! Replays of load over the call path's deciders: where requests go, and who is turned away.
+
+use std::path::PathBuf;
+use sycamore_bench::lab::bound::bound;
+use sycamore_bench::lab::trial::{Estimate, Figure};
+use sycamore_bench::lab::{Scenario, Tally, Trial};
+use sycamore_core::Code;
+use sycamore_core::call::Policy;
+use sycamore_core::call::policy::Part;
+
+/// A mesh of three regions with two zones each, whose targets would do for twice the load.
+const EVEN: &str = r#"{
+    "name": "even", "seconds": 12, "warm_up_s": 2,
+    "zones": {
+        "east-1": {"region": "east", "callers": 1}, "east-2": {"region": "east", "callers": 1},
+        "mid-1": {"region": "mid", "callers": 1}, "mid-2": {"region": "mid", "callers": 1},
+        "west-1": {"region": "west", "callers": 1}, "west-2": {"region": "west", "callers": 1}
+    },
+    "services": {
+        "desk": {"slots": 8, "targets": {"east-1": 2, "east-2": 2, "mid-1": 2, "mid-2": 2,
+            "west-1": 2, "west-2": 2}},
+        "vault": {"slots": 8, "targets": {"east-1": 1, "east-2": 1, "mid-1": 1, "mid-2": 1,
+            "west-1": 1, "west-2": 1}}
+    },
+    "kinds": {
+        "lookup": {"service": "desk", "per_s": 250, "idempotent": true, "class": "interactive",
+            "rank": 2, "work_ms": 60, "spread": 0.4, "answer_bytes": 1500, "objective_ms": 300,
+            "deadline_ms": 2000, "timeout_ms": 1000, "caller_retries": 2, "worth": 1,
+            "late_worth": 0.3, "calls": [{"kind": "tariff", "times": 1, "share": 0.5}]},
+        "pack": {"service": "vault", "per_s": 30, "idempotent": true, "class": "bulk", "rank": 2,
+            "work_ms": 40, "spread": 0.4, "answer_bytes": 90000, "objective_ms": 300,
+            "deadline_ms": 2000, "timeout_ms": 2000, "caller_retries": 2, "worth": 1,
+            "late_worth": 0.3},
+        "tariff": {"service": "vault", "idempotent": true, "class": "gating", "work_ms": 15,
+            "answer_bytes": 600, "objective_ms": 60, "deadline_ms": 200, "timeout_ms": 200}
+    },
+    "troubles": []
+}"#;
+
+fn even() -> Scenario {
+    Scenario::parse(EVEN.as_bytes()).unwrap()
+}
+
+fn with_troubles(troubles: &str) -> Scenario {
+    let text = EVEN.replace(r#""troubles": []"#, &format!(r#""troubles": [{troubles}]"#));
+    Scenario::parse(text.as_bytes()).unwrap()
+}
+
+fn play(scenario: Scenario, policy: Policy) -> Vec<Tally> {
+    Trial::new(scenario).with_policy(policy).with_jobs(3).run(|_| {}).unwrap()
+}
+
+fn all_bytes(run: &Tally) -> u64 {
+    run.bytes.iter().flatten().sum()
+}
+
+/// Part of the requests of some seconds that were answered in time, over all runs.
+fn in_time(runs: &[Tally], from: usize, to: usize) -> f64 {
+    let seconds = runs.iter().flat_map(|run| &run.seconds[from..to]);
+    let (in_time, all) = seconds.fold((0, 0), |(in_time, all), of| {
+        (in_time + of.in_time, all + of.in_time + of.late + of.lost)
+    });
+    in_time as f64 / all.max(1) as f64
+}
+
+#[test]
+fn placing_even_nothing_leaves_its_zone() {
+    // Story: every zone has twice the room that its callers need. Requests are drawn across zones
+    // all the same as soon as a target nearby is half full, and a third of all bytes is paid for.
+    for run in play(even(), Policy::new()) {
+        let crossed = run.crossed.0 + run.crossed.1;
+        assert!(crossed * 50 <= all_bytes(&run), "{crossed} of {}", all_bytes(&run));
+        assert!(run.total().in_time_share() > 0.98, "{:?}", run.total());
+    }
+}
+
+#[test]
+fn placing_surplus_leaves_one_way() {
+    // Story: a zone gets three times its callers for some seconds. What it can't take goes to its
+    // neighbours, and nothing comes back the other way.
+    let burst = r#"{"at_s": 3, "for_s": 8, "what": "burst", "factor": 3.5, "zone": "east-1"}"#;
+    for run in play(with_troubles(burst), Policy::new()) {
+        assert!(run.total().in_time_share() > 0.93, "{:?}", run.total());
+        // Answers travel towards the callers of the zone that has too many.
+        let to: u64 = (1..6).map(|zone| run.bytes[zone][0]).sum();
+        let between_others: u64 = (1..6)
+            .flat_map(|a| (1..6).filter(move |b| a != *b).map(move |b| (a, b)))
+            .map(|(a, b)| run.bytes[a][b])
+            .sum();
+        assert!(between_others < to, "{between_others} beside {to}");
+    }
+}
+
+#[test]
+fn placing_shift_ends_as_it_began() {
+    // Callers move to another zone and back: before and after nothing crosses, and while they are
+    // away they are served.
+    let shift = r#"{"at_s": 4, "for_s": 4, "what": "shift", "from": "mid-1", "to": "west-1", "share": 0.9}"#;
+    let runs = play(with_troubles(shift), Policy::new());
+    assert!(in_time(&runs, 4, 8) > 0.95, "{}", in_time(&runs, 4, 8));
+    assert!(in_time(&runs, 9, 12) > 0.98, "{}", in_time(&runs, 9, 12));
+}
+
+#[test]
+fn placing_lost_zone_is_served_by_others() {
+    let lost = r#"{"at_s": 4, "for_s": 4, "what": "lost", "zone": "mid-1", "share": 1.0}"#;
+    let runs = play(with_troubles(lost), Policy::new());
+    assert!(in_time(&runs, 5, 8) > 0.93, "{}", in_time(&runs, 5, 8));
+    assert!(in_time(&runs, 10, 12) > 0.97, "{}", in_time(&runs, 10, 12));
+}
+
+#[test]
+fn placing_grey_and_slow_targets_are_left() {
+    // Story: a target in four answers eight times slower, and later one fails half of its
+    // requests while its health check is good. Its zone's callers must not stay with it.
+    let troubles = r#"
+        {"at_s": 3, "for_s": 4, "what": "slow", "service": "desk", "share": 0.25, "factor": 8.0},
+        {"at_s": 8, "for_s": 3, "what": "grey", "service": "desk", "share": 0.25, "errors": 0.5}"#;
+    let runs = play(with_troubles(troubles), Policy::new());
+    assert!(in_time(&runs, 4, 7) > 0.9, "{}", in_time(&runs, 4, 7));
+    assert!(in_time(&runs, 9, 11) > 0.9, "{}", in_time(&runs, 9, 11));
+}
+
+#[test]
+fn overload_short_queues_answer_more_in_time() {
+    // Story: callers ask for a third more than all targets can run. Those that can't be in time
+    // any more hold slots for half a second each, so that the next ones are late as well.
+    let burst = r#"{"at_s": 3, "for_s": 9, "what": "burst", "factor": 7.5}"#;
+    let scenario = with_troubles(burst);
+    let before =
+        play(scenario.clone(), Policy::new().with_value("late-wait-percent", 700).unwrap());
+    let after = play(scenario, Policy::new());
+    let gain = Estimate::paired(Figure::InTime, &before, &after);
+    assert!(gain.mean > 0.0 && gain.tells(), "{gain:?}");
+}
+
+#[test]
+fn overload_in_time_first() {
+    let burst = r#"{"at_s": 3, "for_s": 9, "what": "burst", "factor": 7.5}"#;
+    let scenario = with_troubles(burst);
+    let before = play(scenario.clone(), Policy::new().with_off(Part::InTimeFirst));
+    let after = play(scenario, Policy::new());
+    let gain = Estimate::paired(Figure::Worth, &before, &after);
+    assert!(gain.mean > 0.0 && gain.tells(), "{gain:?}");
+}
+
+#[test]
+fn play_same_seed_same_result() {
+    assert_eq!(play(even(), Policy::new()), play(even(), Policy::new()));
+}
+
+#[test]
+fn bound_uneven_by_hand() {
+    // Two zones of one region, all callers in the first: its 8 usable slots take 7.6 of the 10
+    // that are needed; the other 2.4 must cross with 23 bytes a slot's millisecond each.
+    let text = r#"{
+        "name": "two", "seconds": 10,
+        "zones": {"a": {"region": "r", "callers": 1}, "b": {"region": "r", "callers": 0}},
+        "services": {"s": {"slots": 8, "targets": {"a": 1, "b": 1}}},
+        "kinds": {"k": {"service": "s", "per_s": 100, "idempotent": true, "class": "interactive",
+            "work_ms": 100, "answer_bytes": 1500, "objective_ms": 300, "deadline_ms": 2000,
+            "timeout_ms": 1000}}
+    }"#;
+    let bound = bound(&Scenario::parse(text.as_bytes()).unwrap());
+    let service = &bound.services.values().next().unwrap();
+    assert!((service.needed - 10.0).abs() < 1e-6, "{service:?}");
+    let expected = 2.4 * (1_500.0 + 800.0) / 0.1;
+    assert!((service.crossing - expected).abs() < 1e-3, "{service:?}");
+    assert_eq!(service.across, 0.0);
+}
+
+#[test]
+fn scenario_wrong_field_is_named() {
+    for (from, to, place) in [
+        (r#""service": "desk", "per_s""#, r#""service": "deks", "per_s""#, "kinds.lookup.service"),
+        (
+            r#""slots": 8, "targets": {"east-1": 2"#,
+            r#""slots": 0, "targets": {"east-1": 2"#,
+            "services.desk.slots",
+        ),
+        (r#""seconds": 12"#, r#""seconds": 0"#, "seconds"),
+        (
+            r#""spread": 0.4, "answer_bytes": 1500"#,
+            r#""spraed": 0.4, "answer_bytes": 1500"#,
+            "kinds.lookup",
+        ),
+    ] {
+        assert!(EVEN.contains(from), "{from}");
+        let fault = Scenario::parse(EVEN.replace(from, to).as_bytes()).unwrap_err();
+        assert_eq!(fault.code, Code::InputInvalid);
+        assert!(fault.place.starts_with(place), "{fault}");
+    }
+}
+
+#[test]
+fn scenario_examples_are_valid() {
+    let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../examples/lab");
+    let mut names = Vec::new();
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let scenario = Scenario::read(&entry.unwrap().path()).unwrap();
+        names.push(scenario.name);
+    }
+    assert!(names.len() >= 4, "{names:?}");
+}
--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -87,6 +87,8 @@
         pub slots: u32,
         /// Requests that wait for a slot.
         pub queued: u32,
+        /// How long a caller's request would wait that comes now, in ms.
+        pub wait_ms: u32,
     }
 }
 
@@ -183,17 +185,18 @@
 }
 
 impl Load {
-    /// The form that headers carry: `in_flight/slots/queued`.
+    /// The form that headers carry: `in_flight/slots/queued/wait_ms`.
     pub fn parse(text: &str) -> Option<Load> {
         let mut parts = text.split('/').map(|part| part.trim().parse::<u32>());
-        let (in_flight, slots, queued) = (parts.next()?, parts.next()?, parts.next()?);
-        let load = Load { in_flight: in_flight.ok()?, slots: slots.ok()?, queued: queued.ok()? };
+        let mut number = || parts.next()?.ok();
+        let (in_flight, slots) = (number()?, number()?);
+        let load = Load { in_flight, slots, queued: number()?, wait_ms: number()? };
         parts.next().is_none().then_some(load)
     }
 }
 
 impl std::fmt::Display for Load {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}/{}/{}", self.in_flight, self.slots, self.queued)
+        write!(f, "{}/{}/{}/{}", self.in_flight, self.slots, self.queued, self.wait_ms)
     }
 }
--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -204,8 +204,14 @@
         let run_time = self.run_times[offer.class as usize];
         let in_time = objective.by - run_time;
         // Nothing is gained by a run that its caller's deadline cuts.
-        let until = until.min(in_time.max(now) + self.policy.late_wait).min(offer.deadline - run_time);
-        if now + wait <= in_time.min(until) {
+        let late_wait = run_time * self.policy.late_wait_percent / 100;
+        let until = until.min(in_time.max(now) + late_wait).min(offer.deadline - run_time);
+        let patience = match objective.patient {
+            true => 100,
+            false => self.policy.first_wait_percent,
+        };
+        let longest = in_time.min(until).since(now) * patience / 100;
+        if now < in_time && wait <= longest {
             self.enqueue(Waiting { offer, in_time, until });
             return Admission::Queue(until);
         }
@@ -307,7 +313,19 @@
             in_flight: self.running.len() as u32,
             slots: self.slots(now),
             queued: self.queued() + self.late.len() as u32,
+            wait_ms: self.wait_of_newcomer(now).as_millis() as u32,
+        }
+    }
+
+    /// How long a caller's request of the last rank would wait that comes now.
+    fn wait_of_newcomer(&self, now: Time) -> Duration {
+        if (self.running.len() as u32) < self.slots(now) {
+            return Duration::ZERO;
         }
+        let before = [Class::Gating, Class::Interactive].map(|class| class as usize);
+        let work = |class: usize| self.run_times[class] * self.queues[class].len() as u32;
+        let work: Duration = before.into_iter().map(work).sum();
+        (work + self.run_times[Class::Interactive as usize]) / self.slots(now)
     }
 
     /// When a request that is refused now may come back.
--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -4,7 +4,7 @@
 
 use super::entry::Reason;
 use super::policy::{Part, Policy};
-use super::{Load, Members};
+use super::{Load, Members, Terms};
 use crate::config::{Class, ServiceKey, Snapshot};
 use crate::member::VmState;
 use crate::place::{Link, Place};
@@ -38,12 +38,8 @@
 /// leaving costs a refusal, after which the request goes elsewhere.
 const LEAVING_LIFE: Duration = Duration::from_millis(2_500);
 
-/// What the way of an answer costs beyond its time, in percent of the service's usual answer time,
-/// by class (gating, interactive, bulk) and link (zone, region, across): traffic between regions
-/// is paid by volume, and large answers fill the slow links. Another zone is worth it for a wait
-/// of a fraction of a run; another region only when a wait of a whole run or more is saved, and
-/// ten runs for large answers.
-const DISTANCE_PERCENT: [[u32; 3]; 3] = [[0, 10, 150], [0, 20, 100], [0, 100, 1_000]];
+/// How much more a way costs a class (gating, interactive, bulk): large answers fill links.
+const DISTANCE_FACTOR: [u32; 3] = [1, 1, 10];
 
 /// Random draws for a usable target before all are looked through.
 const DRAWS: usize = 4;
@@ -65,6 +61,7 @@
     now: Time,
     service: ServiceKey,
     class: Class,
+    rank: u8,
     tried: &'a [Name],
     strictness: Strictness,
 }
@@ -145,28 +142,41 @@
         &mut self,
         now: Time,
         service: ServiceKey,
-        class: Class,
+        terms: &Terms,
         tried: &[Name],
     ) -> Option<Name> {
-        let want = Want { now, service, class, tried, strictness: Strictness::Healthy };
-        let index = self.pick_among(want)?;
-        self.peers.get_index(index).map(|(vm, _)| vm.clone())
+        let (class, rank, strictness) = (terms.class, terms.rank, Strictness::Healthy);
+        self.pick_among(Want { now, service, class, rank, tried, strictness })
     }
 
-    /// The same, or one that is full or fails if there is no other.
+    /// One of the nearest targets other than those tried, however full it is.
+    pub fn pick_nearest(
+        &mut self,
+        now: Time,
+        service: ServiceKey,
+        terms: &Terms,
+        tried: &[Name],
+    ) -> Option<Name> {
+        let (class, rank) = (terms.class, terms.rank);
+        let want = |strictness| Want { now, service, class, rank, tried, strictness };
+        let mut among = |strictness| {
+            let want = want(strictness);
+            Link::ALL.into_iter().find_map(|link| self.draw_two(want, link))
+        };
+        let index = among(Strictness::Healthy).or_else(|| among(Strictness::Staying))?;
+        self.name_of(index)
+    }
+
+    /// A target that is not known to be full, or else one of the nearest.
     pub fn pick(
         &mut self,
         now: Time,
         service: ServiceKey,
-        class: Class,
+        terms: &Terms,
         tried: &[Name],
     ) -> Option<Name> {
-        let free = self.pick_free(now, service, class, tried);
-        let want = Want { now, service, class, tried, strictness: Strictness::Staying };
-        free.or_else(|| {
-            let index = self.pick_among(want)?;
-            self.peers.get_index(index).map(|(vm, _)| vm.clone())
-        })
+        let free = self.pick_free(now, service, terms, tried);
+        free.or_else(|| self.pick_nearest(now, service, terms, tried))
     }
 
     /// Address of the gatekeeper beside a target, and the run of the target that is meant.
@@ -234,7 +244,8 @@
 
     /// The target's gatekeeper reported its load.
     pub fn reported(&mut self, now: Time, vm: &Name, load: Load) {
-        if let Some(peer) = self.peers.get_mut(vm).filter(|_| self.policy.has(Part::ReportedLoads)) {
+        if let Some(peer) = self.peers.get_mut(vm).filter(|_| self.policy.has(Part::ReportedLoads))
+        {
             peer.load = Some((load, now));
         }
     }
@@ -261,9 +272,9 @@
     }
 
     /// The target's gatekeeper refused for load.
-    pub fn full(&mut self, now: Time, vm: &Name, retry_after: Duration) {
+    pub fn full(&mut self, now: Time, vm: &Name, terms: &Terms, retry_after: Duration) {
         if let Some(peer) = self.peers.get_mut(vm).filter(|_| self.policy.has(Part::FullKnown)) {
-            peer.full_until = now + retry_after.min(MAX_FULL);
+            peer.set_full(now, terms.class, terms.rank, retry_after.min(MAX_FULL));
         }
     }
 
@@ -288,48 +299,75 @@
             .is_some_and(|peer| peer.leaving || peer.listed_leaving || peer.leaving_until > now)
     }
 
-    /// The nearest tier's pick, or a farther one's if that is cheaper by what was measured.
-    fn pick_among(&mut self, want: Want<'_>) -> Option<usize> {
+    /// A target of the home tier, or a farther one that saves more time than its distance costs.
+    fn pick_among(&mut self, want: Want<'_>) -> Option<Name> {
+        let home = self.home(want)?;
         let stays = want.class == Class::Bulk && self.policy.has(Part::BulkStays);
-        let stays_near = stays && self.serves_region(want);
-        let dearer = u32::from(self.policy.has(Part::Distance));
         let mut best: Option<(usize, Duration)> = None;
-        for link in Link::ALL {
-            if link == Link::Across && stays_near {
-                continue;
-            }
-            let Some(index) = self.draw_two(want, link) else {
+        for link in Link::ALL.into_iter().filter(|link| !stays || *link <= home) {
+            let Some(index) = self.draw_two_free(want, link) else {
                 continue;
             };
-            let percent = DISTANCE_PERCENT[want.class as usize][link as usize];
-            let cost = self.cost(want, index) + self.typical(want) * percent * dearer / 100;
+            let wait = self.peers[index].reported_wait(want.now).unwrap_or_default();
+            let cost = self.speed(want, index) + wait + self.distance(want, home, link);
             if best.is_none_or(|(_, least)| cost < least) {
                 best = Some((index, cost));
             }
         }
-        best.map(|(index, _)| index)
+        best.and_then(|(index, _)| self.name_of(index))
     }
 
-    /// Whether the own region has a target that can be reached and stays, however full it is.
+    fn name_of(&self, index: usize) -> Option<Name> {
+        self.peers.get_index(index).map(|(vm, _)| vm.clone())
+    }
+
+    /// The nearest tier with a target that can be reached and stays, however full it is.
     ///
-    /// Large answers go to another region only without one. Traffic between regions is paid by
-    /// volume, and where the links of all targets are full, fetching answers crosswise moves a
-    /// quarter of a gigabyte in half a minute between regions and answers nobody more.
-    fn serves_region(&self, want: Want<'_>) -> bool {
-        let Some(tiers) = self.services.get(want.service.0 as usize) else {
-            return false;
-        };
-        let near = [Link::Zone, Link::Region].map(|link| &tiers.by_link[link as usize]);
-        near.into_iter().flatten().any(|index| {
+    /// Requests wait at their home tier alone. Guards against traffic that crosses in both
+    /// directions for nothing: where every target is full, each zone's requests would else wait at
+    /// the other zones' targets, and bytes between zones are paid by volume.
+    fn home(&self, want: Want<'_>) -> Option<Link> {
+        let tiers = self.services.get(want.service.0 as usize)?;
+        let usable = |index: &usize| {
             let peer = &self.peers[*index];
             peer.is_usable(want.now, Strictness::Staying, false) && peer.avoid_until <= want.now
-        })
+        };
+        let has = |link: &Link| tiers.by_link[*link as usize].iter().any(usable);
+        Link::ALL.into_iter().find(has).or(Some(Link::Across))
+    }
+
+    /// What a way beyond the home tier costs.
+    fn distance(&self, want: Want<'_>, home: Link, link: Link) -> Duration {
+        if link <= home || !self.policy.has(Part::Distance) {
+            return Duration::ZERO;
+        }
+        let percent = self.policy.distance_percent[link as usize - 1];
+        let factor = DISTANCE_FACTOR[want.class as usize];
+        self.typical(want) * percent * factor / 100
+    }
+
+    fn speed(&self, want: Want<'_>, index: usize) -> Duration {
+        self.peers[index].speed(want.now, want.class, self.typical(want))
     }
 
     /// The cheaper of two usable targets drawn at random.
     fn draw_two(&mut self, want: Want<'_>, link: Link) -> Option<usize> {
-        let first = self.draw(want, link, None)?;
-        let Some(second) = self.draw(want, link, Some(first)) else {
+        self.draw_cheaper(want, link, |_| true)
+    }
+
+    /// The same among those that have not refused for load just now.
+    fn draw_two_free(&mut self, want: Want<'_>, link: Link) -> Option<usize> {
+        self.draw_cheaper(want, link, |peer| !peer.is_full(want.now, want.class, want.rank))
+    }
+
+    fn draw_cheaper(
+        &mut self,
+        want: Want<'_>,
+        link: Link,
+        may: impl Fn(&Peer) -> bool,
+    ) -> Option<usize> {
+        let first = self.draw(want, link, None, &may)?;
+        let Some(second) = self.draw(want, link, Some(first), &may) else {
             return Some(first);
         };
         let limit = self.cost(want, first) * CHEAPER_PERCENT / 100;
@@ -346,7 +384,13 @@
         times.map_or(Duration::ZERO, |(_, times)| times[want.class as usize])
     }
 
-    fn draw(&mut self, want: Want<'_>, link: Link, not: Option<usize>) -> Option<usize> {
+    fn draw(
+        &mut self,
+        want: Want<'_>,
+        link: Link,
+        not: Option<usize>,
+        may: &impl Fn(&Peer) -> bool,
+    ) -> Option<usize> {
         let tiers = self.services.get(want.service.0 as usize)?;
         let tier = &tiers.by_link[link as usize];
         if tier.is_empty() {
@@ -359,6 +403,7 @@
             Some(*index) != not
                 && !want.tried.contains(vm)
                 && peer.is_usable(want.now, want.strictness, tiers.distrust)
+                && may(peer)
         };
         for _ in 0..DRAWS {
             let index = tier[self.rng.random_range(0..tier.len())];
--- a/core/src/call/balance/peer.rs
+++ b/core/src/call/balance/peer.rs
@@ -61,8 +61,8 @@
     pub failures: u32,
     /// After failures.
     pub avoid_until: Time,
-    /// By its gatekeeper's word.
-    pub full_until: Time,
+    /// By its gatekeeper's word, for requests of a class from a rank on.
+    pub full: [Option<Full>; 3],
     /// By its gatekeeper's word.
     pub leaving_until: Time,
     /// By the view of members.
@@ -71,6 +71,15 @@
     pub listed_leaving: bool,
 }
 
+/// A refusal for load that still holds.
+#[derive(Clone, Copy, Debug)]
+pub struct Full {
+    /// The most urgent rank that was refused.
+    pub rank: u8,
+    /// When a request may be tried again.
+    pub until: Time,
+}
+
 /// How strictly targets are chosen.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Strictness {
@@ -95,7 +104,7 @@
             failed_share: (0, Time::ZERO),
             failures: 0,
             avoid_until: Time::ZERO,
-            full_until: Time::ZERO,
+            full: [None; 3],
             leaving_until: Time::ZERO,
             leaving: false,
             listed_leaving: false,
@@ -110,27 +119,57 @@
         match strictness {
             Strictness::Healthy => {
                 let listed = !self.leaving || distrust;
-                listed && self.avoid_until <= now && self.full_until <= now
+                listed && self.avoid_until <= now
             }
             Strictness::Staying => true,
         }
     }
 
+    /// Whether a request like this one has been refused for load just now.
+    pub fn is_full(&self, now: Time, class: Class, rank: u8) -> bool {
+        self.full[class as usize].is_some_and(|full| full.until > now && full.rank <= rank)
+    }
+
+    /// Takes a refusal for load in.
+    pub fn set_full(&mut self, now: Time, class: Class, rank: u8, wait: Duration) {
+        let known = &mut self.full[class as usize];
+        let held = known.filter(|full| full.until > now);
+        let rank = held.map_or(rank, |full| full.rank.min(rank));
+        *known = Some(Full { rank, until: now + wait });
+    }
+
     /// Expected time to an answer: the measured time, stretched by how full the target is and by
     /// how often it has failed of late.
     pub fn cost(&self, now: Time, class: Class, typical: Duration) -> Duration {
-        let recent = |at: Time, life: Duration| now.since(at) < life;
         let answer_time = self.expected_answer_time(now, class, typical);
-        let load = self.load.filter(|(_, at)| recent(*at, LOAD_LIFE)).map(|(load, _)| load);
-        let known = load.map(|load| load.slots).or(self.slots);
-        let slots = known.unwrap_or(UNKNOWN_SLOTS).max(1);
-        let reported = load.map_or(0, |load| load.in_flight + load.queued);
-        let outstanding = reported.max(self.in_flight);
+        let (outstanding, slots) = self.outstanding(now);
         let waiting = outstanding.saturating_sub(slots);
         let time = answer_time * (slots + outstanding + waiting * 2) / slots;
         time + time * FAILED_COST * self.failed(now) / FAILED_WHOLE
     }
 
+    /// Expected time to an answer without regard to load: what tells a target that is slow, or
+    /// fails, from a sound one.
+    pub fn speed(&self, now: Time, class: Class, typical: Duration) -> Duration {
+        let time = self.expected_answer_time(now, class, typical);
+        time + time * FAILED_COST * self.failed(now) / FAILED_WHOLE
+    }
+
+    /// How long a request would wait there by its last report; `None` if that is too old.
+    pub fn reported_wait(&self, now: Time) -> Option<Duration> {
+        let (load, at) = self.load?;
+        (now.since(at) < LOAD_LIFE).then(|| Duration::from_millis(load.wait_ms.into()))
+    }
+
+    /// Requests known to be there, and its slots.
+    fn outstanding(&self, now: Time) -> (u32, u32) {
+        let recent = |at: Time| now.since(at) < LOAD_LIFE;
+        let load = self.load.filter(|(_, at)| recent(*at)).map(|(load, _)| load);
+        let slots = load.map(|load| load.slots).or(self.slots).unwrap_or(UNKNOWN_SLOTS);
+        let reported = load.map_or(0, |load| load.in_flight + load.queued);
+        (reported.max(self.in_flight), slots.max(1))
+    }
+
     fn expected_answer_time(&self, now: Time, class: Class, typical: Duration) -> Duration {
         let first = first_answer_time(self.link) + typical;
         let Some((mean, at)) = self.answer_time[class as usize] else {
--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -217,10 +217,9 @@
         if let Some(key) = call.key {
             return self.home_for(now, &call.snapshot, service, key, &[]);
         }
-        let class = call.terms.class;
-        self.balancer.pick_free(now, service, class, &[]).or_else(|| {
+        self.balancer.pick_free(now, service, &call.terms, &[]).or_else(|| {
             call.terms.patient = self.policy.has(Part::FullOnce);
-            self.balancer.pick(now, service, class, &[])
+            self.balancer.pick_nearest(now, service, &call.terms, &[])
         })
     }
 
@@ -270,8 +269,9 @@
             return;
         };
         let (code, retry_after) = match end {
-            AttemptEnd::Answering { load } => {
-                self.balancer.answered(now, &vm, call.terms.class, now.since(call.sent_at));
+            AttemptEnd::Answering { load, waited } => {
+                let took = now.since(call.sent_at).saturating_sub(waited);
+                self.balancer.answered(now, &vm, call.terms.class, took);
                 if let Some(load) = load {
                     self.balancer.reported(now, &vm, load);
                 }
@@ -304,7 +304,7 @@
                 match code {
                     Code::Draining => self.balancer.leaving(now, &vm),
                     Code::QueueFull | Code::QueueTimeout => {
-                        self.balancer.full(now, &vm, retry_after);
+                        self.balancer.full(now, &vm, &call.terms, retry_after);
                     }
                     Code::TargetUnreachable | Code::TargetReplaced => {
                         self.balancer.failed(now, &vm);
--- a/core/src/call/entry/again.rs
+++ b/core/src/call/entry/again.rs
@@ -55,7 +55,7 @@
             return None;
         }
         let service = self.snapshot.as_ref()?.service_named(&call.service)?;
-        let vm = self.balancer.pick(now, service, call.terms.class, &[])?;
+        let vm = self.balancer.pick_nearest(now, service, &call.terms, &[])?;
         let call = self.calls.get_mut(&key)?;
         call.terms.patient = true;
         Some(vm)
@@ -116,13 +116,13 @@
         // The balancer knows the targets of the version in force now.
         let service = self.snapshot.as_ref()?.service_named(&call.service)?;
         let full = matches!(code, Code::QueueFull | Code::QueueTimeout);
-        if full && !self.policy.has(Part::SpareForwards) {
+        if full && spare_forwards > 0 && call.spared >= spare_forwards {
             return None;
         }
         let vm = match full && spare_forwards > 0 {
             // Others that are full as well would say the same; it may wait at one of them.
-            true => self.balancer.pick_free(now, service, call.terms.class, &call.tried)?,
-            false => self.balancer.pick(now, service, call.terms.class, &call.tried)?,
+            true => self.balancer.pick_free(now, service, &call.terms, &call.tried)?,
+            false => self.balancer.pick(now, service, &call.terms, &call.tried)?,
         };
         let unbounded = !self.policy.has(Part::RetryBudget);
         let paid = kind == RetryKind::Free || unbounded || self.retries.take(now, call);
--- a/core/src/call/entry/port.rs
+++ b/core/src/call/entry/port.rs
@@ -64,6 +64,8 @@
         Answering {
             /// The target's load.
             load: Option<Load>,
+            /// How long the request waited for a slot.
+            waited: Duration,
         },
         /// The answer begins, and is a failure of the target's own. It is passed on unless the
         /// request is sent again.
--- a/core/src/call/policy.rs
+++ b/core/src/call/policy.rs
@@ -5,7 +5,6 @@
 //! setting of operators.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 choice! {
     /// A mechanism that can be switched off.
@@ -24,8 +23,6 @@
         FullKnown,
         /// When all targets are full, a request goes to one of them, and not to several in turn.
         FullOnce,
-        /// Another target is asked after one has refused for load.
-        SpareForwards,
         /// What a caller has waited before counts against its objective.
         Patience,
         /// Who can be in time goes before who can't.
@@ -45,7 +42,7 @@
 
 impl Part {
     /// Every part.
-    pub const ALL: [Part; 15] = [
+    pub const ALL: [Part; 14] = [
         Part::Distance,
         Part::BulkStays,
         Part::AnswerTimes,
@@ -53,7 +50,6 @@
         Part::FailureShare,
         Part::FullKnown,
         Part::FullOnce,
-        Part::SpareForwards,
         Part::Patience,
         Part::InTimeFirst,
         Part::NestedFirst,
@@ -68,17 +64,32 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Policy {
     without: BTreeSet<Part>,
-    /// How long a request may wait beyond its objective, behind all that can still meet theirs.
-    pub late_wait: Duration,
+    /// How long a request may wait beyond the time when it could still be in time, behind all that
+    /// can, in percent of a usual run.
+    pub late_wait_percent: u32,
+    /// Part of the time left for waiting that a request waits at the first target it asks, before
+    /// others are asked for a free slot.
+    pub first_wait_percent: u32,
+    /// What a way to another zone, and to another region, costs requests of callers, in percent
+    /// of the usual answer time.
+    pub distance_percent: [u32; 2],
 }
 
-/// Callers wait for seconds; one that is turned away instead can come back elsewhere.
-const LATE_WAIT: Duration = Duration::from_millis(600);
+const LATE_WAIT_PERCENT: u32 = 50;
+
+const FIRST_WAIT_PERCENT: u32 = 30;
+
+const DISTANCE_PERCENT: [u32; 2] = [50, 100];
 
 impl Policy {
     /// Everything at work.
     pub fn new() -> Policy {
-        Policy { without: BTreeSet::new(), late_wait: LATE_WAIT }
+        Policy {
+            without: BTreeSet::new(),
+            late_wait_percent: LATE_WAIT_PERCENT,
+            first_wait_percent: FIRST_WAIT_PERCENT,
+            distance_percent: DISTANCE_PERCENT,
+        }
     }
 
     /// The same without a part.
@@ -88,12 +99,16 @@
     }
 
     /// Names of the values that can be changed.
-    pub const VALUES: [&str; 1] = ["late-wait-ms"];
+    pub const VALUES: [&str; 4] =
+        ["late-wait-percent", "first-wait-percent", "region-percent", "across-percent"];
 
     /// The same with another value. `None` if there is none of this name.
     pub fn with_value(mut self, name: &str, value: u64) -> Option<Policy> {
         match name {
-            "late-wait-ms" => self.late_wait = Duration::from_millis(value),
+            "late-wait-percent" => self.late_wait_percent = value as u32,
+            "first-wait-percent" => self.first_wait_percent = value as u32,
+            "region-percent" => self.distance_percent[0] = value as u32,
+            "across-percent" => self.distance_percent[1] = value as u32,
             _ => return None,
         }
         Some(self)
--- a/core/src/discovery/policy.rs
+++ b/core/src/discovery/policy.rs
@@ -4,7 +4,7 @@
 
 /// Further gatekeepers asked after refusals that cost no target any work: with two attempts, four
 /// of the six targets of today's services.
-pub const SPARE_FORWARDS: u32 = 2;
+pub const SPARE_FORWARDS: u32 = 1;
 
 /// Of the retries that are allowed to a whole fleet, this share is used, in percent: nodes start,
 /// end and count at different moments.
--- a/node/src/calls/entry.rs
+++ b/node/src/calls/entry.rs
@@ -356,6 +356,7 @@
         let (mut head, incoming) = response.into_parts();
         headers::strip(&mut head.headers);
         head.headers.remove(headers::LOAD);
+        head.headers.remove(headers::WAITED);
         head.headers.remove(headers::CRASHES);
         if !self.shared.dialect.is_own() {
             head.headers.remove(headers::OUTCOME);
--- a/node/src/calls/entry/attempt.rs
+++ b/node/src/calls/entry/attempt.rs
@@ -52,7 +52,7 @@
     let failed = response.status().is_server_error();
     match failed && response.status() != StatusCode::GATEWAY_TIMEOUT {
         true => AttemptEnd::AnsweringFailure { load },
-        false => AttemptEnd::Answering { load },
+        false => AttemptEnd::Answering { load, waited: headers::waited(response.headers()) },
     }
 }
 
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -226,12 +226,12 @@
             Some(decision) => decision,
             None => Decision::Refuse(refusal(Code::NoTarget), 0),
         };
+        let waited = self.shared.clock.now().since(came);
         if matches!(decision, Decision::Run { .. }) {
             self.trace(&id, Step::GateRun);
-            let waited = self.shared.clock.now().since(came);
             Metrics::observe_time(&self.shared.metrics.wait_seconds, class, waited);
         }
-        let call = Call { key, id, deadline, class, idempotent, req };
+        let call = Call { key, id, deadline, class, idempotent, waited, req };
         match decision {
             Decision::Run { once: true } => self.run_once(&watch, call).await,
             Decision::Run { once: false } => self.run(&watch, call).await,
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -51,6 +51,8 @@
     pub class: Class,
     /// Whether it may be run more than once.
     pub idempotent: bool,
+    /// How long it has waited for a slot.
+    pub waited: Duration,
     /// The request.
     pub req: Request<Body>,
 }
@@ -92,13 +94,15 @@
 impl GateSide {
     /// Runs a request whose answer is passed on as it comes.
     pub async fn run(self: &Arc<GateSide>, watch: &Arc<Watch>, call: Call) -> Response<Body> {
-        let (id, key) = (call.id.clone(), call.key);
+        let (id, key, waited) = (call.id.clone(), call.key, call.waited);
         let answering = match self.send(call).await {
             Ok(answering) => answering,
             Err(ended) => return self.refuse(watch, &id, ended.outcome, ended.crashes),
         };
         let (mut head, incoming) = answering.response.into_parts();
         self.finish_head(&mut head.headers, &id, self.load());
+        let waited = HeaderValue::from(waited.as_millis() as u64);
+        head.headers.insert(headers::WAITED, waited);
         watch.set_phase(Phase::Answer);
         let lease = Lease::new(answering.connection);
         let answer = Answer::new(answering.running, lease, watch.clone());
--- a/node/src/calls/headers.rs
+++ b/node/src/calls/headers.rs
@@ -29,6 +29,8 @@
 pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("x-sycamore-retry-after-ms");
 /// Load of the gatekeeper's target.
 pub const LOAD: HeaderName = HeaderName::from_static("x-sycamore-load");
+/// How long the request waited for a slot of the target, in ms; between nodes only.
+pub const WAITED: HeaderName = HeaderName::from_static("x-sycamore-waited-ms");
 /// Crashes of targets that the request is suspected of; between nodes only.
 pub const CRASHES: HeaderName = HeaderName::from_static("x-sycamore-crashes");
 /// What the entry node's route says of the request; between nodes only.
@@ -143,6 +145,12 @@
     Load::parse(headers.get(LOAD)?.to_str().ok()?)
 }
 
+/// The wait for a slot in an answer between nodes; zero if it says nothing of it.
+pub fn waited(headers: &HeaderMap) -> Duration {
+    let ms = number(headers, &WAITED).ok().flatten().unwrap_or(0);
+    Duration::from_millis(ms)
+}
+
 /// How long the other side keeps a connection without a request, if it says so.
 pub fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
