Answers are read ahead of a narrow link; callers that are late anyway come back later

Cause: a large answer held its target's slot until its last byte had left. On links of 14 Mbit/s that is as long again as the run, and the vault of the grown site, nine tenths full, had no slot for the calls that lookups wait for. Ruled out: the vault's work alone (46 of 52 slots); leaving room for runs longer than usual (no difference). Change: a paced answer is read as the target gives it, up to 1 MB; the slot and the connection are free when it has been read, and what has not left yet still counts against further large answers.

--- a/bench/src/fleet/calls/targets.rs
+++ b/bench/src/fleet/calls/targets.rs
@@ -120,7 +120,9 @@
             return;
         }
         let back = match &end {
-            End::Answered { .. } => AttemptEnd::Answering { load: None, waited: Duration::ZERO },
+            End::Answered { .. } | End::Read { .. } => {
+                AttemptEnd::Answering { load: None, waited: Duration::ZERO }
+            }
             End::NotSent | End::Rejected(_) => AttemptEnd::Refused {
                 code: Code::TargetUnreachable,
                 retry_after: COME_BACK,
@@ -131,7 +133,7 @@
                 AttemptEnd::Failed { code: Code::TargetFailed, crashes: 0 }
             }
         };
-        let answered = matches!(end, End::Answered { .. });
+        let answered = matches!(end, End::Answered { .. } | End::Read { .. });
         let number = calls.submissions[submission].request.number;
         self.give(node, Given::End { call: gate, end });
         self.answer(gate, back, answered.then_some(number));
--- a/bench/src/lab/path.rs
+++ b/bench/src/lab/path.rs
@@ -298,6 +298,12 @@
             Some(to) if to != node => self.link_takes(node, run, HEAD_BYTES + body),
             _ => self.links.now(),
         };
+        if departs > self.links.now() {
+            // The target is done with it as soon as its gatekeeper has read it.
+            self.free_target(node, run);
+            let end = End::Read { left: HEAD_BYTES + body };
+            self.tell_gate(node, gatekeeper::Input::End { call: run, end });
+        }
         self.links.at(departs, Happening::Sent(run, failed));
     }
 
@@ -321,10 +327,9 @@
         let (node, key, kind, waited) = (gated.node, gated.call, gated.kind, gated.waited);
         self.free_target(node, run);
         let load = self.nodes[node].gate.load(self.links.now());
-        self.tell_gate(
-            node,
-            gatekeeper::Input::End { call: run, end: End::Answered { kept: None } },
-        );
+        let end = End::Answered { kept: None };
+        self.tell_gate(node, gatekeeper::Input::End { call: run, end });
+        self.tell_gate(node, gatekeeper::Input::Left(run));
         self.gated.swap_remove(&run);
         let Some(call) = self.calls.get(&key) else { return };
         let to = call.node;
--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -109,6 +109,8 @@
     limits: ServiceLimits,
     cold_since: Option<Time>,
     running: IndexMap<CallKey, Running>,
+    // Answers that the target has given whole and the link has not taken yet.
+    leaving: IndexMap<CallKey, Running>,
     running_bulk: u32,
     queues: [VecDeque<Waiting>; 3],
     // Those that can't meet their objective any more, oldest first.
@@ -127,6 +129,7 @@
             limits,
             cold_since: None,
             running: IndexMap::new(),
+            leaving: IndexMap::new(),
             running_bulk: 0,
             queues: [VecDeque::new(), VecDeque::new(), VecDeque::new()],
             late: VecDeque::new(),
@@ -152,7 +155,8 @@
 
     /// When the next bytes of the answer to `call` may be given to the link.
     pub fn piece(&mut self, now: Time, call: CallKey, bytes: u64) -> Time {
-        let Some(running) = self.running.get_mut(&call) else {
+        let running = self.running.get_mut(&call).or_else(|| self.leaving.get_mut(&call));
+        let Some(running) = running else {
             return now;
         };
         if running.class == Class::Bulk && running.sent == 0 {
@@ -271,11 +275,37 @@
         let took = now.since(ended.started);
         let mean = &mut self.run_times[ended.class as usize];
         *mean = (*mean * (RUN_TIME_WEIGHT - 1) + took) / RUN_TIME_WEIGHT;
-        if ended.class == Class::Bulk && ended.sent > 0 {
+        // An answer that has been read and has not left is counted when it has.
+        if ended.class == Class::Bulk && ended.sent > 0 && ended.to_come == 0 {
             self.link.sent(ended.sent);
         }
     }
 
+    /// Frees the slot of a request whose answer has been read whole, `left` bytes of it still on
+    /// their way to the link.
+    ///
+    /// Guards against a target that stands still for its VM's narrow link: a large answer takes as
+    /// long to leave as to make, and a slot that is held meanwhile is missing for the calls that
+    /// other services wait for.
+    pub fn read(&mut self, now: Time, call: CallKey, left: u64) {
+        let Some(running) = self.running.get(&call).copied() else {
+            return;
+        };
+        self.end(now, call);
+        self.leaving.insert(call, Running { to_come: left, ..running });
+    }
+
+    /// The last byte of an answer that was read whole has been handed to the link, or nobody
+    /// wants it any more.
+    pub fn left(&mut self, call: CallKey) {
+        let Some(gone) = self.leaving.swap_remove(&call) else {
+            return;
+        };
+        if gone.class == Class::Bulk && gone.sent > 0 {
+            self.link.sent(gone.sent);
+        }
+    }
+
     /// Takes a waiting request out. Returns false if it does not wait.
     pub fn withdraw(&mut self, call: CallKey) -> bool {
         for queue in self.queues.iter_mut().chain([&mut self.late]) {
@@ -371,7 +401,8 @@
 
     /// Bytes that the large answers which run will have.
     fn to_come(&self) -> u64 {
-        self.running.values().map(|running| running.to_come).sum()
+        let answers = self.running.values().chain(self.leaving.values());
+        answers.map(|answer| answer.to_come).sum()
     }
 
     fn start(&mut self, now: Time, offer: &Offer) {
--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -304,7 +304,7 @@
         let home = self.home(want)?;
         let stays = want.class == Class::Bulk && self.policy.has(Part::BulkStays);
         let mut best: Option<(usize, Duration)> = None;
-        for link in Link::ALL.into_iter().filter(|link| !stays || *link <= home) {
+        for link in Link::ALL.into_iter().filter(|link| !stays || *link <= home.max(Link::Region)) {
             let Some(index) = self.draw_two_free(want, link) else {
                 continue;
             };
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -137,6 +137,7 @@
             Input::Expire(call) => self.expire(now, call, out),
             Input::Withdraw(call) => self.withdraw(call),
             Input::End { call, end } => self.end(now, call, end, out),
+            Input::Left(call) => self.slots.left(call),
             Input::Note { from, note } => self.take_note(now, from, note, out),
             Input::Tick => {}
         }
@@ -357,6 +358,11 @@
                 self.clear(known.fingerprint, out);
                 self.target_answers(now, out);
             }
+            End::Read { left } => {
+                self.slots.read(now, call, left);
+                self.clear(known.fingerprint, out);
+                self.target_answers(now, out);
+            }
             End::NotSent => {
                 self.slots.give_back(call);
                 if let Some(key) = known.key {
--- a/core/src/call/gatekeeper/port.rs
+++ b/core/src/call/gatekeeper/port.rs
@@ -59,6 +59,8 @@
             /// How.
             end: End,
         },
+        /// The last byte of an answer that was read whole has left, or nobody wants it any more.
+        Left(CallKey),
         /// Another gatekeeper says something.
         Note {
             /// VM of the sender.
@@ -77,6 +79,12 @@
             /// The answer, of a request with a key.
             kept: Option<Arc<KeptAnswer>>,
         },
+        /// The whole answer has been read from the target, and some of it has not left yet;
+        /// [`Input::Left`] says when it has.
+        Read {
+            /// Bytes that have not left.
+            left: u64,
+        },
         /// No byte of it left for the target.
         NotSent,
         /// The target says that it has not run the request, and why.
--- a/core/src/call/policy.rs
+++ b/core/src/call/policy.rs
@@ -35,6 +35,8 @@
         BulkShare,
         /// Now and then a large answer goes before others that wait.
         BulkTurn,
+        /// Callers that can't be in time any more come back later.
+        LateReturn,
         /// Retries stay under a share of first attempts.
         RetryBudget,
     }
@@ -42,7 +44,7 @@
 
 impl Part {
     /// Every part.
-    pub const ALL: [Part; 14] = [
+    pub const ALL: [Part; 15] = [
         Part::Distance,
         Part::BulkStays,
         Part::AnswerTimes,
@@ -56,6 +58,7 @@
         Part::SlotsKept,
         Part::BulkShare,
         Part::BulkTurn,
+        Part::LateReturn,
         Part::RetryBudget,
     ];
 }
--- a/core/src/config/document.rs
+++ b/core/src/config/document.rs
@@ -138,7 +138,7 @@
         #[serde(default = "default_max_attempts")]
         pub max_attempts: u32,
         /// Further gatekeepers that are asked, beside the attempts, after refusals that cost no
-        /// target any work; 0 to 10.
+        /// target any work, the one at which the request waits in the end included; 0 to 10.
         #[serde(default)]
         pub spare_forwards: u32,
         /// Largest request body; 0 to 1,073,741,824 bytes.
--- a/core/src/discovery/policy.rs
+++ b/core/src/discovery/policy.rs
@@ -2,8 +2,8 @@
 
 use crate::config::ServiceLimits;
 
-/// Further gatekeepers asked after refusals that cost no target any work: with two attempts, four
-/// of the six targets of today's services.
+/// Further gatekeepers asked after refusals that cost no target any work: the one at which the
+/// request waits. Asking others in turn costs bytes between zones and finds no more room.
 pub const SPARE_FORWARDS: u32 = 1;
 
 /// Of the retries that are allowed to a whole fleet, this share is used, in percent: nodes start,
--- a/core/tests/call_waiting.rs
+++ b/core/tests/call_waiting.rs
@@ -259,3 +259,24 @@
     slots.end(at(597), CallKey(2));
     assert_eq!(slots.pop(at(597)), Some(Popped::Run(CallKey(1))));
 }
+
+#[test]
+fn slot_free_once_answer_is_read() {
+    // Story: packs are made in 60 ms and take as long again to leave over a VM's narrow link. Their
+    // slots count as in use until then, calls that other services wait for find the target full
+    // that stands half idle, and the runs that wait for them fail.
+    let limits = ServiceLimits { slots: 1, bulk_share_percent: 100, ..limits() };
+    let mut slots = Slots::new(limits).with_link(Link::new(Some(LINK * 8 / 1_000)));
+    let pack = |call| Offer { class: Class::Bulk, ..offer(call, 0, 0, Some(OBJECTIVE), true) };
+    assert_eq!(slots.offer(at(0), pack(0)), Admission::Run);
+    assert_eq!(slots.piece(at(60), CallKey(0), 16_384), at(60));
+    slots.read(at(60), CallKey(0), LEDGER - 16_384);
+    let nested = Offer { class: Class::Gating, depth: 1, ..offer(1, 60, 0, None, false) };
+    assert_eq!(slots.offer(at(60), nested), Admission::Run);
+    slots.end(at(75), CallKey(1));
+    // The rest still leaves at the pace of the link, and counts against further packs.
+    assert!(slots.piece(at(60), CallKey(0), 16_384) < at(80));
+    assert!(slots.piece(at(60), CallKey(0), 57_232) > at(60));
+    slots.left(CallKey(0));
+    assert_eq!(slots.piece(at(60), CallKey(0), 16_384), at(60));
+}
--- a/node/src/calls/body.rs
+++ b/node/src/calls/body.rs
@@ -37,6 +37,9 @@
     left: u64,
     idle: Duration,
     timer: Option<Timer>,
+    // The other side has said that nothing more comes; of a body of unknown length only that shows
+    // its end.
+    ended: bool,
     failed: bool,
     pace: Option<Pace>,
 }
@@ -69,7 +72,15 @@
     /// A body that is passed on as it comes, up to `most` bytes, and given up if nothing comes
     /// for `idle`.
     pub fn relay(incoming: Incoming, most: u64, idle: Duration) -> Body {
-        let relay = Relay { incoming, left: most, idle, timer: None, failed: false, pace: None };
+        let relay = Relay {
+            incoming,
+            left: most,
+            idle,
+            timer: None,
+            ended: false,
+            failed: false,
+            pace: None,
+        };
         Body { content: Content::Relay(Box::new(relay)), guard: Guard::None }
     }
 
@@ -117,7 +128,13 @@
                 self.content = Content::Empty;
                 Poll::Ready(Some(Ok(Frame::data(buf))))
             }
-            Content::Relay(relay) => relay.poll_frame(cx),
+            Content::Relay(relay) => {
+                let frame = relay.poll_frame(cx);
+                if let (Some(left), Guard::Gate(answer)) = (relay.read_whole(), &mut self.guard) {
+                    answer.read(left);
+                }
+                frame
+            }
         }
     }
 
@@ -152,7 +169,7 @@
 
 impl Relay {
     fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream() && self.held() == 0
+        self.is_read() && self.held() == 0
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -170,24 +187,42 @@
         self.pace.as_ref().map_or(0, Pace::held)
     }
 
+    /// Bytes that wait for the link after the whole body has been read, if so.
+    fn read_whole(&self) -> Option<u64> {
+        let read = !self.failed && self.is_read();
+        (read && self.held() > 0).then(|| self.held())
+    }
+
+    fn is_read(&self) -> bool {
+        self.ended || self.incoming.is_end_stream()
+    }
+
     fn poll_frame(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        loop {
-            if let Some(pace) = self.pace.as_mut().filter(|pace| pace.held() > 0) {
-                return pace.poll_piece(cx).map(|piece| Some(Ok(Frame::data(piece))));
-            }
-            let frame = match self.poll_incoming(cx) {
-                Poll::Ready(Some(Ok(frame))) => frame,
-                other => return other,
-            };
-            match (&mut self.pace, frame.into_data()) {
-                (Some(pace), Ok(data)) => pace.hold(data),
-                (None, Ok(data)) => return Poll::Ready(Some(Ok(Frame::data(data)))),
-                (_, Err(frame)) => return Poll::Ready(Some(Ok(frame))),
+        if self.pace.is_none() {
+            return self.poll_incoming(cx);
+        }
+        // What the link has no room for yet is read all the same.
+        while self.pace.as_ref().is_some_and(Pace::has_room) && !self.is_read() {
+            match self.poll_incoming(cx) {
+                Poll::Ready(Some(Ok(frame))) => match (frame.into_data(), &mut self.pace) {
+                    (Ok(data), Some(pace)) => pace.hold(data),
+                    // Trailers are not passed on with an answer that waits for its link.
+                    _ => break,
+                },
+                Poll::Ready(None) => {}
+                Poll::Ready(failed) => return Poll::Ready(failed),
+                Poll::Pending => break,
             }
         }
+        let read = self.is_read();
+        match self.pace.as_mut().filter(|pace| pace.held() > 0) {
+            Some(pace) => pace.poll_piece(cx).map(|piece| Some(Ok(Frame::data(piece)))),
+            None if read => Poll::Ready(None),
+            None => Poll::Pending,
+        }
     }
 
     /// An error here makes hyper break the connection off, so that the reader can't take what it
@@ -197,7 +232,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match Pin::new(&mut self.incoming).poll_frame(cx) {
-            Poll::Ready(None) => Poll::Ready(None),
+            Poll::Ready(None) => {
+                self.ended = true;
+                Poll::Ready(None)
+            }
             Poll::Ready(Some(Ok(frame))) => {
                 self.timer = None;
                 let size = frame.data_ref().map_or(0, |buf| buf.len() as u64);
--- a/node/src/calls/gate/slot.rs
+++ b/node/src/calls/gate/slot.rs
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 pub struct Answer {
     running: Running,
+    // Read from the target to its end while bytes of it wait for the link.
+    leaving: Option<Leaving>,
     lease: Lease,
     watch: Arc<Watch>,
 }
@@ -41,6 +43,19 @@
     over: bool,
 }
 
+/// An answer that the target is done with; the decider hears when it has left.
+#[derive(Debug)]
+struct Leaving {
+    side: Arc<GateSide>,
+    call: CallKey,
+}
+
+impl Drop for Leaving {
+    fn drop(&mut self) {
+        self.side.tell(Input::Left(self.call));
+    }
+}
+
 impl Slot {
     /// The slot of a call that the decider has just let run.
     pub fn new(side: &Arc<GateSide>, call: CallKey) -> Slot {
@@ -85,7 +100,17 @@
 impl Answer {
     /// An answer whose body goes out now.
     pub fn new(running: Running, lease: Lease, watch: Arc<Watch>) -> Answer {
-        Answer { running, lease, watch }
+        Answer { running, leaving: None, lease, watch }
+    }
+
+    /// The answer has been read from the target to its end, and `left` bytes of it have not left:
+    /// the slot and the connection are free for the next request.
+    pub fn read(&mut self, left: u64) {
+        if let Some(slot) = self.running.take() {
+            self.leaving = Some(Leaving { side: slot.side.clone(), call: slot.call });
+            slot.end(End::Read { left });
+            self.lease.over(true);
+        }
     }
 
     /// The answer's body is over: to its end, or cut.
