--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -26,9 +26,6 @@
 const COME_BACK_SOON: Duration = Duration::from_millis(200);
 const COME_BACK_LATER: Duration = Duration::from_secs(1);
 
-/// Part of the time left after which a caller that can't be answered in time comes back.
-const LATE_RETURN_SHARE: u32 = 3;
-
 #[derive(Debug)]
 struct Call {
     route: RouteKey,
@@ -37,8 +34,6 @@
     terms: Terms,
     key: Option<RequestKey>,
     deadline: Time,
-    // When its caller stops waiting, over all of its attempts.
-    caller_until: Time,
     attempt: u32,
     // Forwards that gatekeepers refused without any work for a target.
     spared: u32,
@@ -185,7 +180,6 @@
             terms,
             key: request_key,
             deadline,
-            caller_until: now + arrival.time_left.unwrap_or(most),
             attempt: 0,
             spared: 0,
             sent_at: now,
@@ -349,25 +343,12 @@
         self.balancer.finish(&vm);
         match self.next_attempt(now, key, code, whole) {
             Some(vm) => self.forward(now, key, vm, out),
-            None => self.finish(now, key, code, retry_after, out),
+            None => self.finish(key, code, retry_after, out),
         }
     }
 
-    fn finish(
-        &mut self,
-        now: Time,
-        key: CallKey,
-        code: Code,
-        retry_after: Duration,
-        out: &mut Vec<Output>,
-    ) {
+    fn finish(&mut self, key: CallKey, code: Code, retry_after: Duration, out: &mut Vec<Output>) {
         if let Some(call) = self.calls.swap_remove(&key) {
-            let retry_after = match code {
-                Code::QueueFull | Code::QueueTimeout => {
-                    call.come_back(now, retry_after, &self.policy)
-                }
-                _ => retry_after,
-            };
             let outcome = call.final_outcome(code, retry_after);
             out.push(Output::Finish { call: key, outcome });
         }
@@ -400,18 +381,6 @@
 }
 
 impl Call {
-    /// When the caller of a request that found no room may come back.
-    ///
-    /// As soon as there may be room, while an answer in time is possible. Once it is not, some
-    /// hundred milliseconds more cost its caller nothing, and the same few attempts reach farther
-    /// into the time that it has: a third of what is left leaves room for another try.
-    fn come_back(&self, now: Time, room: Duration, policy: &Policy) -> Duration {
-        if now < self.terms.objective || !policy.has(Part::LateReturn) {
-            return room;
-        }
-        room.max(self.caller_until.since(now) / LATE_RETURN_SHARE)
-    }
-
     /// Guards against a refusal that is not true: once an attempt may have reached a target, a
     /// later refusal by another does not make the request one that did not run.
     fn final_outcome(&self, code: Code, retry_after: Duration) -> Outcome {
--- a/core/src/call/policy.rs
+++ b/core/src/call/policy.rs
@@ -35,8 +35,6 @@
         BulkShare,
         /// Now and then a large answer goes before others that wait.
         BulkTurn,
-        /// Callers that can't be in time any more come back later.
-        LateReturn,
         /// Retries stay under a share of first attempts.
         RetryBudget,
     }
@@ -44,7 +42,7 @@
 
 impl Part {
     /// Every part.
-    pub const ALL: [Part; 15] = [
+    pub const ALL: [Part; 14] = [
         Part::Distance,
         Part::BulkStays,
         Part::AnswerTimes,
@@ -58,7 +56,6 @@
         Part::SlotsKept,
         Part::BulkShare,
         Part::BulkTurn,
-        Part::LateReturn,
         Part::RetryBudget,
     ];
 }
