--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -269,15 +269,23 @@
 
     /// Frees the slot of a request that ended, and learns from the time that it took.
     pub fn end(&mut self, now: Time, call: CallKey) {
-        let Some(ended) = self.free(call) else {
-            return;
-        };
+        if let Some(ended) = self.end_run(now, call) {
+            self.count_sent(&ended);
+        }
+    }
+
+    fn end_run(&mut self, now: Time, call: CallKey) -> Option<Running> {
+        let ended = self.free(call)?;
         let took = now.since(ended.started);
         let mean = &mut self.run_times[ended.class as usize];
         *mean = (*mean * (RUN_TIME_WEIGHT - 1) + took) / RUN_TIME_WEIGHT;
-        // An answer that has been read and has not left is counted when it has.
-        if ended.class == Class::Bulk && ended.sent > 0 && ended.to_come == 0 {
-            self.link.sent(ended.sent);
+        Some(ended)
+    }
+
+    /// Learns from the size of a large answer that has left.
+    fn count_sent(&mut self, answer: &Running) {
+        if answer.class == Class::Bulk && answer.sent > 0 {
+            self.link.sent(answer.sent);
         }
     }
 
@@ -288,21 +296,16 @@
     /// long to leave as to make, and a slot that is held meanwhile is missing for the calls that
     /// other services wait for.
     pub fn read(&mut self, now: Time, call: CallKey, left: u64) {
-        let Some(running) = self.running.get(&call).copied() else {
-            return;
-        };
-        self.end(now, call);
-        self.leaving.insert(call, Running { to_come: left, ..running });
+        if let Some(ended) = self.end_run(now, call) {
+            self.leaving.insert(call, Running { to_come: left, ..ended });
+        }
     }
 
     /// The last byte of an answer that was read whole has been handed to the link, or nobody
     /// wants it any more.
     pub fn left(&mut self, call: CallKey) {
-        let Some(gone) = self.leaving.swap_remove(&call) else {
-            return;
-        };
-        if gone.class == Class::Bulk && gone.sent > 0 {
-            self.link.sent(gone.sent);
+        if let Some(answer) = self.leaving.swap_remove(&call) {
+            self.count_sent(&answer);
         }
     }
 
--- a/core/tests/call_waiting.rs
+++ b/core/tests/call_waiting.rs
@@ -280,3 +280,25 @@
     slots.left(CallKey(0));
     assert_eq!(slots.piece(at(60), CallKey(0), 16_384), at(60));
 }
+
+#[test]
+fn smaller_answers_count_for_the_likely_size() {
+    // Story: answers become smaller than they were. Only those larger than expected are counted, so
+    // that each is still taken for a large one, and the link stays half empty.
+    let mut slots = Slots::new(limits()).with_link(Link::new(Some(LINK * 8 / 1_000)));
+    let small = LEDGER / 9;
+    for call in 0..60 {
+        let now = call * 1_000;
+        let pack = Offer { class: Class::Bulk, ..offer(call, now, 0, Some(OBJECTIVE), true) };
+        assert_eq!(slots.offer(at(now), pack), Admission::Run);
+        slots.piece(at(now + 60), CallKey(call), small);
+        slots.end(at(now + 60), CallKey(call));
+    }
+    // Many are let in at once: together they are as long on the link as two large ones.
+    let now = 60_000;
+    let admitted = (100..112).filter(|call| {
+        let pack = Offer { class: Class::Bulk, ..offer(*call, now, 0, Some(OBJECTIVE), true) };
+        slots.offer(at(now), pack) == Admission::Run
+    });
+    assert_eq!(admitted.count(), 6, "half of the slots");
+}
