--- a/bench/src/lab/plot.rs
+++ b/bench/src/lab/plot.rs
@@ -7,7 +7,7 @@
 use plotters::drawing::{DrawingArea, IntoDrawingArea};
 use plotters::element::{Rectangle, Text};
 use plotters::prelude::{AreaSeries, LineSeries, SVGBackend};
-use plotters::style::{BLACK, Color, RGBColor, WHITE};
+use plotters::style::{Color, RGBColor, WHITE};
 use std::path::Path;
 use sycamore_core::{Code, Fault, Result};
 
@@ -109,8 +109,9 @@
     chart
         .configure_mesh()
         .disable_mesh()
-        .x_labels(count)
-        .y_labels(count)
+        // One more than there are zones: with fewer the axis names every other one.
+        .x_labels(count + 1)
+        .y_labels(count + 1)
         .x_label_formatter(&place)
         .y_label_formatter(&place)
         .draw()?;
@@ -125,6 +126,5 @@
         chart.draw_series([square])?;
         chart.draw_series([text])?;
     }
-    area.draw(&Rectangle::new([(0, 0), (0, 0)], BLACK))?;
     Ok(())
 }
--- /dev/null
+++ b/bench/tests/lab_cli.rs
@@ -0,0 +1,81 @@
+//! The lab's command line: what it prints, and what it says of wrong input.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+fn lab(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_sycamore-lab")).args(args).output().unwrap()
+}
+
+fn example(name: &str) -> String {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/lab");
+    folder.join(name).display().to_string()
+}
+
+fn text(buf: &[u8]) -> String {
+    String::from_utf8(buf.to_vec()).unwrap()
+}
+
+/// A file of this test's own, removed when dropped.
+struct Scratch(PathBuf);
+
+impl Scratch {
+    fn new(name: &str, content: &str) -> Scratch {
+        let name = format!("sycamore-lab-{}-{name}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, content).unwrap();
+        Scratch(path)
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+#[test]
+fn help_names_every_command() {
+    let output = lab(&["--help"]);
+    assert!(output.status.success());
+    for command in ["run", "compare", "ablate", "bound", "--seeds", "--without", "--set", "--svg"] {
+        assert!(text(&output.stdout).contains(command), "{command}");
+    }
+}
+
+#[test]
+fn bound_prints_a_table() {
+    let output = lab(&["bound", &example("uneven.json")]);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    assert!(text(&output.stdout).contains("| desk |"), "{}", text(&output.stdout));
+}
+
+#[test]
+fn run_prints_json_and_draws() {
+    let picture = Scratch::new("run.svg", "");
+    let svg = picture.0.display().to_string();
+    let args = ["run", &example("ordinary.json"), "--seeds", "1..2", "--json", "--svg", &svg];
+    let output = lab(&args);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    let report: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(report["runs"].as_array().map(Vec::len), Some(1));
+    assert!(std::fs::read_to_string(&picture.0).unwrap().contains("</svg>"));
+}
+
+#[test]
+fn scenario_wrong_says_where_and_what() {
+    let scenario = std::fs::read_to_string(example("uneven.json")).unwrap();
+    let wrong = Scratch::new("wrong.json", &scenario.replace(r#""share": 0.7"#, r#""share": 7"#));
+    let output = lab(&["run", &wrong.0.display().to_string()]);
+    assert_eq!(output.status.code(), Some(2));
+    let said = text(&output.stderr);
+    assert!(said.contains("kinds.lookup.calls[0].share"), "{said}");
+    assert!(said.contains("allowed: 0 to 1"), "{said}");
+}
+
+#[test]
+fn usage_unknown_part_lists_those_there_are() {
+    let output = lab(&["run", &example("uneven.json"), "--without", "everything"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text(&output.stderr).contains("in-time-first"), "{}", text(&output.stderr));
+}
--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -1,4 +1,7 @@
 //! Which target a request goes to: the cheaper of two drawn at random, near ones first.
+//!
+//! Answers the load of a mesh whose callers and targets lie unevenly: each zone serves its own, and
+//! only what its targets would let wait for longer than the way to others costs leaves it.
 
 mod peer;
 
--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -210,9 +210,9 @@
 
     /// The target for the first attempt.
     ///
-    /// If every target has just said that it is full, or fails, the request waits at the first. To ask
-    /// several in turn costs two nodes a message each time, four times as many as there are
-    /// requests, when a service is short of room and nodes of a tenth of a core are short of time.
+    /// If every target near enough has just said that it is full, or fails, the request waits at one
+    /// of the nearest. Asking several in turn costs two nodes a message each time, when a service
+    /// is short of room and small nodes are short of processor time.
     fn choose(&mut self, now: Time, call: &mut Call, service: ServiceKey) -> Option<Name> {
         if let Some(key) = call.key {
             return self.home_for(now, &call.snapshot, service, key, &[]);
--- a/core/src/call/entry/retries.rs
+++ b/core/src/call/entry/retries.rs
@@ -1,13 +1,13 @@
 //! Which requests count as repeats, and how many an entry node may make.
 
 use super::{Arrival, Call};
-use crate::Name;
-use crate::Time;
 use crate::call::budget::{Allowance, Budget};
 use crate::config::{Class, RouteKey, ServiceKey, Snapshot};
+use crate::{Name, Time};
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use std::collections::HashSet;
 
 /// The retry budgets of one entry node.
 ///
@@ -36,8 +36,7 @@
     /// Forgets services and routes that a version no longer has.
     pub(super) fn configure(&mut self, snapshot: &Snapshot) {
         self.services.retain(|name, _| snapshot.service_named(name).is_some());
-        let names: std::collections::HashSet<&Name> =
-            snapshot.routes().iter().map(|entry| &entry.name).collect();
+        let names: HashSet<&Name> = snapshot.routes().iter().map(|entry| &entry.name).collect();
         self.routes.retain(|name, _| names.contains(name));
     }
 
--- a/core/src/call/policy.rs
+++ b/core/src/call/policy.rs
@@ -64,21 +64,25 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Policy {
     without: BTreeSet<Part>,
-    /// How long a request may wait beyond the time when it could still be in time, behind all that
-    /// can, in percent of a usual run.
+    /// How long a request may wait beyond its latest start for an answer in time, behind all that
+    /// can still be in time; in percent of a usual run.
     pub late_wait_percent: u32,
-    /// Part of the time left for waiting that a request waits at the first target it asks, before
-    /// others are asked for a free slot.
+    /// How much of its time for waiting a request may use up where it asks first; in percent.
     pub first_wait_percent: u32,
-    /// What a way to another zone, and to another region, costs requests of callers, in percent
-    /// of the usual answer time.
+    /// What the way to another zone, and to another region, costs; in percent of the service's
+    /// usual answer time.
     pub distance_percent: [u32; 2],
 }
 
+/// Short, so that slots go to those that can still be answered in time; not zero, so that a slot
+/// which nobody else wants answers somebody.
 const LATE_WAIT_PERCENT: u32 = 50;
 
+/// A target that would use up more has a queue that others may not have: the refusal sends the
+/// next requests elsewhere while they have time left, and this one waits.
 const FIRST_WAIT_PERCENT: u32 = 30;
 
+/// Traffic between zones and regions is paid by volume: it must save its caller that much waiting.
 const DISTANCE_PERCENT: [u32; 2] = [50, 100];
 
 impl Policy {
--- a/core/src/discovery/policy.rs
+++ b/core/src/discovery/policy.rs
@@ -10,13 +10,13 @@
 /// end and count at different moments.
 const RETRIES_USED_PERCENT: u32 = 60;
 
-/// Requests that wait beside one target, and for how long at most. The longest that a caller waits
-/// is 5 s; requests that can't end in time are refused on arrival, so the queue is short in fact.
+/// Requests that wait beside one target, and for how long at most. Requests that can't end in time
+/// are refused on arrival, so that the queue is short in fact.
 const QUEUE: u32 = 64;
 const QUEUE_WAIT_MS: u32 = 3_000;
 
-/// Slots that requests for large answers may take: on narrow links 18 answers a second of 90 KB in
-/// 250 ms each take 4.5 of 11 slots, and the calls that signings wait for need the others.
+/// Slots that requests for large answers may take: calls that other requests wait for need the
+/// others.
 const BULK_SHARE_PERCENT: u32 = 50;
 
 /// Longest planned stop: a second less than the 6 s after which a process is killed.
--- a/core/src/discovery/relay.rs
+++ b/core/src/discovery/relay.rs
@@ -1,10 +1,10 @@
 //! One node reads the store for many of its region.
 //!
 //! Where every node reads the store itself, the calls grow with the fleet, and each version goes
-//! whole over every VM's link: versions of 250 KB (1,120 routes; 300 are 68 KB), five a second,
-//! take two thirds of a link of 15 Mbit/s. A *reader* reads the store and tells its *followers* what has changed. Nobody
-//! appoints it: a node asks those before it in an order that all nodes share, and follows the
-//! first that reads the store itself and has heard from it just now.
+//! whole over every VM's link, which a storm of large versions fills where it is narrow. A *reader*
+//! reads the store and tells its *followers* what has changed. Nobody appoints it: a node asks those
+//! before it in an order that all nodes share, and follows the first that reads the store itself
+//! and has heard from it just now.
 //!
 //! Guards against a follower that stays behind because its reader does: a reader speaks only when
 //! the store has answered it, so that its silence for [`LAPSE`] means that the follower reads the
@@ -25,12 +25,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Fewer targets than this are read for by nobody: all calls of 18 nodes cost 1.2 % of what a calm
-/// day is worth, and one node less stands between a node and the store.
+/// Fewer targets than this are read for by nobody: their calls cost little, and one node less stands
+/// between a node and the store.
 const MIN_FLEET: usize = 32;
 
-/// Narrowest link of a node that reads for others, in kbit/s: it takes the largest version, 0.5 MB,
-/// in 40 ms, also when five come in a second.
+/// Narrowest link of a node that reads for others, in kbit/s: it must take the largest versions
+/// several times a second.
 const MIN_READER_KBPS: u64 = 100_000;
 
 /// How long a reader may be silent. Together with the list that follows it leaves a third of the
@@ -55,8 +55,8 @@
 /// Shortest time between two questions for a difference.
 const RESYNC_PAUSE: Duration = Duration::from_millis(150);
 
-/// Followers of one reader. It sends a difference of up to 64 KB to each, 4 MB in all, which its
-/// link takes in a third of a second; those turned away follow the next in order.
+/// Followers of one reader: it sends each difference to all of them. Those turned away follow the
+/// next in order.
 const MAX_FOLLOWERS: usize = 64;
 
 /// Versions from which a difference can be made.
