Nobody waits for the end of an answer after its trailers; tests of answers read ahead over real sockets

Cause: found by reading: once trailers had come and nothing was held, a paced body was not polled again.

--- a/core/tests/call_balance.rs
+++ b/core/tests/call_balance.rs
@@ -84,14 +84,17 @@
 
 #[test]
 fn wait_saved_is_weighed_against_the_way() {
-    // Story: every target of every region has a queue. Each region sends the other what it could
-    // as well let wait itself, both pay for the bytes, and nobody is answered sooner.
+    // Story: the queues of one region are a little longer than those of another. Requests that are
+    // sent there for it are answered no sooner to speak of, and every byte of them is paid for.
+    // A run takes 100 ms, and the way to the other region 40 ms more.
     let mut balancer = balancer();
-    for vm in ["a", "b", "c", "d"] {
-        let load = Load { in_flight: 8, slots: 8, queued: 4, wait_ms: 60 };
-        balancer.reported(START, &name(vm), load);
+    for (vm, took, wait_ms) in [("a", 100, 80), ("b", 100, 80), ("c", 140, 20), ("d", 140, 20)] {
+        let vm = name(vm);
+        balancer.answered(START, &vm, Class::Interactive, Duration::from_millis(took));
+        balancer.reported(START, &vm, Load { in_flight: 8, slots: 8, queued: 4, wait_ms });
     }
     assert_eq!(across(&mut balancer, Class::Interactive), 0);
+    // It is worth the way when a run and more is saved.
     for vm in ["a", "b"] {
         let load = Load { in_flight: 8, slots: 8, queued: 20, wait_ms: 300 };
         balancer.reported(START, &name(vm), load);
--- a/node/src/calls/body.rs
+++ b/node/src/calls/body.rs
@@ -207,11 +207,12 @@
         // What the link has no room for yet is read all the same.
         while self.pace.as_ref().is_some_and(Pace::has_room) && !self.is_read() {
             match self.poll_incoming(cx) {
-                Poll::Ready(Some(Ok(frame))) => match (frame.into_data(), &mut self.pace) {
-                    (Ok(data), Some(pace)) => pace.hold(data),
-                    // Trailers are not passed on with an answer that waits for its link.
-                    _ => break,
-                },
+                Poll::Ready(Some(Ok(frame))) => {
+                    // Trailers are dropped: the header by which a caller asks for them is, too.
+                    if let (Ok(data), Some(pace)) = (frame.into_data(), &mut self.pace) {
+                        pace.hold(data);
+                    }
+                }
                 Poll::Ready(None) => {}
                 Poll::Ready(failed) => return Poll::Ready(failed),
                 Poll::Pending => break,
--- a/node/tests/calls_path.rs
+++ b/node/tests/calls_path.rs
@@ -40,6 +40,52 @@
     assert_eq!(answer.body.len(), 5_000_000);
 }
 
+/// A node on a VM with a link of so many Mbit/s, whose answers count as large, and whose target runs
+/// this many at once.
+fn narrow(target: &Target, mbps: u32, slots: u32) -> Node {
+    let limits = format!(r#"{{"link_mbps":{mbps}}}"#);
+    let node = Node::with_gate_on("a", Some(target.address), &limits, "127.0.0.2");
+    let limits = format!(r#"{{"slots":{slots},"bulk_share_percent":100}}"#);
+    let plain = preset(&limits, &[("a", node.gate)]);
+    let bulk = "\"idempotent\":true,\"class\":\"bulk\"";
+    let plain = plain.replace("\"idempotent\":true", bulk);
+    let quick = r#""quick":{"path_prefix":"/quick","service":"s","idempotent":true},"once""#;
+    node.configure(1, &plain.replace("\"once\"", quick));
+    node
+}
+
+#[test]
+fn path_paced_slot_free_before_the_end() {
+    // Story: the answer of a target with one slot takes seconds to leave over a narrow link. The
+    // target is done with it long before, and a short request comes: it must run meanwhile.
+    let target = Target::new();
+    let node = narrow(&target, 1, 1);
+    let large = open(node.entry, &get("/idem/stream/200000"));
+    eventually("the large answer is made", || target.ran("/idem/stream") == 1);
+    let short = call(node.entry, &get("/quick/short"));
+    assert_eq!((short.status, short.whole), (200, true), "{}", short.text());
+    let mut first = [0; 1];
+    let waits = node.shared.calls_open() > 0;
+    assert!(waits, "the large answer had left before the short one came");
+    assert!(large.peek(&mut first).is_ok());
+    let answer = read(&large);
+    assert!(answer.whole);
+    assert_eq!(answer.body.len(), 200_000);
+}
+
+#[test]
+fn path_paced_trailers_end() {
+    // Story: a target ends its answer with trailers. On a VM with a narrow link nobody looks for the
+    // end after them, and the caller waits until its deadline for an answer that it has.
+    let target = Target::new();
+    let node = narrow(&target, 40, 1);
+    for _ in 0..2 {
+        let answer = call(node.entry, &get("/idem/chunks-trailers"));
+        assert!(answer.whole);
+        assert_eq!(answer.text(), "whole");
+    }
+}
+
 #[test]
 fn path_paced_whole() {
     // Story: a ledger leaves a VM with a narrow link in pieces, with waits between them. Its reader
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -123,6 +123,14 @@
             stream.write_all(answer.as_bytes()).ok()?;
             return Some(());
         }
+        if path.contains("/chunks-trailers") {
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntrailer: x-sum\r\n\r\n";
+            stream.write_all(format!("{head}5\r\nwhole\r\n").as_bytes()).ok()?;
+            // Late enough that what came before has been passed on.
+            std::thread::sleep(Duration::from_millis(50));
+            stream.write_all(b"0\r\nx-sum: 1\r\n\r\n").ok()?;
+            return Some(());
+        }
         if path.contains("/chunks-cut") {
             let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
             stream.write_all(format!("{head}4\r\nhalf\r\n").as_bytes()).ok()?;
