--- a/bench/src/lab/path.rs
+++ b/bench/src/lab/path.rs
@@ -1,9 +1,9 @@
 //! The way of a call: caller or run -> entry node -> gatekeeper -> target, and back.
 
+mod run;
+
 use super::mesh::node_at;
-use super::target::Taken;
 use super::world::{Happening, World};
-use rand::RngExt;
 use std::time::Duration;
 use sycamore_core::call::entry::{self, AttemptEnd, Forward};
 use sycamore_core::call::gatekeeper::{self, End};
@@ -215,143 +215,6 @@
         self.send_back(gated.node, Back { call: gated.call, gate, end });
     }
 
-    /// A slot was given: the target gets the request.
-    fn start_run(&mut self, gate: RunKey) {
-        let Some(gated) = self.gated.get_mut(&gate) else { return };
-        gated.running = true;
-        gated.waited = self.links.now().since(gated.came);
-        let (node, key) = (gated.node, gated.call);
-        self.count_arrival(key);
-        match self.nodes[node].target.take(gate, &mut self.rng) {
-            Taken::Runs => self.begin_work(gate),
-            Taken::Waits => {}
-            Taken::Refused => {
-                let end = End::Rejected(Code::TargetRefused);
-                self.tell_gate(node, gatekeeper::Input::End { call: gate, end });
-            }
-        }
-    }
-
-    fn count_arrival(&mut self, key: CallKey) {
-        let counts = self.counts(self.links.now());
-        let Some(call) = self.calls.get_mut(&key) else { return };
-        call.arrivals += 1;
-        if counts {
-            self.tally.arrivals.0 += 1;
-            self.tally.arrivals.1 += u64::from(call.arrivals > 1);
-        }
-    }
-
-    fn begin_work(&mut self, gate: RunKey) {
-        let Some(gated) = self.gated.get(&gate) else { return };
-        let (node, kind) = (gated.node, gated.kind);
-        let fails = self.nodes[node].target.fails(&mut self.rng);
-        let work = self.draw_work(kind);
-        let time = self.nodes[node].target.time_for(self.links.now(), work, fails);
-        let mut steps = Vec::new();
-        for (called, times, share) in self.kinds[kind].calls.clone() {
-            if !fails && self.rng.random_bool(share) {
-                steps.extend(std::iter::repeat_n(called, times as usize));
-            }
-        }
-        let part = time / (steps.len() as u32 + 1);
-        if let Some(gated) = self.gated.get_mut(&gate) {
-            (gated.fails, gated.steps, gated.part) = (fails, steps, part);
-        }
-        self.links.after(part, Happening::Worked(gate));
-    }
-
-    /// Work of a request: its logarithm is spread normally, and its mean is the stated one.
-    fn draw_work(&mut self, kind: usize) -> Duration {
-        let cfg = &self.kinds[kind].cfg;
-        let (mean, spread) = (cfg.work_ms, cfg.spread);
-        let (a, b) = (1.0 - self.rng.random::<f64>(), self.rng.random::<f64>());
-        let normal = (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos();
-        let factor = (spread * normal - spread * spread / 2.0).exp();
-        Duration::from_secs_f64(mean * factor / 1e3)
-    }
-
-    /// A run has done a part of its work: it makes its next call, or ends.
-    pub(super) fn worked(&mut self, run: RunKey) {
-        let Some(gated) = self.gated.get_mut(&run) else { return };
-        let Some(kind) = gated.steps.pop() else {
-            let fails = gated.fails;
-            return self.end_run(run, fails);
-        };
-        let (node, deadline) = (gated.node, gated.deadline);
-        let now = self.links.now();
-        let most = Duration::from_millis(self.kinds[kind].cfg.deadline_ms.into());
-        let left = deadline.since(now).min(most);
-        let child = self.arrive(node, kind, Asker::Run(run), left);
-        if let Some(gated) = self.gated.get_mut(&run) {
-            gated.child = child;
-        }
-    }
-
-    /// The target has made an answer, which is sent as the link takes it.
-    fn end_run(&mut self, run: RunKey, failed: bool) {
-        let Some(gated) = self.gated.get(&run) else { return };
-        let (node, kind, key) = (gated.node, gated.kind, gated.call);
-        let body = if failed { 0 } else { self.kinds[kind].cfg.answer_bytes };
-        let to = self.calls.get(&key).map(|call| call.node);
-        let departs = match to {
-            Some(to) if to != node => self.link_takes(node, run, HEAD_BYTES + body),
-            _ => self.links.now(),
-        };
-        if departs > self.links.now() {
-            // The target is done with it as soon as its gatekeeper has read it.
-            self.free_target(node, run);
-            let end = End::Read { left: HEAD_BYTES + body };
-            self.tell_gate(node, gatekeeper::Input::End { call: run, end });
-        }
-        self.links.at(departs, Happening::Sent(run, failed));
-    }
-
-    /// When the link of a node's VM has taken an answer.
-    fn link_takes(&mut self, node: usize, run: RunKey, bytes: u64) -> Time {
-        let now = self.links.now();
-        let mbps = self.cfg.links.vm_mbps;
-        if mbps <= 0.0 {
-            return now;
-        }
-        let begins = self.nodes[node].gate.piece(now, run, bytes);
-        let takes = Duration::from_secs_f64(bytes as f64 * 8.0 / (mbps * 1e6));
-        let until = &mut self.nodes[node].link_until;
-        *until = (*until).max(begins) + takes;
-        *until
-    }
-
-    /// The last byte of an answer has left the target's VM.
-    pub(super) fn sent(&mut self, run: RunKey, failed: bool) {
-        let Some(gated) = self.gated.get(&run) else { return };
-        let (node, key, kind, waited) = (gated.node, gated.call, gated.kind, gated.waited);
-        self.free_target(node, run);
-        let load = self.nodes[node].gate.load(self.links.now());
-        let end = End::Answered { kept: None };
-        self.tell_gate(node, gatekeeper::Input::End { call: run, end });
-        self.tell_gate(node, gatekeeper::Input::Left(run));
-        self.gated.swap_remove(&run);
-        let Some(call) = self.calls.get(&key) else { return };
-        let to = call.node;
-        let (end, body) = match failed {
-            true => (AttemptEnd::AnsweringFailure { load: Some(load) }, 0),
-            false => {
-                let body = self.kinds[kind].cfg.answer_bytes;
-                (AttemptEnd::Answering { load: Some(load), waited }, body)
-            }
-        };
-        let departs = self.dealt_with(node);
-        let back = Happening::Back(Back { call: key, gate: run, end });
-        self.send(departs, node, to, HEAD_BYTES + body, back);
-    }
-
-    /// The target has a slot less in use; what waits there runs.
-    fn free_target(&mut self, node: usize, run: RunKey) {
-        if let Some(next) = self.nodes[node].target.end(run) {
-            self.begin_work(next);
-        }
-    }
-
     /// What an attempt came to reaches its entry node.
     pub(super) fn back(&mut self, back: Back) {
         let Back { call: key, gate, end } = back;
@@ -384,24 +247,6 @@
         }
     }
 
-    fn child_ended(&mut self, run: RunKey, answered: bool) {
-        let counts = self.counts(self.links.now());
-        self.tally.nested.0 += u64::from(counts && answered);
-        self.tally.nested.1 += u64::from(counts && !answered);
-        let Some(gated) = self.gated.get_mut(&run) else { return };
-        gated.child = None;
-        match answered {
-            true => self.links.after(gated.part, Happening::Worked(run)),
-            // The run can't go on; said in an event of its own, since its gatekeeper may be the
-            // one that has just refused the call.
-            false => {
-                gated.fails = true;
-                gated.steps.clear();
-                self.links.after(Duration::ZERO, Happening::Worked(run));
-            }
-        }
-    }
-
     /// The deadline of a call at its entry node.
     pub(super) fn expire(&mut self, key: CallKey) {
         let Some(call) = self.calls.get(&key) else { return };
