--- a/tools/src/timeline.rs
+++ b/tools/src/timeline.rs
@@ -5,6 +5,7 @@
 pub mod output;
 pub mod picture;
 pub mod record;
+pub mod request;
 pub mod store;
 
 pub use config::Config;
@@ -27,6 +28,9 @@
 
 /// Gathers the events, merges and writes them. Returns whether any process was heard of.
 pub fn run(cfg: &Config, out: &mut dyn Write) -> Result<bool> {
+    if let Some(id) = &cfg.request {
+        return request::run(id, &cfg.files, out);
+    }
     let mut store = Store::new();
     for path in &cfg.files {
         store.read(path)?;
--- a/tools/src/timeline/config.rs
+++ b/tools/src/timeline/config.rs
@@ -29,6 +29,8 @@
     pub output: Option<PathBuf>,
     /// Title of the picture.
     pub title: String,
+    /// Id of the one request whose story is told from log files.
+    pub request: Option<String>,
 }
 
 /// Form of the time line.
@@ -44,7 +46,8 @@
 
 /// The options of the tool.
 pub fn command_line() -> CommandLine {
-    let line = CommandLine::new("sycamore-timeline", "[EVENTS.json ...] [options]");
+    let line =
+        CommandLine::new("sycamore-timeline", "[EVENTS.json ... | --request ID LOG ...] [options]");
     fleet::with_options(line)
         .with_value("save", "read and keep records of processes in this directory", "DIR")
         .with_value("follow", "poll the nodes for this long; a signal ends it early", "SECONDS")
@@ -52,6 +55,7 @@
         .with_value("format", "text (default), json or svg", "FORMAT")
         .with_value("output", "write to this file instead of standard output", "FILE")
         .with_value("title", "title of the picture", "TEXT")
+        .with_value("request", "tell the story of one request from nodes' log files", "ID")
 }
 
 impl Config {
@@ -60,6 +64,9 @@
         let fleet = Fleet::parse(matches)?;
         let files: Vec<_> = matches.free.iter().map(PathBuf::from).collect();
         let save = matches.opt_str("save").map(PathBuf::from);
+        if matches.opt_present("request") && files.is_empty() {
+            return Err(usage("--request needs the nodes' log files"));
+        }
         if fleet.is_empty() && files.is_empty() && save.is_none() {
             return Err(usage("a file, --save, --vms, --node or --platform is required"));
         }
@@ -77,6 +84,7 @@
             interval: interval.map_or(DEFAULT_INTERVAL, Duration::from_millis),
             format: command_line::choice(matches, "format", &formats)?,
             output: matches.opt_str("output").map(PathBuf::from),
+            request: matches.opt_str("request"),
             title: matches.opt_str("title").unwrap_or_else(|| "sycamorescale".to_owned()),
         })
     }
--- /dev/null
+++ b/tools/src/timeline/request/cause.rs
@@ -0,0 +1,104 @@
+//! Why a request ended as it did, by the lines about it.
+
+use super::{Line, Step, code};
+use indexmap::IndexSet;
+use sycamore_core::Code;
+
+/// The cause in one sentence.
+pub fn cause(lines: &[Line]) -> String {
+    let Some(last) = lines.iter().rfind(|line| matches!(line.step, Step::Answered | Step::Ended))
+    else {
+        return unfinished(lines);
+    };
+    match last.step {
+        Step::Answered => answered(lines, last),
+        _ => ended(lines, last),
+    }
+}
+
+/// No entry node said how it ended: its process has ended, or its lines are missing.
+fn unfinished(lines: &[Line]) -> String {
+    match lines.last() {
+        Some(Line { step: Step::GateRun, vm, .. }) => format!(
+            "it ran beside {vm} and no entry node says how it ended: the entry node went away, or \
+             its lines were dropped"
+        ),
+        _ => "no entry node says how it ended: it went away, or its lines were dropped".to_owned(),
+    }
+}
+
+fn answered(lines: &[Line], last: &Line) -> String {
+    let failures = lines.iter().filter(|line| line.step == Step::AttemptFailed).count();
+    let queued = lines.iter().any(|line| line.step == Step::GateQueued);
+    let status = last.status.unwrap_or_default();
+    let whose = if status >= 500 { "the target's own failure" } else { "the target's answer" };
+    let waited = if queued { ", after waiting for a slot" } else { "" };
+    match failures {
+        0 => format!("{whose}, status {status}{waited}"),
+        _ => format!("{whose}, status {status}, after {failures} attempts that failed{waited}"),
+    }
+}
+
+fn ended(lines: &[Line], last: &Line) -> String {
+    let number = last.code.and_then(Code::from_number);
+    let ran = lines.iter().any(|line| line.step == Step::GateRun);
+    let queued = lines.iter().any(|line| line.step == Step::GateQueued);
+    let sent_to = lines.iter().rev().find_map(|line| line.target.as_deref()).unwrap_or("none");
+    match number {
+        Some(Code::QueueFull) => format!("turned away: {} full{}", at(lines), last_load(lines)),
+        Some(Code::QueueTimeout) => {
+            "turned away after waiting for a slot: those that could be in time went first"
+                .to_owned()
+        }
+        Some(Code::NotConfigured) => {
+            "turned away: its entry node had just started and knew no configuration".to_owned()
+        }
+        Some(Code::NoRoute) => format!(
+            "turned away: version {} of the entry node has no such route",
+            version_text(last)
+        ),
+        Some(Code::NoTarget) => "turned away: no target of its service is known there".to_owned(),
+        Some(Code::DeadlinePassed) if ran => {
+            format!("late by its run: {sent_to} had it until the deadline")
+        }
+        Some(Code::DeadlinePassed) if queued => {
+            "late by its wait for a slot: none came free before the deadline".to_owned()
+        }
+        Some(Code::DeadlinePassed) => {
+            format!("late on the way: no gatekeeper says that it came; last sent to {sent_to}")
+        }
+        Some(Code::AnswerLost) => {
+            format!("sent and lost: the node beside {sent_to} went away or its connection broke")
+        }
+        Some(Code::TargetFailed) => format!("sent and lost: the target {sent_to} broke off"),
+        Some(Code::GatekeeperUnreachable) => format!("not sent: {sent_to} could not be reached"),
+        _ => format!("ended with {}", code(last.code)),
+    }
+}
+
+/// The nodes that refused it.
+fn at(lines: &[Line]) -> String {
+    let refused = lines.iter().filter(|line| line.step == Step::GateRefused);
+    let vms: IndexSet<&str> = refused.map(|line| line.vm.as_str()).collect();
+    let named: Vec<&str> = vms.into_iter().collect();
+    match named.as_slice() {
+        [] => "the target was".to_owned(),
+        [one] => format!("the target beside {one} was"),
+        several => format!("the targets beside {} were", several.join(", ")),
+    }
+}
+
+/// The load with the last refusal.
+fn last_load(lines: &[Line]) -> String {
+    let refused = lines.iter().rfind(|line| line.step == Step::GateRefused);
+    match refused.and_then(|line| line.load.as_deref()) {
+        Some(load) => {
+            format!(", load {load} (running/slots/waiting/ms that a newcomer would wait)")
+        }
+        None => String::new(),
+    }
+}
+
+fn version_text(line: &Line) -> String {
+    line.version.map_or_else(|| "none".to_owned(), |version| version.to_string())
+}
--- /dev/null
+++ b/tools/tests/operators/request.rs
@@ -0,0 +1,70 @@
+//! `sycamore-timeline --request`: the story of one request from the logs of several nodes.
+
+use crate::tool::{self, Run};
+use std::fs;
+use std::path::{Path, PathBuf};
+
+fn logs() -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/logs");
+    let mut paths: Vec<_> =
+        fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()).collect();
+    paths.sort();
+    paths
+}
+
+fn story(request: &str, logs: &[PathBuf]) -> Run {
+    let mut args = vec!["--request", request];
+    args.extend(logs.iter().map(|path| path.to_str().unwrap()));
+    tool::run(env!("CARGO_BIN_EXE_sycamore-timeline"), &args)
+}
+
+#[test]
+fn stories_as_the_page_tells_them() {
+    // Story: an engineer follows docs/OPERATIONS.md at night, and the tool says something else.
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATIONS.md");
+    let page = fs::read_to_string(page).unwrap();
+    for request in ["7b38e582ca4db52c", "7565b72d7289ea75", "32a37fb5b99758df"] {
+        let run = story(request, &logs());
+        assert_eq!(run.code, Some(0), "{}", run.stderr);
+        let shown: String = run.stdout.lines().map(|line| format!("    {line}\n")).collect();
+        assert!(page.contains(&shown), "{shown}");
+    }
+}
+
+#[test]
+fn lines_of_several_nodes_in_order() {
+    // What came before the JSON object, and other requests' lines, are passed over.
+    let dir = tempfile::tempdir().unwrap();
+    let line = |time: &str, vm: &str, request: &str, rest: &str| {
+        format!(r#"0.5 {vm} {{"time":"{time}","vm":"{vm}","request":"{request}",{rest}}}"#)
+    };
+    let entry = [
+        line(
+            "2026-01-01T00:00:00.100Z",
+            "a",
+            "r1",
+            r#""step":"forwarded","attempt":1,"target":"t""#,
+        ),
+        line("2026-01-01T00:00:00.300Z", "a", "r1", r#""step":"answered","status":200"#),
+        line("2026-01-01T00:00:00.310Z", "a", "r12", r#""step":"answered","status":500"#),
+    ];
+    let gate =
+        [line("2026-01-01T00:00:00.200Z", "b", "r1", r#""step":"gate-run","load":"1/2/0/0""#)];
+    let paths = [dir.path().join("a.log"), dir.path().join("b.log")];
+    fs::write(&paths[0], entry.join("\n")).unwrap();
+    fs::write(&paths[1], gate.join("\n")).unwrap();
+    let run = story("r1", &paths);
+    let steps: Vec<&str> = run.stdout.lines().collect();
+    assert_eq!(steps.len(), 5, "{}", run.stdout);
+    assert!(steps[2].contains("runs at the target"), "{}", run.stdout);
+    assert_eq!(steps[4], "cause: the target's answer, status 200");
+}
+
+#[test]
+fn request_unknown_and_usage() {
+    let run = story("nobody", &logs());
+    assert_eq!(run.stdout, "no line about nobody\n");
+    assert_ne!(run.code, Some(0));
+    let run = tool::run(env!("CARGO_BIN_EXE_sycamore-timeline"), &["--request", "x"]);
+    assert!(run.stderr.contains("log files"), "{}", run.stderr);
+}
