--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -69,6 +69,19 @@
     strictness: Strictness,
 }
 
+impl<'a> Want<'a> {
+    /// A target that neither leaves nor fails.
+    fn new(now: Time, service: ServiceKey, terms: &Terms, tried: &'a [Name]) -> Want<'a> {
+        let (class, rank, strictness) = (terms.class, terms.rank, Strictness::Healthy);
+        Want { now, service, class, rank, tried, strictness }
+    }
+
+    /// The same, or one that fails.
+    fn with_failing(self) -> Want<'a> {
+        Want { strictness: Strictness::Staying, ..self }
+    }
+}
+
 /// What one entry node knows of the targets it sends to.
 #[derive(Debug)]
 pub struct Balancer {
@@ -148,8 +161,7 @@
         terms: &Terms,
         tried: &[Name],
     ) -> Option<Name> {
-        let (class, rank, strictness) = (terms.class, terms.rank, Strictness::Healthy);
-        self.pick_among(Want { now, service, class, rank, tried, strictness })
+        self.pick_among(Want::new(now, service, terms, tried))
     }
 
     /// One of the nearest targets other than those tried, however full it is.
@@ -160,13 +172,9 @@
         terms: &Terms,
         tried: &[Name],
     ) -> Option<Name> {
-        let (class, rank) = (terms.class, terms.rank);
-        let want = |strictness| Want { now, service, class, rank, tried, strictness };
-        let mut among = |strictness| {
-            let want = want(strictness);
-            Link::ALL.into_iter().find_map(|link| self.draw_two(want, link))
-        };
-        let index = among(Strictness::Healthy).or_else(|| among(Strictness::Staying))?;
+        let want = Want::new(now, service, terms, tried);
+        let mut nearest = |want| Link::ALL.into_iter().find_map(|link| self.draw_two(want, link));
+        let index = nearest(want).or_else(|| nearest(want.with_failing()))?;
         self.name_of(index)
     }
 
--- a/node/src/calls/trace.rs
+++ b/node/src/calls/trace.rs
@@ -4,7 +4,7 @@
 
 use crate::shared::Shared;
 use hyper::header::HeaderValue;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use sycamore_core::Code;
 use sycamore_core::call::entry::Forward;
 use sycamore_core::call::{Load, Outcome};
@@ -13,7 +13,7 @@
 pub const REQUEST: &str = "request";
 
 /// What was decided about a request.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Step {
     /// The entry node sends it to a target's gatekeeper.
--- a/tools/src/timeline/request.rs
+++ b/tools/src/timeline/request.rs
@@ -9,28 +9,9 @@
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use sycamore_core::{Code, Fault, Result};
+use sycamore_node::calls::trace::Step;
 
-/// What was decided about a request, as log lines name it (docs/OPERATIONS.md).
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Step {
-    /// The entry node sends it to a target's gatekeeper.
-    Forwarded,
-    /// An attempt came to nothing.
-    AttemptFailed,
-    /// The target's answer went out.
-    Answered,
-    /// The entry node ended it without an answer of a target.
-    Ended,
-    /// The gatekeeper refused it, or could not get an answer.
-    GateRefused,
-    /// The gatekeeper lets it wait for a slot.
-    GateQueued,
-    /// The target runs it.
-    GateRun,
-}
-
-/// A log line about a request. Fields that are not named here are passed over.
+/// A log line about a request (docs/OPERATIONS.md). Fields that are not named here are passed over.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Line {
     /// When it was written, by its node's clock; RFC 3339.
--- a/tools/src/timeline/request/cause.rs
+++ b/tools/src/timeline/request/cause.rs
@@ -1,8 +1,9 @@
 //! Why a request ended as it did, by the lines about it.
 
-use super::{Line, Step, code};
+use super::{Line, code};
 use indexmap::IndexSet;
 use sycamore_core::Code;
+use sycamore_node::calls::trace::Step;
 
 /// The cause in one sentence.
 pub fn cause(lines: &[Line]) -> String {
