A nested call looks for its run among those alike to a repeat, not among all

Cause, found by reading: a call is taken for a repeat's by the share of repeats among all runs of its target. Where most runs call nobody, that share is far too small, and repeats below go uncounted; deeper trees have nothing else to hold them. Every decision of a gatekeeper also went through all its calls to count them. Change: runs are counted by what tells their routes apart, as they begin and end. Seen failing: with the share among all runs, left: Runs { all: 10, repeats: 1 }, right: Runs { all: 1, repeats: 1 }.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -16,12 +16,14 @@
 pub mod patience;
 pub mod policy;
 pub mod quarantine;
+pub mod runs;
 pub mod split;
 
 pub use entry::Entry;
 pub use gatekeeper::Gatekeeper;
 pub use note::Note;
 pub use policy::Policy;
+pub use runs::Runs;
 
 use crate::Code;
 use crate::config::{Class, OnceBy};
@@ -70,15 +72,6 @@
     #[serde(transparent)]
     pub struct Fingerprint(pub u64);
 
-    /// What the local target runs, for the calls that its runs make.
-    #[derive(Default)]
-    pub struct Runs {
-        /// Requests that it runs.
-        pub all: u32,
-        /// Those of them that are repeats.
-        pub repeats: u32,
-    }
-
     /// What a gatekeeper says of its target's load with each answer.
     pub struct Load {
         /// Requests that the target runs.
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -13,7 +13,8 @@
 use super::once::{KeptAnswer, Once};
 use super::policy::Policy;
 use super::quarantine::Suspects;
-use super::{CallKey, Fingerprint, Load, Members, Outcome, RequestKey, Runs, Terms};
+use super::runs::{RunCounts, RunKind, Runs};
+use super::{CallKey, Fingerprint, Load, Members, Outcome, RequestKey, Terms};
 use crate::config::snapshot::RouteEntry;
 use crate::config::{Class, OnceBy, ServiceKey, ServiceLimits, Snapshot, TargetKey};
 use crate::event::EventKind;
@@ -47,6 +48,7 @@
     // Crashes that the entry node knows of.
     crashes: u32,
     running: bool,
+    kind: RunKind,
     repeat: bool,
 }
 
@@ -67,6 +69,7 @@
     homes: Option<Homes>,
     suspects: Suspects,
     calls: IndexMap<CallKey, Call>,
+    runs: RunCounts,
     // The crash after which the target has not answered yet.
     crash: Option<u64>,
     target_up: bool,
@@ -95,6 +98,7 @@
             homes: None,
             suspects: Suspects::new(),
             calls: IndexMap::new(),
+            runs: RunCounts::new(),
             crash: None,
             target_up: true,
             target_leaving: false,
@@ -157,12 +161,7 @@
 
     /// What the target runs, for the calls that its runs make.
     pub fn runs(&self) -> Runs {
-        let running = self.calls.values().filter(|call| call.running);
-        let count = |runs: Runs, call: &Call| Runs {
-            all: runs.all + 1,
-            repeats: runs.repeats + u32::from(call.repeat),
-        };
-        running.fold(Runs::default(), count)
+        self.runs.of_repeats()
     }
 
     /// Guards against work done on a view that went stale while the process was paused: its keys
@@ -255,11 +254,16 @@
             let wait = self.spread_out(wait);
             return self.refuse(now, arrival, Outcome::not_run(code, wait), out);
         }
-        let running = admission == Admission::Run;
-        let fingerprint = arrival.fingerprint;
-        let crashes = arrival.crashes;
-        let repeat = terms.repeat;
-        self.calls.insert(call, Call { offer, key, fingerprint, crashes, running, repeat });
+        let known = Call {
+            offer,
+            key,
+            fingerprint: arrival.fingerprint,
+            crashes: arrival.crashes,
+            running: false,
+            kind: RunKind::of(terms),
+            repeat: terms.repeat,
+        };
+        self.calls.insert(call, known);
         if let (Some(key), Some(digest)) = (key, arrival.digest) {
             self.once.wait(now, key, digest, call);
         }
@@ -274,6 +278,7 @@
             return;
         };
         known.running = true;
+        self.runs.begin(known.kind, known.repeat);
         let once = known.key.is_some();
         if let Some(key) = known.key {
             self.once.run(key, call);
@@ -340,7 +345,7 @@
     }
 
     fn forget_waiting(&mut self, call: CallKey) -> Option<Call> {
-        let known = self.calls.swap_remove(&call)?;
+        let known = self.forget(call)?;
         if let Some(key) = known.key {
             self.once.not_run(key, call);
         }
@@ -397,7 +402,15 @@
                 self.finish_key(&known, None);
             }
         }
-        self.calls.swap_remove(&call);
+        self.forget(call);
+    }
+
+    fn forget(&mut self, call: CallKey) -> Option<Call> {
+        let known = self.calls.swap_remove(&call)?;
+        if known.running {
+            self.runs.end(known.kind, known.repeat);
+        }
+        Some(known)
     }
 
     fn finish_key(&mut self, known: &Call, kept: Option<Arc<KeptAnswer>>) {
--- /dev/null
+++ b/core/src/call/runs.rs
@@ -0,0 +1,71 @@
+//! What a target runs, for the calls that its runs make.
+
+use super::Terms;
+use crate::config::Class;
+use indexmap::IndexMap;
+
+key! {
+    /// Runs of one target that are alike to some run which is a repeat.
+    #[derive(Default)]
+    pub struct Runs {
+        /// All of them.
+        pub all: u32,
+        /// Those of them that are repeats.
+        pub repeats: u32,
+    }
+
+    /// What a gatekeeper can tell runs of different routes apart by.
+    pub struct RunKind {
+        class: Class,
+        rank: u8,
+        idempotent: bool,
+    }
+}
+
+/// Runs by their kind, counted as they begin and end.
+#[derive(Clone, Debug, Default)]
+pub struct RunCounts {
+    by_kind: IndexMap<RunKind, Runs>,
+}
+
+impl RunKind {
+    /// The kind of a run with these terms.
+    pub fn of(terms: &Terms) -> RunKind {
+        RunKind { class: terms.class, rank: terms.rank, idempotent: terms.idempotent }
+    }
+}
+
+impl RunCounts {
+    /// Nothing runs.
+    pub fn new() -> RunCounts {
+        RunCounts::default()
+    }
+
+    /// A run begins.
+    pub fn begin(&mut self, kind: RunKind, repeat: bool) {
+        let runs = self.by_kind.entry(kind).or_default();
+        runs.all += 1;
+        runs.repeats += u32::from(repeat);
+    }
+
+    /// It ends.
+    pub fn end(&mut self, kind: RunKind, repeat: bool) {
+        if let Some(runs) = self.by_kind.get_mut(&kind) {
+            runs.all = runs.all.saturating_sub(1);
+            runs.repeats = runs.repeats.saturating_sub(u32::from(repeat));
+        }
+    }
+
+    /// The runs among which a nested call looks for the one that makes it.
+    ///
+    /// Guards against repeats that are not counted: signings, say, call nobody and fill most of
+    /// the slots. A call that were taken for a repeat's by the share among all runs would hardly
+    /// ever count as one. So only runs that are alike to some repeat count.
+    pub fn of_repeats(&self) -> Runs {
+        let with_repeats = self.by_kind.values().filter(|runs| runs.repeats > 0);
+        with_repeats.fold(Runs::default(), |sum, runs| Runs {
+            all: sum.all + runs.all,
+            repeats: sum.repeats + runs.repeats,
+        })
+    }
+}
--- a/core/tests/call_retries_nested.rs
+++ b/core/tests/call_retries_nested.rs
@@ -1,13 +1,13 @@
 //! Retries over a tree of calls: many entry nodes, one service that calls another.
 
-use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::sync::Arc;
 use std::time::Duration;
 use sycamore_core::call::entry::{Arrival, AttemptEnd, Forward, Input, Output};
-use sycamore_core::call::{CallKey, Entry, Runs};
-use sycamore_core::config::{InForce, Preset, Snapshot};
+use sycamore_core::call::runs::{RunCounts, RunKind};
+use sycamore_core::call::{CallKey, Entry, Runs, Terms};
+use sycamore_core::config::{Class, InForce, OnceBy, Preset, Snapshot};
 use sycamore_core::hash::Hash;
 use sycamore_core::place::Place;
 use sycamore_core::{Code, Name, Time};
@@ -50,7 +50,8 @@
         )
     };
     let text = format!(
-        r#"{{"name":"p","services":{{{},{}}},"routes":{{{},{}}}}}"#,
+        r#"{{"name":"p","services":{{{},{}}},"routes":{{{},{},"sign":{{"path_prefix":"/sign",
+        "service":"desk","idempotent":false,"once":"attempt"}}}}}}"#,
         service("desk", DESKS),
         service("vault", VAULTS),
         route("desk", "interactive"),
@@ -61,11 +62,11 @@
     Snapshot::new(in_force, &preset).unwrap()
 }
 
-/// A run at a desk, which makes one call and ends with it.
+/// A run at a desk. One of a lookup makes one call and ends with it.
 struct Run {
     entry: usize,
     call: CallKey,
-    repeat: bool,
+    terms: Terms,
 }
 
 /// What reached the vaults in one step.
@@ -123,13 +124,13 @@
 
     fn start_run(&mut self, entry: usize, forward: Forward) {
         let desk: usize = forward.vm.as_str()["desk".len()..].parse().unwrap();
-        let repeat = forward.terms.repeat;
-        self.runs[desk].push(Run { entry, call: forward.call, repeat });
+        self.runs[desk].push(Run { entry, call: forward.call, terms: forward.terms });
     }
 
     /// A caller's request comes to an entry node.
-    fn lookup(&mut self, entry: usize) {
-        if let (_, Some(Output::Forward(forward))) = self.arrive(entry, "/desk", Runs::default()) {
+    fn ask(&mut self, path: &str) {
+        let entry = self.rng.random_range(0..DESKS + VAULTS);
+        if let (_, Some(Output::Forward(forward))) = self.arrive(entry, path, Runs::default()) {
             self.start_run(entry, forward);
         }
     }
@@ -163,13 +164,17 @@
         answered
     }
 
-    /// Every run at a desk makes its call and ends with its outcome.
+    /// Every run at a desk makes its call, if it makes one, and ends with its outcome.
     fn end_runs(&mut self, desk: usize, shed: f64) {
         let runs = std::mem::take(&mut self.runs[desk]);
-        let repeats = runs.iter().filter(|run| run.repeat).count() as u32;
-        let own_runs = Runs { all: runs.len() as u32, repeats };
-        for Run { entry, call, repeat } in runs {
-            let end = match self.nested(desk, repeat, own_runs, shed) {
+        let mut counts = RunCounts::new();
+        for Run { terms, .. } in &runs {
+            counts.begin(RunKind::of(terms), terms.repeat);
+        }
+        let own_runs = counts.of_repeats();
+        for Run { entry, call, terms } in runs {
+            let signing = !terms.idempotent;
+            let end = match signing || self.nested(desk, terms.repeat, own_runs, shed) {
                 true => AttemptEnd::Answering { load: None, waited: Duration::ZERO },
                 false => AttemptEnd::AnsweringFailure { load: None },
             };
@@ -182,14 +187,12 @@
         }
     }
 
-    /// A step in which four lookups come at random nodes.
-    fn step(&mut self, shed: f64) {
+    /// A step in which so many lookups and signings come at random nodes.
+    fn step(&mut self, shed: f64, (lookups, signings): (usize, usize)) {
         self.now = self.now + STEP;
         self.seen.push(Seen::default());
-        for _ in 0..4 {
-            let entry = self.rng.random_range(0..DESKS + VAULTS);
-            self.lookup(entry);
-        }
+        (0..lookups).for_each(|_| self.ask("/desk"));
+        (0..signings).for_each(|_| self.ask("/sign"));
         for desk in 0..DESKS {
             self.end_runs(desk, shed);
         }
@@ -212,28 +215,53 @@
     // are sent once more, and each repeated run calls the vault again. Neither the desk's retries
     // nor the vault's own exceed their budget, but their sum at the vault does.
     let mut fleet = Fleet::new();
-    for _ in 0..1_500 {
-        fleet.step(0.0);
-    }
-    for _ in 0..1_500 {
-        fleet.step(0.55);
-    }
+    (0..1_500).for_each(|_| fleet.step(0.0, (4, 0)));
+    (0..1_500).for_each(|_| fleet.step(0.55, (4, 0)));
     let excess = fleet.worst_excess();
     assert!(excess <= 0, "{excess} repeats beyond what is allowed");
 }
 
+#[test]
+fn repeats_below_among_runs_without_calls() {
+    // The same, while nine in ten runs of the desk are signings, which call nobody.
+    let mut fleet = Fleet::new();
+    (0..1_500).for_each(|_| fleet.step(0.0, (4, 36)));
+    (0..1_500).for_each(|_| fleet.step(0.55, (4, 36)));
+    let excess = fleet.worst_excess();
+    assert!(excess <= 0, "{excess} repeats beyond what is allowed");
+}
+
+#[test]
+fn repeats_told_apart_from_other_runs() {
+    // Story: a target runs nine signings and one lookup that is a repeat. Each call that comes from
+    // there is made by the lookup, and one in ten is counted as a repeat's.
+    let terms = |idempotent| Terms {
+        service: name("desk"),
+        idempotent,
+        once: OnceBy::Attempt,
+        class: Class::Interactive,
+        rank: 0,
+        objective: START,
+        patient: false,
+        repeat: idempotent,
+    };
+    let (signing, lookup) = (RunKind::of(&terms(false)), RunKind::of(&terms(true)));
+    let mut counts = RunCounts::new();
+    (0..9).for_each(|_| counts.begin(signing, false));
+    counts.begin(lookup, true);
+    assert_eq!(counts.of_repeats(), Runs { all: 1, repeats: 1 });
+    counts.begin(lookup, false);
+    assert_eq!(counts.of_repeats(), Runs { all: 2, repeats: 1 });
+    counts.end(lookup, true);
+    assert_eq!(counts.of_repeats(), Runs::default());
+}
+
 #[test]
 fn repeats_below_are_used() {
-    // The budget is meant to be used: with one in ten shed, nearly every lookup is answered.
+    // The budget is meant to be used: with one in ten shed, one in ten calls is made again.
     let mut fleet = Fleet::new();
-    for _ in 0..2_000 {
-        fleet.step(0.1);
-    }
-    let repeats: IndexMap<bool, usize> =
-        fleet.seen.iter().fold(IndexMap::new(), |mut sums, seen| {
-            *sums.entry(seen.repeats > 0).or_default() += seen.repeats;
-            sums
-        });
-    assert!(repeats.get(&true).copied().unwrap_or(0) > 500, "{repeats:?}");
+    (0..2_000).for_each(|_| fleet.step(0.1, (4, 0)));
+    let repeats: usize = fleet.seen.iter().map(|seen| seen.repeats).sum();
+    assert!(repeats > 500, "{repeats}");
     assert!(fleet.worst_excess() <= 0);
 }
