--- a/bench/src/fleet/slot.rs
+++ b/bench/src/fleet/slot.rs
@@ -8,7 +8,7 @@
 use std::collections::HashSet;
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
-use sycamore_core::call::{CallKey, Fingerprint, RequestKey, Runs, entry, gatekeeper};
+use sycamore_core::call::{CallKey, Fingerprint, RequestKey, entry, gatekeeper};
 use sycamore_core::config::InForce;
 use sycamore_core::hash::Hash;
 use sycamore_core::node::{self, Node};
@@ -318,16 +318,8 @@
     let input = match given {
         Given::Spread(input) => node::Input::Spread(input),
         Given::Arrive { call, ref path, key } => {
-            let arrival = entry::Arrival {
-                host: "",
-                call,
-                path,
-                key,
-                time_left: None,
-                depth: 0,
-                body_bytes: Some(0),
-                own_runs: Runs::default(),
-            };
+            let arrival =
+                entry::Arrival { key, body_bytes: Some(0), ..entry::Arrival::new(call, "", path) };
             node::Input::Entry(entry::Input::Arrive(arrival))
         }
         Given::Attempt { call, end } => {
--- a/bench/src/lab/path.rs
+++ b/bench/src/lab/path.rs
@@ -79,14 +79,11 @@
             Asker::Caller(_) => Runs::default(),
         };
         let arrival = entry::Arrival {
-            call,
-            host: "",
-            path: &path,
-            key: None,
             time_left: Some(left),
             depth: if matches!(asker, Asker::Run(_)) { NESTED_DEPTH } else { 0 },
             body_bytes: Some(0),
             own_runs,
+            ..entry::Arrival::new(call, "", &path)
         };
         self.tell_entry(node, entry::Input::Arrive(arrival));
         self.calls.contains_key(&call).then_some(call)
--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -59,8 +59,8 @@
 }
 
 /// What a target is picked for.
-#[derive(Clone, Copy)]
-struct Want<'a> {
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
     now: Time,
     service: ServiceKey,
     class: Class,
@@ -70,10 +70,15 @@
 }
 
 impl<'a> Want<'a> {
-    /// A target that neither leaves nor fails.
-    fn new(now: Time, service: ServiceKey, terms: &Terms, tried: &'a [Name]) -> Want<'a> {
+    /// A target of a service for a request with these terms.
+    pub fn new(now: Time, service: ServiceKey, terms: &Terms) -> Want<'a> {
         let (class, rank, strictness) = (terms.class, terms.rank, Strictness::Healthy);
-        Want { now, service, class, rank, tried, strictness }
+        Want { now, service, class, rank, tried: &[], strictness }
+    }
+
+    /// The same, but none of those tried.
+    pub fn with_tried(self, tried: &'a [Name]) -> Want<'a> {
+        Want { tried, ..self }
     }
 
     /// The same, or one that fails.
@@ -153,41 +158,35 @@
         }
     }
 
-    /// The target for a request to a service, other than those tried, that is not known to be full.
-    pub fn pick_free(
-        &mut self,
-        now: Time,
-        service: ServiceKey,
-        terms: &Terms,
-        tried: &[Name],
-    ) -> Option<Name> {
-        self.pick_among(Want::new(now, service, terms, tried))
+    /// A target that is not known to be full: one of the home tier, or a farther one that saves more
+    /// time than its distance costs.
+    pub fn pick_free(&mut self, want: Want<'_>) -> Option<Name> {
+        let home = self.home(want)?;
+        let stays = want.class == Class::Bulk && self.policy.has(Part::BulkStays);
+        let mut best: Option<(usize, Duration)> = None;
+        for link in Link::ALL.into_iter().filter(|link| !stays || *link <= home.max(Link::Region)) {
+            let Some(index) = self.draw_two_free(want, link) else {
+                continue;
+            };
+            let wait = self.peers[index].reported_wait(want.now).unwrap_or_default();
+            let cost = self.speed(want, index) + wait + self.distance(want, home, link);
+            if best.is_none_or(|(_, least)| cost < least) {
+                best = Some((index, cost));
+            }
+        }
+        best.and_then(|(index, _)| self.name_of(index))
     }
 
-    /// One of the nearest targets other than those tried, however full it is.
-    pub fn pick_nearest(
-        &mut self,
-        now: Time,
-        service: ServiceKey,
-        terms: &Terms,
-        tried: &[Name],
-    ) -> Option<Name> {
-        let want = Want::new(now, service, terms, tried);
+    /// One of the nearest targets, however full it is.
+    pub fn pick_nearest(&mut self, want: Want<'_>) -> Option<Name> {
         let mut nearest = |want| Link::ALL.into_iter().find_map(|link| self.draw_two(want, link));
         let index = nearest(want).or_else(|| nearest(want.with_failing()))?;
         self.name_of(index)
     }
 
     /// A target that is not known to be full, or else one of the nearest.
-    pub fn pick(
-        &mut self,
-        now: Time,
-        service: ServiceKey,
-        terms: &Terms,
-        tried: &[Name],
-    ) -> Option<Name> {
-        let free = self.pick_free(now, service, terms, tried);
-        free.or_else(|| self.pick_nearest(now, service, terms, tried))
+    pub fn pick(&mut self, want: Want<'_>) -> Option<Name> {
+        self.pick_free(want).or_else(|| self.pick_nearest(want))
     }
 
     /// Address of the gatekeeper beside a target, and the run of the target that is meant.
@@ -310,33 +309,15 @@
             .is_some_and(|peer| peer.leaving || peer.listed_leaving || peer.leaving_until > now)
     }
 
-    /// A target of the home tier, or a farther one that saves more time than its distance costs.
-    fn pick_among(&mut self, want: Want<'_>) -> Option<Name> {
-        let home = self.home(want)?;
-        let stays = want.class == Class::Bulk && self.policy.has(Part::BulkStays);
-        let mut best: Option<(usize, Duration)> = None;
-        for link in Link::ALL.into_iter().filter(|link| !stays || *link <= home.max(Link::Region)) {
-            let Some(index) = self.draw_two_free(want, link) else {
-                continue;
-            };
-            let wait = self.peers[index].reported_wait(want.now).unwrap_or_default();
-            let cost = self.speed(want, index) + wait + self.distance(want, home, link);
-            if best.is_none_or(|(_, least)| cost < least) {
-                best = Some((index, cost));
-            }
-        }
-        best.and_then(|(index, _)| self.name_of(index))
-    }
-
     fn name_of(&self, index: usize) -> Option<Name> {
         self.peers.get_index(index).map(|(vm, _)| vm.clone())
     }
 
     /// The nearest tier with a target that can be reached and stays, however full it is.
     ///
-    /// Requests wait at their home tier alone. Guards against traffic that crosses in both
-    /// directions for nothing: where every target is full, each zone's requests would else wait at
-    /// the other zones' targets, and bytes between zones are paid by volume.
+    /// Beyond it a way has its price. Guards against traffic that crosses in both directions for
+    /// nothing: where every target is full, each zone's requests would else wait at the other
+    /// zones' targets, and bytes between zones are paid by volume.
     fn home(&self, want: Want<'_>) -> Option<Link> {
         let tiers = self.services.get(want.service.0 as usize)?;
         let usable = |index: &usize| {
--- a/core/src/call/balance/peer.rs
+++ b/core/src/call/balance/peer.rs
@@ -81,7 +81,7 @@
 }
 
 /// How strictly targets are chosen.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Strictness {
     /// Neither leaving nor failing nor full.
     Healthy,
--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -7,7 +7,7 @@
 
 pub use port::{Arrival, AttemptEnd, Forward, Input, Output, Reason};
 
-use super::balance::Balancer;
+use super::balance::{Balancer, Want};
 use super::patience::Patience;
 use super::policy::{Part, Policy};
 use super::split::Splits;
@@ -217,9 +217,10 @@
         if let Some(key) = call.key {
             return self.home_for(now, &call.snapshot, service, key, &[]);
         }
-        self.balancer.pick_free(now, service, &call.terms, &[]).or_else(|| {
+        let want = Want::new(now, service, &call.terms);
+        self.balancer.pick_free(want).or_else(|| {
             call.terms.patient = self.policy.has(Part::FullOnce);
-            self.balancer.pick_nearest(now, service, &call.terms, &[])
+            self.balancer.pick_nearest(want)
         })
     }
 
--- a/core/src/call/entry/again.rs
+++ b/core/src/call/entry/again.rs
@@ -1,6 +1,7 @@
 //! Whether a request is sent again, and to which target.
 
 use super::Entry;
+use crate::call::balance::Want;
 use crate::call::note::HomeList;
 use crate::call::policy::Part;
 use crate::call::quarantine::MAX_CRASHES;
@@ -55,7 +56,7 @@
             return None;
         }
         let service = self.snapshot.as_ref()?.service_named(&call.service)?;
-        let vm = self.balancer.pick_nearest(now, service, &call.terms, &[])?;
+        let vm = self.balancer.pick_nearest(Want::new(now, service, &call.terms))?;
         let call = self.calls.get_mut(&key)?;
         call.terms.patient = true;
         Some(vm)
@@ -119,10 +120,11 @@
         if full && spare_forwards > 0 && call.spared >= spare_forwards {
             return None;
         }
+        let want = Want::new(now, service, &call.terms).with_tried(&call.tried);
         let vm = match full && spare_forwards > 0 {
             // Others that are full as well would say the same; it may wait at one of them.
-            true => self.balancer.pick_free(now, service, &call.terms, &call.tried)?,
-            false => self.balancer.pick(now, service, &call.terms, &call.tried)?,
+            true => self.balancer.pick_free(want)?,
+            false => self.balancer.pick(want)?,
         };
         let unbounded = !self.policy.has(Part::RetryBudget);
         let paid = kind == RetryKind::Free || unbounded || self.retries.take(now, call);
--- a/core/src/call/entry/port.rs
+++ b/core/src/call/entry/port.rs
@@ -143,3 +143,19 @@
         pub max_body_bytes: u64,
     }
 }
+
+impl<'a> Arrival<'a> {
+    /// A caller's request without a key, a stated time or a body.
+    pub fn new(call: CallKey, host: &'a str, path: &'a str) -> Arrival<'a> {
+        Arrival {
+            call,
+            host,
+            path,
+            key: None,
+            time_left: None,
+            depth: 0,
+            body_bytes: None,
+            own_runs: Runs::default(),
+        }
+    }
+}
--- a/core/tests/call_admit.rs
+++ b/core/tests/call_admit.rs
@@ -54,6 +54,12 @@
     assert_eq!(order, [4, 2, 5, 1, 3].map(|call| Some(Popped::Run(CallKey(call)))));
 }
 
+/// How many of these requests, nested so deep, run at once.
+fn running_at(slots: &mut Slots, depth: u8, calls: std::ops::Range<u64>) -> usize {
+    let runs = |call: &u64| offer_at(slots, *call, Class::Interactive, depth) == Admission::Run;
+    calls.filter(runs).count()
+}
+
 #[test]
 fn slots_kept_for_nested() {
     // Story: callers' requests take every slot of a service, and each waits for a nested request
@@ -63,15 +69,10 @@
         offer_at(&mut slots, call, Class::Interactive, if call % 8 < 4 { 0 } else { 4 });
         slots.end(START, CallKey(call));
     }
-    let mut running_at = |depth: u8, calls: std::ops::Range<u64>| {
-        let admitted =
-            |call: &u64| offer_at(&mut slots, *call, Class::Interactive, depth) == Admission::Run;
-        calls.filter(admitted).count()
-    };
-    assert_eq!(running_at(0, 1_000..1_020), 9);
-    assert_eq!(running_at(1, 1_020..1_040), 1);
-    assert_eq!(running_at(2, 1_040..1_050), 1);
-    assert_eq!(running_at(3, 1_050..1_060), 1);
+    assert_eq!(running_at(&mut slots, 0, 1_000..1_020), 9);
+    assert_eq!(running_at(&mut slots, 1, 1_020..1_040), 1);
+    assert_eq!(running_at(&mut slots, 2, 1_040..1_050), 1);
+    assert_eq!(running_at(&mut slots, 3, 1_050..1_060), 1);
 }
 
 #[test]
@@ -84,13 +85,8 @@
         offer_at(&mut slots, call, Class::Interactive, (call % 2) as u8);
         slots.end(START, CallKey(call));
     }
-    let mut running_at = |depth: u8, calls: std::ops::Range<u64>| {
-        let admitted =
-            |call: &u64| offer_at(&mut slots, *call, Class::Interactive, depth) == Admission::Run;
-        calls.filter(admitted).count()
-    };
-    assert_eq!(running_at(0, 1_000..1_020), 9);
-    assert_eq!(running_at(1, 1_020..1_040), 3);
+    assert_eq!(running_at(&mut slots, 0, 1_000..1_020), 9);
+    assert_eq!(running_at(&mut slots, 1, 1_020..1_040), 3);
 }
 
 #[test]
--- a/core/tests/call_balance.rs
+++ b/core/tests/call_balance.rs
@@ -1,36 +1,23 @@
 //! Which target a request goes to, over several regions.
 
+#[path = "support/snapshot.rs"]
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
-use sycamore_core::call::balance::Balancer;
+use support::name;
+use sycamore_core::Time;
+use sycamore_core::call::balance::{Balancer, Want};
 use sycamore_core::call::{Load, Members, Terms};
-use sycamore_core::config::{Class, InForce, OnceBy, Preset, ServiceKey, Snapshot};
-use sycamore_core::hash::Hash;
+use sycamore_core::config::{Class, OnceBy, ServiceKey, Snapshot};
 use sycamore_core::place::Place;
-use sycamore_core::{Name, Time};
 
 const START: Time = Time(1_700_000_000_000_000);
 
-fn name(text: &str) -> Name {
-    Name::new(text.to_owned()).unwrap()
-}
-
 /// Two targets here, two in another region.
 fn snapshot() -> Arc<Snapshot> {
-    let target = |vm: &str, region: &str| {
-        format!(
-            r#"{{"vm":"{vm}","region":"{region}","zone":"{region}-z","gate":"127.0.0.1:1",
-            "peers":"127.0.0.1:9"}}"#
-        )
-    };
-    let targets = [("a", "here"), ("b", "here"), ("c", "there"), ("d", "there")];
-    let targets: Vec<String> = targets.iter().map(|(vm, region)| target(vm, region)).collect();
-    let targets = targets.join(",");
-    let text =
-        format!(r#"{{"name":"p","services":{{"s":{{"targets":[{targets}]}}}},"routes":{{}}}}"#);
-    let preset: Preset = serde_json::from_str(&text).unwrap();
-    let in_force = InForce { version: 1, preset: name("p"), digest: Hash::of(b"") };
-    Snapshot::new(in_force, &preset).unwrap()
+    let targets = ["a/here/here-z", "b/here/here-z", "c/there/there-z", "d/there/there-z"];
+    support::snapshot(1, &targets, "{}", "{}")
 }
 
 fn balancer() -> Balancer {
@@ -67,7 +54,7 @@
 
 /// How many of a hundred requests go to the other region.
 fn across(balancer: &mut Balancer, class: Class) -> usize {
-    let mut pick = || balancer.pick(START, ServiceKey(0), &terms(class), &[]);
+    let mut pick = || balancer.pick(Want::new(START, ServiceKey(0), &terms(class)));
     (0..100).filter(|_| matches!(pick().unwrap().as_str(), "c" | "d")).count()
 }
 
--- a/core/tests/call_entry.rs
+++ b/core/tests/call_entry.rs
@@ -1,44 +1,29 @@
 //! Decisions of the entry node: where a request goes, when it is sent again, what is said of it.
 
+#[path = "support/snapshot.rs"]
+mod support;
+
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use support::name;
 use sycamore_core::call::entry::{Arrival, AttemptEnd, Forward, Input, Output};
-use sycamore_core::call::{CallKey, Entry, Load, Members, Outcome, RequestKey, Runs};
-use sycamore_core::config::{InForce, Preset, Snapshot};
-use sycamore_core::hash::Hash;
+use sycamore_core::call::{CallKey, Entry, Load, Members, Outcome, RequestKey};
+use sycamore_core::config::Snapshot;
 use sycamore_core::member::VmState;
 use sycamore_core::place::Place;
-use sycamore_core::{Code, Name, Time};
+use sycamore_core::{Code, Time};
 
 const START: Time = Time(1_700_000_000_000_000);
 const SOON: Duration = Duration::from_millis(200);
 
-fn name(text: &str) -> Name {
-    Name::new(text.to_owned()).unwrap()
-}
-
 /// Targets as `vm/region/zone`.
 fn snapshot(version: u64, targets: &[&str]) -> Arc<Snapshot> {
-    let target = |text: &&str| {
-        let parts: Vec<&str> = text.split('/').collect();
-        format!(
-            r#"{{"vm":"{}","region":"{}","zone":"{}","gate":"127.0.0.1:1","peers":"127.0.0.1:9"}}"#,
-            parts[0], parts[1], parts[2]
-        )
-    };
-    let targets: Vec<String> = targets.iter().map(target).collect();
-    let text = format!(
-        r#"{{"name":"p","services":{{"s":{{"limits":{{"retry_budget_percent":10}},"targets":[{}]}}}},
-        "routes":{{"once":{{"path_prefix":"/once","service":"s","idempotent":false}},
-        "idem":{{"path_prefix":"/idem","service":"s","idempotent":true,"max_attempts":4,
-        "deadline_ms":2000}}}}}}"#,
-        targets.join(",")
-    );
-    let preset: Preset = serde_json::from_str(&text).unwrap();
-    let in_force = InForce { version, preset: name("p"), digest: Hash::of(b"") };
-    Snapshot::new(in_force, &preset).unwrap()
+    let routes = r#"{"once":{"path_prefix":"/once","service":"s","idempotent":false},
+        "idem":{"path_prefix":"/idem","service":"s","idempotent":true,"max_attempts":4,
+        "deadline_ms":2000}}"#;
+    support::snapshot(version, targets, r#"{"retry_budget_percent":10}"#, routes)
 }
 
 const SIX: [&str; 6] = ["a/r/z", "b/r/z", "c/r/z", "d/r/z", "e/r/z", "f/r/z"];
@@ -67,16 +52,7 @@
     fn arrive_at(&mut self, path: &str, key: Option<RequestKey>) -> Option<Output> {
         self.next += 1;
         let call = CallKey(self.next);
-        let arrival = Arrival {
-            host: "",
-            call,
-            path,
-            key,
-            time_left: None,
-            depth: 0,
-            body_bytes: None,
-            own_runs: Runs::default(),
-        };
+        let arrival = Arrival { key, ..Arrival::new(call, "", path) };
         self.input(Input::Arrive(arrival))
     }
 
--- a/core/tests/call_entry_full.rs
+++ b/core/tests/call_entry_full.rs
@@ -1,39 +1,27 @@
 //! What an entry node does while every target of a service is full.
 
+#[path = "support/snapshot.rs"]
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
+use support::name;
 use sycamore_core::call::entry::{Arrival, AttemptEnd, Forward, Input, Output};
-use sycamore_core::call::{CallKey, Entry, Runs};
-use sycamore_core::config::{InForce, Preset, Snapshot};
-use sycamore_core::hash::Hash;
+use sycamore_core::call::{CallKey, Entry};
+use sycamore_core::config::Snapshot;
 use sycamore_core::place::Place;
-use sycamore_core::{Code, Name, Time};
+use sycamore_core::{Code, Time};
 
 const START: Time = Time(1_700_000_000_000_000);
 
 /// When a full target says to come back.
 const LATER: Duration = Duration::from_millis(300);
 
-fn name(text: &str) -> Name {
-    Name::new(text.to_owned()).unwrap()
-}
-
 /// A service of four targets, whose route allows two further gatekeepers to be asked.
 fn snapshot() -> Arc<Snapshot> {
-    let target = |vm: &str| {
-        format!(
-            r#"{{"vm":"{vm}","region":"r","zone":"z","gate":"127.0.0.1:1","peers":"127.0.0.1:9"}}"#
-        )
-    };
-    let targets = ["a", "b", "c", "d"].map(target).join(",");
-    let text = format!(
-        r#"{{"name":"p","services":{{"s":{{"targets":[{targets}]}}}},"routes":{{"r":{{
-        "path_prefix":"/","service":"s","idempotent":false,"once":"attempt","max_attempts":2,
-        "spare_forwards":2,"objective_ms":600,"deadline_ms":2000}}}}}}"#
-    );
-    let preset: Preset = serde_json::from_str(&text).unwrap();
-    let in_force = InForce { version: 1, preset: name("p"), digest: Hash::of(b"") };
-    Snapshot::new(in_force, &preset).unwrap()
+    let route = r#"{"path_prefix":"/","service":"s","idempotent":false,"once":"attempt",
+        "max_attempts":2,"spare_forwards":2,"objective_ms":600,"deadline_ms":2000}"#;
+    support::snapshot(1, &["a", "b", "c", "d"], "{}", &format!(r#"{{"r":{route}}}"#))
 }
 
 struct Driver {
@@ -60,16 +48,8 @@
     fn turned_away(&mut self) -> Vec<Forward> {
         self.next += 1;
         let call = CallKey(self.next);
-        let arrival = Arrival {
-            call,
-            host: "",
-            path: "/",
-            key: None,
-            time_left: Some(Duration::from_secs(2)),
-            depth: 0,
-            body_bytes: None,
-            own_runs: Runs::default(),
-        };
+        let arrival =
+            Arrival { time_left: Some(Duration::from_secs(2)), ..Arrival::new(call, "", "/") };
         let mut forwards = Vec::new();
         let mut output = self.input(Input::Arrive(arrival));
         while let Some(Output::Forward(forward)) = output {
--- a/core/tests/call_once_by_attempt.rs
+++ b/core/tests/call_once_by_attempt.rs
@@ -1,48 +1,43 @@
 //! Requests that run at most once and carry no key, split routes, and what an entry node tells.
 
+#[path = "support/snapshot.rs"]
+mod support;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use support::name;
 use sycamore_core::call::entry::{Arrival, AttemptEnd, Forward, Input, Output};
-use sycamore_core::call::{CallKey, Entry, Outcome, Runs};
-use sycamore_core::config::{InForce, Preset, Snapshot};
-use sycamore_core::hash::Hash;
+use sycamore_core::call::{CallKey, Entry, Outcome};
+use sycamore_core::config::Snapshot;
 use sycamore_core::place::Place;
 use sycamore_core::{Code, Name, Time};
 
 const START: Time = Time(1_700_000_000_000_000);
 
-fn name(text: &str) -> Name {
-    Name::new(text.to_owned()).unwrap()
-}
-
+/// Two services; every target names its run.
 fn snapshot() -> Arc<Snapshot> {
-    let target = |vm: &str| {
-        format!(
-            r#"{{"vm":"{vm}","region":"r","zone":"z","gate":"127.0.0.1:1","peers":"127.0.0.1:9",
-            "incarnation":"run-{vm}"}}"#
-        )
-    };
-    let service = |vms: [&str; 3]| {
-        let targets: Vec<String> = vms.iter().map(|vm| target(vm)).collect();
+    let service = |vms: &[&str]| {
+        let mut targets = support::targets(vms);
+        for vm in vms {
+            let named = format!(r#""vm":"{vm}","#);
+            targets = targets.replace(&named, &format!(r#"{named}"incarnation":"run-{vm}","#));
+        }
         let limits = r#"{"retry_budget_percent":100,"retry_reserve":1000}"#;
-        format!(r#"{{"limits":{limits},"targets":[{}]}}"#, targets.join(","))
+        format!(r#"{{"limits":{limits},"targets":{targets}}}"#)
     };
     let route = r#""service":"s","idempotent":false,"once":"attempt","max_attempts":2,
         "spare_forwards":2,"objective_ms":600"#;
-    let text = format!(
-        r#"{{"name":"p","services":{{"s":{},"t":{}}},"routes":{{
-        "sign":{{"host":"h.example","path_prefix":"/sign/",{route}}},
+    let services =
+        format!(r#"{{"s":{},"t":{}}}"#, service(&["a", "b", "c"]), service(&["d", "e", "f"]));
+    let routes = format!(
+        r#"{{"sign":{{"host":"h.example","path_prefix":"/sign/",{route}}},
         "look":{{"host":"h.example","path_prefix":"/look/","service":"s","idempotent":true,
             "max_attempts":2}},
         "part":{{"host":"h.example","path_prefix":"/part/",{route},
-            "split":[{{"service":"s","weight":9}},{{"service":"t","weight":1}}]}}}}}}"#,
-        service(["a", "b", "c"]),
-        service(["d", "e", "f"])
+            "split":[{{"service":"s","weight":9}},{{"service":"t","weight":1}}]}}}}"#
     );
-    let preset: Preset = serde_json::from_str(&text).unwrap();
-    let in_force = InForce { version: 1, preset: name("p"), digest: Hash::of(b"") };
-    Snapshot::new(in_force, &preset).unwrap()
+    support::version(1, &services, &routes)
 }
 
 struct Driver {
@@ -67,14 +62,8 @@
     fn arrive(&mut self, host: &str, path: &str) -> Option<Output> {
         self.next += 1;
         let arrival = Arrival {
-            call: CallKey(self.next),
-            host,
-            path,
-            key: None,
             time_left: Some(Duration::from_secs(4)),
-            depth: 0,
-            body_bytes: None,
-            own_runs: Runs::default(),
+            ..Arrival::new(CallKey(self.next), host, path)
         };
         self.input(Input::Arrive(arrival))
     }
@@ -210,14 +199,8 @@
     driver.sign();
     driver.next += 1;
     let arrival = Arrival {
-        call: CallKey(driver.next),
-        host: "h.example",
-        path: "/sign/1",
-        key: None,
         time_left: Some(Duration::from_millis(3_500)),
-        depth: 0,
-        body_bytes: None,
-        own_runs: Runs::default(),
+        ..Arrival::new(CallKey(driver.next), "h.example", "/sign/1")
     };
     let sent = forward(driver.input(Input::Arrive(arrival)));
     assert_eq!(sent.terms.objective, START + Duration::from_millis(100));
--- a/core/tests/call_quarantine_late.rs
+++ b/core/tests/call_quarantine_late.rs
@@ -1,27 +1,23 @@
 //! A request of death that is faster than what gatekeepers tell each other.
 
+#[path = "support/snapshot.rs"]
+mod support;
+
+use support::name;
+use sycamore_core::Time;
 use sycamore_core::call::gatekeeper::{Arrival, End, Input, Output};
 use sycamore_core::call::quarantine::MAX_CRASHES;
 use sycamore_core::call::{CallKey, Fingerprint, Gatekeeper};
-use sycamore_core::config::{InForce, Preset, Snapshot};
-use sycamore_core::hash::Hash;
-use sycamore_core::{Name, Time};
 
 const START: Time = Time(1_700_000_000_000_000);
-const BODY: &str = r#"{"name":"p","services":{"s":{"targets":[{"vm":"a","region":"r","zone":"z",
-"gate":"127.0.0.1:1","peers":"127.0.0.1:9"}]}},"routes":{"i":{"path_prefix":"/i","service":"s",
-"idempotent":true}}}"#;
-
 #[test]
 fn crashes_of_one_call_add_up() {
     // Story: a request crashes the first target, and its entry node sends it to a second within
     // two milliseconds, before the note of the first crash is there. The second target crashes
     // too. If its gatekeeper counts only what it has heard, the entry node is told of one crash,
     // and takes a third target down. Found by history_process, seed 29.
-    let name = |text: &'static str| Name::new(text).unwrap();
-    let preset: Preset = serde_json::from_str(BODY).unwrap();
-    let in_force = InForce { version: 1, preset: name("p"), digest: Hash::of(b"") };
-    let snapshot = Snapshot::new(in_force, &preset).unwrap();
+    let routes = r#"{"i":{"path_prefix":"/i","service":"s","idempotent":true}}"#;
+    let snapshot = support::snapshot(1, &["a"], "{}", routes);
     let mut gate = Gatekeeper::new(name("a"), START, 1);
     let mut out = Vec::new();
     gate.handle(START, Input::Configure(snapshot), &mut out);
--- a/core/tests/call_retries_nested.rs
+++ b/core/tests/call_retries_nested.rs
@@ -1,16 +1,19 @@
 //! Retries over a tree of calls: many entry nodes, one service that calls another.
 
+#[path = "support/snapshot.rs"]
+mod support;
+
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::sync::Arc;
 use std::time::Duration;
+use support::name;
 use sycamore_core::call::entry::{Arrival, AttemptEnd, Forward, Input, Output};
 use sycamore_core::call::runs::{RunCounts, RunKind};
 use sycamore_core::call::{CallKey, Entry, Runs, Terms};
-use sycamore_core::config::{Class, InForce, OnceBy, Preset, Snapshot};
-use sycamore_core::hash::Hash;
+use sycamore_core::config::{Class, OnceBy, Snapshot};
 use sycamore_core::place::Place;
-use sycamore_core::{Code, Name, Time};
+use sycamore_core::{Code, Time};
 
 const START: Time = Time(1_700_000_000_000_000);
 const DESKS: usize = 8;
@@ -26,22 +29,13 @@
 const STEP: Duration = Duration::from_millis(10);
 const WINDOW: usize = 1_000;
 
-fn name(text: &str) -> Name {
-    Name::new(text.to_owned()).unwrap()
-}
-
 fn snapshot() -> Arc<Snapshot> {
     let (percent, reserve) = STATED;
     let service = |kind: &str, count: usize| {
-        let target = |index| {
-            format!(
-                r#"{{"vm":"{kind}{index}","region":"r","zone":"z","gate":"127.0.0.1:1",
-                "peers":"127.0.0.1:9"}}"#
-            )
-        };
-        let targets: Vec<String> = (0..count).map(target).collect();
+        let vms: Vec<String> = (0..count).map(|index| format!("{kind}{index}")).collect();
+        let vms: Vec<&str> = vms.iter().map(String::as_str).collect();
         let limits = format!(r#"{{"retry_budget_percent":{percent},"retry_reserve":{reserve}}}"#);
-        format!(r#""{kind}":{{"limits":{limits},"targets":[{}]}}"#, targets.join(","))
+        format!(r#""{kind}":{{"limits":{limits},"targets":{}}}"#, support::targets(&vms))
     };
     let route = |service: &str, class: &str| {
         format!(
@@ -49,17 +43,12 @@
             "once":"attempt","class":"{class}","max_attempts":2,"spare_forwards":2}}"#
         )
     };
-    let text = format!(
-        r#"{{"name":"p","services":{{{},{}}},"routes":{{{},{},"sign":{{"path_prefix":"/sign",
-        "service":"desk","idempotent":false,"once":"attempt"}}}}}}"#,
-        service("desk", DESKS),
-        service("vault", VAULTS),
-        route("desk", "interactive"),
-        route("vault", "gating")
-    );
-    let preset: Preset = serde_json::from_str(&text).unwrap();
-    let in_force = InForce { version: 1, preset: name("p"), digest: Hash::of(b"") };
-    Snapshot::new(in_force, &preset).unwrap()
+    let services = format!("{{{},{}}}", service("desk", DESKS), service("vault", VAULTS));
+    let sign = r#""sign":{"path_prefix":"/sign","service":"desk","idempotent":false,
+        "once":"attempt"}"#;
+    let routes =
+        format!("{{{},{},{sign}}}", route("desk", "interactive"), route("vault", "gating"));
+    support::version(1, &services, &routes)
 }
 
 /// A run at a desk. One of a lookup makes one call and ends with it.
@@ -108,16 +97,7 @@
     fn arrive(&mut self, entry: usize, path: &str, own_runs: Runs) -> (CallKey, Option<Output>) {
         self.next += 1;
         let call = CallKey(self.next);
-        let arrival = Arrival {
-            call,
-            host: "",
-            path,
-            key: None,
-            time_left: None,
-            depth: 0,
-            body_bytes: None,
-            own_runs,
-        };
+        let arrival = Arrival { own_runs, ..Arrival::new(call, "", path) };
         let output = self.input(entry, Input::Arrive(arrival));
         (call, output)
     }
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -1,7 +1,7 @@
 //! The deciders of a node joined behind one entry point.
 
 use std::time::Duration;
-use sycamore_core::call::{CallKey, Runs, entry};
+use sycamore_core::call::{CallKey, entry};
 use sycamore_core::hash::Hash;
 use sycamore_core::node::{Input, Node, Output};
 use sycamore_core::place::Place;
@@ -52,16 +52,8 @@
 }
 
 fn arrive(node: &mut Node, now: Time) -> Vec<Output> {
-    let arrival = entry::Arrival {
-        host: "",
-        call: CallKey(1),
-        path: "/rosters/7",
-        key: None,
-        time_left: None,
-        depth: 0,
-        body_bytes: Some(0),
-        own_runs: Runs::default(),
-    };
+    let arrival =
+        entry::Arrival { body_bytes: Some(0), ..entry::Arrival::new(CallKey(1), "", "/rosters/7") };
     let mut out = Vec::new();
     node.handle(now, Input::Entry(entry::Input::Arrive(arrival)), &mut out);
     out
--- a/core/tests/support/snapshot.rs
+++ b/core/tests/support/snapshot.rs
@@ -1,4 +1,7 @@
-//! Versions of one service `s` for tests of the call path.
+//! Versions for tests of the call path.
+
+// Each test file that takes this in uses what it needs of it.
+#![allow(dead_code)]
 
 use std::sync::Arc;
 use sycamore_core::Name;
@@ -9,19 +12,31 @@
     Name::new(text.to_owned()).unwrap()
 }
 
-/// A version whose service has targets on these VMs; `limits` and `routes` are JSON maps.
-pub fn snapshot(version: u64, vms: &[&str], limits: &str, routes: &str) -> Arc<Snapshot> {
-    let target = |vm: &&str| {
+/// Targets as JSON, each given as `vm/region/zone`; region and zone may be left out.
+pub fn targets(texts: &[&str]) -> String {
+    let target = |text: &&str| {
+        let mut parts = text.split('/');
+        let vm = parts.next().unwrap();
+        let (region, zone) = (parts.next().unwrap_or("r"), parts.next().unwrap_or("z"));
         format!(
-            r#"{{"vm":"{vm}","region":"r","zone":"z","gate":"127.0.0.1:1","peers":"127.0.0.1:9"}}"#
+            r#"{{"vm":"{vm}","region":"{region}","zone":"{zone}","gate":"127.0.0.1:1",
+            "peers":"127.0.0.1:9"}}"#
         )
     };
-    let targets: Vec<String> = vms.iter().map(target).collect();
-    let text = format!(
-        r#"{{"name":"p","services":{{"s":{{"limits":{limits},"targets":[{}]}}}},"routes":{routes}}}"#,
-        targets.join(",")
-    );
+    let targets: Vec<String> = texts.iter().map(target).collect();
+    format!("[{}]", targets.join(","))
+}
+
+/// A version with these services and routes, as JSON maps.
+pub fn version(version: u64, services: &str, routes: &str) -> Arc<Snapshot> {
+    let text = format!(r#"{{"name":"p","services":{services},"routes":{routes}}}"#);
     let preset: Preset = serde_json::from_str(&text).unwrap();
     let in_force = InForce { version, preset: name("p"), digest: Hash::of(b"") };
     Snapshot::new(in_force, &preset).unwrap()
 }
+
+/// A version of one service `s` with these targets; `limits` and `routes` are JSON maps.
+pub fn snapshot(number: u64, texts: &[&str], limits: &str, routes: &str) -> Arc<Snapshot> {
+    let targets = targets(texts);
+    version(number, &format!(r#"{{"s":{{"limits":{limits},"targets":{targets}}}}}"#), routes)
+}
