--- /dev/null
+++ b/core/tests/support/store_fleet.rs
@@ -0,0 +1,290 @@
+//! Nodes that follow a store and talk to each other, in one thread, with time that a test lets pass.
+
+// Each test file that takes this in uses what it needs of it.
+#![allow(dead_code)]
+
+use std::collections::VecDeque;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+use sycamore_core::config::{Preset, Snapshot};
+use sycamore_core::discovery::{
+    Call, Change, Config, Discovery, Input, Output, Publication, ReadError, Reply, Request,
+    TargetEntry, TargetState,
+};
+use sycamore_core::place::Place;
+use sycamore_core::spread::{Peer, PeerMsg};
+use sycamore_core::{Code, Name, Time};
+
+pub const START: Time = Time(1_700_000_000_000_000);
+
+/// Time of a message, or of a call that the store answers at once.
+const WAY: Duration = Duration::from_millis(2);
+
+/// Ports of every node's peers and gatekeeper, and of its target.
+const PEERS: u16 = 7;
+const GATE: u16 = 5;
+const TARGET: u16 = 80;
+
+pub fn name(text: impl Into<String>) -> Name {
+    Name::new(text.into()).unwrap()
+}
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn address(node: usize, port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, node as u8 + 1], port))
+}
+
+fn node_at(address: SocketAddr) -> usize {
+    match address.ip() {
+        IpAddr::V4(ip) => usize::from(ip.octets()[3]) - 1,
+        other => panic!("{other}"),
+    }
+}
+
+/// Address of the gatekeeper on a node.
+pub fn gate(node: usize) -> SocketAddr {
+    address(node, GATE)
+}
+
+/// The settings of a node without seeds on a wide link.
+pub fn config(node: usize, place: Place) -> Config {
+    Config {
+        place,
+        address: address(node, PEERS),
+        link_kbps: None,
+        seeds: Vec::new(),
+        gate_port: GATE,
+        peers_port: PEERS,
+    }
+}
+
+/// Addresses of these nodes as seeds.
+pub fn seeds(nodes: std::ops::Range<usize>) -> Vec<SocketAddr> {
+    nodes.map(|node| address(node, PEERS)).collect()
+}
+
+/// The entry that the target beside a node writes.
+pub fn entry(node: usize, place: Place, state: TargetState, sequence: u64) -> Change {
+    let entry = TargetEntry {
+        service: name("s"),
+        address: address(node, TARGET),
+        place,
+        slots: 11,
+        state,
+        started_ms: 1_000 + node as u64,
+        sequence,
+    };
+    Change::Target { id: name(format!("t{node}")), entry: Some(entry) }
+}
+
+/// A version with so many routes.
+pub fn version(version: u64, routes: usize) -> Change {
+    let route =
+        |at| format!(r#""r{at}":{{"path_prefix":"/r{at}/","service":"s","idempotent":true}},"#);
+    let routes: String = (0..routes).map(route).collect();
+    let text = format!(
+        r#"{{"name":"p","services":{{"s":{{"targets":[]}}}},"routes":{{{routes}
+        "v":{{"path_prefix":"/v{version}/","service":"s","idempotent":true}}}}}}"#
+    );
+    let preset: Preset = serde_json::from_str(&text).unwrap();
+    Change::Published(Ok(Arc::new(Publication::new(version, preset))))
+}
+
+/// What the store holds: every change in order; its revision is their number.
+#[derive(Default)]
+pub struct Store {
+    pub changes: Vec<Change>,
+    pub calls: usize,
+}
+
+impl Store {
+    fn changes_since(&self, revision: u64) -> Reply {
+        let changes = self.changes[revision as usize..].to_vec();
+        Reply { revision: self.changes.len() as u64, changes, next: None }
+    }
+}
+
+pub struct Node {
+    pub discovery: Discovery,
+    pub up: bool,
+    /// The store does not answer it.
+    pub cut: bool,
+    /// The call under way, and since when.
+    pub call: Option<(Call, Time)>,
+    /// When it last made a call.
+    pub called: Time,
+    pub wake: Option<Time>,
+    pub snapshot: Option<Arc<Snapshot>>,
+    // Counts the starts: what was sent to the process before does not reach the next.
+    life: u32,
+}
+
+struct Message {
+    due: Time,
+    from: usize,
+    to: usize,
+    life: u32,
+    msg: PeerMsg,
+}
+
+/// The nodes, their store and what is under way between them.
+pub struct Fleet {
+    pub now: Time,
+    pub store: Store,
+    pub nodes: Vec<Node>,
+    /// Drops every message until then.
+    pub deaf_until: Time,
+    /// Bytes of the largest difference sent.
+    pub largest: usize,
+    /// Messages sent.
+    pub sent: usize,
+    config: fn(usize) -> Config,
+    step: Duration,
+    seed: u64,
+    messages: VecDeque<Message>,
+}
+
+impl Fleet {
+    /// So many nodes with these settings, not started yet; time passes in such steps.
+    pub fn new(nodes: usize, config: fn(usize) -> Config, step: Duration, seed: u64) -> Fleet {
+        let mut fleet = Fleet {
+            now: START,
+            store: Store::default(),
+            nodes: Vec::new(),
+            deaf_until: START,
+            largest: 0,
+            sent: 0,
+            config,
+            step,
+            seed,
+            messages: VecDeque::new(),
+        };
+        fleet.nodes = (0..nodes).map(|node| fleet.new_node(node, 0)).collect();
+        fleet
+    }
+
+    fn new_node(&mut self, node: usize, life: u32) -> Node {
+        self.seed += 1;
+        Node {
+            discovery: Discovery::new((self.config)(node), self.seed),
+            up: true,
+            cut: false,
+            call: None,
+            called: START,
+            wake: None,
+            snapshot: None,
+            life,
+        }
+    }
+
+    pub fn input(&mut self, node: usize, input: Input) {
+        if !self.nodes[node].up {
+            return;
+        }
+        let mut out = Vec::new();
+        self.nodes[node].wake = None;
+        self.nodes[node].discovery.handle(self.now, input, &mut out);
+        for output in out {
+            self.carry_out(node, output);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, output: Output) {
+        match output {
+            Output::Read(call) => {
+                self.store.calls += 1;
+                self.nodes[node].call = Some((call, self.now));
+                self.nodes[node].called = self.now;
+            }
+            Output::Send { to, msg, .. } => {
+                if let PeerMsg::Delta(delta) = &msg {
+                    let size = delta.changed.iter().map(|(_, body)| body.len()).sum();
+                    self.largest = self.largest.max(size);
+                }
+                self.sent += 1;
+                let (to, due) = (node_at(to), self.now + WAY);
+                let life = self.nodes[to].life;
+                self.messages.push_back(Message { due, from: node, to, life, msg });
+            }
+            Output::InForce(snapshot) => self.nodes[node].snapshot = Some(snapshot),
+            Output::WakeAt(at) => self.nodes[node].wake = Some(at),
+            _ => {}
+        }
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    /// Lets one step of time pass.
+    pub fn step(&mut self) {
+        self.now = self.now + self.step;
+        while self.messages.front().is_some_and(|message| message.due <= self.now) {
+            let Message { from, to, life, msg, .. } = self.messages.pop_front().unwrap();
+            if self.now >= self.deaf_until && self.nodes[to].life == life {
+                let cfg = (self.config)(from);
+                let (vm, address) = (name(format!("t{from}")), cfg.address);
+                let from = Peer { vm, place: cfg.place, address };
+                self.input(to, Input::Peer { from, msg });
+            }
+        }
+        for node in 0..self.nodes.len() {
+            self.answer(node);
+            if self.nodes[node].wake.is_some_and(|wake| wake <= self.now) {
+                self.input(node, Input::Wake);
+            }
+        }
+    }
+
+    /// Ends the node's call to the store, if it is answered or has passed its time-out now.
+    fn answer(&mut self, node: usize) {
+        let Some((call, since)) = self.nodes[node].call.clone() else {
+            return;
+        };
+        let late = self.now >= since + call.timeout;
+        let reply = match call.request {
+            Request::List { .. } => Some(self.store.changes_since(0)),
+            Request::Watch { revision, wait } => {
+                let reply = self.store.changes_since(revision);
+                let over = self.now >= since + wait;
+                (over || !reply.changes.is_empty()).then_some(reply)
+            }
+        };
+        let reply = reply.filter(|_| self.now >= since + WAY && !self.nodes[node].cut);
+        let result = match reply {
+            Some(reply) => Ok(reply),
+            None if late => Err(ReadError::Failed(Code::SourceUnreachable)),
+            None => return,
+        };
+        self.nodes[node].call = None;
+        self.input(node, Input::Reply { id: call.id, result });
+    }
+
+    /// A process ends.
+    pub fn stop(&mut self, node: usize) {
+        let ended = &mut self.nodes[node];
+        (ended.up, ended.call, ended.wake, ended.snapshot) = (false, None, None, None);
+    }
+
+    /// Another process of the same VM starts, and can reach the store unless it is cut.
+    pub fn start(&mut self, node: usize) {
+        let life = self.nodes[node].life + 1;
+        let cut = self.nodes[node].cut;
+        let started = self.new_node(node, life);
+        self.nodes[node] = Node { cut, ..started };
+        self.input(node, Input::Start);
+    }
+
+    /// The store answers nobody, or everybody again.
+    pub fn set_silent(&mut self, silent: bool) {
+        self.nodes.iter_mut().for_each(|node| node.cut = silent);
+    }
+}
