A process that returns merges what several survivors know of the targets

Cause, found by reading: the rule that a target known to be leaving stays so could not come into play, since an offer of the version that is held was passed over; no test failed without it. Whoever had learned from a survivor that had not heard of the leaving sent callers to that target. Change: an offer of the same version with other targets is taken up once. Seen failing: without the merge, not asked; without the rule, left: [a, b], right: [a]; asked again and again without the memory of digests; without the store's precedence left: [gone, a], right: [a].

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -47,6 +47,7 @@
 use rand_pcg::Pcg64Mcg;
 use rejoin::Rejoin;
 use relay::{Outgoing, Relay};
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -345,9 +346,17 @@
     /// that has not read the store since its start takes anything from an offer, never an older
     /// version, and what the store says goes before it all.
     fn take_offer(&mut self, now: Time, from: &Peer, summary: &Summary, out: &mut Vec<Output>) {
+        if self.follow.has_listed() {
+            return;
+        }
         let known = self.published.as_ref().map_or(0, |held| held.version);
-        let lacks = !self.follow.has_listed() && summary.in_force.version > known;
-        if lacks && self.offers.may_ask(now) {
+        let same = self.held.as_ref().is_some_and(|held| held.digest == summary.whole);
+        let ask = match summary.in_force.version.cmp(&known) {
+            Ordering::Greater => self.offers.may_ask(now, summary.whole),
+            Ordering::Equal => !same && self.offers.may_merge(now, summary.whole),
+            Ordering::Less => false,
+        };
+        if ask {
             let link = self.cfg.place.link_to(&from.place);
             let msg = rejoin::question(self.published.as_ref().map(|held| held.version));
             out.push(Output::Send { to: from.address, link, msg });
--- a/core/src/discovery/offer.rs
+++ b/core/src/discovery/offer.rs
@@ -13,8 +13,9 @@
 use super::view::View;
 use crate::Time;
 use crate::config::Target;
+use crate::hash::Hash;
 use crate::place::Link;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::RngExt;
 use rand::seq::SliceRandom;
 use rand_pcg::Pcg64Mcg;
@@ -45,12 +46,20 @@
     // Whether any peer may lack what is held, since the store does not answer.
     wide: bool,
     ask_at: Time,
+    // What has been asked for, by its digest.
+    asked: IndexSet<Hash>,
 }
 
 impl Offers {
     /// Offers nothing.
     pub fn new() -> Offers {
-        Offers { lost: IndexMap::new(), next: Time::ZERO, wide: false, ask_at: Time::ZERO }
+        Offers {
+            lost: IndexMap::new(),
+            next: Time::ZERO,
+            wide: false,
+            ask_at: Time::ZERO,
+            asked: IndexSet::new(),
+        }
     }
 
     /// A peer's process could not be reached, or its connection broke.
@@ -108,12 +117,22 @@
         chosen.into_iter().map(|(address, target)| (address, link(target))).collect()
     }
 
-    /// Whether to ask the peer whose offer has just come. Several offer at once; one is asked.
-    pub fn may_ask(&mut self, now: Time) -> bool {
+    /// Whether to ask a peer that offers a newer version. Several offer at once; one is asked.
+    pub fn may_ask(&mut self, now: Time, digest: Hash) -> bool {
         let may = now >= self.ask_at;
         if may {
             self.ask_at = now + ASK_PAUSE;
+            self.asked.insert(digest);
         }
         may
     }
+
+    /// Whether to ask a peer that offers the same version with other targets.
+    ///
+    /// Guards against a target that one peer knows to be leaving and another does not: what is
+    /// merged from both knows it. Each such state is asked for once, since what comes out of
+    /// merging differs from all of them.
+    pub fn may_merge(&mut self, now: Time, digest: Hash) -> bool {
+        !self.asked.contains(&digest) && self.may_ask(now, digest)
+    }
 }
--- a/core/tests/discovery.rs
+++ b/core/tests/discovery.rs
@@ -9,6 +9,7 @@
     TargetEntry, TargetState,
 };
 use sycamore_core::place::Place;
+use sycamore_core::spread::message::Pull;
 use sycamore_core::spread::{Peer, PeerMsg};
 use sycamore_core::{Code, Name, Time};
 
@@ -389,3 +390,62 @@
     node.pass(ms(5_000));
     assert!(node.sent.is_empty());
 }
+
+/// A peer's offer of what it holds, and its answer when it is asked for it.
+fn offer(peer: &mut Node, ip: u8) -> (Peer, PeerMsg, PeerMsg) {
+    let address = format!("10.0.0.{ip}:7").parse().unwrap();
+    let from = Peer { vm: name(&format!("n{ip}")), place: place(), address };
+    peer.outage(ms(7_000));
+    let offer = peer.sent.iter().find(|(_, msg)| matches!(msg, PeerMsg::Notice(_)));
+    let offer = offer.expect("it offers what it holds").1.clone();
+    peer.sent.clear();
+    let pull = Pull { version: 0, base: None, scope: None };
+    peer.input(Input::Peer { from: from.clone(), msg: PeerMsg::Pull(Box::new(pull)) });
+    let answer = peer.sent.iter().find(|(_, msg)| matches!(msg, PeerMsg::Delta(_)));
+    (from, offer, answer.expect("it answers").1.clone())
+}
+
+#[test]
+fn rejoin_leaving_known_to_one_peer() {
+    // Story: a target reports that it leaves, and one of two survivors has not heard of it. Callers
+    // of a process that has learned from that one are sent to a target that is about to end.
+    let draining = entry("10.0.0.3:80", TargetState::Draining, 1_000, 5);
+    let mut behind = Node::with_targets(vec![ready("a", 2), ready("b", 3)]);
+    let mut knowing = Node::with_targets(vec![ready("a", 2), target("b", draining)]);
+    let (first, first_offer, first_answer) = offer(&mut behind, 21);
+    let (second, second_offer, second_answer) = offer(&mut knowing, 22);
+    let mut node = Node::new();
+    node.outage(ms(500));
+    node.sent.clear();
+    let asked = |node: &Node, peer: &Peer| {
+        let pull =
+            |(to, msg): &(_, PeerMsg)| *to == peer.address && matches!(msg, PeerMsg::Pull(_));
+        node.sent.iter().any(pull)
+    };
+    node.input(Input::Peer { from: first.clone(), msg: first_offer.clone() });
+    assert!(asked(&node, &first));
+    node.input(Input::Peer { from: first.clone(), msg: first_answer.clone() });
+    assert_eq!(node.targets(), ["a", "b"]);
+    node.outage(ms(500));
+    node.input(Input::Peer { from: second.clone(), msg: second_offer });
+    assert!(asked(&node, &second), "the same version with other targets");
+    node.input(Input::Peer { from: second, msg: second_answer });
+    assert_eq!(node.targets(), ["a"]);
+    // What it has had already is not asked for again, and changes nothing if it comes.
+    node.outage(ms(500));
+    node.sent.clear();
+    node.input(Input::Peer { from: first.clone(), msg: first_offer });
+    assert!(!asked(&node, &first));
+    node.input(Input::Peer { from: first, msg: first_answer });
+    assert_eq!(node.targets(), ["a"]);
+}
+
+#[test]
+fn rejoin_store_goes_before_peers() {
+    // An answer of a peer that comes after the store's list changes no target.
+    let mut peer = Node::with_targets(vec![ready("a", 2), ready("gone", 3)]);
+    let (from, _, answer) = offer(&mut peer, 21);
+    let mut node = Node::with_targets(vec![ready("a", 2)]);
+    node.input(Input::Peer { from, msg: answer });
+    assert_eq!(node.targets(), ["a"]);
+}
