--- a/node/tests/calls_path.rs
+++ b/node/tests/calls_path.rs
@@ -86,6 +86,19 @@
     }
 }
 
+#[test]
+fn path_chunked_keeps_connection() {
+    // Story: a target sends its answers without a length. None of them counts as whole at its end,
+    // so that the connection is closed after each, and the target spends its time on new ones.
+    let (target, node) = single("{}");
+    for _ in 0..5 {
+        let answer = call(node.entry, &get("/idem/chunks-whole"));
+        assert_eq!((answer.whole, answer.text()), (true, "whole".to_owned()));
+        eventually("the slot is free", || node.shared.metrics.in_flight.get() == 0);
+    }
+    assert_eq!(target.connections(), 1);
+}
+
 #[test]
 fn path_paced_whole() {
     // Story: a ledger leaves a VM with a narrow link in pieces, with waits between them. Its reader
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -131,6 +131,11 @@
             stream.write_all(b"0\r\nx-sum: 1\r\n\r\n").ok()?;
             return Some(());
         }
+        if path.contains("/chunks-whole") {
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            stream.write_all(format!("{head}5\r\nwhole\r\n0\r\n\r\n").as_bytes()).ok()?;
+            return Some(());
+        }
         if path.contains("/chunks-cut") {
             let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
             stream.write_all(format!("{head}4\r\nhalf\r\n").as_bytes()).ok()?;
