Lab tests fail when the policy that they are about is off

The surplus, the shift, the lost zone and the grey targets passed with those policies off: the mesh was filled to a fifth only, and every request was in time either way.

--- a/bench/tests/lab.rs
+++ b/bench/tests/lab.rs
@@ -17,9 +17,9 @@
         "west-1": {"region": "west", "callers": 1}, "west-2": {"region": "west", "callers": 1}
     },
     "services": {
-        "desk": {"slots": 8, "targets": {"east-1": 2, "east-2": 2, "mid-1": 2, "mid-2": 2,
+        "desk": {"slots": 4, "targets": {"east-1": 2, "east-2": 2, "mid-1": 2, "mid-2": 2,
             "west-1": 2, "west-2": 2}},
-        "vault": {"slots": 8, "targets": {"east-1": 1, "east-2": 1, "mid-1": 1, "mid-2": 1,
+        "vault": {"slots": 4, "targets": {"east-1": 1, "east-2": 1, "mid-1": 1, "mid-2": 1,
             "west-1": 1, "west-2": 1}}
     },
     "kinds": {
@@ -27,6 +27,10 @@
             "rank": 2, "work_ms": 60, "spread": 0.4, "answer_bytes": 1500, "objective_ms": 300,
             "deadline_ms": 2000, "timeout_ms": 1000, "caller_retries": 2, "worth": 1,
             "late_worth": 0.3, "calls": [{"kind": "tariff", "times": 1, "share": 0.5}]},
+        "signing": {"service": "desk", "per_s": 50, "idempotent": false, "class": "interactive",
+            "rank": 1, "work_ms": 70, "spread": 0.4, "answer_bytes": 1500, "objective_ms": 300,
+            "deadline_ms": 2000, "timeout_ms": 1000, "caller_retries": 2, "worth": 2,
+            "late_worth": 0.6},
         "pack": {"service": "vault", "per_s": 30, "idempotent": true, "class": "bulk", "rank": 2,
             "work_ms": 40, "spread": 0.4, "answer_bytes": 90000, "objective_ms": 300,
             "deadline_ms": 2000, "timeout_ms": 2000, "caller_retries": 2, "worth": 1,
@@ -74,58 +78,97 @@
     }
 }
 
+/// Nothing leaves its zone while that has a target, whatever waits there.
+fn never_leaves() -> Policy {
+    let far = 1_000_000;
+    let policy = Policy::new().with_off(Part::FullKnown);
+    let policy = policy.with_value("region-percent", far).unwrap();
+    policy.with_value("across-percent", far).unwrap()
+}
+
 #[test]
 fn placing_surplus_leaves_one_way() {
-    // Story: a zone gets seven times its callers for some seconds. What it can't take goes to its
-    // neighbours, and nothing comes back the other way.
-    let burst = r#"{"at_s": 3, "for_s": 8, "what": "burst", "factor": 7, "zone": "east-1"}"#;
-    for run in play(with_troubles(burst), Policy::new()) {
-        assert!(run.total().in_time_share() > 0.9, "{:?}", run.total());
-        // Answers travel towards the callers of the zone that has too many.
+    // Story: a zone gets four times its callers for some seconds. What it can't take goes to its
+    // neighbours, and hardly anything goes the other way.
+    let burst = r#"{"at_s": 3, "for_s": 8, "what": "burst", "factor": 4, "zone": "east-1"}"#;
+    let runs = play(with_troubles(burst), Policy::new());
+    assert!(in_time(&runs, 4, 11) > 0.95, "{}", in_time(&runs, 4, 11));
+    for run in &runs {
+        // Answers travel towards the callers of the zone that has too many; their requests, a
+        // quarter of the size, travel back.
         let to: u64 = (1..6).map(|zone| run.bytes[zone][0]).sum();
-        let between_others: u64 = (1..6)
-            .flat_map(|a| (1..6).filter(move |b| a != *b).map(move |b| (a, b)))
-            .map(|(a, b)| run.bytes[a][b])
-            .sum();
-        assert!(between_others < to, "{between_others} beside {to}");
+        let back: u64 = (1..6).map(|zone| run.bytes[0][zone]).sum();
+        assert!(back * 3 < to, "{back} beside {to}");
     }
+    let without = play(with_troubles(burst), never_leaves());
+    assert!(in_time(&without, 4, 11) < 0.9, "the burst does not fill the zone");
 }
 
 #[test]
 fn placing_shift_ends_as_it_began() {
-    // Callers move to another zone and back: before and after nothing crosses, and while they are
-    // away they are served.
-    let shift = r#"{"at_s": 4, "for_s": 4, "what": "shift", "from": "mid-1", "to": "west-1", "share": 0.9}"#;
-    let runs = play(with_troubles(shift), Policy::new());
-    assert!(in_time(&runs, 4, 8) > 0.95, "{}", in_time(&runs, 4, 8));
-    assert!(in_time(&runs, 9, 12) > 0.98, "{}", in_time(&runs, 9, 12));
+    // Story: the callers of five zones move to the sixth, and back. They are served where they are
+    // meanwhile, by targets of other zones too, and after it nothing crosses any more.
+    let zones = ["east-1", "east-2", "mid-1", "mid-2", "west-2"];
+    let shift = |from: &str| {
+        format!(
+            r#"{{"at_s": 3, "for_s": 4, "what": "shift", "from": "{from}", "to": "west-1",
+            "share": 0.9}}"#
+        )
+    };
+    let shifts = zones.map(shift).join(",");
+    let runs = play(with_troubles(&shifts), Policy::new());
+    assert!(in_time(&runs, 4, 7) > 0.9, "{}", in_time(&runs, 4, 7));
+    assert!(in_time(&runs, 8, 12) > 0.98, "{}", in_time(&runs, 8, 12));
+    let without = play(with_troubles(&shifts), never_leaves());
+    assert!(in_time(&without, 4, 7) < 0.8, "the shift does not fill the zone");
 }
 
 #[test]
-fn placing_lost_zone_is_served_by_others() {
-    let lost = r#"{"at_s": 4, "for_s": 4, "what": "lost", "zone": "mid-1", "share": 1.0}"#;
-    let runs = play(with_troubles(lost), Policy::new());
-    assert!(in_time(&runs, 5, 8) > 0.93, "{}", in_time(&runs, 5, 8));
-    assert!(in_time(&runs, 10, 12) > 0.97, "{}", in_time(&runs, 10, 12));
+fn placing_zone_without_targets() {
+    // A zone has callers and no desk; the other zone of its region has twice as many. That serves
+    // them, and nobody else's requests leave.
+    let scenario = EVEN.replace(r#""mid-1": 2, "mid-2": 2,"#, r#""mid-2": 4,"#);
+    let runs = play(Scenario::parse(scenario.as_bytes()).unwrap(), Policy::new());
+    assert!(in_time(&runs, 2, 12) > 0.98, "{}", in_time(&runs, 2, 12));
+    for run in &runs {
+        // mid-1 and mid-2 are the third and the fourth zone.
+        let served = run.bytes[3][2];
+        assert!(run.crossed.0 + run.crossed.1 < served * 2, "{:?} beside {served}", run.crossed);
+        assert!(run.crossed.1 * 20 < served, "{:?} beside {served}", run.crossed);
+    }
 }
 
 #[test]
-fn placing_grey_and_slow_targets_are_left() {
-    // Story: a target in four answers eight times slower, and later one fails half of its
-    // requests while its health check is good. Its zone's callers must not stay with it.
-    let troubles = r#"
-        {"at_s": 3, "for_s": 4, "what": "slow", "service": "desk", "share": 0.25, "factor": 8.0},
-        {"at_s": 8, "for_s": 3, "what": "grey", "service": "desk", "share": 0.25, "errors": 0.5}"#;
-    let runs = play(with_troubles(troubles), Policy::new());
-    assert!(in_time(&runs, 4, 7) > 0.9, "{}", in_time(&runs, 4, 7));
-    assert!(in_time(&runs, 9, 11) > 0.9, "{}", in_time(&runs, 9, 11));
+fn placing_slow_targets_are_left() {
+    // Story: a target in four answers eight times slower. Its zone's callers stay with it.
+    let slow = r#"
+        {"at_s": 3, "for_s": 8, "what": "slow", "service": "desk", "share": 0.25, "factor": 8.0}"#;
+    let scenario = with_troubles(slow);
+    let without = play(scenario.clone(), Policy::new().with_off(Part::AnswerTimes));
+    let with = play(scenario, Policy::new());
+    assert!(in_time(&with, 4, 11) > 0.95, "{}", in_time(&with, 4, 11));
+    let gain = Estimate::paired(Figure::InTime, &without, &with);
+    assert!(gain.mean > 0.0 && gain.tells(), "{gain:?}");
+}
+
+#[test]
+fn placing_grey_targets_are_left() {
+    // Story: a target in four fails half of its requests while its health check is good. Signings
+    // that it has failed can't be sent again.
+    let grey = r#"
+        {"at_s": 3, "for_s": 8, "what": "grey", "service": "desk", "share": 0.25, "errors": 0.5}"#;
+    let scenario = with_troubles(grey);
+    let without = play(scenario.clone(), Policy::new().with_off(Part::FailureShare));
+    let with = play(scenario, Policy::new());
+    let gain = Estimate::paired(Figure::Worth, &without, &with);
+    assert!(gain.mean > 0.0 && gain.tells(), "{gain:?}");
 }
 
 #[test]
 fn overload_short_queues_answer_more_in_time() {
     // Story: callers ask for a third more than all targets can run. Those that can't be in time
     // any more hold slots for half a second each, so that the next ones are late as well.
-    let burst = r#"{"at_s": 3, "for_s": 9, "what": "burst", "factor": 7.5}"#;
+    let burst = r#"{"at_s": 3, "for_s": 9, "what": "burst", "factor": 3.1}"#;
     let scenario = with_troubles(burst);
     let before =
         play(scenario.clone(), Policy::new().with_value("late-wait-percent", 700).unwrap());
@@ -136,7 +179,7 @@
 
 #[test]
 fn overload_in_time_first() {
-    let burst = r#"{"at_s": 3, "for_s": 9, "what": "burst", "factor": 7.5}"#;
+    let burst = r#"{"at_s": 3, "for_s": 9, "what": "burst", "factor": 3.1}"#;
     let scenario = with_troubles(burst);
     let before = play(scenario.clone(), Policy::new().with_off(Part::InTimeFirst));
     let after = play(scenario, Policy::new());
@@ -174,7 +217,7 @@
     for (from, to, place) in [
         (r#""service": "desk", "per_s""#, r#""service": "deks", "per_s""#, "kinds.lookup.service"),
         (
-            r#""slots": 8, "targets": {"east-1": 2"#,
+            r#""slots": 4, "targets": {"east-1": 2"#,
             r#""slots": 0, "targets": {"east-1": 2"#,
             "services.desk.slots",
         ),
