--- a/tools/src/timeline/config.rs
+++ b/tools/src/timeline/config.rs
@@ -10,6 +10,10 @@
 /// Pause between two polls unless `--interval-ms` says otherwise.
 const DEFAULT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Options that say nothing about the story of one request, which is text from files.
+const NOT_FOR_REQUEST: [&str; 8] =
+    ["save", "follow", "interval-ms", "format", "output", "title", "timeout-ms", "concurrency"];
+
 /// Where events come from and what is drawn of them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Config {
@@ -64,8 +68,8 @@
         let fleet = Fleet::parse(matches)?;
         let files: Vec<_> = matches.free.iter().map(PathBuf::from).collect();
         let save = matches.opt_str("save").map(PathBuf::from);
-        if matches.opt_present("request") && files.is_empty() {
-            return Err(usage("--request needs the nodes' log files"));
+        if matches.opt_present("request") {
+            check_request(matches, &fleet)?;
         }
         if fleet.is_empty() && files.is_empty() && save.is_none() {
             return Err(usage("a file, --save, --vms, --node or --platform is required"));
@@ -89,3 +93,17 @@
         })
     }
 }
+
+/// Refuses options that would be passed over in silence.
+fn check_request(matches: &Matches, fleet: &Fleet) -> Result<()> {
+    if matches.free.is_empty() {
+        return Err(usage("--request needs the nodes' log files"));
+    }
+    if !fleet.is_empty() {
+        return Err(usage("--request reads log files only, no --vms, --node or --platform"));
+    }
+    match NOT_FOR_REQUEST.iter().find(|option| matches.opt_present(option)) {
+        Some(option) => Err(usage(format!("--{option} has no effect beside --request"))),
+        None => Ok(()),
+    }
+}
--- a/tools/src/timeline/request.rs
+++ b/tools/src/timeline/request.rs
@@ -3,12 +3,13 @@
 
 mod cause;
 
+use crate::command_line::output_failed;
 use crate::input;
 use cause::cause;
 use serde::Deserialize;
 use std::io::Write;
 use std::path::{Path, PathBuf};
-use sycamore_core::{Code, Fault, Result};
+use sycamore_core::{Code, Result};
 use sycamore_node::calls::trace::Step;
 
 /// A log line about a request (docs/OPERATIONS.md). Fields that are not named here are passed over.
@@ -69,7 +70,7 @@
 /// Writes the story of a request and its cause. Returns whether any line told of it.
 pub fn run(request: &str, files: &[PathBuf], out: &mut dyn Write) -> Result<bool> {
     let lines = read(request, files)?;
-    let failed = |e| Fault::new(Code::OutputFailed).with_place("standard output").with_detail(e);
+    let failed = |e| output_failed(e).with_place("standard output");
     if lines.is_empty() {
         writeln!(out, "no line about {request}").map_err(failed)?;
         return Ok(false);
--- a/tools/tests/operators/request.rs
+++ b/tools/tests/operators/request.rs
@@ -68,3 +68,16 @@
     let run = tool::run(env!("CARGO_BIN_EXE_sycamore-timeline"), &["--request", "x"]);
     assert!(run.stderr.contains("log files"), "{}", run.stderr);
 }
+
+#[test]
+fn request_options_without_effect_are_refused() {
+    // Story: an operator asks for the story as JSON into a file. The options were passed over: text
+    // came out on the terminal, the file stayed away, and the exit code said that all was well.
+    for (option, value) in [("--format", "json"), ("--output", "story"), ("--node", "127.0.0.1:1")]
+    {
+        let args = ["--request", "r1", "nodes.log", option, value];
+        let run = tool::run(env!("CARGO_BIN_EXE_sycamore-timeline"), &args);
+        assert_eq!(run.code, Some(2), "{}", run.stderr);
+        assert!(run.stderr.contains(option), "{}", run.stderr);
+    }
+}
