One word for one thing: the nearest tier, beside the homes of keys

The balancer called the nearest targets home, a word that the glossary gives to the target that may run a key. Leftovers: an import within a function, a counter that was written to and dropped, a place made from a path.

--- a/bench/src/bin/sycamore-lab.rs
+++ b/bench/src/bin/sycamore-lab.rs
@@ -1,7 +1,7 @@
 //! Plays modelled load over the call path's deciders, and says what each mechanism is worth.
 
 use getopts::{Matches, Options};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use sycamore_bench::lab::report::{self, Report};
 use sycamore_bench::lab::trial::{self, Trial};
@@ -187,7 +187,5 @@
 }
 
 fn usage(detail: impl std::fmt::Display) -> Fault {
-    Fault::new(Code::UsageInvalid)
-        .with_place(Path::new("command line").display())
-        .with_detail(detail)
+    Fault::new(Code::UsageInvalid).with_place("command line").with_detail(detail)
 }
--- a/bench/src/lab/bound.rs
+++ b/bench/src/lab/bound.rs
@@ -1,9 +1,9 @@
 //! The smallest traffic between zones that a load allows, by capacity alone.
 //!
-//! Work that a zone's own targets can't take must go to others. Which zone sends how much where,
-//! so that the fewest bytes cross, is a transport problem; it is solved by shortest paths, one
-//! service at a time, nearest first. The share of slots that a scenario can fill at best bounds
-//! the goodput in the same way.
+//! Work that a zone's own targets can't take must go to others. Only how much leaves is counted,
+//! not how far within a region or between regions, so that any order of moving it gives the same
+//! sum, and zones of one region that help each other first give the least between regions. The
+//! share of slots that a scenario can fill at best bounds the goodput in the same way.
 
 use super::scenario::{Kind, Scenario};
 use serde::Serialize;
--- a/bench/src/lab/tally.rs
+++ b/bench/src/lab/tally.rs
@@ -82,15 +82,16 @@
 
     /// A request came in `second`, and ended so.
     pub fn count(&mut self, kind: &Name, worth: (f64, f64), second: usize, ending: Ending) {
+        let last = self.seconds.len().saturating_sub(1);
+        let Some(second) = self.seconds.get_mut(second.min(last)) else {
+            return;
+        };
         let counts = self.kinds.entry(kind.clone()).or_default();
         if ending == Ending::GaveUp {
             return;
         }
         counts.asked += 1;
         counts.owed += worth.0;
-        let last = self.seconds.len().saturating_sub(1);
-        let mut unused = Second::default();
-        let second = self.seconds.get_mut(second.min(last)).unwrap_or(&mut unused);
         match ending {
             Ending::InTime => {
                 counts.in_time += 1;
--- a/bench/src/lab/trouble.rs
+++ b/bench/src/lab/trouble.rs
@@ -3,7 +3,9 @@
 use super::mesh::Listed;
 use super::scenario::What;
 use super::world::World;
+use rand::SeedableRng;
 use rand::seq::SliceRandom;
+use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
 use sycamore_core::Name;
 
@@ -123,8 +125,7 @@
 
     /// A share of these, one at least: the same at the begin and the end of a trouble.
     fn some_of(&self, mut nodes: Vec<usize>, share: f64, index: usize) -> Vec<usize> {
-        use rand::SeedableRng;
-        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(index as u64);
+        let mut rng = Pcg64Mcg::seed_from_u64(index as u64);
         nodes.shuffle(&mut rng);
         let count = (nodes.len() as f64 * share).round().max(1.0) as usize;
         nodes.truncate(count);
--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -158,18 +158,20 @@
         }
     }
 
-    /// A target that is not known to be full: one of the home tier, or a farther one that saves more
-    /// time than its distance costs.
+    /// A target that is not known to be full: one of the nearest tier, or a farther one that saves
+    /// more time than its distance costs.
     pub fn pick_free(&mut self, want: Want<'_>) -> Option<Name> {
-        let home = self.home(want)?;
+        let nearest = self.nearest_tier(want)?;
         let stays = want.class == Class::Bulk && self.policy.has(Part::BulkStays);
         let mut best: Option<(usize, Duration)> = None;
-        for link in Link::ALL.into_iter().filter(|link| !stays || *link <= home.max(Link::Region)) {
+        for link in
+            Link::ALL.into_iter().filter(|link| !stays || *link <= nearest.max(Link::Region))
+        {
             let Some(index) = self.draw_two_free(want, link) else {
                 continue;
             };
             let wait = self.peers[index].reported_wait(want.now).unwrap_or_default();
-            let cost = self.speed(want, index) + wait + self.distance(want, home, link);
+            let cost = self.speed(want, index) + wait + self.distance(want, nearest, link);
             if best.is_none_or(|(_, least)| cost < least) {
                 best = Some((index, cost));
             }
@@ -318,7 +320,7 @@
     /// Beyond it a way has its price. Guards against traffic that crosses in both directions for
     /// nothing: where every target is full, each zone's requests would else wait at the other
     /// zones' targets, and bytes between zones are paid by volume.
-    fn home(&self, want: Want<'_>) -> Option<Link> {
+    fn nearest_tier(&self, want: Want<'_>) -> Option<Link> {
         let tiers = self.services.get(want.service.0 as usize)?;
         let usable = |index: &usize| {
             let peer = &self.peers[*index];
@@ -328,9 +330,9 @@
         Link::ALL.into_iter().find(has).or(Some(Link::Across))
     }
 
-    /// What a way beyond the home tier costs.
-    fn distance(&self, want: Want<'_>, home: Link, link: Link) -> Duration {
-        if link <= home || !self.policy.has(Part::Distance) {
+    /// What a way beyond the nearest tier costs.
+    fn distance(&self, want: Want<'_>, nearest: Link, link: Link) -> Duration {
+        if link <= nearest || !self.policy.has(Part::Distance) {
             return Duration::ZERO;
         }
         let percent = self.policy.distance_percent[link as usize - 1];
--- a/core/src/discovery/offer.rs
+++ b/core/src/discovery/offer.rs
@@ -106,10 +106,10 @@
             .flatten()
             .filter(|target| target.peers != cfg.address && !target.leaving)
             .collect();
-        let is_lost = |target: &&&Target| self.lost.contains_key(&target.peers);
+        let lost = peers.iter().filter(|target| self.lost.contains_key(&target.peers));
         // One offer each, however a peer was chosen.
         let mut chosen: IndexMap<SocketAddr, &Target> =
-            peers.iter().filter(is_lost).map(|target| (target.peers, *target)).collect();
+            lost.map(|target| (target.peers, *target)).collect();
         let drawn = if self.wide { PEERS_A_ROUND } else { 0 };
         let (drawn, _) = peers.partial_shuffle(rng, drawn);
         chosen.extend(drawn.iter().map(|target| (target.peers, *target)));
