--- a/bench/src/fleet/workload.rs
+++ b/bench/src/fleet/workload.rs
@@ -249,6 +249,8 @@
             incarnation: None,
             slots: None,
             leaving: false,
+            evacuated: false,
+            cold: false,
         });
     }
     preset
@@ -264,6 +266,7 @@
         deadline_ms: 2_000,
         max_attempts: 3,
         max_body_bytes: 1_048_576,
+        regions: Vec::new(),
         host: None,
         spare_forwards: 0,
         split: Vec::new(),
--- a/bench/src/lab/mesh.rs
+++ b/bench/src/lab/mesh.rs
@@ -105,6 +105,8 @@
                 incarnation: None,
                 slots: Some(self.slots[site.service]),
                 leaving: self.target_states[node] == TargetState::Draining,
+                evacuated: false,
+                cold: false,
             };
             services[site.service].targets.push(target);
         }
@@ -155,5 +157,6 @@
         max_attempts: kind.attempts,
         spare_forwards: policy::SPARE_FORWARDS,
         max_body_bytes: MAX_REQUEST_BODY_BYTES,
+        regions: Vec::new(),
     }
 }
--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -122,6 +122,8 @@
         pub may_exceed_objective: bool,
         /// Whether this is a retry, or a nested call of a run that is itself a retry.
         pub repeat: bool,
+        /// Regions in which the request may run; any if empty.
+        pub regions: Vec<Name>,
     }
 }
 
--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -1,8 +1,10 @@
 //! Admission control for one target: concurrency slots, a bounded queue ordered by class, and early
 //! rejection of requests that cannot be served in time.
 
+mod cold;
 mod offer;
 
+pub use cold::ColdStarts;
 pub use offer::{Admission, Objective, Offer, Popped};
 
 use super::depth::NestingDepths;
@@ -64,6 +66,7 @@
     run_times: [Duration; 3],
     depths: NestingDepths,
     link: LinkPacer,
+    cold: ColdStarts,
     policy: Policy,
 }
 
@@ -82,10 +85,19 @@
             run_times: [INITIAL_RUN_TIME; 3],
             depths: NestingDepths::new(),
             link: LinkPacer::new(None),
+            cold: ColdStarts::new(),
             policy: Policy::new(),
         }
     }
 
+    /// Creates the slots of a target that may have started together with its gatekeeper, at
+    /// `started`.
+    pub fn starting(limits: ServiceLimits, started: Time) -> Slots {
+        let mut slots = Slots::new(limits);
+        slots.cold.gatekeeper_started(started);
+        slots
+    }
+
     pub fn with_policy(mut self, policy: Policy) -> Slots {
         self.policy = policy;
         self
@@ -113,9 +125,15 @@
 
     /// Changes the limits. Running and queued requests are not affected.
     pub fn set_limits(&mut self, limits: ServiceLimits) {
+        self.cold.set_limits(&limits);
         self.limits = limits;
     }
 
+    /// Tracks whether the target is cold.
+    pub fn cold_mut(&mut self) -> &mut ColdStarts {
+        &mut self.cold
+    }
+
     /// Limits the slots while a target that has just started warms up.
     pub fn start_warm_up(&mut self, now: Time) {
         self.warm_up_since = Some(now);
@@ -138,14 +156,15 @@
             return Admission::Run;
         }
         let wait = self.expected_wait(now, &offer);
+        let full = self.rejection_code(now);
         if self.queued() >= self.limits.queue {
-            return Admission::Reject(Code::QueueFull, wait);
+            return Admission::Reject(full, wait);
         }
         let max_wait = Duration::from_millis(self.limits.queue_wait_ms.into());
         let expires_at = offer.deadline.min(now + max_wait);
         let Some(objective) = offer.objective else {
             if now + wait > expires_at {
-                return Admission::Reject(Code::QueueFull, wait);
+                return Admission::Reject(full, wait);
             }
             self.enqueue(QueuedRequest { offer, latest_start: expires_at, expires_at });
             return Admission::Queue(expires_at);
@@ -168,12 +187,20 @@
         }
         let too_late = now + wait + self.wait_behind_late(now, &offer) > expires_at;
         if !objective.may_exceed_objective || too_late || !self.has_room_for_late() {
-            return Admission::Reject(Code::QueueFull, wait);
+            return Admission::Reject(full, wait);
         }
         self.late.push_back(QueuedRequest { offer, latest_start, expires_at });
         Admission::Queue(expires_at)
     }
 
+    /// Why a request that would wait too long is rejected.
+    fn rejection_code(&self, now: Time) -> Code {
+        match self.cold.delay(now, 0).is_zero() {
+            true => Code::QueueFull,
+            false => Code::TargetCold,
+        }
+    }
+
     /// Whether another late request may be queued: at most one per slot.
     ///
     /// Requests that can still meet their objective run first. Otherwise a slightly overloaded
@@ -208,6 +235,14 @@
 
     /// Releases the slot of a request that did not reach the target, without recording a run time.
     pub fn release(&mut self, call: CallKey) {
+        if let Some(unsent) = self.remove_running(call) {
+            self.cold.withdraw_start(unsent.started);
+        }
+    }
+
+    /// Releases the slot of a request that the target may have received, without recording a run
+    /// time.
+    pub fn abandon(&mut self, call: CallKey) {
         self.remove_running(call);
     }
 
@@ -295,13 +330,16 @@
 
     /// Expected wait of a top-level interactive request of the lowest priority that arrives now.
     fn wait_of_new_request(&self, now: Time) -> Duration {
+        let before = [Class::Gating, Class::Interactive].map(|class| class as usize);
+        let ahead = before.into_iter().map(|class| self.queues[class].len()).sum();
+        let cold_delay = self.cold.delay(now, ahead);
         if (self.running.len() as u32) < self.slots(now) {
-            return Duration::ZERO;
+            return cold_delay;
         }
-        let before = [Class::Gating, Class::Interactive].map(|class| class as usize);
         let work = |class: usize| self.run_times[class] * self.queues[class].len() as u32;
         let work: Duration = before.into_iter().map(work).sum();
-        (work + self.run_times[Class::Interactive as usize]) / self.slots(now)
+        let wait = (work + self.run_times[Class::Interactive as usize]) / self.slots(now);
+        wait.max(cold_delay)
     }
 
     /// The time after which a request rejected now may be retried.
@@ -339,7 +377,7 @@
             false => 0,
         };
         let used = self.running.len() as u32 + reserved;
-        let free = used < slots;
+        let free = used < slots && self.cold.delay(now, 0).is_zero();
         let bulk_allowed = || {
             self.running_bulk < self.bulk_slots(now)
                 && self.link.can_start(now, self.remaining_bytes())
@@ -359,6 +397,7 @@
             self.running_bulk += 1;
             remaining_bytes = self.link.expected_size();
         }
+        self.cold.record_start(now);
         let running = Running { class: offer.class, started: now, sent_bytes: 0, remaining_bytes };
         self.running.insert(offer.call, running);
     }
@@ -394,7 +433,8 @@
         let own = &self.queues[queue];
         let ahead = own.partition_point(|other| other.offer.precedes(offer));
         work += self.run_times[offer.class as usize] * ahead as u32;
-        let wait = work / self.slots(now);
+        let before: usize = self.queues.iter().take(queue).map(VecDeque::len).sum();
+        let wait = (work / self.slots(now)).max(self.cold.delay(now, before + ahead));
         match offer.class {
             Class::Bulk => wait.max(self.link.wait(now, self.remaining_bytes(), ahead as u32)),
             Class::Gating | Class::Interactive => wait,
--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -9,7 +9,7 @@
 use super::entry::TargetEstimate;
 use super::policy::{Mechanism, Policy};
 use super::{Load, Members, Terms};
-use crate::config::{Class, ServiceKey, Snapshot};
+use crate::config::{Class, ServiceKey, Snapshot, allows_region};
 use crate::member::VmState;
 use crate::place::{Link, Place};
 use crate::{Name, Time};
@@ -73,13 +73,19 @@
     class: Class,
     rank: u8,
     tried: &'a [Name],
+    regions: &'a [Name],
     filter: TargetFilter,
 }
 
 impl<'a> PickRequest<'a> {
     pub fn new(now: Time, service: ServiceKey, terms: &Terms) -> PickRequest<'a> {
         let (class, rank, filter) = (terms.class, terms.rank, TargetFilter::Healthy);
-        PickRequest { now, service, class, rank, tried: &[], filter }
+        PickRequest { now, service, class, rank, tried: &[], regions: &[], filter }
+    }
+
+    /// Excludes targets outside `regions`, unless it is empty.
+    pub fn with_regions(self, regions: &'a [Name]) -> PickRequest<'a> {
+        PickRequest { regions, ..self }
     }
 
     /// Excludes targets that have been tried.
@@ -146,12 +152,14 @@
         for entry in snapshot.targets() {
             let link = self.place.link_to(&entry.target.place());
             let known = before.swap_remove(&entry.target.vm);
-            let mut peer = known.unwrap_or_else(|| Peer::new(entry.target.gate, link));
+            let region = &entry.target.region;
+            let mut peer = known.unwrap_or_else(|| Peer::new(entry.target.gate, region, link));
             peer.gatekeeper = entry.target.gate;
             peer.incarnation = entry.target.incarnation.clone();
             peer.service = entry.service.0 as usize;
             peer.slots = entry.target.slots;
-            peer.marked_leaving = entry.target.leaving;
+            peer.closed = !entry.target.accepts_requests();
+            peer.region = region.clone();
             peer.link = link;
             self.peers.insert(entry.target.vm.clone(), peer);
         }
@@ -395,7 +403,7 @@
     pub fn is_draining(&self, now: Time, vm: &Name) -> bool {
         self.peers
             .get(vm)
-            .is_some_and(|peer| peer.not_live || peer.marked_leaving || peer.draining_until > now)
+            .is_some_and(|peer| peer.not_live || peer.closed || peer.draining_until > now)
     }
 
     fn name_of(&self, index: usize) -> Option<Name> {
@@ -410,7 +418,8 @@
         let tiers = self.services.get(request.service.0 as usize)?;
         let usable = |index: &usize| {
             let peer = &self.peers[*index];
-            peer.is_usable(request.now, TargetFilter::NotDraining, false)
+            allows_region(request.regions, &peer.region)
+                && peer.is_usable(request.now, TargetFilter::NotDraining, false)
                 && peer.ejected_until <= request.now
         };
         let has_usable = |link: &Link| tiers.by_link[*link as usize].iter().any(usable);
@@ -485,6 +494,7 @@
             };
             Some(*index) != excluded
                 && !request.tried.contains(vm)
+                && allows_region(request.regions, &peer.region)
                 && peer.is_usable(request.now, request.filter, tiers.ignore_membership)
                 && accept(peer)
         };
--- a/core/src/call/balance/peer.rs
+++ b/core/src/call/balance/peer.rs
@@ -45,6 +45,8 @@
     pub incarnation: Option<Name>,
     /// Index of the service.
     pub service: usize,
+    /// Region of the target.
+    pub region: Name,
     /// Distance to the target.
     pub link: Link,
     /// Configured slots, used until the target reports its own.
@@ -67,8 +69,8 @@
     pub draining_until: Time,
     /// Whether the membership view reports a state other than live.
     pub not_live: bool,
-    /// Whether the configuration marks the target as leaving.
-    pub marked_leaving: bool,
+    /// Whether the configuration says that the target accepts no new requests.
+    pub closed: bool,
 }
 
 /// A rejection because of load.
@@ -90,11 +92,12 @@
 }
 
 impl Peer {
-    pub fn new(gatekeeper: SocketAddr, link: Link) -> Peer {
+    pub fn new(gatekeeper: SocketAddr, region: &Name, link: Link) -> Peer {
         Peer {
             gatekeeper,
             incarnation: None,
             service: 0,
+            region: region.clone(),
             link,
             slots: None,
             in_flight: 0,
@@ -106,13 +109,13 @@
             overload: [None; 3],
             draining_until: Time::ZERO,
             not_live: false,
-            marked_leaving: false,
+            closed: false,
         }
     }
 
     /// Whether requests may be sent to this target.
     pub fn is_usable(&self, now: Time, filter: TargetFilter, ignore_membership: bool) -> bool {
-        if self.draining_until > now || self.marked_leaving {
+        if self.draining_until > now || self.closed {
             return false;
         }
         match filter {
--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -19,7 +19,7 @@
 use crate::{Code, Name, Time};
 use hedge::HedgeBudget;
 use indexmap::IndexMap;
-use retry::{is_early_rejection, reached_target};
+use retry::{is_early_rejection, is_overload, reached_target};
 use retry_budget::RetryBudgets;
 use std::sync::Arc;
 use std::time::Duration;
@@ -195,6 +195,7 @@
             objective: self.objective(now, arrival, entry),
             may_exceed_objective: route.spare_forwards == 0,
             repeat: self.retries.is_nested_repeat(arrival, route.class),
+            regions: route.regions.clone(),
         };
         let request_key = arrival.key.filter(|_| terms.is_keyed());
         self.retries.record(now, &snapshot, (key, service), terms.repeat);
@@ -245,7 +246,8 @@
         if let Some(key) = call.key {
             return self.home_for(now, &call.snapshot, service, key, &[]);
         }
-        let request = PickRequest::new(now, service, &call.terms);
+        let regions = &call.snapshot.route(call.route).route.regions;
+        let request = PickRequest::new(now, service, &call.terms).with_regions(regions);
         self.balancer.pick_available(request).or_else(|| {
             call.terms.may_exceed_objective = self.policy.is_enabled(Mechanism::FullOnce);
             self.balancer.pick_nearest(request)
@@ -287,7 +289,7 @@
             gatekeeper,
             incarnation,
             terms,
-            estimate,
+            estimate: Box::new(estimate),
             deadline: call.deadline,
             hedge_delay_ms: hedge_delay
                 .filter(|_| may_hedge)
@@ -368,8 +370,8 @@
                 call.crashes = call.crashes.max(crashes);
                 report(&mut self.balancer, load);
                 match code {
-                    Code::Draining => self.balancer.record_draining(now, vm),
-                    Code::QueueFull | Code::QueueTimeout => {
+                    Code::Draining | Code::ZoneEvacuated => self.balancer.record_draining(now, vm),
+                    _ if is_overload(code) => {
                         self.balancer.record_overload(now, vm, &call.terms, retry_after);
                     }
                     Code::TargetUnreachable | Code::TargetReplaced => {
--- a/core/src/call/entry/hedge.rs
+++ b/core/src/call/entry/hedge.rs
@@ -35,7 +35,9 @@
             return None;
         }
         let service = self.snapshot.as_ref()?.service_named(&call.service)?;
-        let request = PickRequest::new(now, service, &call.terms).with_tried(&call.tried);
+        let request = PickRequest::new(now, service, &call.terms)
+            .with_tried(&call.tried)
+            .with_regions(&call.terms.regions);
         let vm = self.balancer.pick_for_hedge(request)?;
         self.retries.try_take(now, call).then_some(vm)
     }
--- a/core/src/call/entry/port.rs
+++ b/core/src/call/entry/port.rs
@@ -131,7 +131,7 @@
         /// Expected incarnation of the target process, if known.
         pub incarnation: Option<Name>,
         pub terms: Terms,
-        pub estimate: TargetEstimate,
+        pub estimate: Box<TargetEstimate>,
         /// Deadline of the caller.
         pub deadline: Time,
         /// Delay in milliseconds after which the adapter sends [`Input::HedgeDue`] unless a response
--- a/core/src/call/entry/retry.rs
+++ b/core/src/call/entry/retry.rs
@@ -50,13 +50,14 @@
     /// Selects a target to queue at when no target can respond within the objective.
     fn queue_at_nearest(&mut self, now: Time, key: CallKey, code: Code) -> Option<Name> {
         let call = self.calls.get(&key)?;
-        let overloaded = matches!(code, Code::QueueFull | Code::QueueTimeout);
+        let overloaded = is_overload(code);
         let must_not_queue = call.terms.may_exceed_objective || call.possibly_run.is_some();
         if !overloaded || must_not_queue {
             return None;
         }
         let service = self.snapshot.as_ref()?.service_named(&call.service)?;
-        let vm = self.balancer.pick_nearest(PickRequest::new(now, service, &call.terms))?;
+        let request = PickRequest::new(now, service, &call.terms).with_regions(&call.terms.regions);
+        let vm = self.balancer.pick_nearest(request)?;
         let call = self.calls.get_mut(&key)?;
         call.terms.may_exceed_objective = true;
         Some(vm)
@@ -117,11 +118,13 @@
         }
         // The balancer tracks the targets of the current configuration version.
         let service = self.snapshot.as_ref()?.service_named(&call.service)?;
-        let overloaded = matches!(code, Code::QueueFull | Code::QueueTimeout);
+        let overloaded = is_overload(code);
         if overloaded && spare_forwards > 0 && call.early_rejections >= spare_forwards {
             return None;
         }
-        let request = PickRequest::new(now, service, &call.terms).with_tried(&call.tried);
+        let request = PickRequest::new(now, service, &call.terms)
+            .with_tried(&call.tried)
+            .with_regions(&call.terms.regions);
         let vm = match overloaded && spare_forwards > 0 {
             // Skip overloaded targets, which would reject it as well. The caller may queue the
             // request instead.
@@ -154,20 +157,28 @@
     matches!(code, Code::TargetRefused | Code::TargetReplaced)
 }
 
+/// Whether the gatekeeper rejected the request because of the target's load.
+pub(super) fn is_overload(code: Code) -> bool {
+    matches!(code, Code::QueueFull | Code::QueueTimeout | Code::TargetCold)
+}
+
 fn retry_kind(code: Code, spare_forwards: u32) -> RetryKind {
     match code {
         Code::Draining
+        | Code::ZoneEvacuated
+        | Code::OutsideRegions
         | Code::NoTarget
         | Code::NotConfigured
         | Code::TooManyConnections
         | Code::GatekeeperUnreachable => RetryKind::Free,
         // The route allows other gatekeepers to be tried before the request is rejected.
-        Code::QueueFull | Code::QueueTimeout if spare_forwards > 0 => RetryKind::Free,
+        _ if is_overload(code) && spare_forwards > 0 => RetryKind::Free,
         Code::TargetUnreachable
         | Code::TargetRefused
         | Code::TargetReplaced
         | Code::QueueFull
         | Code::QueueTimeout
+        | Code::TargetCold
         | Code::TargetFailed
         | Code::AnswerLost => RetryKind::Budgeted,
         _ => RetryKind::Never,
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod homes;
+mod placement;
 mod port;
 mod suspects;
 
@@ -22,6 +23,7 @@
 use crate::{Code, Name, Time};
 use check::CheckResult;
 use indexmap::IndexMap;
+use placement::Placement;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -76,6 +78,8 @@
     target_up: bool,
     // Whether the configuration lists the target as leaving.
     target_leaving: bool,
+    placement: Placement,
+    last_response_at: Time,
     draining: bool,
     confirmed: bool,
     moving: bool,
@@ -94,7 +98,7 @@
             snapshot: None,
             service: None,
             members: Arc::new(Members::new()),
-            slots: Slots::new(ServiceLimits::default()),
+            slots: Slots::starting(ServiceLimits::default(), started),
             idempotency: IdempotencyTable::new(),
             homes: None,
             suspects: Suspects::new(),
@@ -103,6 +107,8 @@
             crash: None,
             target_up: true,
             target_leaving: false,
+            placement: Placement::new(),
+            last_response_at: started,
             draining: false,
             confirmed: true,
             moving: false,
@@ -118,6 +124,12 @@
         self
     }
 
+    /// Sets the region of the VM, known before any configuration.
+    pub fn with_region(mut self, region: Name) -> Gatekeeper {
+        self.placement.set_region(region);
+        self
+    }
+
     /// Sets the bandwidth of the VM's link in kilobits per second.
     pub fn with_link(mut self, kbps: Option<u64>) -> Gatekeeper {
         self.slots = self.slots.with_link(LinkPacer::new(kbps));
@@ -133,7 +145,7 @@
     pub fn handle(&mut self, now: Time, input: Input<'_>, out: &mut Vec<Output>) {
         self.detect_clock_gap(now, out);
         match input {
-            Input::Configure(snapshot) => self.configure(now, snapshot),
+            Input::Configure(snapshot) => self.configure(now, snapshot, out),
             Input::View(members) => self.members = members,
             Input::Confirm => self.confirmed = true,
             Input::Drain => self.drain(out),
@@ -181,7 +193,7 @@
         }
     }
 
-    fn configure(&mut self, now: Time, snapshot: Arc<Snapshot>) {
+    fn configure(&mut self, now: Time, snapshot: Arc<Snapshot>, out: &mut Vec<Output>) {
         let target = self.own_target(&snapshot);
         let service_of_target = target.map(|target| snapshot.target(target).service);
         let service_by_name = || snapshot.service_named(self.service_name.as_ref()?);
@@ -194,6 +206,9 @@
             self.service_name = Some(snapshot.service(service).name.clone());
         }
         self.target_leaving = target.is_some_and(|target| snapshot.target(target).target.leaving);
+        if let Some(target) = target {
+            self.update_placement(now, &snapshot.target(target).target, out);
+        }
         if self.has_keyed_routes(&snapshot) {
             self.update_homes(now, &snapshot);
         }
@@ -385,7 +400,7 @@
                 out.push(Output::Reject { call, outcome, crashes });
             }
             RunEnd::Rejected(code) => {
-                self.slots.release(call);
+                self.record_rejection(now, call, code);
                 if let Some(key) = entry.key {
                     self.idempotency.remove_not_run(key, call);
                 }
@@ -395,8 +410,9 @@
                 out.push(Output::Reject { call, outcome, crashes });
             }
             RunEnd::Broken { target_gone } => {
-                self.slots.release(call);
+                self.slots.abandon(call);
                 self.finish_key(&entry, None);
+                let target_gone = target_gone || self.is_silent(now);
                 self.suspect(now, &entry, target_gone, out);
                 let outcome = Outcome::Unknown { code: Code::TargetFailed };
                 // The note about the previous crash may not have arrived yet.
--- a/core/src/call/gatekeeper/check.rs
+++ b/core/src/call/gatekeeper/check.rs
@@ -73,6 +73,7 @@
             objective: now + Duration::from_millis(entry.route.objective_ms.into()),
             may_exceed_objective: true,
             repeat: false,
+            regions: entry.route.regions.clone(),
         })
     }
 
@@ -104,6 +105,9 @@
         if self.draining || self.target_leaving {
             return not_run(Code::Draining, RETRY_AFTER_SHORT);
         }
+        if let Some(code) = self.check_placement(arrival, &terms) {
+            return not_run(code, RETRY_AFTER_SHORT);
+        }
         CheckResult::Accept(terms, key)
     }
 
--- /dev/null
+++ b/core/src/call/gatekeeper/placement.rs
@@ -0,0 +1,101 @@
+//! Where requests may run: the regions of their route, evacuated zones, and starts of the target
+//! that the configuration reports.
+
+use super::{Arrival, Gatekeeper, Output, RETRY_AFTER_SHORT};
+use crate::call::{CallKey, Outcome, Terms};
+use crate::config::{Target, allows_region};
+use crate::{Code, Name, Time};
+use std::time::Duration;
+
+/// A target that has not responded for this long counts as down once a connection to it breaks.
+/// Connections that break between responses have other causes.
+const SILENCE: Duration = Duration::from_millis(500);
+
+/// What the configuration says about the target of this gatekeeper.
+#[derive(Debug)]
+pub(super) struct Placement {
+    region: Option<Name>,
+    evacuated: bool,
+    cold: bool,
+    incarnation: Option<Name>,
+}
+
+impl Placement {
+    pub(super) fn new() -> Placement {
+        Placement { region: None, evacuated: false, cold: false, incarnation: None }
+    }
+
+    pub(super) fn set_region(&mut self, region: Name) {
+        self.region = Some(region);
+    }
+}
+
+impl Gatekeeper {
+    /// Applies the target's entry of a snapshot.
+    pub(super) fn update_placement(&mut self, now: Time, target: &Target, out: &mut Vec<Output>) {
+        let before = std::mem::replace(
+            &mut self.placement,
+            Placement {
+                region: Some(target.region.clone()),
+                evacuated: target.evacuated,
+                cold: target.cold,
+                incarnation: target.incarnation.clone(),
+            },
+        );
+        let replaced = before.incarnation.is_some() && before.incarnation != target.incarnation;
+        let reported = target.cold && !before.cold;
+        let returned = before.evacuated && !target.evacuated;
+        if replaced || reported || returned {
+            self.slots.cold_mut().reported_cold(now);
+        }
+        if target.evacuated && !before.evacuated {
+            self.reject_queued(now, Code::ZoneEvacuated, out);
+        }
+    }
+
+    /// Returns why the request may not run here, by the entry node's terms or by the configuration
+    /// of this node, which may be newer.
+    pub(super) fn check_placement(&self, arrival: &Arrival<'_>, terms: &Terms) -> Option<Code> {
+        if self.placement.evacuated {
+            return Some(Code::ZoneEvacuated);
+        }
+        let region = self.placement.region.as_ref()?;
+        let snapshot = self.snapshot.as_ref().filter(|snapshot| snapshot.has_bound_routes());
+        let route = snapshot.and_then(|snapshot| {
+            Some(&snapshot.route(snapshot.route_for(arrival.host, arrival.path)?).route)
+        });
+        let allowed = allows_region(&terms.regions, region)
+            && route.is_none_or(|route| route.allows_region(region));
+        (!allowed).then_some(Code::OutsideRegions)
+    }
+
+    /// Whether the target has not responded recently although requests were sent to it.
+    pub(super) fn is_silent(&self, now: Time) -> bool {
+        now.since(self.last_response_at) >= SILENCE
+    }
+
+    /// Records that the target itself rejected a request. A process that replaced the target does
+    /// not count the request, and has just started if nothing else has responded.
+    pub(super) fn record_rejection(&mut self, now: Time, call: CallKey, code: Code) {
+        if code != Code::TargetReplaced {
+            return self.slots.abandon(call);
+        }
+        self.slots.release(call);
+        if self.is_silent(now) {
+            self.slots.cold_mut().reported_cold(now);
+        }
+    }
+
+    /// Rejects all queued requests.
+    fn reject_queued(&mut self, now: Time, code: Code, out: &mut Vec<Output>) {
+        let queued: Vec<CallKey> =
+            self.calls.iter().filter(|(_, call)| !call.running).map(|(key, _)| *key).collect();
+        for call in queued {
+            self.slots.withdraw(call);
+            let Some(entry) = self.remove_unstarted(call) else { continue };
+            let outcome = Outcome::not_run(code, RETRY_AFTER_SHORT);
+            let crashes = self.crashes_of(now, &entry);
+            out.push(Output::Reject { call, outcome, crashes });
+        }
+    }
+}
--- a/core/src/call/gatekeeper/suspects.rs
+++ b/core/src/call/gatekeeper/suspects.rs
@@ -52,12 +52,15 @@
     }
 
     pub(super) fn mark_target_down(&mut self, out: &mut Vec<Output>) {
+        self.slots.cold_mut().target_down();
         if std::mem::replace(&mut self.target_up, false) {
             out.push(Output::Record(EventKind::TargetLost));
         }
     }
 
     pub(super) fn mark_target_up(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.last_response_at = now;
+        self.slots.cold_mut().target_responded(now);
         if !std::mem::replace(&mut self.target_up, true) {
             self.slots.start_warm_up(now);
             self.crash = None;
--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -56,6 +56,10 @@
     PresetMismatch = 211,
     /// a part that the preset names is missing
     PartMissing = 212,
+    /// a route names a region without targets
+    RegionUnknown = 213,
+    /// requests with a key can't be bound to regions
+    RegionsUnsupported = 214,
     // 300 to 399: the platform and the distribution of versions between nodes.
     /// the platform does not answer
     SourceUnreachable = 301,
@@ -129,6 +133,12 @@
     TargetReplaced = 469,
     /// another target has answered the request first
     Overtaken = 470,
+    /// the target is in a region where the request may not run
+    OutsideRegions = 471,
+    /// the target's zone is evacuated
+    ZoneEvacuated = 472,
+    /// the target is cold and takes no more requests for now
+    TargetCold = 473,
     // 500 to 599: tools.
     /// a node does not answer
     NodeUnreachable = 501,
--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -10,6 +10,7 @@
 
 pub use document::{
     AtMostOnceMode, Class, Preset, Route, Service, ServiceLimits, Target, WeightedService,
+    allows_region,
 };
 pub use in_force::{Decision, InForce, VersionFloor};
 pub use resource::{Manifest, Resource, ResourceId, ResourceKind};
--- a/core/src/config/document.rs
+++ b/core/src/config/document.rs
@@ -74,6 +74,12 @@
         /// Whether the target is draining: it finishes in-flight requests and accepts no new ones.
         #[serde(default, skip_serializing_if = "std::ops::Not::not")]
         pub leaving: bool,
+        /// Whether the target's zone is evacuated: running requests finish, no new ones are sent.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        pub evacuated: bool,
+        /// Whether the target has reported that its caches are cold.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        pub cold: bool,
     }
 
     /// Limits of each target of a service. Times are in milliseconds.
@@ -101,6 +107,11 @@
         /// Drain timeout of a planned shutdown; requests still running when it expires are
         /// aborted. 1,000 to 3,600,000 ms.
         pub drain_ms: u32,
+        /// How long a target is cold after its start; 0 to 600,000 ms.
+        pub cold_ms: u32,
+        /// Maximum requests that a cold target is sent in any second; not limited if 0. At most
+        /// 100,000.
+        pub cold_starts: u32,
     }
 
     /// A routing rule that maps requests to a service.
@@ -144,6 +155,9 @@
         /// Maximum request body size; 0 to 1,073,741,824 bytes.
         #[serde(default = "default_max_body_bytes")]
         pub max_body_bytes: u64,
+        /// Regions in which requests may run and their bodies be held; any if empty.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub regions: Vec<Name>,
     }
 }
 
@@ -156,7 +170,24 @@
     }
 }
 
+impl Route {
+    /// Whether requests of this route may run in `region`.
+    pub fn allows_region(&self, region: &Name) -> bool {
+        allows_region(&self.regions, region)
+    }
+}
+
+/// Whether `regions`, the regions of a route, include `region`. An empty list includes all.
+pub fn allows_region(regions: &[Name], region: &Name) -> bool {
+    regions.is_empty() || regions.contains(region)
+}
+
 impl Target {
+    /// Whether the target accepts new requests, according to the configuration.
+    pub fn accepts_requests(&self) -> bool {
+        !self.leaving && !self.evacuated
+    }
+
     pub fn place(&self) -> Place {
         Place { region: self.region.clone(), zone: self.zone.clone() }
     }
@@ -212,6 +243,8 @@
             warm_up_ms: 5_000,
             bulk_share_percent: 50,
             drain_ms: 60_000,
+            cold_ms: 0,
+            cold_starts: 0,
         }
     }
 }
--- a/core/src/config/snapshot.rs
+++ b/core/src/config/snapshot.rs
@@ -53,6 +53,8 @@
         routes: Vec<RouteEntry>,
         targets: Vec<TargetEntry>,
         by_vm: IndexMap<Name, TargetKey>,
+        // Whether any route is bound to regions.
+        has_bound_routes: bool,
         // Longest prefix first. Routes that match any host are stored under the empty string.
         by_host: IndexMap<String, Vec<RouteKey>>,
     }
@@ -69,6 +71,7 @@
             routes: Vec::new(),
             targets: Vec::new(),
             by_vm: IndexMap::new(),
+            has_bound_routes: preset.routes.values().any(|route| !route.regions.is_empty()),
             by_host: IndexMap::new(),
         };
         for (name, service) in &preset.services {
@@ -216,6 +219,11 @@
         &self.routes
     }
 
+    /// Whether any route is bound to regions.
+    pub fn has_bound_routes(&self) -> bool {
+        self.has_bound_routes
+    }
+
     pub fn targets(&self) -> &[TargetEntry] {
         &self.targets
     }
--- a/core/src/config/validate.rs
+++ b/core/src/config/validate.rs
@@ -1,6 +1,8 @@
 //! Validation of published documents, shared by nodes and `sycamore-check`.
 
-use super::document::{MAX_DOCUMENT_BYTES, Part, Preset, Route, Service, ServiceLimits};
+use super::document::{
+    AtMostOnceMode, MAX_DOCUMENT_BYTES, Part, Preset, Route, Service, ServiceLimits,
+};
 use super::in_force::InForce;
 use crate::hash::Hash;
 use crate::{Code, Fault, Name, Result};
@@ -147,6 +149,8 @@
         ("warm_up_ms", limits.warm_up_ms, 0..=600_000),
         ("bulk_share_percent", limits.bulk_share_percent, 1..=100),
         ("drain_ms", limits.drain_ms, 1_000..=3_600_000),
+        ("cold_ms", limits.cold_ms, 0..=600_000),
+        ("cold_starts", limits.cold_starts, 0..=100_000),
     ];
     for (field, found, allowed) in ranges {
         check_range(&format!("{location}.limits.{field}"), found, allowed, faults);
@@ -172,6 +176,30 @@
     check_range(&format!("{location}.spare_forwards"), route.spare_forwards, 0..=10, faults);
     let body = route.max_body_bytes;
     check_range(&format!("{location}.max_body_bytes"), body, 0..=1_073_741_824, faults);
+    check_regions(&location, route, preset, faults);
+}
+
+/// Checks that each region of a route has a target. Skipped while no target is listed, because
+/// targets may be discovered separately.
+fn check_regions(location: &str, route: &Route, preset: &Preset, faults: &mut Vec<Fault>) {
+    let known: HashSet<&Name> = preset
+        .services
+        .values()
+        .flat_map(|service| &service.targets)
+        .map(|target| &target.region)
+        .collect();
+    for (index, region) in route.regions.iter().enumerate() {
+        if !known.is_empty() && !known.contains(region) {
+            let fault = Fault::new(Code::RegionUnknown).with_detail(region);
+            faults.push(fault.with_location(format!("{location}.regions[{index}]")));
+        }
+    }
+    let keyed = !route.idempotent && route.once == AtMostOnceMode::Key;
+    if keyed && !route.regions.is_empty() {
+        let detail = "the home of a key may be in any region; set once to \"attempt\"";
+        let fault = Fault::new(Code::RegionsUnsupported).with_detail(detail);
+        faults.push(fault.with_location(format!("{location}.regions")));
+    }
 }
 
 fn check_split(location: &str, route: &Route, preset: &Preset, faults: &mut Vec<Fault>) {
--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -235,7 +235,7 @@
                 let event = Event::new(now, EventKind::VersionRefused);
                 return out.push(Output::Event(event.with_code(code)));
             }
-            Change::Target { .. } | Change::Removed { .. } => return,
+            Change::Target { .. } | Change::Removed { .. } | Change::Evacuation { .. } => return,
         };
         self.accept_version(now, published, out);
     }
--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -297,6 +297,8 @@
         let Some(mut listing) = self.listing.take() else {
             return (Vec::new(), false);
         };
+        // The stale pages may contain evacuations that have ended.
+        listing.pages.retain(|change| !matches!(change, Change::Evacuation { .. }));
         listing.pages.extend(reply.changes);
         self.listed = true;
         let wait = self.reader_wait(INFORMED_WAIT, rng);
--- a/core/src/discovery/policy.rs
+++ b/core/src/discovery/policy.rs
@@ -22,6 +22,17 @@
 /// Drain timeout: one second less than the 6 s after which a process is killed.
 const DRAIN_TIMEOUT_MS: u32 = 5_000;
 
+/// Share of the rate allowed for a cold target that its gatekeeper uses, in percent. The margin
+/// covers requests that arrive closer together than they were started.
+const COLD_RATE_SHARE_PERCENT: u32 = 90;
+
+/// Limit on the starts at a cold target in any second. `per_s` is the rate that the target always
+/// bears; `factor_percent` and `reserve` are what the platform allows beyond it.
+pub fn cold_starts(per_s: f64, factor_percent: u32, reserve: u32) -> u32 {
+    let allowed = per_s * f64::from(factor_percent) / 100.0 + f64::from(reserve);
+    (allowed as u32 * COLD_RATE_SHARE_PERCENT / 100).max(1)
+}
+
 /// Limits of a service whose targets accept `connections` connections each. In any ten seconds, the
 /// fleet may make retries amounting to `retry_percent` of its first attempts plus `retry_reserve`.
 pub fn limits(connections: u32, retry_percent: u32, retry_reserve: u32) -> ServiceLimits {
@@ -38,5 +49,7 @@
         warm_up_ms: 0,
         bulk_share_percent: MAX_BULK_SHARE_PERCENT,
         drain_ms: DRAIN_TIMEOUT_MS,
+        cold_ms: 0,
+        cold_starts: 0,
     }
 }
--- a/core/src/discovery/port.rs
+++ b/core/src/discovery/port.rs
@@ -52,6 +52,11 @@
         pub started_ms: u64,
         /// Increases with each entry written by the same process.
         pub sequence: u64,
+        /// Whether the target reports that its caches are cold.
+        pub cold: bool,
+        /// Whether a peer reports the target's zone as evacuated. Never set by the target itself;
+        /// see [`Change::Evacuation`].
+        pub evacuated: bool,
     }
 }
 
@@ -89,7 +94,7 @@
             /// Revision from which on changes are returned.
             revision: u64,
         },
-        /// Read the current document.
+        /// Read the current document and the evacuated zones.
         Document,
         /// Wait for changes.
         Watch {
@@ -113,6 +118,8 @@
     pub enum Change {
         /// A published version, or the reason why it is invalid.
         Published(Result<Arc<Publication>, Fault>),
+        /// A zone is evacuated, or no longer.
+        Evacuation { zone: Name, active: bool },
         /// A target's entry was written.
         Target {
             /// Identifies one run of the target.
--- a/core/src/discovery/registry.rs
+++ b/core/src/discovery/registry.rs
@@ -4,7 +4,7 @@
 use crate::config::Target;
 use crate::{Name, Time};
 use indexmap::IndexMap;
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,6 +19,7 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     entries: IndexMap<Name, KnownTarget>,
+    evacuated_zones: BTreeSet<Name>,
     failing_since: Option<Time>,
     // When the store responded again after an outage.
     recovered_at: Option<Time>,
@@ -69,6 +70,8 @@
                 // A malformed entry removes the target.
                 Change::Target { id, entry: None } => self.entries.shift_remove(&id).is_some(),
                 Change::Removed { id } => self.remove(now, &id),
+                Change::Evacuation { zone, active: true } => self.evacuated_zones.insert(zone),
+                Change::Evacuation { zone, active: false } => self.evacuated_zones.remove(&zone),
                 Change::Published(_) => false,
             };
         }
@@ -82,11 +85,19 @@
             .iter()
             .filter_map(|change| match change {
                 Change::Target { id, .. } => Some(id.clone()),
-                Change::Removed { .. } | Change::Published(_) => None,
+                Change::Removed { .. } | Change::Published(_) | Change::Evacuation { .. } => None,
             })
             .collect();
         let known: Vec<Name> = self.entries.keys().cloned().collect();
-        let mut changed = false;
+        let evacuated: BTreeSet<Name> = changes
+            .iter()
+            .filter_map(|change| match change {
+                Change::Evacuation { zone, active: true } => Some(zone.clone()),
+                _ => None,
+            })
+            .collect();
+        let mut changed = self.evacuated_zones != evacuated;
+        self.evacuated_zones = evacuated;
         for id in known.iter().filter(|id| !listed.contains(*id)) {
             changed |= self.remove(now, id);
         }
@@ -100,6 +111,7 @@
         // expired during the outage.
         self.failing_since.get_or_insert(now);
         let mut changed = false;
+        self.evacuated_zones.extend(evacuated_zones(&entries));
         for (id, entry) in entries {
             // The peer may not know yet that the target is draining.
             let leaving = self
@@ -115,6 +127,7 @@
 
     /// Replaces all targets by those of the reader.
     pub fn replace_from_reader(&mut self, entries: Vec<(Name, TargetEntry)>) {
+        self.evacuated_zones = evacuated_zones(&entries).collect();
         let known = |(id, entry)| (id, KnownTarget { entry, missing: false });
         self.entries = entries.into_iter().map(known).collect();
         self.failing_since = None;
@@ -155,7 +168,8 @@
         let mut listed: Vec<ServiceTarget> = Vec::with_capacity(entries.len());
         for (id, known) in entries.into_iter().rev() {
             if addresses.insert(known.entry.address) {
-                listed.push(known.entry.to_service_target(id, cfg));
+                let evacuated = self.evacuated_zones.contains(&known.entry.place.zone);
+                listed.push(known.entry.to_service_target(id, cfg, evacuated));
             }
         }
         listed.reverse();
@@ -191,8 +205,13 @@
     }
 }
 
+/// Zones that a peer reports as evacuated.
+fn evacuated_zones(entries: &[(Name, TargetEntry)]) -> impl Iterator<Item = Name> + '_ {
+    entries.iter().filter(|(_, entry)| entry.evacuated).map(|(_, entry)| entry.place.zone.clone())
+}
+
 impl TargetEntry {
-    fn to_service_target(&self, id: &Name, cfg: &Config) -> ServiceTarget {
+    fn to_service_target(&self, id: &Name, cfg: &Config, evacuated: bool) -> ServiceTarget {
         let ip = self.address.ip();
         let target = Target {
             vm: id.clone(),
@@ -203,6 +222,8 @@
             incarnation: Some(id.clone()),
             slots: Some(self.slots),
             leaving: self.state == TargetState::Draining,
+            evacuated,
+            cold: self.cold,
         };
         ServiceTarget { service: self.service.clone(), target }
     }
--- a/core/src/discovery/rejoin.rs
+++ b/core/src/discovery/rejoin.rs
@@ -129,6 +129,8 @@
         // Older than any entry that the target writes itself.
         started_ms: 0,
         sequence: 0,
+        cold: target.cold,
+        evacuated: target.evacuated,
     }
 }
 
--- a/core/tests/call_balance.rs
+++ b/core/tests/call_balance.rs
@@ -37,6 +37,7 @@
         objective: START + Duration::from_millis(600),
         may_exceed_objective: false,
         repeat: false,
+        regions: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/core/tests/call_cold.rs
@@ -0,0 +1,290 @@
+//! Start rate of cold targets.
+
+use proptest::prelude::*;
+use std::collections::VecDeque;
+use std::time::Duration;
+use sycamore_core::call::CallKey;
+use sycamore_core::call::admit::{Admission, ColdStarts, Offer, Popped, Slots};
+use sycamore_core::config::{Class, ServiceLimits};
+use sycamore_core::{Code, Time};
+
+const START: Time = Time(1_700_000_000_000_000);
+const COLD_MS: u64 = 3_000;
+const COLD_STARTS: usize = 16;
+
+fn at(ms: u64) -> Time {
+    START + Duration::from_millis(ms)
+}
+
+fn limits() -> ServiceLimits {
+    ServiceLimits {
+        slots: 6,
+        queue: 64,
+        queue_wait_ms: 3_000,
+        cold_ms: COLD_MS as u32,
+        cold_starts: COLD_STARTS as u32,
+        ..ServiceLimits::default()
+    }
+}
+
+fn cold_starts() -> ColdStarts {
+    let mut cold = ColdStarts::new();
+    cold.set_limits(&limits());
+    cold
+}
+
+fn offer(call: u64, now: Time) -> Offer {
+    Offer {
+        call: CallKey(call),
+        class: Class::Interactive,
+        rank: 0,
+        depth: 0,
+        deadline: now + Duration::from_secs(2),
+        objective: None,
+    }
+}
+
+/// Starts as many requests as possible at each of these times.
+fn start_all(cold: &mut ColdStarts, times: impl Iterator<Item = u64>) -> usize {
+    let mut started = 0;
+    for now in times.map(at) {
+        while started < 1_000 && cold.delay(now, 0).is_zero() {
+            cold.record_start(now);
+            started += 1;
+        }
+    }
+    started
+}
+
+#[test]
+fn cold_after_outage() {
+    let mut cold = cold_starts();
+    assert!(!cold.is_cold(at(0)));
+    cold.target_down();
+    assert!(cold.is_cold(at(60_000)));
+    cold.target_responded(at(60_000));
+    assert!(cold.is_cold(at(60_000 + COLD_MS - 1)));
+    assert!(!cold.is_cold(at(60_000 + COLD_MS)));
+}
+
+/// Guards against a restarted gatekeeper that takes its target for warm although both have lost
+/// power.
+#[test]
+fn cold_after_start_of_gatekeeper() {
+    let mut cold = cold_starts();
+    cold.gatekeeper_started(at(0));
+    assert!(cold.is_cold(at(COLD_MS)));
+    assert!(!cold.is_cold(at(2 * COLD_MS)));
+}
+
+/// Guards against a report that arrives after the start was observed and extends the cold time.
+#[test]
+fn cold_report_after_observed_start() {
+    let mut cold = cold_starts();
+    cold.target_down();
+    cold.target_responded(at(0));
+    cold.reported_cold(at(2_000));
+    assert!(!cold.is_cold(at(COLD_MS)));
+    cold.reported_cold(at(10_000));
+    assert!(cold.is_cold(at(10_000 + COLD_MS - 1)));
+}
+
+#[test]
+fn cold_starts_in_a_second() {
+    let mut cold = cold_starts();
+    cold.target_down();
+    cold.target_responded(at(0));
+    assert_eq!(start_all(&mut cold, 0..1_000), COLD_STARTS);
+    assert_eq!(start_all(&mut cold, 1_000..2_000), COLD_STARTS);
+}
+
+/// Guards against a burst after a report, on top of the requests sent just before it.
+#[test]
+fn cold_counts_starts_before_report() {
+    let mut cold = cold_starts();
+    (0..COLD_STARTS).for_each(|_| cold.record_start(at(0)));
+    cold.reported_cold(at(100));
+    assert_eq!(start_all(&mut cold, 100..1_000), 0);
+}
+
+#[test]
+fn cold_start_withdrawn() {
+    let mut cold = cold_starts();
+    cold.reported_cold(at(0));
+    assert_eq!(start_all(&mut cold, 0..1), COLD_STARTS);
+    cold.withdraw_start(at(0));
+    assert_eq!(start_all(&mut cold, 1..1_000), 1);
+}
+
+/// The announced delay is the time at which the start becomes possible.
+#[test]
+fn cold_delay_of_queued() {
+    let mut cold = cold_starts();
+    cold.reported_cold(at(0));
+    for start in 0..COLD_STARTS {
+        cold.record_start(at(10 * start as u64));
+    }
+    let first = cold.delay(at(200), 0);
+    assert_eq!(cold.delay(at(200), 3), first + Duration::from_millis(30));
+    let (before, due) = (first - Duration::from_millis(1), at(200) + first);
+    assert!(!cold.delay(at(200) + before, 0).is_zero());
+    assert!(cold.delay(due, 0).is_zero());
+    assert!(cold.delay(at(200), 1_000) <= Duration::from_millis(COLD_MS - 200));
+}
+
+#[test]
+fn slots_reject_cold_at_once() {
+    let mut slots = Slots::starting(limits(), START);
+    slots.set_limits(limits());
+    let mut codes = Vec::new();
+    for call in 0..200 {
+        match slots.offer(START, offer(call, START)) {
+            Admission::Run => slots.end(at(1), CallKey(call)),
+            Admission::Queue(_) => {}
+            Admission::Reject(code, wait) => codes.push((code, wait)),
+        }
+    }
+    let (code, wait) = codes[0];
+    assert_eq!(code, Code::TargetCold);
+    assert!(wait > Duration::from_secs(1), "{wait:?}");
+}
+
+/// A target that crashes when it is sent too many requests while it is cold.
+struct FragileTarget {
+    slots: Slots,
+    up_at: u64,
+    starts: VecDeque<u64>,
+    running: VecDeque<(u64, u64)>,
+    crashes: u32,
+    answered_late_in_run: u32,
+}
+
+/// Cold target rate above which it crashes, and how long it is down after a crash.
+const CRASH_RATE: usize = 20;
+const DOWN_MS: u64 = 1_000;
+const REPLAY_MS: u64 = 20_000;
+
+impl FragileTarget {
+    fn crash(&mut self, now: u64) {
+        self.crashes += 1;
+        self.up_at = now + DOWN_MS;
+        self.slots.cold_mut().target_down();
+        for (call, _) in std::mem::take(&mut self.running) {
+            self.slots.abandon(CallKey(call));
+        }
+    }
+
+    fn run(&mut self, now: u64, call: u64) {
+        if now < self.up_at {
+            return self.slots.release(CallKey(call));
+        }
+        self.slots.cold_mut().target_responded(at(now));
+        self.starts.push_back(now);
+        while self.starts.front().is_some_and(|start| *start + 1_000 <= now) {
+            self.starts.pop_front();
+        }
+        let is_cold = now < self.up_at + COLD_MS;
+        self.running.push_back((call, now + 160));
+        if is_cold && self.starts.len() > CRASH_RATE {
+            self.crash(now);
+        }
+    }
+}
+
+/// All targets have just started; requests come at the full rate of a warm target.
+fn replay_power_loss(limits: ServiceLimits) -> FragileTarget {
+    let mut target = FragileTarget {
+        slots: Slots::starting(limits.clone(), START),
+        up_at: 0,
+        starts: VecDeque::new(),
+        running: VecDeque::new(),
+        crashes: 0,
+        answered_late_in_run: 0,
+    };
+    target.slots.set_limits(limits);
+    for now in 0..REPLAY_MS {
+        while target.running.front().is_some_and(|(_, end)| *end <= now) {
+            let (call, _) = target.running.pop_front().unwrap();
+            target.slots.end(at(now), CallKey(call));
+            target.answered_late_in_run += u32::from(now > REPLAY_MS / 2);
+        }
+        let arrives = now % 28 == 0;
+        if arrives && target.slots.offer(at(now), offer(now, at(now))) == Admission::Run {
+            target.run(now, now);
+        }
+        while let Some(popped) = target.slots.pop(at(now)) {
+            if let Popped::Run(CallKey(call)) = popped {
+                target.run(now, call);
+            }
+        }
+    }
+    target
+}
+
+/// Guards against targets that are crashed again each time they come back.
+#[test]
+fn cold_target_recovers() {
+    let unlimited = replay_power_loss(ServiceLimits { cold_ms: 0, ..limits() });
+    let limited = replay_power_loss(limits());
+    assert!(unlimited.crashes > 5, "{}", unlimited.crashes);
+    assert_eq!(limited.crashes, 0);
+    let ratio = limited.answered_late_in_run as f64 / unlimited.answered_late_in_run.max(1) as f64;
+    assert!(ratio > 1.5, "{ratio}");
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Offer,
+    EndOldest,
+    Pop,
+    Down,
+    Report,
+}
+
+proptest! {
+    /// No start exceeds the rate within the last second, compared with a list of all starts.
+    #[test]
+    fn cold_rate_never_exceeded(
+        steps in prop::collection::vec(
+            (0u64..120, prop_oneof![
+                12 => Just(Step::Offer), 6 => Just(Step::EndOldest), 6 => Just(Step::Pop),
+                1 => Just(Step::Down), 1 => Just(Step::Report),
+            ]),
+            1..400,
+        ),
+    ) {
+        let mut slots = Slots::starting(limits(), START);
+        slots.set_limits(limits());
+        let mut starts: Vec<(u64, u64)> = Vec::new();
+        let mut running: VecDeque<u64> = VecDeque::new();
+        let mut now = 0;
+        for (call, (gap, step)) in steps.into_iter().enumerate() {
+            now += gap;
+            let call = call as u64;
+            let cold = slots.cold_mut().is_cold(at(now));
+            let started = match step {
+                Step::Offer => (slots.offer(at(now), offer(call, at(now))) == Admission::Run)
+                    .then_some(call),
+                Step::Pop => match slots.pop(at(now)) {
+                    Some(Popped::Run(CallKey(call))) => Some(call),
+                    _ => None,
+                },
+                Step::EndOldest => {
+                    if let Some(call) = running.pop_front() {
+                        slots.end(at(now), CallKey(call));
+                        slots.cold_mut().target_responded(at(now));
+                    }
+                    None
+                }
+                Step::Down => { slots.cold_mut().target_down(); None }
+                Step::Report => { slots.cold_mut().reported_cold(at(now)); None }
+            };
+            if let Some(call) = started {
+                starts.push((call, now));
+                running.push_back(call);
+                let recent = starts.iter().filter(|(_, start)| start + 1_000 > now).count();
+                prop_assert!(!cold || recent <= COLD_STARTS, "{recent} starts at {now} ms");
+            }
+        }
+    }
+}
--- a/core/tests/call_retries_nested.rs
+++ b/core/tests/call_retries_nested.rs
@@ -223,6 +223,7 @@
         objective: START,
         may_exceed_objective: false,
         repeat: idempotent,
+        regions: Vec::new(),
     };
     let (signing, lookup) = (RunKind::of(&terms(false)), RunKind::of(&terms(true)));
     let mut counts = RunCounts::new();
--- a/core/tests/discovery_relay.rs
+++ b/core/tests/discovery_relay.rs
@@ -306,3 +306,63 @@
         }
     }
 }
+
+fn evacuation(zone: &str, active: bool) -> Change {
+    Change::Evacuation { zone: name(zone), active }
+}
+
+/// Running nodes that do not hold exactly the targets of `zone` as evacuated.
+fn without_order(fleet: &Fleet, zone: Option<&str>) -> Vec<usize> {
+    let holds = |node: &usize| {
+        fleet.nodes[*node].snapshot.as_ref().is_some_and(|snapshot| {
+            let targets = snapshot.targets().iter();
+            targets.len() == NODES
+                && targets.into_iter().all(|entry| {
+                    entry.target.evacuated == (Some(entry.target.zone.as_str()) == zone)
+                })
+        })
+    };
+    (0..NODES).filter(|node| fleet.nodes[*node].up && !holds(node)).collect()
+}
+
+/// Guards against an order that reaches only the nodes that read the store.
+#[test]
+fn relay_evacuation_reaches_all() {
+    let mut fleet = fleet();
+    for _ in 0..3 {
+        fleet.store.changes.push(evacuation("east-0", true));
+        fleet.advance(CHANGE_BOUND);
+        assert_eq!(without_order(&fleet, Some("east-0")), Vec::<usize>::new());
+        fleet.store.changes.push(evacuation("east-0", false));
+        fleet.advance(CHANGE_BOUND);
+        assert_eq!(without_order(&fleet, None), Vec::<usize>::new());
+    }
+}
+
+/// Guards against an order that is lost when a reader fails, while the store is silent, or in a
+/// process that starts then.
+#[test]
+fn relay_evacuation_survives_failures() {
+    let mut fleet = fleet();
+    fleet.store.changes.push(evacuation("west-1", true));
+    fleet.advance(ms(100));
+    for reader in readers(&fleet) {
+        fleet.stop(reader);
+    }
+    fleet.advance(CHANGE_BOUND);
+    assert_eq!(without_order(&fleet, Some("west-1")), Vec::<usize>::new());
+    fleet.set_store_unreachable(true);
+    fleet.advance(ms(3_000));
+    (0..NODES).filter(|node| !fleet.nodes[*node].up).collect::<Vec<_>>().into_iter().for_each(
+        |node| {
+            fleet.start(node);
+            fleet.nodes[node].store_unreachable = true;
+        },
+    );
+    fleet.advance(ms(3_000));
+    assert_eq!(without_order(&fleet, Some("west-1")), Vec::<usize>::new());
+    fleet.store.changes.push(evacuation("west-1", false));
+    fleet.set_store_unreachable(false);
+    fleet.advance(ms(6_000));
+    assert_eq!(without_order(&fleet, None), Vec::<usize>::new());
+}
--- a/core/tests/support/store_fleet.rs
+++ b/core/tests/support/store_fleet.rs
@@ -79,6 +79,8 @@
         state,
         started_ms: 1_000 + node as u64,
         sequence,
+        cold: false,
+        evacuated: false,
     };
     Change::Target { id: name(format!("t{node}")), entry: Some(entry) }
 }
@@ -121,23 +123,41 @@
 
     fn list(&self, stale: bool) -> Reply {
         let hidden = if stale { self.stale_by } else { 0 };
-        let changes = self.changes[..self.changes.len().saturating_sub(hidden)].to_vec();
-        Reply { revision: changes.len() as u64, changes, next: None }
+        let visible = &self.changes[..self.changes.len().saturating_sub(hidden)];
+        let mut changes = visible.to_vec();
+        changes.retain(|change| !matches!(change, Change::Evacuation { .. }));
+        changes.extend(evacuations(visible));
+        Reply { revision: visible.len() as u64, changes, next: None }
     }
 
     fn entries_since(&self, revision: u64) -> Reply {
         let mut reply = self.changes_since(revision);
-        reply.changes.retain(|change| !matches!(change, Change::Published(_)));
+        reply
+            .changes
+            .retain(|change| !matches!(change, Change::Published(_) | Change::Evacuation { .. }));
         reply
     }
 
     fn document(&self) -> Reply {
         let published = |change: &&Change| matches!(change, Change::Published(_));
-        let changes = self.changes.iter().rfind(published).cloned().into_iter().collect();
+        let document = self.changes.iter().rfind(published).cloned();
+        let changes = document.into_iter().chain(evacuations(&self.changes)).collect();
         Reply { revision: self.changes.len() as u64, changes, next: None }
     }
 }
 
+/// Evacuations in force after these changes.
+fn evacuations(changes: &[Change]) -> Vec<Change> {
+    let mut zones = std::collections::BTreeMap::new();
+    for change in changes {
+        if let Change::Evacuation { zone, active } = change {
+            zones.insert(zone.clone(), *active);
+        }
+    }
+    let in_force = zones.into_iter().filter(|(_, active)| *active);
+    in_force.map(|(zone, active)| Change::Evacuation { zone, active }).collect()
+}
+
 pub struct Node {
     pub discovery: Discovery,
     pub up: bool,
--- a/core/tests/support/store_node.rs
+++ b/core/tests/support/store_node.rs
@@ -40,7 +40,17 @@
 pub fn entry(address: &str, state: TargetState, started_ms: u64, sequence: u64) -> TargetEntry {
     let address = address.parse().unwrap();
     let service = name("s");
-    TargetEntry { service, address, place: place(), slots: 12, state, started_ms, sequence }
+    TargetEntry {
+        service,
+        address,
+        place: place(),
+        slots: 12,
+        state,
+        started_ms,
+        sequence,
+        cold: false,
+        evacuated: false,
+    }
 }
 
 pub fn target(id: &str, entry: TargetEntry) -> Change {
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -72,8 +72,9 @@
     pub fn new(shared: Arc<Shared>, executor: &Arc<Executor<'static>>, seed: u64) -> GateAdapter {
         let settings = &shared.settings;
         let link = settings.limits.link_mbps.map(|rate| rate.kbps);
-        let mut gatekeeper =
-            Gatekeeper::new(settings.vm.clone(), shared.clock.now(), seed).with_link(link);
+        let mut gatekeeper = Gatekeeper::new(settings.vm.clone(), shared.clock.now(), seed)
+            .with_link(link)
+            .with_region(settings.region.clone());
         if let Some(service) = &settings.service {
             gatekeeper = gatekeeper.with_discovered_target(settings.listen.gate, service.clone());
         }
--- a/node/src/calls/headers.rs
+++ b/node/src/calls/headers.rs
@@ -192,11 +192,12 @@
 }
 
 /// Formats the terms as `service;idempotent;once;class;rank;may_exceed_objective;repeat;objective`,
-/// where the objective is in milliseconds from `now`.
+/// where the objective is in milliseconds from `now`, followed by `;region` for each region to which
+/// the request is bound.
 pub fn write_terms(terms: &Terms, now: Time) -> Option<HeaderValue> {
     let remaining = terms.objective.since(now).as_millis() as u64;
     let idempotent = u8::from(terms.idempotent);
-    let text = format!(
+    let mut text = format!(
         "{};{idempotent};{};{};{};{};{};{remaining}",
         terms.service,
         terms.once as u8,
@@ -205,6 +206,10 @@
         u8::from(terms.may_exceed_objective),
         u8::from(terms.repeat)
     );
+    for region in &terms.regions {
+        text.push(';');
+        text.push_str(region.as_str());
+    }
     HeaderValue::try_from(text).ok()
 }
 
@@ -236,7 +241,18 @@
     let repeat = parts.next()? == "1";
     let remaining = Duration::from_millis(parts.next()?.parse().ok()?);
     let objective = now + remaining;
-    Some(Terms { service, idempotent, once, class, rank, objective, may_exceed_objective, repeat })
+    let regions = parts.map(|region| Name::new(region.to_owned())).collect::<Option<_>>()?;
+    Some(Terms {
+        service,
+        idempotent,
+        once,
+        class,
+        rank,
+        objective,
+        may_exceed_objective,
+        repeat,
+        regions,
+    })
 }
 
 /// Sets the status and headers of a response for an outcome other than `Answered`.
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -45,6 +45,9 @@
     /// Fleet-wide retry budget, for presets that define none.
     #[serde(default)]
     pub fleet_retries: FleetRetries,
+    /// Rate allowed for cold targets, for presets that state only the rate that they always bear.
+    #[serde(default)]
+    pub cold_rate: ColdRate,
     /// Bounds on the time until changes take effect.
     #[serde(default)]
     pub bounds: Bounds,
@@ -89,6 +92,47 @@
     }
 }
 
+/// Requests per second that a cold target may be sent, beyond the rate that it always bears.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ColdRate {
+    /// Multiple of the rate that the target always bears; 1 to 100, rounded to 0.01.
+    pub factor: Factor,
+    /// Requests per second in addition; 0 to 100,000.
+    pub reserve: u32,
+}
+
+impl Default for ColdRate {
+    fn default() -> ColdRate {
+        ColdRate { factor: Factor { percent: 100 }, reserve: 0 }
+    }
+}
+
+/// A factor of at least 1, serialised as a number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct Factor {
+    /// The factor, in percent.
+    pub percent: u32,
+}
+
+impl TryFrom<f64> for Factor {
+    type Error = String;
+
+    fn try_from(factor: f64) -> std::result::Result<Factor, String> {
+        match (1.0..=100.0).contains(&factor) {
+            true => Ok(Factor { percent: (factor * 100.0).round() as u32 }),
+            false => Err(format!("found {factor}, allowed 1 to 100")),
+        }
+    }
+}
+
+impl From<Factor> for f64 {
+    fn from(factor: Factor) -> f64 {
+        f64::from(factor.percent) / 100.0
+    }
+}
+
 /// A share, serialised as a number from 0 to 1.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "f64", into = "f64")]
@@ -284,6 +328,7 @@
         settings.limits.check()?;
         let reserve = settings.fleet_retries.reserve;
         check_range("fleet_retries.reserve", reserve.into(), 0..=100_000)?;
+        check_range("cold_rate.reserve", settings.cold_rate.reserve.into(), 0..=100_000)?;
         Ok(settings)
     }
 
--- a/standins/src/example/presets.rs
+++ b/standins/src/example/presets.rs
@@ -45,6 +45,8 @@
         warm_up_ms: 2_000,
         bulk_share_percent: 50,
         drain_ms: 30_000,
+        cold_ms: 0,
+        cold_starts: 0,
     };
     match preset {
         "peak" => ServiceLimits {
@@ -81,6 +83,7 @@
         deadline_ms,
         max_attempts,
         max_body_bytes: 1_048_576,
+        regions: Vec::new(),
         host: None,
         spare_forwards: 0,
         split: Vec::new(),
@@ -103,6 +106,8 @@
             incarnation: None,
             slots: None,
             leaving: false,
+            evacuated: false,
+            cold: false,
         })
         .collect()
 }
--- a/tools/tests/configuration_doc.rs
+++ b/tools/tests/configuration_doc.rs
@@ -65,6 +65,7 @@
     full["log"] = json!({});
     full["service"] = "s".into();
     full["fleet_retries"] = json!({});
+    full["cold_rate"] = json!({});
     full["bounds"] = json!({});
     full["zones"] = json!({"NAME": "r"});
     full["listen"]["ready"] = "127.0.0.1:7".into();
@@ -92,9 +93,14 @@
     target["incarnation"] = "i".into();
     target["slots"] = 4.into();
     target["leaving"] = true.into();
+    target["evacuated"] = true.into();
+    target["cold"] = true.into();
     let route = &mut full["routes"]["NAME"];
     route["host"] = "h".into();
     route["split"] = json!([{"service": "NAME", "weight": 1}]);
+    // Requests with a key can't be bound to regions.
+    route["once"] = "attempt".into();
+    route["regions"] = json!(["r"]);
     full["parts"] = json!([{"key": "part/1", "digest": Hash::of(b"")}]);
     DocumentKind { section: "A preset", minimal, full, read: read_preset }
 }
