Hedge into a slow target while the primary is silent for even longer

Cause: hedge_past_silent_target and hedge_failure_beside_silence failed beside load. No hedge was sent while the only other target's measured latency was above 150% of the typical one, and the caller waited until its deadline.

Weighed: a paused clock in the two tests, which would leave the decision as it is; or the decision. The limit exists because a slower target is unlikely to respond first, which no longer holds once the primary has been silent for longer.

Change: the limit is 150% of the typical latency or the primary's silence, whichever is longer; the adapter asks again at doubled delays. The budget for hedges is as it was.

--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -34,7 +34,7 @@
 const HEDGE_DELAY_DEVIATIONS: u32 = 4;
 
 /// Maximum expected latency of a hedge's target, in percent of the typical latency. A slower target
-/// is unlikely to respond before the primary.
+/// is unlikely to respond before the primary, unless that has been silent for even longer.
 const MAX_HEDGE_LATENCY_PERCENT: u32 = 150;
 
 /// Consecutive failures after which a target is ejected.
@@ -314,8 +314,13 @@
     }
 
     /// Selects a target that is not known to be overloaded and is expected to respond with typical
-    /// latency. Bulk requests stay within the zone because one of the two responses is discarded.
-    pub fn pick_for_hedge(&mut self, request: PickRequest<'_>) -> Option<Name> {
+    /// latency, or within the time for which the primary has been silent. Bulk requests stay within
+    /// the zone because one of the two responses is discarded.
+    pub fn pick_for_hedge(
+        &mut self,
+        request: PickRequest<'_>,
+        silent_for: Duration,
+    ) -> Option<Name> {
         let vm = self.pick_available(request)?;
         let peer = self.peers.get(&vm)?;
         if request.class == Class::Bulk && peer.link != Link::Zone {
@@ -327,7 +332,7 @@
         let max_expected = (typical_latency + assumed_network_latency(peer.link))
             * MAX_HEDGE_LATENCY_PERCENT
             / 100;
-        (expected <= max_expected).then_some(vm)
+        (expected <= max_expected.max(silent_for)).then_some(vm)
     }
 
     /// Records an error response, or that the deadline passed without a response.
--- a/core/src/call/entry/hedge.rs
+++ b/core/src/call/entry/hedge.rs
@@ -11,7 +11,7 @@
 
 impl Entry {
     /// Sends a hedge for a slow attempt if a healthy target has capacity and the retry budget
-    /// allows it.
+    /// allows it. Otherwise the adapter asks again while the attempt remains without a response.
     pub(super) fn hedge(&mut self, now: Time, key: CallKey, out: &mut Vec<Output>) {
         let Some(vm) = self.hedge_target(now, key) else {
             return;
@@ -38,7 +38,8 @@
         let request = PickRequest::new(now, service, &call.terms)
             .with_tried(&call.tried)
             .with_regions(&call.terms.regions);
-        let vm = self.balancer.pick_for_hedge(request)?;
+        let silent_for = now.since(call.primary.as_ref()?.sent_at);
+        let vm = self.balancer.pick_for_hedge(request, silent_for)?;
         self.retries.try_take(now, call).then_some(vm)
     }
 
--- a/core/src/call/entry/port.rs
+++ b/core/src/call/entry/port.rs
@@ -43,7 +43,8 @@
             /// Whether the request can be sent again because its body has not been consumed.
             replayable: bool,
         },
-        /// No response started within the hedge delay of the [`Forward`].
+        /// No response started within the hedge delay of the [`Forward`], or within twice the
+        /// previous delay if no hedge was sent then.
         HedgeDue(CallKey),
         /// The primary attempt ended. Its hedge becomes the only attempt.
         PrimaryEnded {
--- a/core/tests/call_entry_hedge.rs
+++ b/core/tests/call_entry_hedge.rs
@@ -161,3 +161,35 @@
     let share = 3 + 400 * 4 / 100;
     assert!(hedges > share, "{hedges}, {share} without what is given back");
 }
+
+/// Guards against waiting for a silent target until the deadline because every other target is
+/// slower than usual.
+#[test]
+fn hedge_into_slow_target_beside_silence() {
+    let slow_time = RESPONSE_TIME * 3;
+    let mut driver = Driver::new();
+    driver.now = driver.now + Duration::from_secs(6);
+    for vm in ["a", "b", "c", "d", "e", "f"] {
+        let call = loop {
+            let forward = driver.arrive("/idem");
+            if forward.vm.as_str() == vm {
+                break forward.call;
+            }
+            driver.input(Input::Close(forward.call));
+        };
+        driver.now = driver.now + slow_time;
+        driver.respond(call);
+    }
+    let first = driver.arrive("/idem");
+    let mut delay = Duration::from_millis(first.hedge_delay_ms.unwrap().into());
+    let sent_at = driver.now;
+    let hedge = loop {
+        driver.now = driver.now + delay;
+        if let Some(Output::Forward(hedge)) = driver.input(Input::HedgeDue(first.call)) {
+            break hedge;
+        }
+        delay *= 2;
+        assert!(driver.now < sent_at + slow_time * 4, "no hedge was sent");
+    };
+    assert_ne!(first.vm, hedge.vm);
+}
--- a/node/src/calls/entry/hedge.rs
+++ b/node/src/calls/entry/hedge.rs
@@ -52,16 +52,20 @@
         let primary = forward.clone();
         let (key, shard, id) = (call.guard.call, call.guard.shard, call.id.clone());
         let mut primary_exchange = pin!(self.exchange(shard, &id, &primary, req));
-        let hedge_delay = async {
-            self.shared.clock.sleep(Duration::from_millis(delay_ms.into())).await;
-            None
-        };
-        let early = future::or(async { Some(primary_exchange.as_mut().await) }, hedge_delay).await;
-        if let Some(result) = early {
-            return result.into_attempt();
-        }
-        let Some(Output::Forward(hedge)) = self.decide(shard, Input::HedgeDue(key)) else {
-            return primary_exchange.await.into_attempt();
+        let mut delay = Duration::from_millis(delay_ms.into());
+        let hedge = loop {
+            let timer = async {
+                self.shared.clock.sleep(delay).await;
+                None
+            };
+            let early = future::or(async { Some(primary_exchange.as_mut().await) }, timer).await;
+            if let Some(result) = early {
+                return result.into_attempt();
+            }
+            if let Some(Output::Forward(hedge)) = self.decide(shard, Input::HedgeDue(key)) {
+                break hedge;
+            }
+            delay *= 2;
         };
         let Some(req) = self.begin_attempt(call, &hedge) else {
             return primary_exchange.await.into_attempt();
