Keys over two moves: queued requests and mixed parts of responses

Cause: IdempotencyTable::import kept the record of a queued request, so that the request ran although its key had run at another home between two moves. Homes counted the parts of a response by request: if the request arrived twice and a key had expired in between, parts of both responses could add up without one of the keys.

Change: an imported key ends a queued request as unknown. A key's part follows from its hash, so parts of two responses can be mixed; a response with another number of parts starts anew; the latest fence of any part holds.

--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -328,7 +328,12 @@
         let Some(entry) = self.calls.get(&call).copied() else {
             return self.slots.release(call);
         };
-        let rejection = entry.key.and_then(|key| self.check_permission(key));
+        let rejection = entry.key.and_then(|key| {
+            let ran_elsewhere = !self.idempotency.may_run_queued(key, call);
+            let unknown = Outcome::Unknown { code: Code::KeyOutcomeUnknown };
+            let known = ran_elsewhere.then_some(CheckResult::Reject(unknown));
+            known.or_else(|| self.check_permission(key))
+        });
         match rejection {
             Some(CheckResult::Reject(outcome)) => {
                 self.slots.release(call);
--- a/core/src/call/home.rs
+++ b/core/src/call/home.rs
@@ -10,7 +10,7 @@
     HomeList, ListId, Note, OutgoingNote, ReleaseRequest, ReleaseResponse, Unreleased,
 };
 use super::{KEY_LIFETIME, MAX_CLOCK_SKEW, Members, RequestKey};
-use crate::hash::Hash;
+use crate::hash::{Hash, rendezvous_score};
 use crate::member::VmState;
 use crate::{Name, Time};
 use indexmap::{IndexMap, IndexSet};
@@ -20,7 +20,8 @@
 
 const MAX_PREVIOUS_LISTS: usize = 16;
 
-const MAX_KEYS_PER_PART: usize = 512;
+/// Mean number of keys in a part of a response.
+const KEYS_PER_PART: usize = 256;
 
 /// Never used as the id of a release request.
 const NO_REQUEST: u64 = 0;
@@ -62,7 +63,39 @@
     request_id: u64,
     next_request_at: Time,
     retry_interval: Duration,
-    parts: IndexSet<u32>,
+    parts: ReceivedParts,
+}
+
+/// Parts of the responses to one request. A request that is delivered twice has two responses, whose
+/// parts may be mixed: a key is in the same part of both.
+#[derive(Debug, Default)]
+struct ReceivedParts {
+    // Number of parts of the responses; parts of responses with another number are discarded.
+    count: u32,
+    received: IndexSet<u32>,
+    // Latest fence of any part.
+    fence: Time,
+}
+
+impl ReceivedParts {
+    /// Adds a part. Returns whether all parts have been received.
+    fn add(&mut self, response: &ReleaseResponse) -> bool {
+        if self.count != response.parts {
+            *self = ReceivedParts { count: response.parts, ..ReceivedParts::default() };
+        }
+        self.received.insert(response.part);
+        self.fence = self.fence.max(response.fence);
+        self.received.len() as u32 >= self.count
+    }
+
+    fn clear(&mut self) {
+        *self = ReceivedParts::default();
+    }
+}
+
+/// The part of a response that contains `key`.
+fn part_of(key: RequestKey, parts: usize) -> usize {
+    (rendezvous_score(&key.to_bytes(), b"") % parts as u64) as usize
 }
 
 #[derive(Debug)]
@@ -326,20 +359,23 @@
         let fence = known.max(self.started).max(forgotten);
         let lists = self.lists_since(request.since.as_ref());
         let unreleased = self.unreleased();
-        let chunks: Vec<&[RequestKey]> =
-            if keys.is_empty() { vec![keys] } else { keys.chunks(MAX_KEYS_PER_PART).collect() };
-        let parts = chunks.len() as u32;
-        let part = |(index, chunk): (usize, &&[RequestKey])| ReleaseResponse {
+        let mut chunks = vec![Vec::new(); keys.len().div_ceil(KEYS_PER_PART).max(1)];
+        let parts = chunks.len();
+        for key in keys {
+            chunks[part_of(*key, parts)].push(*key);
+        }
+        let part = |(index, keys): (usize, Vec<RequestKey>)| ReleaseResponse {
             id: request.id,
             part: index as u32,
-            parts,
-            keys: chunk.to_vec(),
+            parts: parts as u32,
+            keys,
             fence,
             lists: lists.clone(),
             unreleased: unreleased.clone(),
             left: self.leaving,
         };
-        let notes = chunks.iter().enumerate().map(part).map(|part| Note::Released(Box::new(part)));
+        let notes = chunks.into_iter().enumerate().map(part);
+        let notes = notes.map(|part| Note::Released(Box::new(part)));
         notes.map(|note| OutgoingNote { to: to.clone(), note }).collect()
     }
 
@@ -363,8 +399,8 @@
         if pending.request_id == NO_REQUEST || pending.request_id != response.id || stale {
             return false;
         }
-        pending.parts.insert(response.part);
-        let complete = pending.parts.len() as u32 >= response.parts;
+        let complete = pending.parts.add(response);
+        let fence = pending.parts.fence;
         let newly_departed = response.left && !self.departed.contains(from);
         for list in &response.lists {
             let list = Arc::new(list.clone());
@@ -383,9 +419,9 @@
             self.wait_for(now, &entry.vm, KeyScope::from_list(entry.list.as_ref()));
         }
         if complete {
-            self.mark_released(now, from, response.fence);
+            self.mark_released(now, from, fence);
             if response.left {
-                self.take_over(from, response.fence);
+                self.take_over(from, fence);
             } else {
                 // The VM is not leaving, even if an outdated member view says so. Do not ask again.
                 self.returned.insert(from.clone());
@@ -473,7 +509,7 @@
             request_id: NO_REQUEST,
             next_request_at: now,
             retry_interval: MIN_RETRY_INTERVAL,
-            parts: IndexSet::new(),
+            parts: ReceivedParts::default(),
         };
         let pending = self.pending.entry(vm.clone()).or_insert_with(fresh);
         if !pending.scopes.contains(&scope) {
--- a/core/src/call/once.rs
+++ b/core/src/call/once.rs
@@ -147,15 +147,25 @@
         }
     }
 
-    /// Imports keys that ran or may have run at another home.
+    /// Imports keys that ran or may have run at another home. A request with such a key that is
+    /// still queued here must not run any more.
     pub fn import(&mut self, now: Time, keys: &[RequestKey]) {
         for key in keys {
             self.evict(now);
             let unknown = || Record { digest: None, state: RecordState::Unknown };
-            self.records.entry(*key).or_insert_with(unknown);
+            let record = self.records.entry(*key).or_insert_with(unknown);
+            if matches!(record.state, RecordState::Waiting(_)) {
+                record.state = RecordState::Unknown;
+            }
         }
     }
 
+    /// Whether this queued request may still run: its key has not run at another home meanwhile.
+    pub fn may_run_queued(&self, key: RequestKey, call: CallKey) -> bool {
+        let state = self.records.get(&key).map(|record| &record.state);
+        matches!(state, Some(RecordState::Waiting(own)) if *own == call)
+    }
+
     /// Returns the keys that ran or may have run and that match `filter`.
     pub fn keys_that_ran(&self, filter: impl Fn(RequestKey) -> bool) -> Vec<RequestKey> {
         let ran = self
--- a/core/tests/call_homes.rs
+++ b/core/tests/call_homes.rs
@@ -5,11 +5,14 @@
 mod support;
 
 use proptest::prelude::*;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use support::*;
-use sycamore_core::Code;
-use sycamore_core::call::gatekeeper::Input;
+use sycamore_core::call::gatekeeper::{Input, Output, RunEnd};
+use sycamore_core::call::home::Homes;
+use sycamore_core::call::note::{HomeList, Note, OutgoingNote, ReleaseRequest, ReleaseResponse};
 use sycamore_core::call::{Outcome, RequestKey};
+use sycamore_core::{Code, Time};
 
 fn code(outcome: Option<Outcome>) -> Option<Code> {
     match outcome? {
@@ -257,6 +260,66 @@
     assert_eq!(code(fleet.submit(1, key)), Some(Code::NotHome));
 }
 
+/// Guards against a queued request that runs after its key has moved away, run there, and moved
+/// back.
+#[test]
+fn homes_queued_over_two_moves() {
+    let limits = r#"{"slots":1,"queue_wait_ms":60000}"#;
+    let mut fleet = Fleet::with_limits(&["a", "b", "c"], limits);
+    fleet.settle();
+    fleet.publish(vec!["a", "b", "c", "d"]);
+    fleet.publish(vec!["a", "b", "c"]);
+    let key = fleet.moving_key(1, 2);
+    let (old, new) = (fleet.home(1, key), fleet.home(2, key));
+    let other = (0..).map(|low| key_at(fleet.now, low)).find(|other| {
+        *other != key && fleet.home(1, *other) == old && fleet.home(2, *other) == old
+    });
+    let (running, _) = fleet.arrive(old, other.unwrap());
+    let (queued, out) = fleet.arrive(old, key);
+    assert!(matches!(out[..], [Output::Queue(..)]), "{out:?}");
+    (0..4).for_each(|index| fleet.adopt(index, 2));
+    fleet.settle();
+    assert_eq!(fleet.submit(new, key), Some(Outcome::Answered));
+    (0..4).for_each(|index| fleet.adopt(index, 3));
+    fleet.settle();
+    let end = RunEnd::Answered { cached: None };
+    let out = fleet.handle(old, Input::End { call: running, end });
+    let unknown = Outcome::Unknown { code: Code::KeyOutcomeUnknown };
+    assert_eq!(out, [Output::Reject { call: queued, outcome: unknown, crashes: 0 }]);
+}
+
+/// Guards against a key that is lost when a release request arrives twice and parts of both
+/// responses are mixed, the second of which lacks an expired key.
+#[test]
+fn homes_parts_of_two_responses() {
+    let list = HomeList { version: 1, vms: vec![name("a"), name("b")] };
+    let keys: Vec<RequestKey> = (0..1_500).map(|low| key_at(START, low)).collect();
+    let parts = |responder: &Homes, request: &ReleaseRequest, keys: &[RequestKey]| {
+        let notes = responder.release(&name("a"), request, keys, Time::ZERO);
+        let part = |note: OutgoingNote| match note.note {
+            Note::Released(part) => *part,
+            other => panic!("{other:?}"),
+        };
+        notes.into_iter().map(part).collect::<Vec<ReleaseResponse>>()
+    };
+    for mix in 0..8 {
+        let mut homes = Homes::new(START, name("a"), name("s"), list.clone());
+        let responder = Homes::joining(START, name("b"), name("s"), list.clone());
+        let mut asked = Vec::new();
+        homes.tick(START, &mut asked);
+        let Note::AskRelease(request) = &asked[0].note else { panic!("{asked:?}") };
+        let (first, second) =
+            (parts(&responder, request, &keys), parts(&responder, request, &keys[1..]));
+        let mut received = BTreeSet::new();
+        for (index, (one, two)) in first.iter().zip(&second).enumerate() {
+            let part = if mix >> (index % 3) & 1 == 0 { one } else { two };
+            assert!(homes.apply_response(START, &name("b"), part));
+            received.extend(part.keys.iter().copied());
+        }
+        assert!(homes.moving() || keys[1..].iter().all(|key| received.contains(key)), "{mix}");
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Publish(u8),
--- a/core/tests/support/homes.rs
+++ b/core/tests/support/homes.rs
@@ -21,8 +21,13 @@
 pub const VMS: [&str; 5] = ["a", "b", "c", "d", "e"];
 
 pub fn snapshot(version: u64, vms: &[&str]) -> Arc<Snapshot> {
-    let routes = r#"{"once":{"path_prefix":"/once","service":"s","idempotent":false}}"#;
-    snapshots::snapshot(version, vms, "{}", routes)
+    snapshot_with_limits(version, vms, "{}")
+}
+
+fn snapshot_with_limits(version: u64, vms: &[&str], limits: &str) -> Arc<Snapshot> {
+    let routes = r#"{"once":{"path_prefix":"/once","service":"s","idempotent":false,
+        "objective_ms":60000,"deadline_ms":60000}}"#;
+    snapshots::snapshot(version, vms, limits, routes)
 }
 
 pub fn key_at(created: Time, low: u64) -> RequestKey {
@@ -37,6 +42,8 @@
     pub notes: Vec<(usize, OutgoingNote)>,
     pub members: Members,
     pub last_call: u64,
+    /// Limits of the service, as JSON.
+    pub limits: &'static str,
     pub runs: BTreeMap<RequestKey, Vec<(Time, usize)>>,
 }
 
@@ -48,6 +55,10 @@
 
 impl Fleet {
     pub fn new(vms: &[&'static str]) -> Fleet {
+        Fleet::with_limits(vms, "{}")
+    }
+
+    pub fn with_limits(vms: &[&'static str], limits: &'static str) -> Fleet {
         let mut fleet = Fleet {
             now: START,
             versions: vec![vms.to_vec()],
@@ -55,6 +66,7 @@
             notes: Vec::new(),
             members: Members::new(),
             last_call: 0,
+            limits,
             runs: BTreeMap::new(),
         };
         for (index, vm) in VMS.iter().enumerate() {
@@ -92,7 +104,8 @@
     pub fn adopt(&mut self, index: usize, version: u64) {
         if version > self.nodes[index].version {
             self.nodes[index].version = version;
-            let snapshot = snapshot(version, &self.versions[version as usize - 1]);
+            let vms = &self.versions[version as usize - 1];
+            let snapshot = snapshot_with_limits(version, vms, self.limits);
             self.handle(index, Input::Configure(snapshot));
         }
     }
@@ -126,7 +139,8 @@
         }
     }
 
-    pub fn submit(&mut self, index: usize, key: RequestKey) -> Option<Outcome> {
+    /// Sends a request that may wait for a minute. Returns its call and the outputs.
+    pub fn arrive(&mut self, index: usize, key: RequestKey) -> (CallKey, Vec<Output>) {
         self.last_call += 1;
         let call = CallKey(self.last_call);
         let arrival = Arrival {
@@ -139,10 +153,15 @@
             fingerprint: Fingerprint(key.low),
             crashes: 0,
             depth: 0,
-            deadline: self.now + Duration::from_secs(1),
+            deadline: self.now + Duration::from_secs(60),
         };
+        (call, self.handle(index, Input::Arrive(arrival)))
+    }
+
+    pub fn submit(&mut self, index: usize, key: RequestKey) -> Option<Outcome> {
+        let (call, outputs) = self.arrive(index, key);
         let mut outcome = None;
-        for output in self.handle(index, Input::Arrive(arrival)) {
+        for output in outputs {
             match output {
                 Output::Run { .. } => {
                     self.runs.entry(key).or_default().push((self.now, index));
