--- a/core/tests/support/homes.rs
+++ b/core/tests/support/homes.rs
@@ -20,11 +20,7 @@
 pub const START: Time = Time(1_700_000_000_000_000);
 pub const VMS: [&str; 5] = ["a", "b", "c", "d", "e"];
 
-pub fn snapshot(version: u64, vms: &[&str]) -> Arc<Snapshot> {
-    snapshot_with_limits(version, vms, "{}")
-}
-
-fn snapshot_with_limits(version: u64, vms: &[&str], limits: &str) -> Arc<Snapshot> {
+pub fn snapshot(version: u64, vms: &[&str], limits: &str) -> Arc<Snapshot> {
     let routes = r#"{"once":{"path_prefix":"/once","service":"s","idempotent":false,
         "objective_ms":60000,"deadline_ms":60000}}"#;
     snapshots::snapshot(version, vms, limits, routes)
@@ -105,7 +101,7 @@
         if version > self.nodes[index].version {
             self.nodes[index].version = version;
             let vms = &self.versions[version as usize - 1];
-            let snapshot = snapshot_with_limits(version, vms, self.limits);
+            let snapshot = snapshot(version, vms, self.limits);
             self.handle(index, Input::Configure(snapshot));
         }
     }
