Ask a target whether it is cold while that is only presumed

Cause: a gatekeeper that starts presumes that its target is cold, since both may have lost power, and limits its starts for 4.5 s.

Weighed: the start time in the target's entry, which may be that of an earlier process with the same name; or one health request, which is exact.

Change: Output::Probe while coldness is presumed, at most every 500 ms; the answer replaces the presumption. A probe counts as a start.

--- a/bench/src/fleet/calls/targets.rs
+++ b/bench/src/fleet/calls/targets.rs
@@ -88,7 +88,9 @@
                 };
                 self.reply_to_entry(call, end, None);
             }
-            gatekeeper::Output::Send(_) | gatekeeper::Output::Record(_) => {}
+            gatekeeper::Output::Send(_)
+            | gatekeeper::Output::Probe
+            | gatekeeper::Output::Record(_) => {}
         }
     }
 
--- a/bench/src/lab/path.rs
+++ b/bench/src/lab/path.rs
@@ -131,6 +131,7 @@
                 }
                 gatekeeper::Output::Replay(..)
                 | gatekeeper::Output::Send(_)
+                | gatekeeper::Output::Probe
                 | gatekeeper::Output::Record(_) => {}
             }
         }
--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -129,6 +129,11 @@
         self.limits = limits;
     }
 
+    /// Whether the target can be asked if it is cold.
+    pub fn has_health_path(&self) -> bool {
+        self.limits.health_path.is_some()
+    }
+
     /// Tracks whether the target is cold.
     pub fn cold_mut(&mut self) -> &mut ColdStarts {
         &mut self.cold
--- a/core/src/call/admit/cold.rs
+++ b/core/src/call/admit/cold.rs
@@ -58,7 +58,25 @@
     /// Records that the gatekeeper's process started at `started`. The target may have started
     /// together with it.
     pub fn gatekeeper_started(&mut self, started: Time) {
-        self.state = Warmth::Cold { since: started + MAX_START_GAP, observed: false };
+        self.presume_cold(started + MAX_START_GAP);
+    }
+
+    /// Treats the target as cold from `since` on, unless it reports otherwise.
+    pub fn presume_cold(&mut self, since: Time) {
+        self.state = Warmth::Cold { since, observed: false };
+    }
+
+    /// Whether the target is cold only by presumption.
+    pub fn is_presumed(&self, now: Time) -> bool {
+        matches!(self.state, Warmth::Cold { observed: false, .. }) && self.is_cold(now)
+    }
+
+    /// Records the target's own statement of how long it stays cold.
+    pub fn probed(&mut self, now: Time, cold_left: Duration) {
+        if self.state != Warmth::Down {
+            let since = now + cold_left - self.duration;
+            self.state = Warmth::Cold { since, observed: true };
+        }
     }
 
     /// Records that the target does not respond.
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -80,6 +80,8 @@
     target_leaving: bool,
     placement: Placement,
     last_response_at: Time,
+    // Earliest time of the next probe.
+    next_probe_at: Time,
     draining: bool,
     confirmed: bool,
     moving: bool,
@@ -109,6 +111,7 @@
             target_leaving: false,
             placement: Placement::new(),
             last_response_at: started,
+            next_probe_at: started,
             draining: false,
             confirmed: true,
             moving: false,
@@ -155,7 +158,8 @@
             Input::End { call, end } => self.end(now, call, end, out),
             Input::ResponseSent(call) => self.slots.response_sent(call),
             Input::Note { from, note } => self.handle_note(now, from, note, out),
-            Input::Tick => {}
+            Input::Probed { cold_left } => self.slots.cold_mut().probed(now, cold_left),
+            Input::Tick => self.probe(now, out),
         }
         self.poll_homes(now, out);
         self.run_waiting(now, out);
--- a/core/src/call/gatekeeper/placement.rs
+++ b/core/src/call/gatekeeper/placement.rs
@@ -11,6 +11,9 @@
 /// Connections that break between responses have other causes.
 const SILENCE: Duration = Duration::from_millis(500);
 
+/// Interval between probes of a target that does not respond to them.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// What the configuration says about the target of this gatekeeper.
 #[derive(Debug)]
 pub(super) struct Placement {
@@ -45,9 +48,12 @@
         let replaced = before.incarnation.is_some() && before.incarnation != target.incarnation;
         let reported = target.cold && !before.cold;
         let returned = before.evacuated && !target.evacuated;
-        if replaced || reported || returned {
+        if replaced || reported {
             self.slots.cold_mut().reported_cold(now);
         }
+        if returned {
+            self.slots.cold_mut().presume_cold(now);
+        }
         if target.evacuated && !before.evacuated {
             self.reject_queued(now, Code::ZoneEvacuated, out);
         }
@@ -69,6 +75,17 @@
         (!allowed).then_some(Code::OutsideRegions)
     }
 
+    /// Asks the target whether it is cold while this is only presumed.
+    pub(super) fn probe(&mut self, now: Time, out: &mut Vec<Output>) {
+        let is_due = now >= self.next_probe_at && !self.placement.evacuated;
+        if is_due && self.slots.has_health_path() && self.slots.cold_mut().is_presumed(now) {
+            self.next_probe_at = now + PROBE_INTERVAL;
+            // A probe is a request like any other for the target.
+            self.slots.cold_mut().record_start(now);
+            out.push(Output::Probe);
+        }
+    }
+
     /// Whether the target has not responded recently although requests were sent to it.
     pub(super) fn is_silent(&self, now: Time) -> bool {
         now.since(self.last_response_at) >= SILENCE
--- a/core/src/call/gatekeeper/port.rs
+++ b/core/src/call/gatekeeper/port.rs
@@ -8,6 +8,7 @@
 use crate::hash::Hash;
 use crate::{Code, Name, Time};
 use std::sync::Arc;
+use std::time::Duration;
 
 data! {
     /// A request as read by the adapter.
@@ -66,6 +67,11 @@
             from: &'a Name,
             note: &'a Note,
         },
+        /// The target has responded to [`Output::Probe`].
+        Probed {
+            /// For how long it stays cold; zero if it is warm.
+            cold_left: Duration,
+        },
         /// Periodic timer.
         Tick,
     }
@@ -117,6 +123,8 @@
             /// Number of crashes attributed to the request.
             crashes: u32,
         },
+        /// Ask the target for how long it stays cold.
+        Probe,
         /// Send a message to another gatekeeper.
         Send(OutgoingNote),
         /// Record a state change event.
--- a/core/src/config/document.rs
+++ b/core/src/config/document.rs
@@ -112,6 +112,9 @@
         /// Maximum requests that a cold target is sent in any second; not limited if 0. At most
         /// 100,000.
         pub cold_starts: u32,
+        /// Path at which a target reports for how long it stays cold. Not requested if absent.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub health_path: Option<String>,
     }
 
     /// A routing rule that maps requests to a service.
@@ -245,6 +248,7 @@
             drain_ms: 60_000,
             cold_ms: 0,
             cold_starts: 0,
+            health_path: None,
         }
     }
 }
--- a/core/src/discovery/policy.rs
+++ b/core/src/discovery/policy.rs
@@ -51,5 +51,6 @@
         drain_ms: DRAIN_TIMEOUT_MS,
         cold_ms: 0,
         cold_starts: 0,
+        health_path: None,
     }
 }
--- a/core/tests/call_cold.rs
+++ b/core/tests/call_cold.rs
@@ -77,6 +77,24 @@
     assert!(!cold.is_cold(at(2 * COLD_MS)));
 }
 
+/// Guards against limits on a target that is warm or was asked, and against asking one whose start
+/// was observed.
+#[test]
+fn cold_presumed_until_probed() {
+    let mut cold = cold_starts();
+    cold.gatekeeper_started(at(0));
+    assert!(cold.is_presumed(at(10)));
+    cold.probed(at(20), Duration::ZERO);
+    assert!(!cold.is_presumed(at(20)) && !cold.is_cold(at(20)));
+    cold.presume_cold(at(1_000));
+    cold.probed(at(1_100), Duration::from_millis(700));
+    assert!(cold.is_cold(at(1_799)) && !cold.is_presumed(at(1_200)));
+    assert!(!cold.is_cold(at(1_800)));
+    cold.target_down();
+    cold.probed(at(2_000), Duration::ZERO);
+    assert!(cold.is_cold(at(2_000)));
+}
+
 /// Guards against a report that arrives after the start was observed and extends the cold time.
 #[test]
 fn cold_report_after_observed_start() {
--- a/node/src/calls/dialect.rs
+++ b/node/src/calls/dialect.rs
@@ -19,6 +19,8 @@
     pub incarnation: Option<HeaderName>,
     /// Present in a target's response if the target did not run the request.
     pub not_run: Option<HeaderName>,
+    /// Remaining time in milliseconds for which a target is cold, in its health responses.
+    pub cold_time: HeaderName,
     /// Whether `retry-after` may contain fractions of a second.
     pub fractional_retry_after: bool,
 }
@@ -32,6 +34,7 @@
             caller: None,
             incarnation: None,
             not_run: None,
+            cold_time: headers::COLD_TIME,
             fractional_retry_after: false,
         }
     }
@@ -56,6 +59,12 @@
         self
     }
 
+    /// Sets the header of a health response that states for how long the target stays cold.
+    pub fn with_cold_time(mut self, cold_time: HeaderName) -> Dialect {
+        self.cold_time = cold_time;
+        self
+    }
+
     /// Allows fractions of a second in `retry-after`.
     pub fn with_fractional_retry_after(mut self) -> Dialect {
         self.fractional_retry_after = true;
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -1,5 +1,6 @@
 //! Adapter of the gatekeeper, the only component that opens connections to the local target.
 
+mod probe;
 mod slot;
 mod target;
 
@@ -51,6 +52,7 @@
     state: Mutex<State>,
     next_call: AtomicU64,
     drain_sent: AtomicBool,
+    probe_due: AtomicBool,
 }
 
 #[derive(Debug)]
@@ -84,6 +86,7 @@
             state: Mutex::new(State { gatekeeper, waiting: IndexMap::new() }),
             next_call: AtomicU64::new(1),
             drain_sent: AtomicBool::new(false),
+            probe_due: AtomicBool::new(false),
             shared,
         }
     }
@@ -109,11 +112,14 @@
     }
 
     /// Sends a tick to the state machine, preceded by a drain input if draining has started.
-    pub fn tick(&self) {
+    pub fn tick(self: &Arc<GateAdapter>) {
         if !self.shared.accepts_forwards() && !self.drain_sent.swap(true, Ordering::AcqRel) {
             self.handle_input(Input::Drain);
         }
         self.handle_input(Input::Tick);
+        if self.probe_due.swap(false, Ordering::AcqRel) {
+            self.executor.spawn(self.clone().probe()).detach();
+        }
         self.pool.sweep();
     }
 
@@ -156,6 +162,7 @@
                 Output::Send(note) => {
                     self.shared.notes.send(note);
                 }
+                Output::Probe => self.probe_due.store(true, Ordering::Release),
                 Output::Record(kind) => {
                     let event = Event::new(self.shared.clock.now(), kind);
                     self.shared.record(event.with_default_code());
@@ -422,7 +429,7 @@
                 Output::Reject { call, outcome, crashes } => {
                     (call, Decision::Reject(outcome, crashes))
                 }
-                Output::Send(_) | Output::Record(_) => {
+                Output::Send(_) | Output::Record(_) | Output::Probe => {
                     effects.push(output);
                     continue;
                 }
--- /dev/null
+++ b/node/src/calls/gate/probe.rs
@@ -0,0 +1,46 @@
+//! Health requests to the local target.
+
+use super::GateAdapter;
+use crate::calls::body::Body;
+use hyper::Request;
+use hyper::body::Body as _;
+use hyper::header::{HOST, HeaderValue};
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+use sycamore_core::call::gatekeeper::Input;
+
+/// Timeout of a health request.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl GateAdapter {
+    /// Asks the target for how long it stays cold. A request that fails is repeated on demand of the
+    /// state machine.
+    pub(super) async fn probe(self: Arc<GateAdapter>) {
+        let deadline = self.shared.clock.now() + PROBE_TIMEOUT;
+        let cold_left = self.with_deadline(deadline, self.request_cold_time()).await.flatten();
+        if let Some(cold_left) = cold_left {
+            self.handle_input(Input::Probed { cold_left });
+        }
+    }
+
+    async fn request_cold_time(&self) -> Option<Duration> {
+        let address = self.shared.settings.target_address?;
+        let path = self.shared.own_limits()?.health_path?;
+        let host = HeaderValue::from_static("target");
+        let req = Request::get(path).header(HOST, host).body(Body::empty()).ok()?;
+        let sent = AtomicBool::new(false);
+        let (response, connection) = self.pool.send(address, req, &sent).await.ok()?;
+        if response.body().is_end_stream() {
+            connection.release();
+        }
+        match response.headers().get(&self.shared.dialect.cold_time) {
+            Some(value) => {
+                let ms: f64 = value.to_str().ok()?.trim().parse().ok()?;
+                Duration::try_from_secs_f64(ms / 1_000.0).ok()
+            }
+            // A healthy target without the header is warm.
+            None => response.status().is_success().then_some(Duration::ZERO),
+        }
+    }
+}
--- a/node/src/calls/headers.rs
+++ b/node/src/calls/headers.rs
@@ -33,6 +33,8 @@
 pub const WAITED: HeaderName = HeaderName::from_static("x-sycamore-waited-ms");
 /// Number of target crashes that the request may have caused; between nodes only.
 pub const CRASHES: HeaderName = HeaderName::from_static("x-sycamore-crashes");
+/// Remaining time for which a target is cold, in ms; in responses to health requests.
+pub const COLD_TIME: HeaderName = HeaderName::from_static("x-sycamore-cold-ms");
 /// Terms of the request according to the entry node's route; between nodes only.
 pub const TERMS: HeaderName = HeaderName::from_static("x-sycamore-terms");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
--- /dev/null
+++ b/node/tests/calls_cold.rs
@@ -0,0 +1,36 @@
+//! Cold targets over loopback sockets.
+
+#[path = "support/calls.rs"]
+mod support;
+
+use support::*;
+
+/// A node whose target is presumed cold for a minute and asked for its state at this path.
+fn node_with_health_path(path: &str) -> (Target, Node) {
+    single_node(&format!(
+        r#"{{"cold_ms":60000,"cold_starts":2,"queue_wait_ms":500,"health_path":"{path}"}}"#
+    ))
+}
+
+/// Guards against a restarted node that limits a warm target for the whole cold time.
+#[test]
+fn probe_warm_target() {
+    let (target, node) = node_with_health_path("/health");
+    eventually("the target is asked", || target.run_count("/health") == 1);
+    eventually("requests are not limited", || {
+        (0..5).all(|_| call(node.entry, &get("/idem")).outcome() == "answered")
+    });
+    assert_eq!(target.run_count("/health"), 1);
+}
+
+#[test]
+fn probe_cold_target() {
+    let (target, node) = node_with_health_path("/health-cold");
+    eventually("the target is asked", || target.run_count("/health-cold") == 1);
+    eventually("a request is rejected", || {
+        let response = call(node.entry, &get("/idem"));
+        assert!(response.outcome() == "answered" || response.code() == Some(473));
+        response.code() == Some(473)
+    });
+    assert_eq!(target.run_count("/health-cold"), 1);
+}
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -114,6 +114,11 @@
                 std::thread::sleep(Duration::from_millis(2));
             }
         }
+        if path.contains("/health-cold") {
+            let head = "HTTP/1.1 200 OK\r\nx-sycamore-cold-ms: 60000\r\n";
+            stream.write_all(format!("{head}content-length: 0\r\n\r\n").as_bytes()).ok()?;
+            return Some(());
+        }
         if path.contains("/break") {
             return None;
         }
--- a/standins/src/example/presets.rs
+++ b/standins/src/example/presets.rs
@@ -47,6 +47,7 @@
         drain_ms: 30_000,
         cold_ms: 0,
         cold_starts: 0,
+        health_path: None,
     };
     match preset {
         "peak" => ServiceLimits {
--- a/tools/tests/configuration_doc.rs
+++ b/tools/tests/configuration_doc.rs
@@ -88,7 +88,7 @@
     });
     let mut full = minimal.clone();
     full["services"]["NAME"]["limits"] = json!({});
-    full["services"]["NAME"]["limits"] = json!({"retry_reserve": 1});
+    full["services"]["NAME"]["limits"] = json!({"retry_reserve": 1, "health_path": "/h"});
     let target = &mut full["services"]["NAME"]["targets"][0];
     target["incarnation"] = "i".into();
     target["slots"] = 4.into();
