Keep a standing queue short

Change: a queue that has not been empty for 300 ms is standing until it stays empty for as long; it takes requests that wait up to 60% of a typical run. Bursts wait as before.

--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -3,6 +3,9 @@
 
 mod cold;
 mod offer;
+mod standing;
+
+use standing::StandingQueue;
 
 pub use cold::ColdStarts;
 pub use offer::{Admission, Objective, Offer, Popped};
@@ -67,6 +70,7 @@
     depths: NestingDepths,
     link: LinkPacer,
     cold: ColdStarts,
+    standing: StandingQueue,
     policy: Policy,
 }
 
@@ -86,6 +90,7 @@
             depths: NestingDepths::new(),
             link: LinkPacer::new(None),
             cold: ColdStarts::new(),
+            standing: StandingQueue::new(),
             policy: Policy::new(),
         }
     }
@@ -152,6 +157,7 @@
         offer.objective =
             offer.objective.filter(|_| self.policy.is_enabled(Mechanism::InTimeFirst));
         self.depths.record(offer.depth);
+        self.standing.record(now, self.queued());
         if offer.deadline <= now {
             return Admission::Reject(Code::DeadlinePassed, Duration::ZERO);
         }
@@ -186,6 +192,10 @@
             false => self.policy.first_wait_percent,
         };
         let longest_wait = latest_start.min(expires_at).since(now) * wait_percent / 100;
+        let longest_wait = match self.is_overloaded() {
+            true => longest_wait.min(run_time * self.policy.standing_wait_percent / 100),
+            false => longest_wait,
+        };
         if now < latest_start && wait <= longest_wait {
             self.enqueue(QueuedRequest { offer, latest_start, expires_at });
             return Admission::Queue(expires_at);
@@ -198,6 +208,10 @@
         Admission::Queue(expires_at)
     }
 
+    fn is_overloaded(&self) -> bool {
+        self.policy.is_enabled(Mechanism::StandingQueue) && self.standing.is_standing()
+    }
+
     /// Why a request that would wait too long is rejected.
     fn rejection_code(&self, now: Time) -> Code {
         match self.cold.delay(now, 0).is_zero() {
@@ -307,6 +321,7 @@
     /// An expired request does not run even if a slot is free: its caller has given up, or this
     /// process was paused, so the result would be discarded.
     pub fn pop(&mut self, now: Time) -> Option<Popped> {
+        self.standing.record(now, self.queued());
         self.demote(now);
         for queue in self.queues.iter_mut().chain([&mut self.late]) {
             // The queue is ordered by depth, so the entry that expires first need not be at the
--- a/core/src/call/policy.rs
+++ b/core/src/call/policy.rs
@@ -38,11 +38,13 @@
         RetryBudget,
         /// Sends a second attempt of a slow idempotent request.
         Hedges,
+        /// Shortens the queue of a target that is overloaded for longer than a moment.
+        StandingQueue,
     }
 }
 
 impl Mechanism {
-    pub const ALL: [Mechanism; 15] = [
+    pub const ALL: [Mechanism; 16] = [
         Mechanism::Distance,
         Mechanism::BulkStays,
         Mechanism::AnswerTimes,
@@ -58,6 +60,7 @@
         Mechanism::BulkTurn,
         Mechanism::RetryBudget,
         Mechanism::Hedges,
+        Mechanism::StandingQueue,
     ];
 }
 
@@ -71,6 +74,8 @@
     /// Maximum share of its available waiting time that a request may spend queued at the first
     /// target, in percent.
     pub first_wait_percent: u32,
+    /// Maximum expected wait behind a standing queue, in percent of a typical run.
+    pub standing_wait_percent: u32,
     /// Cost of leaving the zone and of leaving the region, in percent of the typical latency of the
     /// service.
     pub distance_percent: [u32; 2],
@@ -84,6 +89,9 @@
 /// be sent to another.
 const FIRST_WAIT_PERCENT: u32 = 30;
 
+/// A few requests per target, which keep the slots busy.
+const STANDING_WAIT_PERCENT: u32 = 60;
+
 /// Traffic between zones and regions is billed by volume, so it must save this much waiting time.
 const DISTANCE_PERCENT: [u32; 2] = [50, 100];
 
@@ -94,6 +102,7 @@
             disabled: BTreeSet::new(),
             late_wait_percent: LATE_WAIT_PERCENT,
             first_wait_percent: FIRST_WAIT_PERCENT,
+            standing_wait_percent: STANDING_WAIT_PERCENT,
             distance_percent: DISTANCE_PERCENT,
         }
     }
@@ -104,14 +113,20 @@
     }
 
     /// Names of the parameters.
-    pub const VALUES: [&str; 4] =
-        ["late-wait-percent", "first-wait-percent", "region-percent", "across-percent"];
+    pub const VALUES: [&str; 5] = [
+        "late-wait-percent",
+        "first-wait-percent",
+        "standing-wait-percent",
+        "region-percent",
+        "across-percent",
+    ];
 
     /// Sets a parameter. Returns `None` if the name is unknown.
     pub fn with_value(mut self, name: &str, value: u64) -> Option<Policy> {
         match name {
             "late-wait-percent" => self.late_wait_percent = value as u32,
             "first-wait-percent" => self.first_wait_percent = value as u32,
+            "standing-wait-percent" => self.standing_wait_percent = value as u32,
             "region-percent" => self.distance_percent[0] = value as u32,
             "across-percent" => self.distance_percent[1] = value as u32,
             _ => return None,
