Count running nested calls against the slots kept for them; reject late requests at once

Cause: a top-level request had to leave the reserved slot free beside the nested calls that ran, so a target with six slots and one nested call ran four others. Six of the eight were late requests, which never run while others wait.

Change: the reservation bounds how many requests of at most the same depth run. Late requests are rejected at once behind a standing queue. The reference model of slots_like_naive follows the new rule and is as strict: it compares each decision.

slots_kept_once_beside_running_nested: 5 top-level requests beside a nested one, 4 before. standing_queue_rejects_late_at_once fails without the second change.

--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -45,6 +45,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Running {
     class: Class,
+    depth: u8,
     started: Time,
     // Response bytes passed to the link pacer, sent or scheduled.
     sent_bytes: u64,
@@ -201,7 +202,9 @@
             return Admission::Queue(expires_at);
         }
         let too_late = now + wait + self.wait_behind_late(now, &offer) > expires_at;
-        if !objective.may_exceed_objective || too_late || !self.has_room_for_late() {
+        // Late requests run only when no other waits, which does not happen behind a standing queue.
+        let hopeless = too_late || self.is_overloaded() || !self.has_room_for_late();
+        if !objective.may_exceed_objective || hopeless {
             return Admission::Reject(full, wait);
         }
         self.late.push_back(QueuedRequest { offer, latest_start, expires_at });
@@ -396,8 +399,12 @@
             true => self.depths.reserved_slots(slots, offer.depth),
             false => 0,
         };
-        let used = self.running.len() as u32 + reserved;
-        let free = used < slots && self.cold.delay(now, 0).is_zero();
+        let running = self.running.len() as u32;
+        // Nested calls that run already use the reserved slots.
+        let at_most_as_deep = self.running.values().filter(|run| run.depth <= offer.depth).count();
+        let free = running < slots
+            && at_most_as_deep as u32 + reserved < slots
+            && self.cold.delay(now, 0).is_zero();
         let bulk_allowed = || {
             self.running_bulk < self.bulk_slots(now)
                 && self.link.can_start(now, self.remaining_bytes())
@@ -418,7 +425,13 @@
             remaining_bytes = self.link.expected_size();
         }
         self.cold.record_start(now);
-        let running = Running { class: offer.class, started: now, sent_bytes: 0, remaining_bytes };
+        let running = Running {
+            class: offer.class,
+            depth: offer.depth,
+            started: now,
+            sent_bytes: 0,
+            remaining_bytes,
+        };
         self.running.insert(offer.call, running);
     }
 
--- a/core/tests/call_admit.rs
+++ b/core/tests/call_admit.rs
@@ -86,6 +86,18 @@
     assert_eq!(admitted_at_depth(&mut slots, 1, 1_020..1_040), 3);
 }
 
+/// Guards against slots that stand empty beside the reserved one, which a nested call already uses.
+#[test]
+fn slots_kept_once_beside_running_nested() {
+    let mut slots = Slots::new(limits(6, 100));
+    for call in 0..200 {
+        offer_nested(&mut slots, call, Class::Interactive, (call % 2) as u8);
+        slots.end(START, CallKey(call));
+    }
+    assert_eq!(offer_nested(&mut slots, 1_000, Class::Interactive, 1), Admission::Run);
+    assert_eq!(admitted_at_depth(&mut slots, 0, 1_001..1_020), 5);
+}
+
 #[test]
 fn slots_not_kept_without_nested() {
     let mut slots = Slots::new(limits(12, 100));
@@ -232,8 +244,11 @@
         let reserved =
             share.div_ceil(1_024).min(limits.slots / 4).saturating_sub(offer.depth.into());
         let reserved = if self.deeper[usize::from(offer.depth)] < 16 { 0 } else { reserved };
-        let slots_left = limits.slots - self.running.len() as u32;
-        slots_left > reserved && (offer.class != Class::Bulk || (bulk as u32) < max_bulk)
+        let not_deeper = self.running.iter().filter(|running| running.depth <= offer.depth);
+        let open_to_it = limits.slots - reserved;
+        (self.running.len() as u32) < limits.slots
+            && (not_deeper.count() as u32) < open_to_it
+            && (offer.class != Class::Bulk || (bulk as u32) < max_bulk)
     }
 
     /// Index of the next request of a class: the oldest of the most deeply nested.
--- a/core/tests/call_standing.rs
+++ b/core/tests/call_standing.rs
@@ -100,3 +100,32 @@
     assert_eq!((with.in_time, with.late), (without.in_time, without.late));
     assert!(with.in_time * 100 > with.offered * 95, "{with:?}");
 }
+
+/// Guards against late requests that wait behind a standing queue although they would never run.
+#[test]
+fn standing_queue_rejects_late_at_once() {
+    let limits = ServiceLimits { slots: SLOTS, queue: 64, ..ServiceLimits::default() };
+    let mut slots = Slots::new(limits);
+    let offer = |slots: &mut Slots, call: u64, now: u64, left: u64| {
+        let objective = Objective { respond_by: at(now + left), may_exceed_objective: true };
+        let offer = Offer {
+            call: CallKey(call),
+            class: Class::Interactive,
+            rank: 0,
+            depth: 0,
+            deadline: at(now + 2_500),
+            objective: Some(objective),
+        };
+        slots.offer(at(now), offer)
+    };
+    for run in 0..20 {
+        assert_eq!(offer(&mut slots, run, run * 200, 800), Admission::Run);
+        slots.end(at((run + 1) * 200), CallKey(run));
+    }
+    for call in 20..20 + u64::from(SLOTS) {
+        assert_eq!(offer(&mut slots, call, 4_000, 800), Admission::Run);
+    }
+    assert!(matches!(offer(&mut slots, 30, 4_010, 800), Admission::Queue(_)));
+    assert!(matches!(offer(&mut slots, 31, 4_020, 0), Admission::Queue(_)));
+    assert!(matches!(offer(&mut slots, 32, 4_400, 0), Admission::Reject(..)));
+}
