--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod offer;
 mod standing;
+mod wait;
 
 use standing::StandingQueue;
 
@@ -351,20 +352,6 @@
         }
     }
 
-    /// Expected wait of a top-level interactive request of the lowest priority that arrives now.
-    fn wait_of_new_request(&self, now: Time) -> Duration {
-        let before = [Class::Gating, Class::Interactive].map(|class| class as usize);
-        let ahead = before.into_iter().map(|class| self.queues[class].len()).sum();
-        let cold_delay = self.cold.delay(now, ahead);
-        if (self.running.len() as u32) < self.slots(now) {
-            return cold_delay;
-        }
-        let work = |class: usize| self.run_times[class] * self.queues[class].len() as u32;
-        let work: Duration = before.into_iter().map(work).sum();
-        let wait = (work + self.run_times[Class::Interactive as usize]) / self.slots(now);
-        wait.max(cold_delay)
-    }
-
     /// The time after which a request rejected now may be retried.
     pub fn retry_after(&self, now: Time, offer: &Offer) -> Duration {
         self.expected_wait(now, offer)
@@ -455,35 +442,6 @@
         before + own.partition_point(|other| other.offer.precedes(offer))
     }
 
-    /// Expected wait of a request behind those that run before it, from the mean run times.
-    fn expected_wait(&self, now: Time, offer: &Offer) -> Duration {
-        let queue = offer.queue_class() as usize;
-        // One run time until a slot is released, then those of the requests ahead.
-        let mut work = self.run_times[offer.class as usize];
-        for (waiting, run_time) in self.queues.iter().zip(self.run_times).take(queue) {
-            work += run_time * waiting.len() as u32;
-        }
-        let own = &self.queues[queue];
-        let ahead = own.partition_point(|other| other.offer.precedes(offer));
-        work += self.run_times[offer.class as usize] * ahead as u32;
-        let before: usize = self.queues.iter().take(queue).map(VecDeque::len).sum();
-        let wait = (work / self.slots(now)).max(self.cold.delay(now, before + ahead));
-        match offer.class {
-            Class::Bulk => wait.max(self.link.wait(now, self.remaining_bytes(), ahead as u32)),
-            Class::Gating | Class::Interactive => wait,
-        }
-    }
-
-    /// Additional expected wait of a late request behind the late requests of its class.
-    fn wait_behind_late(&self, now: Time, offer: &Offer) -> Duration {
-        let same = self.late.iter().filter(|late| late.offer.class == offer.class).count() as u32;
-        let runs = self.run_times[offer.class as usize] * same / self.slots(now);
-        match offer.class {
-            Class::Bulk => runs.max(self.link.wait(now, 0, same)),
-            Class::Gating | Class::Interactive => runs,
-        }
-    }
-
     fn next_class(&mut self, now: Time) -> Option<Class> {
         let bulk_waits = self.policy.is_enabled(Mechanism::BulkTurn)
             && !self.queues[Class::Bulk as usize].is_empty();
--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -4,16 +4,21 @@
 //! Each zone serves its own callers. A request leaves the zone only if it saves more waiting time
 //! than the distance costs.
 
+mod latency;
 mod peer;
+mod request;
+
+pub use request::PickRequest;
 
 use super::entry::TargetEstimate;
 use super::policy::{Mechanism, Policy};
 use super::{Load, Members, Terms};
-use crate::config::{Class, ServiceKey, Snapshot, allows_region};
+use crate::config::{Class, Snapshot, allows_region};
 use crate::member::VmState;
 use crate::place::{Link, Place};
 use crate::{Name, Time};
 use indexmap::IndexMap;
+use latency::LatencyStats;
 use peer::{MEASUREMENT_TTL, Peer, TargetFilter, assumed_network_latency};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -27,9 +32,6 @@
 /// The newest response time contributes 1/n to the moving average.
 const RESPONSE_TIME_WEIGHT: u32 = 8;
 
-/// Same for the typical latency of a service, which changes more slowly than that of a target.
-const TYPICAL_LATENCY_WEIGHT: u32 = 32;
-
 /// Mean deviations above the mean at which an attempt is considered slow enough to hedge.
 const HEDGE_DELAY_DEVIATIONS: u32 = 4;
 
@@ -65,62 +67,6 @@
     ignore_membership: bool,
 }
 
-/// Parameters of a target selection.
-#[derive(Clone, Copy, Debug)]
-pub struct PickRequest<'a> {
-    now: Time,
-    service: ServiceKey,
-    class: Class,
-    rank: u8,
-    tried: &'a [Name],
-    regions: &'a [Name],
-    filter: TargetFilter,
-}
-
-impl<'a> PickRequest<'a> {
-    pub fn new(now: Time, service: ServiceKey, terms: &Terms) -> PickRequest<'a> {
-        let (class, rank, filter) = (terms.class, terms.rank, TargetFilter::Healthy);
-        PickRequest { now, service, class, rank, tried: &[], regions: &[], filter }
-    }
-
-    /// Excludes targets outside `regions`, unless it is empty.
-    pub fn with_regions(self, regions: &'a [Name]) -> PickRequest<'a> {
-        PickRequest { regions, ..self }
-    }
-
-    /// Excludes targets that have been tried.
-    pub fn with_tried(self, tried: &'a [Name]) -> PickRequest<'a> {
-        PickRequest { tried, ..self }
-    }
-
-    /// Also accepts targets that are failing.
-    fn with_failing(self) -> PickRequest<'a> {
-        PickRequest { filter: TargetFilter::NotDraining, ..self }
-    }
-}
-
-/// Mean latency without the network, and its mean deviation.
-#[derive(Clone, Copy, Debug, Default)]
-struct LatencyStats {
-    mean: Duration,
-    deviation: Duration,
-}
-
-impl LatencyStats {
-    fn record(&mut self, took: Duration) {
-        if self.mean.is_zero() {
-            *self = LatencyStats { mean: took, deviation: took / 2 };
-            return;
-        }
-        let newest = took.abs_diff(self.mean);
-        let weigh = |known: Duration, newest| {
-            (known * (TYPICAL_LATENCY_WEIGHT - 1) + newest) / TYPICAL_LATENCY_WEIGHT
-        };
-        self.deviation = weigh(self.deviation, newest);
-        self.mean = weigh(self.mean, took);
-    }
-}
-
 /// Load balancer of one entry node.
 #[derive(Debug)]
 pub struct Balancer {
--- a/core/src/call/home.rs
+++ b/core/src/call/home.rs
@@ -6,23 +6,25 @@
 //! applied the same list (so that it no longer runs the key) and must report the keys that it ran.
 //! docs/design/calls.md has the proof and the alternatives considered.
 
+mod parts;
+mod scope;
+
 use super::note::{
     HomeList, ListId, Note, OutgoingNote, ReleaseRequest, ReleaseResponse, Unreleased,
 };
 use super::{KEY_LIFETIME, MAX_CLOCK_SKEW, Members, RequestKey};
-use crate::hash::{Hash, rendezvous_score};
+use crate::hash::Hash;
 use crate::member::VmState;
 use crate::{Name, Time};
 use indexmap::{IndexMap, IndexSet};
+use parts::{ReceivedParts, split_into_parts};
+use scope::KeyScope;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
 const MAX_PREVIOUS_LISTS: usize = 16;
 
-/// Mean number of keys in a part of a response.
-const KEYS_PER_PART: usize = 256;
-
 /// Never used as the id of a release request.
 const NO_REQUEST: u64 = 0;
 
@@ -45,18 +47,6 @@
     Draining,
 }
 
-/// A set of keys that another home may hold.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum KeyScope {
-    // All keys.
-    All,
-    // Keys whose home under the list is any other gatekeeper. This is not limited to keys whose
-    // home is the VM in question, which may have taken over keys of a home that left.
-    List(Arc<HomeList>, Hash),
-    // No key yet: the VM is leaving and has been asked for its keys.
-    Leaving,
-}
-
 #[derive(Debug)]
 struct PendingRelease {
     scopes: Vec<KeyScope>,
@@ -66,38 +56,6 @@
     parts: ReceivedParts,
 }
 
-/// Parts of the responses to one request. A request that is delivered twice has two responses, whose
-/// parts may be mixed: a key is in the same part of both.
-#[derive(Debug, Default)]
-struct ReceivedParts {
-    // Number of parts of the responses; parts of responses with another number are discarded.
-    count: u32,
-    received: IndexSet<u32>,
-    // Latest fence of any part.
-    fence: Time,
-}
-
-impl ReceivedParts {
-    /// Adds a part. Returns whether all parts have been received.
-    fn add(&mut self, response: &ReleaseResponse) -> bool {
-        if self.count != response.parts {
-            *self = ReceivedParts { count: response.parts, ..ReceivedParts::default() };
-        }
-        self.received.insert(response.part);
-        self.fence = self.fence.max(response.fence);
-        self.received.len() as u32 >= self.count
-    }
-
-    fn clear(&mut self) {
-        *self = ReceivedParts::default();
-    }
-}
-
-/// The part of a response that contains `key`.
-fn part_of(key: RequestKey, parts: usize) -> usize {
-    (rendezvous_score(&key.to_bytes(), b"") % parts as u64) as usize
-}
-
 #[derive(Debug)]
 struct Inherited {
     vm: Name,
@@ -359,15 +317,12 @@
         let fence = known.max(self.started).max(forgotten);
         let lists = self.lists_since(request.since.as_ref());
         let unreleased = self.unreleased();
-        let mut chunks = vec![Vec::new(); keys.len().div_ceil(KEYS_PER_PART).max(1)];
-        let parts = chunks.len();
-        for key in keys {
-            chunks[part_of(*key, parts)].push(*key);
-        }
+        let chunks = split_into_parts(keys);
+        let parts = chunks.len() as u32;
         let part = |(index, keys): (usize, Vec<RequestKey>)| ReleaseResponse {
             id: request.id,
             part: index as u32,
-            parts: parts as u32,
+            parts,
             keys,
             fence,
             lists: lists.clone(),
@@ -518,24 +473,6 @@
     }
 }
 
-impl KeyScope {
-    fn from_list(list: Option<&HomeList>) -> KeyScope {
-        match list {
-            Some(list) => KeyScope::List(Arc::new(list.clone()), list.digest()),
-            None => KeyScope::All,
-        }
-    }
-
-    fn to_unreleased(&self, vm: &Name) -> Option<Unreleased> {
-        let list = match self {
-            KeyScope::All => None,
-            KeyScope::List(list, _) => Some(HomeList::clone(list)),
-            KeyScope::Leaving => return None,
-        };
-        Some(Unreleased { vm: vm.clone(), list })
-    }
-}
-
 impl Inherited {
     fn to_unreleased(&self) -> Option<Unreleased> {
         self.scope.to_unreleased(&self.vm)
--- a/core/tests/call_retries_nested.rs
+++ b/core/tests/call_retries_nested.rs
@@ -211,7 +211,7 @@
 }
 
 #[test]
-fn repeats_told_apart_from_other_runs() {
+fn repeats_distinguished_from_other_runs() {
     // Guards against underestimating the share of repeats among nested calls when most runs on a
     // target make no calls.
     let terms = |idempotent| Terms {
--- a/core/tests/discovery_peers.rs
+++ b/core/tests/discovery_peers.rs
@@ -167,7 +167,7 @@
 
 /// Guards against a reader that sends no updates because it does not know its followers.
 #[test]
-fn relay_announced_reader_is_told() {
+fn relay_announced_reader_notified() {
     let node = follower();
     let pull_to_reader = |(to, msg): &(SocketAddr, PeerMsg)| {
         *to == reader().address && matches!(msg, PeerMsg::Pull(_))
@@ -204,7 +204,7 @@
 
 /// Guards against a node that never reads the store because peers keep sending it their state.
 #[test]
-fn rejoin_told_again_reads_store() {
+fn rejoin_after_repeated_state_reads_store() {
     let mut peer = Node::with_targets(vec![ready("a", 1), ready("b", 2)]);
     let (from, _, answer) = offer(&mut peer, 21);
     let mut node = Node::with_link(Some(14_000));
--- a/core/tests/discovery_relay.rs
+++ b/core/tests/discovery_relay.rs
@@ -119,7 +119,7 @@
 
 /// Guards against a reader with followers that yields to every newly started node of a higher rank.
 #[test]
-fn relay_newcomer_follows() {
+fn relay_joining_node_follows() {
     let mut fleet = fleet();
     let first = readers(&fleet);
     first.iter().for_each(|node| fleet.stop(*node));
--- a/core/tests/spread_faults.rs
+++ b/core/tests/spread_faults.rs
@@ -243,8 +243,8 @@
         Input::Peer { from, msg: PeerMsg::Ping(Box::new(ping)) }
     };
     fleet.kill(new);
-    let told = ping(&fleet);
-    fleet.input(old, told);
+    let ping = ping(&fleet);
+    fleet.input(old, ping);
     fleet.run(SECOND);
     let before = fleet.nodes[new].in_force.len();
     fleet.start(new);
--- a/node/tests/clock.rs
+++ b/node/tests/clock.rs
@@ -28,7 +28,7 @@
 }
 
 #[test]
-fn manual_clock_advances_only_when_told() {
+fn manual_clock_advances_only_on_request() {
     let clock = Clock::manual(Time::from_millis(7));
     assert_eq!(clock.now(), Time::from_millis(7));
     assert_eq!(clock.now(), Time::from_millis(7));
