Watch the store soon after a list if no reader has announced itself

After 7 s without the store and without readers, seven nodes with narrow links listed it at 26.3 s, 0.9 s before the acknowledgement, and then waited 2.5 to 3.25 s for a reader before their first watch. Readers were back at 30.1 s. Nodes that listed later had it in 0.3 s.

Change: such a node relies on its own list for as long as on a reader that the store has just answered, which follows from the bound for changes (1.8 s for 3 s).

Result: follow_watch_soon_after_list_without_reader fails before (no pending call) and passes now.

--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -301,7 +301,11 @@
         listing.pages.retain(|change| !matches!(change, Change::Evacuation { .. }));
         listing.pages.extend(reply.changes);
         self.listed = true;
-        let wait = self.reader_wait(INFORMED_WAIT, rng);
+        let wait = match self.role {
+            Role::EligibleReader => Duration::ZERO,
+            // The list is as fresh as the state of a reader that the store has just answered.
+            Role::FollowerOnly => self.pace.reader_timeout * rng.random_range(75..=100) / 100,
+        };
         self.schedule_watch(listing.revision.unwrap_or_default(), now + wait);
         (listing.pages, true)
     }
--- a/core/tests/discovery.rs
+++ b/core/tests/discovery.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use sycamore_core::Code;
-use sycamore_core::discovery::{Change, Input, ReadError, Reply, Request, TargetState};
+use sycamore_core::discovery::{Change, Input, Pace, ReadError, Reply, Request, TargetState};
 
 use support::*;
 
@@ -221,3 +221,15 @@
     node.reply(12, vec![Change::Removed { id: name("a") }]);
     assert_eq!(node.targets(), ["b"]);
 }
+
+/// Guards against a node that has listed the store and then waits for a reader for longer than a
+/// change may take.
+#[test]
+fn follow_watch_soon_after_list_without_reader() {
+    let mut node = Node::with_link(Some(10_000));
+    node.advance(ms(1_000));
+    node.reply_list(10, vec![publication(1), ready("a", 2)]);
+    assert_eq!((node.version(), node.calls.len()), (1, 0));
+    node.advance(Pace::for_bound(ms(2_500)).reader_timeout);
+    assert!(matches!(node.call().request, Request::Watch { revision: 10, .. }));
+}
