--- a/bench/src/lab/mesh.rs
+++ b/bench/src/lab/mesh.rs
@@ -157,6 +157,6 @@
         max_attempts: kind.attempts,
         spare_forwards: policy::SPARE_FORWARDS,
         max_body_bytes: MAX_REQUEST_BODY_BYTES,
-        regions: Vec::new(),
+        regions: kind.regions.clone(),
     }
 }
--- a/bench/src/lab/scenario.rs
+++ b/bench/src/lab/scenario.rs
@@ -141,6 +141,9 @@
     pub deadline_ms: u32,
     /// Timeout of one attempt of a caller, as configured on the route.
     pub timeout_ms: u32,
+    /// Regions in which it may run; any if empty.
+    #[serde(default)]
+    pub regions: Vec<Name>,
     /// Maximum number of forwards per attempt of a caller.
     #[serde(default = "default_attempts")]
     pub attempts: u32,
--- a/bench/tests/lab.rs
+++ b/bench/tests/lab.rs
@@ -253,6 +253,19 @@
     assert!(names.len() >= 4, "{names:?}");
 }
 
+/// Guards against requests that run outside their regions.
+#[test]
+fn placing_bound_stays_in_regions() {
+    let text = EVEN.replace(r#""idempotent":"#, r#""regions": ["east"], "idempotent":"#);
+    assert_ne!(text, EVEN);
+    for run in simulate(Scenario::parse(text.as_bytes()).unwrap(), Policy::new()) {
+        assert!(run.total().in_time + run.total().late > 0);
+        // Zones are in order of their names; the first two are in the region.
+        let outside: u64 = (2..6).map(|zone| run.bytes[zone][zone]).sum();
+        assert_eq!(outside, 0);
+    }
+}
+
 /// Share of the attempts at targets that are repeats.
 fn repeats(runs: &[Tally]) -> f64 {
     let arrivals = runs.iter().map(|run| run.arrivals);
