Reserve slots for nested calls only after they have had to wait

Cause: one of six slots was kept for nested calls wherever they arrive. They go first in the queue and wait some 40 ms of the 500 they have, so that the slot stood idle while others were rejected. It is needed where runs hold all slots of a service that their own calls need: these then wait until their deadlines.

Ways: always (standing), never, and from the time on at which nested calls wait for a quarter of their time on average, for a minute (kept: the system finds out).

--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -37,6 +37,7 @@
 #[derive(Clone, Copy, Debug)]
 struct QueuedRequest {
     offer: Offer,
+    queued_at: Time,
     // Latest start that can still meet the objective; equal to `expires_at` if there is none.
     latest_start: Time,
     // Never later than the caller's deadline.
@@ -165,6 +166,7 @@
         }
         let is_next = self.queued() == 0 || (offer.depth > 0 && self.count_ahead(&offer) == 0);
         if is_next && self.has_slot(now, &offer) {
+            self.record_nested_wait(now, &offer, Duration::ZERO, Duration::ZERO);
             self.start(now, &offer);
             return Admission::Run;
         }
@@ -179,7 +181,8 @@
             if now + wait > expires_at {
                 return Admission::Reject(full, wait);
             }
-            self.enqueue(QueuedRequest { offer, latest_start: expires_at, expires_at });
+            let queued_at = now;
+            self.enqueue(QueuedRequest { offer, queued_at, latest_start: expires_at, expires_at });
             return Admission::Queue(expires_at);
         };
         let run_time = self.run_times[offer.class as usize];
@@ -199,7 +202,7 @@
             false => longest_wait,
         };
         if now < latest_start && wait <= longest_wait {
-            self.enqueue(QueuedRequest { offer, latest_start, expires_at });
+            self.enqueue(QueuedRequest { offer, queued_at: now, latest_start, expires_at });
             return Admission::Queue(expires_at);
         }
         let too_late = now + wait + self.wait_behind_late(now, &offer) > expires_at;
@@ -208,7 +211,7 @@
         if !objective.may_exceed_objective || hopeless {
             return Admission::Reject(full, wait);
         }
-        self.late.push_back(QueuedRequest { offer, latest_start, expires_at });
+        self.late.push_back(QueuedRequest { offer, queued_at: now, latest_start, expires_at });
         Admission::Queue(expires_at)
     }
 
@@ -309,6 +312,15 @@
         }
     }
 
+    /// Removes a queued request that has waited for too long. Returns false if it is not queued.
+    pub fn expire(&mut self, now: Time, call: CallKey) -> bool {
+        let queued = self.queues.iter().flatten().find(|waiting| waiting.offer.call == call);
+        if let Some(waiting) = queued.copied() {
+            self.record_expired(now, &waiting);
+        }
+        self.withdraw(call)
+    }
+
     /// Removes a queued request. Returns false if it is not queued.
     pub fn withdraw(&mut self, call: CallKey) -> bool {
         for queue in self.queues.iter_mut().chain([&mut self.late]) {
@@ -327,19 +339,45 @@
     pub fn pop(&mut self, now: Time) -> Option<Popped> {
         self.standing.record(now, self.queued());
         self.demote(now);
-        for queue in self.queues.iter_mut().chain([&mut self.late]) {
-            // The queue is ordered by depth, so the entry that expires first need not be at the
-            // front.
-            if let Some(index) = queue.iter().position(|waiting| waiting.expires_at <= now) {
-                return queue.remove(index).map(|expired| Popped::Expired(expired.offer.call));
-            }
+        if let Some(expired) = self.take_expired(now) {
+            self.record_expired(now, &expired);
+            return Some(Popped::Expired(expired.offer.call));
         }
         let waiting = match self.next_class(now) {
             Some(class) => self.queues[class as usize].pop_front()?,
             None => self.next_late(now)?,
         };
-        self.start(now, &waiting.offer);
-        Some(Popped::Run(waiting.offer.call))
+        let QueuedRequest { offer, queued_at, expires_at, .. } = waiting;
+        self.record_nested_wait(now, &offer, now.since(queued_at), expires_at.since(queued_at));
+        self.start(now, &offer);
+        Some(Popped::Run(offer.call))
+    }
+
+    /// Removes the first request whose maximum wait has passed.
+    fn take_expired(&mut self, now: Time) -> Option<QueuedRequest> {
+        self.queues.iter_mut().chain([&mut self.late]).find_map(|queue| {
+            // The queue is ordered by depth, so the entry that expires first need not be at the
+            // front.
+            let index = queue.iter().position(|waiting| waiting.expires_at <= now)?;
+            queue.remove(index)
+        })
+    }
+
+    fn record_expired(&mut self, now: Time, expired: &QueuedRequest) {
+        let allowed = expired.expires_at.since(expired.queued_at);
+        self.record_nested_wait(now, &expired.offer, allowed, allowed);
+    }
+
+    fn record_nested_wait(
+        &mut self,
+        now: Time,
+        offer: &Offer,
+        waited: Duration,
+        allowed: Duration,
+    ) {
+        if offer.depth > 0 {
+            self.depths.record_wait(now, waited, allowed);
+        }
     }
 
     /// The current load of the target and its queue.
@@ -383,7 +421,7 @@
     fn has_slot(&self, now: Time, offer: &Offer) -> bool {
         let slots = self.slots(now);
         let reserved = match self.policy.is_enabled(Mechanism::SlotsKept) {
-            true => self.depths.reserved_slots(slots, offer.depth),
+            true => self.depths.reserved_slots(now, slots, offer.depth),
             false => 0,
         };
         let running = self.running.len() as u32;
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -350,7 +350,7 @@
     }
 
     fn expire(&mut self, now: Time, call: CallKey, out: &mut Vec<Output>) {
-        if self.slots.withdraw(call) {
+        if self.slots.expire(now, call) {
             self.reject_waiting(now, call, out);
         }
     }
