Settings: accept fractions as allowances beside a share

Cause: the platform states its allowances as whole numbers or fractions.

Change: fleet_retries.reserve and cold_rate.reserve take fractions and round them down.

Result: reserve_fraction_rounded_down and reserve_out_of_range; the first fails before.

--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -82,13 +82,13 @@
 pub struct FleetRetries {
     /// Retries as a share of first attempts; 0 to 1, rounded to 0.01.
     pub share: Share,
-    /// Retries allowed in addition to the share; 0 to 100,000.
-    pub reserve: u32,
+    /// Retries allowed in addition to the share; 0 to 100,000, rounded down.
+    pub reserve: Reserve,
 }
 
 impl Default for FleetRetries {
     fn default() -> FleetRetries {
-        FleetRetries { share: Share { percent: 10 }, reserve: 30 }
+        FleetRetries { share: Share { percent: 10 }, reserve: Reserve { count: 30 } }
     }
 }
 
@@ -98,13 +98,13 @@
 pub struct ColdRate {
     /// Multiple of the rate that the target always bears; 1 to 100, rounded to 0.01.
     pub factor: Factor,
-    /// Requests per second in addition; 0 to 100,000.
-    pub reserve: u32,
+    /// Requests per second in addition; 0 to 100,000, rounded down.
+    pub reserve: Reserve,
 }
 
 impl Default for ColdRate {
     fn default() -> ColdRate {
-        ColdRate { factor: Factor { percent: 100 }, reserve: 0 }
+        ColdRate { factor: Factor { percent: 100 }, reserve: Reserve { count: 0 } }
     }
 }
 
@@ -133,6 +133,31 @@
     }
 }
 
+/// An allowance beside a share, serialised as a number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "u32")]
+pub struct Reserve {
+    /// The allowance, rounded down.
+    pub count: u32,
+}
+
+impl TryFrom<f64> for Reserve {
+    type Error = String;
+
+    fn try_from(reserve: f64) -> std::result::Result<Reserve, String> {
+        match (0.0..=100_000.0).contains(&reserve) {
+            true => Ok(Reserve { count: reserve as u32 }),
+            false => Err(format!("found {reserve}, allowed 0 to 100000")),
+        }
+    }
+}
+
+impl From<Reserve> for u32 {
+    fn from(reserve: Reserve) -> u32 {
+        reserve.count
+    }
+}
+
 /// A share, serialised as a number from 0 to 1.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "f64", into = "f64")]
@@ -326,9 +351,6 @@
         settings.check_target()?;
         settings.bounds.check()?;
         settings.limits.check()?;
-        let reserve = settings.fleet_retries.reserve;
-        check_range("fleet_retries.reserve", reserve.into(), 0..=100_000)?;
-        check_range("cold_rate.reserve", settings.cold_rate.reserve.into(), 0..=100_000)?;
         Ok(settings)
     }
 
--- a/node/tests/settings.rs
+++ b/node/tests/settings.rs
@@ -98,3 +98,25 @@
     settings["target_address"] = "127.0.0.1:7001".into();
     assert_eq!(refused(&settings).location, "target_address");
 }
+
+/// Guards against a node that does not start because its platform states an allowance as a
+/// fraction.
+#[test]
+fn reserve_fraction_rounded_down() {
+    let mut settings = valid();
+    settings["fleet_retries"] = json!({"reserve": 35.9});
+    settings["cold_rate"] = json!({"reserve": 8.5});
+    let settings = parse(&settings).unwrap();
+    assert_eq!(settings.fleet_retries.reserve.count, 35);
+    assert_eq!(settings.cold_rate.reserve.count, 8);
+}
+
+#[test]
+fn reserve_out_of_range() {
+    for (field, reserve) in [("fleet_retries", -0.5), ("cold_rate", 100_001.0)] {
+        let mut settings = valid();
+        settings[field] = json!({"reserve": reserve});
+        let fault = refused(&settings);
+        assert!(fault.location.contains(field), "{fault}");
+    }
+}
