Leave full targets to requests that are bound to their regions

Two thirds of the calls that may run anywhere went to the full ones: another region costs its latency and a usual run on top.

Change: core::call::balance::shared. Requests that may run anywhere weigh the mean wait that the shared targets reported in the last second against the network latency alone.

--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -7,6 +7,7 @@
 mod latency;
 mod peer;
 mod request;
+mod shared;
 
 pub use request::PickRequest;
 
@@ -22,6 +23,7 @@
 use peer::{MEASUREMENT_TTL, Peer, TargetFilter, assumed_network_latency};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use shared::SharedWait;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -65,6 +67,7 @@
     by_link: [Vec<usize>; 3],
     // Set if the membership view reports most targets of the service as not live.
     ignore_membership: bool,
+    shared_wait: SharedWait,
 }
 
 /// Load balancer of one entry node.
@@ -120,6 +123,7 @@
             let link = self.peers[index].link;
             self.services[entry.service.0 as usize].by_link[link as usize].push(index);
         }
+        self.mark_shared(snapshot);
         self.update_members(members);
     }
 
@@ -152,15 +156,15 @@
             let Some(index) = self.draw_two_available(request, link) else {
                 continue;
             };
-            let wait = self.peers[index].reported_wait(request.now).unwrap_or_default();
-            let cost = self.unloaded_cost(request, index)
-                + wait
-                + self.distance_cost(request, nearest, link);
+            let cost =
+                self.waiting_cost(request, index) + self.distance_cost(request, nearest, link);
             if best.is_none_or(|(_, least)| cost < least) {
                 best = Some((index, cost));
             }
         }
-        best.and_then(|(index, _)| self.name_of(index))
+        let (index, _) = best?;
+        let index = self.pick_unshared(request, index).unwrap_or(index);
+        self.name_of(index)
     }
 
     /// Selects one of the nearest targets, regardless of its load.
@@ -294,10 +298,14 @@
     }
 
     pub fn record_load(&mut self, now: Time, vm: &Name, load: Load) {
-        if let Some(peer) =
+        let Some(peer) =
             self.peers.get_mut(vm).filter(|_| self.policy.is_enabled(Mechanism::ReportedLoads))
-        {
-            peer.load = Some((load, now));
+        else {
+            return;
+        };
+        peer.load = Some((load, now));
+        if peer.shared {
+            self.services[peer.service].shared_wait.record(now, load);
         }
     }
 
@@ -394,6 +402,12 @@
         self.peers[index].unloaded_cost(request.now, request.class, self.typical_latency(request))
     }
 
+    /// Expected response time with the reported wait, without the cost of the distance.
+    fn waiting_cost(&self, request: PickRequest<'_>, index: usize) -> Duration {
+        let wait = self.peers[index].reported_wait(request.now).unwrap_or_default();
+        self.unloaded_cost(request, index) + wait
+    }
+
     /// Draws the cheaper of two random usable targets.
     fn draw_two(&mut self, request: PickRequest<'_>, link: Link) -> Option<usize> {
         self.draw_cheaper(request, link, |_| true)
--- a/core/src/call/balance/peer.rs
+++ b/core/src/call/balance/peer.rs
@@ -71,6 +71,8 @@
     pub not_live: bool,
     /// Whether the configuration says that the target accepts no new requests.
     pub closed: bool,
+    /// Whether requests that are bound to regions may use the target.
+    pub shared: bool,
 }
 
 /// A rejection because of load.
@@ -110,6 +112,7 @@
             draining_until: Time::ZERO,
             not_live: false,
             closed: false,
+            shared: false,
         }
     }
 
--- a/core/src/call/policy.rs
+++ b/core/src/call/policy.rs
@@ -40,11 +40,13 @@
         Hedges,
         /// Shortens the queue of a target that is overloaded for longer than a moment.
         StandingQueue,
+        /// Leaves full targets to requests that are bound to their regions.
+        SharedRoom,
     }
 }
 
 impl Mechanism {
-    pub const ALL: [Mechanism; 16] = [
+    pub const ALL: [Mechanism; 17] = [
         Mechanism::Distance,
         Mechanism::BulkStays,
         Mechanism::AnswerTimes,
@@ -61,6 +63,7 @@
         Mechanism::RetryBudget,
         Mechanism::Hedges,
         Mechanism::StandingQueue,
+        Mechanism::SharedRoom,
     ];
 }
 
