--- a/bench/tests/lab.rs
+++ b/bench/tests/lab.rs
@@ -266,6 +266,18 @@
     }
 }
 
+/// Guards against unbound requests that fill the targets of bound ones while others are idle.
+#[test]
+fn placing_unbound_leave_room_to_bound() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/lab/bound.json");
+    let mut scenario = Scenario::parse(&std::fs::read(path).unwrap()).unwrap();
+    scenario.seconds = 12.0;
+    let before = simulate(scenario.clone(), Policy::new().without(Mechanism::SharedRoom));
+    let after = simulate(scenario, Policy::new());
+    let gain = Estimate::paired(Metric::Worth, &before, &after);
+    assert!(gain.mean > 0.0 && gain.is_significant(), "{gain:?}");
+}
+
 /// Share of the attempts at targets that are repeats.
 fn repeats(runs: &[Tally]) -> f64 {
     let arrivals = runs.iter().map(|run| run.arrivals);
