--- a/core/tests/call_balance.rs
+++ b/core/tests/call_balance.rs
@@ -1,19 +1,19 @@
 //! Target selection across regions.
 
+#[path = "support/balance.rs"]
+mod requests;
 #[path = "support/snapshot.rs"]
 mod support;
 
+use requests::{START, picks_in_other_region, terms};
 use std::sync::Arc;
 use std::time::Duration;
 use support::name;
-use sycamore_core::Time;
-use sycamore_core::call::balance::{Balancer, PickRequest};
-use sycamore_core::call::{Load, Members, Terms};
-use sycamore_core::config::{AtMostOnceMode, Class, ServiceKey, Snapshot};
+use sycamore_core::call::balance::Balancer;
+use sycamore_core::call::{Load, Members};
+use sycamore_core::config::{Class, Snapshot};
 use sycamore_core::place::Place;
 
-const START: Time = Time(1_700_000_000_000_000);
-
 /// Two targets in the local region, two in another.
 fn snapshot() -> Arc<Snapshot> {
     let targets = ["a/here/here-z", "b/here/here-z", "c/there/there-z", "d/there/there-z"];
@@ -27,20 +27,6 @@
     balancer
 }
 
-fn terms(class: Class) -> Terms {
-    Terms {
-        service: name("s"),
-        idempotent: true,
-        once: AtMostOnceMode::Attempt,
-        class,
-        rank: 0,
-        objective: START + Duration::from_millis(600),
-        may_exceed_objective: false,
-        repeat: false,
-        regions: Vec::new(),
-    }
-}
-
 /// Makes the targets reject because of load, with `wait_ms` as the expected wait.
 fn mark_overloaded(balancer: &mut Balancer, vms: [&str; 2], wait_ms: u32) {
     for vm in vms {
@@ -53,12 +39,6 @@
     }
 }
 
-/// Number of 100 requests that are sent to the other region.
-fn picks_in_other_region(balancer: &mut Balancer, class: Class) -> usize {
-    let mut pick = || balancer.pick(PickRequest::new(START, ServiceKey(0), &terms(class)));
-    (0..100).filter(|_| matches!(pick().unwrap().as_str(), "c" | "d")).count()
-}
-
 #[test]
 fn large_answers_stay_in_region() {
     // Guards against bulk requests being sent to another region when the local targets are
--- a/core/tests/call_shared_room.rs
+++ b/core/tests/call_shared_room.rs
@@ -1,19 +1,19 @@
 //! Targets that requests bound to regions share with requests that may run anywhere.
 
+#[path = "support/balance.rs"]
+mod requests;
 #[path = "support/snapshot.rs"]
 mod support;
 
+use requests::{START, picks_in_other_region};
 use std::time::Duration;
 use support::name;
-use sycamore_core::Time;
-use sycamore_core::call::balance::{Balancer, PickRequest};
+use sycamore_core::call::balance::Balancer;
 use sycamore_core::call::policy::{Mechanism, Policy};
-use sycamore_core::call::{Load, Members, Terms};
-use sycamore_core::config::{AtMostOnceMode, Class, ServiceKey};
+use sycamore_core::call::{Load, Members};
+use sycamore_core::config::Class;
 use sycamore_core::place::Place;
 
-const START: Time = Time(1_700_000_000_000_000);
-
 const UNBOUND: &str = r#"{"free":{"path_prefix":"/free","service":"s","idempotent":true}}"#;
 
 /// One of the two routes is bound to the region `here`.
@@ -41,26 +41,6 @@
     }
 }
 
-fn terms(class: Class) -> Terms {
-    Terms {
-        service: name("s"),
-        idempotent: true,
-        once: AtMostOnceMode::Attempt,
-        class,
-        rank: 0,
-        objective: START + Duration::from_millis(600),
-        may_exceed_objective: false,
-        repeat: false,
-        regions: Vec::new(),
-    }
-}
-
-/// Number of 100 requests that may run anywhere and are sent to the other region.
-fn picks_in_other_region(balancer: &mut Balancer, class: Class) -> usize {
-    let mut pick = || balancer.pick(PickRequest::new(START, ServiceKey(0), &terms(class)));
-    (0..100).filter(|_| matches!(pick().unwrap().as_str(), "c" | "d")).count()
-}
-
 /// Guards against unbound requests that occupy the only targets that bound ones may use, while
 /// targets that these may not use are idle.
 #[test]
