--- a/node/tests/operating_doc.rs
+++ b/node/tests/operations_doc.rs
@@ -1,11 +1,11 @@
-//! Checks that docs/OPERATING.md matches the exported metrics and events.
+//! Checks that docs/OPERATIONS.md matches the exported metrics and events.
 
 use std::path::Path;
 use sycamore_core::event::EventKind;
 use sycamore_node::metrics::Metrics;
 
 fn page() -> String {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATING.md");
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATIONS.md");
     std::fs::read_to_string(path).unwrap()
 }
 
--- a/tools/tests/operators/main.rs
+++ b/tools/tests/operators/main.rs
@@ -4,6 +4,7 @@
 mod check_agrees;
 mod examples;
 mod fake_nodes;
+mod operations_page;
 mod request;
 mod status;
 mod timeline;
