Record overdue responses of the store, and when it last responded

Change: event source-overdue once a watch is 250 ms late, until the store responds; gauge platform_responded_seconds, a follower's from its reader.

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -89,6 +89,8 @@
     // The state came from a peer and has to be confirmed by the candidate reader.
     resync_due: bool,
     store_reachable: Option<bool>,
+    // An overdue response has been recorded since the store last responded.
+    overdue_recorded: bool,
     last_input: Option<Time>,
 }
 
@@ -115,6 +117,7 @@
             broadcast_due: false,
             resync_due: false,
             store_reachable: None,
+            overdue_recorded: false,
             last_input: None,
             cfg,
         }
@@ -143,10 +146,18 @@
         self.snapshot.as_ref()
     }
 
+    /// When the store last responded to this node or, if it follows one, to its reader.
+    pub fn store_responded_at(&self) -> Option<Time> {
+        self.relay.store_responded_at()
+    }
+
     fn advance(&mut self, now: Time, out: &mut Vec<Output>) {
         if self.relay.reader_timed_out(now) {
             self.abandon_reader(now, out);
         }
+        if self.watcher.take_overdue(now) {
+            self.record_overdue(now, out);
+        }
         self.watcher.set_serves_followers(now, self.relay.serves_followers(now));
         out.extend(self.watcher.next_call(now).map(Output::Read));
         self.snapshot_stale |= self.registry.expire_missing(now);
@@ -189,6 +200,7 @@
             return;
         }
         let responded = !matches!(result, Err(ReadError::Failed(_)));
+        self.overdue_recorded &= !responded;
         self.record_store_status(now, responded, out);
         match responded {
             true => {
@@ -269,6 +281,13 @@
         out.push(Output::Status(self.status()));
     }
 
+    fn record_overdue(&mut self, now: Time, out: &mut Vec<Output>) {
+        if !std::mem::replace(&mut self.overdue_recorded, true) {
+            let event = Event::new(now, EventKind::SourceOverdue);
+            out.push(Output::Event(event.with_code(Code::SourceUnreachable)));
+        }
+    }
+
     fn status(&self) -> Status {
         Status {
             newest: self.published.as_ref().map_or(0, |published| published.version),
--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -24,6 +24,9 @@
 /// leave room for a slow store or a congested link.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Delay after which the response to a watch that is due counts as overdue.
+const OVERDUE_DELAY: Duration = Duration::from_millis(250);
+
 /// Delay between a response with changes and the next watch, so that changes in quick succession
 /// are read in one call. Versions can follow each other every 60 ms, and each is read as a whole,
 /// over links that are billed by volume.
@@ -115,6 +118,8 @@
     failed_at: Option<Time>,
     next_id: u64,
     called_at: Time,
+    // When the response to the pending watch counts as overdue, unless it has been reported.
+    overdue_at: Option<Time>,
     serves_followers: bool,
 }
 
@@ -141,6 +146,7 @@
             failed_at: None,
             next_id: 0,
             called_at: Time::ZERO,
+            overdue_at: None,
             serves_followers: false,
         }
     }
@@ -221,10 +227,17 @@
     pub fn wake_at(&self) -> Option<Time> {
         match self.state {
             State::Scheduled(_, at) => Some(at),
-            State::Idle | State::Pending(..) => None,
+            State::Pending(..) => self.overdue_at,
+            State::Idle => None,
         }
     }
 
+    /// Whether the response to the pending watch has just become overdue.
+    pub fn take_overdue(&mut self, now: Time) -> bool {
+        let pending = matches!(self.state, State::Pending(..));
+        pending && self.overdue_at.take_if(|at| *at <= now).is_some()
+    }
+
     /// Returns the call that is due, if any.
     pub fn next_call(&mut self, now: Time) -> Option<Call> {
         let State::Scheduled(request, at) = &self.state else {
@@ -247,6 +260,8 @@
             Request::List { .. } | Request::Entries { .. } | Request::Document => Duration::ZERO,
         };
         self.called_at = now;
+        let is_watch = matches!(request, Request::Watch { .. });
+        self.overdue_at = is_watch.then_some(now + wait + OVERDUE_DELAY);
         self.state = State::Pending(id, request.clone());
         Some(Call { id, request, timeout: wait + RESPONSE_TIMEOUT })
     }
--- a/core/src/discovery/relay.rs
+++ b/core/src/discovery/relay.rs
@@ -170,6 +170,12 @@
         !self.followers.is_empty() || now < self.followers_expected_until
     }
 
+    /// When the store last responded to this node or, if it follows one, to its reader.
+    pub fn store_responded_at(&self) -> Option<Time> {
+        let reader = self.reader.as_ref().map(|reader| reader.store_responded_at);
+        reader.max(self.store_responded_at)
+    }
+
     /// Records that the store has responded.
     pub fn on_store_success(&mut self, now: Time) {
         self.store_responded_at = Some(now);
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -24,6 +24,8 @@
     VersionRefused,
     /// A version was put into force on this node.
     VersionInForce,
+    /// The platform's response to a call is overdue.
+    SourceOverdue,
     /// The platform stopped responding.
     SourceLost,
     /// The platform responds again.
--- a/core/tests/support/store_node.rs
+++ b/core/tests/support/store_node.rs
@@ -11,6 +11,7 @@
     Call, Change, Config, Discovery, Input, Output, Publication, ReadError, Reply, Request,
     TargetEntry, TargetState,
 };
+use sycamore_core::event::{Event, EventKind};
 use sycamore_core::place::Place;
 use sycamore_core::spread::PeerMsg;
 use sycamore_core::spread::message::Summary;
@@ -69,6 +70,7 @@
     pub now: Time,
     pub calls: Vec<Call>,
     pub sent: Vec<(SocketAddr, PeerMsg)>,
+    pub events: Vec<Event>,
     pub snapshot: Option<Arc<Snapshot>>,
     pub wake: Option<Time>,
     /// Summary that the node announced to its peers.
@@ -96,6 +98,7 @@
             now: START,
             calls: Vec::new(),
             sent: Vec::new(),
+            events: Vec::new(),
             snapshot: None,
             wake: None,
             announced: None,
@@ -140,6 +143,7 @@
                 Output::InForce(snapshot) => self.snapshot = Some(snapshot),
                 Output::Send { to, msg, .. } => self.sent.push((to, msg)),
                 Output::WakeAt(at) => self.wake = Some(at),
+                Output::Event(event) => self.events.push(event),
                 _ => {}
             }
         }
@@ -155,6 +159,11 @@
         self.now = until;
     }
 
+    /// Number of recorded events of this kind.
+    pub fn count(&self, kind: EventKind) -> usize {
+        self.events.iter().filter(|event| event.kind == kind).count()
+    }
+
     /// Removes and returns the pending call.
     pub fn call(&mut self) -> Call {
         assert!(!self.calls.is_empty(), "no pending call");
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -173,6 +173,10 @@
         let mut out = Vec::new();
         self.wake = None;
         self.discovery.handle(self.cx.shared.clock.now(), input, &mut out);
+        if let Some(at) = self.discovery.store_responded_at() {
+            let seconds = at.as_millis() as f64 / 1_000.0;
+            self.cx.shared.metrics.platform_responded_seconds.set(seconds);
+        }
         for output in out {
             self.execute(output);
         }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -64,6 +64,9 @@
     pub control_messages: IntCounterVec,
     /// Calls to the platform.
     pub platform_calls: IntCounter,
+    /// Time of the platform's last response to this node or its reader, in seconds since the Unix
+    /// epoch; 0 before the first.
+    pub platform_responded_seconds: Gauge,
     /// Connections refused at the connection limit.
     pub connections_refused: IntCounter,
     /// Time from the request head to the response head at the entry node, by traffic class.
@@ -127,6 +130,10 @@
                 &["link"],
             ),
             platform_calls: r.counter("platform_calls_total", "Calls to the platform."),
+            platform_responded_seconds: r.float_gauge(
+                "platform_responded_seconds",
+                "When the platform last answered this node or its reader, Unix time; 0 for never.",
+            ),
             connections_refused: r.counter(
                 "connections_refused_total",
                 "Connections refused because the limit was reached.",
--- a/tools/src/timeline/picture/glyph.rs
+++ b/tools/src/timeline/picture/glyph.rs
@@ -42,6 +42,7 @@
             EventKind::VersionHeard | EventKind::VersionInForce => return None,
             EventKind::Started => (Shape::RightTriangle, "#1a7f37", Fill::Solid),
             EventKind::VersionRefused => (Shape::Diamond, "#cf222e", Fill::Solid),
+            EventKind::SourceOverdue => (Shape::Bar, "#d96c00", Fill::Hollow),
             EventKind::SourceLost => (Shape::DownTriangle, "#d96c00", Fill::Solid),
             EventKind::SourceBack => (Shape::DownTriangle, "#d96c00", Fill::Hollow),
             EventKind::ParentChosen => (Shape::Bar, "#0550ae", Fill::Hollow),
