--- a/core/tests/discovery_relay.rs
+++ b/core/tests/discovery_relay.rs
@@ -244,7 +244,8 @@
     // version.
     let mut fleet = fleet();
     let readers = readers(&fleet);
-    let calls: Vec<_> = readers.iter().map(|node| fleet.nodes[*node].call.take()).collect();
+    let mut calls: Vec<_> =
+        readers.iter().map(|node| std::mem::take(&mut fleet.nodes[*node].calls)).collect();
     let wakes: Vec<_> = readers.iter().map(|node| fleet.nodes[*node].wake.take()).collect();
     for node in &readers {
         fleet.nodes[*node].up = false;
@@ -255,7 +256,7 @@
     assert_eq!(out_of_sync(&fleet), Vec::<usize>::new());
     for (at, node) in readers.iter().enumerate() {
         fleet.nodes[*node].up = true;
-        fleet.nodes[*node].call = calls[at].clone();
+        fleet.nodes[*node].calls = std::mem::take(&mut calls[at]);
         fleet.nodes[*node].wake = wakes[at];
     }
     for _ in 0..100 {
--- a/core/tests/support/store_fleet.rs
+++ b/core/tests/support/store_fleet.rs
@@ -116,9 +116,15 @@
     pub fresh_calls: usize,
     /// Number of latest changes hidden from stale reads.
     pub stale_by: usize,
+    /// Spans in which the store is silent: calls received then, and responses due then, are lost.
+    pub silences: Vec<(Time, Time)>,
 }
 
 impl Store {
+    fn is_silent(&self, now: Time) -> bool {
+        self.silences.iter().any(|(begin, end)| (*begin..*end).contains(&now))
+    }
+
     fn changes_since(&self, revision: u64) -> Reply {
         let changes = self.changes[revision as usize..].to_vec();
         Reply { revision: self.changes.len() as u64, changes, next: None }
@@ -161,13 +167,20 @@
     in_force.map(|(zone, active)| Change::Evacuation { zone, active }).collect()
 }
 
+pub struct PendingCall {
+    call: Call,
+    since: Time,
+    /// The call or its response was lost.
+    lost: bool,
+}
+
 pub struct Node {
     pub discovery: Discovery,
     pub up: bool,
     /// Calls to the store get no response.
     pub store_unreachable: bool,
-    /// Pending call and its start time.
-    pub call: Option<(Call, Time)>,
+    /// Calls that have not ended.
+    pub calls: Vec<PendingCall>,
     /// Time of the last call.
     pub last_call_at: Time,
     pub wake: Option<Time>,
@@ -227,7 +240,7 @@
             discovery: Discovery::new((self.config)(node), self.seed),
             up: true,
             store_unreachable: false,
-            call: None,
+            calls: Vec::new(),
             last_call_at: START,
             wake: None,
             snapshot: None,
@@ -254,7 +267,8 @@
                 self.store.lists += usize::from(matches!(call.request, Request::List { .. }));
                 let stale = matches!(call.request, Request::List { stale: true, .. });
                 self.store.fresh_calls += usize::from(!stale);
-                self.nodes[node].call = Some((call, self.now));
+                let lost = self.store.is_silent(self.now);
+                self.nodes[node].calls.push(PendingCall { call, since: self.now, lost });
                 self.nodes[node].last_call_at = self.now;
             }
             Output::Send { to, msg, link } => {
@@ -304,12 +318,24 @@
         }
     }
 
-    /// Completes the pending call of a node if it receives a response or times out now.
+    /// Ends the calls of a node that receive a response or time out now.
     fn answer(&mut self, node: usize) {
-        let Some((call, since)) = self.nodes[node].call.clone() else {
-            return;
-        };
-        let timed_out = self.now >= since + call.timeout;
+        let mut calls = std::mem::take(&mut self.nodes[node].calls);
+        let mut ended = Vec::new();
+        calls.retain_mut(|pending| match self.result(node, pending) {
+            Some(result) => {
+                ended.push(Input::Reply { id: pending.call.id, result });
+                false
+            }
+            None => true,
+        });
+        self.nodes[node].calls = calls;
+        ended.into_iter().for_each(|reply| self.input(node, reply));
+    }
+
+    /// Returns the result of a call that ends now.
+    fn result(&self, node: usize, pending: &mut PendingCall) -> Option<Result<Reply, ReadError>> {
+        let (call, since) = (&pending.call, pending.since);
         let reply = match call.request {
             Request::List { stale, .. } => Some(self.store.list(stale)),
             Request::Entries { revision } => Some(self.store.entries_since(revision)),
@@ -322,19 +348,21 @@
         };
         let reply = reply
             .filter(|_| self.now >= since + MESSAGE_LATENCY && !self.nodes[node].store_unreachable);
-        let result = match reply {
-            Some(reply) => Ok(reply),
-            None if timed_out => Err(ReadError::Failed(Code::SourceUnreachable)),
-            None => return,
-        };
-        self.nodes[node].call = None;
-        self.input(node, Input::Reply { id: call.id, result });
+        pending.lost |= reply.is_some() && self.store.is_silent(self.now);
+        match reply.filter(|_| !pending.lost) {
+            Some(reply) => Some(Ok(reply)),
+            None if self.now >= since + call.timeout => {
+                Some(Err(ReadError::Failed(Code::SourceUnreachable)))
+            }
+            None => None,
+        }
     }
 
     /// Kills the process of a node.
     pub fn stop(&mut self, node: usize) {
         let ended = &mut self.nodes[node];
-        (ended.up, ended.call, ended.wake, ended.snapshot) = (false, None, None, None);
+        (ended.up, ended.wake, ended.snapshot) = (false, None, None);
+        ended.calls.clear();
     }
 
     /// Starts a new process on the same VM. Its connectivity to the store is unchanged.
