Repeat a watch whose response is overdue, in time for the bound of a change

Cause: a lost response was noticed by the call's timeout only. A watch waited for 3.5 s and 1.5 s more, both constants, where the bound is 2.5 s; a retry lost in the next silence waited for its own timeout again. Change: Pace derives the wait of a watch from the bound, less what has passed since the last response, less 250 ms until it is overdue and 250 ms for the next call. An overdue watch is repeated beside the first, which may still be answered; pauses double. Delays before other retries are cut so that no call follows a lost one later than the bound less 250 ms. Entries that expire in a silence that was over before it was noticed are kept like those of an outage. The drivers of the tests answer the newest call; one test answers watches while it waits, since a store that answers none for 2.2 s is now seen as lost.

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -54,19 +54,13 @@
 use rejoin::Rejoin;
 use relay::Relay;
 use std::sync::Arc;
-use std::time::Duration;
 use view::View;
 
-/// Longest expected time without input. A longer gap means that the process was paused, since every
-/// store call times out sooner.
-const CLOCK_GAP: Duration = follow::MAX_WATCH_WAIT
-    .saturating_add(follow::RESPONSE_TIMEOUT)
-    .saturating_add(follow::RESPONSE_TIMEOUT);
-
 /// Discovery state machine of one node.
 #[derive(Debug)]
 pub struct Discovery {
     cfg: Config,
+    pace: Pace,
     rng: Pcg64Mcg,
     watcher: StoreWatcher,
     registry: Registry,
@@ -89,8 +83,6 @@
     // The state came from a peer and has to be confirmed by the candidate reader.
     resync_due: bool,
     store_reachable: Option<bool>,
-    // An overdue response has been recorded since the store last responded.
-    overdue_recorded: bool,
     last_input: Option<Time>,
 }
 
@@ -117,9 +109,9 @@
             broadcast_due: false,
             resync_due: false,
             store_reachable: None,
-            overdue_recorded: false,
             last_input: None,
             cfg,
+            pace,
         }
     }
 
@@ -155,8 +147,8 @@
         if self.relay.reader_timed_out(now) {
             self.abandon_reader(now, out);
         }
-        if self.watcher.take_overdue(now) {
-            self.record_overdue(now, out);
+        if let Some(overdue) = self.watcher.check_overdue(now) {
+            self.handle_overdue(now, overdue, out);
         }
         self.watcher.set_serves_followers(now, self.relay.serves_followers(now));
         out.extend(self.watcher.next_call(now).map(Output::Read));
@@ -184,7 +176,7 @@
     /// timed out by then and is retried.
     fn detect_clock_gap(&mut self, now: Time, out: &mut Vec<Output>) {
         let last = self.last_input.replace(now).unwrap_or(now);
-        if now.since(last) > CLOCK_GAP {
+        if now.since(last) > self.pace.max_silence() {
             out.push(Output::Event(Event::new(now, EventKind::ClockGap).with_default_code()));
         }
     }
@@ -196,17 +188,16 @@
         result: Result<Reply, ReadError>,
         out: &mut Vec<Output>,
     ) {
-        if !self.watcher.is_pending(id) {
+        let responded = !matches!(result, Err(ReadError::Failed(_)));
+        if !self.watcher.awaits(id, responded) {
             return;
         }
-        let responded = !matches!(result, Err(ReadError::Failed(_)));
-        self.overdue_recorded &= !responded;
         self.record_store_status(now, responded, out);
         match responded {
             true => {
                 self.registry.on_store_success(now);
             }
-            false => self.registry.on_store_failure(now),
+            false => self.registry.on_store_failure(now, now),
         }
         let evaluate = |items: &[Change]| self.relay.evaluate_list(&self.cfg, items);
         let (changes, listed) = self.watcher.handle_result(now, result, evaluate, &mut self.rng);
@@ -281,11 +272,15 @@
         out.push(Output::Status(self.status()));
     }
 
-    fn record_overdue(&mut self, now: Time, out: &mut Vec<Output>) {
-        if !std::mem::replace(&mut self.overdue_recorded, true) {
-            let event = Event::new(now, EventKind::SourceOverdue);
-            out.push(Output::Event(event.with_code(Code::SourceUnreachable)));
+    /// Handles an overdue response. The store counts as lost once the next one is overdue too.
+    fn handle_overdue(&mut self, now: Time, overdue: u32, out: &mut Vec<Output>) {
+        // Entries may have expired at any time since the last response.
+        self.registry.on_store_failure(now, self.watcher.responded_at().unwrap_or(now));
+        if overdue > 1 {
+            return self.record_store_status(now, false, out);
         }
+        let event = Event::new(now, EventKind::SourceOverdue);
+        out.push(Output::Event(event.with_code(Code::SourceUnreachable)));
     }
 
     fn status(&self) -> Status {
--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -3,35 +3,35 @@
 //! A stale list costs the store about a tenth of a consistent one, but its pages may be seconds old
 //! and of different ages. It is therefore completed by reading the entries changed since the oldest
 //! page, and the current document, before it takes effect.
+//!
+//! The response to a watch may be lost without an error. Once it is overdue, the changes are asked
+//! for by another call beside it. Whichever is answered first counts, since the store may only be
+//! slow.
 
-use super::pace::Pace;
+use super::pace::{OVERDUE_DELAY, Pace, RESPONSE_TIMEOUT};
 use super::port::{Call, Change, ReadError, Reply, Request};
 use crate::Time;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
 
-/// Longest wait of a watch. A lost response is indistinguishable from a store without changes, so
-/// this bounds how long a node stays outdated after one.
-pub const MAX_WATCH_WAIT: Duration = Duration::from_millis(3_500);
-
 /// Longest wait of a watch within [`RECOVERY_PERIOD`] of a failure. A store that has compacted its
 /// history may report it only when the watch ends.
 const RECOVERY_WATCH_WAIT: Duration = Duration::from_millis(700);
 const RECOVERY_PERIOD: Duration = Duration::from_secs(2);
 
-/// Time allowed for a response beyond the wait of the call: hundreds of times the usual 4 ms, to
-/// leave room for a slow store or a congested link.
-pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Delay after which the response to a watch that is due counts as overdue.
-const OVERDUE_DELAY: Duration = Duration::from_millis(250);
+/// Wait of the watch that follows an overdue one. It only asks for what has changed.
+const CHECK_WAIT: Duration = Duration::from_millis(1);
 
 /// Delay between a response with changes and the next watch, so that changes in quick succession
 /// are read in one call. Versions can follow each other every 60 ms, and each is read as a whole,
 /// over links that are billed by volume.
 const BATCH_DELAY: Duration = Duration::from_millis(700);
 
+/// How often the delay for an overdue response doubles while none comes. The timeout of the call is
+/// shorter from then on.
+const MAX_OVERDUE_DOUBLINGS: u32 = 3;
+
 /// Bounds of the exponential backoff after failed calls. The actual delay is 50 % to 100 % of it.
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
@@ -118,8 +118,14 @@
     failed_at: Option<Time>,
     next_id: u64,
     called_at: Time,
-    // When the response to the pending watch counts as overdue, unless it has been reported.
+    // When the store last responded with all changes.
+    responded_at: Option<Time>,
+    // When the response to the pending watch counts as overdue.
     overdue_at: Option<Time>,
+    // Consecutive overdue responses.
+    overdue: u32,
+    // Call for the same changes as the pending one. Its response is overdue.
+    overdue_id: Option<u64>,
     serves_followers: bool,
 }
 
@@ -146,7 +152,10 @@
             failed_at: None,
             next_id: 0,
             called_at: Time::ZERO,
+            responded_at: None,
             overdue_at: None,
+            overdue: 0,
+            overdue_id: None,
             serves_followers: false,
         }
     }
@@ -206,6 +215,7 @@
     pub fn stop(&mut self) {
         self.state = State::Idle;
         self.listing = None;
+        self.overdue_id = None;
     }
 
     /// Shortens watches and delays while other nodes rely on this one. A pending long watch is
@@ -220,8 +230,12 @@
         }
     }
 
-    pub fn is_pending(&self, id: u64) -> bool {
-        matches!(self.state, State::Pending(waiting, _) if waiting == id)
+    /// Whether the result of this call is awaited. An overdue call no longer counts if it fails.
+    pub fn awaits(&self, id: u64, succeeded: bool) -> bool {
+        let State::Pending(pending, _) = &self.state else {
+            return false;
+        };
+        *pending == id || succeeded && self.overdue_id == Some(id)
     }
 
     pub fn wake_at(&self) -> Option<Time> {
@@ -232,10 +246,22 @@
         }
     }
 
-    /// Whether the response to the pending watch has just become overdue.
-    pub fn take_overdue(&mut self, now: Time) -> bool {
-        let pending = matches!(self.state, State::Pending(..));
-        pending && self.overdue_at.take_if(|at| *at <= now).is_some()
+    /// Schedules a call beside the pending watch if its response is overdue. Returns the number of
+    /// consecutive overdue responses then.
+    pub fn check_overdue(&mut self, now: Time) -> Option<u32> {
+        let &State::Pending(id, Request::Watch { revision, .. }) = &self.state else {
+            return None;
+        };
+        self.overdue_at.take_if(|at| *at <= now)?;
+        self.overdue += 1;
+        self.overdue_id = Some(id);
+        self.state = State::Scheduled(Request::Watch { revision, wait: CHECK_WAIT }, now);
+        Some(self.overdue)
+    }
+
+    /// When the store last responded with all changes.
+    pub fn responded_at(&self) -> Option<Time> {
+        self.responded_at
     }
 
     /// Returns the call that is due, if any.
@@ -247,11 +273,8 @@
             return None;
         }
         let mut request = request.clone();
-        let recovering = self.failed_at.is_some_and(|failed| now.since(failed) < RECOVERY_PERIOD);
         if let Request::Watch { wait, .. } = &mut request {
-            let longest =
-                if self.serves_followers { self.pace.max_watch_wait } else { MAX_WATCH_WAIT };
-            *wait = if recovering { longest.min(RECOVERY_WATCH_WAIT) } else { longest };
+            *wait = (*wait).min(self.watch_wait(now));
         }
         self.next_id += 1;
         let id = self.next_id;
@@ -261,11 +284,25 @@
         };
         self.called_at = now;
         let is_watch = matches!(request, Request::Watch { .. });
-        self.overdue_at = is_watch.then_some(now + wait + OVERDUE_DELAY);
+        let allowed = OVERDUE_DELAY * (1 << self.overdue.min(MAX_OVERDUE_DOUBLINGS));
+        self.overdue_at = is_watch.then_some(now + wait + allowed);
         self.state = State::Pending(id, request.clone());
         Some(Call { id, request, timeout: wait + RESPONSE_TIMEOUT })
     }
 
+    /// Longest wait of a watch that starts now.
+    fn watch_wait(&self, now: Time) -> Duration {
+        let since_response = self.responded_at.map_or(Duration::ZERO, |at| now.since(at));
+        let mut longest = self.pace.watch_wait(since_response);
+        if self.serves_followers {
+            longest = longest.min(self.pace.max_watch_wait);
+        }
+        if self.failed_at.is_some_and(|failed| now.since(failed) < RECOVERY_PERIOD) {
+            longest = longest.min(RECOVERY_WATCH_WAIT);
+        }
+        longest
+    }
+
     /// Processes the result of the pending call. Returns the changes, and whether they are a
     /// complete list. `evaluate` evaluates the items of a stale list.
     pub fn handle_result(
@@ -278,6 +315,7 @@
         let State::Pending(_, request) = std::mem::replace(&mut self.state, State::Idle) else {
             return (Vec::new(), false);
         };
+        self.overdue_id = None;
         match (result, request) {
             (Ok(reply), Request::List { .. }) => self.handle_page(now, reply, evaluate, rng),
             (Ok(reply), Request::Entries { .. }) => self.handle_entries(now, reply),
@@ -291,14 +329,14 @@
             }
             (Err(ReadError::Failed(_)), request) => {
                 self.failed_at = Some(now);
-                self.state = State::Scheduled(request, now + self.backoff(rng));
+                self.state = State::Scheduled(request, now + self.backoff(now, rng));
                 (Vec::new(), false)
             }
         }
     }
 
     fn handle_changes(&mut self, now: Time, reply: Reply, watched: u64) -> (Vec<Change>, bool) {
-        self.failures = 0;
+        self.record_complete(now);
         let quick = now.since(self.called_at) < MIN_EMPTY_WATCH_INTERVAL;
         let pause = match reply.changes.is_empty() {
             false if self.serves_followers => self.pace.batch_delay,
@@ -327,6 +365,7 @@
         let stale = listing.stale;
         if reply.next.is_none() && !stale {
             self.listed = true;
+            self.record_complete(now);
             self.schedule_watch(revision, now);
             return (listing.pages, true);
         }
@@ -393,7 +432,7 @@
         reply: Reply,
         rng: &mut Pcg64Mcg,
     ) -> (Vec<Change>, bool) {
-        self.failures = 0;
+        self.record_complete(now);
         let Some(mut listing) = self.listing.take() else {
             return (Vec::new(), false);
         };
@@ -410,13 +449,21 @@
         (listing.pages, true)
     }
 
+    /// Records a response after which no change up to it is unknown.
+    fn record_complete(&mut self, now: Time) {
+        self.failures = 0;
+        self.overdue = 0;
+        self.responded_at = Some(now);
+    }
+
     fn schedule_list(&mut self, at: Time, stale: bool) {
+        self.overdue_id = None;
         self.listing = Some(Listing { pages: Vec::new(), revision: None, stale });
         self.state = State::Scheduled(Request::List { after: None, stale }, at);
     }
 
     fn schedule_watch(&mut self, revision: u64, at: Time) {
-        self.state = State::Scheduled(Request::Watch { revision, wait: MAX_WATCH_WAIT }, at);
+        self.state = State::Scheduled(Request::Watch { revision, wait: Duration::MAX }, at);
     }
 
     fn reader_wait(&self, wait: Duration, rng: &mut Pcg64Mcg) -> Duration {
@@ -426,13 +473,14 @@
         }
     }
 
-    fn backoff(&mut self, rng: &mut Pcg64Mcg) -> Duration {
+    fn backoff(&mut self, now: Time, rng: &mut Pcg64Mcg) -> Duration {
         let most = match self.role {
             Role::EligibleReader => MAX_BACKOFF,
             Role::FollowerOnly => MAX_FOLLOWER_BACKOFF,
         };
         let longest = (MIN_BACKOFF * (1 << self.failures.min(4))).min(most);
         self.failures += 1;
-        longest * rng.random_range(50..=100) / 100
+        let left = self.pace.max_call_interval.saturating_sub(now.since(self.called_at));
+        (longest * rng.random_range(50..=100) / 100).min(left)
     }
 }
--- a/core/src/discovery/pace.rs
+++ b/core/src/discovery/pace.rs
@@ -1,4 +1,4 @@
-//! Timing of readers and followers, derived from the change bound.
+//! Timing of store calls, readers and followers, derived from the change bound.
 
 use std::time::Duration;
 
@@ -22,10 +22,27 @@
 
 const MAX_READING_DELAY: Duration = Duration::from_millis(500);
 
+/// Delay after which the response to a watch that is due counts as overdue: many times the usual
+/// latency of the store.
+pub const OVERDUE_DELAY: Duration = Duration::from_millis(250);
+
+/// Time for the call after a lost one to be answered and its changes to be applied.
+const CALL_TIME: Duration = Duration::from_millis(250);
+
+/// Time allowed for the response to a read: hundreds of times the usual 4 ms, to leave room for a
+/// slow store or a congested link.
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Bounds of [`Pace::watch_wait`]. Stores accept no longer wait.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(200);
+const MAX_WATCH_WAIT: Duration = Duration::from_secs(30);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pace {
     /// How long after the store last responded to its reader a follower relies on that reader.
     pub reader_timeout: Duration,
+    /// Longest time from the start of a call whose response is lost to the start of the next.
+    pub max_call_interval: Duration,
     /// Longest wait of a reader's watch.
     pub max_watch_wait: Duration,
     /// Delay between a response with changes and the next watch.
@@ -40,11 +57,27 @@
             bound.saturating_sub(FAILOVER_TIME).clamp(MIN_READER_TIMEOUT, MAX_READER_TIMEOUT);
         Pace {
             reader_timeout,
+            max_call_interval: bound.saturating_sub(CALL_TIME),
             max_watch_wait: reader_timeout - BATCH_DELAY - DELIVERY_MARGIN,
             batch_delay: BATCH_DELAY,
         }
     }
 
+    /// How long a watch waits that starts this long after the store's last response.
+    ///
+    /// A lost response can't be told from a store without changes until it is overdue. The next call
+    /// then has to bring in time what has changed since the last response.
+    pub fn watch_wait(&self, since_response: Duration) -> Duration {
+        let left = self.max_call_interval.saturating_sub(OVERDUE_DELAY + since_response);
+        left.clamp(MIN_WATCH_WAIT, MAX_WATCH_WAIT)
+    }
+
+    /// Longest time without an input. A longer gap means that the process was paused, since every
+    /// call times out or is repeated sooner.
+    pub fn max_silence(&self) -> Duration {
+        self.max_call_interval + 2 * RESPONSE_TIMEOUT
+    }
+
     /// How long the node with this rank waits before it reads the store for its region, so that
     /// nodes that rank before it announce themselves first.
     pub fn reading_delay(&self, rank: usize) -> Duration {
--- a/core/src/discovery/registry.rs
+++ b/core/src/discovery/registry.rs
@@ -43,9 +43,9 @@
         Registry::default()
     }
 
-    /// Records a failed store call.
-    pub fn on_store_failure(&mut self, now: Time) {
-        self.failing_since.get_or_insert(now);
+    /// Records a call without a response. The store may have been failing since `since`.
+    pub fn on_store_failure(&mut self, now: Time, since: Time) {
+        self.failing_since.get_or_insert(since);
         let outage = self.failing_since.is_some_and(|since| now.since(since) >= OUTAGE_THRESHOLD);
         if outage {
             self.recovered_at = None;
--- a/core/tests/discovery_overdue.rs
+++ b/core/tests/discovery_overdue.rs
@@ -5,7 +5,8 @@
 
 use std::time::Duration;
 use support::*;
-use sycamore_core::discovery::Request;
+use sycamore_core::Code;
+use sycamore_core::discovery::{Change, Input, Pace, ReadError, Reply, Request};
 use sycamore_core::event::EventKind;
 
 fn node_with_pending_watch() -> (Node, Duration) {
@@ -45,3 +46,70 @@
     node.advance(ms(1_000));
     assert_eq!(node.count(EventKind::SourceOverdue), 0);
 }
+
+/// Guards against a slow store that is never heard, since each call is abandoned for the next.
+#[test]
+fn overdue_watch_answered_late_counts() {
+    let (mut node, wait) = node_with_pending_watch();
+    let overdue = node.calls[0].id;
+    node.advance(wait + ms(300));
+    assert_ne!(node.calls[0].id, overdue, "no call beside the overdue one");
+    let reply = Reply { revision: 11, changes: vec![publication(2)], next: None };
+    node.input(Input::Reply { id: overdue, result: Ok(reply) });
+    assert_eq!(node.version(), 2);
+    node.reply(10, vec![publication(3)]);
+    assert_eq!(node.version(), 2, "the other call no longer counts");
+}
+
+/// Guards against a late failure of an overdue call that ends the one made beside it.
+#[test]
+fn overdue_watch_fails_late() {
+    let (mut node, wait) = node_with_pending_watch();
+    let overdue = node.calls[0].id;
+    node.advance(wait + ms(300));
+    let failure = Err(ReadError::Failed(Code::SourceUnreachable));
+    node.input(Input::Reply { id: overdue, result: failure });
+    node.reply(11, vec![publication(2)]);
+    assert_eq!((node.version(), node.count(EventKind::SourceLost)), (2, 0));
+}
+
+/// Guards against dropping live targets whose entries expired in a silence that was over before the
+/// node noticed it.
+#[test]
+fn overdue_watch_keeps_expired_targets() {
+    let (mut node, wait) = node_with_pending_watch();
+    node.advance(wait + ms(300));
+    node.reply(12, vec![Change::Removed { id: name("a") }]);
+    assert_eq!(node.targets(), ["a"], "it may come back");
+    node.quiet(12, ms(2_200));
+    assert!(node.targets().is_empty(), "{:?}", node.targets());
+}
+
+/// Guards against a store that is asked ever more often while it is silent.
+#[test]
+fn overdue_watch_backs_off() {
+    let (mut node, wait) = node_with_pending_watch();
+    node.advance(wait);
+    let mut calls = 0;
+    for _ in 0..100 {
+        let pending = node.calls.first().map(|call| (call.id, call.timeout));
+        node.advance(ms(100));
+        calls += usize::from(node.calls.first().map(|call| (call.id, call.timeout)) != pending);
+    }
+    // Three calls in the first second, then one every two seconds.
+    assert!((3..=9).contains(&calls), "{calls} calls");
+}
+
+/// Guards against watches that end later than a change may take, whatever the bound.
+#[test]
+fn overdue_watch_wait_derived_from_bound() {
+    for bound in [2_000, 2_500, 3_000, 5_000, 60_000] {
+        let pace = Pace::for_bound(ms(bound));
+        for since_response in [0, 700, 1_500, bound] {
+            let wait = pace.watch_wait(ms(since_response));
+            let latest = ms(since_response) + wait;
+            assert!(latest < ms(bound) || since_response == bound, "{bound} {since_response}");
+        }
+        assert!(pace.max_call_interval < ms(bound), "{bound}");
+    }
+}
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -22,7 +22,7 @@
 /// Maximum number of queued peer messages; peers are throttled while the queue is full.
 const MAX_INPUTS: usize = 1_024;
 
-/// Maximum number of queued replies; at most two calls are in flight.
+/// Maximum number of queued replies. Few calls are in flight: a lost one is repeated beside it.
 const MAX_REPLIES: usize = 4;
 
 /// Handle to the discovery task.
