Derive the wait for a reader from the bound of a change

The same cause elsewhere: a node with a narrow link that had its state from a peer at its start waited 2.5 to 3.25 s for a reader, whatever the bound, and so could serve an outdated peer's state for longer than a change may take. Change: these waits, and those before the first version, are the time for which a follower relies on a reader, less their jitter.

--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -8,7 +8,7 @@
 //! for by another call beside it. Whichever is answered first counts, since the store may only be
 //! slow.
 
-use super::pace::{OVERDUE_DELAY, Pace, RESPONSE_TIMEOUT};
+use super::pace::{MAX_WAIT_JITTER_PERCENT, OVERDUE_DELAY, Pace, RESPONSE_TIMEOUT};
 use super::port::{Call, Change, ReadError, Reply, Request};
 use crate::Time;
 use rand::RngExt;
@@ -41,13 +41,10 @@
 const MAX_FOLLOWER_BACKOFF: Duration = Duration::from_millis(3_000);
 
 /// How long a node waits for a reader before it calls the store itself: after losing its reader,
-/// after a stale list, after its start, after receiving the full state, and while nothing is
-/// published.
+/// after a stale list, and after its start.
 const READER_LOST_WAIT: Duration = Duration::from_millis(600);
 const STALE_LIST_WAIT: Duration = READER_LOST_WAIT;
 const STARTUP_WAIT: Duration = Duration::from_millis(400);
-const INFORMED_WAIT: Duration = Duration::from_millis(2_500);
-const UNPUBLISHED_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Delay before a stale list is repeated while targets register.
 const REGISTRATION_WAIT: Duration = Duration::from_millis(2_000);
@@ -195,7 +192,7 @@
     pub fn on_peer_state(&mut self, now: Time, rng: &mut Pcg64Mcg) {
         let first = !std::mem::replace(&mut self.informed, true);
         if first && self.role == Role::FollowerOnly && !self.listed && self.failed_at.is_none() {
-            self.schedule_list(now + self.reader_wait(INFORMED_WAIT, rng), true);
+            self.schedule_list(now + self.reader_wait(self.pace.reader_wait, rng), true);
         }
     }
 
@@ -381,7 +378,7 @@
                 let wait = match (self.role, fleet.reading_delay) {
                     (Role::EligibleReader, delay) => delay.unwrap_or_default(),
                     (Role::FollowerOnly, _) if !has_document => {
-                        self.reader_wait(UNPUBLISHED_WAIT, rng)
+                        self.reader_wait(self.pace.reader_wait, rng)
                     }
                     (Role::FollowerOnly, Some(_)) if self.started_unpublished && !self.listed => {
                         self.reader_wait(STALE_LIST_WAIT, rng)
@@ -469,7 +466,7 @@
     fn reader_wait(&self, wait: Duration, rng: &mut Pcg64Mcg) -> Duration {
         match self.role {
             Role::EligibleReader => Duration::ZERO,
-            Role::FollowerOnly => wait * rng.random_range(100..=130) / 100,
+            Role::FollowerOnly => wait * rng.random_range(100..=MAX_WAIT_JITTER_PERCENT) / 100,
         }
     }
 
--- a/core/src/discovery/pace.rs
+++ b/core/src/discovery/pace.rs
@@ -37,12 +37,18 @@
 const MIN_WATCH_WAIT: Duration = Duration::from_millis(200);
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(30);
 
+/// Waits for a reader are extended at random to at most this share, so that nodes which start
+/// together do not call the store together.
+pub const MAX_WAIT_JITTER_PERCENT: u32 = 130;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pace {
     /// How long after the store last responded to its reader a follower relies on that reader.
     pub reader_timeout: Duration,
     /// Longest time from the start of a call whose response is lost to the start of the next.
     pub max_call_interval: Duration,
+    /// How long a node that has its state from elsewhere waits for a reader, before jitter.
+    pub reader_wait: Duration,
     /// Longest wait of a reader's watch.
     pub max_watch_wait: Duration,
     /// Delay between a response with changes and the next watch.
@@ -57,6 +63,7 @@
             bound.saturating_sub(FAILOVER_TIME).clamp(MIN_READER_TIMEOUT, MAX_READER_TIMEOUT);
         Pace {
             reader_timeout,
+            reader_wait: reader_timeout * 100 / MAX_WAIT_JITTER_PERCENT,
             max_call_interval: bound.saturating_sub(CALL_TIME),
             max_watch_wait: reader_timeout - BATCH_DELAY - DELIVERY_MARGIN,
             batch_delay: BATCH_DELAY,
--- a/core/tests/discovery_peers.rs
+++ b/core/tests/discovery_peers.rs
@@ -237,3 +237,17 @@
     assert_eq!(node.targets(), ["a", "c"]);
     assert!(answers_pull(&mut node), "{:?}", node.sent);
 }
+
+/// Guards against a node that serves an outdated peer's state for longer than a change may take,
+/// because it waits for a reader.
+#[test]
+fn rejoin_informed_node_reads_store_within_bound() {
+    for bound in [2_500, 3_000, 4_000, 5_000] {
+        let mut peer = Node::with_targets(vec![ready("a", 1), ready("b", 2)]);
+        let (from, _, answer) = offer(&mut peer, 21);
+        let mut node = Node::with_bound(Some(14_000), ms(bound));
+        node.input(Input::Peer { from, msg: answer });
+        node.advance(ms(bound - 250));
+        assert!(!node.calls.is_empty(), "no call within {bound} ms");
+    }
+}
--- a/core/tests/support/store_node.rs
+++ b/core/tests/support/store_node.rs
@@ -84,12 +84,16 @@
     }
 
     pub fn with_link(link_kbps: Option<u64>) -> Node {
+        Node::with_bound(link_kbps, ms(2_500))
+    }
+
+    pub fn with_bound(link_kbps: Option<u64>, change_bound: Duration) -> Node {
         let seeds = vec!["10.0.0.9:7".parse().unwrap()];
         let cfg = Config {
             place: place(),
             address: "10.0.0.1:7".parse().unwrap(),
             link_kbps,
-            change_bound: ms(2_500),
+            change_bound,
             seeds,
             gate_port: 5,
             peers_port: 7,
