--- a/core/tests/spread_faults.rs
+++ b/core/tests/spread_faults.rs
@@ -63,6 +63,22 @@
     assert_eq!(fleet.versions(), vec![2; 18]);
 }
 
+/// Guards against a version late because the platform's response was lost, at any moment of the
+/// cycle of calls.
+#[test]
+fn source_silent_briefly() {
+    for phase in 0..24 {
+        let mut fleet = settled(6, 3);
+        fleet.run(Duration::from_millis(130 * phase));
+        fleet.platform_silent(true);
+        fleet.run(Duration::from_millis(300));
+        fleet.platform_silent(false);
+        fleet.publish(2, &preset(2));
+        fleet.run(3 * SECOND);
+        assert_eq!(fleet.versions(), vec![2; 18], "phase {phase}");
+    }
+}
+
 #[test]
 fn herd_of_a_zone_returns() {
     // All VMs of a zone restart while the platform is down. They must get the version from other
