Tell a restarted gatekeeper that its target is leaving before it sends it work

Cause: the statement was kept by the gatekeeper's process and by entry nodes; a node's own callers go through no other node. Ruled out by the lines: an entry node that knew, and a request from before the statement bound. Class: state of a process that nothing hands back after a restart. Change: the gatekeeper of a leaving target tells three others of its service (rendezvous hash of the VM) once a second; one that starts asks these three and holds requests until they have answered, 100 ms at most. What they know counts for the listed process only.

--- a/bench/src/lab/path.rs
+++ b/bench/src/lab/path.rs
@@ -5,7 +5,7 @@
 use super::mesh::{node_at, vm_name};
 use super::world::{Event, World};
 use std::time::Duration;
-use sycamore_core::call::balance::TargetProcess;
+use sycamore_core::call::TargetProcess;
 use sycamore_core::call::entry::{self, AttemptEnd, Forward};
 use sycamore_core::call::gatekeeper::{self, RunEnd};
 use sycamore_core::call::{
--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -27,7 +27,7 @@
 pub use pace::Pace;
 pub use policy::Policy;
 pub use runs::Runs;
-pub use stated::{RateLimit, StatedLimit, Statement, TargetStatements, WorkPace};
+pub use stated::{RateLimit, StatedLimit, Statement, TargetProcess, TargetStatements, WorkPace};
 
 use crate::Code;
 use crate::config::{AtMostOnceMode, Class};
--- a/core/src/call/admit/start_limits.rs
+++ b/core/src/call/admit/start_limits.rs
@@ -25,6 +25,8 @@
     max_cold_starts: usize,
     state: Warmth,
     stated: Option<RateLimit>,
+    // No request starts before this time.
+    held_until: Time,
     // Also kept while no limit holds, so that one that begins counts what was sent before.
     log: StartLog,
 }
@@ -49,6 +51,7 @@
             max_cold_starts: 0,
             state: Warmth::Warm,
             stated: None,
+            held_until: Time::ZERO,
             log: StartLog::new(),
         }
     }
@@ -63,6 +66,11 @@
         self.stated = limit;
     }
 
+    /// Holds requests until a time.
+    pub fn hold_until(&mut self, until: Time) {
+        self.held_until = until;
+    }
+
     /// The rate that the target states.
     pub fn stated(&self) -> Option<RateLimit> {
         self.stated
@@ -138,7 +146,8 @@
 
     /// Returns the delay before a request may start that has `ahead` others before it.
     pub fn delay(&self, now: Time, ahead: usize) -> Duration {
-        self.cold_delay(now, ahead).max(self.stated_delay(now, ahead))
+        let limited = self.cold_delay(now, ahead).max(self.stated_delay(now, ahead));
+        limited.max(self.held_until.since(now))
     }
 
     /// Why the next request may not start now; `None` if it may.
--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -12,11 +12,10 @@
 mod stated;
 
 pub use request::PickRequest;
-pub use stated::TargetProcess;
 
 use super::entry::TargetEstimate;
 use super::policy::{Mechanism, Policy};
-use super::{Load, Members, Terms};
+use super::{Load, Members, TargetProcess, Terms};
 use crate::config::{Class, Snapshot, allows_region};
 use crate::member::VmState;
 use crate::place::{Link, Place};
--- a/core/src/call/balance/stated.rs
+++ b/core/src/call/balance/stated.rs
@@ -2,7 +2,7 @@
 
 use super::Balancer;
 use super::peer::Peer;
-use crate::call::{StatedLimit, Statement, TargetStatements};
+use crate::call::{StatedLimit, Statement, TargetProcess, TargetStatements};
 use crate::config::Target;
 use crate::{Name, Time};
 use indexmap::IndexMap;
@@ -10,21 +10,7 @@
 /// Maximum number of targets whose statements are kept.
 const MAX_TARGETS: usize = 1_024;
 
-data! {
-    /// Identifies a process of a target. A process that restarts may keep its incarnation.
-    pub struct TargetProcess {
-        pub incarnation: Option<Name>,
-        /// When it started, in milliseconds since the Unix epoch.
-        pub started_ms: Option<u64>,
-    }
-}
-
 impl TargetProcess {
-    /// Whether one process of a target can be told from another.
-    fn is_known(&self) -> bool {
-        self.incarnation.is_some() || self.started_ms.is_some()
-    }
-
     pub(super) fn of(peer: &Peer) -> TargetProcess {
         TargetProcess { incarnation: peer.incarnation.clone(), started_ms: peer.started_ms }
     }
--- a/core/src/call/entry/port.rs
+++ b/core/src/call/entry/port.rs
@@ -1,6 +1,6 @@
 //! Inputs and outputs of the entry node's state machine.
 
-use crate::call::balance::TargetProcess;
+use crate::call::TargetProcess;
 use crate::call::{CallKey, Load, Members, Outcome, RateLimit, RequestKey, Runs, Statement, Terms};
 use crate::config::Snapshot;
 use crate::{Code, Name, Time};
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod homes;
+mod leaving;
 mod placement;
 mod port;
 mod statements;
@@ -24,6 +25,7 @@
 use crate::{Code, Name, Time};
 use check::CheckResult;
 use indexmap::IndexMap;
+use leaving::LeavingTargets;
 use placement::Placement;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -81,6 +83,7 @@
     // Whether the configuration lists the target as leaving.
     target_leaving: bool,
     statements: Statements,
+    leaving: LeavingTargets,
     placement: Placement,
     last_response_at: Time,
     // Earliest time of the next probe.
@@ -113,6 +116,7 @@
             target_up: true,
             target_leaving: false,
             statements: Statements::default(),
+            leaving: LeavingTargets::default(),
             placement: Placement::new(),
             last_response_at: started,
             next_probe_at: started,
@@ -173,6 +177,7 @@
             }
             Input::Tick => self.probe(now, out),
         }
+        self.tell_witnesses(now, out);
         self.poll_homes(now, out);
         self.run_waiting(now, out);
     }
@@ -229,6 +234,7 @@
             self.update_homes(now, &snapshot);
         }
         self.snapshot = Some(snapshot);
+        self.ask_witnesses(now, out);
     }
 
     /// The entry of the target on this VM. If two have the same address, the later one applies: the
--- a/core/src/call/gatekeeper/homes.rs
+++ b/core/src/call/gatekeeper/homes.rs
@@ -68,6 +68,9 @@
             Note::Cleared { fingerprint } => {
                 self.suspects.clear(*fingerprint);
             }
+            Note::TargetLeaving(listed) => self.witness_leaving(listed),
+            Note::AskTargetLeaving(listed) => self.answer_question(listed, out),
+            Note::KnownTargetLeaving { leaving } => self.record_answer(now, *leaving, out),
         }
     }
 
--- a/core/src/call/gatekeeper/placement.rs
+++ b/core/src/call/gatekeeper/placement.rs
@@ -113,7 +113,7 @@
     }
 
     /// Rejects all queued requests.
-    fn reject_queued(&mut self, now: Time, code: Code, out: &mut Vec<Output>) {
+    pub(super) fn reject_queued(&mut self, now: Time, code: Code, out: &mut Vec<Output>) {
         let queued: Vec<CallKey> =
             self.calls.iter().filter(|(_, call)| !call.running).map(|(key, _)| *key).collect();
         for call in queued {
--- a/core/src/call/gatekeeper/statements.rs
+++ b/core/src/call/gatekeeper/statements.rs
@@ -19,6 +19,13 @@
     has_response: bool,
 }
 
+impl Statements {
+    /// Takes over that the target is leaving.
+    pub(super) fn set_leaving(&mut self) {
+        self.holding.leaving = true;
+    }
+}
+
 impl Gatekeeper {
     /// The statements of the target that hold.
     pub fn statements(&self) -> TargetStatements {
--- a/core/src/call/note.rs
+++ b/core/src/call/note.rs
@@ -3,7 +3,7 @@
 //! Notes may be lost, duplicated or delayed. A sender that depends on the effect of a note repeats
 //! it, and a response that matches no open request is ignored.
 
-use super::{Fingerprint, RequestKey};
+use super::{Fingerprint, RequestKey, TargetProcess};
 use crate::hash::Hash;
 use crate::{Name, Time};
 use indexmap::IndexSet;
@@ -70,6 +70,12 @@
         pub list: Option<HomeList>,
     }
 
+    /// A target's process as listed by the version in force.
+    pub struct ListedProcess {
+        pub vm: Name,
+        pub process: TargetProcess,
+    }
+
     /// A message from one node's call path to another's.
     #[serde(tag = "kind", rename_all = "kebab-case")]
     pub enum Note {
@@ -90,6 +96,15 @@
         Cleared {
             fingerprint: Fingerprint,
         },
+        /// The sender's target states that it is leaving. Kept for the sender, whose process may
+        /// restart.
+        TargetLeaving(Box<ListedProcess>),
+        /// The sender has started and asks whether its target has stated that it is leaving.
+        AskTargetLeaving(Box<ListedProcess>),
+        /// The response to [`Note::AskTargetLeaving`].
+        KnownTargetLeaving {
+            leaving: bool,
+        },
     }
 
     /// A note to send.
--- a/core/src/call/stated.rs
+++ b/core/src/call/stated.rs
@@ -1,5 +1,7 @@
 //! What a target states about itself in its responses.
 
+use crate::Name;
+use crate::config::Target;
 use std::fmt;
 
 /// Thousandths per request, the unit of [`RateLimit`].
@@ -59,6 +61,27 @@
     }
 }
 
+json! {
+    /// Identifies a process of a target. A process that restarts may keep its incarnation.
+    pub struct TargetProcess {
+        pub incarnation: Option<Name>,
+        /// When it started, in milliseconds since the Unix epoch.
+        pub started_ms: Option<u64>,
+    }
+}
+
+impl TargetProcess {
+    /// The listed process of a target.
+    pub fn listed(target: &Target) -> TargetProcess {
+        TargetProcess { incarnation: target.incarnation.clone(), started_ms: target.started_ms }
+    }
+
+    /// Whether one process of a target can be told from another.
+    pub fn is_known(&self) -> bool {
+        self.incarnation.is_some() || self.started_ms.is_some()
+    }
+}
+
 impl RateLimit {
     /// Parses a decimal number of requests per second. Returns `None` unless it is finite and not
     /// negative.
--- a/core/tests/call_statements.rs
+++ b/core/tests/call_statements.rs
@@ -11,8 +11,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use support::name;
+use sycamore_core::call::TargetProcess;
 use sycamore_core::call::admit::{MAX_INTERVAL, StartLog, StartRate};
-use sycamore_core::call::balance::TargetProcess;
 use sycamore_core::call::entry::{self, Forward};
 use sycamore_core::call::gatekeeper::Input;
 use sycamore_core::call::{CallKey, Entry, Outcome, RateLimit, RequestKey, StatedLimit, Statement};
