Wait for targets to register only before the first complete state

Cause: a node that followed a reader from before the first version on still took the fleet for a starting one. Its target had left, so that no reader announced itself to it; when its reader stopped, it repeated its stale list after the 2 s that targets of a starting fleet get. Change: a node that has had a complete state does not repeat a stale list. Result: relay_node_without_target_keeps_bound failed (left: [2, 3]) and passes. The store in memory lists what is there; entries that were removed counted before.

--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -394,7 +394,8 @@
         (Vec::new(), false)
     }
 
-    /// Whether to repeat a stale list: as long as targets register, and this VM's own one has not.
+    /// Whether to repeat a stale list: after a start, as long as targets register and this VM's own
+    /// one has not.
     fn repeat_list(&mut self, has_document: bool, fleet: ListedFleet) -> bool {
         let before = std::mem::replace(&mut self.registration, Registration::Complete);
         let in_progress = match before {
@@ -406,7 +407,7 @@
             Registration::InProgress(targets) => fleet.targets > targets,
             Registration::Complete => false,
         };
-        let repeat = in_progress && !fleet.has_own_target;
+        let repeat = in_progress && !self.listed && !fleet.has_own_target;
         if repeat {
             self.registration = Registration::InProgress(fleet.targets);
         }
--- a/core/tests/discovery_relay.rs
+++ b/core/tests/discovery_relay.rs
@@ -401,3 +401,32 @@
         assert_eq!(out_of_sync(&fleet), Vec::<usize>::new(), "after {since_response} ms");
     }
 }
+
+/// Guards against a node that waits for targets to register long after its start, once its own
+/// target has left and its reader stops.
+#[test]
+fn relay_node_without_target_keeps_bound() {
+    let mut fleet = Fleet::new(NODES, settings, ms(1), 0);
+    let ready = |node| entry(node, TargetState::Ready, 1);
+    fleet.store.changes.extend((4..NODES / 2).map(ready));
+    (0..NODES).for_each(|node| fleet.input(node, Input::Start));
+    fleet.advance(ms(1_000));
+    fleet.store.changes.push(version(1, 10));
+    fleet.store.changes.extend((0..4).chain(NODES / 2..NODES).map(ready));
+    fleet.advance(ms(8_000));
+    assert_eq!(out_of_sync(&fleet), Vec::<usize>::new());
+    let without_target = [2, 3];
+    for node in without_target {
+        assert_eq!(settings(node).link_kbps, Some(SLOW_LINK_KBPS));
+        fleet.store.changes.push(Change::Removed { id: name(format!("t{node}")) });
+    }
+    fleet.advance(ms(2_000));
+    for node in readers(&fleet) {
+        fleet.input(node, Input::Leaving);
+        fleet.advance(ms(20));
+        fleet.stop(node);
+    }
+    fleet.store.changes.push(version(2, 10));
+    fleet.advance(CHANGE_BOUND);
+    assert_eq!(out_of_sync(&fleet), Vec::<usize>::new());
+}
--- a/core/tests/support/store_fleet.rs
+++ b/core/tests/support/store_fleet.rs
@@ -135,6 +135,11 @@
         let visible = &self.changes[..self.changes.len().saturating_sub(hidden)];
         let mut changes = visible.to_vec();
         changes.retain(|change| !matches!(change, Change::Evacuation { .. }));
+        let removed = removed_targets(visible);
+        changes.retain(|change| match change {
+            Change::Target { id, .. } | Change::Removed { id } => !removed.contains(id),
+            Change::Published(_) | Change::Evacuation { .. } => true,
+        });
         changes.extend(evacuations(visible));
         Reply { revision: visible.len() as u64, changes, next: None }
     }
@@ -155,6 +160,19 @@
     }
 }
 
+/// Targets whose entries are gone after these changes.
+fn removed_targets(changes: &[Change]) -> std::collections::HashSet<Name> {
+    let mut removed = std::collections::HashSet::new();
+    for change in changes {
+        match change {
+            Change::Removed { id } => removed.insert(id.clone()),
+            Change::Target { id, .. } => removed.remove(id),
+            Change::Published(_) | Change::Evacuation { .. } => false,
+        };
+    }
+    removed
+}
+
 /// Evacuations in force after these changes.
 fn evacuations(changes: &[Change]) -> Vec<Change> {
     let mut zones = std::collections::BTreeMap::new();
