Checker: a nested call ends with the deadline of its caller's request

The case is allowed: after the deadline nobody waits. Change: the deadline of the request that the nested call belongs to. A nested call cut before it counts as before, as does one of an unknown request. Result: find_cut_by_drain_nested failed on the check as it was and passes; 17 passed in that file.

--- a/bench/src/demo/rules.rs
+++ b/bench/src/demo/rules.rs
@@ -233,13 +233,19 @@
         evidence.records.iter().map(|record| (record.id.as_str(), record.deadline_us)).collect();
     let cut = evidence.runs.iter().filter(|run| {
         let during = (drain.at_us..=drain.until_us + STOP_GRACE_US).contains(&run.at_us);
-        let awaited = deadlines.get(run.id.as_str()).is_none_or(|deadline| run.at_us < *deadline);
+        let deadline = deadlines.get(caller_request(&run.id));
+        let awaited = deadline.is_none_or(|deadline| run.at_us < *deadline);
         run.event == RunEvent::Aborted && run.vm == drain.vm && during && awaited
     });
     let unanswered = cut.filter(|run| !answered_before(evidence, run));
     unanswered.map(|run| run.id.as_str()).collect()
 }
 
+/// The id of the caller's request that a nested call belongs to, with whose deadline it ends.
+fn caller_request(id: &str) -> &str {
+    id.split_once('.').map_or(id, |(request, _)| request)
+}
+
 /// Whether another run of the same request had already completed.
 fn answered_before(evidence: &Evidence, cut: &Line) -> bool {
     evidence.runs.iter().any(|run| {
--- a/bench/tests/demo.rs
+++ b/bench/tests/demo.rs
@@ -191,6 +191,22 @@
     );
 }
 
+/// Guards against counting a nested call that ends at the deadline of its caller's request.
+#[test]
+fn find_cut_by_drain_nested() {
+    let cut_by_drain = |id: &str, cut_at: u64| {
+        let mut evidence = valid_evidence();
+        evidence.runs.push(run(3, id, 1_020_000, RunEvent::Start));
+        evidence.runs.push(run(3, id, cut_at, RunEvent::Aborted));
+        evidence.drains[0].until_us = cut_at;
+        Violations::find(&evidence).cut_by_drain
+    };
+    let deadline = valid_evidence().records[0].deadline_us;
+    assert_eq!(cut_by_drain("a.1.1", deadline), 0);
+    assert_eq!(cut_by_drain("a.1.1", deadline - 1), 1);
+    assert_eq!(cut_by_drain("unknown.1", deadline), 1);
+}
+
 #[test]
 fn find_cut_at_other_node() {
     let change = |evidence: &mut Evidence| {
