--- a/core/src/call/policy.rs
+++ b/core/src/call/policy.rs
@@ -1,7 +1,7 @@
 //! Feature toggles and parameters of the call path.
 //!
-//! Nodes always run with all mechanisms enabled. [`Policy`] is used by benchmarks to disable a
-//! mechanism or change a parameter; it is not exposed in the configuration.
+//! Nodes run with all mechanisms enabled, except those that their settings leave disabled.
+//! Benchmarks use [`Policy`] to disable any mechanism or to change a parameter.
 
 use std::collections::BTreeSet;
 
@@ -46,11 +46,17 @@
         StandingQueue,
         /// Leaves full targets to requests that are bound to their regions.
         SharedRoom,
+        /// Parks requests with ample time before their objective instead of rejecting them.
+        Parking,
+        /// Recalls attempts without a response from their gatekeepers.
+        Recall,
+        /// Places requests by the demand and the room of each zone.
+        ZoneFlows,
     }
 }
 
 impl Mechanism {
-    pub const ALL: [Mechanism; 19] = [
+    pub const ALL: [Mechanism; 22] = [
         Mechanism::Distance,
         Mechanism::BulkStays,
         Mechanism::AnswerTimes,
@@ -70,6 +76,9 @@
         Mechanism::Hedges,
         Mechanism::StandingQueue,
         Mechanism::SharedRoom,
+        Mechanism::Parking,
+        Mechanism::Recall,
+        Mechanism::ZoneFlows,
     ];
 }
 
@@ -88,6 +97,8 @@
     /// Cost of leaving the zone and of leaving the region, in percent of the typical latency of the
     /// service.
     pub distance_percent: [u32; 2],
+    /// Maximum number of requests parked at a gatekeeper.
+    pub parked_requests: u32,
 }
 
 /// Short, so that slots go to requests that can meet their objective. Not zero, so that otherwise
@@ -104,6 +115,9 @@
 /// Traffic between zones and regions is billed by volume, so it must save this much waiting time.
 const DISTANCE_PERCENT: [u32; 2] = [50, 100];
 
+/// Several seconds of the load of a target with a narrow link.
+const PARKED_REQUESTS: u32 = 1_000;
+
 impl Policy {
     /// Enables all mechanisms, with default parameters.
     pub fn new() -> Policy {
@@ -113,6 +127,7 @@
             first_wait_percent: FIRST_WAIT_PERCENT,
             standing_wait_percent: STANDING_WAIT_PERCENT,
             distance_percent: DISTANCE_PERCENT,
+            parked_requests: PARKED_REQUESTS,
         }
     }
 
@@ -121,13 +136,18 @@
         self
     }
 
+    pub fn with_parked_requests(self, parked_requests: u32) -> Policy {
+        Policy { parked_requests, ..self }
+    }
+
     /// Names of the parameters.
-    pub const VALUES: [&str; 5] = [
+    pub const VALUES: [&str; 6] = [
         "late-wait-percent",
         "first-wait-percent",
         "standing-wait-percent",
         "region-percent",
         "across-percent",
+        "parked-requests",
     ];
 
     /// Sets a parameter. Returns `None` if the name is unknown.
@@ -138,6 +158,7 @@
             "standing-wait-percent" => self.standing_wait_percent = value as u32,
             "region-percent" => self.distance_percent[0] = value as u32,
             "across-percent" => self.distance_percent[1] = value as u32,
+            "parked-requests" => self.parked_requests = value as u32,
             _ => return None,
         }
         Some(self)
--- a/node/src/calls/entry.rs
+++ b/node/src/calls/entry.rs
@@ -92,9 +92,13 @@
     /// Creates an adapter with one shard per thread.
     pub fn new(shared: Arc<Shared>, executor: &Arc<Executor<'static>>, seed: u64) -> EntryAdapter {
         let place = shared.settings.place();
-        let shard = |index: usize| Shard {
-            entry: Mutex::new(Entry::new(place.clone(), seed.wrapping_add(index as u64))),
-            pool: Pool::new(shared.clock.clone(), executor.clone()),
+        let policy = shared.settings.scheduling.policy();
+        let shard = |index: usize| {
+            let entry = Entry::new(place.clone(), seed.wrapping_add(index as u64));
+            Shard {
+                entry: Mutex::new(entry.with_policy(policy.clone())),
+                pool: Pool::new(shared.clock.clone(), executor.clone()),
+            }
         };
         let shards = (0..shared.settings.limits.threads).map(shard).collect();
         let id_prefix = format!("{}-{:x}", shared.settings.vm, shared.clock.now().0);
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -95,6 +95,7 @@
         let settings = &shared.settings;
         let link = settings.limits.link_mbps.map(|rate| rate.kbps);
         let mut gatekeeper = Gatekeeper::new(settings.vm.clone(), shared.clock.now(), seed)
+            .with_policy(settings.scheduling.policy())
             .with_link(link)
             .with_region(settings.region.clone());
         if let Some(service) = &settings.service {
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -1,5 +1,9 @@
 //! Node settings, parsed from a JSON file and validated.
 
+mod scheduling;
+
+pub use scheduling::Scheduling;
+
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -51,6 +55,9 @@
     /// Bounds on the time until changes take effect.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Scheduling features of the call path.
+    #[serde(default)]
+    pub scheduling: Scheduling,
     /// Process limits.
     #[serde(default)]
     pub limits: Limits,
@@ -350,6 +357,7 @@
         settings.listen.check()?;
         settings.check_target()?;
         settings.bounds.check()?;
+        settings.scheduling.check()?;
         settings.limits.check()?;
         Ok(settings)
     }
--- a/tools/tests/configuration_doc.rs
+++ b/tools/tests/configuration_doc.rs
@@ -67,6 +67,7 @@
     full["fleet_retries"] = json!({});
     full["cold_rate"] = json!({});
     full["bounds"] = json!({});
+    full["scheduling"] = json!({});
     full["zones"] = json!({"NAME": "r"});
     full["listen"]["ready"] = "127.0.0.1:7".into();
     DocumentKind { section: "Settings of a node", minimal, full, read: read_settings }
