Spread the returns of rejected callers over the expected duration of a shortage

Change: entry nodes keep the share of rejections by service; from 0.3 s of shortage on, a caller that has returned before, or can't be in time any more, is told to come back after one to three times its duration so far, at most a third of its time. Setting scheduling.spread_returns, off by default.

--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -5,6 +5,7 @@
 mod port;
 mod retry;
 mod retry_budget;
+mod returns;
 
 pub use port::{Arrival, AttemptEnd, Forward, Input, Output, TargetEstimate};
 
@@ -21,6 +22,7 @@
 use indexmap::IndexMap;
 use retry::{is_early_rejection, is_overload, reached_target};
 use retry_budget::RetryBudgets;
+use returns::Shortages;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -86,6 +88,7 @@
     hedges: HedgeBudget,
     splits: TrafficSplits,
     caller_waits: CallerWaits,
+    shortages: Shortages,
     policy: Policy,
     calls: IndexMap<CallKey, Call>,
     draining: bool,
@@ -102,6 +105,7 @@
             hedges: HedgeBudget::new(),
             splits: TrafficSplits::new(seed),
             caller_waits: CallerWaits::new(),
+            shortages: Shortages::new(seed),
             policy: Policy::new(),
             calls: IndexMap::new(),
             draining: false,
@@ -387,6 +391,7 @@
             AttemptEnd::ResponseStarted { load, waited } => {
                 let took = now.since(attempt.sent_at).saturating_sub(waited);
                 self.balancer.record_response(now, vm, call.terms.class, took);
+                self.shortages.record(now, &call.service, false);
                 report(&mut self.balancer, load);
                 EndEffect::ResponseStarted
             }
@@ -402,6 +407,7 @@
                     Code::Draining | Code::ZoneEvacuated => self.balancer.record_draining(now, vm),
                     _ if is_overload(code) => {
                         self.balancer.record_overload(now, vm, &call.terms, retry_after);
+                        self.shortages.record(now, &call.service, true);
                     }
                     Code::TargetUnreachable | Code::TargetReplaced => {
                         self.balancer.record_failure(now, vm);
@@ -454,6 +460,7 @@
     ) {
         if let Some(call) = self.calls.swap_remove(&key) {
             self.record_unanswered(now, &call);
+            let retry_after = self.return_after(now, &call, code, retry_after);
             let outcome = call.final_outcome(code, retry_after);
             out.push(Output::Finish { call: key, outcome });
         }
--- a/core/src/call/policy.rs
+++ b/core/src/call/policy.rs
@@ -50,13 +50,15 @@
         Parking,
         /// Recalls attempts without a response from their gatekeepers.
         Recall,
+        /// Spreads the returns of rejected callers over the expected duration of a shortage.
+        SpreadReturns,
         /// Places requests by the demand and the room of each zone.
         ZoneFlows,
     }
 }
 
 impl Mechanism {
-    pub const ALL: [Mechanism; 22] = [
+    pub const ALL: [Mechanism; 23] = [
         Mechanism::Distance,
         Mechanism::BulkStays,
         Mechanism::AnswerTimes,
@@ -78,6 +80,7 @@
         Mechanism::SharedRoom,
         Mechanism::Parking,
         Mechanism::Recall,
+        Mechanism::SpreadReturns,
         Mechanism::ZoneFlows,
     ];
 }
--- a/node/src/settings/scheduling.rs
+++ b/node/src/settings/scheduling.rs
@@ -14,6 +14,8 @@
     pub parked_requests: u32,
     /// Whether attempts without a response are recalled from their gatekeepers.
     pub recall: bool,
+    /// Whether the returns of rejected callers are spread over the expected duration of a shortage.
+    pub spread_returns: bool,
     /// Whether requests are placed by the demand and the room of each zone.
     pub zone_flows: bool,
 }
@@ -29,6 +31,7 @@
         let features = [
             (Mechanism::Parking, self.parked_requests > 0),
             (Mechanism::Recall, self.recall),
+            (Mechanism::SpreadReturns, self.spread_returns),
             (Mechanism::ZoneFlows, self.zone_flows),
         ];
         let disabled = features.into_iter().filter(|(_, enabled)| !enabled);
