The link's share for bulk responses follows what small ones use

Cause: the pacer leaves a fixed 15 in 100 of the link to requests and headers, so that a link of 10 Mbit/s carries 11.8 bundles of 90 kB a second where 13.9 fit. Change: where asked for, 95 in 100 of the link are shared; small responses count as before, and estimates allow for what they used in the last second. Nothing asks for it yet.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -17,6 +17,7 @@
 pub mod pace;
 pub mod policy;
 pub mod quarantine;
+pub mod recent_sum;
 pub mod runs;
 pub mod split;
 pub mod stated;
--- a/core/src/call/link.rs
+++ b/core/src/call/link.rs
@@ -1,5 +1,6 @@
 //! Paces responses on the network link of a VM, which they share with all other traffic.
 
+use super::recent_sum::RecentSum;
 use crate::Time;
 use crate::config::Class;
 use std::time::Duration;
@@ -8,6 +9,16 @@
 /// packet headers.
 const RESPONSE_SHARE_PERCENT: u64 = 85;
 
+/// Percentage of the link available to responses if the use by small ones is measured. Packet headers
+/// take 4 percent of it.
+const MEASURED_SHARE_PERCENT: u64 = 95;
+
+/// Part of the link that is left to bulk responses in estimates, whatever small responses use.
+const MIN_BULK_DIVISOR: u64 = 4;
+
+/// A spare rate below this part of the whole is an error of the measurement: responses are discrete.
+const MIN_SPARE_DIVISOR: u64 = 16;
+
 /// Additional backlog that keeps the link busy between runs of different length.
 const BACKLOG_MARGIN: Duration = Duration::from_millis(20);
 
@@ -43,6 +54,11 @@
 pub struct LinkPacer {
     // Absent if the link is not limited.
     bytes_per_s: Option<u64>,
+    kbps: Option<u64>,
+    // Bytes of small responses.
+    small: RecentSum,
+    // Whether waits allow for the small responses measured, in place of a fixed share.
+    measures_share: bool,
     // When all scheduled bytes will have been transmitted.
     idle_at: Time,
     mean_size: u64,
@@ -53,15 +69,28 @@
 impl LinkPacer {
     /// Creates a pacer for a link of `kbps` kilobits per second, or `None` if it is not limited.
     pub fn new(kbps: Option<u64>) -> LinkPacer {
-        let bytes_per_s = kbps.map(|kbps| (kbps * 1_000 / 8 * RESPONSE_SHARE_PERCENT / 100).max(1));
+        let bytes_per_s = kbps.map(|kbps| response_rate(kbps, RESPONSE_SHARE_PERCENT));
         LinkPacer {
             bytes_per_s,
+            kbps,
+            small: RecentSum::new(),
+            measures_share: false,
             idle_at: Time::ZERO,
             mean_size: INITIAL_SIZE,
             time_to_first_byte: INITIAL_TIME_TO_FIRST_BYTE,
         }
     }
 
+    /// Sets whether bulk responses get what small ones leave, instead of a fixed share.
+    pub fn with_measured_share(self, measures_share: bool) -> LinkPacer {
+        let percent = match measures_share {
+            true => MEASURED_SHARE_PERCENT,
+            false => RESPONSE_SHARE_PERCENT,
+        };
+        let bytes_per_s = self.kbps.map(|kbps| response_rate(kbps, percent));
+        LinkPacer { bytes_per_s, measures_share, ..self }
+    }
+
     /// Expected size of a bulk response in bytes.
     pub fn expected_size(&self) -> u64 {
         self.mean_size
@@ -76,7 +105,36 @@
     /// Expected wait of a bulk response behind `queued_ahead` other queued ones.
     pub fn wait(&self, now: Time, expected_bytes: u64, queued_ahead: u32) -> Duration {
         let excess = self.backlog(now, expected_bytes).saturating_sub(self.max_backlog());
-        excess + self.transmit_time(self.mean_size) * queued_ahead
+        excess + self.expected_transmit_time(now).saturating_mul(queued_ahead)
+    }
+
+    /// Time that the link needs for a bulk response beside the small ones of the last second.
+    pub fn expected_transmit_time(&self, now: Time) -> Duration {
+        match self.bulk_rate(now) {
+            Some(rate) => Duration::from_micros(self.mean_size.saturating_mul(1_000_000) / rate),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Mean time between bulk responses that use what is left beside small ones and `bulk_bytes`
+    /// per second; `None` if nothing is left.
+    pub fn spare_interval(&self, now: Time, bulk_bytes: u64) -> Option<Duration> {
+        let Some(rate) = self.bulk_rate(now) else {
+            return Some(Duration::ZERO);
+        };
+        let left = rate.saturating_sub(bulk_bytes);
+        if left < rate / MIN_SPARE_DIVISOR {
+            return None;
+        }
+        let interval = self.mean_size.saturating_mul(1_000_000).checked_div(left)?;
+        Some(Duration::from_micros(interval))
+    }
+
+    /// Bytes per second left to bulk responses; `None` if the link is not limited.
+    fn bulk_rate(&self, now: Time) -> Option<u64> {
+        let rate = self.bytes_per_s?;
+        let small = if self.measures_share { self.small.per_second(now) } else { 0 };
+        Some(rate.saturating_sub(small).max(rate / MIN_BULK_DIVISOR).max(1))
     }
 
     /// Returns when the next bytes of a response may be written. Immediate unless they are bulk.
@@ -88,7 +146,10 @@
         self.idle_at = idle_at + self.transmit_time(bytes);
         match class {
             Class::Bulk => now.max(idle_at - WRITE_AHEAD.min(idle_at.since(now))),
-            Class::Gating | Class::Interactive => now,
+            Class::Gating | Class::Interactive => {
+                self.small.add(now, bytes);
+                now
+            }
         }
     }
 
@@ -121,3 +182,8 @@
         Duration::from_micros(bytes.saturating_mul(1_000_000) / rate)
     }
 }
+
+/// Bytes per second of a percentage of a link.
+fn response_rate(kbps: u64, percent: u64) -> u64 {
+    (kbps * 1_000 / 8 * percent / 100).max(1)
+}
