Requests with ample slack are parked, in the order of their latest start

Cause: behind a standing queue nothing waits for more than 0.6 of a run, so that bundles with an objective of 2.5 s are refused for as long as a burst lasts; in order of arrival they all become late together. Change: a request whose time to the objective is at least eight usual runs of its class is parked if slots and link are expected to serve it in time and none parked before becomes late; it starts by the latest start that meets the objective. What can't be in time is kept only as far as the capacity that was spare during the last second serves it before its deadline, and is refused at once otherwise, with a time to retry that follows the lack. A more urgent kind displaces less urgent ones; each kind that waits earns a share of the starts. Parked requests are bounded by 'parked-requests' in place of the queue's limits, and end as not run at a planned stop if another target can take them. The load report gains bulk_wait_ms.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -90,6 +90,9 @@
         /// Usual run time by class (gating, interactive, bulk), in milliseconds. 0 if none has run.
         pub run_ms: [u32; 3],
         pub pace: Pace,
+        /// Expected wait of a new bulk request for slots and link, in milliseconds. Only reported
+        /// where requests are parked, since nodes of earlier versions can't read it.
+        pub bulk_wait_ms: Option<u32>,
     }
 }
 
@@ -182,29 +185,37 @@
 }
 
 impl Load {
-    /// Parses the header format `in_flight/slots/queued/wait_ms/gating/interactive/bulk/pace`, where
-    /// three numbers are run times. Nodes of earlier versions send the first four numbers only.
+    /// Parses the header format
+    /// `in_flight/slots/queued/wait_ms/gating/interactive/bulk/pace/bulk_wait_ms`, where three
+    /// numbers are run times. Nodes of earlier versions send the first four or eight numbers only,
+    /// and nodes that park no requests the first eight. Further numbers are ignored.
     pub fn parse(text: &str) -> Option<Load> {
         let parts = text.split('/').map(|part| part.trim().parse::<u32>());
         let numbers: Vec<u32> = parts.collect::<Result<_, _>>().ok()?;
-        let (first, run_ms, pace) = match *numbers {
-            [.., gating, interactive, bulk, percent] if numbers.len() == 8 => {
-                (&numbers[..4], [gating, interactive, bulk], Pace { percent })
+        let (run_ms, pace) = match *numbers {
+            [_, _, _, _] => ([0; 3], Pace::USUAL),
+            [_, _, _, _, gating, interactive, bulk, percent, ..] => {
+                ([gating, interactive, bulk], Pace { percent })
             }
-            _ => (&numbers[..], [0; 3], Pace::USUAL),
+            _ => return None,
         };
-        let &[in_flight, slots, queued, wait_ms] = first else {
+        let &[in_flight, slots, queued, wait_ms, ..] = &numbers[..] else {
             return None;
         };
-        Some(Load { in_flight, slots, queued, wait_ms, run_ms, pace })
+        let bulk_wait_ms = numbers.get(8).copied();
+        Some(Load { in_flight, slots, queued, wait_ms, run_ms, pace, bulk_wait_ms })
     }
 }
 
 impl std::fmt::Display for Load {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Load { in_flight, slots, queued, wait_ms, run_ms, pace } = self;
+        let Load { in_flight, slots, queued, wait_ms, run_ms, pace, bulk_wait_ms } = self;
         let [gating, interactive, bulk] = run_ms;
         write!(f, "{in_flight}/{slots}/{queued}/{wait_ms}/{gating}/{interactive}/{bulk}/")?;
-        write!(f, "{}", pace.percent)
+        write!(f, "{}", pace.percent)?;
+        match bulk_wait_ms {
+            Some(wait) => write!(f, "/{wait}"),
+            None => Ok(()),
+        }
     }
 }
--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -1,34 +1,45 @@
 //! Admission control for one target: concurrency slots, a bounded queue ordered by class, and early
 //! rejection of requests that cannot be served in time.
 
+mod ample;
+mod capacity;
 mod dispatch;
+mod lack;
 mod offer;
+mod parking;
+mod refusals;
+mod report;
 mod run_times;
+mod shares;
+mod spare_rate;
 mod standing;
 mod start_limits;
 mod start_log;
 mod wait;
 
+use lack::Lack;
+use parking::ParkedRequests;
 use run_times::RunTimes;
+use shares::Shares;
+use spare_rate::{SpareRate, Usage};
 use standing::StandingQueue;
 
 pub use offer::{Admission, Objective, Offer, Popped};
+pub use refusals::{RefusalReason, Refusals};
+pub use report::ParkedReport;
 pub use start_limits::StartLimits;
 pub use start_log::{MAX_INTERVAL, StartLog, StartRate};
 
 use super::depth::NestingDepths;
 use super::link::LinkPacer;
 use super::policy::{Mechanism, Policy};
-use super::{CallKey, Load, WorkPace};
+use super::{CallKey, WorkPace};
 use crate::config::{Class, ServiceLimits};
 use crate::{Code, Time};
 use indexmap::IndexMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Share of the slots that a target gets right after it starts, in percent.
-const WARM_UP_MIN_PERCENT: u64 = 25;
-
 #[derive(Clone, Copy, Debug)]
 struct QueuedRequest {
     offer: Offer,
@@ -43,6 +54,7 @@
 struct Running {
     class: Class,
     depth: u8,
+    usage: Usage,
     started: Time,
     // Response bytes passed to the link pacer, sent or scheduled.
     sent_bytes: u64,
@@ -69,6 +81,12 @@
     link: LinkPacer,
     start_limits: StartLimits,
     standing: StandingQueue,
+    parked: ParkedRequests,
+    shares: Shares,
+    spare: SpareRate,
+    lack: Lack,
+    refusals: Refusals,
+    late_checked_at: Time,
     policy: Policy,
 }
 
@@ -89,6 +107,12 @@
             link: LinkPacer::new(None),
             start_limits: StartLimits::new(),
             standing: StandingQueue::new(),
+            parked: ParkedRequests::default(),
+            shares: Shares::default(),
+            spare: SpareRate::default(),
+            lack: Lack::default(),
+            refusals: Refusals::default(),
+            late_checked_at: Time::ZERO,
             policy: Policy::new(),
         }
     }
@@ -103,12 +127,13 @@
 
     pub fn with_policy(mut self, policy: Policy) -> Slots {
         self.policy = policy;
-        self
+        let link = self.link;
+        self.with_link(link)
     }
 
     /// Sets the VM's link, which limits when bulk responses are sent.
     pub fn with_link(mut self, link: LinkPacer) -> Slots {
-        self.link = link;
+        self.link = link.with_measured_share(self.is_parking());
         self
     }
 
@@ -171,10 +196,13 @@
         if offer.deadline <= now {
             return Admission::Reject(Code::DeadlinePassed, Duration::ZERO);
         }
+        if let Some(objective) = self.ample_objective(now, &offer) {
+            return self.offer_ample(now, offer, objective);
+        }
         let is_next = self.queued() == 0 || (offer.depth > 0 && self.count_ahead(&offer) == 0);
         if is_next && self.has_slot(now, &offer) {
             self.record_nested_wait(now, &offer, Duration::ZERO, Duration::ZERO);
-            self.start(now, &offer);
+            self.start(now, &offer, Usage::Direct);
             return Admission::Run;
         }
         let wait = self.expected_wait(now, &offer);
@@ -260,6 +288,7 @@
     }
 
     fn end_run(&mut self, now: Time, call: CallKey) -> Option<Running> {
+        self.record_usage(now);
         let ended = self.remove_running(call)?;
         let took = now.since(ended.started);
         self.run_times.record(ended.class, took);
@@ -297,11 +326,18 @@
         if let Some(waiting) = queued.copied() {
             self.record_expired(now, &waiting);
         }
+        if let Some(class) = self.parked.expire(call) {
+            self.refusals.record(class, RefusalReason::Expired);
+            return true;
+        }
         self.withdraw(call)
     }
 
     /// Removes a queued request. Returns false if it is not queued.
     pub fn withdraw(&mut self, call: CallKey) -> bool {
+        if self.parked.remove(call) {
+            return true;
+        }
         for queue in self.queues.iter_mut().chain([&mut self.late]) {
             if let Some(index) = queue.iter().position(|waiting| waiting.offer.call == call) {
                 queue.remove(index);
@@ -328,107 +364,6 @@
         }
     }
 
-    /// The current load of the target and its queue.
-    pub fn load(&self, now: Time) -> Load {
-        Load {
-            in_flight: self.running.len() as u32,
-            slots: self.usable_slots(now),
-            queued: self.queued() + self.late.len() as u32,
-            wait_ms: self.wait_of_new_request(now).as_millis() as u32,
-            run_ms: self.run_times.usual_ms(),
-            pace: self.run_times.pace(now),
-        }
-    }
-
-    /// The time after which a request rejected now may be retried.
-    pub fn retry_after(&self, now: Time, offer: &Offer) -> Duration {
-        self.expected_wait(now, offer)
-    }
-
-    /// Current number of slots, free or occupied: fewer than the limit while the target warms up.
-    fn slots(&self, now: Time) -> u32 {
-        let full = self.limits.slots;
-        let warm_up = u64::from(self.limits.warm_up_ms);
-        let Some(since) = self.warm_up_since else {
-            return full;
-        };
-        let age = now.since(since).as_millis() as u64;
-        if age >= warm_up {
-            return full;
-        }
-        let percent = WARM_UP_MIN_PERCENT + (100 - WARM_UP_MIN_PERCENT) * age / warm_up;
-        (u64::from(full) * percent / 100).max(1) as u32
-    }
-
-    /// Slots that can be in use at the rate that the target states.
-    fn usable_slots(&self, now: Time) -> u32 {
-        let slots = self.slots(now);
-        let Some(limit) = self.start_limits.stated() else {
-            return slots;
-        };
-        let longest = self.run_times.longest();
-        let busy = (limit.per_second() * longest.as_secs_f64()).ceil() as u32;
-        busy.clamp(1, slots)
-    }
-
-    fn bulk_slots(&self, now: Time) -> u32 {
-        let percent = match self.policy.is_enabled(Mechanism::BulkShare) {
-            true => self.limits.bulk_share_percent,
-            false => 100,
-        };
-        (self.slots(now) * percent / 100).max(1)
-    }
-
-    fn has_slot(&self, now: Time, offer: &Offer) -> bool {
-        let slots = self.slots(now);
-        let reserved = match self.policy.is_enabled(Mechanism::SlotsKept) {
-            true => self.depths.reserved_slots(now, slots, offer.depth),
-            false => 0,
-        };
-        let running = self.running.len() as u32;
-        // Nested calls that run already use the reserved slots.
-        let at_most_as_deep = self.running.values().filter(|run| run.depth <= offer.depth).count();
-        let free = running < slots
-            && at_most_as_deep as u32 + reserved < slots
-            && self.start_limits.delay(now, 0).is_zero();
-        let bulk_allowed = || {
-            self.running_bulk < self.bulk_slots(now)
-                && self.link.can_start(now, self.remaining_bytes())
-        };
-        free && (offer.class != Class::Bulk || bulk_allowed())
-    }
-
-    /// Bytes still to be sent of all bulk responses in progress.
-    fn remaining_bytes(&self) -> u64 {
-        let responses = self.running.values().chain(self.sending.values());
-        responses.map(|response| response.remaining_bytes).sum()
-    }
-
-    fn start(&mut self, now: Time, offer: &Offer) {
-        let mut remaining_bytes = 0;
-        if offer.class == Class::Bulk {
-            self.running_bulk += 1;
-            remaining_bytes = self.link.expected_size();
-        }
-        self.start_limits.record_start(now);
-        let running = Running {
-            class: offer.class,
-            depth: offer.depth,
-            started: now,
-            sent_bytes: 0,
-            remaining_bytes,
-        };
-        self.running.insert(offer.call, running);
-    }
-
-    fn remove_running(&mut self, call: CallKey) -> Option<Running> {
-        let freed = self.running.swap_remove(&call)?;
-        if freed.class == Class::Bulk {
-            self.running_bulk -= 1;
-        }
-        Some(freed)
-    }
-
     fn queued(&self) -> u32 {
         self.queues.iter().map(|queue| queue.len() as u32).sum()
     }
--- a/core/src/call/admit/dispatch.rs
+++ b/core/src/call/admit/dispatch.rs
@@ -1,6 +1,6 @@
 //! Order of the queues: which request runs next, and which has waited for too long.
 
-use super::{Offer, Popped, QueuedRequest, Slots};
+use super::{Offer, Popped, QueuedRequest, Slots, Usage};
 use crate::Time;
 use crate::call::CallKey;
 use crate::call::policy::Mechanism;
@@ -18,21 +18,44 @@
     /// process was paused, so the result would be discarded.
     pub fn pop(&mut self, now: Time) -> Option<Popped> {
         self.standing.record(now, self.queued());
+        self.record_usage(now);
         self.demote(now);
+        self.demote_parked(now);
+        if let Some(refused) = self.parked.pop_refused() {
+            return Some(Popped::Expired(refused));
+        }
         if let Some(expired) = self.take_expired(now) {
             self.record_expired(now, &expired);
             return Some(Popped::Expired(expired.offer.call));
         }
-        let waiting = match self.next_class(now) {
-            Some(class) => self.queues[class as usize].pop_front()?,
-            None => self.next_late(now)?,
+        if self.parked.has_in_time()
+            && let Some(call) = self.pop_parked(now)
+        {
+            return Some(Popped::Run(call));
+        }
+        let (waiting, usage) = match self.next_class(now) {
+            Some(class) => (self.queues[class as usize].pop_front(), Usage::Direct),
+            None => (self.next_late(now), Usage::Late),
+        };
+        let Some(waiting) = waiting else {
+            return self.next_parked_late(now).map(Popped::Run);
         };
         let QueuedRequest { offer, queued_at, expires_at, .. } = waiting;
         self.record_nested_wait(now, &offer, now.since(queued_at), expires_at.since(queued_at));
-        self.start(now, &offer);
+        self.start(now, &offer, usage);
         Some(Popped::Run(offer.call))
     }
 
+    /// Starts a parked request, unless a queued one precedes it.
+    fn pop_parked(&mut self, now: Time) -> Option<CallKey> {
+        let classes = [Class::Gating, Class::Interactive, Class::Bulk];
+        let queued = classes.into_iter().find(|class| self.may_run_next(now, *class));
+        if queued == Some(Class::Gating) {
+            return None;
+        }
+        self.next_owed(now).or_else(|| self.next_parked(now, queued))
+    }
+
     /// Removes the first request whose maximum wait has passed.
     fn take_expired(&mut self, now: Time) -> Option<QueuedRequest> {
         self.queues.iter_mut().chain([&mut self.late]).find_map(|queue| {
@@ -58,9 +81,27 @@
                 in_time
             });
         }
+        for parked in self.parked.all() {
+            match now + limits.delay(now, ahead) <= parked.expires_at {
+                true => ahead += 1,
+                false => hopeless.push(parked.offer.call),
+            }
+        }
+        for call in &hopeless {
+            self.parked.remove(*call);
+        }
         hopeless
     }
 
+    /// Removes and returns all parked requests.
+    pub fn withdraw_parked(&mut self) -> Vec<CallKey> {
+        let parked: Vec<CallKey> = self.parked.all().map(|parked| parked.offer.call).collect();
+        for call in &parked {
+            self.parked.remove(*call);
+        }
+        parked
+    }
+
     /// Moves requests that can no longer meet their objective to the late queue.
     pub(super) fn demote(&mut self, now: Time) {
         for index in 0..self.queues.len() {
--- a/core/src/call/admit/run_times.rs
+++ b/core/src/call/admit/run_times.rs
@@ -66,6 +66,11 @@
         self.pace(now).scale(self.usual(class), Duration::ZERO)
     }
 
+    /// Run time of a class at the usual pace; `None` if none has run.
+    pub(super) fn measured(&self, class: Class) -> Option<Duration> {
+        (self.samples[class as usize] > 0).then(|| self.usual(class))
+    }
+
     /// Run time of the slowest class at the usual pace.
     pub(super) fn longest(&self) -> Duration {
         let all = [Class::Gating, Class::Interactive, Class::Bulk];
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -11,7 +11,7 @@
 
 pub use port::{Arrival, Input, Output, RunEnd};
 
-use super::admit::{Admission, Objective, Offer, Popped, Slots};
+use super::admit::{Admission, Objective, Offer, ParkedReport, Popped, Slots};
 use super::home::Homes;
 use super::link::LinkPacer;
 use super::once::{CachedResponse, IdempotencyTable};
@@ -159,7 +159,7 @@
             Input::Configure(snapshot) => self.configure(now, snapshot, out),
             Input::View(members) => self.members = members,
             Input::Confirm => self.confirmed = true,
-            Input::Drain => self.drain(out),
+            Input::Drain => self.drain(now, out),
             Input::Arrive(arrival) => self.arrive(now, &arrival, out),
             Input::Expire(call) => self.expire(now, call, out),
             Input::Withdraw(call) => self.withdraw(call),
@@ -192,6 +192,11 @@
         self.slots.load(now)
     }
 
+    /// Requests parked for the target.
+    pub fn parked(&self) -> ParkedReport {
+        self.slots.parked()
+    }
+
     /// The running requests that may be making nested calls.
     pub fn runs(&self) -> Runs {
         self.runs.kinds_with_repeats()
@@ -207,8 +212,9 @@
         }
     }
 
-    fn drain(&mut self, out: &mut Vec<Output>) {
+    fn drain(&mut self, now: Time, out: &mut Vec<Output>) {
         self.draining = true;
+        self.reject_parked(now, out);
         if let Some(homes) = &mut self.homes {
             out.extend(homes.leave().into_iter().map(Output::Send));
         }
--- a/core/src/call/gatekeeper/placement.rs
+++ b/core/src/call/gatekeeper/placement.rs
@@ -3,7 +3,8 @@
 
 use super::{Arrival, Gatekeeper, Output, RETRY_AFTER_SHORT};
 use crate::call::{CallKey, Outcome, Terms};
-use crate::config::{Target, allows_region};
+use crate::config::{Target, TargetKey, allows_region};
+use crate::member::VmState;
 use crate::{Code, Name, Time};
 use std::time::Duration;
 
@@ -116,7 +117,36 @@
     pub(super) fn reject_queued(&mut self, now: Time, code: Code, out: &mut Vec<Output>) {
         let queued: Vec<CallKey> =
             self.calls.iter().filter(|(_, call)| !call.running).map(|(key, _)| *key).collect();
-        for call in queued {
+        self.reject_unstarted(now, &queued, code, out);
+    }
+
+    /// Rejects the parked requests if another target can take them.
+    pub(super) fn reject_parked(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Some((snapshot, service)) = self.snapshot.as_ref().zip(self.service) else {
+            return;
+        };
+        let own = self.own_target(snapshot);
+        let targets = snapshot.service(service).targets.iter();
+        let takes_work = |target: &&TargetKey| {
+            let target = &snapshot.target(**target).target;
+            let not_live = self.members.get(&target.vm).is_some_and(|vm| *vm != VmState::Live);
+            target.accepts_requests() && !not_live
+        };
+        let mut others = targets.filter(|target| Some(**target) != own).filter(takes_work);
+        if others.next().is_some() {
+            let parked = self.slots.withdraw_parked();
+            self.reject_unstarted(now, &parked, Code::Draining, out);
+        }
+    }
+
+    fn reject_unstarted(
+        &mut self,
+        now: Time,
+        calls: &[CallKey],
+        code: Code,
+        out: &mut Vec<Output>,
+    ) {
+        for call in calls.iter().copied() {
             self.slots.withdraw(call);
             let Some(entry) = self.remove_unstarted(call) else { continue };
             let outcome = Outcome::not_run(code, RETRY_AFTER_SHORT);
--- a/core/tests/call_balance.rs
+++ b/core/tests/call_balance.rs
@@ -30,8 +30,15 @@
 /// Makes the targets reject because of load, with `wait_ms` as the expected wait.
 fn mark_overloaded(balancer: &mut Balancer, vms: [&str; 2], wait_ms: u32) {
     for vm in vms {
-        let load =
-            Load { in_flight: 8, slots: 8, queued: 4, wait_ms, run_ms: [0; 3], pace: Pace::USUAL };
+        let load = Load {
+            in_flight: 8,
+            slots: 8,
+            queued: 4,
+            wait_ms,
+            run_ms: [0; 3],
+            pace: Pace::USUAL,
+            bulk_wait_ms: None,
+        };
         balancer.record_load(START, &name(vm), load);
         for class in [Class::Bulk, Class::Interactive] {
             let wait = Duration::from_millis(wait_ms.into());
@@ -61,7 +68,15 @@
         balancer.record_load(
             START,
             &vm,
-            Load { in_flight: 8, slots: 8, queued: 4, wait_ms, run_ms: [0; 3], pace: Pace::USUAL },
+            Load {
+                in_flight: 8,
+                slots: 8,
+                queued: 4,
+                wait_ms,
+                run_ms: [0; 3],
+                pace: Pace::USUAL,
+                bulk_wait_ms: None,
+            },
         );
     }
     assert_eq!(picks_in_other_region(&mut balancer, Class::Interactive), 0);
@@ -74,6 +89,7 @@
             wait_ms: 300,
             run_ms: [0; 3],
             pace: Pace::USUAL,
+            bulk_wait_ms: None,
         };
         balancer.record_load(START, &name(vm), load);
     }
@@ -102,6 +118,7 @@
         wait_ms: 0,
         run_ms: [0, run_ms, 0],
         pace,
+        bulk_wait_ms: None,
     };
     for (vm, percent) in [("a", 100), ("b", 250)] {
         let vm = name(vm);
--- a/core/tests/call_balance_growth.rs
+++ b/core/tests/call_balance_growth.rs
@@ -53,8 +53,15 @@
         let took = Duration::from_millis((run_ms * rng.random_range(50..150) / 100).into());
         balancer.record_response(now + took, &vm, Class::Interactive, took);
         let run_ms = [0, run_ms, 0];
-        let load =
-            Load { in_flight: 1, slots: 9, queued: 0, wait_ms: 0, run_ms, pace: Pace::USUAL };
+        let load = Load {
+            in_flight: 1,
+            slots: 9,
+            queued: 0,
+            wait_ms: 0,
+            run_ms,
+            pace: Pace::USUAL,
+            bulk_wait_ms: None,
+        };
         balancer.record_load(now + took, &vm, load);
         slow += usize::from(request >= requests / 2 && target % SLOW_EVERY == 0);
     }
--- a/core/tests/call_entry.rs
+++ b/core/tests/call_entry.rs
@@ -292,6 +292,7 @@
         wait_ms: 150,
         run_ms: [0; 3],
         pace: Pace::USUAL,
+        bulk_wait_ms: None,
     });
     driver.end(first.call, AttemptEnd::ResponseStarted { load, waited: Duration::ZERO });
     assert_eq!(driver.arrive().vm.as_str(), "b");
--- a/core/tests/call_shared_room.rs
+++ b/core/tests/call_shared_room.rs
@@ -36,8 +36,15 @@
 
 fn report(balancer: &mut Balancer, vms: [&str; 2], in_flight: u32, wait_ms: u32) {
     for vm in vms {
-        let load =
-            Load { in_flight, slots: 8, queued: 0, wait_ms, run_ms: [0; 3], pace: Pace::USUAL };
+        let load = Load {
+            in_flight,
+            slots: 8,
+            queued: 0,
+            wait_ms,
+            run_ms: [0; 3],
+            pace: Pace::USUAL,
+            bulk_wait_ms: None,
+        };
         balancer.record_load(START, &name(vm), load);
     }
 }
--- a/core/tests/node_random.rs
+++ b/core/tests/node_random.rs
@@ -303,6 +303,7 @@
                     wait_ms: 0,
                     run_ms: [0; 3],
                     pace: Pace::USUAL,
+                    bulk_wait_ms: None,
                 });
                 let end = entry::AttemptEnd::ResponseStarted { load, waited: Duration::ZERO };
                 entry::Input::Attempt { call, end, replayable: true }
