Entry nodes choose targets of bulk requests by the wait for slots and link

Cause: the reported wait is that of an interactive request, so that targets whose links are full look free. Change: where a target reports bulk_wait_ms, it replaces wait_ms for bulk requests. Result: other requests and targets without parking are placed as before. Not measured on a fleet.

--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -289,7 +289,7 @@
         if request.class == Class::Bulk && peer.link != Link::Zone {
             return None;
         }
-        let wait = peer.reported_wait(request.now).unwrap_or_default();
+        let wait = peer.reported_wait(request.now, request.class).unwrap_or_default();
         let typical_latency = self.typical_latency(request);
         let expected = peer.unloaded_cost(request.now, request.class, typical_latency) + wait;
         let max_expected = (typical_latency + assumed_network_latency(peer.link))
@@ -422,7 +422,7 @@
 
     /// Expected response time with the reported wait, without the cost of the distance.
     fn waiting_cost(&self, request: PickRequest<'_>, index: usize) -> Duration {
-        let wait = self.peers[index].reported_wait(request.now).unwrap_or_default();
+        let wait = self.peers[index].reported_wait(request.now, request.class).unwrap_or_default();
         self.unloaded_cost(request, index) + wait
     }
 
--- a/core/src/call/balance/peer.rs
+++ b/core/src/call/balance/peer.rs
@@ -175,10 +175,15 @@
         time + time * FAILURE_COST_FACTOR * self.decayed_failure_rate(now) / FAILURE_SCALE
     }
 
-    /// Expected queueing time from the last load report. Returns `None` if the report is too old.
-    pub fn reported_wait(&self, now: Time) -> Option<Duration> {
+    /// Expected queueing time of a request of a class from the last load report. Returns `None` if
+    /// the report is too old.
+    pub fn reported_wait(&self, now: Time, class: Class) -> Option<Duration> {
         let (load, at) = self.load?;
-        (now.since(at) < LOAD_REPORT_TTL).then(|| Duration::from_millis(load.wait_ms.into()))
+        let wait_ms = match class {
+            Class::Bulk => load.bulk_wait_ms.unwrap_or(load.wait_ms),
+            Class::Gating | Class::Interactive => load.wait_ms,
+        };
+        (now.since(at) < LOAD_REPORT_TTL).then(|| Duration::from_millis(wait_ms.into()))
     }
 
     /// Returns the number of requests known to be at the target, and its slots.
