Metrics of parked requests

Cause: an operator can't see how many requests are parked, or why others were refused. A test that entry nodes choose by bulk_wait_ms.

--- a/core/tests/call_balance.rs
+++ b/core/tests/call_balance.rs
@@ -132,3 +132,39 @@
     assert_eq!(picks_of_slow(Duration::from_millis(100)), 0);
     assert!(picks_of_slow(Duration::from_millis(1_500)) > 20);
 }
+
+/// Guards against bulk requests that wait for the link of a target while another of the region has
+/// room on its link: the wait for a slot says nothing of it.
+#[test]
+fn pick_bulk_by_wait_for_link() {
+    let targets = ["a/here/here-z", "b/here/next-z"];
+    let place = Place { region: name("here"), zone: name("here-z") };
+    let picks_next_zone = |bulk_wait_ms: Option<u32>, class: Class| {
+        let mut balancer = Balancer::new(place.clone(), 3);
+        balancer.configure(&support::snapshot(1, &targets, "{}", "{}"), &Members::new());
+        for (vm, bulk_wait_ms) in [("a", bulk_wait_ms), ("b", Some(0))] {
+            let vm = name(vm);
+            for class in [Class::Bulk, Class::Interactive] {
+                balancer.record_response(START, &vm, class, Duration::from_millis(180));
+            }
+            let load = Load {
+                in_flight: 2,
+                slots: 9,
+                queued: 0,
+                wait_ms: 0,
+                run_ms: [0; 3],
+                pace: Pace::USUAL,
+                bulk_wait_ms,
+            };
+            balancer.record_load(START, &vm, load);
+        }
+        let terms = terms(class);
+        let request = PickRequest::new(START, ServiceKey(0), &terms);
+        (0..100).filter(|_| balancer.pick(request) == Some(name("b"))).count()
+    };
+    assert_eq!(picks_next_zone(Some(2_000), Class::Bulk), 100);
+    assert_eq!(picks_next_zone(Some(2_000), Class::Interactive), 0);
+    // Below the cost of the bytes, and from a node without the report.
+    assert_eq!(picks_next_zone(Some(100), Class::Bulk), 0);
+    assert_eq!(picks_next_zone(None, Class::Bulk), 0);
+}
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -2,6 +2,7 @@
 
 mod probe;
 mod slot;
+mod state;
 mod target;
 
 pub use slot::{ActiveResponse, Slot};
@@ -16,16 +17,16 @@
 use super::unknown_headers::UnknownHeaders;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use async_executor::Executor;
 use bytes::Bytes;
 use futures_lite::future;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use indexmap::IndexMap;
 use parking_lot::Mutex;
 use slot::QueuedCall;
+use state::{Decision, State, TargetState};
 use std::future::Future;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -33,7 +34,7 @@
 use sycamore_core::call::gatekeeper::{Arrival, Input, Output};
 use sycamore_core::call::once::CachedResponse;
 use sycamore_core::call::{
-    CallKey, Fingerprint, Gatekeeper, Load, Members, Note, Outcome, RateLimit, RequestKey, Runs,
+    CallKey, Fingerprint, Gatekeeper, Members, Note, Outcome, RateLimit, RequestKey,
     TargetStatements,
 };
 use sycamore_core::config::{Class, Snapshot};
@@ -61,35 +62,6 @@
     unknown_headers: UnknownHeaders,
 }
 
-#[derive(Debug)]
-struct State {
-    gatekeeper: Gatekeeper,
-    waiting: IndexMap<CallKey, Sender<Decision>>,
-}
-
-/// What the gatekeeper knows of its target.
-struct TargetState {
-    load: Load,
-    runs: Runs,
-    statements: TargetStatements,
-}
-
-impl TargetState {
-    fn new(now: Time, gatekeeper: &Gatekeeper) -> TargetState {
-        let (load, runs) = (gatekeeper.load(now), gatekeeper.runs());
-        TargetState { load, runs, statements: gatekeeper.statements() }
-    }
-}
-
-/// Decision of the state machine about a call.
-#[derive(Debug)]
-enum Decision {
-    Run { once: bool },
-    Queue(Time, Receiver<Decision>),
-    Replay(Arc<CachedResponse>),
-    Reject(Outcome, u32),
-}
-
 impl GateAdapter {
     pub fn new(shared: Arc<Shared>, executor: &Arc<Executor<'static>>, seed: u64) -> GateAdapter {
         let settings = &shared.settings;
@@ -104,7 +76,7 @@
         GateAdapter {
             pool: Pool::new(shared.clock.clone(), executor.clone()),
             executor: executor.clone(),
-            state: Mutex::new(State { gatekeeper, waiting: IndexMap::new() }),
+            state: Mutex::new(State::new(gatekeeper)),
             next_call: AtomicU64::new(1),
             drain_sent: AtomicBool::new(false),
             probe_due: AtomicBool::new(false),
@@ -152,7 +124,7 @@
         let now = self.shared.clock.now();
         let mut state = self.state.lock();
         state.gatekeeper.handle(now, input, &mut out);
-        let target = TargetState::new(now, &state.gatekeeper);
+        let target = state.publish(now, &self.shared.metrics);
         let (_, effects) = state.dispatch(None, out);
         drop(state);
         self.publish(target);
@@ -165,7 +137,7 @@
         let now = self.shared.clock.now();
         let mut state = self.state.lock();
         state.gatekeeper.handle(now, input, &mut out);
-        let target = TargetState::new(now, &state.gatekeeper);
+        let target = state.publish(now, &self.shared.metrics);
         let (own, effects) = state.dispatch(Some(call), out);
         drop(state);
         self.publish(target);
@@ -439,46 +411,6 @@
     }
 }
 
-impl State {
-    /// Sends decisions to the waiting calls. Returns the decision for `own` and the outputs that do
-    /// not belong to a call.
-    fn dispatch(
-        &mut self,
-        own: Option<CallKey>,
-        out: Vec<Output>,
-    ) -> (Option<Decision>, Vec<Output>) {
-        let mut own_decision = None;
-        let mut effects = Vec::new();
-        for output in out {
-            let (call, decision) = match output {
-                Output::Run { call, once } => (call, Decision::Run { once }),
-                Output::Queue(call, until) => {
-                    let (tx, rx) = async_channel::bounded(1);
-                    self.waiting.insert(call, tx);
-                    (call, Decision::Queue(until, rx))
-                }
-                Output::Replay(call, cached) => (call, Decision::Replay(cached)),
-                Output::Reject { call, outcome, crashes } => {
-                    (call, Decision::Reject(outcome, crashes))
-                }
-                Output::Send(_) | Output::Record(_) | Output::Probe => {
-                    effects.push(output);
-                    continue;
-                }
-            };
-            let queued = matches!(decision, Decision::Queue(..));
-            let waiting = if queued { None } else { self.waiting.swap_remove(&call) };
-            if own == Some(call) {
-                own_decision = Some(decision);
-            } else if let Some(waiting) = waiting {
-                // Fails if the receiver was dropped, which withdraws the call.
-                let _ = waiting.try_send(decision);
-            }
-        }
-        (own_decision, effects)
-    }
-}
-
 fn rejection(code: Code) -> Outcome {
     Outcome::not_run(code, RETRY_AFTER_SHORT)
 }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus::{Gauge, HistogramVec, IntCounter, IntCounterVec, IntGauge};
 use std::time::Duration;
 use sycamore_core::Time;
+use sycamore_core::call::admit::{ParkedReport, RefusalReason, Refusals};
 use sycamore_core::config::Class;
 use sycamore_core::event::{Event, EventKind};
 use sycamore_core::status::Status;
@@ -46,6 +47,12 @@
     pub in_flight: IntGauge,
     /// Requests queued for the local target.
     pub queued: IntGauge,
+    /// Requests parked for the local target.
+    pub parked: IntGauge,
+    /// The most requests that have been parked at once.
+    pub parked_peak: IntGauge,
+    /// Requests with ample slack refused by the gatekeeper, by class and reason.
+    pub parked_refusals: IntCounterVec,
     /// Whether the local target states a rate limit: 0 or 1.
     pub target_limited: IntGauge,
     /// Rate limit that the local target states, in requests per second; 0 without a limit.
@@ -104,6 +111,13 @@
             refusals: r.counters("refusals_total", "Requests not run.", &["code"]),
             in_flight: r.gauge("in_flight", "Requests that the target runs now."),
             queued: r.gauge("queued", "Requests that wait for the target."),
+            parked: r.gauge("parked", "Requests that are parked for the target."),
+            parked_peak: r.gauge("parked_peak", "Most requests parked at once."),
+            parked_refusals: r.counters(
+                "parked_refusals_total",
+                "Requests with ample slack that were not run.",
+                &["class", "reason"],
+            ),
             target_limited: r.gauge("target_limited", "Whether the target states a rate limit."),
             target_rate_limit: r.float_gauge(
                 "target_rate_limit",
@@ -154,6 +168,22 @@
         histograms.with_label_values(&[class.label()]).observe(duration.as_secs_f64());
     }
 
+    /// Publishes the parked requests and what has been refused since `before`.
+    pub fn update_parked(&self, report: &ParkedReport, before: &Refusals) {
+        self.parked.set(report.now.into());
+        self.parked_peak.set(report.peak.into());
+        for class in [Class::Gating, Class::Interactive, Class::Bulk] {
+            for reason in RefusalReason::ALL {
+                let count =
+                    report.refusals.of(class, reason).wrapping_sub(before.of(class, reason));
+                if count > 0 {
+                    let labels = [class.label(), reason.label()];
+                    self.parked_refusals.with_label_values(&labels).inc_by(count.into());
+                }
+            }
+        }
+    }
+
     /// Counts a state change event.
     pub fn count_event(&self, event: &Event) {
         self.events.with_label_values(&[event.kind.name()]).inc();
