Requests of a kind that is parked join the order, also with little slack

Ruled out: joining by class, which would also bind kinds that never have ample slack. Change: while its kind (class and rank) is parked, a request with an objective takes its place by its latest start.

--- a/core/src/call/admit/ample.rs
+++ b/core/src/call/admit/ample.rs
@@ -34,13 +34,15 @@
         self.policy.is_enabled(Mechanism::Parking) && self.policy.parked_requests > 0
     }
 
-    /// The objective of a request with ample slack.
+    /// The objective of a request that has ample slack, or whose kind is parked already. Otherwise
+    /// a retry with little time left would go before those that are parked, and make them late.
     pub(super) fn ample_objective(&self, now: Time, offer: &Offer) -> Option<Objective> {
         let usual = self.run_times.measured(offer.class)?;
         let objective = offer.objective.filter(|_| offer.depth == 0 && self.is_parking())?;
         let respond_by = objective.respond_by.min(offer.deadline);
         let is_ample = respond_by.since(now) >= usual.saturating_mul(AMPLE_RUNS);
-        is_ample.then_some(Objective { respond_by, ..objective })
+        let is_parked = self.parked.in_time_of(Kind::of(offer)) > 0;
+        (is_ample || is_parked).then_some(Objective { respond_by, ..objective })
     }
 
     /// Starts, parks or rejects a request with ample slack.
--- a/core/tests/call_parking.rs
+++ b/core/tests/call_parking.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use support::*;
 use sycamore_core::call::Load;
-use sycamore_core::call::admit::{Admission, Offer, Slots};
+use sycamore_core::call::admit::{Admission, Offer, RefusalReason, Slots};
 use sycamore_core::call::link::LinkPacer;
 use sycamore_core::call::policy::{Mechanism, Policy};
 use sycamore_core::config::Class;
@@ -59,6 +59,23 @@
     assert!((500..3_000).contains(&first) && last > 10_000, "{first} ms, {last} ms");
 }
 
+/// Guards against refused requests that come back with little time left, and are served before those
+/// that are parked, which become late.
+#[test]
+fn burst_with_retries_in_time() {
+    let with_retries = burst().into_iter().map(|request| Request { retries: 2, ..request });
+    let requests: Vec<Request> = with_retries.collect();
+    let (with, without) = (replay(&requests, Policy::new()), replay(&requests, without()));
+    let counts = [&with, &without].map(|replay| replay.count(Class::Bulk, 0, 0..15_000));
+    let again = [with.refused_again(), without.refused_again()];
+    println!("with and without, callers retry: {counts:?}, refused again: {again:?}");
+    let [parked, today] = counts;
+    assert!(parked.in_time >= today.in_time + 30, "{parked:?} {today:?}");
+    assert_eq!(parked.late, 0, "{parked:?}");
+    assert!(again[0] * 2 <= again[1], "{again:?}");
+    assert_eq!(with.slots.parked().refusals.of(Class::Bulk, RefusalReason::Overdue), 0);
+}
+
 /// Requests with ample slack whose runs differ by several times, at this many times the capacity of
 /// six slots.
 fn uneven_runs(seed: u64, seconds: u64, percent: u64) -> Vec<Request> {
@@ -68,7 +85,14 @@
     let request = |index: u64| {
         let at_ms = index * gap / 1_000;
         let offer = offer(0, Class::Interactive, at_ms, 4_000, 9_000);
-        Request { at_ms, offer, run_ms: rng.random_range(60..460), bytes: 0 }
+        Request {
+            at_ms,
+            offer,
+            run_ms: rng.random_range(60..460),
+            bytes: 0,
+            retries: 0,
+            first: None,
+        }
     };
     (0..number).map(request).collect()
 }
@@ -139,7 +163,7 @@
     let mut requests = burst();
     requests.extend((0..1_500).map(|index| {
         let at_ms = index * 10;
-        Request { at_ms, offer: look_up(0, at_ms), run_ms: 55, bytes: 300 }
+        Request { at_ms, offer: look_up(0, at_ms), run_ms: 55, bytes: 300, retries: 0, first: None }
     }));
     let [with, without] = [Policy::new(), without()].map(|policy| replay(&requests, policy));
     let look_ups = with.count(Class::Interactive, 0, 0..15_000);
@@ -202,7 +226,7 @@
 fn no_effect_without_ample_slack() {
     let interactive = |at_ms: u64| {
         let offer = offer(0, Class::Interactive, at_ms, 800, 2_500);
-        Request { at_ms, offer, run_ms: 160, bytes: 0 }
+        Request { at_ms, offer, run_ms: 160, bytes: 0, retries: 0, first: None }
     };
     let requests: Vec<Request> = (0..640).map(|number| interactive(number * 15)).collect();
     let ends = |slots: Slots| Replay::new(slots, requests.clone()).run(15_000).ends;
--- a/core/tests/call_parking_order.rs
+++ b/core/tests/call_parking_order.rs
@@ -32,7 +32,8 @@
 #[test]
 fn parked_after_requests_without_slack() {
     let mut slots = one_slot(Policy::new());
-    assert!(is_parked(slots.offer(at(0), offer(1, Class::Interactive, 0, 2_000, 9_000))));
+    let patient = Offer { rank: 1, ..offer(1, Class::Interactive, 0, 2_000, 9_000) };
+    assert!(is_parked(slots.offer(at(0), patient)));
     let queued = slots.load(at(0)).queued;
     assert!(is_parked(slots.offer(at(0), offer(2, Class::Interactive, 0, 500, 1_000))));
     assert_eq!((queued, slots.load(at(0)).queued), (0, 1));
@@ -279,7 +280,7 @@
             objective.may_exceed_objective = last;
         }
         let bytes = if class == Class::Bulk { BUNDLE_BYTES } else { 500 };
-        Request { at_ms, offer, run_ms, bytes }
+        Request { at_ms, offer, run_ms, bytes, retries: 0, first: None }
     })
 }
 
--- a/core/tests/support/parking.rs
+++ b/core/tests/support/parking.rs
@@ -18,6 +18,8 @@
 pub const LINK_KBPS: u64 = 10_000;
 pub const BUNDLE_BYTES: u64 = 90_000;
 pub const CHUNK_BYTES: u64 = 16_384;
+/// Time from a gatekeeper to the caller and back.
+pub const CALLER_MS: u64 = 16;
 pub const RUN_MS: u64 = 180;
 pub const OBJECTIVE_MS: u64 = 2_500;
 pub const DEADLINE_MS: u64 = 8_000;
@@ -57,6 +59,10 @@
     pub offer: Offer,
     pub run_ms: u64,
     pub bytes: u64,
+    /// Times that its caller sends it again after a refusal.
+    pub retries: u8,
+    /// The request that this is a retry of.
+    pub first: Option<usize>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,6 +75,8 @@
 pub struct Replay {
     pub slots: Slots,
     pub requests: Vec<Request>,
+    // Arrivals that are due, in milliseconds, by request.
+    pub arrivals: BTreeSet<(u64, u64)>,
     pub runs: BTreeSet<(u64, u64)>,
     // Times at which the next bytes of responses go to the link, by call, and their number.
     pub writes: BTreeSet<(u64, u64, u64)>,
@@ -90,9 +98,11 @@
         for (call, request) in requests.iter_mut().enumerate() {
             request.offer.call = CallKey(call as u64);
         }
+        let arrivals = requests.iter().map(|one| (one.at_ms, one.offer.call.0)).collect();
         Replay {
             slots,
             requests,
+            arrivals,
             runs: BTreeSet::new(),
             writes: BTreeSet::new(),
             unsent: BTreeMap::new(),
@@ -107,23 +117,23 @@
     }
 
     pub fn run(mut self, until_ms: u64) -> Replay {
-        let mut next = 0;
         for now in 0..until_ms {
             self.finish(now);
-            while let Some(request) = self.requests.get(next).filter(|one| one.at_ms <= now) {
-                let call = next as u64;
+            while let Some((due, call)) = self.arrivals.first().copied().filter(|one| one.0 <= now)
+            {
+                self.arrivals.remove(&(due, call));
+                let request = self.requests[call as usize];
                 match self.slots.offer(at(now), request.offer) {
                     Admission::Run => self.start(now, call),
                     Admission::Queue(until) => drop(self.waiting.insert(call, until)),
                     Admission::Reject(_, wait) => self.refuse(now, call, wait),
                 }
-                next += 1;
                 self.pop(now);
             }
             let expired = self.waiting.iter().filter(|(_, until)| **until <= at(now));
             for call in expired.map(|(call, _)| *call).collect::<Vec<u64>>() {
                 if self.slots.expire(at(now), CallKey(call)) {
-                    self.refuse(now, call, Duration::ZERO);
+                    self.refuse_waiting(now, call);
                 }
             }
             self.pop(now);
@@ -135,7 +145,7 @@
         while let Some(popped) = self.slots.pop(at(now)) {
             match popped {
                 Popped::Run(CallKey(call)) => self.start(now, call),
-                Popped::Expired(CallKey(call)) => self.refuse(now, call, Duration::ZERO),
+                Popped::Expired(CallKey(call)) => self.refuse_waiting(now, call),
             }
         }
     }
@@ -152,11 +162,40 @@
         }
     }
 
+    fn refuse_waiting(&mut self, now: u64, call: u64) {
+        let wait = self.slots.retry_after(at(now), &self.requests[call as usize].offer);
+        self.refuse(now, call, wait);
+    }
+
     fn refuse(&mut self, now: u64, call: u64, wait: Duration) {
         self.waiting.remove(&call);
         let after_ms = now - self.requests[call as usize].at_ms;
         let end = End::Refused { after_ms, retry_after_ms: wait.as_millis() as u64 };
         assert_eq!(self.ends.insert(call, end), None, "call {call} ended twice");
+        self.retry(now, call, wait);
+    }
+
+    /// Sends a refused request again, after the stated time or a third of the time left.
+    fn retry(&mut self, now: u64, call: u64, wait: Duration) {
+        let request = self.requests[call as usize];
+        let left = request.offer.deadline.since(at(now));
+        let at_ms = now + wait.min(left / 3).as_millis() as u64 + CALLER_MS;
+        if request.retries == 0 || at(at_ms) >= request.offer.deadline {
+            return;
+        }
+        let number = self.requests.len() as u64;
+        let offer = Offer { call: CallKey(number), ..request.offer };
+        let (retries, first) = (request.retries - 1, request.first.or(Some(call as usize)));
+        self.requests.push(Request { at_ms, offer, retries, first, ..request });
+        self.arrivals.insert((at_ms, number));
+    }
+
+    /// Requests of callers that were refused, sent again and refused again.
+    pub fn refused_again(&self) -> usize {
+        let retries = self.requests.iter().enumerate().filter(|(_, one)| one.first.is_some());
+        let refused =
+            |call: usize| matches!(self.ends.get(&(call as u64)), Some(End::Refused { .. }));
+        retries.filter(|(call, _)| refused(*call)).count()
     }
 
     /// Ends runs, whose responses then use the link, and responses that have left it.
@@ -198,20 +237,24 @@
     /// Numbers of requests of a class that arrive within a time: in time, late and refused.
     pub fn count(&self, class: Class, rank: u8, within: std::ops::Range<u64>) -> Counts {
         let mut counts = Counts::default();
+        let mut answers: BTreeMap<usize, Time> = BTreeMap::new();
+        for (call, request) in self.requests.iter().enumerate() {
+            if let Some(End::Answered(took)) = self.ends.get(&(call as u64)) {
+                answers.insert(request.first.unwrap_or(call), at(request.at_ms + took));
+            }
+        }
         for (call, request) in self.requests.iter().enumerate() {
             let own = request.offer.class == class && request.offer.rank == rank;
-            if !own || !within.contains(&request.at_ms) {
+            if !own || request.first.is_some() || !within.contains(&request.at_ms) {
                 continue;
             }
             counts.offered += 1;
             let objective = request.offer.objective.map(|one| one.respond_by);
             let respond_by = objective.unwrap_or(request.offer.deadline);
-            match self.ends.get(&(call as u64)) {
-                Some(End::Answered(took)) if at(request.at_ms + took) <= respond_by => {
-                    counts.in_time += 1;
-                }
-                Some(End::Answered(_)) => counts.late += 1,
-                _ => counts.refused += 1,
+            match answers.get(&call) {
+                Some(answered) if *answered <= respond_by => counts.in_time += 1,
+                Some(_) => counts.late += 1,
+                None => counts.refused += 1,
             }
         }
         counts
@@ -263,7 +306,14 @@
 }
 
 pub fn bundle_at(at_ms: u64) -> Request {
-    Request { at_ms, offer: bundle(0, at_ms), run_ms: RUN_MS, bytes: BUNDLE_BYTES }
+    Request {
+        at_ms,
+        offer: bundle(0, at_ms),
+        run_ms: RUN_MS,
+        bytes: BUNDLE_BYTES,
+        retries: 0,
+        first: None,
+    }
 }
 
 /// Bundles at the usual rate of one of six targets, and at 1.7 times that for 7 seconds.
