More urgent kinds keep their share when less urgent ones have shorter objectives

Change: a more urgent request that would be late behind less urgent ones displaces the least urgent of these, all but the first of each kind; for a second after that the kinds start in the order of urgency, beside the minimum share.

--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod dispatch;
 mod lack;
+mod late;
 mod offer;
 mod parking;
 mod refusals;
@@ -87,6 +88,8 @@
     lack: Lack,
     refusals: Refusals,
     late_checked_at: Time,
+    // When a request last displaced a less urgent one.
+    contended_at: Time,
     policy: Policy,
 }
 
@@ -113,6 +116,7 @@
             lack: Lack::default(),
             refusals: Refusals::default(),
             late_checked_at: Time::ZERO,
+            contended_at: Time::ZERO,
             policy: Policy::new(),
         }
     }
--- a/core/src/call/admit/ample.rs
+++ b/core/src/call/admit/ample.rs
@@ -24,10 +24,10 @@
 const RETURN_DIVISOR: u32 = 20;
 
 /// Margin for errors of an expected wait, in percent.
-const WAIT_PERCENT: u32 = 115;
+pub(super) const WAIT_PERCENT: u32 = 115;
 
-/// Interval at which late requests are checked against the spare capacity.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How long more urgent kinds go first after one of them has displaced a less urgent one.
+const CONTENTION: Duration = Duration::from_secs(1);
 
 impl Slots {
     pub(super) fn is_parking(&self) -> bool {
@@ -69,10 +69,19 @@
             false => self.policy.first_wait_percent,
         };
         let longest = parked.latest_start.since(now) * percent / 100;
-        let fits = wait <= longest || self.wait_for_share(now, own) <= longest;
-        if fits && let Some(displaced) = self.displaced_by(now, &parked) {
+        let room = match wait <= longest || self.wait_for_share(now, own) <= longest {
+            true => Some(Vec::new()),
+            false if objective.may_exceed_objective => self.make_room(now, &parked, longest),
+            false => None,
+        };
+        if let Some(before) = room
+            && let Some(after) = self.displaced_by(now, &parked)
+        {
+            if !before.is_empty() || !after.is_empty() {
+                self.contended_at = now;
+            }
             self.parked.insert_in_time(parked);
-            for other in displaced {
+            for other in before.into_iter().chain(after) {
                 self.parked.remove(other.offer.call);
                 self.keep_late(now, other, RefusalReason::Displaced);
             }
@@ -144,11 +153,42 @@
 
     /// Expected wait of a request that is not parked yet.
     fn wait_at(&self, now: Time, parked: &Parked) -> Duration {
+        self.wait_behind(now, parked.offer.class, self.ahead_of(now, parked))
+    }
+
+    /// Numbers of parked requests by class that start before this one.
+    fn ahead_of(&self, now: Time, parked: &Parked) -> [u32; 3] {
         let mut ahead = self.parked.in_time_by_class();
+        let own = Kind::of(&parked.offer);
+        let contended = self.is_contended(now);
         for later in self.parked.after(parked.latest_start) {
-            ahead[later.offer.class as usize] -= 1;
+            let precedes = contended && Kind::of(&later.offer) < own;
+            ahead[later.offer.class as usize] -= u32::from(!precedes);
         }
-        self.wait_behind(now, parked.offer.class, ahead)
+        ahead
+    }
+
+    /// Whether kinds have lately competed for the capacity, so that the more urgent go first.
+    fn is_contended(&self, now: Time) -> bool {
+        now.since(self.contended_at) < CONTENTION
+    }
+
+    /// The less urgent requests without which this one would wait no longer than `longest`; `None`
+    /// if they are too few. The first of each kind stays, so that the kind gets its share of the
+    /// starts.
+    fn make_room(&self, now: Time, arriving: &Parked, longest: Duration) -> Option<Vec<Parked>> {
+        let mut ahead = self.ahead_of(now, arriving);
+        let mut displaced = Vec::new();
+        let kind = Kind::of(&arriving.offer);
+        for other in self.parked.less_urgent_before(kind, arriving.latest_start) {
+            ahead[other.offer.class as usize] -= 1;
+            displaced.push(*other);
+            let wait = self.wait_behind(now, arriving.offer.class, ahead);
+            if wait * WAIT_PERCENT / 100 <= longest {
+                return Some(displaced);
+            }
+        }
+        None
     }
 
     /// Longest wait of a new request of a kind that gets no more than its minimum share.
@@ -192,97 +232,23 @@
         Some(displaced)
     }
 
-    /// Whether the spare capacity serves a late request and those kept already before their
-    /// deadlines.
-    fn late_fits(&self, now: Time, new: &Parked) -> bool {
-        let intervals = self.spare_intervals(now);
-        let before = self.parked.late().take_while(|late| late.expires_at <= new.expires_at);
-        let after = self.parked.late().skip_while(|late| late.expires_at <= new.expires_at);
-        let mut served_at = now + self.wait_for_in_time(now);
-        before.chain([new]).chain(after).all(|late| {
-            intervals[late.offer.class as usize].is_some_and(|interval| {
-                served_at = served_at + interval * WAIT_PERCENT / 100;
-                served_at <= late.expires_at
-            })
-        })
-    }
-
-    /// Time until the requests in time that are parked have started.
-    fn wait_for_in_time(&self, now: Time) -> Duration {
-        let ahead = self.parked.in_time_by_class();
-        let classes = [Class::Gating, Class::Interactive, Class::Bulk];
-        let waiting = classes.into_iter().filter(|class| ahead[*class as usize] > 0);
-        waiting.map(|class| self.wait_behind(now, class, ahead)).max().unwrap_or_default()
-    }
-
-    fn spare_intervals(&self, now: Time) -> [Option<Duration>; 3] {
-        [Class::Gating, Class::Interactive, Class::Bulk]
-            .map(|class| self.spare_interval(now, class))
-    }
-
-    /// Keeps a request that can no longer meet its objective if there is spare capacity for it, and
-    /// refuses it otherwise.
-    fn keep_late(&mut self, now: Time, parked: Parked, reason: RefusalReason) {
-        if self.late_fits(now, &parked) {
-            self.parked.insert_late(parked);
-        } else {
-            self.refuse_parked(now, &parked, reason);
-        }
-    }
-
-    fn refuse_parked(&mut self, now: Time, parked: &Parked, reason: RefusalReason) {
-        self.refusals.record(parked.offer.class, reason);
-        self.lack.record_refusal(now, Duration::ZERO);
-        self.parked.refuse(parked.offer.call);
-    }
-
-    /// Refuses the parked requests that can't be served any more.
-    pub(super) fn demote_parked(&mut self, now: Time) {
-        for parked in self.parked.take_overdue(now) {
-            let reason = match parked.expires_at <= now {
-                true => RefusalReason::Expired,
-                false => RefusalReason::Overdue,
-            };
-            self.keep_late(now, parked, reason);
-        }
-        if self.parked.has_late() && now.since(self.late_checked_at) >= CHECK_INTERVAL {
-            self.late_checked_at = now;
-            self.check_late(now);
-        }
-    }
-
-    /// Refuses the late requests that the spare capacity doesn't serve before their deadlines.
-    fn check_late(&mut self, now: Time) {
-        let intervals = self.spare_intervals(now);
-        let mut served_at = now + self.wait_for_in_time(now);
-        let mut refused = Vec::new();
-        for late in self.parked.late() {
-            let next = intervals[late.offer.class as usize].map(|interval| served_at + interval);
-            match next.filter(|next| *next <= late.expires_at) {
-                Some(next) => served_at = next,
-                None => refused.push(*late),
-            }
-        }
-        for late in refused {
-            self.parked.remove(late.offer.call);
-            self.refuse_parked(now, &late, RefusalReason::NoSpareRate);
-        }
-    }
-
     /// Takes a parked kind that has earned a start.
     pub(super) fn next_owed(&mut self, now: Time) -> Option<CallKey> {
         let kind = self.shares.owed().find(|kind| self.can_start_kind(now, *kind))?;
         self.start_parked(now, kind)
     }
 
-    /// Takes the parked request with the earliest latest start, unless queued requests of class
+    /// Takes the parked request with the earliest latest start, or that of the most urgent kind while
+    /// kinds compete for the capacity, unless queued requests of class
     /// `queued` precede it.
     pub(super) fn next_parked(&mut self, now: Time, queued: Option<Class>) -> Option<CallKey> {
+        let contended = self.is_contended(now);
         let kinds = self.parked.kinds();
         let kinds = kinds.filter(|kind| !queued.is_some_and(|class| precedes(class, *kind)));
-        let kind = kinds
-            .filter(|kind| self.can_start_kind(now, *kind))
-            .min_by_key(|kind| self.parked.first(*kind).map(|first| first.latest_start))?;
+        let kind = kinds.filter(|kind| self.can_start_kind(now, *kind)).min_by_key(|kind| {
+            let first = self.parked.first(*kind).map(|first| first.latest_start);
+            (contended.then_some(*kind), first)
+        })?;
         self.start_parked(now, kind)
     }
 
@@ -296,17 +262,4 @@
         self.start(now, &offer, Usage::InTime);
         Some(offer.call)
     }
-
-    /// Takes the late request with the earliest deadline that can use a slot or the link.
-    pub(super) fn next_parked_late(&mut self, now: Time) -> Option<CallKey> {
-        let mut classes = [None; 3];
-        let late = self.parked.late().find(|late| {
-            let class = late.offer.class as usize;
-            *classes[class].get_or_insert_with(|| self.has_slot(now, &late.offer))
-        });
-        let offer = late?.offer;
-        self.parked.remove(offer.call);
-        self.start(now, &offer, Usage::Late);
-        Some(offer.call)
-    }
 }
--- a/core/src/call/admit/parking.rs
+++ b/core/src/call/admit/parking.rs
@@ -104,6 +104,21 @@
         later.into_iter().map(|(_, parked)| parked).collect()
     }
 
+    /// The requests in time of less urgent kinds that start before `latest_start`, without the first
+    /// of each kind: the least urgent first, and of a kind the last.
+    pub fn less_urgent_before(
+        &self,
+        kind: Kind,
+        latest_start: Time,
+    ) -> impl Iterator<Item = &Parked> {
+        let less_urgent = self.in_time.iter().rev().take_while(move |(other, _)| **other > kind);
+        less_urgent.flat_map(move |(_, parked)| {
+            let before = parked.iter().skip(1).take_while(move |(at, _)| at.0 <= latest_start);
+            let before: Vec<&Parked> = before.map(|(_, parked)| parked).collect();
+            before.into_iter().rev()
+        })
+    }
+
     pub fn late(&self) -> impl Iterator<Item = &Parked> {
         self.late.values()
     }
