Lab: links by service, demand waves, stated slow periods, long runs, partitions

Cause: the scenarios of the two new deployments need VMs with different links, demand that oscillates by zone, targets that state a pace, rare long runs and nodes that lose each other; the lab had none of these.

Change: fields vm_mbps, fast_links, slow_periods and long_runs of a service, wave of a scenario with phase of a zone, and the fault partition. All default to off and draw no random numbers then. A node that cannot reach another gives up after 200 ms, the time-out of the connection pool; other messages across a partition are lost. Files are split: scenario/{checks,faults}.rs, path/close.rs.

Each field has a test of its error and of its effect.

--- a/bench/src/bin/sycamore-lab.rs
+++ b/bench/src/bin/sycamore-lab.rs
@@ -41,6 +41,7 @@
     policy: Policy,
     seeds: (u64, u64),
     jobs: usize,
+    seconds: Option<f64>,
     json: bool,
     svg: Option<PathBuf>,
 }
@@ -57,7 +58,10 @@
     };
     let cfg = Config::new(&matches, files)?;
     for path in &cfg.scenarios {
-        let scenario = Scenario::read(path)?;
+        let mut scenario = Scenario::read(path)?;
+        if let Some(seconds) = cfg.seconds {
+            scenario.shorten(seconds)?;
+        }
         match command.as_str() {
             "run" => simulate(&cfg, scenario)?,
             "compare" => compare(&cfg, scenario)?,
@@ -81,6 +85,7 @@
         "NAME=N",
     );
     options.optopt("", "jobs", "number of parallel runs (default: half of the CPUs)", "N");
+    options.optopt("", "seconds", "end each run after this many seconds of modelled time", "S");
     options.optflag("", "json", "run: print JSON");
     options.optopt("", "svg", "run: write a plot to this file", "FILE");
     options
@@ -114,6 +119,7 @@
             policy,
             seeds: parse_seeds(&matches.opt_str("seeds").unwrap_or_else(|| "1..4".to_owned()))?,
             jobs,
+            seconds: matches.opt_get("seconds").map_err(usage)?,
             json: matches.opt_present("json"),
             svg: matches.opt_str("svg").map(PathBuf::from),
         })
--- a/bench/src/lab/caller.rs
+++ b/bench/src/lab/caller.rs
@@ -51,8 +51,11 @@
 
     /// Current weights of the zones in the distribution of callers.
     fn zone_weights(&self) -> Vec<f64> {
-        let zones = self.cfg.zones.values().map(|zone| zone.callers);
-        let mut weights: Vec<f64> = zones.collect();
+        let now = self.links.now();
+        let zones = self.cfg.zones.values();
+        let mut weights: Vec<f64> = zones
+            .map(|zone| zone.callers * self.cfg.wave.factor(self.run_time(now), zone))
+            .collect();
         self.conditions.apply_to_weights(&mut weights);
         weights
     }
--- a/bench/src/lab/path.rs
+++ b/bench/src/lab/path.rs
@@ -1,5 +1,6 @@
 //! Path of a call: caller or run -> entry node -> gatekeeper -> target, and back.
 
+mod close;
 mod run;
 
 use super::mesh::{node_at, vm_name};
@@ -7,7 +8,7 @@
 use std::time::Duration;
 use sycamore_core::call::TargetProcess;
 use sycamore_core::call::entry::{self, AttemptEnd, Forward};
-use sycamore_core::call::gatekeeper::{self, RunEnd};
+use sycamore_core::call::gatekeeper;
 use sycamore_core::call::{
     CallKey, Fingerprint, Outcome, Runs, StatedLimit, Statement, TargetStatements,
 };
@@ -19,6 +20,10 @@
 /// Size of a request, and of the headers of a response, in bytes.
 pub(super) const HEAD_BYTES: u64 = 400;
 
+/// Time until a node gives up a connection to a node that it is partitioned from, the time-out of
+/// the node's connection pool.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Depth of nested calls, which make no further calls.
 const NESTED_DEPTH: u8 = 1;
 
@@ -152,7 +157,11 @@
         *busy
     }
 
+    /// Sends a message. It is lost if its nodes are partitioned.
     fn send(&mut self, departs: Time, from: usize, to: usize, bytes: u64, event: Event) {
+        if self.conditions.is_cut(from, to) {
+            return;
+        }
         self.count_bytes(from, to, bytes);
         let sites = (self.link_site(from), self.link_site(to));
         self.links.send_call_at(departs, sites.0, sites.1, bytes, event);
@@ -172,13 +181,14 @@
             self.links.after(hedge_delay, Event::HedgeDue(key, attempt_key));
         }
         let to = node_at(forward.gatekeeper);
-        self.send(
-            departs,
-            node,
-            to,
-            HEAD_BYTES,
-            Event::AttemptArrived(Box::new(forward), attempt_key),
-        );
+        if self.conditions.is_cut(node, to) {
+            let (stated, end) = (TargetStatements::default(), AttemptEnd::NotSent);
+            let result = AttemptResult { call: key, attempt_key, gatekeeper: to, stated, end };
+            self.links.at(departs + CONNECT_TIMEOUT, Event::AttemptEnded(result));
+            return Some((key, attempt_key));
+        }
+        let event = Event::AttemptArrived(Box::new(forward), attempt_key);
+        self.send(departs, node, to, HEAD_BYTES, event);
         Some((key, attempt_key))
     }
 
@@ -375,65 +385,10 @@
         answered
     }
 
-    fn close_attempt(&mut self, node: usize, attempt_key: Option<CallKey>) {
-        let Some(attempt_key) = attempt_key else { return };
-        if let Some(attempt) = self.attempts.get(&attempt_key) {
-            let to = attempt.node;
-            self.send(self.links.now(), node, to, 0, Event::ConnectionClosed(attempt_key));
-        }
-    }
-
-    /// Handles a connection closed by the entry node, at the gatekeeper.
-    pub(super) fn connection_closed(&mut self, attempt_key: CallKey) {
-        let Some(attempt) = self.attempts.swap_remove(&attempt_key) else { return };
-        if let Some(nested_call) = attempt.nested_call {
-            self.cancel_call(nested_call);
-        }
-        let input = match attempt.running {
-            true => gatekeeper::Input::End { call: attempt_key, end: RunEnd::Cancelled },
-            false => gatekeeper::Input::Withdraw(attempt_key),
-        };
-        self.release_slot(attempt.node, attempt_key);
-        self.gatekeeper_input(attempt.node, input);
-    }
-
     /// Expires a request that is still queued at its gatekeeper.
     pub(super) fn queue_timeout(&mut self, attempt_key: CallKey) {
         if let Some(attempt) = self.attempts.get(&attempt_key).filter(|attempt| !attempt.running) {
             self.gatekeeper_input(attempt.node, gatekeeper::Input::Expire(attempt_key));
         }
     }
-
-    /// Stops a VM. Its callers and the entry nodes of its runs lose their connections.
-    pub(super) fn stop_vm(&mut self, node: usize) {
-        self.nodes[node].up = false;
-        let own = |(key, call): (&CallKey, &Call)| (call.node == node).then_some(*key);
-        let calls: Vec<CallKey> = self.calls.iter().filter_map(own).collect();
-        let here =
-            |(key, attempt): (&CallKey, &GatekeeperAttempt)| (attempt.node == node).then_some(*key);
-        let runs: Vec<CallKey> = self.attempts.iter().filter_map(here).collect();
-        for key in calls {
-            let Some(call) = self.calls.get(&key) else { continue };
-            let (primary, hedge) = (call.primary, call.hedge);
-            self.close_attempt(node, primary);
-            self.close_attempt(node, hedge);
-            self.end_call(key, Err(Outcome::Unknown { code: Code::AnswerLost }));
-        }
-        for run in runs {
-            let Some(attempt) = self.attempts.swap_remove(&run) else { continue };
-            self.send_result(node, attempt.call, run, AttemptEnd::ConnectionLost);
-        }
-    }
-
-    /// Restarts a VM with a cold target.
-    pub(super) fn start_vm(&mut self, node: usize) {
-        let now = self.links.now();
-        if let Ok((entry, gatekeeper)) = self.new_deciders(node) {
-            let restarted = &mut self.nodes[node];
-            (restarted.entry, restarted.gatekeeper, restarted.up) = (entry, gatekeeper, true);
-            restarted.target.restart(now);
-            let snapshot = self.latest_snapshot.clone();
-            self.configure_node(node, &snapshot);
-        }
-    }
 }
--- a/bench/src/lab/path/run.rs
+++ b/bench/src/lab/path/run.rs
@@ -42,7 +42,8 @@
         let Some(attempt) = self.attempts.get(&run) else { return };
         let (node, kind) = (attempt.node, attempt.kind);
         let fails = self.nodes[node].target.draw_failure(&mut self.rng);
-        let work = self.draw_work(kind);
+        let long = self.nodes[node].target.draw_long_run(&mut self.rng);
+        let work = self.draw_work(kind).mul_f64(long);
         let time = self.nodes[node].target.work_time(self.links.now(), work, fails);
         let mut remaining_calls = Vec::new();
         for (called, times, share) in self.kinds[kind].calls.clone() {
@@ -110,7 +111,7 @@
     /// Returns when the link of a node's VM has transmitted a response.
     fn transmission_end(&mut self, node: usize, run: RunKey, bytes: u64) -> Time {
         let now = self.links.now();
-        let mbps = self.cfg.links.vm_mbps;
+        let mbps = self.nodes[node].mbps;
         if mbps <= 0.0 {
             return now;
         }
--- a/bench/src/lab/scenario.rs
+++ b/bench/src/lab/scenario.rs
@@ -1,18 +1,17 @@
 //! Scenario definition: zones, services, kinds of request and faults.
 
+mod checks;
+mod faults;
+
+pub use faults::{Trouble, TroubleKind};
+
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::path::Path;
 use sycamore_core::config::Class;
-use sycamore_core::{Code, Fault, Name, Result};
+use sycamore_core::{Code, Name, Result};
 use sycamore_tools::input;
 
-/// Maximum number of nodes.
-const MAX_NODES: usize = 2_000;
-
-/// Maximum duration of a run, in seconds.
-const MAX_SECONDS: f64 = 600.0;
-
 /// A scenario. Field names give the units.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -33,6 +32,9 @@
     /// Retry budget of the fleet per ten seconds.
     #[serde(default = "default_retries")]
     pub retries: Retries,
+    /// Oscillation of the request rate.
+    #[serde(default)]
+    pub wave: Wave,
     /// Availability zones by name.
     pub zones: BTreeMap<Name, Zone>,
     /// Services by name.
@@ -60,6 +62,16 @@
     pub vm_mbps: f64,
 }
 
+/// Sinusoidal oscillation of the request rate of each zone around its mean.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Wave {
+    /// Amplitude as a share of the mean; 0 for a constant rate.
+    pub swing: f64,
+    /// Period, above 0 if the rate oscillates.
+    pub period_s: f64,
+}
+
 /// Retry budget of the fleet.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -78,6 +90,9 @@
     pub region: Name,
     /// Weight of the zone in the distribution of callers.
     pub callers: f64,
+    /// Lag of the zone's oscillation, as a share of the period.
+    #[serde(default)]
+    pub phase: f64,
 }
 
 /// A service and the model of its targets.
@@ -98,6 +113,18 @@
     /// Slowdown of a target after its start.
     #[serde(default)]
     pub cold: Cold,
+    /// Bandwidth of most of its VMs in Mbit/s, instead of that of all VMs; 0 for unlimited.
+    #[serde(default)]
+    pub vm_mbps: Option<f64>,
+    /// VMs with another bandwidth.
+    #[serde(default)]
+    pub fast_links: FastLinks,
+    /// Periods in which targets are slow and state it as their pace.
+    #[serde(default)]
+    pub slow_periods: SlowPeriods,
+    /// Runs that take longer than others.
+    #[serde(default)]
+    pub long_runs: LongRuns,
     /// Number of targets by zone.
     pub targets: BTreeMap<Name, usize>,
 }
@@ -112,6 +139,38 @@
     pub factor: f64,
 }
 
+/// VMs of a service with another bandwidth than most.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FastLinks {
+    /// Share of the VMs, spread evenly over the targets in their order.
+    pub share: f64,
+    /// Bandwidth in Mbit/s; 0 for unlimited.
+    pub mbps: f64,
+}
+
+/// Periods in which a target is slow. They start at random times.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SlowPeriods {
+    /// Mean share of the targets that are slow at any moment, below 1; 0 for none.
+    pub share: f64,
+    /// Work time multiplier.
+    pub factor: f64,
+    /// Duration of a period.
+    pub for_ms: f64,
+}
+
+/// Runs that take longer than others.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct LongRuns {
+    /// Share of the runs; 0 for none.
+    pub share: f64,
+    /// Work time multiplier.
+    pub factor: f64,
+}
+
 /// A kind of request.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -173,113 +232,6 @@
     pub share: f64,
 }
 
-/// A fault that lasts for a limited time.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Trouble {
-    /// Start, relative to the start of the run.
-    pub at_s: f64,
-    /// Duration.
-    pub for_s: f64,
-    /// Kind of fault.
-    #[serde(flatten)]
-    pub what: TroubleKind,
-}
-
-/// Kind of fault.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(tag = "what", rename_all = "kebab-case", deny_unknown_fields)]
-pub enum TroubleKind {
-    /// Changes the request rate in one zone or in all zones.
-    Burst {
-        /// Rate multiplier.
-        factor: f64,
-        /// Affected zone; all zones if absent.
-        zone: Option<Name>,
-    },
-    /// Moves a share of the callers from one zone to another.
-    Shift {
-        /// Source zone.
-        from: Name,
-        /// Destination zone.
-        to: Name,
-        /// Share of the callers.
-        share: f64,
-    },
-    /// Callers retry without backoff and more often.
-    Abuse {
-        /// Share of the callers.
-        share: f64,
-        /// Additional retries.
-        times: u32,
-    },
-    /// Callers abandon their requests.
-    GiveUp {
-        /// Share of the callers.
-        share: f64,
-        /// Time until a request is abandoned.
-        after_ms: u32,
-    },
-    /// Targets are slow.
-    Slow {
-        /// Affected service.
-        service: Name,
-        /// Share of its targets.
-        share: f64,
-        /// Work time multiplier.
-        factor: f64,
-    },
-    /// Targets fail a share of their requests.
-    Grey {
-        /// Affected service.
-        service: Name,
-        /// Share of its targets.
-        share: f64,
-        /// Share of the requests.
-        errors: f64,
-    },
-    /// Targets reject a share of their requests without running them.
-    Shed {
-        /// Affected service.
-        service: Name,
-        /// Share of its targets.
-        share: f64,
-        /// Share of the requests.
-        part: f64,
-    },
-    /// Targets run requests, but silently drop a share of the responses.
-    Mute {
-        /// Affected service.
-        service: Name,
-        /// Share of its targets.
-        share: f64,
-        /// Share of the responses.
-        part: f64,
-    },
-    /// Targets state a rate limit in their responses.
-    Limited {
-        /// Affected service.
-        service: Name,
-        /// Share of its targets.
-        share: f64,
-        /// Requests per second and target.
-        per_s: f64,
-    },
-    /// VMs stop, and restart with cold targets when the fault ends.
-    Lost {
-        /// Affected zone; all zones if absent.
-        zone: Option<Name>,
-        /// Share of the VMs.
-        share: f64,
-    },
-    /// Targets drain as planned, and return when the fault ends.
-    Leave {
-        /// Affected service.
-        service: Name,
-        /// Share of its targets.
-        share: f64,
-    },
-}
-
 fn default_retries() -> Retries {
     Retries { percent: 20, reserve: 60 }
 }
@@ -321,123 +273,34 @@
         self.services.values().flat_map(|service| service.targets.values()).sum()
     }
 
-    fn check(&self) -> Result<()> {
-        check_positive("seconds", self.seconds, MAX_SECONDS)?;
-        check_range("warm_up_s", self.warm_up_s, 0.0, self.seconds)?;
-        if self.zones.is_empty() {
-            return Err(invalid("zones", "none", "at least one zone"));
-        }
-        if !(1..=MAX_NODES).contains(&self.nodes()) {
-            let allowed = format!("1 to {MAX_NODES} targets in total");
-            return Err(invalid("services", self.nodes(), &allowed));
-        }
-        for (name, zone) in &self.zones {
-            check_range(&format!("zones.{name}.callers"), zone.callers, 0.0, 1e6)?;
-        }
-        for (name, service) in &self.services {
-            self.check_service(&format!("services.{name}"), service)?;
-        }
-        for (name, kind) in &self.kinds {
-            self.check_kind(&format!("kinds.{name}"), kind)?;
-        }
-        for (index, trouble) in self.troubles.iter().enumerate() {
-            self.check_trouble(&format!("troubles[{index}]"), trouble)?;
-        }
-        Ok(())
-    }
-
-    fn check_service(&self, field: &str, service: &ServiceModel) -> Result<()> {
-        if service.slots == 0 {
-            return Err(invalid(&format!("{field}.slots"), 0, "1 or more"));
-        }
-        if service.speeds.is_empty() || service.speeds.iter().any(|speed| *speed <= 0.0) {
-            return Err(invalid(
-                &format!("{field}.speeds"),
-                "an empty list or a value of 0 or less",
-                "multipliers above 0",
-            ));
-        }
-        for zone in service.targets.keys() {
-            self.check_zone(&format!("{field}.targets.{zone}"), zone)?;
-        }
-        Ok(())
-    }
-
-    fn check_kind(&self, field: &str, kind: &Kind) -> Result<()> {
-        if !self.services.contains_key(&kind.service) {
-            let known: Vec<&str> = self.services.keys().map(Name::as_str).collect();
-            return Err(invalid(&format!("{field}.service"), &kind.service, &known.join(", ")));
-        }
-        check_range(&format!("{field}.per_s"), kind.per_s, 0.0, 1e6)?;
-        check_positive(&format!("{field}.work_ms"), kind.work_ms, 60_000.0)?;
-        check_range(&format!("{field}.spread"), kind.spread, 0.0, 3.0)?;
-        for (index, call) in kind.calls.iter().enumerate() {
-            let known = self.kinds.get(&call.kind);
-            let leaf = known.is_some_and(|known| known.calls.is_empty());
-            if !leaf {
-                let allowed = "a kind without nested calls";
-                return Err(invalid(&format!("{field}.calls[{index}].kind"), &call.kind, allowed));
-            }
-            check_range(&format!("{field}.calls[{index}].share"), call.share, 0.0, 1.0)?;
-        }
-        Ok(())
+    /// Ends the run after `seconds`. Faults that would start later are left out.
+    pub fn shorten(&mut self, seconds: f64) -> Result<()> {
+        self.seconds = seconds;
+        self.troubles.retain(|trouble| trouble.at_s < seconds);
+        self.check()
     }
+}
 
-    fn check_trouble(&self, field: &str, trouble: &Trouble) -> Result<()> {
-        check_range(&format!("{field}.at_s"), trouble.at_s, 0.0, self.seconds)?;
-        check_positive(&format!("{field}.for_s"), trouble.for_s, MAX_SECONDS)?;
-        match &trouble.what {
-            TroubleKind::Burst { zone: Some(zone), .. }
-            | TroubleKind::Lost { zone: Some(zone), .. } => {
-                self.check_zone(&format!("{field}.zone"), zone)
+impl Wave {
+    /// Request rate of a zone relative to its mean, some seconds after the start of the run.
+    pub fn factor(&self, at_s: f64, zone: &Zone) -> f64 {
+        match self.swing > 0.0 {
+            true => {
+                let periods = at_s / self.period_s - zone.phase;
+                1.0 + self.swing * (std::f64::consts::TAU * periods).sin()
             }
-            TroubleKind::Shift { from, to, .. } => {
-                self.check_zone(&format!("{field}.from"), from)?;
-                self.check_zone(&format!("{field}.to"), to)
-            }
-            TroubleKind::Slow { service, .. }
-            | TroubleKind::Grey { service, .. }
-            | TroubleKind::Shed { service, .. }
-            | TroubleKind::Mute { service, .. }
-            | TroubleKind::Limited { service, .. }
-            | TroubleKind::Leave { service, .. } => match self.services.contains_key(service) {
-                true => Ok(()),
-                false => Err(invalid(
-                    &format!("{field}.service"),
-                    service,
-                    "a service listed in services",
-                )),
-            },
-            TroubleKind::Burst { zone: None, .. }
-            | TroubleKind::Lost { zone: None, .. }
-            | TroubleKind::Abuse { .. }
-            | TroubleKind::GiveUp { .. } => Ok(()),
-        }
-    }
-
-    fn check_zone(&self, field: &str, zone: &Name) -> Result<()> {
-        match self.zones.contains_key(zone) {
-            true => Ok(()),
-            false => Err(invalid(field, zone, "a zone listed in zones")),
+            false => 1.0,
         }
     }
 }
 
-fn check_positive(field: &str, value: f64, max: f64) -> Result<()> {
-    match value > 0.0 && value <= max {
-        true => Ok(()),
-        false => Err(invalid(field, value, &format!("above 0, at most {max}"))),
-    }
-}
-
-fn check_range(field: &str, value: f64, min: f64, max: f64) -> Result<()> {
-    match value >= min && value <= max {
-        true => Ok(()),
-        false => Err(invalid(field, value, &format!("{min} to {max}"))),
+impl ServiceModel {
+    /// Bandwidth of the VM of a target, by its index within the service, in Mbit/s.
+    pub fn vm_mbps(&self, rank: usize, links: &Links) -> f64 {
+        let fast_before = |rank: usize| (rank as f64 * self.fast_links.share + 1e-9).floor();
+        match fast_before(rank + 1) > fast_before(rank) {
+            true => self.fast_links.mbps,
+            false => self.vm_mbps.unwrap_or(links.vm_mbps),
+        }
     }
 }
-
-fn invalid(field: &str, found: impl std::fmt::Display, allowed: &str) -> Fault {
-    let detail = format!("found {found}; allowed: {allowed}");
-    Fault::new(Code::InputInvalid).with_location(field).with_detail(detail)
-}
--- a/bench/src/lab/target.rs
+++ b/bench/src/lab/target.rs
@@ -1,12 +1,12 @@
 //! Target model: slots, speed and faults.
 
-use super::scenario::ServiceModel;
+use super::scenario::{LongRuns, ServiceModel, SlowPeriods};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::collections::VecDeque;
 use std::time::Duration;
 use sycamore_core::Time;
-use sycamore_core::call::{CallKey, RateLimit, StatedLimit, Statement};
+use sycamore_core::call::{CallKey, RateLimit, StatedLimit, Statement, WorkPace};
 
 /// Work time of a failing run, relative to a successful one.
 const FAILED_WORK_SHARE: f64 = 0.2;
@@ -46,6 +46,9 @@
     full_slowdown: f64,
     cold_factor: f64,
     cold_duration: Duration,
+    slow_periods: SlowPeriods,
+    in_slow_period: bool,
+    long_runs: LongRuns,
     started: Time,
     running: Vec<CallKey>,
     waiting: VecDeque<CallKey>,
@@ -76,6 +79,9 @@
             full_slowdown: model.near_full_percent / 100.0,
             cold_factor: model.cold.factor,
             cold_duration: Duration::from_secs_f64(model.cold.seconds.max(0.0)),
+            slow_periods: model.slow_periods,
+            in_slow_period: false,
+            long_runs: model.long_runs,
             started: Time::ZERO,
             running: Vec::new(),
             waiting: VecDeque::new(),
@@ -130,7 +136,32 @@
     /// What the target states in its responses.
     pub fn statement(&self) -> Statement {
         let limit = self.faults.rate_limit.map_or(StatedLimit::Absent, StatedLimit::Limit);
-        Statement { limit, leaving: false, pace: None }
+        let percent = (100.0 * self.pace_factor()).round() as u32;
+        let pace = (self.slow_periods.share > 0.0).then_some(WorkPace { percent });
+        Statement { limit, leaving: false, pace }
+    }
+
+    fn pace_factor(&self) -> f64 {
+        if self.in_slow_period { self.slow_periods.factor } else { 1.0 }
+    }
+
+    /// Starts or ends a slow period. Returns the time until the next change, or `None` if the
+    /// target has no slow periods.
+    pub fn toggle_slow_period(&mut self, starts: bool, rng: &mut Pcg64Mcg) -> Option<Duration> {
+        let SlowPeriods { share, for_ms, .. } = self.slow_periods;
+        if share == 0.0 {
+            return None;
+        }
+        self.in_slow_period = starts;
+        let mean_gap_ms = for_ms * (1.0 - share) / share;
+        let gap_ms = -(1.0 - rng.random::<f64>()).ln() * mean_gap_ms;
+        Some(Duration::from_secs_f64(if starts { for_ms } else { gap_ms } / 1e3))
+    }
+
+    /// Draws the factor by which a run takes longer than usual.
+    pub fn draw_long_run(&self, rng: &mut Pcg64Mcg) -> f64 {
+        let LongRuns { share, factor } = self.long_runs;
+        if share > 0.0 && rng.random_bool(share) { factor } else { 1.0 }
     }
 
     /// Time that `work` takes under the current conditions.
@@ -140,6 +171,6 @@
         let cold = if cold { self.cold_factor.max(1.0) } else { 1.0 };
         let done = if fails { FAILED_WORK_SHARE } else { 1.0 };
         let full = 1.0 + self.full_slowdown * (used - 0.5).max(0.0) * 2.0;
-        work.mul_f64(self.speed * full * cold * self.faults.work_factor * done)
+        work.mul_f64(self.speed * full * cold * self.pace_factor() * self.faults.work_factor * done)
     }
 }
--- a/bench/src/lab/trouble.rs
+++ b/bench/src/lab/trouble.rs
@@ -20,6 +20,8 @@
     pub abuse: Option<(f64, u32)>,
     /// Share of callers that abandon their requests, and after which time.
     pub give_up: Option<(f64, Duration)>,
+    // Nodes partitioned from all others, one list per fault.
+    partitions: Vec<Vec<usize>>,
 }
 
 impl Conditions {
@@ -27,6 +29,11 @@
         Conditions::default()
     }
 
+    /// Whether two nodes are partitioned from each other.
+    pub(super) fn is_cut(&self, a: usize, b: usize) -> bool {
+        self.partitions.iter().any(|nodes| nodes.contains(&a) != nodes.contains(&b))
+    }
+
     /// Applies active bursts and shifts to the callers' zone weights.
     pub(super) fn apply_to_weights(&self, weights: &mut [f64]) {
         for (from, to, share) in &self.shifts {
@@ -91,6 +98,10 @@
                     world.nodes[node].target.faults.rate_limit = limit;
                 });
             }
+            TroubleKind::Partition { share } => {
+                let nodes = self.select_nodes((0..self.nodes.len()).collect(), share, index);
+                toggle(&mut self.conditions.partitions, nodes, starts);
+            }
             TroubleKind::Leave { service, share } => {
                 let state = if starts { TargetState::Draining } else { TargetState::Ready };
                 self.for_selected(&service, share, index, |world, node| {
--- a/bench/src/lab/world.rs
+++ b/bench/src/lab/world.rs
@@ -56,6 +56,8 @@
     ResponseSent(RunKey, bool),
     /// A fault starts (true) or ends (false).
     FaultToggled(usize, bool),
+    /// A slow period of a node's target starts (true) or ends (false).
+    SlowPeriod(usize, bool),
     /// The nodes apply a new configuration version.
     ConfigurationApplied(Arc<Snapshot>),
     /// Periodic tick of the gatekeepers.
@@ -73,6 +75,8 @@
     // Times until which the node's CPU and its link are busy.
     pub busy_until: Time,
     pub link_until: Time,
+    /// Bandwidth of its VM in Mbit/s; 0 for unlimited.
+    pub mbps: f64,
 }
 
 /// A caller's request, including all of its attempts.
@@ -169,17 +173,17 @@
             return Err(sycamore_core::Fault::new(sycamore_core::Code::InputInvalid));
         };
         let target = Target::new(model, site.rank);
-        let (entry, gatekeeper) = self.new_deciders(node)?;
+        let mbps = model.vm_mbps(site.rank, &self.cfg.links);
+        let (entry, gatekeeper) = self.new_deciders(node, mbps)?;
         let (busy_until, link_until) = (Time::ZERO, Time::ZERO);
-        Ok(Node { entry, gatekeeper, target, up: true, busy_until, link_until })
+        Ok(Node { entry, gatekeeper, target, up: true, busy_until, link_until, mbps })
     }
 
     /// Creates the entry and gatekeeper of a newly started process.
-    pub(super) fn new_deciders(&mut self, node: usize) -> Result<(Entry, Gatekeeper)> {
+    pub(super) fn new_deciders(&mut self, node: usize, mbps: f64) -> Result<(Entry, Gatekeeper)> {
         let place = self.mesh.sites[node].place.clone();
         let seed = self.rng.random();
         let entry = Entry::new(place, seed).with_policy(self.policy.clone());
-        let mbps = self.cfg.links.vm_mbps;
         let kbps = (mbps > 0.0).then_some((mbps * 1e3) as u64);
         let now = self.links.now();
         let gatekeeper = Gatekeeper::new(super::mesh::vm_name(node)?, now, seed)
@@ -200,10 +204,20 @@
             self.links.at(begin, Event::FaultToggled(index, true));
             self.links.at(end, Event::FaultToggled(index, false));
         }
+        for node in 0..self.nodes.len() {
+            self.toggle_slow_period(node, false);
+        }
         self.links.after(TICK, Event::Tick);
         self.links.after(Duration::from_secs(1), Event::SecondEnded(0));
     }
 
+    fn toggle_slow_period(&mut self, node: usize, starts: bool) {
+        let next = self.nodes[node].target.toggle_slow_period(starts, &mut self.rng);
+        if let Some(span) = next {
+            self.links.after(span, Event::SlowPeriod(node, !starts));
+        }
+    }
+
     fn run(&mut self) {
         let stop = self.arrivals_end + DRAIN_TIME;
         while self.links.next_at().is_some_and(|at| at <= stop) {
@@ -228,6 +242,7 @@
             Event::WorkStepDone(run) => self.work_step_done(run),
             Event::ResponseSent(run, failed) => self.response_sent(run, failed),
             Event::FaultToggled(index, starts) => self.toggle_fault(index, starts),
+            Event::SlowPeriod(node, starts) => self.toggle_slow_period(node, starts),
             Event::ConfigurationApplied(snapshot) => self.configure(&snapshot),
             Event::Tick => self.tick(),
             Event::SecondEnded(second) => self.sample_second(second),
@@ -290,6 +305,11 @@
         issued_at >= self.warm_up_end
     }
 
+    /// Time since the start of the run, in seconds.
+    pub(super) fn run_time(&self, at: Time) -> f64 {
+        at.since(START_TIME).as_secs_f64()
+    }
+
     /// Index of the second of the run that contains a time.
     pub(super) fn second_of(&self, at: Time) -> usize {
         at.since(START_TIME).as_secs() as usize
--- a/bench/tests/lab.rs
+++ b/bench/tests/lab.rs
@@ -4,9 +4,9 @@
 use sycamore_bench::lab::bound::bound;
 use sycamore_bench::lab::trial::{Estimate, Metric};
 use sycamore_bench::lab::{Scenario, Tally, Trial, tally::Counts};
-use sycamore_core::Code;
 use sycamore_core::call::Policy;
 use sycamore_core::call::policy::Mechanism;
+use sycamore_core::{Code, Name};
 
 /// Three regions with two zones each, with twice the capacity needed for the load.
 const EVEN: &str = r#"{
@@ -257,6 +257,22 @@
             r#""spraed": 0.4, "answer_bytes": 1500"#,
             "kinds.lookup",
         ),
+        (r#""seconds": 12"#, r#""wave": {"swing": 2, "period_s": 5}, "seconds": 12"#, "wave.swing"),
+        (
+            r#""seconds": 12"#,
+            r#""wave": {"swing": 1, "period_s": 0}, "seconds": 12"#,
+            "wave.period_s",
+        ),
+        (
+            r#""east-1": {"region": "east", "callers": 1}"#,
+            r#""east-1": {"region": "east", "callers": 1, "phase": 2}"#,
+            "zones.east-1.phase",
+        ),
+        (
+            r#""troubles": []"#,
+            r#""troubles": [{"at_s": 1, "for_s": 1, "what": "partition", "share": 0}]"#,
+            "troubles[0].share",
+        ),
     ] {
         assert!(EVEN.contains(from), "{from}");
         let fault = Scenario::parse(EVEN.replace(from, to).as_bytes()).unwrap_err();
@@ -265,6 +281,140 @@
     }
 }
 
+#[test]
+fn scenario_invalid_service_field_is_named() {
+    for (model, place, found) in [
+        (r#""vm_mbps": -1"#, "vm_mbps", "found -1"),
+        (r#""fast_links": {"share": 1.5, "mbps": 200}"#, "fast_links.share", "found 1.5"),
+        (r#""fast_links": {"share": 0.5, "mbps": -2}"#, "fast_links.mbps", "found -2"),
+        (
+            r#""slow_periods": {"share": 1, "factor": 2, "for_ms": 600}"#,
+            "slow_periods.share",
+            "found 1;",
+        ),
+        (
+            r#""slow_periods": {"share": 0.1, "factor": 0, "for_ms": 600}"#,
+            "slow_periods.factor",
+            "found 0;",
+        ),
+        (
+            r#""slow_periods": {"share": 0.1, "factor": 2, "for_ms": 0}"#,
+            "slow_periods.for_ms",
+            "found 0;",
+        ),
+        (r#""long_runs": {"share": -0.1, "factor": 7}"#, "long_runs.share", "found -0.1"),
+        (r#""long_runs": {"share": 0.1, "factor": -7}"#, "long_runs.factor", "found -7"),
+    ] {
+        let fault = Scenario::parse(desk_with(model).as_bytes()).unwrap_err();
+        assert_eq!(fault.location, format!("services.desk.{place}"), "{fault}");
+        assert!(fault.to_string().contains(found), "{fault}");
+    }
+}
+
+fn name(text: &str) -> Name {
+    Name::new(text.to_owned()).unwrap()
+}
+
+/// The scenario [`EVEN`] with further fields of the service `desk`.
+fn desk_with(model: &str) -> String {
+    EVEN.replace(r#""desk": {"#, &format!(r#""desk": {{{model}, "#))
+}
+
+#[test]
+fn scenario_fast_links_are_spread() {
+    // Guards against fast VMs that are all in the first zone.
+    let text = desk_with(r#""vm_mbps": 10, "fast_links": {"share": 0.25, "mbps": 200}"#);
+    let scenario = Scenario::parse(text.as_bytes()).unwrap();
+    let mbps = |service: &str, rank| {
+        let model = &scenario.services[&name(service)];
+        model.vm_mbps(rank, &scenario.links)
+    };
+    let fast: Vec<usize> = (0..12).filter(|rank| mbps("desk", *rank) == 200.0).collect();
+    assert_eq!(fast, [3, 7, 11]);
+    assert_eq!(mbps("desk", 0), 10.0);
+    assert_eq!(mbps("vault", 0), 0.0);
+}
+
+#[test]
+fn scenario_shortened_leaves_out_later_faults() {
+    let mut scenario = with_troubles(
+        r#"{"at_s": 3, "for_s": 1, "what": "lost", "share": 0.1},
+        {"at_s": 8, "for_s": 1, "what": "lost", "share": 0.1}"#,
+    );
+    scenario.shorten(6.0).unwrap();
+    assert_eq!(scenario.troubles.len(), 1);
+    let fault = scenario.shorten(1.0).unwrap_err();
+    assert_eq!(fault.location, "warm_up_s", "{fault}");
+}
+
+/// Requests per second over all runs.
+fn asked(runs: &[Tally]) -> Vec<u64> {
+    let sum = |second: usize| {
+        let seconds = runs.iter().map(|run| run.seconds[second]);
+        seconds.map(|of| of.in_time + of.late + of.lost).sum()
+    };
+    (0..12).map(sum).collect()
+}
+
+#[test]
+fn wave_oscillates_with_the_phase_of_the_zone() {
+    // Guards against a wave that leaves the demand as it is, or that all zones share although
+    // their phases differ.
+    let wave = r#""wave": {"swing": 0.8, "period_s": 8}, "seconds": 12"#;
+    let waved = EVEN.replace(r#""seconds": 12"#, wave);
+    let same = asked(&simulate(Scenario::parse(waved.as_bytes()).unwrap(), Policy::new()));
+    // The crest is at 2 s and 10 s, the trough at 6 s.
+    assert!(same[10] > 3 * same[6], "{same:?}");
+    let opposed = ["east-1", "mid-1", "west-1"].iter().fold(waved, |text, zone| {
+        let from = format!(r#""{zone}": {{"region""#);
+        text.replace(&from, &format!(r#""{zone}": {{"phase": 0.5, "region""#))
+    });
+    let opposed = asked(&simulate(Scenario::parse(opposed.as_bytes()).unwrap(), Policy::new()));
+    assert!(opposed[10] * 10 < opposed[6] * 12, "{opposed:?}");
+    assert!(opposed[6] * 10 < opposed[10] * 12, "{opposed:?}");
+}
+
+#[test]
+fn partition_ends_and_service_recovers() {
+    // Guards against partitioned nodes that are still served by others, and against nodes that
+    // avoid each other for longer than the longest ejection (8 s) after the partition. Half of the
+    // zones have no targets of the service and need the other half.
+    let cut = r#"{"at_s": 3, "for_s": 2, "what": "partition", "share": 0.34}"#;
+    let mut scenario = with_troubles(cut);
+    scenario.seconds = 16.0;
+    let desk = scenario.services.get_mut(&name("desk")).unwrap();
+    desk.targets.retain(|zone, _| zone.as_str().ends_with('1'));
+    let cut = simulate(scenario.clone(), Policy::new());
+    scenario.troubles.clear();
+    let whole = in_time(&simulate(scenario, Policy::new()), 3, 5);
+    let (during, after) = (in_time(&cut, 3, 5), in_time(&cut, 13, 16));
+    assert!(during < whole - 0.05, "{during} during the partition, {whole} without");
+    assert!(after > whole - 0.02, "{after} after the partition, {whole} without");
+}
+
+#[test]
+fn slow_periods_stated_are_avoided() {
+    // Guards against slow periods whose pace reaches no entry node.
+    let model = r#""slow_periods": {"share": 0.2, "factor": 5, "for_ms": 600}"#;
+    let scenario = Scenario::parse(desk_with(model).as_bytes()).unwrap();
+    let without = simulate(scenario.clone(), Policy::new().without(Mechanism::StatedPace));
+    let with = simulate(scenario, Policy::new());
+    let usual = simulate(even(), Policy::new());
+    assert!(in_time(&with, 2, 12) < in_time(&usual, 2, 12) - 0.005);
+    let gain = Estimate::paired(Metric::InTime, &without, &with);
+    assert!(gain.mean > 0.0 && gain.is_significant(), "{gain:?}");
+}
+
+#[test]
+fn long_runs_are_late() {
+    // One in ten runs of 60 ms takes longer than the objective of 300 ms.
+    let model = r#""long_runs": {"share": 0.1, "factor": 9}"#;
+    let runs = simulate(Scenario::parse(desk_with(model).as_bytes()).unwrap(), without_hedges());
+    let late: u64 = runs.iter().flat_map(|run| &run.seconds).map(|second| second.late).sum();
+    let all: u64 = asked(&runs).iter().sum();
+    assert!(late * 100 > all * 5 && late * 100 < all * 15, "{late} of {all}");
+}
+
 #[test]
 fn scenario_examples_are_valid() {
     let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../examples/lab");
@@ -273,6 +423,9 @@
         let scenario = Scenario::read(&entry.unwrap().path()).unwrap();
         names.push(scenario.name);
     }
+    for name in ["collection", "fonts"] {
+        assert!(names.iter().any(|known| known == name), "{names:?}");
+    }
     assert!(names.len() >= 4, "{names:?}");
 }
 
