--- a/bench/tests/lab_cli.rs
+++ b/bench/tests/lab_cli.rs
@@ -80,3 +80,30 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(text(&output.stderr).contains("in-time-first"), "{}", text(&output.stderr));
 }
+
+#[test]
+fn run_deployments_for_some_seconds() {
+    for name in ["collection", "fonts"] {
+        let scenario = example(&format!("{name}.json"));
+        let output = lab(&["run", &scenario, "--seeds", "1..2", "--seconds", "5", "--json"]);
+        assert!(output.status.success(), "{}", text(&output.stderr));
+        let report: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+        assert_eq!(report["scenario"], name);
+        // Before the first fault, nearly everything is answered.
+        let kinds = report["runs"][0]["kinds"].as_object().unwrap();
+        assert_eq!(kinds.len(), 3, "{kinds:?}");
+        for (kind, counts) in kinds {
+            let of = |field: &str| counts[field].as_u64().unwrap();
+            assert!(of("asked") > 100, "{kind}: {counts}");
+            assert!((of("in_time") + of("late")) * 10 > of("asked") * 8, "{kind}: {counts}");
+        }
+    }
+}
+
+#[test]
+fn run_seconds_shorter_than_warm_up_is_rejected() {
+    let output = lab(&["run", &example("fonts.json"), "--seconds", "2"]);
+    assert_eq!(output.status.code(), Some(2));
+    let stderr = text(&output.stderr);
+    assert!(stderr.contains("warm_up_s") && stderr.contains("found 3"), "{stderr}");
+}
