Lab: waits beside free slots, repeated refusals, and bounds over time

A request counts as refused again at its second refusal. The bound takes demand in steps of 0.25 s with the wave, bursts and shifts (faults of targets are still ignored), and is given between zones and between regions.

--- a/bench/src/bin/sycamore-lab.rs
+++ b/bench/src/bin/sycamore-lab.rs
@@ -40,6 +40,8 @@
     scenarios: Vec<PathBuf>,
     policy: Policy,
     seeds: (u64, u64),
+    // Mechanisms to disable in turn.
+    parts: Vec<Mechanism>,
     jobs: usize,
     seconds: Option<f64>,
     json: bool,
@@ -78,6 +80,7 @@
     options.optflag("h", "help", "print this help");
     options.optopt("", "seeds", "range of seeds, end exclusive (default: 1..4)", "A..B");
     options.optmulti("", "without", "disable a mechanism; may be repeated", "NAME");
+    options.optmulti("", "only", "ablate: disable only this mechanism; may be repeated", "NAME");
     options.optmulti(
         "",
         "set",
@@ -111,6 +114,14 @@
                 ))
             })?;
         }
+        let mut parts = matches
+            .opt_strs("only")
+            .iter()
+            .map(|name| parse_mechanism(name))
+            .collect::<Result<Vec<_>>>()?;
+        if parts.is_empty() {
+            parts = Mechanism::ALL.to_vec();
+        }
         let default_jobs =
             std::thread::available_parallelism().map_or(1, |all| all.get().div_ceil(2));
         let jobs = matches.opt_get_default("jobs", default_jobs).map_err(usage)?;
@@ -118,6 +129,7 @@
             scenarios: files.iter().map(PathBuf::from).collect(),
             policy,
             seeds: parse_seeds(&matches.opt_str("seeds").unwrap_or_else(|| "1..4".to_owned()))?,
+            parts,
             jobs,
             seconds: matches.opt_get("seconds").map_err(usage)?,
             json: matches.opt_present("json"),
@@ -188,8 +200,9 @@
 
 fn ablate(cfg: &Config, scenario: Scenario) -> Result<()> {
     let trial = cfg.trial(scenario).with_policy(cfg.policy.clone());
-    let rows =
-        trial::ablate(&trial, |part| eprintln!("{}: without {part:?}", trial.scenario.name))?;
+    let rows = trial::ablate(&trial, &cfg.parts, |part| {
+        eprintln!("{}: without {part:?}", trial.scenario.name)
+    })?;
     println!("{}", report::ablation_table(&trial.scenario, &rows));
     Ok(())
 }
--- a/bench/src/lab.rs
+++ b/bench/src/lab.rs
@@ -11,6 +11,7 @@
 //! - `target`: target model with slots, speed and faults
 //! - `caller`: caller model with arrivals and retries
 //! - `trouble`: start and end of injected faults
+//! - `path/waits`: waits of requests while slots are free
 //! - `tally`: results seen by callers, and traffic between zones
 //! - `bound`: lower bound of traffic between zones
 //! - `trial`: runs over several seeds, paired comparisons and ablation
--- a/bench/src/lab/bound.rs
+++ b/bench/src/lab/bound.rs
@@ -1,5 +1,8 @@
 //! Lower bound of traffic between zones and upper bound of goodput, based on capacity.
 //!
+//! Demand follows the wave, the bursts and the shifts of the scenario in steps of time. Other faults
+//! are ignored, so that the bounds hold also when targets are slow or away.
+//!
 //! Work beyond the capacity of a zone's own targets must go to other zones. The order in which it
 //! is distributed does not change the total; using zones of the same region first minimizes traffic
 //! between regions.
@@ -15,7 +18,10 @@
 /// Amounts of work below this are treated as rounding errors, in slots.
 const EPSILON: f64 = 1e-9;
 
-/// Demand and capacity of one service.
+/// Time step in which demand is taken as constant, in seconds.
+const STEP_S: f64 = 0.25;
+
+/// Demand and capacity of one service, averaged over the measured part of the run.
 #[derive(Clone, Debug, Serialize)]
 pub struct ServiceBound {
     /// Slots needed by requests, including the time spent in nested calls.
@@ -37,17 +43,42 @@
     pub services: BTreeMap<Name, ServiceBound>,
     /// Minimum megabytes between zones during the measured part of the run.
     pub crossed_mb: f64,
+    /// Part of it between regions. Using the zones of a region first makes it the least.
+    pub across_mb: f64,
 }
 
-/// Computes the bounds of a scenario, ignoring its faults.
+/// Computes the bounds of a scenario.
 pub fn bound(scenario: &Scenario) -> Bound {
     let seconds = scenario.seconds - scenario.warm_up_s;
     let mut services = BTreeMap::new();
     for name in scenario.services.keys() {
-        services.insert(name.clone(), bound_service(scenario, name));
+        let steps = (seconds / STEP_S).ceil().max(1.0);
+        let step_s = seconds / steps;
+        let at = |step: usize| scenario.warm_up_s + (step as f64 + 0.5) * step_s;
+        let bounds: Vec<ServiceBound> = (0..steps as usize)
+            .map(|step| bound_service(scenario, name, &scenario.zone_weights(at(step))))
+            .collect();
+        services.insert(name.clone(), average(&bounds));
+    }
+    let sum_mb = |bytes_per_s: fn(&ServiceBound) -> f64| {
+        services.values().map(bytes_per_s).sum::<f64>() * seconds / 1e6
+    };
+    let (crossed_mb, across_mb) = (sum_mb(|of| of.crossing), sum_mb(|of| of.across));
+    Bound { services, crossed_mb, across_mb }
+}
+
+fn average(bounds: &[ServiceBound]) -> ServiceBound {
+    let mean = |value: fn(&ServiceBound) -> f64| {
+        bounds.iter().map(value).sum::<f64>() / bounds.len().max(1) as f64
+    };
+    let needed = mean(|of| of.needed);
+    ServiceBound {
+        needed,
+        slots: mean(|of| of.slots),
+        served: mean(|of| of.served * of.needed) / needed.max(EPSILON),
+        crossing: mean(|of| of.crossing),
+        across: mean(|of| of.across),
     }
-    let crossing: f64 = services.values().map(|service: &ServiceBound| service.crossing).sum();
-    Bound { services, crossed_mb: crossing * seconds / 1e6 }
 }
 
 /// Mean time that one request holds a slot, including its nested calls, in seconds.
@@ -64,12 +95,16 @@
     values.iter().sum::<f64>() / values.len().max(1) as f64
 }
 
-fn bound_service(scenario: &Scenario, name: &Name) -> ServiceBound {
+fn bound_service(scenario: &Scenario, name: &Name, weights: &[f64]) -> ServiceBound {
     let model = &scenario.services[name];
-    let speed = mean(&model.speeds);
+    let (slow, long) = (model.slow_periods, model.long_runs);
+    let speed = mean(&model.speeds)
+        * (1.0 + slow.share * (slow.factor - 1.0))
+        * (1.0 + long.share * (long.factor - 1.0));
     let zones: Vec<&Name> = scenario.zones.keys().collect();
     let callers: f64 = scenario.zones.values().map(|zone| zone.callers).sum();
-    let caller_share = |zone: &Name| scenario.zones[zone].callers / callers.max(EPSILON);
+    let caller_share: Vec<f64> =
+        weights.iter().map(|weight| weight / callers.max(EPSILON)).collect();
     let service_kinds: Vec<(&Name, &Kind)> =
         scenario.kinds.iter().filter(|(_, kind)| kind.service == *name).collect();
     let nested = nested_rates(scenario);
@@ -79,12 +114,14 @@
         .iter()
         .map(|of| rate(of) * slot_seconds_per_request(scenario, of.1, speed))
         .sum();
+    let usual = needed;
+    let needed = usual * caller_share.iter().sum::<f64>();
     let slots_of =
         |zone: &Name| f64::from(model.slots) * *model.targets.get(zone).unwrap_or(&0) as f64;
     let slots: f64 = zones.iter().map(|zone| slots_of(zone)).sum();
     // Excludes requests beyond the total capacity, which need not leave their zone.
     let served = (MAX_UTILIZATION * slots / needed.max(EPSILON)).min(1.0);
-    let demand: Vec<f64> = zones.iter().map(|zone| caller_share(zone) * needed * served).collect();
+    let demand: Vec<f64> = caller_share.iter().map(|share| share * usual * served).collect();
     let capacity: Vec<f64> = zones.iter().map(|zone| MAX_UTILIZATION * slots_of(zone)).collect();
     let region = |zone: usize| &scenario.zones[zones[zone]].region;
     let (within_region, across) = work_moved(&demand, &capacity, |a, b| region(a) == region(b));
--- a/bench/src/lab/caller.rs
+++ b/bench/src/lab/caller.rs
@@ -21,7 +21,7 @@
             return;
         }
         let mut per_s = self.kinds[kind].cfg.per_s;
-        let weights = self.zone_weights();
+        let weights = self.cfg.zone_weights(self.run_time(self.links.now()));
         per_s *= weights.iter().sum::<f64>() / self.base_weight();
         let gap = -(1.0 - self.rng.random::<f64>()).ln() / per_s.max(1e-9);
         self.links.after(Duration::from_secs_f64(gap), Event::RequestArrival(kind));
@@ -39,6 +39,7 @@
             zone,
             issued_at: self.links.now(),
             retries_left: retries + times,
+            refusals: 0,
             abusive,
             finished: false,
             call: None,
@@ -49,17 +50,6 @@
         self.submit(request);
     }
 
-    /// Current weights of the zones in the distribution of callers.
-    fn zone_weights(&self) -> Vec<f64> {
-        let now = self.links.now();
-        let zones = self.cfg.zones.values();
-        let mut weights: Vec<f64> = zones
-            .map(|zone| zone.callers * self.cfg.wave.factor(self.run_time(now), zone))
-            .collect();
-        self.conditions.apply_to_weights(&mut weights);
-        weights
-    }
-
     fn base_weight(&self) -> f64 {
         self.cfg.zones.values().map(|zone| zone.callers).sum::<f64>().max(1e-9)
     }
@@ -124,8 +114,11 @@
         let idempotent = self.kinds[kind].cfg.idempotent;
         match outcome {
             Outcome::NotRun { retry_after, .. } => {
-                self.tally.refusals +=
-                    u64::from(self.is_measured(self.requests[request].issued_at));
+                let measured = u64::from(self.is_measured(self.requests[request].issued_at));
+                let refusals = &mut self.requests[request].refusals;
+                *refusals += 1;
+                self.tally.refused_again += if *refusals == 2 { measured } else { 0 };
+                self.tally.refusals += measured;
                 self.schedule_retry(request, retry_after, RequestOutcome::Refused);
             }
             Outcome::Unknown { .. } | Outcome::Answered if idempotent => {
--- a/bench/src/lab/path.rs
+++ b/bench/src/lab/path.rs
@@ -2,6 +2,7 @@
 
 mod close;
 mod run;
+pub(super) mod waits;
 
 use super::mesh::{node_at, vm_name};
 use super::world::{Event, World};
@@ -64,6 +65,9 @@
     arrived_at: Time,
     waited: Duration,
     running: bool,
+    // When it was queued, and whether a slot that it may use was seen free since then.
+    queued_at: Option<Time>,
+    free_seen: bool,
     fails: bool,
     // Kinds of the remaining nested calls, and the work time before each of them.
     remaining_calls: Vec<usize>,
@@ -136,6 +140,7 @@
                 gatekeeper::Output::Run { call, .. } => self.start_run(call),
                 gatekeeper::Output::Queue(call, until) => {
                     self.links.at(until, Event::QueueTimeout(call));
+                    self.record_queued(call);
                 }
                 gatekeeper::Output::Reject { call, outcome, crashes } => {
                     self.reject_attempt(call, outcome, crashes);
@@ -229,6 +234,8 @@
                 arrived_at: self.links.now(),
                 waited: Duration::ZERO,
                 running: false,
+                queued_at: None,
+                free_seen: false,
                 fails: false,
                 remaining_calls: Vec::new(),
                 step_time: Duration::ZERO,
@@ -384,11 +391,4 @@
         }
         answered
     }
-
-    /// Expires a request that is still queued at its gatekeeper.
-    pub(super) fn queue_timeout(&mut self, attempt_key: CallKey) {
-        if let Some(attempt) = self.attempts.get(&attempt_key).filter(|attempt| !attempt.running) {
-            self.gatekeeper_input(attempt.node, gatekeeper::Input::Expire(attempt_key));
-        }
-    }
 }
--- a/bench/src/lab/path/close.rs
+++ b/bench/src/lab/path/close.rs
@@ -1,4 +1,4 @@
-//! Connections that are closed, and VMs that stop.
+//! Closed connections, expired queue times, and VMs that stop.
 
 use super::{Call, GatekeeperAttempt};
 use crate::lab::world::{Event, World};
@@ -30,6 +30,13 @@
         self.gatekeeper_input(attempt.node, input);
     }
 
+    /// Expires a request that is still queued at its gatekeeper.
+    pub(in crate::lab) fn queue_timeout(&mut self, attempt_key: CallKey) {
+        if let Some(attempt) = self.attempts.get(&attempt_key).filter(|attempt| !attempt.running) {
+            self.gatekeeper_input(attempt.node, gatekeeper::Input::Expire(attempt_key));
+        }
+    }
+
     /// Stops a VM. Its callers and the entry nodes of its runs lose their connections.
     pub(in crate::lab) fn stop_vm(&mut self, node: usize) {
         self.nodes[node].up = false;
--- a/bench/src/lab/report.rs
+++ b/bench/src/lab/report.rs
@@ -44,14 +44,33 @@
     let _ =
         writeln!(text, "repeated attempts at targets: {:.2} %", mean(runs, Tally::repeats_percent));
     let _ = writeln!(text, "rejections: {:.0}", mean(runs, |run| run.refusals as f64));
+    let _ = writeln!(
+        text,
+        "refused again after a retry by the caller: {:.0}",
+        mean(runs, |run| run.refused_again as f64)
+    );
+    let _ = writeln!(
+        text,
+        "waits: {:.0}, beside a free slot in the region {:.2} %",
+        mean(runs, |run| run.all_waits().0 as f64),
+        mean(runs, Tally::free_waits_percent)
+    );
+    for name in scenario.kinds.keys() {
+        let waits = |run: &Tally| run.waits.get(name).copied().unwrap_or_default();
+        let (all, beside) =
+            (mean(runs, |run| waits(run).0 as f64), mean(runs, |run| waits(run).1 as f64));
+        let _ = writeln!(text, "  {name}: {all:.0}, {:.2} %", 100.0 * beside / all.max(1.0));
+    }
     let (within_region, between_regions) = (
         mean(runs, |run| run.crossed.0 as f64 / 1e6),
         mean(runs, |run| run.crossed.1 as f64 / 1e6),
     );
     let _ = writeln!(
         text,
-        "MB between zones of a region {within_region:.2}, between regions {between_regions:.2}, lower bound {:.2}",
-        bound.crossed_mb
+        "MB between zones {:.2}, lower bound {:.2}; of these between regions {between_regions:.2}, lower bound {:.2}",
+        within_region + between_regions,
+        bound.crossed_mb,
+        bound.across_mb
     );
     text
 }
@@ -144,6 +163,10 @@
             service.across / 1e3,
         );
     }
-    let _ = writeln!(text, "\nminimum between zones over the run: {:.2} MB", bound.crossed_mb);
+    let _ = writeln!(
+        text,
+        "\nminimum between zones over the run: {:.2} MB, of these between regions {:.2} MB",
+        bound.crossed_mb, bound.across_mb
+    );
     text
 }
--- a/bench/src/lab/scenario.rs
+++ b/bench/src/lab/scenario.rs
@@ -273,6 +273,33 @@
         self.services.values().flat_map(|service| service.targets.values()).sum()
     }
 
+    /// Zone weights in the distribution of callers some seconds after the start, with the wave, the
+    /// bursts and the shifts of that time. A sum above that of [`Zone::callers`] raises the rate.
+    pub fn zone_weights(&self, at_s: f64) -> Vec<f64> {
+        let zones = self.zones.values();
+        let mut weights: Vec<f64> =
+            zones.map(|zone| zone.callers * self.wave.factor(at_s, zone)).collect();
+        let index = |name: &Name| self.zones.keys().position(|zone| zone == name);
+        let active = |of: &&Trouble| of.at_s <= at_s && at_s < of.at_s + of.for_s;
+        for trouble in self.troubles.iter().filter(active) {
+            if let TroubleKind::Shift { from, to, share } = &trouble.what
+                && let (Some(from), Some(to)) = (index(from), index(to))
+            {
+                let moved = weights[from] * share;
+                weights[from] -= moved;
+                weights[to] += moved;
+            }
+        }
+        for trouble in self.troubles.iter().filter(active) {
+            if let TroubleKind::Burst { factor, zone } = &trouble.what {
+                let zone = zone.as_ref().and_then(index);
+                let range = zone.map_or(0..weights.len(), |zone| zone..zone + 1);
+                weights[range].iter_mut().for_each(|weight| *weight *= factor);
+            }
+        }
+        weights
+    }
+
     /// Ends the run after `seconds`. Faults that would start later are left out.
     pub fn shorten(&mut self, seconds: f64) -> Result<()> {
         self.seconds = seconds;
--- a/bench/src/lab/tally.rs
+++ b/bench/src/lab/tally.rs
@@ -66,6 +66,11 @@
     pub arrivals: (u64, u64),
     /// Rejections received by callers, including those that were retried.
     pub refusals: u64,
+    /// Requests refused, retried by their caller and refused again.
+    pub refused_again: u64,
+    /// By kind, waits in the queues of gatekeepers, and those during which a slot that the request
+    /// may use stood free in the region of its entry node.
+    pub waits: BTreeMap<Name, (u64, u64)>,
     /// Results by second.
     pub seconds: Vec<Second>,
 }
@@ -139,6 +144,22 @@
         (self.crossed.0 + self.crossed.1) as f64 / 1e6
     }
 
+    /// Waits of all kinds, and those during which a slot that the request may use stood free.
+    pub fn all_waits(&self) -> (u64, u64) {
+        self.waits.values().fold((0, 0), |sum, of| (sum.0 + of.0, sum.1 + of.1))
+    }
+
+    /// Waits during which a slot that the request may use stood free, in percent.
+    pub fn free_waits_percent(&self) -> f64 {
+        let (all, beside) = self.all_waits();
+        100.0 * beside as f64 / all.max(1) as f64
+    }
+
+    /// Ratio of the earned worth to the maximum, of the kind that is served worst.
+    pub fn worst_worth(&self) -> f64 {
+        self.kinds.values().map(Counts::worth).fold(1.0, f64::min)
+    }
+
     /// Repeated attempts at targets, in percent of first attempts.
     pub fn repeats_percent(&self) -> f64 {
         let (all, repeats) = self.arrivals;
--- a/bench/src/lab/target.rs
+++ b/bench/src/lab/target.rs
@@ -112,6 +112,19 @@
         Submission::Rejected
     }
 
+    /// Whether a slot is free and the target accepts any number of requests: it is warm, rejects
+    /// none, and states no limit.
+    pub fn has_free_slot(&self, now: Time) -> bool {
+        let free = self.running.len() < self.slots;
+        let faults = &self.faults;
+        let accepts_all = faults.reject_share == 0.0 && faults.rate_limit.is_none();
+        free && accepts_all && !self.is_cold(now)
+    }
+
+    fn is_cold(&self, now: Time) -> bool {
+        now.since(self.started) < self.cold_duration && self.started > Time::ZERO
+    }
+
     /// Removes a request that has ended or whose connection was closed. Returns the queued request
     /// that starts in its place.
     pub fn remove(&mut self, call: CallKey) -> Option<CallKey> {
@@ -167,8 +180,7 @@
     /// Time that `work` takes under the current conditions.
     pub fn work_time(&self, now: Time, work: Duration, fails: bool) -> Duration {
         let used = self.running.len() as f64 / self.slots as f64;
-        let cold = now.since(self.started) < self.cold_duration && self.started > Time::ZERO;
-        let cold = if cold { self.cold_factor.max(1.0) } else { 1.0 };
+        let cold = if self.is_cold(now) { self.cold_factor.max(1.0) } else { 1.0 };
         let done = if fails { FAILED_WORK_SHARE } else { 1.0 };
         let full = 1.0 + self.full_slowdown * (used - 0.5).max(0.0) * 2.0;
         work.mul_f64(self.speed * full * cold * self.pace_factor() * self.faults.work_factor * done)
--- a/bench/src/lab/trial.rs
+++ b/bench/src/lab/trial.rs
@@ -37,6 +37,14 @@
     CrossedMb,
     /// Repeated attempts at targets, in percent of first attempts.
     Repeats,
+    /// Earned worth of the kind that is served worst, in percent of the maximum.
+    WorstKind,
+    /// Megabytes sent between regions.
+    AcrossMb,
+    /// Percentage of the waits during which a slot in the region stood free.
+    FreeWaits,
+    /// Requests refused again after they came back.
+    RefusedAgain,
 }
 
 /// A mean with the half width of its 95 % confidence interval.
@@ -50,8 +58,17 @@
 
 impl Metric {
     /// All metrics.
-    pub const ALL: [Metric; 5] =
-        [Metric::Worth, Metric::InTime, Metric::Served, Metric::CrossedMb, Metric::Repeats];
+    pub const ALL: [Metric; 9] = [
+        Metric::Worth,
+        Metric::InTime,
+        Metric::Served,
+        Metric::CrossedMb,
+        Metric::Repeats,
+        Metric::WorstKind,
+        Metric::AcrossMb,
+        Metric::FreeWaits,
+        Metric::RefusedAgain,
+    ];
 
     /// Name and unit.
     pub fn title(self) -> &'static str {
@@ -61,6 +78,10 @@
             Metric::Served => "answered, %",
             Metric::CrossedMb => "between zones, MB",
             Metric::Repeats => "repeats, %",
+            Metric::WorstKind => "worst kind, %",
+            Metric::AcrossMb => "between regions, MB",
+            Metric::FreeWaits => "waits beside a free slot, %",
+            Metric::RefusedAgain => "refused again",
         }
     }
 
@@ -73,6 +94,10 @@
             Metric::Served => 100.0 * total.served_share(),
             Metric::CrossedMb => tally.crossed_mb(),
             Metric::Repeats => tally.repeats_percent(),
+            Metric::WorstKind => 100.0 * tally.worst_worth(),
+            Metric::AcrossMb => tally.crossed.1 as f64 / 1e6,
+            Metric::FreeWaits => tally.free_waits_percent(),
+            Metric::RefusedAgain => tally.refused_again as f64,
         }
     }
 }
@@ -181,11 +206,15 @@
     pub differences: Vec<Estimate>,
 }
 
-/// Runs a trial with the full policy, then with each mechanism disabled in turn.
-pub fn ablate(trial: &Trial, mut done: impl FnMut(Mechanism)) -> Result<Vec<AblationRow>> {
+/// Runs a trial with the full policy, then with each of the mechanisms disabled in turn.
+pub fn ablate(
+    trial: &Trial,
+    parts: &[Mechanism],
+    mut done: impl FnMut(Mechanism),
+) -> Result<Vec<AblationRow>> {
     let baseline = trial.run(|_| {})?;
     let mut rows = Vec::new();
-    for part in Mechanism::ALL {
+    for &part in parts {
         let policy = trial.policy.clone().without(part);
         let without = trial.clone().with_policy(policy).run(|_| {})?;
         let difference = |metric| Estimate::paired(metric, &baseline, &without);
--- a/bench/src/lab/trouble.rs
+++ b/bench/src/lab/trouble.rs
@@ -13,9 +13,6 @@
 /// Active faults that affect callers.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Conditions {
-    // Rate multipliers by zone index; `None` applies to all zones.
-    bursts: Vec<(Option<usize>, f64)>,
-    shifts: Vec<(usize, usize, f64)>,
     /// Share of callers that retry without backoff, and their additional retries.
     pub abuse: Option<(f64, u32)>,
     /// Share of callers that abandon their requests, and after which time.
@@ -33,19 +30,6 @@
     pub(super) fn is_cut(&self, a: usize, b: usize) -> bool {
         self.partitions.iter().any(|nodes| nodes.contains(&a) != nodes.contains(&b))
     }
-
-    /// Applies active bursts and shifts to the callers' zone weights.
-    pub(super) fn apply_to_weights(&self, weights: &mut [f64]) {
-        for (from, to, share) in &self.shifts {
-            let moved = weights[*from] * share;
-            weights[*from] -= moved;
-            weights[*to] += moved;
-        }
-        for (zone, factor) in &self.bursts {
-            let range = zone.map_or(0..weights.len(), |zone| zone..zone + 1);
-            weights[range].iter_mut().for_each(|weight| *weight *= factor);
-        }
-    }
 }
 
 impl World<'_> {
@@ -53,14 +37,8 @@
     pub(super) fn toggle_fault(&mut self, index: usize, starts: bool) {
         let what = self.cfg.troubles[index].what.clone();
         match what {
-            TroubleKind::Burst { factor, zone } => {
-                let burst = (zone.map(|zone| self.zone_index(&zone)), factor);
-                toggle(&mut self.conditions.bursts, burst, starts);
-            }
-            TroubleKind::Shift { from, to, share } => {
-                let shift = (self.zone_index(&from), self.zone_index(&to), share);
-                toggle(&mut self.conditions.shifts, shift, starts);
-            }
+            // Scenario::zone_weights applies these.
+            TroubleKind::Burst { .. } | TroubleKind::Shift { .. } => {}
             TroubleKind::Abuse { share, times } => {
                 self.conditions.abuse = starts.then_some((share, times));
             }
--- a/bench/src/lab/world.rs
+++ b/bench/src/lab/world.rs
@@ -62,6 +62,8 @@
     ConfigurationApplied(Arc<Snapshot>),
     /// Periodic tick of the gatekeepers.
     Tick,
+    /// Free slots are sampled.
+    SlotsSampled,
     /// A second of the run ends.
     SecondEnded(usize),
 }
@@ -85,6 +87,7 @@
     pub zone: usize,
     pub issued_at: Time,
     pub retries_left: u32,
+    pub refusals: u32,
     pub abusive: bool,
     pub finished: bool,
     pub call: Option<CallKey>,
@@ -94,6 +97,8 @@
 pub(super) struct ResolvedKind {
     pub name: Name,
     pub path: String,
+    /// Index of its service, ordered by name.
+    pub service: usize,
     pub cfg: Kind,
     /// Nested calls: kind index, number of calls, and share of the runs that make them.
     pub calls: Vec<(usize, u32, f64)>,
@@ -113,10 +118,12 @@
     pub(super) next_key: u64,
     pub(super) conditions: Conditions,
     pub(super) tally: Tally,
+    /// Nodes whose targets had a free slot at the last sample.
+    pub(super) free_nodes: Vec<usize>,
     /// Latest configuration version applied by the nodes.
     pub(super) latest_snapshot: Arc<Snapshot>,
     policy: Policy,
-    warm_up_end: Time,
+    pub(super) warm_up_end: Time,
     arrivals_end: Time,
 }
 
@@ -151,6 +158,7 @@
             next_key: 0,
             conditions: Conditions::none(),
             tally: Tally::new(mesh.zones.len(), cfg.seconds.ceil() as usize),
+            free_nodes: Vec::new(),
             policy: policy.clone(),
             warm_up_end: START_TIME + Duration::from_secs_f64(cfg.warm_up_s),
             arrivals_end: START_TIME + Duration::from_secs_f64(cfg.seconds),
@@ -208,6 +216,7 @@
             self.toggle_slow_period(node, false);
         }
         self.links.after(TICK, Event::Tick);
+        self.links.after(super::path::waits::SAMPLE_INTERVAL, Event::SlotsSampled);
         self.links.after(Duration::from_secs(1), Event::SecondEnded(0));
     }
 
@@ -245,6 +254,7 @@
             Event::SlowPeriod(node, starts) => self.toggle_slow_period(node, starts),
             Event::ConfigurationApplied(snapshot) => self.configure(&snapshot),
             Event::Tick => self.tick(),
+            Event::SlotsSampled => self.sample_slots(),
             Event::SecondEnded(second) => self.sample_second(second),
         }
     }
@@ -348,6 +358,7 @@
     let info = |(name, kind): (&Name, &Kind)| ResolvedKind {
         name: name.clone(),
         path: super::mesh::request_path(name),
+        service: cfg.services.keys().position(|of| *of == kind.service).unwrap_or_default(),
         calls: kind.calls.iter().map(|call| (number(&call.kind), call.times, call.share)).collect(),
         cfg: kind.clone(),
     };
--- a/bench/tests/lab.rs
+++ b/bench/tests/lab.rs
@@ -54,6 +54,12 @@
     Trial::new(scenario).with_policy(policy).with_seeds(1, 6).with_jobs(3).run(|_| {}).unwrap()
 }
 
+/// Two runs of some seconds, for scenarios with many rejections, which take longer to simulate.
+fn simulate_some(mut scenario: Scenario, policy: Policy) -> Vec<Tally> {
+    scenario.shorten(6.0).unwrap();
+    Trial::new(scenario).with_policy(policy).with_seeds(1, 2).with_jobs(2).run(|_| {}).unwrap()
+}
+
 fn total_bytes(run: &Tally) -> u64 {
     run.bytes.iter().flatten().sum()
 }
@@ -242,6 +248,86 @@
     assert_eq!(service.across, 0.0);
 }
 
+#[test]
+fn bound_follows_demand_over_time() {
+    // Guards against a bound that averages demand over the wave. Each zone needs 6 slots on average
+    // and can use 7.6, 95 % of its own. Opposed waves of 50 % move surplus between the zones in each
+    // half of the period; with equal phases, or averaged demand, nothing can be moved.
+    let bounds = |phase: &str, region: &str| {
+        let text = format!(
+            r#"{{
+            "name": "two", "seconds": 10, "wave": {{"swing": 0.5, "period_s": 10}},
+            "zones": {{"a": {{"region": "r", "callers": 1}},
+                "b": {{"region": "{region}", "callers": 1, "phase": {phase}}}}},
+            "services": {{"s": {{"slots": 8, "targets": {{"a": 1, "b": 1}}}}}},
+            "kinds": {{"k": {{"service": "s", "per_s": 120, "idempotent": true,
+                "class": "interactive", "work_ms": 100, "answer_bytes": 1500, "objective_ms": 300,
+                "deadline_ms": 2000, "timeout_ms": 1000}}}}
+        }}"#
+        );
+        bound(&Scenario::parse(text.as_bytes()).unwrap())
+    };
+    // The surplus, 3 * sin - 1.6 slots, lasts from 0.9 to 4.1 s in a zone: 2.94 slot seconds, at 23
+    // bytes per slot and millisecond.
+    let opposed = bounds("0.5", "r");
+    let expected = 2.0 * 2.94 * 23_000.0 / 1e6;
+    assert!((opposed.crossed_mb - expected).abs() < 0.02 * expected, "{opposed:?}");
+    assert_eq!(opposed.across_mb, 0.0);
+    assert!(bounds("0", "r").crossed_mb < 1e-9);
+    let regions = bounds("0.5", "other");
+    assert_eq!(regions.across_mb, regions.crossed_mb);
+    assert!((regions.across_mb - expected).abs() < 0.02 * expected, "{regions:?}");
+}
+
+#[test]
+fn scenario_zone_weights_with_bursts_and_shifts() {
+    let scenario = with_troubles(
+        r#"{"at_s": 3, "for_s": 2, "what": "burst", "factor": 4, "zone": "east-1"},
+        {"at_s": 4, "for_s": 2, "what": "shift", "from": "east-2", "to": "east-1", "share": 0.5}"#,
+    );
+    assert_eq!(scenario.zone_weights(2.9)[..2], [1.0, 1.0]);
+    assert_eq!(scenario.zone_weights(3.0)[..2], [4.0, 1.0]);
+    assert_eq!(scenario.zone_weights(4.0)[..2], [6.0, 0.5]);
+    assert_eq!(scenario.zone_weights(5.0)[..2], [1.5, 0.5]);
+    assert_eq!(scenario.zone_weights(6.0)[..2], [1.0, 1.0]);
+}
+
+#[test]
+fn waits_beside_a_free_slot_are_counted() {
+    // Guards against a tally that misses requests held in their zone beside an idle one, that counts
+    // slots in other regions, or slots that are all in use.
+    let share = |runs: &[Tally]| {
+        let waits = runs.iter().map(Tally::all_waits);
+        let (all, beside) = waits.fold((0, 0), |sum, of| (sum.0 + of.0, sum.1 + of.1));
+        assert!(all > 1_000, "{all} waits");
+        beside as f64 / all as f64
+    };
+    let burst = r#"{"at_s": 3, "for_s": 8, "what": "burst", "factor": 5, "zone": "east-1"}"#;
+    let held = share(&simulate_some(with_troubles(burst), stay_in_zone()));
+    assert!(held > 0.5, "{held}");
+    let apart = with_troubles(burst);
+    let mut alone = apart.clone();
+    alone.zones.get_mut(&name("east-2")).unwrap().region = name("mid");
+    let alone = share(&simulate_some(alone, stay_in_zone()));
+    assert!(alone < held * 0.5, "{alone} with the idle zone in another region, {held} before");
+    let all = r#"{"at_s": 2, "for_s": 10, "what": "burst", "factor": 5}"#;
+    let full = share(&simulate_some(with_troubles(all), Policy::new()));
+    assert!(full < held * 0.5, "{full} while all zones are full, {held} before");
+}
+
+#[test]
+fn refused_again_counts_requests() {
+    // Guards against a tally that counts refusals, or requests whose retry is served.
+    assert!(simulate_some(even(), Policy::new()).iter().all(|run| run.refused_again == 0));
+    let all = r#"{"at_s": 2, "for_s": 10, "what": "burst", "factor": 5}"#;
+    for run in simulate_some(with_troubles(all), Policy::new()) {
+        let refused = run.total().refused;
+        assert!(run.refused_again >= refused / 2, "{} of {refused}", run.refused_again);
+        assert!(run.refused_again * 2 <= run.refusals, "{} of {}", run.refused_again, run.refusals);
+        assert!(run.refused_again <= run.total().asked);
+    }
+}
+
 #[test]
 fn scenario_invalid_field_is_named() {
     for (from, to, place) in [
