--- a/bench/src/bin/sycamore-lab.rs
+++ b/bench/src/bin/sycamore-lab.rs
@@ -40,7 +40,10 @@
     scenarios: Vec<PathBuf>,
     policy: Policy,
     seeds: (u64, u64),
+    // Mechanisms to disable in turn.
+    parts: Vec<Mechanism>,
     jobs: usize,
+    seconds: Option<f64>,
     json: bool,
     svg: Option<PathBuf>,
 }
@@ -57,7 +60,10 @@
     };
     let cfg = Config::new(&matches, files)?;
     for path in &cfg.scenarios {
-        let scenario = Scenario::read(path)?;
+        let mut scenario = Scenario::read(path)?;
+        if let Some(seconds) = cfg.seconds {
+            scenario.shorten(seconds)?;
+        }
         match command.as_str() {
             "run" => simulate(&cfg, scenario)?,
             "compare" => compare(&cfg, scenario)?,
@@ -74,6 +80,7 @@
     options.optflag("h", "help", "print this help");
     options.optopt("", "seeds", "range of seeds, end exclusive (default: 1..4)", "A..B");
     options.optmulti("", "without", "disable a mechanism; may be repeated", "NAME");
+    options.optmulti("", "only", "ablate: disable only this mechanism; may be repeated", "NAME");
     options.optmulti(
         "",
         "set",
@@ -81,6 +88,7 @@
         "NAME=N",
     );
     options.optopt("", "jobs", "number of parallel runs (default: half of the CPUs)", "N");
+    options.optopt("", "seconds", "end each run after this many seconds of modelled time", "S");
     options.optflag("", "json", "run: print JSON");
     options.optopt("", "svg", "run: write a plot to this file", "FILE");
     options
@@ -106,6 +114,14 @@
                 ))
             })?;
         }
+        let mut parts = matches
+            .opt_strs("only")
+            .iter()
+            .map(|name| parse_mechanism(name))
+            .collect::<Result<Vec<_>>>()?;
+        if parts.is_empty() {
+            parts = Mechanism::ALL.to_vec();
+        }
         let default_jobs =
             std::thread::available_parallelism().map_or(1, |all| all.get().div_ceil(2));
         let jobs = matches.opt_get_default("jobs", default_jobs).map_err(usage)?;
@@ -113,7 +129,9 @@
             scenarios: files.iter().map(PathBuf::from).collect(),
             policy,
             seeds: parse_seeds(&matches.opt_str("seeds").unwrap_or_else(|| "1..4".to_owned()))?,
+            parts,
             jobs,
+            seconds: matches.opt_get("seconds").map_err(usage)?,
             json: matches.opt_present("json"),
             svg: matches.opt_str("svg").map(PathBuf::from),
         })
@@ -182,8 +200,9 @@
 
 fn ablate(cfg: &Config, scenario: Scenario) -> Result<()> {
     let trial = cfg.trial(scenario).with_policy(cfg.policy.clone());
-    let rows =
-        trial::ablate(&trial, |part| eprintln!("{}: without {part:?}", trial.scenario.name))?;
+    let rows = trial::ablate(&trial, &cfg.parts, |part| {
+        eprintln!("{}: without {part:?}", trial.scenario.name)
+    })?;
     println!("{}", report::ablation_table(&trial.scenario, &rows));
     Ok(())
 }
