Bound the memory of a connection

Change: the future of a response, the attempt and the handshake inside it are allocated when they are used; single reads are shorter than 16,384 bytes, so that the read buffer stays there while heads may be as long as before; bodies are written by reference, and collected up to 16,384 bytes.

--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -105,7 +105,18 @@
 
     /// Sends a request over an idle connection or a new one. `sent` is set while any byte of the
     /// request may have been sent, and stays valid if this future is dropped.
+    ///
+    /// Boxed because a call contains several of these futures, of which it rarely uses more than one.
     pub async fn send(
+        self: &Arc<Pool>,
+        address: SocketAddr,
+        req: Request<Body>,
+        sent: &AtomicBool,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
+        Box::pin(self.send_on_any(address, req, sent)).await
+    }
+
+    async fn send_on_any(
         self: &Arc<Pool>,
         address: SocketAddr,
         mut req: Request<Body>,
@@ -123,7 +134,13 @@
         }
     }
 
+    /// Opens a connection. Boxed because every waiting request would otherwise reserve the size of
+    /// the handshake, which only those without an idle connection need.
     pub async fn connect(self: &Arc<Pool>, address: SocketAddr) -> io::Result<Connection> {
+        Box::pin(self.open(address)).await
+    }
+
+    async fn open(self: &Arc<Pool>, address: SocketAddr) -> io::Result<Connection> {
         let timeout = async {
             self.clock.sleep(self.connect_timeout).await;
             Err(io::ErrorKind::TimedOut.into())
--- a/node/src/calls/readiness.rs
+++ b/node/src/calls/readiness.rs
@@ -7,6 +7,11 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
+/// Maximum bytes per read. hyper doubles the read buffer of a connection whenever a read fills it, up
+/// to 417,792 bytes, and keeps it; reads below 16,384 bytes keep it at 16,384. A longer head still
+/// grows the buffer, but only while it is being read.
+const MAX_READ_BYTES: usize = 16_383;
+
 /// A socket that skips reads until it is readable again after it was drained.
 ///
 /// hyper reads on every wake-up of its task, including those caused by the write direction or by
@@ -38,6 +43,8 @@
             ready!(self.stream.poll_readable(cx))?;
         }
         self.drained = true;
+        let limit = buf.len().min(MAX_READ_BYTES);
+        let buf = &mut buf[..limit];
         let count = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         // A short read drained the socket. Events are level-triggered, so data or EOF that arrives
         // in between is reported after the registration.
--- a/node/src/calls/serve.rs
+++ b/node/src/calls/serve.rs
@@ -15,15 +15,17 @@
 use hyper::{Request, Response};
 use smol_hyper::rt::FuturesIo;
 use std::convert::Infallible;
+use std::future::Future;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::Duration;
 use sycamore_core::Code;
 
-/// Minimum buffer size that hyper accepts for a connection.
-const MIN_BUFFER_BYTES: usize = 65_536;
+/// Minimum of the buffer limit of a connection. hyper accepts 8,192 bytes and more, and collects a
+/// response up to this limit before it writes.
+const MIN_BUFFER_BYTES: usize = 16_384;
 
 /// Maximum number of headers of a request.
 const MAX_HEADER_COUNT: usize = 100;
@@ -39,6 +41,8 @@
 /// Pause after a failed `accept`, for example when no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+type ResponseFuture = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
+
 /// Adapter that handles the requests of a listener.
 #[derive(Clone, Debug)]
 pub enum Adapter {
@@ -134,6 +138,8 @@
         });
         let connection = http1::Builder::new()
             .max_buf_size(max_head.max(MIN_BUFFER_BYTES))
+            // hyper otherwise copies bodies into a buffer that grows and that it keeps.
+            .writev(true)
             .max_header_size(max_head)
             .max_headers(MAX_HEADER_COUNT)
             .serve_connection(socket, service);
@@ -160,17 +166,20 @@
         }
     }
 
-    async fn handle_request(
+    /// The future is boxed because hyper reserves its size for the whole life of a connection, and
+    /// it holds several kilobytes that only an open request needs.
+    fn handle_request(
         &self,
         index: usize,
         conn: Arc<ConnectionState>,
         req: Request<Incoming>,
-    ) -> Response<Body> {
+    ) -> ResponseFuture {
         match &self.adapter {
             Adapter::Entry(adapter) => {
-                adapter.clone().serve(index % adapter.shards(), conn, req).await
+                let shard = index % adapter.shards();
+                Box::pin(adapter.clone().serve(shard, conn, req))
             }
-            Adapter::Gate(adapter) => adapter.clone().serve(conn, req).await,
+            Adapter::Gate(adapter) => Box::pin(adapter.clone().serve(conn, req)),
         }
     }
 
