Bound the response bytes held for slow readers

Cause: a gatekeeper read up to 1 MB of each response ahead of the link, whatever its reader took, and no metric showed what was held.

Change: limits.reader_buffer_kb (256; 16 to 65,536) bounds the bytes received for a connection and not yet written to its socket, including those that hyper holds; the rest stays in the target. The gauge sycamore_reader_buffered_bytes shows the sum. Received data of up to 4,096 bytes is copied, because it otherwise keeps a read buffer of 8,192 bytes allocated while it waits.

Responses up to the bound leave the target's slot as early as before; those between it and 1 MB hold it until the rest fits. Values under 48 bound only the read-ahead, since hyper takes two frames of 16 kB.

The targets of the tests get a send buffer of 64 kB for streamed responses, so that the kernel does not take them whole.

--- a/node/src/calls/body.rs
+++ b/node/src/calls/body.rs
@@ -3,6 +3,7 @@
 use super::conn_state::{ConnectionState, Phase};
 use super::pacer::Pacer;
 use super::pool::Connection;
+use super::readiness::MAX_READ_BYTES;
 use super::{entry, gate};
 use async_io::Timer;
 use bytes::{Bytes, BytesMut};
@@ -41,8 +42,14 @@
     end_received: bool,
     failed: bool,
     pacer: Option<Pacer>,
+    // The connection to the reader; absent for requests.
+    reader: Option<Arc<ConnectionState>>,
 }
 
+/// Maximum size of received data that is copied. The data otherwise keeps the whole read buffer of
+/// its connection allocated, which is at least 8,192 bytes, for as long as it is held.
+const MAX_COPIED_BYTES: usize = 4_096;
+
 /// What to notify when a body completes or is dropped.
 #[derive(Debug)]
 pub enum Guard {
@@ -77,6 +84,7 @@
             end_received: false,
             failed: false,
             pacer: None,
+            reader: None,
         };
         Body { content: Content::Stream(Box::new(stream)), guard: Guard::None }
     }
@@ -89,6 +97,14 @@
         self
     }
 
+    /// Counts the bytes held for the peer of `reader`, and bounds those that a pacer reads ahead.
+    pub fn with_reader(mut self, reader: Arc<ConnectionState>) -> Body {
+        if let Content::Stream(stream) = &mut self.content {
+            stream.reader = Some(reader);
+        }
+        self
+    }
+
     /// Notifies `guard` when the body completes or is dropped.
     pub fn with_guard(mut self, guard: Guard) -> Body {
         self.guard = guard;
@@ -203,8 +219,8 @@
         if self.pacer.is_none() {
             return self.poll_incoming(cx);
         }
-        // Reads ahead of the link, up to the buffer limit.
-        while self.pacer.as_ref().is_some_and(Pacer::has_room) && !self.is_received() {
+        // Reads ahead of the link, so that the target's slot is freed early.
+        while self.may_read_ahead() && !self.is_received() {
             match self.poll_incoming(cx) {
                 Poll::Ready(Some(Ok(frame))) => {
                     // Trailers are dropped, as is the `te` header by which a caller requests them.
@@ -225,6 +241,12 @@
         }
     }
 
+    /// Whether more may be read: with nothing left to send, or within the limit of the connection.
+    fn may_read_ahead(&self) -> bool {
+        let has_room = |reader: &Arc<ConnectionState>| reader.held().has_room(MAX_READ_BYTES);
+        self.unsent_bytes() == 0 || self.reader.as_ref().is_none_or(has_room)
+    }
+
     /// Polls the incoming body. An error makes hyper close the connection, so that the receiver
     /// cannot mistake a truncated body for a complete one.
     fn poll_incoming(
@@ -243,7 +265,10 @@
                     return self.fail(io::ErrorKind::InvalidData);
                 }
                 self.remaining -= size;
-                Poll::Ready(Some(Ok(frame)))
+                if let Some(reader) = &self.reader {
+                    reader.held().add(size);
+                }
+                Poll::Ready(Some(Ok(frame.map_data(compact))))
             }
             Poll::Ready(Some(Err(_))) => self.fail(io::ErrorKind::ConnectionAborted),
             Poll::Pending => self.poll_idle_timeout(cx),
@@ -267,6 +292,11 @@
     }
 }
 
+/// Copies small data out of the read buffer that it keeps allocated.
+fn compact(data: Bytes) -> Bytes {
+    if data.len() <= MAX_COPIED_BYTES { Bytes::copy_from_slice(&data) } else { data }
+}
+
 /// Buffers a body of at most `max_bytes`.
 pub async fn collect(
     mut incoming: Incoming,
--- a/node/src/calls/conn_state.rs
+++ b/node/src/calls/conn_state.rs
@@ -4,6 +4,7 @@
 use crate::shared::OpenCallGuard;
 use async_channel::{Receiver, Sender};
 use parking_lot::Mutex;
+use prometheus::IntGauge;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::time::Duration;
@@ -47,13 +48,14 @@
     has_ambiguous_length: AtomicBool,
     local: bool,
     open_call: Mutex<Option<OpenCallGuard>>,
+    held: HeldBytes,
     close_sender: Sender<()>,
     close_receiver: Receiver<()>,
 }
 
 impl ConnectionState {
     /// A connection without a request yet; `local` if the peer is on this VM.
-    pub fn new(clock: Clock, local: bool) -> Arc<ConnectionState> {
+    pub fn new(clock: Clock, local: bool, held: HeldBytes) -> Arc<ConnectionState> {
         let (close_sender, close_receiver) = async_channel::bounded(1);
         let now = clock.now();
         Arc::new(ConnectionState {
@@ -65,6 +67,7 @@
             has_ambiguous_length: AtomicBool::new(false),
             local,
             open_call: Mutex::new(None),
+            held,
             close_sender,
             close_receiver,
         })
@@ -97,6 +100,7 @@
     /// last bytes are still in this process and would be lost when it exits.
     pub fn on_flushed(&self) {
         if self.phase() == Phase::Flush {
+            self.held.clear();
             self.deadline.store(u64::MAX, Ordering::Release);
             self.set_phase(Phase::Idle);
             self.open_call.lock().take();
@@ -105,6 +109,7 @@
 
     /// Marks the connection as ended.
     pub fn mark_ended(&self) {
+        self.held.clear();
         self.open_call.lock().take();
     }
 
@@ -114,6 +119,11 @@
         self.phase.store(phase as u8, Ordering::Release);
     }
 
+    /// Response bytes received for the peer and not yet written to it.
+    pub fn held(&self) -> &HeldBytes {
+        &self.held
+    }
+
     /// Records that data was received or sent.
     pub fn record_io(&self, received: bool) {
         let now = self.clock.now().0;
@@ -162,6 +172,51 @@
     }
 }
 
+/// Response bytes held for one connection, also counted in a gauge of all connections.
+#[derive(Debug)]
+pub struct HeldBytes {
+    bytes: AtomicU64,
+    max_bytes: u64,
+    total: IntGauge,
+}
+
+impl HeldBytes {
+    /// At most `max_bytes` may be held for the connection; `total` counts those of all connections.
+    pub fn new(max_bytes: u64, total: IntGauge) -> HeldBytes {
+        HeldBytes { bytes: AtomicU64::new(0), max_bytes, total }
+    }
+
+    /// Whether `bytes` more may be received for the peer.
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.bytes.load(Ordering::Relaxed) + bytes as u64 <= self.max_bytes
+    }
+
+    pub fn add(&self, bytes: u64) {
+        self.bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.total.add(bytes as i64);
+    }
+
+    /// Records `bytes` written to the peer. The heads of responses are written too but not added, so
+    /// the count is low by the size of a head until the next response.
+    pub fn subtract(&self, bytes: u64) {
+        let subtract = |held: u64| Some(held.saturating_sub(bytes));
+        let held = self.bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract);
+        let removed = held.map_or(0, |held| held.min(bytes));
+        self.total.sub(removed as i64);
+    }
+
+    /// Records that nothing is held anymore.
+    pub fn clear(&self) {
+        self.total.sub(self.bytes.swap(0, Ordering::Relaxed) as i64);
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.clear();
+    }
+}
+
 /// The connections of a listener.
 #[derive(Debug)]
 pub struct ConnectionTable {
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -109,6 +109,7 @@
         let lease = Lease::new(target_response.connection);
         let active = ActiveResponse::new(target_response.running, lease, conn.clone());
         let mut body = Body::stream(incoming, u64::MAX, self.idle_body_timeout())
+            .with_reader(conn.clone())
             .with_guard(Guard::Gate(active));
         // Traffic on the same VM does not use the link.
         if !conn.is_local() {
--- a/node/src/calls/pacer.rs
+++ b/node/src/calls/pacer.rs
@@ -14,10 +14,6 @@
 /// more wake-ups and barely reduce the delay of other responses.
 const CHUNK_BYTES: usize = 16_384;
 
-/// Maximum bytes buffered per response. Most large responses fit completely, so that the target's
-/// slot is freed early.
-const MAX_BUFFERED_BYTES: u64 = 1 << 20;
-
 /// Response data that waits for the link.
 #[derive(Debug)]
 pub struct Pacer {
@@ -45,11 +41,6 @@
         self.buffered_bytes
     }
 
-    /// Whether more of the response may be read ahead.
-    pub fn has_room(&self) -> bool {
-        self.buffered_bytes < MAX_BUFFERED_BYTES
-    }
-
     /// Returns the next chunk once the link has capacity for it.
     pub fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Bytes> {
         if self.next.is_none() {
--- a/node/src/calls/readiness.rs
+++ b/node/src/calls/readiness.rs
@@ -10,7 +10,7 @@
 /// Maximum bytes per read. hyper doubles the read buffer of a connection whenever a read fills it, up
 /// to 417,792 bytes, and keeps it; reads below 16,384 bytes keep it at 16,384. A longer head still
 /// grows the buffer, but only while it is being read.
-const MAX_READ_BYTES: usize = 16_383;
+pub const MAX_READ_BYTES: usize = 16_383;
 
 /// A socket that skips reads until it is readable again after it was drained.
 ///
--- a/node/src/calls/serve.rs
+++ b/node/src/calls/serve.rs
@@ -1,7 +1,7 @@
 //! Accepts connections on a listener and serves their requests.
 
 use super::body::Body;
-use super::conn_state::{ConnectionState, ConnectionTable, Timeouts};
+use super::conn_state::{ConnectionState, ConnectionTable, HeldBytes, Timeouts};
 use super::entry::EntryAdapter;
 use super::gate::GateAdapter;
 use super::headers;
@@ -112,8 +112,11 @@
 
     fn spawn_connection(self: Arc<Server>, stream: Async<TcpStream>, index: usize) {
         let open = self.shared.track_connection();
-        let conn = ConnectionState::new(self.shared.clock.clone(), is_local(&stream));
-        if !self.connections.add(&conn, self.shared.settings.limits.max_connections) {
+        let limits = &self.shared.settings.limits;
+        let buffered = self.shared.metrics.reader_buffered_bytes.clone();
+        let held = HeldBytes::new(limits.reader_buffer_bytes(), buffered);
+        let conn = ConnectionState::new(self.shared.clock.clone(), is_local(&stream), held);
+        if !self.connections.add(&conn, limits.max_connections) {
             self.shared.metrics.connections_refused.inc();
             return reject_connection(&stream);
         }
--- a/node/src/calls/socket.rs
+++ b/node/src/calls/socket.rs
@@ -92,6 +92,7 @@
         }
         let count = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
         self.conn.record_io(false);
+        self.conn.held().subtract(count as u64);
         Poll::Ready(Ok(count))
     }
 
@@ -106,6 +107,7 @@
         }
         let count = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
         self.conn.record_io(false);
+        self.conn.held().subtract(count as u64);
         Poll::Ready(Ok(count))
     }
 
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -69,6 +69,8 @@
     pub platform_responded_seconds: Gauge,
     /// Connections refused at the connection limit.
     pub connections_refused: IntCounter,
+    /// Response bytes that were received and are not yet written to their readers.
+    pub reader_buffered_bytes: IntGauge,
     /// Time from the request head to the response head at the entry node, by traffic class.
     pub call_seconds: HistogramVec,
     /// Queueing time for a slot of the local target, by traffic class.
@@ -138,6 +140,10 @@
                 "connections_refused_total",
                 "Connections refused because the limit was reached.",
             ),
+            reader_buffered_bytes: r.gauge(
+                "reader_buffered_bytes",
+                "Bytes of answers held now until their readers take them.",
+            ),
             call_seconds: r.histograms(
                 "call_seconds",
                 "Time to the head of an answer.",
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -258,6 +258,8 @@
     pub head_timeout_ms: u64,
     /// Idle timeout of a body, in both directions; 100 to 600,000 ms.
     pub idle_body_timeout_ms: u64,
+    /// Maximum response bytes buffered for one connection whose peer reads slowly; 16 to 65,536 KB.
+    pub reader_buffer_kb: u64,
     /// Number of events kept in memory; 16 to 100,000.
     pub event_ring: usize,
     /// Maximum wait for the first configuration before unreachable peers are skipped; 100 to
@@ -284,6 +286,7 @@
             max_head_bytes: 16_384,
             head_timeout_ms: 5_000,
             idle_body_timeout_ms: 10_000,
+            reader_buffer_kb: 256,
             event_ring: 512,
             first_configuration_ms: 5_000,
             serve_while_leaving_ms: 0,
@@ -417,6 +420,11 @@
 }
 
 impl Limits {
+    /// Maximum response bytes buffered for one connection whose peer reads slowly.
+    pub fn reader_buffer_bytes(&self) -> u64 {
+        self.reader_buffer_kb << 10
+    }
+
     fn check(&self) -> Result<()> {
         let ranges = [
             ("threads", self.threads as u64, 1..=64),
@@ -424,6 +432,7 @@
             ("max_head_bytes", self.max_head_bytes as u64, 1_024..=1_048_576),
             ("head_timeout_ms", self.head_timeout_ms, 100..=60_000),
             ("idle_body_timeout_ms", self.idle_body_timeout_ms, 100..=600_000),
+            ("reader_buffer_kb", self.reader_buffer_kb, 16..=65_536),
             ("event_ring", self.event_ring as u64, 16..=100_000),
             ("first_configuration_ms", self.first_configuration_ms, 100..=600_000),
             ("serve_while_leaving_ms", self.serve_while_leaving_ms, 0..=600_000),
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use async_executor::Executor;
+use rustix::net::sockopt;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -18,6 +19,9 @@
 /// Timeout of waits in tests.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Send buffer of a target's connection once it has streamed a response.
+const SEND_BUFFER_BYTES: usize = 65_536;
+
 /// A target whose behaviour is selected by the request path. It logs each request it runs.
 pub struct Target {
     pub address: SocketAddr,
@@ -165,6 +169,8 @@
         }
         if path.contains("/stream") {
             let size: usize = path.rsplit('/').next()?.parse().ok()?;
+            // Keeps the kernel from taking most of a response that nobody reads.
+            sockopt::set_socket_send_buffer_size(stream, SEND_BUFFER_BYTES).ok()?;
             let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n");
             stream.write_all(head.as_bytes()).ok()?;
             let chunk = [b'x'; 10_000];
