Gatekeeper: answers to recalls

Cause: nothing checks whether a request has arrived at its gatekeeper, so one that waits at a slow target or on an unresponsive connection costs its caller the deadline. Change: Gatekeeper::handle_recall answers whether an attempt has started, in the state that also starts requests. A queued attempt is removed; an unknown one is remembered for 180 s or the longest deadline of a route, at most 4,096, and rejected on arrival (code 475, Recalled). Attempts sent before the process started, before a clock gap, or before the oldest recorded end get no promise. An attempt is identified by a hash of request id and number; callers may repeat ids, so an answer holds for all attempts with the same value.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -17,6 +17,7 @@
 pub mod pace;
 pub mod policy;
 pub mod quarantine;
+pub mod recall;
 pub mod runs;
 pub mod split;
 pub mod stated;
@@ -26,6 +27,7 @@
 pub use note::Note;
 pub use pace::Pace;
 pub use policy::Policy;
+pub use recall::{AttemptId, RecallAnswer, RecallReply};
 pub use runs::Runs;
 pub use stated::{RateLimit, StatedLimit, Statement, TargetProcess, TargetStatements, WorkPace};
 
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -6,17 +6,20 @@
 mod leaving;
 mod placement;
 mod port;
+mod recall;
 mod statements;
 mod suspects;
 
 pub use port::{Arrival, Input, Output, RunEnd};
+pub use recall::{AGE_TOLERANCE, MAX_RECALLED, MIN_RECALL_RETENTION, RecallQuestion};
 
 use super::admit::{Admission, Objective, Offer, Popped, Slots};
 use super::home::Homes;
 use super::link::LinkPacer;
 use super::once::{CachedResponse, IdempotencyTable};
-use super::policy::Policy;
+use super::policy::{Mechanism, Policy};
 use super::quarantine::Suspects;
+use super::recall::AttemptId;
 use super::runs::{RunCounts, RunKind, Runs};
 use super::{CallKey, Fingerprint, Load, Members, Outcome, RequestKey, Terms};
 use crate::config::snapshot::RouteEntry;
@@ -30,6 +33,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use recall::RecallTable;
 use statements::Statements;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -50,6 +54,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Call {
     offer: Offer,
+    // Absent if the entry node does not identify its attempts.
+    attempt: Option<AttemptId>,
     key: Option<RequestKey>,
     fingerprint: Fingerprint,
     // Crashes reported by the entry node.
@@ -59,6 +65,14 @@
     repeat: bool,
 }
 
+/// A request that passed the checks on its arrival.
+#[derive(Debug)]
+struct Accepted {
+    attempt: Option<AttemptId>,
+    terms: Terms,
+    key: Option<RequestKey>,
+}
+
 #[derive(Debug)]
 pub struct Gatekeeper {
     vm: Name,
@@ -76,6 +90,7 @@
     homes: Option<Homes>,
     suspects: Suspects,
     calls: IndexMap<CallKey, Call>,
+    recalls: RecallTable,
     runs: RunCounts,
     // The last crash, until the target responds again.
     crash: Option<u64>,
@@ -111,6 +126,7 @@
             homes: None,
             suspects: Suspects::new(),
             calls: IndexMap::new(),
+            recalls: RecallTable::new(started),
             runs: RunCounts::new(),
             crash: None,
             target_up: true,
@@ -148,6 +164,7 @@
     }
 
     pub fn with_policy(mut self, policy: Policy) -> Gatekeeper {
+        self.recalls.set_enabled(policy.is_enabled(Mechanism::Recall));
         self.slots = self.slots.with_policy(policy);
         self
     }
@@ -160,7 +177,10 @@
             Input::View(members) => self.members = members,
             Input::Confirm => self.confirmed = true,
             Input::Drain => self.drain(out),
-            Input::Arrive(arrival) => self.arrive(now, &arrival, out),
+            Input::Arrive(arrival) => self.arrive(now, &arrival, None, out),
+            Input::ArriveAttempt { attempt, arrival } => {
+                self.arrive(now, &arrival, Some(attempt), out);
+            }
             Input::Expire(call) => self.expire(now, call, out),
             Input::Withdraw(call) => self.withdraw(call),
             Input::End { call, end } => self.end(now, call, end, out),
@@ -203,6 +223,7 @@
         let last = self.last_input_at.replace(now).unwrap_or(now);
         if now.since(last) > CLOCK_GAP {
             self.confirmed = false;
+            self.recalls.clock_gap(now, now.since(last));
             out.push(Output::Record(EventKind::ClockGap));
         }
     }
@@ -233,6 +254,7 @@
         if self.has_keyed_routes(&snapshot) {
             self.update_homes(now, &snapshot);
         }
+        self.recalls.configure(&snapshot);
         self.snapshot = Some(snapshot);
         self.ask_witnesses(now, out);
     }
@@ -257,10 +279,23 @@
         self.homes.is_some() || routes.into_iter().any(|entry| own(entry) && keyed(entry))
     }
 
-    fn arrive(&mut self, now: Time, arrival: &Arrival<'_>, out: &mut Vec<Output>) {
+    fn arrive(
+        &mut self,
+        now: Time,
+        arrival: &Arrival<'_>,
+        attempt: Option<AttemptId>,
+        out: &mut Vec<Output>,
+    ) {
         self.record_known_limit(now, arrival.known_limit, out);
+        if attempt.is_some_and(|attempt| self.recalls.is_recalled(now, attempt)) {
+            let outcome = Outcome::not_run(Code::Recalled, RETRY_AFTER_SHORT);
+            return self.reject(now, arrival, outcome, out);
+        }
         let outcome = match self.check(now, arrival) {
-            CheckResult::Accept(terms, key) => return self.admit(now, arrival, &terms, key, out),
+            CheckResult::Accept(terms, key) => {
+                let accepted = Accepted { attempt, terms, key };
+                return self.admit(now, arrival, &accepted, out);
+            }
             CheckResult::Replay(response) => {
                 return out.push(Output::Replay(arrival.call, response));
             }
@@ -273,10 +308,10 @@
         &mut self,
         now: Time,
         arrival: &Arrival<'_>,
-        terms: &Terms,
-        key: Option<RequestKey>,
+        accepted: &Accepted,
         out: &mut Vec<Output>,
     ) {
+        let Accepted { attempt, ref terms, key } = *accepted;
         let call = arrival.call;
         // Gating requests count as nested even if the caller does not send the depth.
         let depth = arrival.depth.max((terms.class == Class::Gating).into());
@@ -300,6 +335,7 @@
         }
         let entry = Call {
             offer,
+            attempt,
             key,
             fingerprint: arrival.fingerprint,
             crashes: arrival.crashes,
@@ -405,6 +441,9 @@
         let Some(entry) = self.calls.get(&call).copied().filter(|entry| entry.running) else {
             return;
         };
+        if end.may_have_run() {
+            entry.attempt.iter().for_each(|attempt| self.recalls.record_ended(now, *attempt));
+        }
         match end {
             RunEnd::Answered { cached } => {
                 self.slots.end(now, call);
--- a/core/src/call/gatekeeper/port.rs
+++ b/core/src/call/gatekeeper/port.rs
@@ -3,7 +3,7 @@
 use crate::call::note::{Note, OutgoingNote};
 use crate::call::once::CachedResponse;
 use crate::call::{
-    CallKey, Fingerprint, Members, Outcome, RateLimit, RequestKey, Statement, Terms,
+    AttemptId, CallKey, Fingerprint, Members, Outcome, RateLimit, RequestKey, Statement, Terms,
 };
 use crate::config::Snapshot;
 use crate::event::EventKind;
@@ -52,6 +52,11 @@
         Drain,
         /// A request has arrived.
         Arrive(Arrival<'a>),
+        /// Like [`Input::Arrive`], from an entry node that may recall the attempt.
+        ArriveAttempt {
+            attempt: AttemptId,
+            arrival: Arrival<'a>,
+        },
         /// The maximum wait of a queued request has passed.
         Expire(CallKey),
         /// The caller of a queued request has disconnected. The request was not forwarded, even if
@@ -143,3 +148,10 @@
         Record(EventKind),
     }
 }
+
+impl RunEnd {
+    /// Whether the target may have run the request.
+    pub(super) fn may_have_run(&self) -> bool {
+        !matches!(self, RunEnd::NotSent | RunEnd::Rejected(_))
+    }
+}
--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -141,6 +141,8 @@
     TargetCold = 473,
     /// the target has stated a rate limit and takes no more requests for now
     TargetLimited = 474,
+    /// the entry node has recalled the request before it started
+    Recalled = 475,
     // 500 to 599: tools.
     /// a node does not answer
     NodeUnreachable = 501,
