Entry node: when to recall an attempt, and what an answer means

Change: Forward carries a recall delay (mean and four mean deviations of the target's response times, and its last reported wait). An attempt without a response is recalled once, with at most two messages, if another target has room and the budget (5 in 100 of the requests of ten seconds, plus 10 per node) allows it. A recalled attempt does not count towards max_attempts and uses no retry budget. After the answer that the run is over, the response may take one more round trip, at least 100 ms. Requests with a key are not recalled: they are bound to their home.

--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -300,6 +300,16 @@
         (expected <= max_expected || is_better).then_some(vm)
     }
 
+    /// Last reported wait for a slot of a target; zero if it is not known.
+    pub fn reported_wait(&self, now: Time, vm: &Name) -> Duration {
+        self.peers.get(vm).and_then(|peer| peer.reported_wait(now)).unwrap_or_default()
+    }
+
+    /// Whether a target is not known to have a request for each of its slots.
+    pub fn has_room(&self, now: Time, vm: &Name) -> bool {
+        self.peers.get(vm).is_some_and(|peer| peer.has_room(now))
+    }
+
     /// Records an error response, or that the deadline passed without a response.
     pub fn record_request_failure(&mut self, now: Time, vm: &Name) {
         if let Some(peer) =
--- a/core/src/call/balance/peer.rs
+++ b/core/src/call/balance/peer.rs
@@ -181,6 +181,12 @@
         (now.since(at) < LOAD_REPORT_TTL).then(|| Duration::from_millis(load.wait_ms.into()))
     }
 
+    /// Whether fewer requests than slots are known to be at the target.
+    pub fn has_room(&self, now: Time) -> bool {
+        let (outstanding, slots) = self.outstanding(now);
+        outstanding < slots
+    }
+
     /// Returns the number of requests known to be at the target, and its slots.
     fn outstanding(&self, now: Time) -> (u32, u32) {
         let recent = |at: Time| now.since(at) < LOAD_REPORT_TTL;
--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -3,10 +3,12 @@
 
 mod hedge;
 mod port;
+mod recall;
 mod retry;
 mod retry_budget;
 
 pub use port::{Arrival, AttemptEnd, Forward, Input, Output, TargetEstimate};
+pub use recall::{RecallAction, RecallInput};
 
 use super::balance::{Balancer, PickRequest};
 use super::caller_waits::{CallerHistory, CallerWaits, UnansweredAttempt};
@@ -19,6 +21,7 @@
 use crate::{Code, Name, Time};
 use hedge::HedgeBudget;
 use indexmap::IndexMap;
+use recall::{AttemptRecall, Recalls};
 use retry::{is_early_rejection, is_overload, reached_target};
 use retry_budget::RetryBudgets;
 use std::sync::Arc;
@@ -42,6 +45,8 @@
     attempt: u32,
     // Forwards rejected before they cost a target any work.
     early_rejections: u32,
+    // Attempts that were recalled before they started.
+    recalled: u32,
     primary: Option<ActiveAttempt>,
     // Second attempt, sent when the primary is slow.
     hedge: Option<ActiveAttempt>,
@@ -64,7 +69,9 @@
 #[derive(Clone, Debug)]
 struct ActiveAttempt {
     vm: Name,
+    number: u32,
     sent_at: Time,
+    recall: Option<AttemptRecall>,
 }
 
 /// Effect of the end of an attempt on its call.
@@ -84,6 +91,7 @@
     balancer: Balancer,
     retries: RetryBudgets,
     hedges: HedgeBudget,
+    recalls: Recalls,
     splits: TrafficSplits,
     caller_waits: CallerWaits,
     policy: Policy,
@@ -100,6 +108,7 @@
             balancer: Balancer::new(place, seed),
             retries: RetryBudgets::new(seed),
             hedges: HedgeBudget::new(),
+            recalls: Recalls::new(),
             splits: TrafficSplits::new(seed),
             caller_waits: CallerWaits::new(),
             policy: Policy::new(),
@@ -114,6 +123,12 @@
         self
     }
 
+    /// Sets the number of shards of the node, which share its budget for recalls.
+    pub fn with_shards(mut self, shards: usize) -> Entry {
+        self.recalls.set_shards(shards as u32);
+        self
+    }
+
     /// Processes an input and appends the resulting outputs to `out`.
     pub fn handle(&mut self, now: Time, input: Input<'_>, out: &mut Vec<Output>) {
         match input {
@@ -146,6 +161,7 @@
     fn configure(&mut self, snapshot: Arc<Snapshot>) {
         self.balancer.configure(&snapshot, &self.members);
         self.retries.configure(&snapshot);
+        self.recalls.configure(&snapshot);
         self.splits.retain(snapshot.routes());
         self.snapshot = Some(snapshot);
     }
@@ -218,6 +234,7 @@
         let request_key = arrival.key.filter(|_| terms.is_keyed());
         self.retries.record(now, &snapshot, (key, service), terms.repeat);
         self.hedges.record_first_attempt(terms.class);
+        self.recalls.record_request(now);
         let name = terms.service.clone();
         let mut call = Call {
             route: key,
@@ -230,6 +247,7 @@
             depth: arrival.depth,
             attempt: 0,
             early_rejections: 0,
+            recalled: 0,
             primary: None,
             hedge: None,
             tried: Vec::new(),
@@ -293,6 +311,7 @@
 
     /// Starts an attempt. Returns `None` if the target is no longer configured.
     fn start(&mut self, now: Time, key: CallKey, vm: &Name, hedge: bool) -> Option<Forward> {
+        let recall_delay = self.recall_delay(now, self.calls.get(&key)?, vm);
         let call = self.calls.get_mut(&key)?;
         let (gatekeeper, process) = self.balancer.gate(vm)?;
         let estimate = self.balancer.estimate(now, vm, call.terms.class);
@@ -303,7 +322,8 @@
         self.balancer.request_started(vm);
         call.attempt += 1;
         call.tried.push(vm.clone());
-        let attempt = Some(ActiveAttempt { vm: vm.clone(), sent_at: now });
+        let number = call.attempt;
+        let attempt = Some(ActiveAttempt { vm: vm.clone(), number, sent_at: now, recall: None });
         match hedge {
             true => call.hedge = attempt,
             false => call.primary = attempt,
@@ -323,6 +343,9 @@
             hedge_delay_ms: hedge_delay
                 .filter(|_| may_hedge)
                 .map(|hedge_delay| hedge_delay.as_millis() as u32),
+            recall_delay_ms: recall_delay
+                .filter(|_| !hedge)
+                .map(|recall_delay| recall_delay.as_millis() as u32),
             crashes: call.crashes,
             max_body_bytes: route.max_body_bytes,
         })
@@ -387,6 +410,9 @@
             AttemptEnd::ResponseStarted { load, waited } => {
                 let took = now.since(attempt.sent_at).saturating_sub(waited);
                 self.balancer.record_response(now, vm, call.terms.class, took);
+                if self.policy.is_enabled(Mechanism::Recall) {
+                    self.recalls.record_response(vm, call.terms.class, took);
+                }
                 report(&mut self.balancer, load);
                 EndEffect::ResponseStarted
             }
@@ -409,8 +435,10 @@
                     Code::TargetRefused => self.balancer.record_rejection(now, vm),
                     _ => {}
                 }
-                if is_early_rejection(code) {
-                    call.early_rejections += 1;
+                match code {
+                    Code::Recalled => call.recalled += 1,
+                    _ if is_early_rejection(code) => call.early_rejections += 1,
+                    _ => {}
                 }
                 call.terms.repeat |= reached_target(code);
                 EndEffect::NoResponse(code, retry_after)
@@ -492,6 +520,12 @@
         self.caller.map_or(0, |caller| caller.returns)
     }
 
+    /// Number of attempts that count towards the limit of the route.
+    fn counted_attempts(&self) -> u32 {
+        let spare_forwards = self.snapshot.route(self.route).route.spare_forwards;
+        self.attempt - self.early_rejections.min(spare_forwards) - self.recalled
+    }
+
     /// Once an attempt may have reached a target, a later rejection does not prove that the request
     /// did not run.
     fn final_outcome(&self, code: Code, retry_after: Duration) -> Outcome {
--- a/core/src/call/entry/hedge.rs
+++ b/core/src/call/entry/hedge.rs
@@ -31,9 +31,8 @@
         let may_crash = call.crashes > 0;
         let single = call.hedge.is_none() && call.primary.is_some();
         let eligible = call.terms.idempotent && single && !may_crash;
-        let attempts = call.attempt - call.early_rejections.min(route.spare_forwards);
         if !eligible
-            || attempts >= route.max_attempts
+            || call.counted_attempts() >= route.max_attempts
             || !self.hedges.is_available(call.terms.class)
         {
             return None;
--- a/core/src/call/entry/port.rs
+++ b/core/src/call/entry/port.rs
@@ -151,6 +151,9 @@
         /// Delay in milliseconds after which the adapter sends [`Input::HedgeDue`] unless a response
         /// has started. Absent if the attempt must not be hedged.
         pub hedge_delay_ms: Option<u32>,
+        /// Delay in milliseconds after which the adapter sends [`super::RecallInput::Due`] unless a
+        /// response has started. Absent if the attempt must not be recalled.
+        pub recall_delay_ms: Option<u32>,
         /// Crashes attributed to the request.
         pub crashes: u32,
         pub max_body_bytes: u64,
--- a/core/src/call/entry/retry.rs
+++ b/core/src/call/entry/retry.rs
@@ -28,14 +28,13 @@
         let call = self.calls.get(&key)?;
         let route = &call.snapshot.route(call.route).route;
         let time_left = call.deadline.since(now);
-        let early_rejections = call.early_rejections.min(route.spare_forwards);
-        let attempts = call.attempt - early_rejections;
         if !replayable || time_left < MIN_ATTEMPT_TIME {
             return None;
         }
-        if attempts >= route.max_attempts {
+        if call.counted_attempts() >= route.max_attempts {
             // Rejections that cost no target any work do not count as attempts.
-            let unused = call.key.is_none() && call.early_rejections == call.attempt;
+            let unused =
+                call.key.is_none() && call.early_rejections + call.recalled == call.attempt;
             return unused.then(|| self.queue_at_nearest(now, key, code)).flatten();
         }
         match call.key {
@@ -173,7 +172,8 @@
         | Code::NoTarget
         | Code::NotConfigured
         | Code::TooManyConnections
-        | Code::GatekeeperUnreachable => RetryKind::Free,
+        | Code::GatekeeperUnreachable
+        | Code::Recalled => RetryKind::Free,
         // The route allows other gatekeepers to be tried before the request is rejected.
         _ if is_overload(code) && spare_forwards > 0 => RetryKind::Free,
         Code::TargetUnreachable
