Recall: all orders of events around a recall, with injected bugs

Cause: the at-most-once guarantee must hold for every order of send, arrive, start, ask, answer, lose, repeat, restart, pause and broken connections. Change: core/tests/call_recall_orders.rs explores them breadth first with the state machines of an entry node and two gatekeepers; messages that are never delivered are lost.

--- /dev/null
+++ b/core/tests/call_recall_orders.rs
@@ -0,0 +1,88 @@
+//! Explores all orders of the events around a recall, with the state machines of an entry node and
+//! of two gatekeepers: a request that may run once runs at most once, and "not run" stays true.
+
+#[path = "support/snapshot.rs"]
+mod support;
+
+#[path = "support/recall_world.rs"]
+mod recall_world;
+
+use recall_world::{Bug, Event, World};
+use std::collections::HashSet;
+
+/// Number of events after the first send in the longest order that is explored.
+const DEPTH: usize = 6;
+
+/// Overrides the depth; each further event takes about six times as long.
+const DEPTH_VARIABLE: &str = "SYCAMORE_RECALL_DEPTH";
+
+/// What an exploration has seen.
+#[derive(Debug, Default)]
+struct Explored {
+    states: usize,
+    violation: Option<(String, Vec<Event>)>,
+    // States in which the request runs at another target than the first.
+    moved: usize,
+    // States in which the call has ended as unknown after the answer that the run is over.
+    lost: usize,
+    // States in which the caller was told that the request has not run.
+    not_run: usize,
+}
+
+/// Explores breadth first. Orders that give each state machine the same inputs and leave the same
+/// messages in transit lead to the same state and are explored once.
+fn explore(bug: Bug, depth: usize) -> Explored {
+    let mut explored = Explored::default();
+    let mut seen = HashSet::new();
+    let mut frontier: Vec<Vec<Event>> = vec![Vec::new()];
+    for length in 0..=depth {
+        let mut next = Vec::new();
+        for order in frontier {
+            let mut world = World::new(bug);
+            order.iter().for_each(|event| world.apply(*event));
+            if !seen.insert(world.state_key()) {
+                continue;
+            }
+            explored.states += 1;
+            explored.moved += usize::from(world.has_moved());
+            explored.lost += usize::from(world.is_lost());
+            explored.not_run += usize::from(world.is_not_run());
+            if let Some(violation) = world.violation() {
+                explored.violation = Some((violation, order));
+                return explored;
+            }
+            if length < depth {
+                for event in world.possible_events() {
+                    next.push(order.iter().copied().chain([event]).collect());
+                }
+            }
+        }
+        frontier = next;
+    }
+    explored
+}
+
+/// Guards against a second run, and against "not run" for a request that ran or runs later.
+#[test]
+fn recall_exactly_one_holder() {
+    let depth = std::env::var(DEPTH_VARIABLE).ok().and_then(|text| text.parse().ok());
+    let explored = explore(Bug::None, depth.unwrap_or(DEPTH));
+    println!("{explored:?}");
+    assert_eq!(explored.violation, None);
+    let Explored { states, moved, lost, not_run, .. } = explored;
+    assert!(states > 10_000 && moved > 0 && lost > 0 && not_run > 0, "{explored:?}");
+}
+
+/// Guards against a check that passes regardless of what the state machines do.
+#[test]
+fn recall_check_finds_injected_bugs() {
+    for bug in Bug::ALL {
+        let explored = explore(bug, DEPTH);
+        println!("{bug:?}: {} states, {:?}", explored.states, explored.violation);
+        assert!(
+            explored.violation.is_some(),
+            "{bug:?} was not found in {} states",
+            explored.states
+        );
+    }
+}
