Nodes recall attempts without a response

Change: the entry node sends POST /recall over a new connection, at most 200 ms, beside the attempt; an attempt that can be hedged is recalled only when no hedge may be sent. A gatekeeper answers under the lock that starts requests. Entry nodes remove the header x-sycamore-recall from callers' requests. After an answer that shows a loss, idle connections to that address since before the question are closed in all shards. Requests whose body is streamed are not recalled: they can't be sent again.

--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -209,7 +209,8 @@
             return TargetEstimate::default();
         };
         let expected = peer.cost(now, class, self.typical_latency_of(peer.service, class));
-        TargetEstimate { expected, load: peer.load, known_limit: peer.stated.limit }
+        let (load, known_limit) = (peer.load, peer.stated.limit);
+        TargetEstimate { expected, load, known_limit, recall_delay_ms: None }
     }
 
     pub fn request_started(&mut self, vm: &Name) {
--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -314,7 +314,9 @@
         let recall_delay = self.recall_delay(now, self.calls.get(&key)?, vm);
         let call = self.calls.get_mut(&key)?;
         let (gatekeeper, process) = self.balancer.gate(vm)?;
-        let estimate = self.balancer.estimate(now, vm, call.terms.class);
+        let mut estimate = self.balancer.estimate(now, vm, call.terms.class);
+        estimate.recall_delay_ms =
+            recall_delay.filter(|_| !hedge).map(|delay| delay.as_millis() as u32);
         let objective = call.terms.objective.since(now);
         let hedge_delay = self.balancer.hedge_delay(vm, call.terms.class, objective);
         let may_hedge =
@@ -343,9 +345,6 @@
             hedge_delay_ms: hedge_delay
                 .filter(|_| may_hedge)
                 .map(|hedge_delay| hedge_delay.as_millis() as u32),
-            recall_delay_ms: recall_delay
-                .filter(|_| !hedge)
-                .map(|recall_delay| recall_delay.as_millis() as u32),
             crashes: call.crashes,
             max_body_bytes: route.max_body_bytes,
         })
--- a/core/src/call/entry/port.rs
+++ b/core/src/call/entry/port.rs
@@ -132,6 +132,9 @@
         /// Its rate limit. Sent with the request, as a gatekeeper that has just started may not know
         /// it.
         pub known_limit: Option<RateLimit>,
+        /// Delay in milliseconds after which the adapter sends [`super::RecallInput::Due`] unless a
+        /// response has started. Absent if the attempt must not be recalled.
+        pub recall_delay_ms: Option<u32>,
     }
 
     /// An attempt to be sent to a gatekeeper.
@@ -151,9 +154,6 @@
         /// Delay in milliseconds after which the adapter sends [`Input::HedgeDue`] unless a response
         /// has started. Absent if the attempt must not be hedged.
         pub hedge_delay_ms: Option<u32>,
-        /// Delay in milliseconds after which the adapter sends [`super::RecallInput::Due`] unless a
-        /// response has started. Absent if the attempt must not be recalled.
-        pub recall_delay_ms: Option<u32>,
         /// Crashes attributed to the request.
         pub crashes: u32,
         pub max_body_bytes: u64,
--- a/core/src/call/entry/recall.rs
+++ b/core/src/call/entry/recall.rs
@@ -40,7 +40,7 @@
 data! {
     /// An input about a recall.
     pub enum RecallInput {
-        /// No response started within the recall delay of the [`super::Forward`], or within twice
+        /// No response started within the recall delay of the [`super::TargetEstimate`], or within twice
         /// the previous delay if nothing was asked then.
         Due(CallKey),
         /// The gatekeeper has answered, or `None` if it has not.
--- a/core/tests/call_recall_entry.rs
+++ b/core/tests/call_recall_entry.rs
@@ -85,7 +85,7 @@
 
     /// Lets the recall delay pass.
     fn due(&mut self, forward: &Forward) -> Option<RecallAction> {
-        let delay = forward.recall_delay_ms.expect("no recall delay");
+        let delay = forward.estimate.recall_delay_ms.expect("no recall delay");
         self.now = self.now + Duration::from_millis(delay.into());
         self.entry.handle_recall(self.now, RecallInput::Due(forward.call))
     }
@@ -134,12 +134,12 @@
 fn recall_delay_follows_target() {
     let mut driver = Driver::new();
     let first = driver.arrive("/once");
-    let delay = u64::from(first.recall_delay_ms.unwrap());
+    let delay = u64::from(first.estimate.recall_delay_ms.unwrap());
     let expected = RESPONSE_TIME.as_millis() as u64;
     assert!((expected + 10..=expected * 2).contains(&delay), "{delay}");
-    assert_eq!(driver.arrive("/key").recall_delay_ms, None);
+    assert_eq!(driver.arrive("/key").estimate.recall_delay_ms, None);
     let mut driver = Driver::with(Policy::new().without(Mechanism::Recall), 0);
-    assert_eq!(driver.arrive("/once").recall_delay_ms, None);
+    assert_eq!(driver.arrive("/once").estimate.recall_delay_ms, None);
     let first = driver.arrive("/once");
     assert_eq!(driver.entry.handle_recall(driver.now, RecallInput::Due(first.call)), None);
 }
@@ -285,5 +285,5 @@
     let first = driver.arrive("/idem");
     driver.now = driver.now + Duration::from_millis(first.hedge_delay_ms.unwrap().into());
     let hedge = forward(driver.input(Input::HedgeDue(first.call)));
-    assert_eq!((hedge.recall_delay_ms, driver.due(&first)), (None, None));
+    assert_eq!((hedge.estimate.recall_delay_ms, driver.due(&first)), (None, None));
 }
--- a/node/src/calls/entry.rs
+++ b/node/src/calls/entry.rs
@@ -2,6 +2,9 @@
 
 mod attempt;
 mod hedge;
+mod recall;
+
+pub use recall::RECALL_PATH;
 
 use super::body::{self, Body, Guard, Lease};
 use super::conn_state::{ConnectionState, Phase};
@@ -93,14 +96,15 @@
     pub fn new(shared: Arc<Shared>, executor: &Arc<Executor<'static>>, seed: u64) -> EntryAdapter {
         let place = shared.settings.place();
         let policy = shared.settings.scheduling.policy();
+        let threads = shared.settings.limits.threads;
         let shard = |index: usize| {
             let entry = Entry::new(place.clone(), seed.wrapping_add(index as u64));
             Shard {
-                entry: Mutex::new(entry.with_policy(policy.clone())),
+                entry: Mutex::new(entry.with_policy(policy.clone()).with_shards(threads)),
                 pool: Pool::new(shared.clock.clone(), executor.clone()),
             }
         };
-        let shards = (0..shared.settings.limits.threads).map(shard).collect();
+        let shards = (0..threads).map(shard).collect();
         let id_prefix = format!("{}-{:x}", shared.settings.vm, shared.clock.now().0);
         EntryAdapter { shards, next_call: AtomicU64::new(1), id_prefix, shared }
     }
@@ -293,6 +297,8 @@
         *req.uri_mut() = call.uri.clone();
         let headers = req.headers_mut();
         *headers = call.headers.clone();
+        // A caller's request must not be taken for a recall.
+        headers.remove(headers::RECALL);
         let now = self.shared.clock.now();
         let remaining_ms = forward.deadline.since(now).as_millis() as u64;
         self.write_party_headers(headers, forward);
--- a/node/src/calls/entry/hedge.rs
+++ b/node/src/calls/entry/hedge.rs
@@ -1,6 +1,7 @@
-//! One round of a call: an attempt, and a hedged attempt if the first one is slow.
+//! One round of a call: an attempt, and a hedged attempt or a recall if the first one is slow.
 
 use super::attempt::{AttemptResult, classify_response, end_code, parse_response};
+use super::recall::RecallResult;
 use super::{Call, EntryAdapter};
 use crate::calls::body::Body;
 use crate::calls::pool::SendError;
@@ -12,9 +13,9 @@
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use sycamore_core::Code;
 use sycamore_core::call::CallKey;
 use sycamore_core::call::entry::{AttemptEnd, Forward, Input, Output};
+use sycamore_core::{Code, Time};
 
 /// Result of sending a request to a gatekeeper.
 enum ExchangeResult {
@@ -34,13 +35,15 @@
 }
 
 impl EntryAdapter {
-    /// Sends a request, and a hedge if no response arrives within the hedge delay. Sets `forward`
-    /// to the attempt that produced the result.
+    /// Sends a request, and a hedge if no response arrives within the hedge delay. An attempt that
+    /// cannot be hedged is recalled after the recall delay. Sets `forward` to the attempt that
+    /// produced the result.
     pub(super) async fn attempt(&self, call: &mut Call, forward: &mut Forward) -> AttemptResult {
         let Some(req) = self.begin_attempt(call, forward) else {
             return AttemptResult::Ended(AttemptEnd::ConnectionLost);
         };
-        let Some(delay_ms) = forward.hedge_delay_ms.filter(|_| call.body.is_buffered()) else {
+        let mut timers = Timers::new(self.shared.clock.now(), forward);
+        if timers.next().is_none() || !call.body.is_buffered() {
             return match self.exchange(call.guard.shard, &call.id, forward, req).await {
                 ExchangeResult::Ended(attempt) => attempt,
                 ExchangeResult::Unsent(body) => {
@@ -48,24 +51,41 @@
                     AttemptResult::Ended(AttemptEnd::NotSent)
                 }
             };
-        };
+        }
         let primary = forward.clone();
         let (key, shard, id) = (call.guard.call, call.guard.shard, call.id.clone());
         let mut primary_exchange = pin!(self.exchange(shard, &id, &primary, req));
-        let mut delay = Duration::from_millis(delay_ms.into());
         let hedge = loop {
+            let Some(next) = timers.next() else {
+                return primary_exchange.await.into_attempt();
+            };
             let timer = async {
-                self.shared.clock.sleep(delay).await;
+                self.shared.clock.sleep_until(next).await;
                 None
             };
             let early = future::or(async { Some(primary_exchange.as_mut().await) }, timer).await;
             if let Some(result) = early {
                 return result.into_attempt();
             }
-            if let Some(Output::Forward(hedge)) = self.decide(shard, Input::HedgeDue(key)) {
+            let now = self.shared.clock.now();
+            if timers.hedge.is_some_and(|timer| timer.at <= now)
+                && let Some(Output::Forward(hedge)) = self.decide(shard, Input::HedgeDue(key))
+            {
                 break hedge;
             }
-            delay *= 2;
+            timers.hedge = timers.hedge.map(|timer| timer.repeat_if_due(now));
+            if timers.recall.is_none_or(|timer| timer.at > now) {
+                continue;
+            }
+            let recall = async { Err(self.recall(shard, &id, &primary).await) };
+            match future::or(async { Ok(primary_exchange.as_mut().await) }, recall).await {
+                Ok(result) => return result.into_attempt(),
+                Err(RecallResult::Ended(end)) => return AttemptResult::Ended(end),
+                Err(RecallResult::Continue) => timers.recall = None,
+                Err(RecallResult::Declined) => {
+                    timers.recall = timers.recall.map(|timer| timer.repeat_if_due(now));
+                }
+            }
         };
         let Some(req) = self.begin_attempt(call, &hedge) else {
             return primary_exchange.await.into_attempt();
@@ -120,6 +140,46 @@
     }
 }
 
+/// When the state machine is next asked about a slow attempt.
+struct Timers {
+    hedge: Option<Timer>,
+    recall: Option<Timer>,
+}
+
+#[derive(Clone, Copy)]
+struct Timer {
+    at: Time,
+    delay: Duration,
+}
+
+impl Timers {
+    fn new(now: Time, forward: &Forward) -> Timers {
+        let timer = |delay_ms: u32| {
+            let delay = Duration::from_millis(delay_ms.into());
+            Timer { at: now + delay, delay }
+        };
+        let hedge_delay = forward.hedge_delay_ms;
+        // An attempt is recalled only if it could not be hedged.
+        let recall_delay = forward.estimate.recall_delay_ms.max(hedge_delay);
+        let recall_delay = recall_delay.filter(|_| forward.estimate.recall_delay_ms.is_some());
+        Timers { hedge: hedge_delay.map(timer), recall: recall_delay.map(timer) }
+    }
+
+    fn next(&self) -> Option<Time> {
+        self.hedge.iter().chain(&self.recall).map(|timer| timer.at).min()
+    }
+}
+
+impl Timer {
+    /// Doubles the delay of a timer that has fired.
+    fn repeat_if_due(self, now: Time) -> Timer {
+        match self.at <= now {
+            true => Timer { at: now + self.delay * 2, delay: self.delay * 2 },
+            false => self,
+        }
+    }
+}
+
 /// An attempt and its hedge, one of which has completed.
 struct HedgeRace<'a> {
     adapter: &'a EntryAdapter,
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -1,6 +1,7 @@
 //! Adapter of the gatekeeper, the only component that opens connections to the local target.
 
 mod probe;
+mod recall;
 mod slot;
 mod target;
 
@@ -215,6 +216,9 @@
         req: Request<Incoming>,
     ) -> Response<Body> {
         conn.begin_request(self.shared.track_call());
+        if recall::is_recall(&req) {
+            return self.answer_recall(&conn, &req);
+        }
         let read = CallHead::read(&req, &Dialect::new());
         let id = req.headers().get(headers::REQUEST_ID).cloned();
         let id = id.unwrap_or_else(|| HeaderValue::from_static("none"));
@@ -234,6 +238,8 @@
         let class = terms.as_ref().map_or(Class::Interactive, |terms| terms.class);
         let arrived = self.shared.clock.now();
         let host = headers::host(&req);
+        let recalls = self.shared.settings.scheduling.recall;
+        let attempt = recalls.then(|| recall::attempt_id(&req)).flatten();
         let (req, buffered_body) = match self.buffer_body(req, deadline).await {
             Ok(buffered) => buffered,
             Err(code) => return self.reject(&conn, &id, rejection(code), 0),
@@ -257,7 +263,11 @@
             deadline,
             known_limit: headers::known_limit(req.headers()),
         };
-        let decision = match self.decide(key, Input::Arrive(arrival)) {
+        let arrive = match attempt {
+            Some(attempt) => Input::ArriveAttempt { attempt, arrival },
+            None => Input::Arrive(arrival),
+        };
+        let decision = match self.decide(key, arrive) {
             Some(Decision::Queue(until, granted)) => {
                 self.trace(&id, Step::GateQueued);
                 self.wait_for_slot(key, until, granted).await
--- a/node/src/calls/headers.rs
+++ b/node/src/calls/headers.rs
@@ -8,7 +8,7 @@
 use hyper::{Request, Response, StatusCode};
 use std::time::Duration;
 use sycamore_core::call::{
-    Load, Outcome, RateLimit, RequestKey, StatedLimit, Statement, Terms, WorkPace,
+    Load, Outcome, RateLimit, RecallAnswer, RequestKey, StatedLimit, Statement, Terms, WorkPace,
 };
 use sycamore_core::config::{AtMostOnceMode, Class};
 use sycamore_core::{Code, Name, Time};
@@ -47,6 +47,14 @@
 pub const WORK_PACE: HeaderName = HeaderName::from_static("x-sycamore-work-pace");
 /// Terms of the request according to the entry node's route; between nodes only.
 pub const TERMS: HeaderName = HeaderName::from_static("x-sycamore-terms");
+/// `ask` in a recall, and the answer to it; between nodes only.
+pub const RECALL: HeaderName = HeaderName::from_static("x-sycamore-recall");
+pub const RECALL_ASK: &str = "ask";
+/// Whether a request that has not started had arrived when it was recalled, 0 or 1; in the answer to
+/// a recall.
+pub const RECALL_ARRIVED: HeaderName = HeaderName::from_static("x-sycamore-recall-arrived");
+/// Time since the attempt was sent, in ms; in a recall.
+pub const ATTEMPT_AGE: HeaderName = HeaderName::from_static("x-sycamore-attempt-age-ms");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -54,8 +62,19 @@
 
 /// Headers that may occur only once in a request. Prevents smuggling: two nodes could use different
 /// values of a repeated header.
-const SINGLE_VALUED: [HeaderName; 9] =
-    [CONTENT_LENGTH, HOST, DEADLINE, REQUEST_ID, ATTEMPT, DEPTH, KEY, CRASHES, TERMS];
+const SINGLE_VALUED: [HeaderName; 11] = [
+    CONTENT_LENGTH,
+    HOST,
+    DEADLINE,
+    REQUEST_ID,
+    ATTEMPT,
+    DEPTH,
+    KEY,
+    CRASHES,
+    TERMS,
+    RECALL,
+    ATTEMPT_AGE,
+];
 
 /// Headers between nodes, removed before a request is sent to a target with its own header names.
 pub const INTERNAL: [HeaderName; 6] = [DEADLINE, REQUEST_ID, ATTEMPT, DEPTH, CRASHES, TERMS];
@@ -211,6 +230,26 @@
     Load::parse(headers.get(LOAD)?.to_str().ok()?)
 }
 
+/// The answer to a recall.
+pub fn recall_answer(headers: &HeaderMap) -> Option<RecallAnswer> {
+    match headers.get(RECALL)?.as_bytes() {
+        b"not-started" => {
+            let arrived = headers.get(RECALL_ARRIVED).is_some_and(|value| value == "1");
+            Some(RecallAnswer::NotStarted { arrived })
+        }
+        b"running" => Some(RecallAnswer::Running),
+        b"ended" => Some(RecallAnswer::Ended),
+        _ => None,
+    }
+}
+
+pub fn write_recall_answer(headers: &mut HeaderMap, answer: RecallAnswer) {
+    headers.insert(RECALL, HeaderValue::from_static(answer.label()));
+    if let RecallAnswer::NotStarted { arrived } = answer {
+        headers.insert(RECALL_ARRIVED, HeaderValue::from(u16::from(arrived)));
+    }
+}
+
 /// The time spent waiting for a slot in a response between nodes; zero if absent.
 pub fn waited(headers: &HeaderMap) -> Duration {
     let ms = parse_number(headers, &WAITED).ok().flatten().unwrap_or(0);
--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -201,6 +201,23 @@
         newest.map(|newest| newest.connection)
     }
 
+    /// Closes the connections to `address` that have been idle since `asked_at` or earlier.
+    pub fn close_idle(&self, address: SocketAddr, asked_at: Time) {
+        let mut idle = self.idle.lock();
+        let Some(unused) = idle.get_mut(&address) else {
+            return;
+        };
+        let (older, kept): (Vec<IdleConnection>, Vec<IdleConnection>) =
+            unused.drain(..).partition(|entry| entry.since <= asked_at);
+        *unused = kept;
+        if unused.is_empty() {
+            idle.swap_remove(&address);
+        }
+        // Connections are closed after the lock is released.
+        drop(idle);
+        drop(older);
+    }
+
     /// Closes connections that exceeded their idle timeout.
     pub fn sweep(&self) {
         let now = self.clock.now();
--- a/node/src/calls/trace.rs
+++ b/node/src/calls/trace.rs
@@ -20,6 +20,8 @@
     Forwarded,
     /// An attempt failed; the entry node retries or ends the request.
     AttemptFailed,
+    /// The entry node asked the gatekeeper whether an attempt has started.
+    Recalled,
     /// The target's response is forwarded to the caller.
     Answered,
     /// The entry node ended the request without a response from a target.
@@ -74,6 +76,9 @@
     /// Time after which the caller should retry, in ms.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
+    /// Answer to a recall.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub recall: Option<&'static str>,
     /// Whether the target may have run the request.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub sent: Option<bool>,
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -40,6 +40,8 @@
     pub outcomes: IntCounterVec,
     /// Attempts forwarded to gatekeepers, by kind (first attempt or retry).
     pub attempts: IntCounterVec,
+    /// Questions to gatekeepers about attempts without a response, by answer.
+    pub recalls: IntCounterVec,
     /// Requests refused by the gatekeeper, by code.
     pub refusals: IntCounterVec,
     /// Requests running on the local target.
@@ -101,6 +103,7 @@
             events: event_counters(r),
             outcomes: r.counters("outcomes_total", "Outcomes of calls.", &["outcome", "code"]),
             attempts: r.counters("attempts_total", "Attempts forwarded.", &["kind"]),
+            recalls: r.counters("recalls_total", "Recalls of attempts.", &["answer"]),
             refusals: r.counters("refusals_total", "Requests not run.", &["code"]),
             in_flight: r.gauge("in_flight", "Requests that the target runs now."),
             queued: r.gauge("queued", "Requests that wait for the target."),
--- a/tools/src/timeline/request.rs
+++ b/tools/src/timeline/request.rs
@@ -36,6 +36,8 @@
     pub version: Option<u64>,
     /// Whether the target may have run the request.
     pub sent: Option<bool>,
+    /// Answer to a recall.
+    pub recall: Option<String>,
     /// Time left until the deadline, in ms.
     pub left_ms: Option<u64>,
     /// Delay after which the caller may retry, in ms.
@@ -97,6 +99,10 @@
             let ran = if line.sent == Some(true) { "may have run" } else { "has not run" };
             format!("attempt {} failed: {code}; it {ran}", line.attempt.unwrap_or(1))
         }
+        Step::Recalled => {
+            let answer = line.recall.as_deref().unwrap_or("no-answer");
+            format!("attempt {} recalled: {answer}{load}", line.attempt.unwrap_or(1))
+        }
         Step::Answered => format!("answered with status {}", line.status.unwrap_or_default()),
         Step::Ended => {
             let outcome = line.outcome.as_deref().unwrap_or("ended");
