--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -243,17 +243,38 @@
 
     /// A node whose gatekeeper listens on a different IP address than its caller socket.
     pub fn with_gate_ip(vm: &str, target: Option<SocketAddr>, limits: &str, gate_ip: &str) -> Node {
+        Node::with_settings(vm, target, &format!(r#""limits":{limits}"#), gate_ip, Clock::new())
+    }
+
+    /// A node with scheduling features, and with a clock of the test.
+    pub fn with_scheduling(
+        vm: &str,
+        target: Option<SocketAddr>,
+        scheduling: &str,
+        clock: Clock,
+    ) -> Node {
+        let settings = format!(r#""limits":{{}},"scheduling":{scheduling}"#);
+        Node::with_settings(vm, target, &settings, "127.0.0.1", clock)
+    }
+
+    fn with_settings(
+        vm: &str,
+        target: Option<SocketAddr>,
+        settings: &str,
+        gate_ip: &str,
+        clock: Clock,
+    ) -> Node {
         let target = target.map_or("null".into(), |address| format!("\"{address}\""));
         let text = format!(
             r#"{{"vm":"{vm}","region":"r","zone":"z","target_address":{target},
             "listen":{{"calls":"127.0.0.1:0","gate":"{gate_ip}:0","peers":"127.0.0.1:0",
-            "admin":"127.0.0.1:0"}},"platform_address":"127.0.0.1:1","limits":{limits}}}"#
+            "admin":"127.0.0.1:0"}},"platform_address":"127.0.0.1:1",{settings}}}"#
         );
         let settings = Settings::parse(text.as_bytes()).unwrap();
         let listeners = Listeners::bind(&settings.listen).unwrap();
         let entry = listeners.calls.get_ref().local_addr().unwrap();
         let gate = listeners.gate.get_ref().local_addr().unwrap();
-        let shared = Shared::new(settings, Clock::new());
+        let shared = Shared::new(settings, clock);
         let executor = Arc::new(Executor::new());
         let (stop, stopped) = async_channel::bounded::<()>(1);
         for _ in 0..2 {
