--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -209,7 +209,8 @@
             return TargetEstimate::default();
         };
         let expected = peer.cost(now, class, self.typical_latency_of(peer.service, class));
-        TargetEstimate { expected, load: peer.load, known_limit: peer.stated.limit }
+        let (load, known_limit) = (peer.load, peer.stated.limit);
+        TargetEstimate { expected, load, known_limit, recall_delay_ms: None }
     }
 
     pub fn request_started(&mut self, vm: &Name) {
@@ -300,6 +301,16 @@
         (expected <= max_expected || is_better).then_some(vm)
     }
 
+    /// Last reported wait for a slot of a class at a target; zero if it is not known.
+    pub fn reported_wait(&self, now: Time, vm: &Name, class: Class) -> Duration {
+        self.peers.get(vm).and_then(|peer| peer.reported_wait(now, class)).unwrap_or_default()
+    }
+
+    /// Whether a target is not known to have a request for each of its slots.
+    pub fn has_room(&self, now: Time, vm: &Name) -> bool {
+        self.peers.get(vm).is_some_and(|peer| peer.has_room(now))
+    }
+
     /// Records an error response, or that the deadline passed without a response.
     pub fn record_request_failure(&mut self, now: Time, vm: &Name) {
         if let Some(peer) =
--- a/core/src/call/entry/port.rs
+++ b/core/src/call/entry/port.rs
@@ -132,6 +132,9 @@
         /// Its rate limit. Sent with the request, as a gatekeeper that has just started may not know
         /// it.
         pub known_limit: Option<RateLimit>,
+        /// Delay in milliseconds after which the adapter sends [`super::RecallInput::Due`] unless a
+        /// response has started. Absent if the attempt must not be recalled.
+        pub recall_delay_ms: Option<u32>,
     }
 
     /// An attempt to be sent to a gatekeeper.
