--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -276,21 +276,17 @@
             "listen":{{"calls":"127.0.0.1:0","gate":"{gate_ip}:0","peers":"127.0.0.1:0",
             "admin":"127.0.0.1:0"}},"platform_address":"127.0.0.1:1",{settings}}}"#
         );
-        Node::start(&text)
+        Node::start(&text, clock)
     }
 
     /// A node whose gatekeeper parks up to this many requests.
     pub fn with_parking(vm: &str, target: SocketAddr, parked_requests: u32) -> Node {
-        Node::start(&format!(
-            r#"{{"vm":"{vm}","region":"r","zone":"z","target_address":"{target}",
-            "listen":{{"calls":"127.0.0.1:0","gate":"127.0.0.1:0","peers":"127.0.0.1:0",
-            "admin":"127.0.0.1:0"}},"platform_address":"127.0.0.1:1",
-            "scheduling":{{"parked_requests":{parked_requests}}}}}"#
-        ))
+        let scheduling = format!(r#"{{"parked_requests":{parked_requests}}}"#);
+        Node::with_scheduling(vm, Some(target), &scheduling, Clock::new())
     }
 
     /// Starts a node with these settings.
-    fn start(text: &str) -> Node {
+    fn start(text: &str, clock: Clock) -> Node {
         let settings = Settings::parse(text.as_bytes()).unwrap();
         let listeners = Listeners::bind(&settings.listen).unwrap();
         let entry = listeners.calls.get_ref().local_addr().unwrap();
