Count failures during an ejection as one

Change: failures recorded while a target is ejected are those of earlier attempts and no longer count.

--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -339,8 +339,11 @@
     }
 
     /// Records that the target failed or could not be reached. Ejects it after repeated failures.
+    ///
+    /// Failures during an ejection are those of attempts that were sent before it. They say nothing
+    /// about how long the target will be unreachable.
     pub fn record_failure(&mut self, now: Time, vm: &Name) {
-        let Some(peer) = self.peers.get_mut(vm) else {
+        let Some(peer) = self.peers.get_mut(vm).filter(|peer| peer.ejected_until <= now) else {
             return;
         };
         peer.failures = peer.failures.saturating_add(1);
