Hedge tests: no dependence on measured time

Cause: hedge_past_silent_target failed once on a busy machine (left "unknown", right "answered"). Its hundred warm-up calls were measured with the system's clock. By reading: hedges that lose use up their budget (4 in 100 first attempts, at most three), and a declined hedge is tried again after twice the delay. In that state a request to the silent target waits until its deadline. Both rules are by design (no hedges when a whole service is slow), so this is the test's dependence on time, not shown to be a fault of the product. Change: the clock of the nodes stands still unless the test advances it; response times are exactly 10 ms, and the clock stops once a hedge is sent.

--- a/node/tests/calls_hedge.rs
+++ b/node/tests/calls_hedge.rs
@@ -1,51 +1,126 @@
 //! Hedged requests over loopback sockets: a second attempt in parallel with a slow one.
+//!
+//! The clock stands still unless a test advances it. On a busy machine, response times measured with
+//! the system's clock vary so much that hedges use up their budget or are not worth sending, and a
+//! request then waits for a silent target until its deadline.
 
 #[path = "support/calls.rs"]
 mod support;
 
+use std::time::Duration;
 use support::*;
+use sycamore_core::Time;
+use sycamore_node::clock::Clock;
 
-/// Nodes for these targets; the first node has collected response times.
-fn nodes_with_response_times(targets: &[Target]) -> Vec<Node> {
-    let vms = ["a", "b", "c"];
-    let node = |(vm, target): (&&str, &Target)| Node::new(vm, Some(target.address));
-    let nodes: Vec<Node> = vms.iter().zip(targets).map(node).collect();
-    let listed: Vec<_> = vms.iter().copied().zip(nodes.iter().map(|node| node.gate)).collect();
-    let preset = preset(r#"{"retry_budget_percent":100}"#, &listed);
-    nodes.iter().for_each(|node| node.configure(1, &preset));
-    for _ in 0..100 {
-        assert_eq!(call(nodes[0].entry, &get("/idem")).outcome(), "answered");
+const START: Time = Time(1_700_000_000_000_000);
+const RESPONSE_TIME: Duration = Duration::from_millis(10);
+const STEP: Duration = Duration::from_millis(5);
+
+/// Few enough that the measured deviation keeps the hedge delay above the response time.
+const MEASURED_RESPONSES: usize = 30;
+
+/// The route's deadline is 5 s.
+const DEADLINE: Duration = Duration::from_secs(5);
+
+struct Fleet {
+    clock: Clock,
+    targets: Vec<Target>,
+    nodes: Vec<Node>,
+}
+
+impl Fleet {
+    /// Nodes for this many targets; the first node has collected response times.
+    fn new(count: usize) -> Fleet {
+        let clock = Clock::manual(START);
+        let targets: Vec<Target> = (0..count).map(|_| Target::new()).collect();
+        let vms = ["a", "b", "c"];
+        let node = |(vm, target): (&&str, &Target)| {
+            Node::with_scheduling(vm, Some(target.address), "{}", clock.clone())
+        };
+        let nodes: Vec<Node> = vms.iter().zip(&targets).map(node).collect();
+        let listed: Vec<_> = vms.iter().copied().zip(nodes.iter().map(|node| node.gate)).collect();
+        let preset = preset(r#"{"retry_budget_percent":100}"#, &listed);
+        nodes.iter().for_each(|node| node.configure(1, &preset));
+        let fleet = Fleet { clock, targets, nodes };
+        for number in 0..MEASURED_RESPONSES {
+            fleet.measure(number);
+        }
+        assert_eq!(fleet.hedges(), 0);
+        fleet
+    }
+
+    /// Sends a request that is answered after [`RESPONSE_TIME`].
+    fn measure(&self, number: usize) {
+        let path = format!("/idem/permit/{number}-");
+        std::thread::scope(|scope| {
+            let caller = scope.spawn(|| call(self.nodes[0].entry, &get(&path)));
+            let runs = |target: &&Target| target.run_count(&path) == 1;
+            eventually("a target runs the request", || self.targets.iter().any(|t| runs(&t)));
+            self.clock.advance(RESPONSE_TIME);
+            self.targets.iter().find(runs).unwrap().permit();
+            assert_eq!(caller.join().unwrap().outcome(), "answered");
+        });
+    }
+
+    fn hedges(&self) -> u64 {
+        self.nodes[0].shared.metrics.attempts.with_label_values(&["retry"]).get()
+    }
+
+    /// Advances the clock until the request of `caller` is hedged or has a response.
+    fn pass_hedge_delay(&self, is_finished: impl Fn() -> bool) {
+        let (before, started) = (self.hedges(), self.clock.now());
+        eventually("the request is hedged or answered", || {
+            let waits = !is_finished() && self.hedges() == before;
+            if waits && self.clock.now().since(started) < DEADLINE {
+                self.clock.advance(STEP);
+            }
+            !waits
+        });
     }
-    nodes
 }
 
 /// Guards against callers that wait for a target which accepted a request and never responds.
 #[test]
 fn hedge_past_silent_target() {
-    let targets = [Target::new(), Target::new(), Target::new()];
-    let nodes = nodes_with_response_times(&targets);
-    targets[1..].iter().for_each(Target::release);
-    for _ in 0..10 {
-        assert_eq!(call(nodes[0].entry, &get("/idem/hold")).outcome(), "answered");
+    let fleet = Fleet::new(3);
+    let [silent, others @ ..] = &fleet.targets[..] else { panic!("no targets") };
+    others.iter().for_each(Target::release);
+    let mut calls = 0;
+    // The silent target is one of three, and is avoided once it has been silent.
+    while calls < 10 || silent.run_count("/idem/hold") == 0 {
+        calls += 1;
+        assert!(calls <= 200, "the silent target was never chosen");
+        let response = std::thread::scope(|scope| {
+            let caller = scope.spawn(|| call(fleet.nodes[0].entry, &get("/idem/hold")));
+            fleet.pass_hedge_delay(|| caller.is_finished());
+            caller.join().unwrap()
+        });
+        assert_eq!(response.outcome(), "answered", "{:?}", response.code());
     }
-    let cancelled = targets[0].run_count("/idem/hold");
-    eventually("the slower attempts are cancelled", || targets[0].cancelled() == cancelled);
+    eventually("the slower attempts are cancelled", || {
+        silent.cancelled() == silent.run_count("/idem/hold")
+    });
+    assert!(fleet.hedges() > 0);
 }
 
 /// Guards against an error response that is replaced by a timeout because the other attempt passes
 /// the deadline.
 #[test]
 fn hedge_failure_beside_silence() {
-    let targets = [Target::new(), Target::new()];
-    let nodes = nodes_with_response_times(&targets);
+    let fleet = Fleet::new(2);
     let response = std::thread::scope(|scope| {
-        let caller = scope.spawn(|| call(nodes[0].entry, &get("/idem/hold/fail")));
+        let caller = scope.spawn(|| call(fleet.nodes[0].entry, &get("/idem/hold/fail")));
+        fleet.pass_hedge_delay(|| caller.is_finished());
         eventually("both targets run the request", || {
-            targets.iter().all(|target| target.run_count("/hold/fail") == 1)
+            fleet.targets.iter().all(|target| target.run_count("/hold/fail") == 1)
+        });
+        fleet.targets[0].release();
+        eventually("the caller has a response", || {
+            fleet.clock.advance(STEP * 10);
+            caller.is_finished()
         });
-        targets[0].release();
         caller.join().unwrap()
     });
     assert_eq!((response.status, response.text().as_str()), (500, "failed"));
-    targets[1].release();
+    fleet.targets[1].release();
 }
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -32,6 +32,8 @@
     max_running: AtomicUsize,
     cancelled: AtomicUsize,
     released: AtomicU64,
+    // Requests to `/permit` that may complete.
+    permits: AtomicUsize,
 }
 
 impl Target {
@@ -72,6 +74,11 @@
         self.state.cancelled.load(Ordering::SeqCst)
     }
 
+    /// Lets one request to `/permit` complete.
+    pub fn permit(&self) {
+        self.state.permits.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Lets requests to `/released` complete.
     pub fn release(&self) {
         self.state.released.store(1, Ordering::SeqCst);
@@ -114,6 +121,12 @@
                 std::thread::sleep(Duration::from_millis(2));
             }
         }
+        if path.contains("/permit") {
+            let take = |permits: usize| permits.checked_sub(1);
+            while self.permits.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_err() {
+                std::thread::sleep(Duration::from_millis(1));
+            }
+        }
         if path.contains("/health-cold") {
             let head = "HTTP/1.1 200 OK\r\nx-sycamore-cold-ms: 60000\r\n";
             stream.write_all(format!("{head}content-length: 0\r\n\r\n").as_bytes()).ok()?;
