Placement: compare zones by their waits, pooled for targets without a report

Takes effect with the mechanism zone-flows; without it targets are chosen as before.

Measured or reported run times of single targets were a reason to leave the zone, and a target without a load report of the last second counted as one without a queue.

Change: balance/zones.rs keeps the mean wait of each service and zone from load reports, which decays over 3 s. A target without a fresh report takes it. The run time of a target counts if it would miss the objective (time left, new in PickRequest), if it is over 1.5 times the typical one, or for nested calls, which hold the slot of their caller.

--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -10,6 +10,8 @@
 mod run_times;
 mod shared;
 mod stated;
+mod tiers;
+mod zones;
 
 pub use request::PickRequest;
 
@@ -30,6 +32,7 @@
 use stated::StatedTargets;
 use std::net::SocketAddr;
 use std::time::Duration;
+use zones::ZoneView;
 
 /// A target counts as cheaper if its cost is below this percentage of the other's. Targets of
 /// similar cost share the load, which also keeps their measurements current.
@@ -54,9 +57,6 @@
 /// draining costs only a rejection, after which the request goes elsewhere.
 const DRAINING_TTL: Duration = Duration::from_millis(2_500);
 
-/// Distance cost factor by class (gating, interactive, bulk). Bulk responses fill up links.
-const DISTANCE_FACTOR: [u32; 3] = [1, 1, 10];
-
 /// Random targets of which the cheapest is taken.
 const CANDIDATES: usize = 3;
 
@@ -81,6 +81,8 @@
     // Typical latency by class, without the network.
     latency: [LatencyStats; 3],
     request_interval: RequestInterval,
+    // Views by zone. A zone that is no longer listed keeps its index.
+    zones: IndexMap<Name, ZoneView>,
 }
 
 /// Load balancer of one entry node.
@@ -138,6 +140,7 @@
             let link = self.peers[index].link;
             self.services[entry.service.0 as usize].by_link[link as usize].push(index);
         }
+        self.assign_zones(snapshot);
         self.mark_shared(snapshot);
         self.update_members(members);
     }
@@ -157,34 +160,6 @@
         }
     }
 
-    /// Selects a target that is not known to be overloaded, from the nearest tier or from a farther
-    /// one if that saves more time than the distance costs.
-    pub fn pick_available(&mut self, request: PickRequest<'_>) -> Option<Name> {
-        if let Some((_, known)) = self.statistics.get_index_mut(request.service.0 as usize) {
-            known.request_interval.record(request.now);
-        }
-        let nearest = self.nearest_tier(request)?;
-        let keep_in_region =
-            request.class == Class::Bulk && self.policy.is_enabled(Mechanism::BulkStays);
-        let mut best: Option<(usize, Duration)> = None;
-        for link in Link::ALL
-            .into_iter()
-            .filter(|link| !keep_in_region || *link <= nearest.max(Link::Region))
-        {
-            let Some(index) = self.draw_available(request, link) else {
-                continue;
-            };
-            let cost =
-                self.waiting_cost(request, index) + self.distance_cost(request, nearest, link);
-            if best.is_none_or(|(_, least)| cost < least) {
-                best = Some((index, cost));
-            }
-        }
-        let (index, _) = best?;
-        let index = self.pick_unshared(request, index).unwrap_or(index);
-        self.name_of(index)
-    }
-
     /// Selects one of the nearest targets, regardless of its load.
     pub fn pick_nearest(&mut self, request: PickRequest<'_>) -> Option<Name> {
         let mut nearest =
@@ -316,6 +291,7 @@
             return;
         };
         peer.load = Some((load, now));
+        self.statistics[peer.service].zones[peer.zone].record(now, load);
         if self.policy.is_enabled(Mechanism::ReportedRunTimes) {
             let targets = self.services[peer.service].by_link[peer.link as usize].len();
             let known = self.statistics.get_index(peer.service);
@@ -390,32 +366,6 @@
         self.peers.get_index(index).map(|(vm, _)| vm.clone())
     }
 
-    /// Returns the nearest tier with a reachable target that is not draining, regardless of load.
-    ///
-    /// Leaving this tier has a cost even if all targets are overloaded. Otherwise zones would send
-    /// requests to each other in both directions.
-    fn nearest_tier(&self, request: PickRequest<'_>) -> Option<Link> {
-        let tiers = self.services.get(request.service.0 as usize)?;
-        let usable = |index: &usize| {
-            let peer = &self.peers[*index];
-            allows_region(request.regions, &peer.region)
-                && peer.is_usable(request.now, TargetFilter::NotDraining, false)
-                && peer.ejected_until <= request.now
-        };
-        let has_usable = |link: &Link| tiers.by_link[*link as usize].iter().any(usable);
-        Link::ALL.into_iter().find(has_usable).or(Some(Link::CrossRegion))
-    }
-
-    /// Cost of leaving the nearest tier.
-    fn distance_cost(&self, request: PickRequest<'_>, nearest: Link, link: Link) -> Duration {
-        if link <= nearest || !self.policy.is_enabled(Mechanism::Distance) {
-            return Duration::ZERO;
-        }
-        let percent = self.policy.distance_percent[link as usize - 1];
-        let factor = DISTANCE_FACTOR[request.class as usize];
-        self.typical_latency(request) * percent * factor / 100
-    }
-
     fn unloaded_cost(&self, request: PickRequest<'_>, index: usize) -> Duration {
         self.peers[index].unloaded_cost(request.now, request.class, self.typical_latency(request))
     }
--- a/core/src/call/balance/peer.rs
+++ b/core/src/call/balance/peer.rs
@@ -55,6 +55,8 @@
     pub stated: TargetStatements,
     /// Index of the service.
     pub service: usize,
+    /// Index of the zone among those of the service.
+    pub zone: usize,
     /// Region of the target.
     pub region: Name,
     /// Distance to the target.
@@ -113,6 +115,7 @@
             started_ms: None,
             stated: TargetStatements::default(),
             service: 0,
+            zone: 0,
             region: region.clone(),
             link,
             slots: None,
--- a/core/src/call/balance/request.rs
+++ b/core/src/call/balance/request.rs
@@ -4,6 +4,7 @@
 use crate::call::Terms;
 use crate::config::{Class, ServiceKey};
 use crate::{Name, Time};
+use std::time::Duration;
 
 /// Parameters of a target selection.
 #[derive(Clone, Copy, Debug)]
@@ -15,12 +16,15 @@
     pub(super) tried: &'a [Name],
     pub(super) regions: &'a [Name],
     pub(super) filter: TargetFilter,
+    // Time left until the objective.
+    pub(super) time_left: Duration,
 }
 
 impl<'a> PickRequest<'a> {
     pub fn new(now: Time, service: ServiceKey, terms: &Terms) -> PickRequest<'a> {
         let (class, rank, filter) = (terms.class, terms.rank, TargetFilter::Healthy);
-        PickRequest { now, service, class, rank, tried: &[], regions: &[], filter }
+        let time_left = terms.objective.since(now);
+        PickRequest { now, service, class, rank, tried: &[], regions: &[], filter, time_left }
     }
 
     /// Excludes targets outside `regions`, unless it is empty.
