--- a/core/src/call/balance/zones.rs
+++ b/core/src/call/balance/zones.rs
@@ -91,6 +91,6 @@
             let own = own.map_or(Duration::ZERO, |own| own.usual_wait);
             zones[peer.zone].wait(request.now, own)
         };
-        peer.reported_wait(request.now).unwrap_or_else(pooled)
+        peer.reported_wait(request.now, request.class).unwrap_or_else(pooled)
     }
 }
--- a/core/tests/call_flow.rs
+++ b/core/tests/call_flow.rs
@@ -28,7 +28,7 @@
 fn load(in_flight: u32, wait_ms: u32, run_ms: u32) -> Load {
     let queued = in_flight.saturating_sub(8);
     let (in_flight, run_ms) = (in_flight.min(8), [0, run_ms, 0]);
-    Load { in_flight, slots: 8, queued, wait_ms, run_ms, pace: Pace::USUAL }
+    Load { in_flight, slots: 8, queued, wait_ms, run_ms, pace: Pace::USUAL, bulk_wait_ms: None }
 }
 
 fn after(ms: u64) -> Time {
