Placement: a test of stale views; drop an unused field

Guards against a view that is used for ever after its newest report. The distance in the view of a zone was not read, and the two averages had the same divisor under two names. No change of behaviour.

--- a/core/src/call/balance/zones.rs
+++ b/core/src/call/balance/zones.rs
@@ -8,31 +8,27 @@
 use crate::Time;
 use crate::call::Load;
 use crate::config::Snapshot;
-use crate::place::{Link, Place};
+use crate::place::Place;
 use std::time::Duration;
 
 /// The newest report is weighted by the reciprocal of this in the moving averages of a zone.
 const VIEW_EWMA_DIVISOR: u32 = 8;
 
-/// The same for the usual wait of a zone.
-const USUAL_EWMA_DIVISOR: u32 = 8;
-
 /// How long a view is used after its newest report. Its weight decays over this time.
 const VIEW_TTL: Duration = Duration::from_secs(3);
 
 /// What load reports say about the targets of a service in one zone.
 #[derive(Clone, Debug)]
 pub(super) struct ZoneView {
-    pub(super) link: Link,
     wait: Duration,
-    // Mean wait over more reports, from zero.
+    // Mean wait that starts from zero and does not expire.
     usual_wait: Duration,
     reported_at: Option<Time>,
 }
 
 impl ZoneView {
-    fn new(link: Link) -> ZoneView {
-        ZoneView { link, wait: Duration::ZERO, usual_wait: Duration::ZERO, reported_at: None }
+    fn new() -> ZoneView {
+        ZoneView { wait: Duration::ZERO, usual_wait: Duration::ZERO, reported_at: None }
     }
 
     /// Records the report of one target of the zone.
@@ -42,8 +38,7 @@
             true => (self.wait * (VIEW_EWMA_DIVISOR - 1) + newest) / VIEW_EWMA_DIVISOR,
             false => newest,
         };
-        self.usual_wait =
-            (self.usual_wait * (USUAL_EWMA_DIVISOR - 1) + newest) / USUAL_EWMA_DIVISOR;
+        self.usual_wait = (self.usual_wait * (VIEW_EWMA_DIVISOR - 1) + newest) / VIEW_EWMA_DIVISOR;
         self.reported_at = Some(now);
     }
 
@@ -70,12 +65,9 @@
         for (index, entry) in snapshot.targets().iter().enumerate() {
             let Place { zone, .. } = entry.target.place();
             let peer = &mut self.peers[index];
-            let views = &mut self.statistics[peer.service].zones;
-            let view = || ZoneView::new(peer.link);
-            let known = views.entry(zone);
+            let known = self.statistics[peer.service].zones.entry(zone);
             peer.zone = known.index();
-            let view = known.or_insert_with(view);
-            view.link = peer.link;
+            known.or_insert_with(ZoneView::new);
         }
     }
 
--- a/core/tests/call_flow.rs
+++ b/core/tests/call_flow.rs
@@ -106,3 +106,19 @@
         assert!(expected.contains(&left), "{left} of 100 leave, {expected:?} expected");
     }
 }
+
+/// Guards against a view that is used for ever, which sends requests to a zone that was free once.
+#[test]
+fn pick_stale_view_expires() {
+    for (age_ms, expected) in [(1_100, 100), (3_100, 0)] {
+        let mut balancer = balancer(Policy::new());
+        respond(&mut balancer, &["a", "b", "c", "d", "f", "g"], 100);
+        for vm in ["c", "d", "f", "g"] {
+            balancer.record_load(START, &name(vm), load(2, 0, 0));
+        }
+        for vm in ["a", "b"].repeat(50) {
+            balancer.record_load(after(age_ms), &name(vm), load(12, 200, 0));
+        }
+        assert_eq!(leaving(&mut balancer, after(age_ms), 600), expected, "{age_ms} ms");
+    }
+}
