Compare failure rates of distant targets with that of the service

Change: between tiers a failure rate counts only beyond that of all attempts at the service; within a tier as before. Result: 0 to 9 of 100 leave when all reject, more than 90 when only the own zone does (core/tests/call_flow.rs, failed before).

--- a/core/src/call/balance.rs
+++ b/core/src/call/balance.rs
@@ -4,6 +4,7 @@
 //! Each zone serves its own callers. A request leaves the zone only if it saves more waiting time
 //! than the distance costs.
 
+mod failure_rate;
 mod latency;
 mod peer;
 mod request;
@@ -22,6 +23,7 @@
 use crate::member::VmState;
 use crate::place::{Link, Place};
 use crate::{Name, Time};
+use failure_rate::{FailureRate, SERVICE_EWMA_DIVISOR};
 use indexmap::IndexMap;
 use latency::LatencyStats;
 use peer::{Peer, TargetFilter, assumed_network_latency};
@@ -80,6 +82,8 @@
 struct ServiceStatistics {
     // Typical latency by class, without the network.
     latency: [LatencyStats; 3],
+    // Of all attempts of this node.
+    failure_rate: FailureRate,
     request_interval: RequestInterval,
     // Views by zone. A zone that is no longer listed keeps its index.
     zones: IndexMap<Name, ZoneView>,
@@ -208,13 +212,14 @@
         peer.failures = 0;
         peer.ejected_until = Time::ZERO;
         peer.record_outcome(now, false);
+        let Some((_, statistics)) = self.statistics.get_index_mut(peer.service) else {
+            return;
+        };
+        statistics.failure_rate.record(now, false, SERVICE_EWMA_DIVISOR);
         if !self.policy.is_enabled(Mechanism::AnswerTimes) {
             return;
         }
         let service_time = took.saturating_sub(assumed_network_latency(peer.link));
-        let Some((_, statistics)) = self.statistics.get_index_mut(peer.service) else {
-            return;
-        };
         let latency = &mut statistics.latency[class as usize];
         peer.record_response_time(now, class, took, latency.mean);
         latency.record(service_time);
@@ -288,10 +293,14 @@
 
     /// Records an error response, or that the deadline passed without a response.
     pub fn record_request_failure(&mut self, now: Time, vm: &Name) {
-        if let Some(peer) =
+        let Some(peer) =
             self.peers.get_mut(vm).filter(|_| self.policy.is_enabled(Mechanism::FailureShare))
-        {
-            peer.record_outcome(now, true);
+        else {
+            return;
+        };
+        peer.record_outcome(now, true);
+        if let Some((_, statistics)) = self.statistics.get_index_mut(peer.service) {
+            statistics.failure_rate.record(now, true, SERVICE_EWMA_DIVISOR);
         }
     }
 
@@ -354,11 +363,7 @@
 
     /// Records that the target itself rejected a request.
     pub fn record_rejection(&mut self, now: Time, vm: &Name) {
-        if let Some(peer) =
-            self.peers.get_mut(vm).filter(|_| self.policy.is_enabled(Mechanism::FailureShare))
-        {
-            peer.record_outcome(now, true);
-        }
+        self.record_request_failure(now, vm);
     }
 
     /// Records that the gatekeeper reported the target as draining.
--- a/core/src/call/balance/peer.rs
+++ b/core/src/call/balance/peer.rs
@@ -1,5 +1,6 @@
 //! State of a target as seen by an entry node, and the estimated cost of sending a request to it.
 
+use super::failure_rate::{FAILURE_SCALE, FailureRate};
 use super::run_times::ReportedRunTimes;
 use crate::call::{Load, TargetStatements};
 use crate::config::Class;
@@ -34,9 +35,6 @@
 /// The newest attempt is weighted by the reciprocal of this in the moving failure rate.
 const FAILURE_EWMA_DIVISOR: u32 = 8;
 
-/// Fixed-point scale of the failure rate.
-const FAILURE_SCALE: u32 = 1_024;
-
 /// Cost added for a target that fails every request, as a multiple of its expected response time.
 /// Keeps requests away from a target that often fails although its health check passes. One that
 /// fails half of its requests is used only when the others are far from free.
@@ -71,8 +69,7 @@
     pub response_time: [Option<(Duration, Time)>; 3],
     /// Mean run times reported by the gatekeeper.
     pub run_times: ReportedRunTimes,
-    /// Failure rate in units of `1 / FAILURE_SCALE`, and when it was last updated.
-    pub failure_rate: (u32, Time),
+    pub(super) failure_rate: FailureRate,
     /// Consecutive failures.
     pub failures: u32,
     /// End of the ejection.
@@ -123,7 +120,7 @@
             load: None,
             response_time: [None; 3],
             run_times: ReportedRunTimes::new(),
-            failure_rate: (0, Time::ZERO),
+            failure_rate: FailureRate::default(),
             failures: 0,
             ejected_until: Time::ZERO,
             overload: [None; 3],
@@ -169,13 +166,26 @@
         let waiting = outstanding.saturating_sub(slots);
         // Requests beyond the slots count three times.
         let time = response_time * (slots + outstanding + waiting * 2) / slots;
-        time + time * FAILURE_COST_FACTOR * self.decayed_failure_rate(now) / FAILURE_SCALE
+        time + time * FAILURE_COST_FACTOR * self.failure_rate.decayed(now) / FAILURE_SCALE
     }
 
     /// Expected response time, scaled by the failure rate but not by the load.
     pub fn unloaded_cost(&self, now: Time, class: Class, typical_latency: Duration) -> Duration {
+        self.cost_beyond(now, class, typical_latency, 0)
+    }
+
+    /// Like [`Peer::unloaded_cost`], scaled only by how far the failure rate exceeds that of the
+    /// service.
+    pub(super) fn cost_beyond(
+        &self,
+        now: Time,
+        class: Class,
+        typical_latency: Duration,
+        service_rate: u32,
+    ) -> Duration {
         let time = self.expected_response_time(now, class, typical_latency);
-        time + time * FAILURE_COST_FACTOR * self.decayed_failure_rate(now) / FAILURE_SCALE
+        let excess = self.failure_rate.decayed(now).saturating_sub(service_rate);
+        time + time * FAILURE_COST_FACTOR * excess / FAILURE_SCALE
     }
 
     /// Expected queueing time of a request of a class from the last load report. Returns `None` if
@@ -258,17 +268,7 @@
     }
 
     pub fn record_outcome(&mut self, now: Time, failed: bool) {
-        let newest = if failed { FAILURE_SCALE } else { 0 };
-        let share = self.decayed_failure_rate(now) * (FAILURE_EWMA_DIVISOR - 1) + newest;
-        self.failure_rate = (share / FAILURE_EWMA_DIVISOR, now);
-    }
-
-    /// Failure rate, which decays while no attempt is made.
-    fn decayed_failure_rate(&self, now: Time) -> u32 {
-        let (share, at) = self.failure_rate;
-        let age = now.since(at).min(MEASUREMENT_TTL);
-        let left = (MEASUREMENT_TTL - age).as_millis() as u32;
-        share * left / MEASUREMENT_TTL.as_millis() as u32
+        self.failure_rate.record(now, failed, FAILURE_EWMA_DIVISOR);
     }
 }
 
--- a/core/src/call/balance/tiers.rs
+++ b/core/src/call/balance/tiers.rs
@@ -77,14 +77,17 @@
     /// Run times of single targets differ for long, and few runs give a noisy mean. Neither is a
     /// reason to leave the zone unless the run alone would miss the objective or takes unusually
     /// long. Nested calls are compared with their run times: a late one delays a run that holds a
-    /// slot.
+    /// slot. Failures count only beyond those of the whole service.
     fn tier_cost(&self, request: PickRequest<'_>, index: usize) -> Duration {
         if !self.policy.is_enabled(Mechanism::ZoneFlows) {
             return self.waiting_cost(request, index);
         }
         let peer = &self.peers[index];
         let typical = self.typical_latency(request) + assumed_network_latency(peer.link);
-        let expected = self.unloaded_cost(request, index);
+        let known = self.statistics.get_index(peer.service);
+        let service_rate = known.map_or(0, |(_, known)| known.failure_rate.decayed(request.now));
+        let latency = self.typical_latency(request);
+        let expected = peer.cost_beyond(request.now, request.class, latency, service_rate);
         let misses = typical <= request.time_left && request.time_left < expected;
         let is_nested = request.class == Class::Gating;
         let is_slow = expected > typical * USUAL_RUN_PERCENT / 100;
--- a/core/tests/call_flow.rs
+++ b/core/tests/call_flow.rs
@@ -122,3 +122,24 @@
         assert_eq!(leaving(&mut balancer, after(age_ms), 600), expected, "{age_ms} ms");
     }
 }
+
+/// Guards against requests that leave their region while all targets of the service reject half of
+/// what they get, for targets that have not been tried lately.
+#[test]
+fn pick_while_all_targets_reject() {
+    for (failing, expected) in [(&["a", "b", "c", "d"][..], 0..10), (&["a", "b"][..], 90..101)] {
+        let mut balancer = balancer(Policy::new());
+        respond(&mut balancer, &["a", "b", "c", "d", "f", "g"], 100);
+        for _ in 0..40 {
+            respond(&mut balancer, &["a", "b", "c", "d"], 100);
+            for vm in failing {
+                balancer.record_rejection(START, &name(vm));
+            }
+            if failing.len() == 2 {
+                respond(&mut balancer, &["c", "d"].repeat(8), 100);
+            }
+        }
+        let left = leaving(&mut balancer, START, 600);
+        assert!(expected.contains(&left), "{left} of 100 leave, {failing:?} reject");
+    }
+}
