Nested calls may leave an overloaded zone

Cause: a nested call that is rejected fails the run that waits for it; at a service with one target a zone it would wait where it is rejected. Change: only callers' small requests wait in an overloaded zone.

--- a/core/src/call/balance/tiers.rs
+++ b/core/src/call/balance/tiers.rs
@@ -57,8 +57,9 @@
     /// leave it for a target of this cost.
     ///
     /// A distant target is often not known to be overloaded only because this node has not tried
-    /// it lately. Some requests leave nevertheless, which shows whether it has room. Bulk requests
-    /// leave, as a zone may have a single target for them.
+    /// it lately. Some requests leave nevertheless, which shows whether it has room. Nested calls
+    /// leave, as a rejected one fails the run that waits for it, and so do bulk requests, as a zone
+    /// may have a single target for them.
     fn waits_in_nearest_tier(
         &mut self,
         request: PickRequest<'_>,
@@ -67,7 +68,7 @@
         cost: Duration,
     ) -> bool {
         let weighs = self.policy.is_enabled(Mechanism::ZoneFlows)
-            && request.class != Class::Bulk
+            && request.class == Class::Interactive
             && self.peers[distant].link > nearest;
         if !weighs || self.rng.random_range(0..EXPLORATION_DIVISOR) == 0 {
             return false;
