--- a/core/src/call/balance/peer.rs
+++ b/core/src/call/balance/peer.rs
@@ -152,14 +152,6 @@
             .is_some_and(|overload| overload.until > now && overload.rank <= rank)
     }
 
-    /// Time until requests that were rejected because of load may be sent again.
-    pub(super) fn overload_left(&self, now: Time, class: Class, rank: u8) -> Duration {
-        match self.overload[class as usize] {
-            Some(overload) if overload.rank <= rank => overload.until.since(now),
-            _ => Duration::ZERO,
-        }
-    }
-
     pub fn set_overloaded(&mut self, now: Time, class: Class, rank: u8, wait: Duration) {
         let known = &mut self.overload[class as usize];
         let active = known.filter(|overload| overload.until > now);
--- a/core/src/call/balance/tiers.rs
+++ b/core/src/call/balance/tiers.rs
@@ -9,7 +9,6 @@
 use crate::call::policy::Mechanism;
 use crate::config::{Class, allows_region};
 use crate::place::Link;
-use rand::RngExt;
 use std::time::Duration;
 
 /// Distance cost factor by class (gating, interactive, bulk). Bulk responses fill up links.
@@ -19,9 +18,6 @@
 /// targets. With 200, targets that drop responses keep requests of their zone.
 const USUAL_RUN_PERCENT: u32 = 150;
 
-/// One in this many requests leaves an overloaded tier although no other is known to be better.
-const EXPLORATION_DIVISOR: u32 = 8;
-
 impl Balancer {
     /// Selects a target that is not known to be overloaded, from the nearest tier or from a farther
     /// one if that saves more time than the distance costs.
@@ -45,42 +41,11 @@
                 best = Some((index, cost));
             }
         }
-        let (index, cost) = best?;
-        if self.waits_in_nearest_tier(request, nearest, index, cost) {
-            return None;
-        }
+        let (index, _) = best?;
         let index = self.pick_unshared(request, index).unwrap_or(index);
         self.name_of(index)
     }
 
-    /// Whether a request waits in the nearest tier, all of whose targets are overloaded, rather than
-    /// leave it for a target of this cost.
-    ///
-    /// A distant target is often not known to be overloaded only because this node has not tried
-    /// it lately. Some requests leave nevertheless, which shows whether it has room. Nested calls
-    /// leave, as a rejected one fails the run that waits for it, and so do bulk requests, as a zone
-    /// may have a single target for them.
-    fn waits_in_nearest_tier(
-        &mut self,
-        request: PickRequest<'_>,
-        nearest: Link,
-        distant: usize,
-        cost: Duration,
-    ) -> bool {
-        let weighs = self.policy.is_enabled(Mechanism::ZoneFlows)
-            && request.class == Class::Interactive
-            && self.peers[distant].link > nearest;
-        if !weighs || self.rng.random_range(0..EXPLORATION_DIVISOR) == 0 {
-            return false;
-        }
-        let Some(near) = self.draw_any(request, nearest) else {
-            return false;
-        };
-        let overload = self.peers[near].overload_left(request.now, request.class, request.rank);
-        let further_wait = overload.saturating_sub(self.expected_wait(request, near));
-        !overload.is_zero() && self.tier_cost(request, near) + further_wait <= cost
-    }
-
     /// Returns the nearest tier with a reachable target that is not draining, regardless of load.
     ///
     /// Leaving this tier has a cost even if all targets are overloaded. Otherwise zones would send
