--- a/core/src/call/admit/lack.rs
+++ b/core/src/call/admit/lack.rs
@@ -24,6 +24,7 @@
         self.refused_at = now;
         now.since(self.since).max(least)
     }
+
     /// How long the lack has lasted.
     pub(super) fn duration(&self, now: Time) -> Duration {
         match now.since(self.refused_at) > END {
