Keep lines on state changes under load; tell why a reader was lost and how old the state is

Cause: lines on versions, readers and the store shared 400 lines a second and one queue with the lines about requests.

Result: log_keeps_state_changes_under_load fails without the change (no line kind=draining) and passes with it. No decision changes.

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -160,7 +160,7 @@
     fn advance(&mut self, now: Time, out: &mut Vec<Output>) {
         self.confirmed_at = self.confirmed_at.max(self.relay.store_responded_at());
         if self.relay.reader_timed_out(now) {
-            self.abandon_reader(now, out);
+            self.abandon_reader(now, Some(Code::PeerUnreachable), out);
         }
         if let Some(overdue) = self.watcher.check_overdue(now) {
             self.handle_overdue(now, overdue, out);
--- a/core/src/discovery/peers.rs
+++ b/core/src/discovery/peers.rs
@@ -6,7 +6,7 @@
 use crate::event::{Event, EventKind};
 use crate::spread::message::{Delta, Pull, Summary};
 use crate::spread::{Peer, PeerMsg};
-use crate::{Name, Time};
+use crate::{Code, Name, Time};
 use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -47,7 +47,7 @@
                 }
             }
             PeerMsg::Missing(_) if self.relay.is_upstream(from.address) => {
-                self.abandon_reader(now, out);
+                self.abandon_reader(now, None, out);
             }
             // The other messages distribute versions and members between peers; here both come from
             // the store.
@@ -171,8 +171,9 @@
                 out.extend(self.relay.resync(now, relay::delta_request(&view)).map(send_output));
             }
             Err(fault) => {
+                let code = fault.code;
                 out.push(Output::Rejected(fault));
-                self.abandon_reader(now, out);
+                self.abandon_reader(now, Some(code), out);
             }
         }
     }
@@ -190,12 +191,17 @@
         }
     }
 
-    /// Stops following the reader, if there is one, and schedules a list of the store.
-    pub(super) fn abandon_reader(&mut self, now: Time, out: &mut Vec<Output>) {
+    /// Stops following the reader, if there is one, and schedules a list of the store. `code` tells
+    /// why, unless the reader itself no longer serves this node.
+    pub(super) fn abandon_reader(&mut self, now: Time, code: Option<Code>, out: &mut Vec<Output>) {
         if self.relay.drop_reader() {
             self.watcher.resume(now, &mut self.rng);
             self.resync_due = self.relay.switch_to_standby(now);
-            out.push(Output::Event(Event::new(now, EventKind::ParentLost)));
+            let event = Event::new(now, EventKind::ParentLost);
+            out.push(Output::Event(match code {
+                Some(code) => event.with_code(code),
+                None => event,
+            }));
         }
     }
 
--- a/core/src/discovery/port.rs
+++ b/core/src/discovery/port.rs
@@ -146,6 +146,18 @@
     }
 }
 
+impl Request {
+    /// Name of the kind of call, for metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Request::List { .. } => "list",
+            Request::Entries { .. } => "entries",
+            Request::Document => "document",
+            Request::Watch { .. } => "watch",
+        }
+    }
+}
+
 impl Publication {
     /// Creates a version and marks its routes that serve nested calls as gating.
     pub fn new(version: u64, mut preset: Preset) -> Publication {
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -98,7 +98,14 @@
     leaving_rx: Receiver<()>,
 }
 
-type StoreResult = (u64, Result<Reply, ReadError>);
+/// Result of a store call.
+struct StoreResult {
+    id: u64,
+    result: Result<Reply, ReadError>,
+    /// Kind of call, for metrics.
+    label: &'static str,
+    ended_at: Time,
+}
 
 struct Driver {
     discovery: Discovery,
@@ -120,7 +127,7 @@
         self.handle(Input::Start);
         loop {
             let input = future::or(
-                future::or(self.next_wake(), next_reply(&reply_rx)),
+                future::or(self.next_wake(), self.next_reply(&reply_rx)),
                 future::or(
                     future::or(next_message(&message_rx), self.next_note()),
                     future::or(self.next_lost_peer(), self.next_signal(&signals)),
@@ -139,6 +146,16 @@
         Input::Wake
     }
 
+    async fn next_reply(&self, reply_rx: &Receiver<StoreResult>) -> Input {
+        let Ok(StoreResult { id, result, label, ended_at }) = reply_rx.recv().await else {
+            return future::pending().await;
+        };
+        let delay = self.cx.shared.clock.now().since(ended_at);
+        let histogram = &self.cx.shared.metrics.platform_apply_seconds;
+        histogram.with_label_values(&[label]).observe(delay.as_secs_f64());
+        Input::Reply { id, result }
+    }
+
     async fn next_note(&self) -> Input {
         match self.cx.shared.notes.next().await {
             Some(note) => Input::Note(note),
@@ -212,24 +229,19 @@
 
     fn read(&self, call: Call) {
         self.cx.shared.metrics.platform_calls.inc();
-        let id = call.id;
+        let (id, label) = (call.id, call.request.label());
         let read = self.store.read(&self.cx.shared, call);
-        let replies = self.replies.clone();
+        let (replies, clock) = (self.replies.clone(), self.cx.shared.clock.clone());
         let task = async move {
+            let result = read.await;
+            let ended_at = clock.now();
             // Fails only during shutdown.
-            let _ = replies.send((id, read.await)).await;
+            let _ = replies.send(StoreResult { id, result, label, ended_at }).await;
         };
         self.cx.executor.spawn(task).detach();
     }
 }
 
-async fn next_reply(reply_rx: &Receiver<StoreResult>) -> Input {
-    match reply_rx.recv().await {
-        Ok((id, result)) => Input::Reply { id, result },
-        Err(_) => future::pending().await,
-    }
-}
-
 /// Returns the next message from a peer. Failures to reach a peer are ignored, since queries are
 /// retried anyway.
 async fn next_message(message_rx: &Receiver<spread::Input>) -> Input {
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -80,6 +80,13 @@
     /// Time of the platform's last response to the node that this one's state comes from, in seconds
     /// since the Unix epoch; 0 before the first.
     pub platform_responded_seconds: Gauge,
+    /// Age of the state held: time since the platform's last response that it rests on, in seconds;
+    /// -1 if that is unknown.
+    pub state_age_seconds: Gauge,
+    /// Time from the head of a response of the platform to its decoded content, by kind of call.
+    pub platform_transfer_seconds: HistogramVec,
+    /// Time from the end of a call to the platform until its result was applied, by kind of call.
+    pub platform_apply_seconds: HistogramVec,
     /// Targets retained although their entries are missing in the platform's store.
     pub targets_retained: IntGauge,
     /// Connections refused at the connection limit.
@@ -165,6 +172,20 @@
                 "platform_responded_seconds",
                 "When the platform last responded for the state held, Unix time; 0 for never.",
             ),
+            state_age_seconds: r.float_gauge(
+                "state_age_seconds",
+                "Time since the platform's response that the state held rests on; -1 if unknown.",
+            ),
+            platform_transfer_seconds: r.histograms(
+                "platform_transfer_seconds",
+                "Time from the head of an answer of the platform to its content.",
+                &["call"],
+            ),
+            platform_apply_seconds: r.histograms(
+                "platform_apply_seconds",
+                "Time from the end of a call to the platform until it took effect.",
+                &["call"],
+            ),
             targets_retained: r
                 .gauge("targets_retained", "Targets kept although their entries are missing."),
             connections_refused: r.counter(
@@ -223,6 +244,9 @@
         self.ready.set(status.ready.into());
         self.draining.set(status.draining.into());
         self.calls_open.set(status.calls_open as i64);
+        let responded = self.platform_responded_seconds.get();
+        let age = status.now.as_millis() as f64 / 1_000.0 - responded;
+        self.state_age_seconds.set(if responded > 0.0 { age.max(0.0) } else { -1.0 });
     }
 
     /// Encodes all metrics in the Prometheus text format.
--- a/node/src/output/lines.rs
+++ b/node/src/output/lines.rs
@@ -1,5 +1,6 @@
 //! Non-blocking, rate-limited writer of log lines to standard output.
 
+use crate::calls::trace::REQUEST_LOG_TARGET;
 use flexi_logger::writers::LogWriter;
 use flexi_logger::{DeferredNow, FormatFunction};
 use log::Record;
@@ -12,8 +13,13 @@
 /// Maximum number of queued lines; excess lines are dropped and counted.
 const MAX_QUEUED_LINES: usize = 1_024;
 
-/// Maximum number of lines per second; excess lines below warning level are dropped and counted. A
-/// node is built for about a hundred calls per second, with three lines each.
+/// Maximum number of queued lines at which another line about a request is queued. The rest of the
+/// queue is reserved for state changes.
+const MAX_QUEUED_BEFORE_REQUEST: u64 = 768;
+
+/// Maximum number of lines per second about requests, and about state changes; excess lines below
+/// warning level are dropped and counted. A node is built for about a hundred calls per second,
+/// with three lines each.
 const MAX_LINES_PER_SECOND: u64 = 400;
 
 /// Delay for collecting lines into a single write, and the maximum size of a batch.
@@ -32,7 +38,8 @@
     format: FormatFunction,
     queue: SyncSender<Vec<u8>>,
     counts: Arc<Counts>,
-    window: Mutex<RateWindow>,
+    requests: Mutex<RateWindow>,
+    state_changes: Mutex<RateWindow>,
 }
 
 #[derive(Debug, Default)]
@@ -55,27 +62,48 @@
         let counts = Arc::new(Counts::default());
         let written = counts.clone();
         std::thread::spawn(move || run_writer(&lines, &written));
-        let window = Mutex::new(RateWindow { start: Instant::now(), lines: 0 });
-        NonBlockingWriter { format, queue, counts, window }
+        let (requests, state_changes) = (RateWindow::new(), RateWindow::new());
+        NonBlockingWriter { format, queue, counts, requests, state_changes }
     }
 
-    fn within_rate_limit(&self) -> bool {
-        let Ok(mut window) = self.window.lock() else {
-            return false;
-        };
-        if window.start.elapsed() >= Duration::from_secs(1) {
-            *window = RateWindow { start: Instant::now(), lines: 0 };
+    /// Whether a line with this target may be queued. Lines about requests neither use up the rate
+    /// nor the whole queue of those about state changes.
+    fn may_queue(&self, target: &str, level: log::Level) -> bool {
+        let is_request = target == REQUEST_LOG_TARGET;
+        let window = if is_request { &self.requests } else { &self.state_changes };
+        // Warnings and errors count against the rate, but are not subject to it.
+        let in_rate = window.lock().is_ok_and(|mut window| window.count_line());
+        let has_room = !is_request || self.counts.pending() < MAX_QUEUED_BEFORE_REQUEST;
+        has_room && (in_rate || level <= log::Level::Warn)
+    }
+}
+
+impl Counts {
+    /// Number of lines queued and not yet written.
+    fn pending(&self) -> u64 {
+        let written = self.written.load(Ordering::Relaxed);
+        self.queued.load(Ordering::Relaxed).saturating_sub(written)
+    }
+}
+
+impl RateWindow {
+    fn new() -> Mutex<RateWindow> {
+        Mutex::new(RateWindow { start: Instant::now(), lines: 0 })
+    }
+
+    /// Counts a line. Returns whether it is within the rate.
+    fn count_line(&mut self) -> bool {
+        if self.start.elapsed() >= Duration::from_secs(1) {
+            *self = RateWindow { start: Instant::now(), lines: 0 };
         }
-        window.lines += 1;
-        window.lines <= MAX_LINES_PER_SECOND
+        self.lines += 1;
+        self.lines <= MAX_LINES_PER_SECOND
     }
 }
 
 impl LogWriter for NonBlockingWriter {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
-        // Warnings and errors are exempt from the rate limit.
-        let is_severe = record.level() <= log::Level::Warn;
-        if !self.within_rate_limit() && !is_severe {
+        if !self.may_queue(record.target(), record.level()) {
             self.counts.dropped.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
@@ -91,11 +119,7 @@
 
     fn flush(&self) -> io::Result<()> {
         let deadline = Instant::now() + FLUSH_TIMEOUT;
-        let has_pending_lines = || {
-            let queued = self.counts.queued.load(Ordering::Relaxed);
-            queued > self.counts.written.load(Ordering::Relaxed)
-        };
-        while has_pending_lines() && Instant::now() < deadline {
+        while self.counts.pending() > 0 && Instant::now() < deadline {
             std::thread::sleep(Duration::from_millis(2));
         }
         Ok(())
--- a/node/tests/shell/configured.rs
+++ b/node/tests/shell/configured.rs
@@ -186,3 +186,21 @@
     let response = stop(node, caller);
     assert!(response.starts_with("HTTP/1.1 502 "), "{response:?}");
 }
+
+/// Guards against changes of state that are missing from the log of a node under load.
+#[test]
+fn log_keeps_state_changes_under_load() {
+    let target = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut node, settings) = ready_node(target.local_addr().unwrap(), 1_000);
+    // Requests that run out of time are logged in several lines each.
+    let req = "GET /season HTTP/1.1\r\nhost: ledgers\r\nx-sycamore-deadline-ms: 1\r\n\r\n";
+    let _callers: Vec<_> = (0..40).map(|_| send(&settings, &req.repeat(100))).collect();
+    let drops_lines = |node: &NodeProcess| node.log().contains("lines-dropped");
+    node.wait_until("lines are dropped", drops_lines);
+    node.signal(Signal::TERM);
+    node.wait();
+    let log = node.log();
+    for kind in ["draining", "drained", "stopped"] {
+        assert!(log.contains(&format!("kind={kind}")), "{kind}");
+    }
+}
