--- a/core/tests/support/store_fleet.rs
+++ b/core/tests/support/store_fleet.rs
@@ -4,7 +4,8 @@
 // Not every test file uses every helper.
 #![allow(dead_code)]
 
-use std::collections::VecDeque;
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
     Call, Change, Config, Discovery, Input, Output, Publication, ReadError, Reply, Request,
     TargetEntry, TargetState,
 };
+use sycamore_core::event::{Event, EventKind};
 use sycamore_core::place::{Link, Place};
 use sycamore_core::spread::message::Summary;
 use sycamore_core::spread::{Peer, PeerMsg};
@@ -118,6 +120,9 @@
     pub stale_by: usize,
     /// Spans in which the store is silent: calls received then, and responses due then, are lost.
     pub silences: Vec<(Time, Time)>,
+    /// Time that the store takes to begin a response.
+    pub response_time: Duration,
+    document_bytes: RefCell<HashMap<u64, u64>>,
 }
 
 impl Store {
@@ -125,6 +130,19 @@
         self.silences.iter().any(|(begin, end)| (*begin..*end).contains(&now))
     }
 
+    /// Size of a response: values are JSON, encoded in Base64.
+    fn response_bytes(&self, reply: &Reply) -> u64 {
+        const ENTRY_BYTES: u64 = 300;
+        let size = |change: &Change| match change {
+            Change::Published(Ok(published)) => {
+                let bytes = || serde_json::to_vec(&published.preset).unwrap().len() as u64 * 4 / 3;
+                *self.document_bytes.borrow_mut().entry(published.version).or_insert_with(bytes)
+            }
+            _ => ENTRY_BYTES,
+        };
+        reply.changes.iter().map(size).sum()
+    }
+
     fn changes_since(&self, revision: u64) -> Reply {
         let changes = self.changes[revision as usize..].to_vec();
         Reply { revision: self.changes.len() as u64, changes, next: None }
@@ -196,22 +214,17 @@
 pub struct PendingCall {
     call: Call,
     since: Time,
-    /// The response that the store has begun to send, and when it is complete.
-    response: Option<(Time, Reply)>,
+    /// The response that the store has begun to send.
+    response: Option<Response>,
     /// The call or its response was lost.
     lost: bool,
 }
 
-/// Size of a response of the store: values are JSON, encoded in Base64.
-fn response_bytes(reply: &Reply) -> u64 {
-    const ENTRY_BYTES: u64 = 300;
-    let size = |change: &Change| match change {
-        Change::Published(Ok(published)) => {
-            serde_json::to_vec(&published.preset).unwrap().len() as u64 * 4 / 3
-        }
-        _ => ENTRY_BYTES,
-    };
-    reply.changes.iter().map(size).sum()
+struct Response {
+    reply: Reply,
+    bytes: u64,
+    /// Bytes that have not been received.
+    left: f64,
 }
 
 pub struct Node {
@@ -225,6 +238,8 @@
     pub last_call_at: Time,
     pub wake: Option<Time>,
     pub snapshot: Option<Arc<Snapshot>>,
+    /// Events recorded since the start.
+    pub events: Vec<Event>,
     // Number of restarts. Messages to an earlier process are dropped.
     incarnation: u32,
 }
@@ -249,8 +264,12 @@
     pub offers_sent: usize,
     pub cross_region_messages: usize,
     /// Whether responses of the store take the time that their size needs over the node's link,
-    /// each as if alone.
+    /// which they share.
     pub transfer_times: bool,
+    /// Share of each link that is left beside other traffic.
+    pub link_share: f64,
+    /// Responses larger than this many bytes are given up, as by a client with a limit.
+    pub max_response_bytes: u64,
     config: fn(usize) -> Config,
     step: Duration,
     seed: u64,
@@ -269,6 +288,8 @@
             offers_sent: 0,
             cross_region_messages: 0,
             transfer_times: false,
+            link_share: 1.0,
+            max_response_bytes: 4 * 1_048_576,
             config,
             step,
             seed,
@@ -288,6 +309,7 @@
             last_call_at: START,
             wake: None,
             snapshot: None,
+            events: Vec::new(),
             incarnation,
         }
     }
@@ -329,16 +351,36 @@
                 let offers = matches!(&msg, PeerMsg::Notice(summary) if offer(summary));
                 self.offers_sent += usize::from(offers);
                 self.cross_region_messages += usize::from(link == Link::CrossRegion);
-                let (to, due) = (node_at(to), self.now + MESSAGE_LATENCY);
+                let to = node_at(to);
+                let due = self.now + MESSAGE_LATENCY + self.message_time(node, to, &msg);
                 let incarnation = self.nodes[to].incarnation;
-                self.messages.push_back(Message { due, from: node, to, incarnation, msg });
+                let message = Message { due, from: node, to, incarnation, msg };
+                let at = self.messages.partition_point(|other| other.due <= due);
+                self.messages.insert(at, message);
             }
             Output::InForce(snapshot) => self.nodes[node].snapshot = Some(snapshot),
             Output::WakeAt(at) => self.nodes[node].wake = Some(at),
+            Output::Event(event) => self.nodes[node].events.push(event),
             _ => {}
         }
     }
 
+    /// Time that a message needs over the narrower of the two links. Messages between two nodes
+    /// keep their order.
+    fn message_time(&self, from: usize, to: usize, msg: &PeerMsg) -> Duration {
+        const COMPRESSION_RATIO: f64 = 8.0;
+        let PeerMsg::Delta(delta) = msg else { return Duration::ZERO };
+        if !self.transfer_times {
+            return Duration::ZERO;
+        }
+        let size: usize = delta.changed.iter().map(|(_, body)| body.len()).sum();
+        let rate = self.received_bytes(from).min(self.received_bytes(to)) / self.step.as_secs_f64();
+        let time = Duration::from_secs_f64(size as f64 / COMPRESSION_RATIO / rate);
+        let earlier = self.messages.iter().filter(|other| (other.from, other.to) == (from, to));
+        let last = earlier.map(|other| other.due).max().unwrap_or(self.now);
+        time.max(last.since(self.now).saturating_sub(MESSAGE_LATENCY))
+    }
+
     /// Advances the clock by `span`.
     pub fn advance(&mut self, span: Duration) {
         let until = self.now + span;
@@ -371,6 +413,13 @@
     fn answer(&mut self, node: usize) {
         let mut calls = std::mem::take(&mut self.nodes[node].calls);
         let mut ended = Vec::new();
+        let receiving = calls.iter().filter(|pending| pending.response.is_some()).count();
+        let received = self.received_bytes(node) / receiving.max(1) as f64;
+        for pending in &mut calls {
+            if let Some(response) = &mut pending.response {
+                response.left -= received;
+            }
+        }
         calls.retain_mut(|pending| match self.result(node, pending) {
             Some(result) => {
                 ended.push(Input::Reply { id: pending.call.id, result });
@@ -403,13 +452,20 @@
                     (wait_elapsed || !reply.changes.is_empty()).then_some(reply)
                 }
             };
-            let begins = self.now >= since + MESSAGE_LATENCY && !self.nodes[node].store_unreachable;
-            let reply = reply.filter(|_| begins);
-            pending.response =
-                reply.map(|reply| (self.now + self.transfer_time(node, &reply), reply));
+            let begins = self.now >= since + MESSAGE_LATENCY + self.store.response_time
+                && !self.nodes[node].store_unreachable;
+            pending.response = reply.filter(|_| begins).map(|reply| {
+                let bytes = if self.transfer_times { self.store.response_bytes(&reply) } else { 0 };
+                Response { reply, bytes, left: bytes as f64 }
+            });
+        }
+        let max_bytes = self.max_response_bytes as f64;
+        let too_large = |response: &Response| response.bytes as f64 - response.left > max_bytes;
+        if pending.response.as_ref().is_some_and(too_large) {
+            return Some(Err(ReadError::Failed(Code::SourceUnreachable)));
         }
-        let reply = pending.response.take_if(|(complete_at, _)| *complete_at <= self.now);
-        let reply = reply.map(|(_, reply)| reply);
+        let reply = pending.response.take_if(|response| response.left <= 0.0);
+        let reply = reply.map(|response| response.reply);
         pending.lost |= reply.is_some() && self.store.is_silent(self.now);
         match reply.filter(|_| !pending.lost) {
             Some(reply) => Some(Ok(reply)),
@@ -420,11 +476,16 @@
         }
     }
 
-    fn transfer_time(&self, node: usize, reply: &Reply) -> Duration {
-        let Some(kbps) = (self.config)(node).link_kbps.filter(|_| self.transfer_times) else {
-            return Duration::ZERO;
-        };
-        Duration::from_millis(response_bytes(reply) * 8 / kbps)
+    /// Bytes that a node receives in one step.
+    fn received_bytes(&self, node: usize) -> f64 {
+        let kbps = (self.config)(node).link_kbps.unwrap_or(1_000_000) as f64;
+        kbps * self.link_share / 8.0 * self.step.as_secs_f64() * 1_000.0
+    }
+
+    /// Number of events of a kind that all nodes have recorded.
+    pub fn count(&self, kind: EventKind) -> usize {
+        let events = self.nodes.iter().flat_map(|node| &node.events);
+        events.filter(|event| event.kind == kind).count()
     }
 
     /// Kills the process of a node.
