Keep the reader when a difference arrives that leads to the state already held

Callers saw requests decided by a version that was 9 s old on one node (CONFIG), whose reader was well. A follower that asks for a difference and meanwhile gets the one that goes to all followers has no use for the answer: its base is gone. The answer names the reader's newest digest in place of a base that the reader doesn't know, so that it counted as one that was made for this state and fails, and the follower left its reader.

Such an answer now confirms the state. follower_keeps_reader_after_late_difference failed before (one reader lost) and passes.

--- a/core/src/discovery/peers.rs
+++ b/core/src/discovery/peers.rs
@@ -160,6 +160,11 @@
 
     fn handle_delta(&mut self, now: Time, from: &Peer, delta: &Delta, out: &mut Vec<Output>) {
         let view = self.view.clone();
+        // A delta that was requested before this node reached the same state through another one no
+        // longer applies.
+        if delta.digest == view.digest {
+            return self.mark_in_sync(now, from, &delta.summary, out);
+        }
         match view.apply_delta(delta) {
             Ok(after) => {
                 self.progress.on_targets(Some(&from.vm));
