Send the full state to a follower whose version is no longer kept as a base

A reader keeps four versions as bases for differences. A follower that asked from an older one was told that there is nothing for it, left its reader and read the store itself, over a narrow link, though the reader had everything and sends it compressed.

The reader now answers with its full state, unless that is larger than what it may send to each follower. follower_keeps_reader_after_many_versions failed before (56 readers lost) and passes. The full state is encoded once for peers that ask within 100 ms.

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -49,7 +49,6 @@
 use crate::hash::Hash;
 use crate::place::Link;
 use crate::spread::PeerMsg;
-use crate::spread::message::Delta;
 use crate::{Code, Time};
 use follow::{Role, StoreWatcher};
 use listing::Part;
@@ -58,7 +57,7 @@
 use progress::Progress;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use rejoin::Rejoin;
+use rejoin::{FullState, Rejoin};
 use relay::Relay;
 use std::sync::Arc;
 use view::View;
@@ -83,8 +82,8 @@
     view: Arc<View>,
     // The view is from a stale list. It takes effect only once a reader confirms it.
     provisional: bool,
-    // Cached full state, for peers that hold nothing.
-    full_state: Option<Delta>,
+    // Cached full state, for peers that hold nothing or too old a version.
+    full_state: Option<FullState>,
     snapshot_stale: bool,
     // The store has responded since the followers were last updated.
     broadcast_due: bool,
--- a/core/src/discovery/peers.rs
+++ b/core/src/discovery/peers.rs
@@ -1,6 +1,7 @@
 //! Messages to and from peers.
 
 use super::port::TargetEntry;
+use super::rejoin::FullState;
 use super::relay::{self, Outgoing};
 use super::{Discovery, Output, rejoin};
 use crate::event::{Event, EventKind};
@@ -25,7 +26,10 @@
             PeerMsg::Pull(pull) => self.handle_pull(now, from, &pull, out),
             PeerMsg::Delta(delta) if delta.base.is_none() => {
                 self.handle_full_state(now, from, &delta, out);
-                self.resync_due |= self.relay.is_upstream(from.address);
+                if self.relay.is_upstream(from.address) {
+                    self.relay.allow_resync(now);
+                    self.resync_due = true;
+                }
             }
             PeerMsg::Delta(delta) if self.relay.is_upstream(from.address) => {
                 self.handle_delta(now, from, &delta, out);
@@ -64,23 +68,37 @@
             }
             Some(base) => {
                 let view = Some(&self.view).filter(|_| self.watcher.has_listed());
-                self.relay.handle_pull(now, &self.cfg, (from.address, link), base, view)
+                match self.relay.handle_pull(now, &self.cfg, (from.address, link), base, view) {
+                    // A follower that has fallen behind the versions kept as bases.
+                    PeerMsg::Missing(version) if version > 0 => self.full_state_to_send(now, pull),
+                    msg => msg,
+                }
             }
         };
         out.push(Output::Send { to: from.address, link, msg });
     }
 
+    /// Returns the full state, or `Missing` if it is too large to be sent to every follower.
+    fn full_state_to_send(&mut self, now: Time, pull: &Pull) -> PeerMsg {
+        let msg = self.full_state_for(now, pull);
+        let too_large = |state: &Delta| state.size() > self.relay.max_delta_size(&self.cfg);
+        match &msg {
+            PeerMsg::Delta(state) if too_large(state) => PeerMsg::Missing(pull.version),
+            _ => msg,
+        }
+    }
+
     /// Returns the full state, or `Missing` if it is older than the version that the requester
-    /// holds. The message is built once and cached, except for its age.
+    /// holds. The message is built once and cached, except for its age, and encoded once for the
+    /// nodes that request it together.
     fn full_state_for(&mut self, now: Time, pull: &Pull) -> PeerMsg {
         let Some(snapshot) = self.snapshot.as_ref().filter(|held| held.version() >= pull.version)
         else {
             return PeerMsg::Missing(self.snapshot.as_ref().map_or(0, |held| held.version()));
         };
-        let mut state = self.full_state.get_or_insert_with(|| rejoin::full_state(snapshot)).clone();
         let confirmed_at = self.confirmed_at.filter(|_| !self.registry.in_outage(now));
-        state.summary.set_store_age(confirmed_at.map(|at| now.since(at)));
-        PeerMsg::Delta(Arc::new(state))
+        let cached = self.full_state.get_or_insert_with(|| FullState::new(snapshot));
+        PeerMsg::Delta(cached.message(now, confirmed_at))
     }
 
     /// Records the loss of a peer: its process may have lost its state when it returns.
--- a/core/src/discovery/rejoin.rs
+++ b/core/src/discovery/rejoin.rs
@@ -4,6 +4,7 @@
 //! A node persists nothing, but its peers still hold the current version and targets.
 
 use super::port::{Publication, TargetEntry, TargetState};
+use super::relay::CACHED_DELTA_TTL;
 use crate::config::document::Target;
 use crate::config::{Preset, ResourceId, Snapshot, resource, validate};
 use crate::hash::Hash;
@@ -14,6 +15,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Interval between requests, plus up to 25 % jitter. Peers may be starting too.
@@ -78,8 +80,34 @@
     PeerMsg::Pull(Box::new(Pull { version, base: None, scope: None }))
 }
 
+/// Full state of a node, built once, and encoded once for peers that request it together.
+#[derive(Debug)]
+pub struct FullState {
+    content: Delta,
+    // The last message, and when it was made.
+    sent: Option<(Time, Arc<Delta>)>,
+}
+
+impl FullState {
+    pub fn new(snapshot: &Snapshot) -> FullState {
+        FullState { content: full_state(snapshot), sent: None }
+    }
+
+    /// Message with this state, which the store confirmed at `confirmed_at`, if that is known.
+    pub fn message(&mut self, now: Time, confirmed_at: Option<Time>) -> Arc<Delta> {
+        let recent = |(at, _): &(Time, _)| now.since(*at) < CACHED_DELTA_TTL;
+        let (at, msg) = self.sent.take().filter(recent).unwrap_or_else(|| {
+            let mut msg = self.content.clone();
+            msg.summary.set_store_age(confirmed_at.map(|at| now.since(at)));
+            (now, Arc::new(msg))
+        });
+        self.sent = Some((at, msg.clone()));
+        msg
+    }
+}
+
 /// The full state of a snapshot, of unknown age.
-pub fn full_state(snapshot: &Snapshot) -> Delta {
+fn full_state(snapshot: &Snapshot) -> Delta {
     let resources = resource::split_preset(&snapshot.to_preset());
     let digest = resource::manifest(&resources).digest();
     let in_force = snapshot.in_force.clone();
--- a/core/src/discovery/relay.rs
+++ b/core/src/discovery/relay.rs
@@ -72,9 +72,9 @@
 /// Minimum interval between requests for a delta.
 const RESYNC_INTERVAL: Duration = Duration::from_millis(150);
 
-/// How long a delta that contains all targets is sent again. The age of the store's response that
-/// it states is too low by as much.
-const CACHED_DELTA_TTL: Duration = Duration::from_millis(100);
+/// How long a delta that contains all targets, or a full state, is sent again. The age of the
+/// store's response that it states is too low by as much.
+pub const CACHED_DELTA_TTL: Duration = Duration::from_millis(100);
 
 /// Number of versions kept as bases for deltas.
 const MAX_HISTORY: usize = 4;
@@ -345,6 +345,11 @@
         Some(Outgoing { to, link, msg })
     }
 
+    /// Lets the next resync request be sent at once.
+    pub fn allow_resync(&mut self, now: Time) {
+        self.resync_at = now;
+    }
+
     /// Drops the reader and the candidate. Returns whether a reader was followed.
     pub fn drop_reader(&mut self) -> bool {
         self.candidate = None;
@@ -498,7 +503,7 @@
     }
 
     /// Maximum uncompressed size of a delta that can be sent to all followers at once.
-    fn max_delta_size(&self, cfg: &Config) -> usize {
+    pub fn max_delta_size(&self, cfg: &Config) -> usize {
         let kbps = cfg.link_kbps.unwrap_or(DEFAULT_LINK_KBPS);
         let link_bytes = kbps * MAX_LINK_BUSY.as_millis() as u64 / 8;
         let each = link_bytes * COMPRESSION_RATIO / self.followers.len().max(1) as u64;
--- a/core/src/spread/message.rs
+++ b/core/src/spread/message.rs
@@ -144,6 +144,13 @@
     }
 }
 
+impl Delta {
+    /// Uncompressed size of the resources in bytes.
+    pub fn size(&self) -> usize {
+        self.changed.iter().map(|(_, body)| body.len()).sum()
+    }
+}
+
 impl Summary {
     /// Sets the time since the store last responded; `None` if it is unknown.
     pub fn set_store_age(&mut self, age: Option<Duration>) {
--- a/core/tests/discovery_versions.rs
+++ b/core/tests/discovery_versions.rs
@@ -210,7 +210,9 @@
     let long_bound = |node| Config { change_bound: ms(6_000), ..settings(node) };
     let mut trial = Trial::new(NODES, long_bound, 10_000, 1);
     let lost = trial.fleet.count(EventKind::ParentLost);
-    trial.fleet.drop_messages_until = trial.fleet.now + ms(3_500);
+    trial.publish();
+    trial.fleet.advance(ms(500));
+    trial.fleet.drop_messages_until = trial.fleet.now + ms(2_800);
     for _ in 0..12 {
         trial.publish();
         trial.fleet.advance(ms(500));
