Give up a watch that brings several versions, and read the current document instead

Callers saw requests refused with 404 by a version 9 s old (CONFIG): a node without a reader had watched the store in vain for 6 s, while versions followed each other every 0.5 s. The history holds each version whole, so that the answer to a watch grows with every version missed: beyond what a link of 14 Mbit/s carries in the time of a call, or beyond 4 MiB, each call fails, and the next one has to bring more.

A call now states the largest response that it accepts: for a watch one document and a half, or what the link carries in 0.1 s. A larger one ends the call before it is transferred, if the store states its length, and the node reads the changed entries and the current document, whose size does not grow. It is no failure of the store: there is no backoff.

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -102,9 +102,10 @@
         let pace = Pace::for_bound(cfg.change_bound);
         let relay = Relay::new(pace);
         let role = if relay.may_read(&cfg) { Role::EligibleReader } else { Role::FollowerOnly };
+        let link_kbps = cfg.link_kbps.unwrap_or(relay::DEFAULT_LINK_KBPS);
         Discovery {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            watcher: StoreWatcher::new(pace, role),
+            watcher: StoreWatcher::new(pace, role, link_kbps),
             registry: Registry::new(),
             published: None,
             rejected_version: 0,
@@ -334,8 +335,8 @@
         if version <= held {
             return;
         }
+        self.watcher.on_version(&published);
         self.published = Some(published);
-        self.watcher.on_version();
         self.snapshot_stale = true;
         out.push(Output::Event(Event::new(now, EventKind::VersionHeard).with_version(version)));
     }
--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -6,13 +6,17 @@
 //! targets alone and puts them in force before it reads the document, which a slow link may need a
 //! second for.
 //!
+//! The store's history holds each version whole. A watch that would bring several of them is given up,
+//! and the changed entries and the current document are read instead, whose size does not grow with
+//! the number of versions.
+//!
 //! The response to a watch may be lost without an error. Once it is overdue, the changes are asked
 //! for by another call beside it. Whichever is answered first counts, since the store may only be
 //! slow.
 
 use super::listing::{ListedFleet, Listing, Part};
 use super::pace::{MAX_WAIT_JITTER_PERCENT, OVERDUE_DELAY, Pace, RESPONSE_TIMEOUT};
-use super::port::{Call, Change, ReadError, Reply, Request};
+use super::port::{Call, Change, Publication, ReadError, Reply, Request};
 use crate::Time;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -26,6 +30,16 @@
 /// Wait of the watch that follows an overdue one. It only asks for what has changed.
 const CHECK_WAIT: Duration = Duration::from_millis(1);
 
+/// Size of the largest response to any call: two values of the maximum size, Base64-encoded, plus
+/// overhead.
+const MAX_RESPONSE_BYTES: u64 = 4 * 1_048_576;
+
+/// Size allowed for the entries in the response to a watch, beside one document.
+const MAX_ENTRIES_BYTES: u64 = 65_536;
+
+/// A response to a watch may hold several versions if the link carries it within this time.
+const MAX_WATCH_TRANSFER: Duration = Duration::from_millis(100);
+
 /// Delay between a response with changes and the next watch, so that changes in quick succession
 /// are read in one call. Versions can follow each other every 60 ms, and each is read as a whole,
 /// over links that are billed by volume.
@@ -102,6 +116,9 @@
     // Call for the same changes as the pending one. Its response is overdue.
     overdue_id: Option<u64>,
     serves_followers: bool,
+    link_kbps: u64,
+    // Estimated size of the current document, as transferred.
+    document_bytes: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -113,7 +130,8 @@
 }
 
 impl StoreWatcher {
-    pub fn new(pace: Pace, role: Role) -> StoreWatcher {
+    /// `link_kbps` is the bandwidth of the VM's link in kbit/s.
+    pub fn new(pace: Pace, role: Role, link_kbps: u64) -> StoreWatcher {
         StoreWatcher {
             pace,
             role,
@@ -133,6 +151,8 @@
             overdue: 0,
             overdue_id: None,
             serves_followers: false,
+            link_kbps,
+            document_bytes: 0,
         }
     }
 
@@ -147,8 +167,9 @@
     }
 
     /// Called when a version was received from anywhere.
-    pub fn on_version(&mut self) {
+    pub fn on_version(&mut self, published: &Publication) {
         self.holds_version = true;
+        self.document_bytes = published.transfer_bytes();
     }
 
     /// Whether a list is in progress or scheduled.
@@ -291,10 +312,18 @@
         };
         self.called_at = now;
         let is_watch = matches!(request, Request::Watch { .. });
+        let max_bytes = if is_watch { self.max_watch_bytes() } else { MAX_RESPONSE_BYTES };
         let allowed = OVERDUE_DELAY * (1 << self.overdue.min(MAX_OVERDUE_DOUBLINGS));
         self.overdue_at = is_watch.then_some(now + wait + allowed);
         self.state = State::Pending(id, request.clone());
-        Some(Call { id, request, timeout: wait + RESPONSE_TIMEOUT })
+        Some(Call { id, request, timeout: wait + RESPONSE_TIMEOUT, max_bytes })
+    }
+
+    /// Size of a response to a watch beyond which the current document alone is read.
+    fn max_watch_bytes(&self) -> u64 {
+        let one_version = self.document_bytes * 3 / 2 + MAX_ENTRIES_BYTES;
+        let quick = self.link_kbps * MAX_WATCH_TRANSFER.as_millis() as u64 / 8;
+        one_version.max(quick).min(MAX_RESPONSE_BYTES)
     }
 
     /// Longest wait of a watch that starts now.
@@ -330,11 +359,17 @@
             (Ok(reply), Request::Watch { revision, .. }) => {
                 self.handle_changes(now, reply, revision)
             }
-            (Err(ReadError::HistoryGone), _) => {
+            (Err(ReadError::HistoryGone), _)
+            | (Err(ReadError::TooLarge), Request::Entries { .. }) => {
                 self.schedule_list(now, false);
                 (Vec::new(), Part::Changes)
             }
-            (Err(ReadError::Failed(_)), request) => {
+            (Err(ReadError::TooLarge), Request::Watch { revision, .. }) => {
+                self.listing = Some(Listing::since(revision));
+                self.state = State::Scheduled(Request::Entries { revision }, now);
+                (Vec::new(), Part::Changes)
+            }
+            (Err(ReadError::Failed(_) | ReadError::TooLarge), request) => {
                 self.failed_at = Some(now);
                 let request = self.repeated_request(request);
                 self.state = State::Scheduled(request, now + self.backoff(now, rng));
--- a/core/src/discovery/listing.rs
+++ b/core/src/discovery/listing.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Begins to read what has changed since `revision`, up to which all targets are known.
+    pub fn since(revision: u64) -> Listing {
+        Listing { revision: Some(revision), targets_taken: true, ..Listing::new(true, true) }
+    }
+
     pub fn add_page(&mut self, reply: Reply) -> Option<String> {
         self.pages.extend(reply.changes);
         let revision = self.revision.map_or(reply.revision, |oldest| oldest.min(reply.revision));
--- a/core/src/discovery/port.rs
+++ b/core/src/discovery/port.rs
@@ -3,7 +3,7 @@
 use super::nested;
 use crate::call::Note;
 use crate::call::note::OutgoingNote;
-use crate::config::{Preset, Snapshot};
+use crate::config::{Preset, Route, Snapshot};
 use crate::event::Event;
 use crate::place::{Link, Place};
 use crate::spread::{Peer, PeerMsg};
@@ -78,6 +78,9 @@
         pub id: u64,
         pub request: Request,
         pub timeout: Duration,
+        /// Size of the largest response to accept, in bytes as sent. A larger one ends the call with
+        /// [`ReadError::TooLarge`], before it is transferred if its size is known.
+        pub max_bytes: u64,
     }
 
     /// Operation of a store call.
@@ -141,6 +144,8 @@
     pub enum ReadError {
         /// The store has compacted the changes since the requested revision.
         HistoryGone,
+        /// The response is larger than the call accepts.
+        TooLarge,
         /// The store did not respond or rejected the call.
         Failed(Code),
     }
@@ -165,6 +170,17 @@
         Publication { version, preset }
     }
 
+    /// Estimated size of the document in the store, in bytes as transferred in Base64.
+    pub fn transfer_bytes(&self) -> u64 {
+        // A route as JSON, without its path and host.
+        const ROUTE_BYTES: usize = 160;
+        let size = |route: &Route| {
+            ROUTE_BYTES + route.path_prefix.len() + route.host.as_ref().map_or(0, |host| host.len())
+        };
+        let bytes: usize = self.preset.routes.values().map(size).sum();
+        bytes as u64 * 4 / 3
+    }
+
     /// Stands for the state before the first version: version 0, without services and routes.
     pub fn none() -> Publication {
         let name = Name::from_static("none");
--- a/core/tests/support/store_fleet.rs
+++ b/core/tests/support/store_fleet.rs
@@ -268,8 +268,6 @@
     pub transfer_times: bool,
     /// Share of each link that is left beside other traffic.
     pub link_share: f64,
-    /// Responses larger than this many bytes are given up, as by a client with a limit.
-    pub max_response_bytes: u64,
     config: fn(usize) -> Config,
     step: Duration,
     seed: u64,
@@ -289,7 +287,6 @@
             cross_region_messages: 0,
             transfer_times: false,
             link_share: 1.0,
-            max_response_bytes: 4 * 1_048_576,
             config,
             step,
             seed,
@@ -459,10 +456,8 @@
                 Response { reply, bytes, left: bytes as f64 }
             });
         }
-        let max_bytes = self.max_response_bytes as f64;
-        let too_large = |response: &Response| response.bytes as f64 - response.left > max_bytes;
-        if pending.response.as_ref().is_some_and(too_large) {
-            return Some(Err(ReadError::Failed(Code::SourceUnreachable)));
+        if pending.response.as_ref().is_some_and(|response| response.bytes > call.max_bytes) {
+            return Some(Err(ReadError::TooLarge));
         }
         let reply = pending.response.take_if(|response| response.left <= 0.0);
         let reply = reply.map(|response| response.reply);
