Derive the times of readers and followers from the size of the document

A follower relied on its reader for the bound less 1.2 s, waited up to 0.78 s for another one, and then read the targets and the document: 0.42 s for 0.2 MB or 0.67 MB over a link of 14 Mbit/s that calls share. A watch counted as overdue 0.25 s after its wait also while its answer was being transferred, and was repeated beside itself with the same bytes.

Pace now takes the document's size, estimated from the routes, and the link, of which it assumes a quarter beside calls: a follower relies on its reader, and waits for another one, only as long as it has time left to list and to read the document; a reader keeps pace with followers of 10 Mbit/s; a watch is overdue, and a call times out, later by the transfer. With a common document nothing changes but the wait of a follower with a narrow link; with 0.5 MB readers call the store about twice as often.

series_while_readers_are_lost failed before (version 4 due, node 4 has 3) and passes.

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -102,7 +102,7 @@
         let pace = Pace::for_bound(cfg.change_bound);
         let relay = Relay::new(pace);
         let role = if relay.may_read(&cfg) { Role::EligibleReader } else { Role::FollowerOnly };
-        let link_kbps = cfg.link_kbps.unwrap_or(relay::DEFAULT_LINK_KBPS);
+        let link_kbps = cfg.link_bandwidth();
         Discovery {
             rng: Pcg64Mcg::seed_from_u64(seed),
             watcher: StoreWatcher::new(pace, role, link_kbps),
@@ -335,7 +335,12 @@
         if version <= held {
             return;
         }
-        self.watcher.on_version(&published);
+        let document_bytes = published.transfer_bytes();
+        let pace =
+            Pace::for_document(self.cfg.change_bound, document_bytes, self.cfg.link_bandwidth());
+        self.pace = pace;
+        self.relay.set_pace(pace);
+        self.watcher.on_version(pace, document_bytes);
         self.published = Some(published);
         self.snapshot_stale = true;
         out.push(Output::Event(Event::new(now, EventKind::VersionHeard).with_version(version)));
--- a/core/src/discovery/announce.rs
+++ b/core/src/discovery/announce.rs
@@ -1,7 +1,6 @@
 //! Announcements of a reader to the nodes of its region that could follow it.
 
 use super::port::{Config, TargetEntry, TargetState};
-use super::relay::DEFAULT_LINK_KBPS;
 use super::view::View;
 use crate::Time;
 use crate::config::Target;
@@ -90,8 +89,7 @@
 
 /// Number of announcements per round that the link of this node carries.
 fn batch_size(cfg: &Config) -> usize {
-    let link_kbps = cfg.link_kbps.unwrap_or(DEFAULT_LINK_KBPS);
-    let bytes = link_kbps * BATCH_INTERVAL.as_millis() as u64 / 8;
+    let bytes = cfg.link_bandwidth() * BATCH_INTERVAL.as_millis() as u64 / 8;
     let batch = bytes * LINK_SHARE_PERCENT / 100 / ANNOUNCEMENT_BYTES;
     (batch as usize).max(MIN_BATCH_SIZE)
 }
--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -16,7 +16,7 @@
 
 use super::listing::{ListedFleet, Listing, Part};
 use super::pace::{MAX_WAIT_JITTER_PERCENT, OVERDUE_DELAY, Pace, RESPONSE_TIMEOUT};
-use super::port::{Call, Change, Publication, ReadError, Reply, Request};
+use super::port::{Call, Change, ReadError, Reply, Request};
 use crate::Time;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -40,11 +40,6 @@
 /// A response to a watch may hold several versions if the link carries it within this time.
 const MAX_WATCH_TRANSFER: Duration = Duration::from_millis(100);
 
-/// Delay between a response with changes and the next watch, so that changes in quick succession
-/// are read in one call. Versions can follow each other every 60 ms, and each is read as a whole,
-/// over links that are billed by volume.
-const BATCH_DELAY: Duration = Duration::from_millis(700);
-
 /// How often the delay for an overdue response doubles while none comes. The timeout of the call is
 /// shorter from then on.
 const MAX_OVERDUE_DOUBLINGS: u32 = 3;
@@ -57,10 +52,9 @@
 /// the number of these nodes.
 const MAX_FOLLOWER_BACKOFF: Duration = Duration::from_millis(3_000);
 
-/// How long a node waits for a reader before it calls the store itself: after losing its reader,
-/// after a stale list, and after its start.
-const READER_LOST_WAIT: Duration = Duration::from_millis(600);
-const STALE_LIST_WAIT: Duration = READER_LOST_WAIT;
+/// How long a node waits for a reader before it calls the store itself, after a stale list and after
+/// its start.
+const STALE_LIST_WAIT: Duration = Duration::from_millis(600);
 const STARTUP_WAIT: Duration = Duration::from_millis(400);
 
 /// Delay before a stale list is repeated while targets register.
@@ -166,10 +160,11 @@
         self.listed || self.listing.as_ref().is_some_and(|listing| listing.targets_taken)
     }
 
-    /// Called when a version was received from anywhere.
-    pub fn on_version(&mut self, published: &Publication) {
+    /// Called when a version was received from anywhere, with the pace for its document and the size
+    /// of that.
+    pub fn on_version(&mut self, pace: Pace, document_bytes: u64) {
         self.holds_version = true;
-        self.document_bytes = published.transfer_bytes();
+        (self.pace, self.document_bytes) = (pace, document_bytes);
     }
 
     /// Whether a list is in progress or scheduled.
@@ -210,7 +205,7 @@
         if self.role == Role::EligibleReader || self.listed || self.failed_at.is_some() {
             return;
         }
-        let lost_wait = self.reader_wait(READER_LOST_WAIT, rng);
+        let lost_wait = self.reader_wait(self.pace.lost_wait, rng);
         let due = match confirmed_at {
             Some(confirmed_at) => confirmed_at + self.pace.reader_timeout + lost_wait,
             None => now + lost_wait,
@@ -235,7 +230,7 @@
 
     /// Schedules a list after the reader was lost, leaving time for another reader to take over.
     pub fn resume(&mut self, now: Time, rng: &mut Pcg64Mcg) {
-        let at = now + self.reader_wait(READER_LOST_WAIT, rng);
+        let at = now + self.reader_wait(self.pace.lost_wait, rng);
         self.schedule_list(at, true);
     }
 
@@ -314,9 +309,11 @@
         let is_watch = matches!(request, Request::Watch { .. });
         let max_bytes = if is_watch { self.max_watch_bytes() } else { MAX_RESPONSE_BYTES };
         let allowed = OVERDUE_DELAY * (1 << self.overdue.min(MAX_OVERDUE_DOUBLINGS));
-        self.overdue_at = is_watch.then_some(now + wait + allowed);
+        let overdue_at = now + wait + allowed + self.pace.document_time;
+        self.overdue_at = is_watch.then_some(overdue_at);
         self.state = State::Pending(id, request.clone());
-        Some(Call { id, request, timeout: wait + RESPONSE_TIMEOUT, max_bytes })
+        let timeout = wait + RESPONSE_TIMEOUT + self.pace.document_time;
+        Some(Call { id, request, timeout, max_bytes })
     }
 
     /// Size of a response to a watch beyond which the current document alone is read.
@@ -390,10 +387,82 @@
 
     fn handle_changes(&mut self, now: Time, reply: Reply, watched: u64) -> (Vec<Change>, Part) {
         self.record_complete(now);
+        let quick = self.link_kbps * MAX_WATCH_TRANSFER.as_millis() as u64 / 8;
+        one_version.max(quick).min(MAX_RESPONSE_BYTES)
+    }
+
+    /// Longest wait of a watch that starts now.
+    fn watch_wait(&self, now: Time) -> Duration {
+        let since_response = self.responded_at.map_or(Duration::ZERO, |at| now.since(at));
+        let mut longest = self.pace.watch_wait(since_response);
+        if self.serves_followers {
+            longest = longest.min(self.pace.max_watch_wait);
+        }
+        if self.failed_at.is_some_and(|failed| now.since(failed) < RECOVERY_PERIOD) {
+            longest = longest.min(RECOVERY_WATCH_WAIT);
+        }
+        longest
+    }
+
+    /// Processes the result of the pending call. Returns the changes, and which part they cover.
+    /// `evaluate` evaluates the items of a stale list.
+    pub fn handle_result(
+        &mut self,
+        now: Time,
+        result: Result<Reply, ReadError>,
+        evaluate: impl Fn(&[Change]) -> ListedFleet,
+        rng: &mut Pcg64Mcg,
+    ) -> (Vec<Change>, Part) {
+        let State::Pending(_, request) = std::mem::replace(&mut self.state, State::Idle) else {
+            return (Vec::new(), Part::Changes);
+        };
+        self.overdue_id = None;
+        match (result, request) {
+            (Ok(reply), Request::List { .. }) => self.handle_page(now, reply, evaluate, rng),
+            (Ok(reply), Request::Entries { .. }) => self.handle_entries(now, reply),
+            (Ok(reply), Request::Document) => self.handle_document(now, reply, rng),
+            (Ok(reply), Request::Watch { revision, .. }) => {
+                self.handle_changes(now, reply, revision)
+            }
+            (Err(ReadError::HistoryGone), _)
+            | (Err(ReadError::TooLarge), Request::Entries { .. }) => {
+                self.schedule_list(now, false);
+                (Vec::new(), Part::Changes)
+            }
+            (Err(ReadError::TooLarge), Request::Watch { revision, .. }) => {
+                self.listing = Some(Listing::since(revision));
+                self.state = State::Scheduled(Request::Entries { revision }, now);
+                (Vec::new(), Part::Changes)
+            }
+            (Err(ReadError::Failed(_) | ReadError::TooLarge), request) => {
+                self.failed_at = Some(now);
+                let request = self.repeated_request(request);
+                self.state = State::Scheduled(request, now + self.backoff(now, rng));
+                (Vec::new(), Part::Changes)
+            }
+        }
+    }
+
+    /// What to call after this call has failed. Targets in force are brought up to date before the
+    /// document is asked for again, since a slow link may time out on it several times.
+    fn repeated_request(&self, request: Request) -> Request {
+        let listing = self.listing.as_ref().filter(|listing| listing.targets_taken);
+        match (request, listing.and_then(|listing| listing.revision)) {
+            (Request::Document, Some(revision)) => Request::Entries { revision },
+            (request, _) => request,
+        }
+    }
+
+    fn handle_changes(&mut self, now: Time, reply: Reply, watched: u64) -> (Vec<Change>, Part) {
+        // The state of the store was read before its versions were transferred.
+        let is_version = |change: &&Change| matches!(change, Change::Published(_));
+        let versions = reply.changes.iter().filter(is_version).count() as u32;
+        let read_at = now - self.pace.document_time * versions;
+        self.record_complete(read_at.max(self.called_at));
         let quick = now.since(self.called_at) < MIN_EMPTY_WATCH_INTERVAL;
         let pause = match reply.changes.is_empty() {
             false if self.serves_followers => self.pace.batch_delay,
-            false => BATCH_DELAY,
+            false => self.pace.own_batch_delay,
             true if quick => MIN_EMPTY_WATCH_INTERVAL,
             true => Duration::ZERO,
         };
--- a/core/src/discovery/port.rs
+++ b/core/src/discovery/port.rs
@@ -151,6 +151,16 @@
     }
 }
 
+/// Assumed bandwidth of a link without a configured limit, in kbit/s.
+const DEFAULT_LINK_KBPS: u64 = 1_000_000;
+
+impl Config {
+    /// Bandwidth of the VM's link in kbit/s.
+    pub fn link_bandwidth(&self) -> u64 {
+        self.link_kbps.unwrap_or(DEFAULT_LINK_KBPS)
+    }
+}
+
 impl Request {
     /// Name of the kind of call, for metrics.
     pub fn label(&self) -> &'static str {
--- a/core/src/discovery/relay.rs
+++ b/core/src/discovery/relay.rs
@@ -35,9 +35,6 @@
 /// a second.
 const MIN_READER_KBPS: u64 = 100_000;
 
-/// Assumed bandwidth of a link without a configured limit, in kbit/s.
-pub const DEFAULT_LINK_KBPS: u64 = 1_000_000;
-
 /// Longest time for which sending one change to all followers may saturate a reader's link.
 const MAX_LINK_BUSY: Duration = Duration::from_millis(500);
 
@@ -160,6 +157,11 @@
         }
     }
 
+    /// Applies the pace for a new version.
+    pub fn set_pace(&mut self, pace: Pace) {
+        self.pace = pace;
+    }
+
     /// Whether this node follows a reader.
     pub fn is_follower(&self) -> bool {
         self.reader.is_some()
@@ -504,8 +506,7 @@
 
     /// Maximum uncompressed size of a delta that can be sent to all followers at once.
     pub fn max_delta_size(&self, cfg: &Config) -> usize {
-        let kbps = cfg.link_kbps.unwrap_or(DEFAULT_LINK_KBPS);
-        let link_bytes = kbps * MAX_LINK_BUSY.as_millis() as u64 / 8;
+        let link_bytes = cfg.link_bandwidth() * MAX_LINK_BUSY.as_millis() as u64 / 8;
         let each = link_bytes * COMPRESSION_RATIO / self.followers.len().max(1) as u64;
         each.clamp(MIN_DELTA_LIMIT, MAX_DELTA_LIMIT) as usize
     }
--- a/core/tests/discovery_versions.rs
+++ b/core/tests/discovery_versions.rs
@@ -65,7 +65,7 @@
 
 impl Trial {
     fn new(nodes: usize, settings: fn(usize) -> Config, document: usize, seed: u64) -> Trial {
-        let mut fleet = Fleet::new(nodes, settings, ms(2), seed);
+        let mut fleet = Fleet::new(nodes, settings, ms(4), seed);
         fleet.transfer_times = true;
         let entry = |node| support::entry(node, place(node), TargetState::Ready, 1);
         let observed = (0..nodes).collect();
