--- a/core/src/discovery/pace.rs
+++ b/core/src/discovery/pace.rs
@@ -30,7 +30,7 @@
 
 /// Time to list the targets, to read the entries changed since, and to apply what was read, beside
 /// the transfer of the document.
-const READ_TIME: Duration = Duration::from_millis(300);
+const READ_TIME: Duration = Duration::from_millis(400);
 
 /// A document is assumed to get one part in this many of a link, beside calls.
 const LINK_CONTENTION: u64 = 4;
--- a/core/tests/discovery_versions.rs
+++ b/core/tests/discovery_versions.rs
@@ -36,6 +36,9 @@
 /// Share of a link that is left beside the calls of an overloaded node.
 const OVERLOADED_LINK: f64 = 0.4;
 
+/// Response time of a slow store, 25 times the usual 4 ms.
+const SLOW_RESPONSE_TIME: Duration = Duration::from_millis(100);
+
 fn place(node: usize) -> Place {
     let region = if node % 2 == 0 { "east" } else { "west" };
     Place { region: name(region), zone: name(format!("{region}-{}", node / 2 % 2)) }
@@ -166,6 +169,64 @@
     }
 }
 
+/// What makes versions late, each for the rest of a trial.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Condition {
+    /// Calls fill the links.
+    Overload,
+    /// The store takes many times its usual latency to respond.
+    SlowStore,
+    /// All nodes with fast links are killed, and with them every possible reader.
+    ReadersLost,
+    /// Versions follow each other faster than nodes read them.
+    Series,
+}
+
+fn orders(conditions: &[Condition]) -> Vec<Vec<Condition>> {
+    if conditions.is_empty() {
+        return vec![Vec::new()];
+    }
+    let begin_with = |first: &Condition| {
+        let rest: Vec<_> = conditions.iter().copied().filter(|other| other != first).collect();
+        let with_first = |rest: Vec<Condition>| [vec![*first], rest].concat();
+        orders(&rest).into_iter().map(with_first).collect::<Vec<_>>()
+    };
+    conditions.iter().flat_map(begin_with).collect()
+}
+
+/// Asserts that all versions are in force in time, whatever the order of the conditions.
+fn assert_in_time_in_every_order(document: usize) {
+    use Condition::*;
+    for (seed, order) in orders(&[Overload, SlowStore, ReadersLost, Series]).iter().enumerate() {
+        println!("{order:?}");
+        let mut trial = Trial::new(NODES, settings, document, seed as u64);
+        let mut interval = ms(600);
+        for condition in order {
+            match condition {
+                Overload => trial.fleet.link_share = OVERLOADED_LINK,
+                SlowStore => trial.fleet.store.response_time = SLOW_RESPONSE_TIME,
+                ReadersLost => trial.stop_readers(),
+                Series => interval = ms(100),
+            }
+            trial.publish_series(interval, ms(1_200));
+        }
+        trial.advance(BOUND + ms(100));
+    }
+}
+
+/// Guards against a step between the store and a node whose time is sufficient only as long as
+/// nothing else goes wrong before it.
+#[test]
+fn conditions_in_every_order_usual_document() {
+    assert_in_time_in_every_order(USUAL_DOCUMENT);
+}
+
+/// Guards against the same with a document that has grown.
+#[test]
+fn conditions_in_every_order_large_document() {
+    assert_in_time_in_every_order(LARGE_DOCUMENT);
+}
+
 /// Guards against a follower that leaves a sound reader because a difference arrives that leads to
 /// the state it already has.
 #[test]
