Tests over sockets of targets that send a head or a body without end

Four heads, bytes after a whole response, a chunk header and two bodies, each until the node closes: a request that may run once ends as unknown (502) after one run, or whole; no endless body looks complete; what the target can send is bounded, as is what the node holds for a slow reader; the connection is closed and nothing stays open.

--- /dev/null
+++ b/node/tests/calls_endless.rs
@@ -0,0 +1,178 @@
+//! Targets in trouble that send bytes without end, in a head or a body, until the node closes.
+
+#[path = "support/calls.rs"]
+mod support;
+
+use rustix::net::{AddressFamily, SocketType, connect, socket, sockopt};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+use support::*;
+
+/// What a target may send before it notices that the node has stopped reading: the node's buffers,
+/// and those of the kernel on both sides.
+const MAX_BUFFERED_BYTES: usize = 8 << 20;
+
+/// Buffers of the sockets of a target and of a slow reader. The kernel otherwise takes megabytes in
+/// the place of the node.
+const SOCKET_BUFFER_BYTES: usize = 16_384;
+
+/// Limit of the bytes that the node holds for one reader.
+const READER_BUFFER_BYTES: usize = 128 << 10;
+
+/// A target that answers each request with `begin`, and then with `filler` until its connection is
+/// closed.
+struct EndlessTarget {
+    address: SocketAddr,
+    runs: Arc<AtomicUsize>,
+    sent: Arc<AtomicUsize>,
+    closed: Arc<AtomicUsize>,
+}
+
+impl EndlessTarget {
+    fn new(begin: &'static str, filler: &'static str) -> EndlessTarget {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (runs, sent, closed) = Default::default();
+        let target = EndlessTarget { address, runs, sent, closed };
+        let (runs, sent) = (target.runs.clone(), target.sent.clone());
+        let closed = target.closed.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (runs, sent, closed) = (runs.clone(), sent.clone(), closed.clone());
+                let mut stream = stream.unwrap();
+                sockopt::set_socket_send_buffer_size(&stream, SOCKET_BUFFER_BYTES).unwrap();
+                std::thread::spawn(move || {
+                    let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
+                    while lines.next().is_some_and(|line| line.is_ok_and(|line| !line.is_empty())) {
+                    }
+                    runs.fetch_add(1, Ordering::SeqCst);
+                    let filler = filler.repeat(4_096 / filler.len());
+                    let mut next = begin;
+                    while stream.write_all(next.as_bytes()).is_ok() {
+                        sent.fetch_add(next.len(), Ordering::SeqCst);
+                        next = &filler;
+                    }
+                    closed.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        target
+    }
+
+    fn sent(&self) -> usize {
+        self.sent.load(Ordering::SeqCst)
+    }
+
+    fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst) == self.runs.load(Ordering::SeqCst)
+    }
+}
+
+fn node_before(target: &EndlessTarget) -> Node {
+    let limits = format!(r#"{{"reader_buffer_kb":{}}}"#, READER_BUFFER_BYTES >> 10);
+    let node = Node::with_limits("a", Some(target.address), &limits);
+    let preset = preset(r#"{"slots":4}"#, &[("a", node.gate)]);
+    let once = r#""idempotent":false,"once":"attempt""#;
+    node.configure(1, &preset.replace(r#""idempotent":false"#, once));
+    node
+}
+
+const ENDLESS_HEADS: [(&str, &str); 4] = [
+    ("HTTP/1.1 200 OK\r\nx-filler: ", "x"),
+    ("HTTP/1.1 200 OK\r\n", "x-filler: x\r\n"),
+    ("", "x"),
+    ("", "\r\n"),
+];
+
+/// Guards against a head without end that is read into memory until the deadline, and against an
+/// outcome that claims to know whether the request has run.
+#[test]
+fn endless_head_ends_as_unknown() {
+    for (begin, filler) in ENDLESS_HEADS {
+        let target = EndlessTarget::new(begin, filler);
+        let node = node_before(&target);
+        let response = call(node.entry, &get("/once"));
+        let seen = (response.status, response.outcome(), response.complete);
+        assert_eq!(seen, (502, "unknown", true), "{begin:?} {filler:?}: {response:?}");
+        assert_eq!(target.runs.load(Ordering::SeqCst), 1, "{begin:?} {filler:?}: {response:?}");
+        eventually("the target's connection is closed", || target.is_closed());
+        assert!(target.sent() < MAX_BUFFERED_BYTES, "{begin:?} {filler:?}: {}", target.sent());
+        eventually("no call is open", || node.shared.calls_open() == 0);
+    }
+}
+
+/// Guards against bytes after a complete response that are read without end, or that reach the next
+/// caller as its response.
+#[test]
+fn endless_bytes_after_response() {
+    let target = EndlessTarget::new("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole", "x");
+    let node = node_before(&target);
+    for _ in 0..3 {
+        let response = call(node.entry, &get("/once"));
+        assert_eq!((response.status, response.text().as_str()), (200, "whole"));
+        eventually("the target's connection is closed", || target.is_closed());
+    }
+    assert_eq!(target.runs.load(Ordering::SeqCst), 3);
+    assert!(target.sent() < 3 * MAX_BUFFERED_BYTES, "{}", target.sent());
+}
+
+/// Guards against a body that is no valid coding without end, and that looks complete to the caller.
+#[test]
+fn endless_chunk_header_is_cut() {
+    let target = EndlessTarget::new("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;", "x");
+    let node = node_before(&target);
+    let response = call(node.entry, &get("/once"));
+    assert!(response.status != 200 || !response.complete, "{response:?}");
+    eventually("the target's connection is closed", || target.is_closed());
+    assert!(target.sent() < MAX_BUFFERED_BYTES, "{}", target.sent());
+}
+
+/// Guards against a body without end that is read into the node's memory for a caller that reads
+/// slowly, that goes on after the caller has left, or that looks complete to it.
+#[test]
+fn endless_body_is_bounded() {
+    let heads = ["transfer-encoding: chunked", "connection: close"];
+    for (head, filler) in heads.into_iter().zip(["8\r\n12345678\r\n", "x"]) {
+        let begin: &'static str = format!("HTTP/1.1 200 OK\r\n{head}\r\n\r\n").leak();
+        let target = EndlessTarget::new(begin, filler);
+        let node = node_before(&target);
+        let held = &node.shared.metrics.reader_buffered_bytes;
+        let stop = Arc::new(AtomicBool::new(false));
+        let reader = read_slowly(&node, stop.clone());
+        eventually("the body has begun", || target.sent() > begin.len());
+        for _ in 0..100 {
+            assert!(held.get() <= 2 * READER_BUFFER_BYTES as i64, "{head}: {} held", held.get());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        assert!(target.sent() < MAX_BUFFERED_BYTES, "{head}: {}", target.sent());
+        stop.store(true, Ordering::SeqCst);
+        let received = reader.join().unwrap();
+        assert!(!received.ends_with(b"0\r\n\r\n"), "{head}: the body looks complete");
+        eventually("the target's connection is closed", || target.is_closed());
+        eventually("nothing is held for a reader that left", || held.get() == 0);
+    }
+}
+
+/// Requests the body and reads some of it slowly until told to stop. Returns what it has read.
+fn read_slowly(node: &Node, stop: Arc<AtomicBool>) -> std::thread::JoinHandle<Vec<u8>> {
+    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    // Set before the connection is opened, since it bounds what the node's kernel buffers too.
+    sockopt::set_socket_recv_buffer_size(&socket, SOCKET_BUFFER_BYTES).unwrap();
+    connect(&socket, &node.entry).unwrap();
+    let mut stream = TcpStream::from(socket);
+    stream.write_all(get("/idem").as_bytes()).unwrap();
+    std::thread::spawn(move || {
+        let (mut received, mut buf) = (Vec::new(), [0; 64]);
+        while !stop.load(Ordering::SeqCst) {
+            match stream.read(&mut buf) {
+                Ok(count) if count > 0 => received.extend_from_slice(&buf[..count]),
+                _ => break,
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        received
+    })
+}
