--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -150,8 +150,12 @@
         let Ok(StoreResult { id, result, label, ended_at }) = reply_rx.recv().await else {
             return future::pending().await;
         };
+        let metrics = &self.cx.shared.metrics;
+        if matches!(result, Err(ReadError::TooLarge)) {
+            metrics.platform_too_large.inc();
+        }
         let delay = self.cx.shared.clock.now().since(ended_at);
-        let histogram = &self.cx.shared.metrics.platform_apply_seconds;
+        let histogram = &metrics.platform_apply_seconds;
         histogram.with_label_values(&[label]).observe(delay.as_secs_f64());
         Input::Reply { id, result }
     }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -77,6 +77,8 @@
     pub control_messages: IntCounterVec,
     /// Calls to the platform.
     pub platform_calls: IntCounter,
+    /// Responses of the platform that were given up because of their size.
+    pub platform_too_large: IntCounter,
     /// Time of the platform's last response to the node that this one's state comes from, in seconds
     /// since the Unix epoch; 0 before the first.
     pub platform_responded_seconds: Gauge,
@@ -168,6 +170,10 @@
                 &["link"],
             ),
             platform_calls: r.counter("platform_calls_total", "Calls to the platform."),
+            platform_too_large: r.counter(
+                "platform_too_large_total",
+                "Answers of the platform that were given up because of their size.",
+            ),
             platform_responded_seconds: r.float_gauge(
                 "platform_responded_seconds",
                 "When the platform last responded for the state held, Unix time; 0 for never.",
