Count what a node writes to other VMs on its link beside bulk responses

Lookups fail because their nested calls do: bulk responses were given 95 in 100 of a link of 14 Mbit/s less the bodies of small responses, in place of a fixed 85 in 100, and nothing counted the requests that the node forwards, the heads of responses and their packets. The link was full, and nested calls with a deadline of 250 ms waited.

But 85 leaves a tenth of the link unused where nothing else is sent, which four tests of the burst of bundles guard against.

The node now counts all bytes that it writes to other VMs. What is not a response that was scheduled counts twice, since its messages are small and come in bursts.

--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -161,6 +161,11 @@
         self.link.schedule_write(now, running.class, bytes)
     }
 
+    /// Records bytes that the node has written over the link, paced or not.
+    pub fn record_written(&mut self, now: Time, bytes: u64) {
+        self.link.record_written(now, bytes);
+    }
+
     /// Changes the limits. Running and queued requests are not affected.
     pub fn set_limits(&mut self, limits: ServiceLimits) {
         self.start_limits.set_limits(&limits);
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -232,6 +232,11 @@
         self.slots.schedule_chunk(now, call, bytes)
     }
 
+    /// Records bytes that the node has written to other VMs, paced or not.
+    pub fn record_written(&mut self, now: Time, bytes: u64) {
+        self.slots.record_written(now, bytes);
+    }
+
     /// The current load of the target and its queue.
     pub fn load(&self, now: Time) -> Load {
         self.slots.load(now)
--- a/core/src/call/link.rs
+++ b/core/src/call/link.rs
@@ -1,4 +1,7 @@
 //! Paces responses on the network link of a VM, which they share with all other traffic.
+//!
+//! Either a fixed share of the link is left to other traffic, or that is measured: what the node writes
+//! to other VMs counts, so that bulk responses get what is left.
 
 use super::recent_sum::RecentSum;
 use crate::Time;
@@ -26,6 +29,13 @@
 /// late, and bounds how long small responses wait behind bulk data.
 const WRITE_AHEAD: Duration = Duration::from_millis(10);
 
+/// Bytes of other traffic count this many times: its messages are small and come in bursts, and their
+/// packet headers, acknowledgements and new connections are not counted.
+const OTHER_TRAFFIC_WEIGHT: u64 = 2;
+
+/// Most bytes of scheduled responses that are expected to be written.
+const MAX_UNWRITTEN_BYTES: u64 = 262_144;
+
 /// The newest sample contributes 1/n to the moving average.
 const WEIGHT: u32 = 8;
 
@@ -55,8 +65,10 @@
     // Absent if the link is not limited.
     bytes_per_s: Option<u64>,
     kbps: Option<u64>,
-    // Bytes of small responses.
+    // Bytes of small responses, and of what else the node has written.
     small: RecentSum,
+    // Bytes of scheduled responses that have not been recorded as written.
+    unwritten: u64,
     // Whether waits allow for the small responses measured, in place of a fixed share.
     measures_share: bool,
     // When all scheduled bytes will have been transmitted.
@@ -74,6 +86,7 @@
             bytes_per_s,
             kbps,
             small: RecentSum::new(),
+            unwritten: 0,
             measures_share: false,
             idle_at: Time::ZERO,
             mean_size: INITIAL_SIZE,
@@ -144,6 +157,8 @@
         }
         let idle_at = self.idle_at.max(now);
         self.idle_at = idle_at + self.transmit_time(bytes);
+        // What is never written, since its reader has left, must not hide other traffic for long.
+        self.unwritten = (self.unwritten + bytes).min(MAX_UNWRITTEN_BYTES);
         match class {
             Class::Bulk => now.max(idle_at - WRITE_AHEAD.min(idle_at.since(now))),
             Class::Gating | Class::Interactive => {
@@ -153,6 +168,19 @@
         }
     }
 
+    /// Records bytes that the node has written over the link. Those that are not of responses it has
+    /// scheduled, such as forwarded requests and the heads of responses, use the link as well.
+    pub fn record_written(&mut self, now: Time, bytes: u64) {
+        if !self.measures_share {
+            return;
+        }
+        let scheduled = bytes.min(self.unwritten);
+        self.unwritten -= scheduled;
+        let others = (bytes - scheduled) * OTHER_TRAFFIC_WEIGHT;
+        self.idle_at = self.idle_at.max(now) + self.transmit_time(others);
+        self.small.add(now, others);
+    }
+
     /// Records the time to first byte of a bulk response.
     pub fn record_first_byte(&mut self, time_to_first_byte: Duration) {
         let weight =
--- a/core/tests/call_parking.rs
+++ b/core/tests/call_parking.rs
@@ -227,6 +227,29 @@
     // Estimates stay finite when small responses use all of it.
     assert!(transmit_ms(50_000, true) <= 4 * 76, "{}", transmit_ms(50_000, true));
 }
+
+/// Guards against bulk responses that fill the link while the node also forwards requests over it, so
+/// that nested calls wait behind them beyond their deadline.
+#[test]
+fn link_share_follows_other_traffic() {
+    const LINK_BYTES_PER_S: u64 = LINK_KBPS * 1_000 / 8;
+    for other_percent in [0, 10, 25] {
+        let mut link = LinkPacer::new(Some(LINK_KBPS)).with_measured_share(true);
+        let (mut now, mut sent) = (at(0), 0);
+        while now < at(10_000) {
+            let next = link.schedule_write(now, Class::Bulk, CHUNK_BYTES);
+            sent += CHUNK_BYTES;
+            let passed_us = next.since(now).as_micros() as u64;
+            let others = LINK_BYTES_PER_S * other_percent / 100 * passed_us / 1_000_000;
+            link.record_written(next, CHUNK_BYTES + others);
+            now = next;
+        }
+        let bulk = sent * 100 / (LINK_BYTES_PER_S * 10);
+        let left = 95 - 2 * other_percent;
+        assert!((left - 2..=left + 1).contains(&bulk), "{bulk} in 100 beside {other_percent}");
+    }
+}
+
 /// Guards against a change for requests without ample slack, and for targets without parking.
 #[test]
 fn no_effect_without_ample_slack() {
--- a/node/src/calls.rs
+++ b/node/src/calls.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod gate;
 pub mod headers;
+pub mod link_use;
 pub mod pacer;
 pub mod pool;
 mod readiness;
--- a/node/src/calls/entry.rs
+++ b/node/src/calls/entry.rs
@@ -99,7 +99,7 @@
             let entry = Entry::new(place.clone(), seed.wrapping_add(index as u64));
             Shard {
                 entry: Mutex::new(entry.with_policy(policy.clone()).with_shards(threads)),
-                pool: Pool::new(shared.clock.clone(), executor.clone()),
+                pool: Pool::new(&shared, executor.clone()),
             }
         };
         let shards = (0..threads).map(shard).collect();
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -74,7 +74,7 @@
             gatekeeper = gatekeeper.with_discovered_target(settings.listen.gate, service.clone());
         }
         GateAdapter {
-            pool: Pool::new(shared.clock.clone(), executor.clone()),
+            pool: Pool::new(&shared, executor.clone()),
             executor: executor.clone(),
             state: Mutex::new(State::new(gatekeeper)),
             next_call: AtomicU64::new(1),
@@ -183,7 +183,10 @@
     /// Delay before the next `bytes` of the response to `call` may be sent over the link.
     pub(super) fn link_delay(&self, call: CallKey, bytes: u64) -> Duration {
         let now = self.shared.clock.now();
-        self.state.lock().gatekeeper.schedule_chunk(now, call, bytes).since(now)
+        let written = self.shared.link_use.take();
+        let mut state = self.state.lock();
+        state.gatekeeper.record_written(now, written);
+        state.gatekeeper.schedule_chunk(now, call, bytes).since(now)
     }
 
     /// Serves a request forwarded by another node.
--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -3,8 +3,10 @@
 use super::body::Body;
 use super::gate::Slot;
 use super::headers;
+use super::link_use::LinkUse;
 use super::readiness::ReadinessStream;
 use crate::clock::Clock;
+use crate::shared::Shared;
 use async_executor::Executor;
 use async_io::Async;
 use event_listener::Event;
@@ -56,6 +58,8 @@
 #[derive(Debug)]
 pub struct Pool {
     clock: Clock,
+    // Counts what is written to other VMs.
+    link_use: Option<Arc<LinkUse>>,
     executor: Arc<Executor<'static>>,
     connect_timeout: Duration,
     idle: Mutex<IndexMap<SocketAddr, Vec<IdleConnection>>>,
@@ -86,8 +90,9 @@
 
 impl Pool {
     /// Creates an empty pool whose connection tasks run on `executor`.
-    pub fn new(clock: Clock, executor: Arc<Executor<'static>>) -> Arc<Pool> {
-        Pool::with_connect_timeout(clock, executor, CONNECT_TIMEOUT)
+    pub fn new(shared: &Shared, executor: Arc<Executor<'static>>) -> Arc<Pool> {
+        let link_use = Some(shared.link_use.clone());
+        Pool::build(shared.clock.clone(), executor, CONNECT_TIMEOUT, link_use)
     }
 
     /// Creates an empty pool with a different connect timeout, for callers without an alternative
@@ -97,8 +102,24 @@
         executor: Arc<Executor<'static>>,
         connect_timeout: Duration,
     ) -> Arc<Pool> {
-        let (idle, open_count) = (Mutex::new(IndexMap::new()), AtomicUsize::new(0));
-        Arc::new(Pool { clock, executor, connect_timeout, idle, open_count, changed: Event::new() })
+        Pool::build(clock, executor, connect_timeout, None)
+    }
+
+    fn build(
+        clock: Clock,
+        executor: Arc<Executor<'static>>,
+        connect_timeout: Duration,
+        link_use: Option<Arc<LinkUse>>,
+    ) -> Arc<Pool> {
+        Arc::new(Pool {
+            clock,
+            link_use,
+            executor,
+            connect_timeout,
+            idle: Mutex::new(IndexMap::new()),
+            open_count: AtomicUsize::new(0),
+            changed: Event::new(),
+        })
     }
 
     /// Makes requests that wait in [`Pool::connect_within`] read their limit again.
@@ -204,9 +225,10 @@
         };
         let stream = future::or(Async::<TcpStream>::connect(address), timeout).await?;
         stream.get_ref().set_nodelay(true)?;
-        let (sender, driver) = http1::handshake(FuturesIo::new(ReadinessStream::new(stream)))
-            .await
-            .map_err(io::Error::other)?;
+        let written = self.link_use.as_ref().and_then(|link_use| link_use.counter(address.ip()));
+        let stream = ReadinessStream::new(stream).with_counter(written);
+        let (sender, driver) =
+            http1::handshake(FuturesIo::new(stream)).await.map_err(io::Error::other)?;
         let deferred_slot = Arc::new(DeferredSlot::default());
         let held_slot = deferred_slot.clone();
         let task = async move {
--- a/node/src/calls/readiness.rs
+++ b/node/src/calls/readiness.rs
@@ -5,6 +5,8 @@
 use std::io;
 use std::net::TcpStream;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 
 /// Maximum bytes per read. hyper doubles the read buffer of a connection whenever a read fills it, up
@@ -20,11 +22,25 @@
 pub struct ReadinessStream {
     stream: Async<TcpStream>,
     drained: bool,
+    // Counts the bytes written.
+    written: Option<Arc<AtomicU64>>,
 }
 
 impl ReadinessStream {
     pub fn new(stream: Async<TcpStream>) -> ReadinessStream {
-        ReadinessStream { stream, drained: false }
+        ReadinessStream { stream, drained: false, written: None }
+    }
+
+    /// Adds the bytes written to `written`.
+    pub fn with_counter(self, written: Option<Arc<AtomicU64>>) -> ReadinessStream {
+        ReadinessStream { written, ..self }
+    }
+
+    fn count_written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let (Some(written), Poll::Ready(Ok(count))) = (&self.written, &result) {
+            written.fetch_add(*count as u64, Ordering::Relaxed);
+        }
+        result
     }
 
     pub fn into_inner(self) -> Async<TcpStream> {
@@ -59,7 +75,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.count_written(result)
     }
 
     fn poll_write_vectored(
@@ -67,7 +84,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.count_written(result)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/node/src/calls/serve.rs
+++ b/node/src/calls/serve.rs
@@ -137,7 +137,9 @@
 
     async fn serve(&self, stream: Async<TcpStream>, conn: &Arc<ConnectionState>, index: usize) {
         let max_head = self.shared.settings.limits.max_head_bytes;
-        let socket = FuturesIo::new(Socket::new(stream, conn.clone()));
+        let peer = stream.get_ref().peer_addr();
+        let written = peer.ok().and_then(|peer| self.shared.link_use.counter(peer.ip()));
+        let socket = FuturesIo::new(Socket::new(stream, conn.clone(), written));
         let service = hyper::service::service_fn(|req| {
             let response = self.handle_request(index, conn.clone(), req);
             async move { Ok::<_, Infallible>(response.await) }
--- a/node/src/calls/socket.rs
+++ b/node/src/calls/socket.rs
@@ -12,6 +12,7 @@
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::task::{Context, Poll, ready};
 use sycamore_core::Code;
 
@@ -30,9 +31,14 @@
 }
 
 impl Socket {
-    pub fn new(stream: Async<TcpStream>, conn: Arc<ConnectionState>) -> Socket {
+    /// The bytes written are added to `written`.
+    pub fn new(
+        stream: Async<TcpStream>,
+        conn: Arc<ConnectionState>,
+        written: Option<Arc<AtomicU64>>,
+    ) -> Socket {
         Socket {
-            stream: ReadinessStream::new(stream),
+            stream: ReadinessStream::new(stream).with_counter(written),
             conn,
             scan: HeadScan::default(),
             rewritten: None,
--- a/node/src/shared.rs
+++ b/node/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::conn_state::ConnectionState;
 use crate::calls::dialect::Dialect;
+use crate::calls::link_use::LinkUse;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::output;
@@ -33,6 +34,8 @@
     pub dialect: Dialect,
     /// Prometheus metrics.
     pub metrics: Metrics,
+    /// What this node writes to other VMs.
+    pub link_use: Arc<LinkUse>,
     /// Notes from the call path to other nodes, sent with the peer messages.
     pub notes: Queue<OutgoingNote>,
     /// Gatekeepers that the call path failed to reach or lost the connection to.
@@ -128,6 +131,7 @@
         let started = clock.now();
         let events = Mutex::new(EventRing::new(settings.limits.event_ring));
         let shared = Arc::new(Shared {
+            link_use: Arc::new(LinkUse::new(settings.listen.gate.ip())),
             current: RwLock::new(Arc::new(settings.clone())),
             settings,
             clock,
