Allow for a document over a free link where a response is lost

A node without a reader that holds a large document watched the store several times as often as before, since the transfer over a shared link was counted twice: with 0.3 MB over 15 Mbit/s a watch waited 0.3 s in place of 2.0 s. Lost responses are rare, and a watch that is asked for again while its answer is transferred costs bytes only. The transfer over a free link is allowed for instead: 1.6 s by the same sum. discovery_versions, _overdue, _silence and _restart pass.

--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -15,7 +15,7 @@
 //! slow.
 
 use super::listing::{ListedFleet, Listing, Part};
-use super::pace::{MAX_WAIT_JITTER_PERCENT, OVERDUE_DELAY, Pace, RESPONSE_TIMEOUT};
+use super::pace::{MAX_WAIT_JITTER_PERCENT, Pace, RESPONSE_TIMEOUT};
 use super::port::{Call, Change, ReadError, Reply, Request};
 use crate::Time;
 use rand::RngExt;
@@ -308,9 +308,8 @@
         self.called_at = now;
         let is_watch = matches!(request, Request::Watch { .. });
         let max_bytes = if is_watch { self.max_watch_bytes() } else { MAX_RESPONSE_BYTES };
-        let allowed = OVERDUE_DELAY * (1 << self.overdue.min(MAX_OVERDUE_DOUBLINGS));
-        let overdue_at = now + wait + allowed + self.pace.document_time;
-        self.overdue_at = is_watch.then_some(overdue_at);
+        let allowed = self.pace.overdue_delay() * (1 << self.overdue.min(MAX_OVERDUE_DOUBLINGS));
+        self.overdue_at = is_watch.then_some(now + wait + allowed);
         self.state = State::Pending(id, request.clone());
         let timeout = wait + RESPONSE_TIMEOUT + self.pace.document_time;
         Some(Call { id, request, timeout, max_bytes })
--- a/core/src/discovery/pace.rs
+++ b/core/src/discovery/pace.rs
@@ -33,7 +33,7 @@
 const READ_TIME: Duration = Duration::from_millis(400);
 
 /// A document is assumed to get one part in this many of a link, beside calls.
-const LINK_CONTENTION: u64 = 4;
+const LINK_CONTENTION: u32 = 4;
 
 /// Bandwidth assumed for the narrowest link of any follower, in kbit/s.
 const NARROW_LINK_KBPS: u64 = 10_000;
@@ -45,7 +45,7 @@
 
 /// Delay after which the response to a watch that is due counts as overdue: many times the usual
 /// latency of the store.
-pub const OVERDUE_DELAY: Duration = Duration::from_millis(250);
+const OVERDUE_DELAY: Duration = Duration::from_millis(250);
 
 /// Time for the call after a lost one to be answered and its changes to be applied.
 const CALL_TIME: Duration = Duration::from_millis(250);
@@ -104,7 +104,8 @@
             reader_timeout,
             lost_wait: (left * 100 / MAX_WAIT_JITTER_PERCENT).clamp(MIN_LOST_WAIT, MAX_LOST_WAIT),
             reader_wait: reader_timeout * 100 / MAX_WAIT_JITTER_PERCENT,
-            max_call_interval: bound.saturating_sub(CALL_TIME + document_time),
+            // A lost response is rare; the link is assumed to be free then.
+            max_call_interval: bound.saturating_sub(CALL_TIME + document_time / LINK_CONTENTION),
             max_watch_wait: narrow_timeout - batch_delay - delivery_margin,
             batch_delay,
             own_batch_delay: own_batch_delay.clamp(MIN_OWN_BATCH_DELAY, OWN_BATCH_DELAY),
@@ -117,11 +118,16 @@
     /// A lost response can't be told from a store without changes until it is overdue. The next call
     /// then has to bring in time what has changed since the last response.
     pub fn watch_wait(&self, since_response: Duration) -> Duration {
-        let overdue = OVERDUE_DELAY + self.document_time;
-        let left = self.max_call_interval.saturating_sub(overdue + since_response);
+        let left = self.max_call_interval.saturating_sub(self.overdue_delay() + since_response);
         left.clamp(MIN_WATCH_WAIT, MAX_WATCH_WAIT)
     }
 
+    /// Delay after which the response to a watch that is due counts as overdue, with time for a
+    /// document over a free link.
+    pub fn overdue_delay(&self) -> Duration {
+        OVERDUE_DELAY + self.document_time / LINK_CONTENTION
+    }
+
     /// Longest time without an input. A longer gap means that the process was paused, since every
     /// call times out or is repeated sooner.
     pub fn max_silence(&self) -> Duration {
@@ -137,7 +143,7 @@
 
 /// Time that a document takes over a link beside calls.
 fn transfer_time(document_bytes: u64, link_kbps: u64) -> Duration {
-    Duration::from_millis(document_bytes * 8 * LINK_CONTENTION / link_kbps.max(1))
+    Duration::from_millis(document_bytes * 8 / link_kbps.max(1)) * LINK_CONTENTION
 }
 
 /// How long a follower relies on its reader, so that it has time left to read the document.
