Stop reading a target that goes on sending after its request was cancelled

After a broken body the node shuts its side down and waits up to 0.5 s for the target to close, reading all that comes meanwhile: memory is bounded, the processor's time is not.

--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -45,6 +45,10 @@
 /// Maximum wait for the target to close its side after a cancelled request.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Bytes read from a target after a cancelled request before the connection is closed on it: a
+/// response of usual size that was on its way.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+
 /// A request without a response.
 #[derive(Debug)]
 pub enum SendError {
@@ -413,11 +417,18 @@
 }
 
 /// Shuts down the write side and waits until the target has closed the connection. By then the
-/// target has noticed the cancellation, so its slot is free.
+/// target has noticed the cancellation, so its slot is free. A target that goes on sending has not
+/// noticed, and the connection is closed on it.
 async fn wait_for_close(mut stream: Async<TcpStream>) {
     if stream.get_ref().shutdown(Shutdown::Write).is_err() {
         return;
     }
     let mut buf = [0; 4_096];
-    while stream.read(&mut buf).await.is_ok_and(|count| count > 0) {}
+    let mut discarded = 0;
+    while discarded < MAX_DISCARDED_BYTES {
+        match stream.read(&mut buf).await {
+            Ok(count) if count > 0 => discarded += count,
+            _ => return,
+        }
+    }
 }
