Review, case 2: a restart with an earlier time of day makes nodes ignore a leaving backend

Entries are ordered by the backend's time of day at its start. After that clock was set back, what the restarted backend writes is dropped, also that it is draining.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/harness ] || exit 2
-exec target/review/harness weights . "review/2/record.txt"
+exec target/review/harness born . "review/2/record.txt"
--- a/review/harness/backend.rs
+++ b/review/harness/backend.rs
@@ -5,8 +5,8 @@
 use crate::store::Store;
 use crate::Record;
 use std::io::{BufReader, Write};
-use std::net::{SocketAddrV4, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::net::{Shutdown, SocketAddrV4, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -40,42 +40,48 @@
     pub cfg: Config,
     pub store: Store,
     pub record: Record,
+    /// The ids of the requests that have reached it, and when.
+    pub reached: Mutex<Vec<(String, Instant)>>,
     /// The ids of the requests that it has begun to run.
     pub runs: Mutex<Vec<String>>,
     /// Taken by the next request that the backend runs.
     pub endless: Mutex<Option<Endless>>,
     pub draining: AtomicBool,
     pub registered: AtomicBool,
+    /// By how many milliseconds the machine's time of day is ahead of true time.
+    pub clock_off_ms: AtomicI64,
     running: Mutex<(u32, u32)>,
     freed: Condvar,
     sequence: AtomicU64,
-    born: u64,
+    born: AtomicU64,
+    down: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
 }
 
 impl Backend {
     pub fn start(cfg: Config, store: &Store, record: &Record) -> std::io::Result<Arc<Backend>> {
         let listener = TcpListener::bind(cfg.addr)?;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let backend = Arc::new(Backend {
             cfg,
             store: store.clone(),
             record: record.clone(),
+            reached: Mutex::default(),
             runs: Mutex::default(),
             endless: Mutex::default(),
             draining: AtomicBool::new(false),
             registered: AtomicBool::new(true),
+            clock_off_ms: AtomicI64::new(0),
             running: Mutex::new((0, 0)),
             freed: Condvar::new(),
             sequence: AtomicU64::new(0),
-            born,
+            born: AtomicU64::new(0),
+            down: AtomicBool::new(false),
+            open: Mutex::default(),
         });
+        backend.set_born();
+        listener.set_nonblocking(true)?;
         let accepting = backend.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let backend = accepting.clone();
-                std::thread::spawn(move || backend.serve(stream));
-            }
-        });
+        std::thread::spawn(move || accepting.accept(listener));
         let beating = backend.clone();
         std::thread::spawn(move || loop {
             beating.beat();
@@ -84,14 +90,64 @@
         Ok(backend)
     }
 
+    /// Accepts connections. While the backend is down its port has no listener.
+    fn accept(self: &Arc<Backend>, listener: TcpListener) {
+        let mut listener = Some(listener);
+        loop {
+            if self.down.load(Ordering::SeqCst) {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(self.cfg.addr).ok();
+                listener.as_ref().map(|listener| listener.set_nonblocking(true));
+            }
+            match listener.as_ref().map(TcpListener::accept) {
+                Some(Ok((stream, _))) => {
+                    let _ = stream.set_nonblocking(false);
+                    if let Ok(stream) = stream.try_clone() {
+                        self.open.lock().unwrap().push(stream);
+                    }
+                    let backend = self.clone();
+                    std::thread::spawn(move || backend.serve(stream));
+                }
+                _ => std::thread::sleep(Duration::from_millis(1)),
+            }
+        }
+    }
+
+    /// Crashes: connections are reset or closed, and nothing is said to the store.
+    pub fn crash(&self) {
+        self.record.line(&format!("{} crashes", self.cfg.id));
+        self.down.store(true, Ordering::SeqCst);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Starts again under the same id: it knows nothing of before, and its counts start anew.
+    pub fn start_again(&self) {
+        self.sequence.store(0, Ordering::SeqCst);
+        self.set_born();
+        self.down.store(false, Ordering::SeqCst);
+        let born = self.born.load(Ordering::SeqCst);
+        self.record.line(&format!("{} starts again, born {born}", self.cfg.id));
+        self.beat();
+    }
+
+    fn set_born(&self) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64;
+        let born = now + self.clock_off_ms.load(Ordering::SeqCst);
+        self.born.store(born as u64, Ordering::SeqCst);
+    }
+
     pub fn beat(&self) {
-        if !self.registered.load(Ordering::SeqCst) {
+        let down = self.down.load(Ordering::SeqCst);
+        if down || !self.registered.load(Ordering::SeqCst) {
             return;
         }
         let Config { id, service, zone, addr, slots, .. } = &self.cfg;
         let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let born = self.born;
+        let born = self.born.load(Ordering::SeqCst);
         let entry = format!(
             "{{\"service\":\"{service}\",\"addr\":\"{addr}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
              \"slots\":{slots},\"state\":\"{state}\",\"cold_left_ms\":0,\"seq\":{sequence},\"born\":{born}}}"
@@ -150,6 +206,7 @@
         if head.get("expect-instance").is_some_and(|other| other != own) {
             return reject(421, writer);
         }
+        self.reached.lock().unwrap().push((id.clone(), arrived));
         let deadline = Duration::from_millis(head.number("deadline-ms").unwrap_or(4_000));
         let deadline = arrived + deadline;
         {
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -5,6 +5,7 @@
 //! could not run. With `TROUBLE=0` in the environment, the disruption is left out.
 
 mod backend;
+mod born;
 mod client;
 mod endless;
 mod net;
@@ -65,6 +66,7 @@
     std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
     let result = match case.as_str() {
         "endless" => endless::play(&root, &folder, &record, trouble),
+        "born" => born::play(&root, &folder, &record, trouble),
         "weights" => weights::play(&root, &folder, &record, trouble),
         other => Err(format!("no case {other}")),
     };
--- a/review/harness/node.rs
+++ b/review/harness/node.rs
@@ -217,7 +217,7 @@
     pub fn wait_ready(&self, at_most: Duration) -> bool {
         let until = Instant::now() + at_most;
         while Instant::now() < until {
-            if self.machines.iter().all(|machine| self.is_ready(machine.number)) {
+            if self.nodes.keys().all(|machine| self.is_ready(*machine)) {
                 return true;
             }
             std::thread::sleep(Duration::from_millis(100));
