--- a/review/harness/backend.rs
+++ b/review/harness/backend.rs
@@ -117,6 +117,11 @@
     /// Crashes: connections are reset or closed, and nothing is said to the store.
     pub fn crash(&self) {
         self.record.line(&format!("{} crashes", self.cfg.id));
+        self.end();
+    }
+
+    /// Ends the process: its connections close, and its port has no listener.
+    pub fn end(&self) {
         self.down.store(true, Ordering::SeqCst);
         for stream in self.open.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
--- a/review/harness/born.rs
+++ b/review/harness/born.rs
@@ -135,7 +135,8 @@
                 }
                 Event::Exit => {
                     leaving.registered.store(false, Ordering::SeqCst);
-                    leaving.crash();
+                    leaving.end();
+                    store.remove(&format!("servers/{}", leaving.cfg.id));
                 }
                 _ => {}
             }
@@ -172,7 +173,7 @@
         clients.into_iter().filter_map(|client| client.join().ok()).collect();
     // Of requests that the end of the backend may have met.
     let failed = answers.iter().filter(|(sent_at, status)| {
-        *sent_at > Duration::from_secs(19) && *status != 200
+        *sent_at > Duration::from_secs(19) && ![200, 503].contains(status)
     });
     let failed = failed.count();
     let acknowledged = acknowledged.ok_or("the backend did not leave")?;
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -38,6 +38,16 @@
         self.shared.1.notify_all();
     }
 
+    pub fn remove(&self, key: &str) {
+        let mut state = self.shared.0.lock().unwrap();
+        if state.items.remove(key).is_some() {
+            state.revision += 1;
+            let revision = state.revision;
+            state.events.push((revision, key.to_owned(), None, 0));
+        }
+        self.shared.1.notify_all();
+    }
+
     pub fn serve(&self, at: SocketAddrV4) -> std::io::Result<()> {
         let listener = TcpListener::bind(at)?;
         let store = self.clone();
--- a/review/harness/weights.rs
+++ b/review/harness/weights.rs
@@ -7,6 +7,7 @@
 
 use crate::backend::{Backend, Config};
 use crate::client::{call, Request};
+use crate::net::SIGTERM;
 use crate::node::{Bounds, Fleet, Machine, Network, APP, OUTBOUND, STORE};
 use crate::store::Store;
 use crate::Record;
@@ -56,6 +57,20 @@
     )
 }
 
+/// The node that is stopped and started again after the traffic.
+const RESTARTED: u8 = 1;
+
+fn wait_until(at_most: Duration, mut done: impl FnMut() -> bool) -> bool {
+    let until = Instant::now() + at_most;
+    while Instant::now() < until {
+        if done() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    false
+}
+
 /// A request sent after the change, and what became of it.
 struct Sent {
     path: &'static str,
@@ -155,6 +170,12 @@
     for client in clients {
         let _ = client.join();
     }
+    // For the record only: a node that is stopped and started again meanwhile.
+    fleet.signal(RESTARTED, SIGTERM);
+    let stopped = wait_until(Duration::from_secs(6), || fleet.ended(RESTARTED).is_some());
+    fleet.start(&machines[usize::from(RESTARTED) - 1])?;
+    let ready = stopped && wait_until(LEAD, || fleet.is_ready(RESTARTED));
+    record.say(&format!("node {RESTARTED}, started again under version 9: ready within {LEAD:?}: {ready}"));
     let old: Vec<String> = backends
         .iter()
         .filter(|backend| backend.cfg.service == "desk")
