--- a/review/harness/backend.rs
+++ b/review/harness/backend.rs
@@ -27,10 +27,9 @@
     pub body_bytes: usize,
 }
 
-/// What the backend sends in place of its next answer: bytes, and then filler until its caller closes.
+/// What the backend sends in place of an answer, again and again until its caller closes.
 #[derive(Clone, Debug)]
 pub struct Endless {
-    pub begin: Vec<u8>,
     pub filler: Vec<u8>,
     /// The stand-in gives up by itself after this time, so that a run of the script ends.
     pub at_most: Duration,
@@ -44,8 +43,8 @@
     pub reached: Mutex<Vec<(String, Instant)>>,
     /// The ids of the requests that it has begun to run.
     pub runs: Mutex<Vec<String>>,
-    /// Taken by the next request that the backend runs.
-    pub endless: Mutex<Option<Endless>>,
+    /// Each is taken by one of the next requests that the backend runs.
+    pub endless: Mutex<Vec<Endless>>,
     pub draining: AtomicBool,
     pub registered: AtomicBool,
     /// By how many milliseconds the machine's time of day is ahead of true time.
@@ -249,7 +248,7 @@
         reader: &mut BufReader<TcpStream>,
         writer: &mut TcpStream,
     ) -> Option<()> {
-        let endless = self.endless.lock().unwrap().take();
+        let endless = self.endless.lock().unwrap().pop();
         let done = Instant::now() + self.cfg.work;
         // Drops the request when its connection closes.
         let stream = reader.get_ref();
@@ -284,13 +283,10 @@
     fn send_endless(&self, id: &str, endless: &Endless, writer: &mut TcpStream) {
         let began = Instant::now();
         self.record.line(&format!("{} begins bytes without end in the answer to {id}", self.cfg.id));
-        let begin = String::from_utf8_lossy(&endless.begin).replace("{id}", id);
         let _ = writer.set_write_timeout(Some(endless.at_most));
-        let mut next = begin.into_bytes();
         let mut bytes = 0;
-        while began.elapsed() < endless.at_most && writer.write_all(&next).is_ok() {
-            bytes += next.len();
-            next.clone_from(&endless.filler);
+        while began.elapsed() < endless.at_most && writer.write_all(&endless.filler).is_ok() {
+            bytes += endless.filler.len();
         }
         let after = began.elapsed();
         let why = if after < endless.at_most { "its caller closed" } else { "it gave up by itself" };
--- a/review/harness/endless.rs
+++ b/review/harness/endless.rs
@@ -1,4 +1,4 @@
-//! A backend in trouble answers one request with bytes that are no answer and have no end.
+//! A backend in trouble answers three requests with bytes that are no answer and have no end.
 //!
 //! Rule CONFIG: of the requests that are still unanswered at their route's `timeout_ms`, more than half
 //! have no answer half a second later, at machines in touch.
@@ -29,8 +29,10 @@
 /// Traffic starts this long after the machines do.
 const LEAD: Duration = Duration::from_secs(8);
 const TRAFFIC: Duration = Duration::from_secs(20);
-const INTERVAL: Duration = Duration::from_millis(100);
-/// When the backend answers a request in this way, from the start of the traffic.
+const INTERVAL: Duration = Duration::from_millis(50);
+/// How many answers are replaced: 0.03 of the hundred that a backend gives in five seconds.
+const ANSWERS: usize = 3;
+/// When the backend answers requests in this way, from the start of the traffic.
 const TROUBLE_AT: Duration = Duration::from_secs(6);
 
 /// The machine whose backend is in trouble.
@@ -58,7 +60,7 @@
     let long = format!("HTTP/1.1 102 Processing\r\n{}\r\n", "a: b\r\n".repeat(90));
     let half = |head: &str| head.repeat(2_000_000 / head.len()).into_bytes();
     let filler = [half(&short), half(&long)].concat();
-    Endless { begin: Vec::new(), filler, at_most: ENDLESS_FOR }
+    Endless { filler, at_most: ENDLESS_FOR }
 }
 
 struct Sent {
@@ -108,7 +110,7 @@
     while began.elapsed() < TRAFFIC {
         if trouble && !troubled && began.elapsed() >= TROUBLE_AT {
             troubled = true;
-            *backends[usize::from(FAULTY) - 1].endless.lock().unwrap() = Some(endless());
+            *backends[usize::from(FAULTY) - 1].endless.lock().unwrap() = vec![endless(); ANSWERS];
         }
         for machine in &machines {
             number += 1;
@@ -143,7 +145,7 @@
                 });
             }));
         }
-        if number % 40 == 0 {
+        if number % 80 == 0 {
             ready[usize::from(fleet.is_ready(FAULTY))] += 1;
         }
         std::thread::sleep(INTERVAL);
