--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -44,11 +44,12 @@
 pub use registry::{RECOVERY_GRACE, Registry};
 
 use crate::call::note::OutgoingNote;
-use crate::config::{InForce, Snapshot};
+use crate::config::{InForce, Snapshot, Target};
 use crate::event::{Event, EventKind};
 use crate::hash::Hash;
 use crate::place::Link;
 use crate::spread::PeerMsg;
+use crate::spread::message::Summary;
 use crate::{Code, Time};
 use follow::{Role, StoreWatcher};
 use listing::Part;
@@ -233,6 +234,9 @@
             Part::Document => self.registry.apply_evacuations(&targets),
             Part::Changes => self.registry.apply_changes(now, targets),
         };
+        if let Some(revision) = self.watcher.known_revision().filter(|_| responded) {
+            self.registry.set_revision(revision);
+        }
         // The completed list replaces the view of the stale one, also if it changes no target.
         self.snapshot_stale |= listed && self.provisional;
         if self.watcher.is_repeating_list() {
@@ -243,7 +247,8 @@
         // A partial list does not prove freshness. Neither does a registry with missing entries:
         // nodes that stayed connected to the store may know that those targets are gone.
         if responded && !self.watcher.is_listing() && !self.registry.has_missing() {
-            self.relay.on_store_success(self.watcher.responded_at().unwrap_or(now));
+            let responded_at = self.watcher.responded_at().unwrap_or(now);
+            self.relay.on_store_success(responded_at, self.registry.revision());
             self.broadcast_due = true;
         }
         for publication in publications {
@@ -291,10 +296,12 @@
     }
 
     /// Makes a view that a reader has confirmed the state of this node.
-    fn adopt_view(&mut self, now: Time, view: Arc<View>, out: &mut Vec<Output>) {
+    fn adopt_view(&mut self, now: Time, view: Arc<View>, summary: &Summary, out: &mut Vec<Output>) {
+        let revision = summary.store_revision;
         let targets = view.targets.iter();
         let entries = targets.flat_map(|(service, listed)| {
-            listed.iter().map(|target| (target.vm.clone(), rejoin::target_entry(service, target)))
+            let entry = |target: &Target| rejoin::target_entry(service, target, revision);
+            listed.iter().map(move |target| (target.vm.clone(), entry(target)))
         });
         self.registry.replace_from_reader(entries.collect());
         self.accept_version(now, view.published.clone(), out);
--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -282,6 +282,18 @@
         Some(self.overdue)
     }
 
+    /// Revision of the store up to which all targets are known, right after a response that
+    /// completes them.
+    pub fn known_revision(&self) -> Option<u64> {
+        match &self.state {
+            State::Scheduled(Request::Watch { revision, .. }, _) => Some(*revision),
+            State::Scheduled(Request::Document, _) => {
+                self.listing.as_ref().filter(|listing| listing.targets_taken)?.revision
+            }
+            _ => None,
+        }
+    }
+
     /// When the store last responded with all changes.
     pub fn responded_at(&self) -> Option<Time> {
         self.responded_at
--- a/core/src/discovery/peers.rs
+++ b/core/src/discovery/peers.rs
@@ -5,7 +5,7 @@
 use super::relay::{self, Outgoing};
 use super::{Discovery, Output, rejoin};
 use crate::event::{Event, EventKind};
-use crate::spread::message::{Delta, Pull, Summary};
+use crate::spread::message::{Delta, Pull, StoreMark, Summary};
 use crate::spread::{Peer, PeerMsg};
 use crate::{Code, Name, Time};
 use std::cmp::Ordering;
@@ -97,8 +97,10 @@
             return PeerMsg::Missing(self.snapshot.as_ref().map_or(0, |held| held.version()));
         };
         let confirmed_at = self.confirmed_at.filter(|_| !self.registry.in_outage(now));
+        let age = confirmed_at.map(|at| now.since(at));
+        let mark = StoreMark { age, revision: self.registry.revision() };
         let cached = self.full_state.get_or_insert_with(|| FullState::new(snapshot));
-        PeerMsg::Delta(cached.message(now, confirmed_at))
+        PeerMsg::Delta(cached.message(now, mark))
     }
 
     /// Records the loss of a peer: its process may have lost its state when it returns.
@@ -117,7 +119,7 @@
         let store_unavailable = self.store_reachable == Some(false) && !self.relay.is_follower();
         self.offers.set_random_offers(store_unavailable || !self.watcher.has_listed());
         for (to, link) in self.offers.next_round(now, &self.cfg, &self.view, &mut self.rng) {
-            let msg = PeerMsg::Notice(Box::new(self.view.summary(None)));
+            let msg = PeerMsg::Notice(Box::new(self.view.summary(StoreMark::default())));
             out.push(Output::Send { to, link, msg });
         }
     }
@@ -184,9 +186,11 @@
             return self.mark_in_sync(now, from, &delta.summary, out);
         }
         match view.apply_delta(delta) {
+            // The next notice of this candidate repeats the request.
+            Ok(_) if self.is_behind(&delta.summary) => {}
             Ok(after) => {
                 self.progress.on_targets(Some(&from.vm));
-                self.adopt_view(now, Arc::new(after), out);
+                self.adopt_view(now, Arc::new(after), &delta.summary, out);
                 self.mark_in_sync(now, from, &delta.summary, out);
             }
             // The delta was made against a different base, for example because a message was lost.
@@ -201,11 +205,22 @@
         }
     }
 
+    /// Whether the state of a candidate reader is older than this node's, so that a leaving target
+    /// would look ready again.
+    fn is_behind(&self, summary: &Summary) -> bool {
+        let is_older = (1..self.registry.revision()).contains(&summary.store_revision);
+        is_older && !self.relay.is_follower()
+    }
+
     fn mark_in_sync(&mut self, now: Time, from: &Peer, summary: &Summary, out: &mut Vec<Output>) {
-        if self.relay.mark_in_sync(now, summary) {
+        let begins_to_follow = self.relay.mark_in_sync(now, summary);
+        if self.relay.is_follower() {
+            self.registry.set_revision(summary.store_revision.max(self.registry.revision()));
+        }
+        if begins_to_follow {
             if self.provisional {
                 self.progress.on_targets(Some(&from.vm));
-                self.adopt_view(now, self.view.clone(), out);
+                self.adopt_view(now, self.view.clone(), summary, out);
             }
             self.watcher.follow_reader();
             self.progress.end_list();
@@ -250,6 +265,9 @@
         summary: &Summary,
         entries: Vec<(Name, TargetEntry)>,
     ) {
+        if (1..self.registry.revision()).contains(&summary.store_revision) {
+            return;
+        }
         let age = summary.store_age_ms.map(|age| Duration::from_millis(age.into()));
         let confirmed_at =
             age.filter(|age| *age < self.pace.max_call_interval).map(|age| now - age);
@@ -259,7 +277,8 @@
             false => confirmed_at,
         };
         self.progress.on_targets(Some(&from.vm));
-        self.snapshot_stale |= self.registry.merge_from_peer(now, entries, confirmed_at.is_some());
+        let (confirmed, revision) = (confirmed_at.is_some(), summary.store_revision);
+        self.snapshot_stale |= self.registry.merge_from_peer(now, entries, confirmed, revision);
         self.watcher.on_peer_state(now, self.confirmed_at, &mut self.rng);
         self.rejoin.postpone(now);
     }
--- a/core/src/discovery/port.rs
+++ b/core/src/discovery/port.rs
@@ -49,10 +49,12 @@
         /// Maximum number of concurrent requests.
         pub slots: u32,
         pub state: TargetState,
-        /// Start of the process by the target's clock, in milliseconds since the Unix epoch.
+        /// Start of the process by the target's clock, in milliseconds since the Unix epoch. Tells
+        /// processes apart, but not which is the later one: the clock may have been set back.
         pub started_ms: u64,
-        /// Increases with each entry written by the same process.
-        pub sequence: u64,
+        /// Revision of the store at which the entry was written; from a peer, the one up to which
+        /// the peer knows all targets. 0 if unknown.
+        pub revision: u64,
         /// Whether the target reports that its caches are cold.
         pub cold: bool,
         /// Whether a peer reports the target's zone as evacuated. Never set by the target itself;
--- a/core/src/discovery/registry.rs
+++ b/core/src/discovery/registry.rs
@@ -21,6 +21,8 @@
 pub struct Registry {
     entries: IndexMap<Name, KnownTarget>,
     evacuated_zones: BTreeSet<Name>,
+    // Revision of the store up to which all entries are known; 0 if unknown.
+    revision: u64,
     failing_since: Option<Time>,
     // When the store responded again after an outage.
     recovered_at: Option<Time>,
@@ -44,6 +46,16 @@
         Registry::default()
     }
 
+    /// Revision of the store up to which all targets are known; 0 if unknown.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Records that all targets are known up to this revision of the store.
+    pub fn set_revision(&mut self, revision: u64) {
+        self.revision = revision;
+    }
+
     /// Records a call without a response. The store may have been failing since `since`.
     pub fn on_store_failure(&mut self, now: Time, since: Time) {
         self.failing_since.get_or_insert(since);
@@ -96,12 +108,17 @@
                 Change::Removed { .. } | Change::Published(_) | Change::Evacuation { .. } => None,
             })
             .collect();
+        let changed = self.remove_unlisted(now, &listed);
+        self.apply_changes(now, changes) || changed
+    }
+
+    fn remove_unlisted(&mut self, now: Time, listed: &HashSet<Name>) -> bool {
         let known: Vec<Name> = self.entries.keys().cloned().collect();
         let mut changed = false;
         for id in known.iter().filter(|id| !listed.contains(*id)) {
             changed |= self.remove(now, id);
         }
-        self.apply_changes(now, changes) || changed
+        changed
     }
 
     /// Applies the evacuated zones of a complete list. Returns whether they changed.
@@ -119,27 +136,35 @@
     }
 
     /// Merges the targets known to a peer, while the store has not been read yet. Returns whether
-    /// any target changed. `confirmed` tells whether the store recently responded to that peer.
+    /// any target changed. `confirmed` tells whether the store recently responded to that peer, and
+    /// `revision` up to which revision of the store it knows all targets.
     pub fn merge_from_peer(
         &mut self,
         now: Time,
         entries: Vec<(Name, TargetEntry)>,
         confirmed: bool,
+        revision: u64,
     ) -> bool {
         if !confirmed {
             // Treat the store as failing: its next list takes precedence but may lack entries that
             // expired during the outage.
             self.failing_since.get_or_insert(now);
         }
+        let supersedes = self.revision > 0 && revision > self.revision;
+        self.revision = self.revision.max(revision);
         let mut changed = false;
+        if supersedes {
+            let listed = entries.iter().map(|(id, _)| id.clone()).collect();
+            changed |= self.remove_unlisted(now, &listed);
+        }
         self.evacuated_zones.extend(evacuated_zones(&entries));
         for (id, entry) in entries {
-            // The peer may not know yet that the target is draining.
+            // A peer that knows no more may not know yet that the target is draining.
             let leaving = self
                 .entries
                 .get(&id)
                 .is_some_and(|known| known.entry.state == TargetState::Draining);
-            if !leaving {
+            if supersedes || !leaving {
                 changed |= self.upsert(id, entry);
             }
         }
@@ -191,7 +216,7 @@
     /// What the latest entry of a target with this IP says; `None` without an entry.
     pub fn entry_state(&self, ip: IpAddr) -> Option<EntryState> {
         let of_target = self.entries.values().filter(|known| known.entry.address.ip() == ip);
-        let latest = of_target.max_by_key(|known| known.entry.started_ms)?;
+        let latest = of_target.max_by_key(|known| known.entry.revision)?;
         Some(match latest.entry.state {
             _ if latest.missing => EntryState::Missing,
             TargetState::Ready => EntryState::Ready,
@@ -205,13 +230,13 @@
         Some(since + RECOVERY_GRACE)
     }
 
-    /// All targets, in order of their start.
+    /// All targets, in order of their IDs.
     ///
-    /// If several entries have the same address, the latest start wins: the other processes have
+    /// If several entries have the same address, the one written last wins: the other processes have
     /// ended, and their address was reassigned before their entries expired.
     pub fn targets(&self, cfg: &Config) -> Vec<ServiceTarget> {
         let mut entries: Vec<(&Name, &KnownTarget)> = self.entries.iter().collect();
-        entries.sort_by_key(|(_, known)| known.entry.started_ms);
+        entries.sort_by_key(|(_, known)| known.entry.revision);
         let mut addresses: HashSet<SocketAddr> = HashSet::new();
         let mut listed: Vec<ServiceTarget> = Vec::with_capacity(entries.len());
         for (id, known) in entries.into_iter().rev() {
@@ -220,19 +245,21 @@
                 listed.push(known.entry.to_service_target(id, cfg, evacuated));
             }
         }
-        listed.reverse();
+        listed.sort_by(|a, b| a.target.vm.cmp(&b.target.vm));
         listed
     }
 
-    /// Inserts an entry unless it is older than the known one, which would make a draining target
-    /// look ready again. Returns whether the target changed.
+    /// Inserts an entry unless it was written before the known one, which would make a draining
+    /// target look ready again. Returns whether the target changed.
     fn upsert(&mut self, id: Name, entry: TargetEntry) -> bool {
-        let age = |entry: &TargetEntry| (entry.started_ms, entry.sequence);
-        let known = self.entries.get(&id);
-        if known.is_some_and(|known| age(&known.entry) > age(&entry)) {
-            return false;
+        if let Some(known) = self.entries.get_mut(&id) {
+            if (1..known.entry.revision).contains(&entry.revision) {
+                known.missing = false;
+                return false;
+            }
         }
-        let same = |known: &KnownTarget| known.entry.eq_ignoring_sequence(&entry);
+        let known = self.entries.get(&id);
+        let same = |known: &KnownTarget| known.entry.eq_ignoring_revision(&entry);
         let changed = !known.is_some_and(same);
         self.entries.insert(id, KnownTarget { entry, missing: false });
         changed
@@ -275,8 +302,8 @@
         ServiceTarget { service: self.service.clone(), target }
     }
 
-    fn eq_ignoring_sequence(&self, other: &TargetEntry) -> bool {
-        let rest = |entry: &TargetEntry| TargetEntry { sequence: 0, ..entry.clone() };
+    fn eq_ignoring_revision(&self, other: &TargetEntry) -> bool {
+        let rest = |entry: &TargetEntry| TargetEntry { revision: 0, ..entry.clone() };
         rest(self) == rest(other)
     }
 }
--- a/core/src/discovery/rejoin.rs
+++ b/core/src/discovery/rejoin.rs
@@ -8,7 +8,7 @@
 use crate::config::document::Target;
 use crate::config::{Preset, ResourceId, Snapshot, resource, validate};
 use crate::hash::Hash;
-use crate::spread::message::{Delta, PeerMsg, Pull, Summary};
+use crate::spread::message::{Delta, PeerMsg, Pull, StoreMark, Summary};
 use crate::{Code, Fault, Name, Result, Time};
 use bytes::Bytes;
 use indexmap::IndexMap;
@@ -93,12 +93,12 @@
         FullState { content: full_state(snapshot), sent: None }
     }
 
-    /// Message with this state, which the store confirmed at `confirmed_at`, if that is known.
-    pub fn message(&mut self, now: Time, confirmed_at: Option<Time>) -> Arc<Delta> {
+    /// Message with this state.
+    pub fn message(&mut self, now: Time, mark: StoreMark) -> Arc<Delta> {
         let recent = |(at, _): &(Time, _)| now.since(*at) < CACHED_DELTA_TTL;
         let (at, msg) = self.sent.take().filter(recent).unwrap_or_else(|| {
             let mut msg = self.content.clone();
-            msg.summary.set_store_age(confirmed_at.map(|at| now.since(at)));
+            msg.summary.set_store_mark(mark);
             (now, Arc::new(msg))
         });
         self.sent = Some((at, msg.clone()));
@@ -111,19 +111,22 @@
     let resources = resource::split_preset(&snapshot.to_preset());
     let digest = resource::manifest(&resources).digest();
     let in_force = snapshot.in_force.clone();
-    let summary = Summary { in_force, manifest_digest: digest, store_age_ms: None };
+    let summary =
+        Summary { in_force, manifest_digest: digest, store_age_ms: None, store_revision: 0 };
     let changed = resources.into_iter().map(|(id, resource)| (id, resource.body)).collect();
     Delta { summary, base: None, changed, removed: Vec::new(), digest }
 }
 
 /// Parses a full state into the version without targets and the target entries.
 pub fn parse_full_state(delta: &Delta) -> Result<(Publication, Vec<(Name, TargetEntry)>)> {
+    let revision = delta.summary.store_revision;
     let preset =
         Snapshot::assemble_preset(&delta.summary.in_force.preset, &verified_resources(delta)?)?;
     let mut entries = Vec::new();
     for (service, content) in &preset.services {
         let targets = content.targets.iter();
-        entries.extend(targets.map(|target| (target.vm.clone(), target_entry(service, target))));
+        let entry = |target: &Target| (target.vm.clone(), target_entry(service, target, revision));
+        entries.extend(targets.map(entry));
     }
     let preset = without_targets(preset);
     validate::preset_without_targets(&preset)?;
@@ -142,8 +145,8 @@
     Ok(resources)
 }
 
-/// Converts a target listed by another node into an entry.
-pub fn target_entry(service: &Name, target: &Target) -> TargetEntry {
+/// Converts a target listed by another node, which knew all targets up to `revision`, into an entry.
+pub fn target_entry(service: &Name, target: &Target, revision: u64) -> TargetEntry {
     TargetEntry {
         service: service.clone(),
         // Only the IP is used; node ports are the same everywhere.
@@ -152,8 +155,7 @@
         slots: target.slots.unwrap_or(1),
         state: if target.leaving { TargetState::Draining } else { TargetState::Ready },
         started_ms: target.started_ms.unwrap_or(0),
-        // Older than any entry that the target writes itself.
-        sequence: 0,
+        revision,
         cold: target.cold,
         evacuated: target.evacuated,
     }
--- a/core/src/discovery/relay.rs
+++ b/core/src/discovery/relay.rs
@@ -20,7 +20,7 @@
 use crate::Time;
 use crate::place::Link;
 use crate::spread::PeerMsg;
-use crate::spread::message::{Base, Delta, Pull, Summary};
+use crate::spread::message::{Base, Delta, Pull, StoreMark, Summary};
 use indexmap::IndexMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -124,6 +124,8 @@
     // The process is about to stop.
     leaving: bool,
     store_responded_at: Option<Time>,
+    // Revision of the store up to which this node knew all targets then.
+    store_revision: u64,
     last_sent: Option<Arc<View>>,
     cached_delta: Option<CachedDelta>,
     history: VecDeque<Arc<Publication>>,
@@ -151,6 +153,7 @@
             followers_expected_until: Time::ZERO,
             leaving: false,
             store_responded_at: None,
+            store_revision: 0,
             last_sent: None,
             cached_delta: None,
             history: VecDeque::new(),
@@ -178,9 +181,10 @@
         reader.max(self.store_responded_at)
     }
 
-    /// Records that the store has responded.
-    pub fn on_store_success(&mut self, now: Time) {
+    /// Records that the store has responded. All targets are known up to `revision`.
+    pub fn on_store_success(&mut self, now: Time, revision: u64) {
         self.store_responded_at = Some(now);
+        self.store_revision = revision;
     }
 
     /// Keeps a version as a base for deltas.
@@ -294,8 +298,8 @@
             self.followers_expected_until = now + FOLLOWER_WAIT;
             self.last_sent.get_or_insert_with(|| view.clone());
         }
-        let age = self.store_age(now);
-        let to_message = |(to, link)| Outgoing { to, link, msg: notice(view, age) };
+        let mark = self.store_mark(now);
+        let to_message = |(to, link)| Outgoing { to, link, msg: notice(view, mark) };
         others.into_iter().map(to_message).collect()
     }
 
@@ -395,7 +399,7 @@
         self.followers.insert(from.0, follower);
         self.last_sent.get_or_insert_with(|| view.clone());
         if base.digest == view.digest {
-            return notice(view, self.store_age(now));
+            return notice(view, self.store_mark(now));
         }
         let delta = self.delta_for(now, cfg, base, view);
         delta.map_or(PeerMsg::Missing(view.published.version), PeerMsg::Delta)
@@ -414,11 +418,11 @@
     ) -> Option<Arc<Delta>> {
         let max_size = self.max_delta_size(cfg);
         let base_version = self.find_version(base.version);
-        let age = self.store_age(now);
+        let mark = self.store_mark(now);
         if let Some(base_view) =
             self.last_sent.as_ref().filter(|last_sent| last_sent.digest == base.digest)
         {
-            return delta_between(view, base, base_version, Some(base_view), max_size, age)
+            return delta_between(view, base, base_version, Some(base_view), max_size, mark)
                 .map(Arc::new);
         }
         let is_current = |cached: &&CachedDelta| {
@@ -430,7 +434,7 @@
             return Some(cached.delta.clone());
         }
         let unknown = Base { version: base.version, digest: view.digest };
-        let delta = Arc::new(delta_between(view, &unknown, base_version, None, max_size, age)?);
+        let delta = Arc::new(delta_between(view, &unknown, base_version, None, max_size, mark)?);
         let cached =
             CachedDelta { base_version: base.version, built_at: now, delta: delta.clone() };
         self.cached_delta = Some(cached);
@@ -445,7 +449,7 @@
             return Vec::new();
         }
         let max_size = self.max_delta_size(cfg);
-        let age = self.store_age(now);
+        let mark = self.store_mark(now);
         let changed =
             last_sent.filter(|last_sent| last_sent.digest != view.digest).and_then(|last_sent| {
                 let base = Base { version: last_sent.published.version, digest: last_sent.digest };
@@ -455,11 +459,11 @@
                     self.find_version(base.version),
                     Some(&last_sent),
                     max_size,
-                    age,
+                    mark,
                 )
             });
         let msg =
-            changed.map_or_else(|| notice(view, age), |delta| PeerMsg::Delta(Arc::new(delta)));
+            changed.map_or_else(|| notice(view, mark), |delta| PeerMsg::Delta(Arc::new(delta)));
         let to_message = |(to, follower): (&SocketAddr, &Follower)| Outgoing {
             to: *to,
             link: follower.link,
@@ -490,6 +494,10 @@
         !self.leaving && cfg.link_kbps.is_none_or(|kbps| kbps >= MIN_READER_KBPS)
     }
 
+    fn store_mark(&self, now: Time) -> StoreMark {
+        StoreMark { age: self.store_age(now), revision: self.store_revision }
+    }
+
     fn store_age(&self, now: Time) -> Option<Duration> {
         self.store_responded_at.map(|store_responded_at| now.since(store_responded_at))
     }
@@ -523,6 +531,6 @@
     PeerMsg::Pull(Box::new(Pull { version, base, scope: None }))
 }
 
-fn notice(view: &View, store_age: Option<Duration>) -> PeerMsg {
-    PeerMsg::Notice(Box::new(view.summary(store_age)))
+fn notice(view: &View, mark: StoreMark) -> PeerMsg {
+    PeerMsg::Notice(Box::new(view.summary(mark)))
 }
--- a/core/src/discovery/view.rs
+++ b/core/src/discovery/view.rs
@@ -8,12 +8,11 @@
 use crate::config::resource::{Resource, ResourceId, ResourceKind};
 use crate::config::{InForce, Preset, Service, Target, validate};
 use crate::hash::Hash;
-use crate::spread::message::{Base, Delta, Summary};
+use crate::spread::message::{Base, Delta, StoreMark, Summary};
 use crate::{Code, Fault, Name, Result};
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// A version together with the known targets.
 #[derive(Clone, Debug)]
@@ -52,12 +51,14 @@
         View { published, targets, digest: Hash::of(&text) }
     }
 
-    /// Summary of this view; `store_age` is the time since the store last responded to this node.
-    pub fn summary(&self, store_age: Option<Duration>) -> Summary {
+    /// Summary of this view.
+    pub fn summary(&self, mark: StoreMark) -> Summary {
         let preset: Name = self.published.preset.name.clone();
         let in_force = InForce { version: self.published.version, preset, digest: Hash::of(b"") };
-        let mut summary = Summary { in_force, manifest_digest: self.digest, store_age_ms: None };
-        summary.set_store_age(store_age);
+        let manifest_digest = self.digest;
+        let mut summary =
+            Summary { in_force, manifest_digest, store_age_ms: None, store_revision: 0 };
+        summary.set_store_mark(mark);
         summary
     }
 
@@ -112,7 +113,7 @@
     base_version: Option<&Publication>,
     base_view: Option<&View>,
     max_size: usize,
-    store_age: Option<Duration>,
+    mark: StoreMark,
 ) -> Option<Delta> {
     let mut changed: Vec<(ResourceId, Bytes)> = Vec::new();
     let mut removed: Vec<ResourceId> = Vec::new();
@@ -134,7 +135,7 @@
     }
     let size: usize = changed.iter().map(|(_, body)| body.len()).sum();
     (size <= max_size).then(|| Delta {
-        summary: view.summary(store_age),
+        summary: view.summary(mark),
         base: Some(base.clone()),
         changed,
         removed,
--- a/core/src/spread/message.rs
+++ b/core/src/spread/message.rs
@@ -21,6 +21,17 @@
         /// does not read the store. In a full state, to the node that the state comes from; absent
         /// if that is unknown.
         pub store_age_ms: Option<u32>,
+        /// Revision of the store up to which the sender knows all targets; 0 if unknown.
+        pub store_revision: u64,
+    }
+
+    /// What a state owes to the store.
+    #[derive(Copy, Default)]
+    pub struct StoreMark {
+        /// Time since the store last responded; `None` if unknown.
+        pub age: Option<Duration>,
+        /// Revision up to which all targets are known; 0 if unknown.
+        pub revision: u64,
     }
 
     /// The state of a VM as reported by its own node.
@@ -152,9 +163,9 @@
 }
 
 impl Summary {
-    /// Sets the time since the store last responded; `None` if it is unknown.
-    pub fn set_store_age(&mut self, age: Option<Duration>) {
+    pub fn set_store_mark(&mut self, mark: StoreMark) {
         let ms = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-        self.store_age_ms = age.map(ms);
+        self.store_age_ms = mark.age.map(ms);
+        self.store_revision = mark.revision;
     }
 }
--- a/core/src/spread/reading.rs
+++ b/core/src/spread/reading.rs
@@ -295,8 +295,12 @@
         content.retain_scope(&scope);
         let snapshot =
             Snapshot::from_resources(publication.clone(), &content.in_scope(&self.scope))?;
-        let summary =
-            Summary { in_force: publication.clone(), manifest_digest, store_age_ms: None };
+        let summary = Summary {
+            in_force: publication.clone(),
+            manifest_digest,
+            store_age_ms: None,
+            store_revision: 0,
+        };
         Ok(VerifiedVersion { store: Store::new(summary, scope, content), snapshot, from: None })
     }
 
--- a/core/tests/discovery.rs
+++ b/core/tests/discovery.rs
@@ -174,7 +174,7 @@
     assert_eq!(node.targets(), ["b"]);
     // A new run with the same id replaces the entry.
     node.advance(ms(1_000));
-    let again = entry("10.0.0.1:80", TargetState::Ready, 2_000, 1);
+    let again = entry("10.0.0.1:80", TargetState::Ready, 2_000, 12);
     node.reply(12, vec![target("a", again)]);
     assert_eq!(node.targets().len(), 2);
 }
@@ -184,7 +184,7 @@
     // Guards against two targets with one address, when it is reassigned before the old entry
     // expires.
     let mut node = Node::with_targets(vec![ready("a", 1)]);
-    let next = entry("10.0.0.1:80", TargetState::Ready, 9_000, 1);
+    let next = entry("10.0.0.1:80", TargetState::Ready, 9_000, 11);
     node.reply(11, vec![target("b", next)]);
     assert_eq!(node.targets(), ["b"]);
 }
--- /dev/null
+++ b/core/tests/discovery_clock.rs
@@ -0,0 +1,105 @@
+//! Targets whose clocks are set back: the store orders their entries, not their start times.
+
+#[path = "support/store_node.rs"]
+mod support;
+
+use support::*;
+use sycamore_core::discovery::{Change, Input, TargetState};
+use sycamore_core::spread::message::Pull;
+use sycamore_core::spread::{Peer, PeerMsg};
+
+const ADDRESS: &str = "10.0.0.2:80";
+
+fn written(state: TargetState, started_ms: u64, revision: u64) -> Change {
+    target("a", entry(ADDRESS, state, started_ms, revision))
+}
+
+fn targets_of(node: &Node) -> Vec<String> {
+    let mut targets = node.targets();
+    targets.sort();
+    targets
+}
+
+/// Guards against requests to a draining target that restarted after its clock was set back.
+#[test]
+fn watch_draining_after_restart_with_earlier_clock() {
+    let mut node = Node::with_targets(vec![ready("b", 1)]);
+    node.reply(11, vec![written(TargetState::Ready, 9_000, 11)]);
+    node.advance(ms(1_000));
+    node.reply(12, vec![written(TargetState::Ready, 7_000, 12)]);
+    assert_eq!(targets_of(&node), ["a", "b"]);
+    node.advance(ms(1_000));
+    node.reply(13, vec![written(TargetState::Draining, 7_000, 13)]);
+    assert_eq!(targets_of(&node), ["b"]);
+}
+
+/// Guards against an ended target that hides the one that has taken over its address, because it
+/// started later by its clock.
+#[test]
+fn watch_address_reassigned_with_earlier_clock() {
+    let mut node = Node::with_targets(vec![ready("b", 1)]);
+    node.reply(11, vec![written(TargetState::Draining, 9_000, 11)]);
+    node.advance(ms(1_000));
+    let next = entry(ADDRESS, TargetState::Ready, 7_000, 12);
+    node.reply(12, vec![target("c", next)]);
+    assert_eq!(targets_of(&node), ["b", "c"]);
+}
+
+/// Full state of a node that knows these targets up to `revision`.
+fn state_of_peer(revision: u64, mut targets: Vec<Change>) -> PeerMsg {
+    let mut peer = Node::new();
+    targets.push(publication(1));
+    peer.reply_list(revision, targets);
+    peer.sent.clear();
+    let pull = Pull { version: 0, base: None, scope: None };
+    peer.input(Input::Peer { from: sender(8), msg: PeerMsg::Pull(Box::new(pull)) });
+    let state = peer.sent.into_iter().find(|(_, msg)| matches!(msg, PeerMsg::Delta(_)));
+    state.expect("expected a full state").1
+}
+
+fn sender(ip: u8) -> Peer {
+    let address = format!("10.0.0.{ip}:7").parse().unwrap();
+    Peer { vm: name(&format!("n{ip}")), place: place(), address }
+}
+
+/// Guards against a node that starts and takes the older of two states of peers, since the target
+/// started later by its clock there.
+#[test]
+fn rejoin_newer_state_wins_in_any_order() {
+    let older = state_of_peer(20, vec![ready("b", 1), written(TargetState::Ready, 9_000, 15)]);
+    let newer = state_of_peer(30, vec![ready("b", 1), written(TargetState::Draining, 7_000, 25)]);
+    for states in [[&older, &newer], [&newer, &older]] {
+        let mut node = Node::new();
+        for (ip, state) in states.into_iter().enumerate() {
+            node.input(Input::Peer { from: sender(21 + ip as u8), msg: state.clone() });
+        }
+        assert_eq!(targets_of(&node), ["b"]);
+    }
+}
+
+/// Guards against a target that is gone, but comes back to a starting node with an older state.
+#[test]
+fn rejoin_older_state_restores_no_target() {
+    let older = state_of_peer(20, vec![ready("b", 1), written(TargetState::Ready, 9_000, 15)]);
+    let newer = state_of_peer(30, vec![ready("b", 1)]);
+    for states in [[&older, &newer], [&newer, &older]] {
+        let mut node = Node::new();
+        for (ip, state) in states.into_iter().enumerate() {
+            node.input(Input::Peer { from: sender(21 + ip as u8), msg: state.clone() });
+        }
+        assert_eq!(targets_of(&node), ["b"]);
+    }
+}
+
+/// Guards against a peer's state that outweighs the store, because the target started later by its
+/// clock there.
+#[test]
+fn rejoin_list_after_restart_with_earlier_clock() {
+    let state = state_of_peer(20, vec![ready("b", 1), written(TargetState::Ready, 9_000, 15)]);
+    let mut node = Node::new();
+    node.input(Input::Peer { from: sender(21), msg: state });
+    assert_eq!(targets_of(&node), ["a", "b"]);
+    node.advance(ms(2_000));
+    node.reply_list(30, vec![ready("b", 1), written(TargetState::Draining, 7_000, 25)]);
+    assert_eq!(targets_of(&node), ["b"]);
+}
--- a/core/tests/discovery_evacuation.rs
+++ b/core/tests/discovery_evacuation.rs
@@ -89,7 +89,7 @@
         12,
         vec![target(
             "a",
-            sycamore_core::discovery::TargetEntry { cold: false, sequence: 2, ..report },
+            sycamore_core::discovery::TargetEntry { cold: false, revision: 12, ..report },
         )],
     );
     assert!(!cold(&node));
--- a/core/tests/discovery_growth.rs
+++ b/core/tests/discovery_growth.rs
@@ -48,8 +48,7 @@
     const ROUNDS: usize = 10;
     for round in 0..ROUNDS {
         let registered = (0..nodes).filter(|node| node % ROUNDS == round);
-        let entries =
-            registered.map(|node| support::entry(node, place(node), TargetState::Ready, 1));
+        let entries = registered.map(|node| support::entry(node, place(node), TargetState::Ready));
         fleet.store.changes.extend(entries);
         fleet.advance(REGISTRATION_TIME / ROUNDS as u32);
     }
@@ -67,7 +66,7 @@
 fn restarted_fleet(nodes: usize) -> Fleet {
     let mut fleet = Fleet::new(nodes, settings, ms(5), 0);
     fleet.store.changes.push(version(1, 10));
-    let entries = (0..nodes).map(|node| support::entry(node, place(node), TargetState::Ready, 1));
+    let entries = (0..nodes).map(|node| support::entry(node, place(node), TargetState::Ready));
     fleet.store.changes.extend(entries);
     (0..nodes).for_each(|node| fleet.input(node, Input::Start));
     fleet
--- a/core/tests/discovery_relay.rs
+++ b/core/tests/discovery_relay.rs
@@ -29,15 +29,15 @@
     Config { link_kbps, ..config(node, place(node)) }
 }
 
-fn entry(node: usize, state: TargetState, sequence: u64) -> Change {
-    support::entry(node, place(node), state, sequence)
+fn entry(node: usize, state: TargetState) -> Change {
+    support::entry(node, place(node), state)
 }
 
 /// Fleet in steady state with a small version and one target per node.
 fn fleet() -> Fleet {
     let mut fleet = Fleet::new(NODES, settings, ms(1), 0);
     fleet.store.changes.push(version(1, 10));
-    fleet.store.changes.extend((0..NODES).map(|node| entry(node, TargetState::Ready, 1)));
+    fleet.store.changes.extend((0..NODES).map(|node| entry(node, TargetState::Ready)));
     (0..NODES).for_each(|node| fleet.input(node, Input::Start));
     fleet.advance(ms(6_000));
     fleet
@@ -98,7 +98,7 @@
     let mut fleet = fleet();
     for step in 0..20 {
         fleet.store.changes.push(version(2 + step, 10 + step as usize));
-        fleet.store.changes.push(entry(step as usize, TargetState::Draining, 2));
+        fleet.store.changes.push(entry(step as usize, TargetState::Draining));
         fleet.advance(ms(700));
         assert_eq!(out_of_sync(&fleet), Vec::<usize>::new(), "step {step}");
     }
@@ -142,7 +142,7 @@
             fleet.advance(ms(20));
             fleet.stop(node);
         }
-        fleet.store.changes.push(entry(3, TargetState::Draining, 2));
+        fleet.store.changes.push(entry(3, TargetState::Draining));
         fleet.advance(ms(700));
         assert_eq!(out_of_sync(&fleet), Vec::<usize>::new(), "phase {phase}");
     }
@@ -202,7 +202,7 @@
     for node in readers {
         fleet.stop(node);
     }
-    fleet.store.changes.push(entry(3, TargetState::Draining, 2));
+    fleet.store.changes.push(entry(3, TargetState::Draining));
     fleet.advance(CHANGE_BOUND);
     assert_eq!(out_of_sync(&fleet), Vec::<usize>::new());
     // Other readers take over, so that the number of calls drops again.
@@ -232,7 +232,7 @@
     let mut fleet = fleet();
     // Skip the periodic lease renewal, which would also detect the lost delta.
     fleet.advance(ms(500));
-    fleet.store.changes.push(entry(3, TargetState::Draining, 2));
+    fleet.store.changes.push(entry(3, TargetState::Draining));
     fleet.drop_messages_until = fleet.now + ms(50);
     fleet.advance(ms(1_200));
     assert_eq!(out_of_sync(&fleet), Vec::<usize>::new());
@@ -295,7 +295,7 @@
             newest += 1;
             fleet.store.changes.push(version(newest, 5 + next(20) as usize));
             let target = next(NODES as u64) as usize;
-            fleet.store.changes.push(entry(target, TargetState::Draining, 2));
+            fleet.store.changes.push(entry(target, TargetState::Draining));
             fleet.advance(
                 CHANGE_BOUND + Pace::for_bound(CHANGE_BOUND).reader_timeout * next(2) as u32,
             );
@@ -375,7 +375,7 @@
     let mut fleet = fleet();
     let readers = readers(&fleet);
     assert_eq!(readers.len(), 2, "one reader per region");
-    fleet.store.changes.push(entry(3, TargetState::Draining, 2));
+    fleet.store.changes.push(entry(3, TargetState::Draining));
     fleet.advance(CHANGE_BOUND);
     fleet.store.stale_by = 1;
     for node in readers {
@@ -396,7 +396,7 @@
         for node in (0..NODES).filter(fast) {
             fleet.stop(node);
         }
-        fleet.store.changes.push(entry(3, TargetState::Draining, 2));
+        fleet.store.changes.push(entry(3, TargetState::Draining));
         fleet.advance(CHANGE_BOUND);
         assert_eq!(out_of_sync(&fleet), Vec::<usize>::new(), "after {since_response} ms");
     }
@@ -407,7 +407,7 @@
 #[test]
 fn relay_node_without_target_keeps_bound() {
     let mut fleet = Fleet::new(NODES, settings, ms(1), 0);
-    let ready = |node| entry(node, TargetState::Ready, 1);
+    let ready = |node| entry(node, TargetState::Ready);
     fleet.store.changes.extend((4..NODES / 2).map(ready));
     (0..NODES).for_each(|node| fleet.input(node, Input::Start));
     fleet.advance(ms(1_000));
--- a/core/tests/discovery_restart.rs
+++ b/core/tests/discovery_restart.rs
@@ -34,8 +34,8 @@
     Config { link_kbps, seeds: seeds(0..8), ..config(node, place(node)) }
 }
 
-fn entry(node: usize, state: TargetState, sequence: u64) -> Change {
-    support::entry(node, place(node), state, sequence)
+fn entry(node: usize, state: TargetState) -> Change {
+    support::entry(node, place(node), state)
 }
 
 fn removed(node: usize) -> Change {
@@ -46,7 +46,7 @@
 fn fleet(published: Change, seed: u64) -> Fleet {
     let mut fleet = Fleet::new(NODES, settings, ms(1), seed);
     fleet.store.changes.push(published);
-    fleet.store.changes.extend((0..NODES).map(|node| entry(node, TargetState::Ready, 1)));
+    fleet.store.changes.extend((0..NODES).map(|node| entry(node, TargetState::Ready)));
     (0..NODES).for_each(|node| fleet.input(node, Input::Start));
     fleet.advance(ms(6_000));
     fleet
@@ -56,10 +56,10 @@
 fn advance_busy(fleet: &mut Fleet, span: Duration) {
     const CHANGING: usize = 20;
     for _ in 0..span.as_millis() / 100 {
-        let sequence = fleet.store.changes.len();
-        let state = [TargetState::Draining, TargetState::Ready][sequence / CHANGING % 2];
-        let node = NODES - CHANGING + sequence % CHANGING;
-        fleet.store.changes.push(entry(node, state, sequence as u64));
+        let count = fleet.store.changes.len();
+        let state = [TargetState::Draining, TargetState::Ready][count / CHANGING % 2];
+        let node = NODES - CHANGING + count % CHANGING;
+        fleet.store.changes.push(entry(node, state));
         fleet.advance(ms(100));
     }
 }
@@ -135,7 +135,7 @@
         let mut fleet = fleet(version(1, 10), after);
         fleet.stop(LEAVING);
         (0..NODES).filter(is_fast).for_each(|node| fleet.stop(node));
-        fleet.store.changes.push(entry(LEAVING, TargetState::Draining, 2));
+        fleet.store.changes.push(entry(LEAVING, TargetState::Draining));
         fleet.advance(ms(after));
         fleet.start(LEAVING);
         fleet.advance(CHANGE_BOUND - ms(after));
@@ -154,7 +154,7 @@
         fleet.transfer_times = true;
         fleet.stop(LEAVING);
         (0..NODES).filter(is_fast).for_each(|node| fleet.stop(node));
-        fleet.store.changes.push(entry(LEAVING, TargetState::Draining, 2));
+        fleet.store.changes.push(entry(LEAVING, TargetState::Draining));
         fleet.advance(ms(after));
         fleet.start(LEAVING);
         fleet.advance(CHANGE_BOUND - ms(after));
--- a/core/tests/discovery_return.rs
+++ b/core/tests/discovery_return.rs
@@ -30,8 +30,8 @@
     Config { seeds: seeds(0..SEEDS), ..config(node, place(node)) }
 }
 
-fn entry(node: usize, state: TargetState, sequence: u64) -> Change {
-    support::entry(node, place(node), state, sequence)
+fn entry(node: usize, state: TargetState) -> Change {
+    support::entry(node, place(node), state)
 }
 
 /// Fleet whose nodes also call each other's targets, and so detect unreachable ones.
@@ -45,7 +45,7 @@
     fn new(seed: u64) -> RecoveringFleet {
         let mut inner = Fleet::new(NODES, settings, ms(10), seed);
         inner.store.changes.push(version(1, 1));
-        inner.store.changes.extend((0..NODES).map(|node| entry(node, TargetState::Ready, 1)));
+        inner.store.changes.extend((0..NODES).map(|node| entry(node, TargetState::Ready)));
         (0..NODES).for_each(|node| inner.input(node, Input::Start));
         let mut fleet = RecoveringFleet { inner, rng: Pcg64Mcg::seed_from_u64(seed) };
         fleet.advance(Duration::from_secs(1));
@@ -108,7 +108,7 @@
     fleet.kill_and_restart(&(0..16).collect::<Vec<_>>());
     fleet.advance(RECOVERY_BOUND);
     fleet.inner.store.changes.push(version(2, 1));
-    fleet.inner.store.changes.push(entry(3, TargetState::Draining, 2));
+    fleet.inner.store.changes.push(entry(3, TargetState::Draining));
     fleet.inner.set_store_unreachable(false);
     fleet.advance(Duration::from_secs(6));
     assert_eq!(fleet.count_up_to_date(2), NODES);
--- a/core/tests/discovery_silence.rs
+++ b/core/tests/discovery_silence.rs
@@ -54,7 +54,7 @@
     };
     let mut fleet = Fleet::new(nodes, config, STEP, seed);
     fleet.store.changes.push(version(1, 3));
-    let entries = (0..nodes).map(|node| entry(node, place(node), TargetState::Ready, 1));
+    let entries = (0..nodes).map(|node| entry(node, place(node), TargetState::Ready));
     fleet.store.changes.extend(entries);
     (0..nodes).for_each(|node| fleet.input(node, Input::Start));
     fleet.advance(ms(5_000));
@@ -102,7 +102,7 @@
     let acknowledged = end + ms(scenario.change_after);
     advance_to(&mut fleet, acknowledged);
     fleet.store.changes.push(version(in_force + 1, 3));
-    fleet.store.changes.push(entry(0, place(0), TargetState::Draining, 2));
+    fleet.store.changes.push(entry(0, place(0), TargetState::Draining));
     advance_to(&mut fleet, acknowledged + CHANGE_BOUND);
     outdated(&fleet, in_force + 1)
 }
--- a/core/tests/discovery_versions.rs
+++ b/core/tests/discovery_versions.rs
@@ -70,7 +70,7 @@
     fn new(nodes: usize, settings: fn(usize) -> Config, document: usize, seed: u64) -> Trial {
         let mut fleet = Fleet::new(nodes, settings, ms(4), seed);
         fleet.transfer_times = true;
-        let entry = |node| support::entry(node, place(node), TargetState::Ready, 1);
+        let entry = |node| support::entry(node, place(node), TargetState::Ready);
         let observed = (0..nodes).collect();
         let mut trial =
             Trial { fleet, route_bytes: document / ROUTES, published: Vec::new(), observed };
--- a/core/tests/node_random.rs
+++ b/core/tests/node_random.rs
@@ -103,7 +103,12 @@
     }
 
     fn summary(&mut self) -> Summary {
-        Summary { in_force: self.in_force(), manifest_digest: self.hash(), store_age_ms: None }
+        Summary {
+            in_force: self.in_force(),
+            manifest_digest: self.hash(),
+            store_age_ms: None,
+            store_revision: 0,
+        }
     }
 
     fn state_report(&mut self) -> StateReport {
--- a/core/tests/spread_delta.rs
+++ b/core/tests/spread_delta.rs
@@ -82,7 +82,7 @@
         preset: name("p".into()),
         digest: Hash::of(&number.to_le_bytes()),
     };
-    Summary { in_force, manifest_digest: Hash::of(b""), store_age_ms: None }
+    Summary { in_force, manifest_digest: Hash::of(b""), store_age_ms: None, store_revision: 0 }
 }
 
 fn held(content: &ResourceSet) -> BTreeMap<ResourceId, Hash> {
--- a/core/tests/support/store_fleet.rs
+++ b/core/tests/support/store_fleet.rs
@@ -72,8 +72,8 @@
     nodes.map(|node| address(node, PEERS_PORT)).collect()
 }
 
-/// Entry written by the target of a node.
-pub fn entry(node: usize, place: Place, state: TargetState, sequence: u64) -> Change {
+/// Entry written by the target of a node. The store sets its revision.
+pub fn entry(node: usize, place: Place, state: TargetState) -> Change {
     let entry = TargetEntry {
         service: name("s"),
         address: address(node, TARGET_PORT),
@@ -81,7 +81,7 @@
         slots: 11,
         state,
         started_ms: 1_000 + node as u64,
-        sequence,
+        revision: 0,
         cold: false,
         evacuated: false,
     };
@@ -143,15 +143,27 @@
         reply.changes.iter().map(size).sum()
     }
 
+    /// The first `count` changes. Each entry has the revision at which it was written.
+    fn numbered(&self, count: usize) -> Vec<Change> {
+        let numbered = |(index, change): (usize, &Change)| match change {
+            Change::Target { id, entry: Some(entry) } => {
+                let entry = TargetEntry { revision: index as u64 + 1, ..entry.clone() };
+                Change::Target { id: id.clone(), entry: Some(entry) }
+            }
+            change => change.clone(),
+        };
+        self.changes[..count].iter().enumerate().map(numbered).collect()
+    }
+
     fn changes_since(&self, revision: u64) -> Reply {
-        let changes = self.changes[revision as usize..].to_vec();
+        let changes = self.numbered(self.changes.len()).split_off(revision as usize);
         Reply { revision: self.changes.len() as u64, changes, next: None }
     }
 
     fn list(&self, stale: bool) -> Reply {
         let hidden = if stale { self.stale_by } else { 0 };
         let visible = &self.changes[..self.changes.len().saturating_sub(hidden)];
-        let mut changes = visible.to_vec();
+        let mut changes = self.numbered(visible.len());
         changes.retain(|change| !matches!(change, Change::Evacuation { .. }));
         let removed = removed_targets(visible);
         changes.retain(|change| match change {
--- a/core/tests/support/store_node.rs
+++ b/core/tests/support/store_node.rs
@@ -40,7 +40,7 @@
     Change::Published(Ok(Arc::new(Publication { version, preset })))
 }
 
-pub fn entry(address: &str, state: TargetState, started_ms: u64, sequence: u64) -> TargetEntry {
+pub fn entry(address: &str, state: TargetState, started_ms: u64, revision: u64) -> TargetEntry {
     let address = address.parse().unwrap();
     let service = name("s");
     TargetEntry {
@@ -50,7 +50,7 @@
         slots: 12,
         state,
         started_ms,
-        sequence,
+        revision,
         cold: false,
         evacuated: false,
     }
--- a/node/schema/spread.capnp
+++ b/node/schema/spread.capnp
@@ -77,6 +77,8 @@
   # Milliseconds since the store last answered the sender or, of a full state, the node that it comes
   # from; the default if the sender does not read the store or does not know.
   storeAge @2 :UInt32 = 0xffffffff;
+  # Revision of the store up to which the sender knows all targets; 0 if unknown.
+  storeRevision @3 :UInt64;
 }
 
 struct Word {
--- a/node/src/spread/codec.rs
+++ b/node/src/spread/codec.rs
@@ -152,6 +152,7 @@
 fn write_summary(summary: &Summary, mut to: wire::summary::Builder<'_>) {
     to.set_whole(summary.manifest_digest.as_bytes());
     to.set_store_age(summary.store_age_ms.unwrap_or(NO_STORE_AGE));
+    to.set_store_revision(summary.store_revision);
     write_in_force(&summary.in_force, to.init_in_force());
 }
 
@@ -160,6 +161,7 @@
         in_force: read_in_force(from.get_in_force()?)?,
         manifest_digest: read_hash(from.get_whole()?)?,
         store_age_ms: Some(from.get_store_age()).filter(|age| *age != NO_STORE_AGE),
+        store_revision: from.get_store_revision(),
     })
 }
 
--- a/node/src/spread/spread_capnp.rs
+++ b/node/src/spread/spread_capnp.rs
@@ -3617,6 +3617,10 @@
         pub fn get_store_age(self) -> u32 {
             self.reader.get_data_field_mask::<u32>(0, 4294967295)
         }
+        #[inline]
+        pub fn get_store_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
     }
 
     pub struct Builder<'a> {
@@ -3624,7 +3628,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3750,6 +3754,14 @@
         pub fn set_store_age(&mut self, value: u32) {
             self.builder.set_data_field_mask::<u32>(0, value, 4294967295);
         }
+        #[inline]
+        pub fn get_store_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_store_revision(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
     }
 
     pub struct Pipeline {
@@ -3766,45 +3778,52 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(83, 24, 2, 128, 5, 44, 36, 182),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(255, 162, 76, 110, 197, 230, 141, 228),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 112, 114, 101, 97, 100, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 83, 117, 109),
             ::capnp::word(109, 97, 114, 121, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 70, 111, 114, 99, 101, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(31, 21, 234, 65, 179, 241, 54, 177),
@@ -3830,12 +3849,22 @@
             ::capnp::word(8, 0, 0, 0, 255, 255, 255, 255),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 111, 114, 101, 82, 101, 118),
+            ::capnp::word(105, 115, 105, 111, 110, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::spread::spread_capnp::in_force::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3854,9 +3883,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 3, 1];
         pub(crate) const TYPE_ID: u64 = 0xb624_2c05_8002_1853;
     }
 }
--- a/node/tests/spread_codec.rs
+++ b/node/tests/spread_codec.rs
@@ -47,11 +47,12 @@
 }
 
 fn summary() -> impl Strategy<Value = Summary> {
-    (in_force(), hash(), proptest::option::of(0..u32::MAX)).prop_map(
-        |(in_force, manifest_digest, store_age_ms)| Summary {
+    (in_force(), hash(), proptest::option::of(0..u32::MAX), any::<u64>()).prop_map(
+        |(in_force, manifest_digest, store_age_ms, store_revision)| Summary {
             in_force,
             manifest_digest,
             store_age_ms,
+            store_revision,
         },
     )
 }
