Let a restarted node supersede reports about its earlier process

Callers saw: nothing from a node that had restarted. In a fleet without a store a node reports its state with the start of its process as incarnation. After a restart with a clock that was set back its peers kept the earlier report: the node stayed "leaving" for as long as they ran, and got no requests.

Evidence: `restart_with_earlier_clock` failed before: `a-0 after 1s, left: Some(Leaving), right: None`.

Change: a pong carries the report that the receiver has to supersede, also when that is old, and a node raises its incarnation above any report about an earlier process of its own, as in SWIM.

--- a/core/src/spread/members.rs
+++ b/core/src/spread/members.rs
@@ -107,8 +107,7 @@
     /// received from that node itself. Returns whether the change should be propagated.
     pub fn apply_report(&mut self, now: Time, report: &StateReport, direct: bool) -> bool {
         if let Some(reported) = self.reports.get_mut(&report.vm) {
-            let newer = (report.incarnation, report.state)
-                > (reported.report.incarnation, reported.report.state);
+            let newer = report.supersedes(&reported.report);
             let same = *report == reported.report;
             if newer || (same && direct) {
                 reported.at = now;
@@ -136,17 +135,22 @@
         differs
     }
 
-    /// Reports that changed recently, limited to the most that one message carries.
-    pub fn recent_reports(&self, now: Time) -> Vec<StateReport> {
+    /// The report held about a VM, if its node has to supersede that: its own report is older.
+    fn superseding_report(&self, own: &StateReport) -> Option<&StateReport> {
+        let held = self.reports.get(&own.vm).map(|reported| &reported.report);
+        held.filter(|held| held.supersedes(own))
+    }
+
+    /// Reports for a node that sent its own one: what it has to supersede, and reports that changed
+    /// recently. Limited to the most that one message carries.
+    pub fn reports_for(&self, now: Time, own: &StateReport) -> Vec<StateReport> {
         let recent = |reported: &&ReportedState| {
             reported.changed > Time::ZERO && now.since(reported.changed) < REPORT_REPEAT_PERIOD
         };
-        self.reports
-            .values()
-            .filter(recent)
-            .take(MAX_REPORTS_PER_PONG)
-            .map(|reported| reported.report.clone())
-            .collect()
+        let recent = self.reports.values().filter(recent).map(|reported| &reported.report);
+        let recent = recent.filter(|report| report.vm != own.vm);
+        let reports = self.superseding_report(own).into_iter().chain(recent);
+        reports.take(MAX_REPORTS_PER_PONG).cloned().collect()
     }
 
     /// Effective state of a listed VM.
--- a/core/src/spread/message.rs
+++ b/core/src/spread/message.rs
@@ -37,8 +37,8 @@
     /// The state of a VM as reported by its own node.
     pub struct StateReport {
         pub vm: Name,
-        /// Start time of the node's process in microseconds since the Unix epoch. A report with a
-        /// higher incarnation supersedes earlier ones.
+        /// Start time of the node's process in microseconds since the Unix epoch, or above that of an
+        /// earlier process that peers still report. A higher incarnation supersedes a lower one.
         pub incarnation: u64,
         pub state: VmState,
     }
@@ -162,6 +162,13 @@
     }
 }
 
+impl StateReport {
+    /// Whether this report about the same VM is the later one.
+    pub fn supersedes(&self, other: &StateReport) -> bool {
+        (self.incarnation, self.state) > (other.incarnation, other.state)
+    }
+}
+
 impl Summary {
     pub fn set_store_mark(&mut self, mark: StoreMark) {
         let ms = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
--- a/core/src/spread/serve.rs
+++ b/core/src/spread/serve.rs
@@ -56,7 +56,7 @@
             report: self.own_report.clone(),
             have: self.held_summary(),
             floor,
-            reports: self.members.recent_reports(now),
+            reports: self.members.reports_for(now, &ping.report),
         };
         self.send(from, PeerMsg::Pong(Box::new(pong)), out);
         self.send_lists(now, from, ping, out);
--- a/core/src/spread/state_reports.rs
+++ b/core/src/spread/state_reports.rs
@@ -33,7 +33,7 @@
     /// at most once.
     pub(super) fn handle_state_report(&mut self, now: Time, report: &StateReport, direct: bool) {
         if report.vm == self.cfg.vm {
-            return;
+            return self.supersede_own_report(now, report);
         }
         if self.members.apply_report(now, report, direct) {
             self.invalidate_topology();
@@ -41,6 +41,17 @@
         }
     }
 
+    /// Raises the incarnation of this node above that of a report about an earlier process. Its clock
+    /// may have been set back since, and peers ignore reports with a lower incarnation.
+    fn supersede_own_report(&mut self, now: Time, earlier: &StateReport) {
+        if !earlier.supersedes(&self.own_report) {
+            return;
+        }
+        let Some(incarnation) = earlier.incarnation.checked_add(1) else { return };
+        self.own_report.incarnation = incarnation;
+        self.pending_reports.push(now, self.own_report.clone());
+    }
+
     pub(super) fn handle_state_reports(&mut self, now: Time, reports: &[StateReport]) {
         for report in reports.iter().take(MAX_REPORTS_ACCEPTED) {
             self.handle_state_report(now, report, false);
--- a/core/tests/spread_faults.rs
+++ b/core/tests/spread_faults.rs
@@ -415,6 +415,27 @@
     }
 }
 
+/// Guards against a node that its peers take for leaving for as long as they run, since it restarted
+/// after its clock was set back.
+#[test]
+fn restart_with_earlier_clock() {
+    for pause in [SECOND, 30 * SECOND] {
+        let mut fleet = settled(6, 3);
+        let node = fleet.index("d-1");
+        let vm = fleet.nodes[node].cfg.vm.clone();
+        fleet.input(node, Input::Stop);
+        fleet.run(2 * SECOND);
+        fleet.kill(node);
+        fleet.run(pause);
+        fleet.nodes[node].clock_behind = 60 * SECOND;
+        fleet.start(node);
+        fleet.run(10 * SECOND);
+        for sim in &fleet.nodes {
+            assert_eq!(sim.members.get(&vm), None, "{} after {pause:?}", sim.cfg.vm);
+        }
+    }
+}
+
 #[test]
 fn herd_of_all_relays_of_a_region_reads_few_bodies() {
     // All relays of a region with large zones fail. Nodes must share the body instead of each
--- a/core/tests/support/fleet.rs
+++ b/core/tests/support/fleet.rs
@@ -34,6 +34,8 @@
     pub view: Option<View>,
     /// The version in force at each [`Output::Confirmed`].
     pub confirmed: Vec<u64>,
+    /// How far the node's clock is behind that of the others.
+    pub clock_behind: Duration,
     generation: u64,
     wake: Option<Time>,
     queued_inputs: Vec<Input>,
@@ -196,6 +198,7 @@
             members: IndexMap::new(),
             view: None,
             confirmed: Vec::new(),
+            clock_behind: Duration::ZERO,
             generation: 0,
             wake: None,
             queued_inputs: Vec::new(),
@@ -326,8 +329,8 @@
 
     /// Delivers an input to a node; ignored if it is not running.
     pub fn input(&mut self, node: usize, input: Input) {
-        let now = self.now;
         let sim = &mut self.nodes[node];
+        let now = self.now - sim.clock_behind;
         let Some(spread) = &mut sim.spread else { return };
         let mut out = Vec::new();
         spread.handle(now, input, &mut out);
@@ -352,6 +355,7 @@
                 self.nodes[node].confirmed.push(version);
             }
             Output::WakeAt(at) => {
+                let at = at + sim.clock_behind;
                 sim.wake = Some(at);
                 let generation = sim.generation;
                 self.push(at.max(now), node, Action::Wake(generation));
