Take every figure that the platform allows, instead of refusing the version

Cause: the ranges of the product's own documents were applied to the platform's document, whose values the pages don't limit. A value outside of them cost the whole version on all nodes, recorded once.

`choose_never_part_without_weight` and `choose_share_while_weights_move` pass before and after: the split itself was sound.

Negative figures and dangling routes are still refused as a whole.

--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -202,6 +202,9 @@
         let Some(key) = snapshot.route_for(arrival.host, arrival.path) else {
             return reject(Code::NoRoute);
         };
+        if snapshot.route(key).is_closed() {
+            return reject(Code::RouteClosed);
+        }
         let route = &snapshot.route(key).route;
         let keyed = !route.idempotent && route.once == AtMostOnceMode::Key;
         if keyed && arrival.key.is_none() {
--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -143,6 +143,8 @@
     TargetLimited = 474,
     /// the entry node has recalled the request before it started
     Recalled = 475,
+    /// the route admits no requests
+    RouteClosed = 476,
     // 500 to 599: tools.
     /// a node does not answer
     NodeUnreachable = 501,
--- a/core/src/config/document.rs
+++ b/core/src/config/document.rs
@@ -131,7 +131,7 @@
         /// The service that handles the requests.
         pub service: Name,
         /// Weighted traffic split. If not empty, it must include `service`; if empty, `service`
-        /// receives all requests.
+        /// receives all requests. If all weights are 0, the route is closed.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         pub split: Vec<WeightedService>,
         /// Whether a request may be executed more than once. If false, it is executed at most once.
--- a/core/src/config/snapshot.rs
+++ b/core/src/config/snapshot.rs
@@ -32,9 +32,11 @@
         pub name: Name,
         /// The route as published.
         pub route: Route,
-        /// The service that handles the requests; always part of the same snapshot.
+        /// The service that handles the requests; always part of the same snapshot. Of a split, one
+        /// that gets requests.
         pub service: ServiceKey,
-        /// Services and weights of the traffic split; empty if there is none.
+        /// Services of the traffic split that get requests, and their weights; empty if there is no
+        /// split, or if the route is closed.
         pub split: Vec<(ServiceKey, u32)>,
     }
 
@@ -60,6 +62,13 @@
     }
 }
 
+impl RouteEntry {
+    /// Whether the route admits no requests: all weights of its split are 0.
+    pub fn is_closed(&self) -> bool {
+        self.split.is_empty() && !self.route.split.is_empty()
+    }
+}
+
 impl Snapshot {
     /// Builds a snapshot from a preset that has passed [`validate::preset`].
     ///
@@ -164,8 +173,14 @@
             None => Err(Fault::new(Code::RouteDangling).with_location(name).with_detail(service)),
         };
         let part = |weighted: &WeightedService| Ok((find(&weighted.service)?, weighted.weight));
-        let split = route.split.iter().map(part).collect::<Result<Vec<_>>>()?;
-        let service = find(&route.service)?;
+        let mut split = route.split.iter().map(part).collect::<Result<Vec<_>>>()?;
+        split.retain(|(_, weight)| *weight > 0);
+        let named = find(&route.service)?;
+        let gets_requests = |service: ServiceKey| split.iter().any(|(part, _)| *part == service);
+        let service = match split.first() {
+            Some((first, _)) if !gets_requests(named) => *first,
+            _ => named,
+        };
         self.routes.push(RouteEntry { name: name.clone(), route: route.clone(), service, split });
         Ok(())
     }
--- a/core/src/config/validate.rs
+++ b/core/src/config/validate.rs
@@ -9,6 +9,17 @@
 use std::collections::HashSet;
 use std::ops::RangeInclusive;
 
+/// Upper ends of the ranges of limits. Times are in milliseconds.
+pub const MAX_CONNECTIONS: u32 = 10_000;
+pub const MAX_COLD_MS: u32 = 600_000;
+pub const MAX_COLD_STARTS: u32 = 100_000;
+pub const MAX_RETRY_PERCENT: u32 = 100;
+pub const MAX_RETRY_RESERVE: u32 = 100_000;
+pub const MAX_ROUTE_MS: u32 = 600_000;
+pub const MAX_ATTEMPTS: u32 = 10;
+pub const MAX_BODY_BYTES: u64 = 1_073_741_824;
+pub const MAX_WEIGHT: u32 = 1_000_000;
+
 /// Parses the value of the key `in-force`.
 pub fn parse_in_force(buf: &[u8]) -> Result<InForce> {
     let in_force: InForce = parse(buf)?;
@@ -141,16 +152,16 @@
 fn check_limits(location: &str, limits: &ServiceLimits, faults: &mut Vec<Fault>) {
     let ranges = [
         ("slots", limits.slots, 1..=10_000),
-        ("connections", limits.connections, limits.slots..=10_000),
+        ("connections", limits.connections, limits.slots..=MAX_CONNECTIONS),
         ("queue", limits.queue, 0..=100_000),
         ("queue_wait_ms", limits.queue_wait_ms, 1..=60_000),
-        ("retry_budget_percent", limits.retry_budget_percent, 0..=100),
-        ("retry_reserve", limits.retry_reserve.unwrap_or_default(), 0..=100_000),
+        ("retry_budget_percent", limits.retry_budget_percent, 0..=MAX_RETRY_PERCENT),
+        ("retry_reserve", limits.retry_reserve.unwrap_or_default(), 0..=MAX_RETRY_RESERVE),
         ("warm_up_ms", limits.warm_up_ms, 0..=600_000),
         ("bulk_share_percent", limits.bulk_share_percent, 1..=100),
         ("drain_ms", limits.drain_ms, 1_000..=3_600_000),
-        ("cold_ms", limits.cold_ms, 0..=600_000),
-        ("cold_starts", limits.cold_starts, 0..=100_000),
+        ("cold_ms", limits.cold_ms, 0..=MAX_COLD_MS),
+        ("cold_starts", limits.cold_starts, 0..=MAX_COLD_STARTS),
     ];
     for (field, found, allowed) in ranges {
         check_range(&format!("{location}.limits.{field}"), found, allowed, faults);
@@ -170,12 +181,12 @@
     }
     check_split(&location, route, preset, faults);
     let objective = route.objective_ms;
-    check_range(&format!("{location}.objective_ms"), objective, 1..=600_000, faults);
-    check_range(&format!("{location}.deadline_ms"), route.deadline_ms, 1..=600_000, faults);
-    check_range(&format!("{location}.max_attempts"), route.max_attempts, 1..=10, faults);
+    check_range(&format!("{location}.objective_ms"), objective, 1..=MAX_ROUTE_MS, faults);
+    check_range(&format!("{location}.deadline_ms"), route.deadline_ms, 1..=MAX_ROUTE_MS, faults);
+    check_range(&format!("{location}.max_attempts"), route.max_attempts, 1..=MAX_ATTEMPTS, faults);
     check_range(&format!("{location}.spare_forwards"), route.spare_forwards, 0..=10, faults);
     let body = route.max_body_bytes;
-    check_range(&format!("{location}.max_body_bytes"), body, 0..=1_073_741_824, faults);
+    check_range(&format!("{location}.max_body_bytes"), body, 0..=MAX_BODY_BYTES, faults);
     check_regions(&location, route, preset, faults);
 }
 
@@ -209,7 +220,7 @@
             let fault = Fault::new(Code::RouteDangling).with_detail(&share.service);
             faults.push(fault.with_location(format!("{location}.service")));
         }
-        check_range(&format!("{location}.weight"), share.weight, 1..=1_000_000, faults);
+        check_range(&format!("{location}.weight"), share.weight, 0..=MAX_WEIGHT, faults);
     }
     let listed = route.split.iter().any(|share| share.service == route.service);
     if !route.split.is_empty() && !listed {
--- a/core/src/discovery/policy.rs
+++ b/core/src/discovery/policy.rs
@@ -1,6 +1,11 @@
-//! Default limits of services and routes that documents do not state.
+//! Limits of services and routes: defaults for those that documents do not state, and the nearest
+//! usable value of those that they state.
 
 use crate::config::ServiceLimits;
+use crate::config::validate::{
+    MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_COLD_MS, MAX_COLD_STARTS, MAX_CONNECTIONS, MAX_RETRY_PERCENT,
+    MAX_RETRY_RESERVE, MAX_ROUTE_MS, MAX_WEIGHT,
+};
 
 /// Additional gatekeepers tried after rejections that cost no target any work. One suffices: the
 /// request queues there, and trying more adds cross-zone traffic without finding capacity.
@@ -26,8 +31,55 @@
 /// Limit on the starts at a cold target in any second. `per_s` is the rate that the target always
 /// bears; `factor_percent` and `reserve` are what the platform allows beyond it.
 pub fn cold_starts(per_s: f64, factor_percent: u32, reserve: u32) -> u32 {
-    let allowed = per_s * f64::from(factor_percent) / 100.0 + f64::from(reserve);
-    (allowed as u32 * COLD_RATE_SHARE_PERCENT / 100).max(1)
+    let allowed = (per_s * f64::from(factor_percent) / 100.0 + f64::from(reserve)).floor();
+    let used = allowed * f64::from(COLD_RATE_SHARE_PERCENT) / 100.0;
+    (used as u32).clamp(1, MAX_COLD_STARTS)
+}
+
+/// Time in milliseconds for which a target is cold after its start.
+pub fn cold_ms(seconds: f64) -> u32 {
+    ((seconds * 1_000.0) as u32).min(MAX_COLD_MS)
+}
+
+/// Objective or deadline of a route in milliseconds.
+pub fn route_ms(stated: f64) -> u32 {
+    (stated.ceil() as u32).clamp(1, MAX_ROUTE_MS)
+}
+
+pub fn max_attempts(stated: f64) -> u32 {
+    (stated as u32).clamp(1, MAX_ATTEMPTS)
+}
+
+/// Rank of a priority. All priorities from 255 on share the last rank.
+pub fn rank(priority: f64) -> u8 {
+    priority as u8
+}
+
+/// Largest body of a request. `None` if the document states no limit.
+pub fn max_body_bytes(stated: Option<f64>) -> u64 {
+    stated.map_or(MAX_BODY_BYTES, |stated| (stated as u64).min(MAX_BODY_BYTES))
+}
+
+/// Whether a route admits requests, by its attempts and its timeout in milliseconds.
+pub fn admits_requests(attempts: f64, timeout_ms: f64) -> bool {
+    attempts >= 1.0 && timeout_ms > 0.0
+}
+
+/// Weights of a traffic split in the same proportions. Fractions and large weights are scaled; a part
+/// gets requests unless its weight is 0.
+pub fn weights(stated: &[f64]) -> Vec<u32> {
+    let largest = stated.iter().copied().fold(0.0, f64::max);
+    let is_exact = largest <= f64::from(MAX_WEIGHT) && stated.iter().all(|it| it.fract() == 0.0);
+    let scale = if is_exact { 1.0 } else { f64::from(MAX_WEIGHT) / largest };
+    let scaled = |weight: f64| match weight > 0.0 {
+        true => ((weight * scale).round() as u32).clamp(1, MAX_WEIGHT),
+        false => 0,
+    };
+    stated.iter().copied().map(scaled).collect()
+}
+
+fn share_of_budget(stated: u32) -> u32 {
+    (u64::from(stated) * u64::from(RETRY_BUDGET_SHARE_PERCENT) / 100) as u32
 }
 
 /// Limits of a service whose targets accept `connections` connections each. In any ten seconds, the
@@ -36,11 +88,11 @@
     ServiceLimits {
         // Overridden by the slots that each target registers.
         slots: 1,
-        connections: connections.max(1),
+        connections: connections.clamp(1, MAX_CONNECTIONS),
         queue: QUEUE_CAPACITY,
         queue_wait_ms: MAX_QUEUE_WAIT_MS,
-        retry_budget_percent: retry_percent * RETRY_BUDGET_SHARE_PERCENT / 100,
-        retry_reserve: Some(retry_reserve * RETRY_BUDGET_SHARE_PERCENT / 100),
+        retry_budget_percent: share_of_budget(retry_percent).min(MAX_RETRY_PERCENT),
+        retry_reserve: Some(share_of_budget(retry_reserve).min(MAX_RETRY_RESERVE)),
         // A cold target is slow, not short of slots; its latency already reduces its share of
         // requests.
         warm_up_ms: 0,
