Bound the bytes of a response head and the reads of one poll

Cause: hyper skips interim heads in a loop within one poll, without a limit on their number, and the stream under it returned Pending only after a read that did not fill its buffer. A sender that is faster than the parser kept the poll, and with it the only thread, for as long as it sent. A slower one was parsed until the deadline.

Change: a connection's task yields to the others after four reads, and a response head is read up to 417,792 bytes, interim heads included: the most that hyper accepts for one head. Beyond that the connection ends, and the attempt with it, as unknown.

--- a/node/src/calls.rs
+++ b/node/src/calls.rs
@@ -10,7 +10,7 @@
 pub mod link_use;
 pub mod pacer;
 pub mod pool;
-mod readiness;
+pub mod readiness;
 pub mod serve;
 pub mod socket;
 pub mod trace;
--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -4,7 +4,7 @@
 use super::gate::Slot;
 use super::headers;
 use super::link_use::LinkUse;
-use super::readiness::ReadinessStream;
+use super::readiness::{HeadLimit, ReadinessStream};
 use crate::clock::Clock;
 use crate::shared::Shared;
 use async_executor::Executor;
@@ -90,6 +90,7 @@
     address: SocketAddr,
     pool: Arc<Pool>,
     deferred_slot: Arc<DeferredSlot>,
+    head_limit: Arc<HeadLimit>,
 }
 
 impl Pool {
@@ -230,7 +231,9 @@
         let stream = future::or(Async::<TcpStream>::connect(address), timeout).await?;
         stream.get_ref().set_nodelay(true)?;
         let written = self.link_use.as_ref().and_then(|link_use| link_use.counter(address.ip()));
-        let stream = ReadinessStream::new(stream).with_counter(written);
+        let head_limit = Arc::new(HeadLimit::new());
+        let stream =
+            ReadinessStream::new(stream).with_counter(written).with_head_limit(head_limit.clone());
         let (sender, driver) =
             http1::handshake(FuturesIo::new(stream)).await.map_err(io::Error::other)?;
         let deferred_slot = Arc::new(DeferredSlot::default());
@@ -259,6 +262,7 @@
             address,
             pool: self.clone(),
             deferred_slot,
+            head_limit,
         })
     }
 
@@ -397,8 +401,10 @@
         sent: &AtomicBool,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         sent.store(true, Ordering::Release);
+        self.head_limit.begin();
         match self.sender.try_send_request(req).await {
             Ok(response) => {
+                self.head_limit.end();
                 if let Some(timeout) = headers::keep_alive_timeout(response.headers()) {
                     self.idle_timeout = timeout.mul_f64(KEEP_ALIVE_FRACTION).min(IDLE_TIMEOUT);
                 }
--- a/node/src/calls/readiness.rs
+++ b/node/src/calls/readiness.rs
@@ -1,4 +1,5 @@
-//! A socket wrapper that avoids reads without data.
+//! A socket wrapper that avoids reads without data, and bounds what is read without a pause and for one
+//! response head.
 
 use async_io::Async;
 use futures_lite::{AsyncRead, AsyncWrite};
@@ -6,7 +7,7 @@
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 
 /// Maximum bytes per read. hyper doubles the read buffer of a connection whenever a read fills it, up
@@ -14,6 +15,46 @@
 /// grows the buffer, but only while it is being read.
 pub const MAX_READ_BYTES: usize = 16_383;
 
+/// Reads after which the task of a connection yields to the other tasks of its thread, although more
+/// data may be there. A peer may send faster than hyper discards what it sends.
+const MAX_CONSECUTIVE_READS: u32 = 4;
+
+/// Maximum size of a response head together with the interim heads before it. The largest head that
+/// hyper accepts; hyper itself sets no limit on the number of interim heads.
+const MAX_RESPONSE_HEAD_BYTES: usize = 417_792;
+
+/// Counts the bytes read for the head of an awaited response.
+#[derive(Debug)]
+pub struct HeadLimit {
+    remaining: AtomicUsize,
+}
+
+impl HeadLimit {
+    /// A limit that is not in force until [`HeadLimit::begin`].
+    pub fn new() -> HeadLimit {
+        HeadLimit { remaining: AtomicUsize::new(usize::MAX) }
+    }
+
+    /// A response is awaited.
+    pub fn begin(&self) {
+        self.remaining.store(MAX_RESPONSE_HEAD_BYTES, Ordering::Relaxed);
+    }
+
+    /// The head has been received.
+    pub fn end(&self) {
+        self.remaining.store(usize::MAX, Ordering::Relaxed);
+    }
+
+    /// Records bytes read. Returns false if they exceed the limit.
+    fn record(&self, count: usize) -> bool {
+        let subtract = |remaining: usize| match remaining {
+            usize::MAX => Some(usize::MAX),
+            remaining => remaining.checked_sub(count),
+        };
+        self.remaining.fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract).is_ok()
+    }
+}
+
 /// A socket that skips reads until it is readable again after it was drained.
 ///
 /// hyper reads on every wake-up of its task, including those caused by the write direction or by
@@ -22,13 +63,27 @@
 pub struct ReadinessStream {
     stream: Async<TcpStream>,
     drained: bool,
+    // Reads since this stream last returned `Pending`.
+    consecutive_reads: u32,
+    head_limit: Option<Arc<HeadLimit>>,
     // Counts the bytes written.
     written: Option<Arc<AtomicU64>>,
 }
 
 impl ReadinessStream {
     pub fn new(stream: Async<TcpStream>) -> ReadinessStream {
-        ReadinessStream { stream, drained: false, written: None }
+        ReadinessStream {
+            stream,
+            drained: false,
+            consecutive_reads: 0,
+            head_limit: None,
+            written: None,
+        }
+    }
+
+    /// Fails reads that exceed the limit of a response head.
+    pub fn with_head_limit(self, head_limit: Arc<HeadLimit>) -> ReadinessStream {
+        ReadinessStream { head_limit: Some(head_limit), ..self }
     }
 
     /// Adds the bytes written to `written`.
@@ -48,12 +103,8 @@
     }
 }
 
-impl AsyncRead for ReadinessStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
+impl ReadinessStream {
+    fn poll_available(&mut self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
         if self.drained {
             // Registers for the next readiness event if none is pending.
             ready!(self.stream.poll_readable(cx))?;
@@ -69,6 +120,29 @@
     }
 }
 
+impl AsyncRead for ReadinessStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let must_yield = self.consecutive_reads == MAX_CONSECUTIVE_READS;
+        if must_yield {
+            cx.waker().wake_by_ref();
+        }
+        let result = if must_yield { Poll::Pending } else { self.poll_available(cx, buf) };
+        if result.is_pending() {
+            self.consecutive_reads = 0;
+        }
+        let count = ready!(result)?;
+        self.consecutive_reads += 1;
+        match self.head_limit.as_ref().is_none_or(|limit| limit.record(count)) {
+            true => Poll::Ready(Ok(count)),
+            false => Poll::Ready(Err(io::ErrorKind::InvalidData.into())),
+        }
+    }
+}
+
 impl AsyncWrite for ReadinessStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
--- a/node/tests/calls_endless.rs
+++ b/node/tests/calls_endless.rs
@@ -19,6 +19,9 @@
 /// the place of the node.
 const SOCKET_BUFFER_BYTES: usize = 16_384;
 
+/// Bytes that a fast target writes at once.
+const FAST_WRITE_BYTES: usize = 1 << 20;
+
 /// Limit of the bytes that the node holds for one reader.
 const READER_BUFFER_BYTES: usize = 128 << 10;
 
@@ -33,6 +36,20 @@
 
 impl EndlessTarget {
     fn new(begin: &'static str, filler: &'static str) -> EndlessTarget {
+        EndlessTarget::with_writes(begin, filler, 4_096, Some(SOCKET_BUFFER_BYTES))
+    }
+
+    /// A target that sends faster than the node reads: from large buffers, in large writes.
+    fn fast(begin: &'static str, filler: &'static str) -> EndlessTarget {
+        EndlessTarget::with_writes(begin, filler, FAST_WRITE_BYTES, None)
+    }
+
+    fn with_writes(
+        begin: &'static str,
+        filler: &'static str,
+        write_bytes: usize,
+        socket_buffer_bytes: Option<usize>,
+    ) -> EndlessTarget {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let (runs, sent, closed) = Default::default();
@@ -43,13 +60,15 @@
             for stream in listener.incoming() {
                 let (runs, sent, closed) = (runs.clone(), sent.clone(), closed.clone());
                 let mut stream = stream.unwrap();
-                sockopt::set_socket_send_buffer_size(&stream, SOCKET_BUFFER_BYTES).unwrap();
+                if let Some(bytes) = socket_buffer_bytes {
+                    sockopt::set_socket_send_buffer_size(&stream, bytes).unwrap();
+                }
                 std::thread::spawn(move || {
                     let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
                     while lines.next().is_some_and(|line| line.is_ok_and(|line| !line.is_empty())) {
                     }
                     runs.fetch_add(1, Ordering::SeqCst);
-                    let filler = filler.repeat(4_096 / filler.len());
+                    let filler = filler.repeat(write_bytes / filler.len());
                     let mut next = begin;
                     while stream.write_all(next.as_bytes()).is_ok() {
                         sent.fetch_add(next.len(), Ordering::SeqCst);
@@ -92,6 +111,9 @@
     node
 }
 
+/// Connections that send without end at the same time.
+const SENDERS: usize = 4;
+
 const ENDLESS_HEADS: [(&str, &str); 4] = [
     ("HTTP/1.1 200 OK\r\nx-filler: ", "x"),
     ("HTTP/1.1 200 OK\r\n", "x-filler: x\r\n"),
@@ -116,6 +138,115 @@
     }
 }
 
+/// Interim heads without fields, with as many as hyper accepts, and both in turn.
+fn interim_heads() -> [&'static str; 3] {
+    let short = "HTTP/1.1 102 Processing\r\n\r\n".to_owned();
+    let long = format!("HTTP/1.1 103 Early Hints\r\n{}\r\n", "a: b\r\n".repeat(90));
+    let mixed = format!("{short}{long}");
+    [short.leak(), long.leak(), mixed.leak()]
+}
+
+/// Guards against interim heads without end that are read until the sender stops, and against an
+/// outcome that claims to know whether the request has run.
+#[test]
+fn endless_interim_heads_are_cut() {
+    for filler in interim_heads() {
+        let target = EndlessTarget::fast("", filler);
+        let node = node_before(&target);
+        let response = call(node.entry, &get("/once"));
+        assert_eq!((response.status, response.outcome()), (502, "unknown"), "{response:?}");
+        assert_eq!(target.runs.load(Ordering::SeqCst), 1, "{response:?}");
+        eventually("the target's connection is closed", || target.is_closed());
+        assert!(target.sent() < max_sent(), "{}", target.sent());
+        eventually("no call is open", || node.shared.calls_open() == 0);
+    }
+}
+
+/// Guards against a few interim heads before a response that are taken for endless ones.
+#[test]
+fn interim_heads_before_response() {
+    let begin = format!(
+        "{}HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole",
+        interim_heads()[2].repeat(50)
+    );
+    let target = EndlessTarget::new(begin.leak(), "x");
+    let node = node_before(&target);
+    let response = call(node.entry, &get("/once"));
+    assert_eq!((response.status, response.text().as_str()), (200, "whole"));
+}
+
+/// Runs `load` until the node has answered some requests of other callers.
+fn assert_others_answered(node: &Node, load: impl Fn() + Sync) {
+    const OTHERS: usize = 50;
+    let done = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for _ in 0..SENDERS {
+            scope.spawn(|| {
+                while !done.load(Ordering::SeqCst) {
+                    load();
+                }
+            });
+        }
+        // A caller without an answer fails by the timeout of its read.
+        let statuses: Vec<_> = (0..OTHERS)
+            .map(|_| {
+                let entry = node.entry;
+                std::thread::spawn(move || call(entry, &get("/none")).status).join()
+            })
+            .collect();
+        done.store(true, Ordering::SeqCst);
+        for status in statuses {
+            assert_eq!(status.ok(), Some(404));
+        }
+    });
+}
+
+/// Guards against fast senders of interim heads that keep the threads of the node from all else.
+#[test]
+fn endless_interim_heads_leave_others_answered() {
+    let target = EndlessTarget::fast("", interim_heads()[2]);
+    let node = node_before(&target);
+    assert_others_answered(&node, || {
+        call(node.entry, &get("/once"));
+    });
+}
+
+/// Guards against fast senders of a body that keep the threads of the node from all else.
+#[test]
+fn endless_bodies_leave_others_answered() {
+    let begin = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    for filler in ["1\r\nx\r\n", "10\r\n0123456789abcdef\r\n"] {
+        let target = EndlessTarget::fast(begin, filler);
+        let node = node_before(&target);
+        assert_others_answered(&node, || {
+            let mut stream = open(node.entry, &get("/once"));
+            let mut buf = vec![0; 1 << 16];
+            for _ in 0..100 {
+                if stream.read(&mut buf).unwrap_or(0) == 0 {
+                    break;
+                }
+            }
+        });
+    }
+}
+
+/// Guards against a caller that sends requests without waiting for answers and keeps the threads of
+/// the node from all else.
+#[test]
+fn endless_requests_leave_others_answered() {
+    let target = EndlessTarget::new("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", "x");
+    let node = node_before(&target);
+    assert_others_answered(&node, || {
+        let stream = open(node.entry, "");
+        let mut reader = stream.try_clone().unwrap();
+        let drained = std::thread::spawn(move || std::io::copy(&mut reader, &mut std::io::sink()));
+        let requests = get("/none").repeat(2_000);
+        let _ = (&stream).write_all(requests.as_bytes());
+        let _ = stream.shutdown(std::net::Shutdown::Write);
+        let _ = drained.join();
+    });
+}
+
 /// Guards against bytes after a complete response that are read without end, or that reach the next
 /// caller as its response.
 #[test]
