Ask peers for a version as long as the store holds an invalid one only

Cause: a node stops asking its seeds once it has listed the store, also if the list held no usable version.

Evidence: `rejoin_invalid_version_in_store` failed before ("a peer is asked").

Change: until it has any version, a node that was given an invalid one goes on asking its seeds.

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -74,6 +74,8 @@
     published: Option<Arc<Publication>>,
     // Last version rejected as too old, so that it is reported once.
     rejected_version: u64,
+    // The store holds a version that is not valid.
+    refused_version: bool,
     snapshot: Option<Arc<Snapshot>>,
     rejoin: Rejoin,
     offers: Offers,
@@ -110,6 +112,7 @@
             registry: Registry::new(),
             published: None,
             rejected_version: 0,
+            refused_version: false,
             snapshot: None,
             rejoin: Rejoin::new(),
             offers: Offers::new(),
@@ -322,6 +325,7 @@
             Change::Published(Err(fault)) => {
                 let code = fault.code;
                 out.push(Output::Rejected(fault));
+                self.refused_version = true;
                 let event = Event::new(now, EventKind::VersionRefused);
                 return out.push(Output::Event(event.with_code(code)));
             }
@@ -399,8 +403,13 @@
         }
     }
 
+    /// Whether this node has to take a version from its peers, since that of the store is not valid.
+    fn has_only_refused_version(&self) -> bool {
+        self.refused_version && self.published.is_none()
+    }
+
     fn query_peers(&mut self, now: Time, out: &mut Vec<Output>) {
-        if self.watcher.has_listed() {
+        if self.watcher.has_listed() && !self.has_only_refused_version() {
             return self.rejoin.stop();
         }
         if let Some(to) = self.rejoin.next_seed(now, &self.cfg.seeds, &mut self.rng) {
--- a/core/tests/discovery_peers.rs
+++ b/core/tests/discovery_peers.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use sycamore_core::Code;
 use sycamore_core::discovery::{Change, Input, Pace, ReadError, Request, TargetState};
 use sycamore_core::event::EventKind;
 use sycamore_core::hash::Hash;
@@ -37,6 +38,32 @@
     assert_eq!((node.version(), node.targets()), (2, vec!["c".into()]));
 }
 
+/// Guards against a node that restarts under a version that is not valid, and that then rejects all
+/// calls although its peers hold the version before.
+#[test]
+fn rejoin_invalid_version_in_store() {
+    let mut peer = Node::with_targets(vec![ready("a", 1)]);
+    let from = Peer { vm: name("n"), place: place(), address: "10.0.0.9:7".parse().unwrap() };
+    let refused = || Change::Published(Err(sycamore_core::Fault::new(Code::RouteDangling)));
+    let mut node = Node::new();
+    node.sent.clear();
+    node.reply(10, vec![refused(), ready("a", 1)]);
+    node.advance(ms(500));
+    node.finish_list(10, vec![], vec![refused()]);
+    node.advance(ms(5_000));
+    let is_pull = |(to, msg): &(_, PeerMsg)| *to == from.address && matches!(msg, PeerMsg::Pull(_));
+    let (_, request) =
+        node.sent.iter().find(|sent| is_pull(sent)).expect("a peer is asked").clone();
+    peer.sent.clear();
+    peer.input(Input::Peer { from: from.clone(), msg: request });
+    let (_, answer) = peer.sent.pop().expect("expected a reply from the peer");
+    node.input(Input::Peer { from, msg: answer });
+    assert_eq!((node.version(), node.targets()), (1, vec!["a".into()]));
+    node.sent.clear();
+    node.advance(ms(2_000));
+    assert!(!node.sent.iter().any(|(_, msg)| matches!(msg, PeerMsg::Pull(_))));
+}
+
 #[test]
 fn rejoin_changed_bytes_refused() {
     let mut peer_node = Node::with_targets(vec![ready("a", 1)]);
