--- a/node/tests/shell/configured.rs
+++ b/node/tests/shell/configured.rs
@@ -5,6 +5,8 @@
 use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use sycamore_core::hash::Hash;
 use sycamore_standins::platform::{Platform, PlatformConfig, Store};
 
@@ -142,6 +144,61 @@
     assert!(response.contains("x-sycamore-code: 467\r\n"), "{response}");
 }
 
+/// Bytes that a target sends on one connection before it gives up, so that the test ends in any case,
+/// and the most that it may send before the node closes: its limit, and what the sockets hold.
+const GIVE_UP_BYTES: usize = 64 << 20;
+const MAX_SENT_BYTES: usize = 32 << 20;
+
+/// Answers each request with interim heads until the connection is closed, as fast as it can. Returns
+/// the most that was sent on one connection.
+fn send_interim_heads(target: TcpListener) -> Arc<AtomicUsize> {
+    let short = "HTTP/1.1 102 Processing\r\n\r\n".repeat(20);
+    let long = format!("HTTP/1.1 103 Early Hints\r\n{}\r\n", "a: b\r\n".repeat(90));
+    let heads: Arc<str> = format!("{short}{long}").repeat(4_000).into();
+    let most_sent = Arc::new(AtomicUsize::new(0));
+    let recorded = most_sent.clone();
+    std::thread::spawn(move || {
+        loop {
+            let mut upstream = accept_request(&target);
+            let (heads, recorded) = (heads.clone(), recorded.clone());
+            std::thread::spawn(move || {
+                let mut sent = 0;
+                while sent < GIVE_UP_BYTES && upstream.write_all(heads.as_bytes()).is_ok() {
+                    sent += heads.len();
+                    recorded.fetch_max(sent, Ordering::SeqCst);
+                }
+            });
+        }
+    });
+    most_sent
+}
+
+#[test]
+fn endless_interim_heads_leave_node_ready() {
+    // Guards against a target that keeps the only thread of its node from all else: from the
+    // readiness probe, from other callers and from a stop.
+    let target = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut settings = settings();
+    settings["limits"]["threads"] = 1.into();
+    let (mut node, settings) = ready_node_with(settings, target.local_addr().unwrap(), 60_000);
+    let most_sent = send_interim_heads(target);
+    let callers: Vec<TcpStream> =
+        (0..4).map(|_| send(&settings, "GET /season HTTP/1.1\r\nhost: ledgers\r\n\r\n")).collect();
+    for _ in 0..20 {
+        let (head, _) = node.request("GET", "/ready");
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    }
+    for mut caller in callers {
+        let mut status = [0; 12];
+        caller.read_exact(&mut status).unwrap();
+        assert!(status.starts_with(b"HTTP/1.1 50"), "{status:?}");
+    }
+    node.signal(Signal::TERM);
+    assert_eq!(node.wait().code(), Some(0));
+    let most_sent = most_sent.load(Ordering::SeqCst);
+    assert!(most_sent < MAX_SENT_BYTES, "{most_sent}");
+}
+
 #[test]
 fn stop_answers_queued_call() {
     // Guards against a stop that leaves a call that never started without an answer, or calls its
