Adopt an older view of another reader unless it brings a target back

Cause: refused any view with a lower revision than the node's own. Two readers of one region are rarely at the same revision, since each heartbeat of a target raises it, so that a node without a reader would often have waited for the next notice, or read the store itself.

Change: only an older view by which a target accepts requests that is leaving here, or has been removed, is refused. `relay_older_candidate_not_adopted` fails without the guard ("Draining, left: true, right: false").

--- a/core/src/discovery/peers.rs
+++ b/core/src/discovery/peers.rs
@@ -187,7 +187,7 @@
         }
         match view.apply_delta(delta) {
             // The next notice of this candidate repeats the request.
-            Ok(_) if self.is_behind(&delta.summary) => {}
+            Ok(after) if self.is_older(&delta.summary) && view.is_reverted_by(&after) => {}
             Ok(after) => {
                 self.progress.on_targets(Some(&from.vm));
                 self.adopt_view(now, Arc::new(after), &delta.summary, out);
@@ -205,9 +205,8 @@
         }
     }
 
-    /// Whether the state of a candidate reader is older than this node's, so that a leaving target
-    /// would look ready again.
-    fn is_behind(&self, summary: &Summary) -> bool {
+    /// Whether the state of a candidate reader is older than this node's.
+    fn is_older(&self, summary: &Summary) -> bool {
         let is_older = (1..self.registry.revision()).contains(&summary.store_revision);
         is_older && !self.relay.is_follower()
     }
--- a/core/src/discovery/view.rs
+++ b/core/src/discovery/view.rs
@@ -51,6 +51,21 @@
         View { published, targets, digest: Hash::of(&text) }
     }
 
+    /// Whether an older view has a target that accepts requests, and that by this view is leaving or
+    /// has been removed since.
+    pub fn is_reverted_by(&self, older: &View) -> bool {
+        let stays = |service: &Name, target: &Target| {
+            let listed = self.targets.get(service).map_or(&[][..], Vec::as_slice);
+            let known = listed.binary_search_by(|known| known.vm.cmp(&target.vm));
+            known.is_ok_and(|index| !listed[index].leaving)
+        };
+        let targets = older.targets.iter();
+        let mut accepting = targets.flat_map(|(service, listed)| {
+            listed.iter().filter(|target| !target.leaving).map(move |target| (service, target))
+        });
+        accepting.any(|(service, target)| !stays(service, target))
+    }
+
     /// Summary of this view.
     pub fn summary(&self, mark: StoreMark) -> Summary {
         let preset: Name = self.published.preset.name.clone();
--- a/core/tests/discovery_peers.rs
+++ b/core/tests/discovery_peers.rs
@@ -276,6 +276,35 @@
     node
 }
 
+/// Guards against a node that takes the older view of another reader, by which a leaving target
+/// accepts requests again.
+#[test]
+fn relay_older_candidate_not_adopted() {
+    for (state, expected) in [(TargetState::Draining, false), (TargetState::Ready, true)] {
+        let mut candidate = Node::with_targets(fleet(vec![ready("a", 1), ready("b", 2)]));
+        candidate.quiet(10, ms(2_000));
+        let is_notice = |(_, msg): &&(SocketAddr, PeerMsg)| matches!(msg, PeerMsg::Notice(_));
+        let (_, notice) = candidate.sent.iter().find(is_notice).expect("expected a notice").clone();
+        let mut node = Node::new();
+        let newer = target("a", entry("10.0.0.1:80", state, 1_000, 18));
+        let listed = fleet(vec![publication(1), newer, ready("b", 2), ready("c", 3)]);
+        node.reply_list(20, listed);
+        node.sent.clear();
+        node.input(Input::Peer { from: reader(), msg: notice });
+        let is_pull = |(_, msg): &&(SocketAddr, PeerMsg)| matches!(msg, PeerMsg::Pull(_));
+        let (_, pull) = node.sent.iter().find(is_pull).expect("expected a pull").clone();
+        candidate.sent.clear();
+        let address = "10.0.0.1:7".parse().unwrap();
+        let from = Peer { vm: name("a"), place: place(), address };
+        candidate.input(Input::Peer { from, msg: pull });
+        let is_delta = |(_, msg): &&(SocketAddr, PeerMsg)| matches!(msg, PeerMsg::Delta(_));
+        let (_, delta) = candidate.sent.iter().find(is_delta).expect("expected a delta").clone();
+        node.input(Input::Peer { from: reader(), msg: delta });
+        assert_eq!(node.targets().contains(&"a".to_owned()), expected, "{state:?}");
+        assert_eq!(node.count(EventKind::ParentChosen), usize::from(expected), "{state:?}");
+    }
+}
+
 /// Guards against a follower that keeps relying on a reader that has lost the store: the timeout
 /// runs from the store's last response, not from the announcement.
 #[test]
