--- a/node/src/calls/readiness.rs
+++ b/node/src/calls/readiness.rs
@@ -29,6 +29,12 @@
     remaining: AtomicUsize,
 }
 
+impl Default for HeadLimit {
+    fn default() -> HeadLimit {
+        HeadLimit::new()
+    }
+}
+
 impl HeadLimit {
     /// A limit that is not in force until [`HeadLimit::begin`].
     pub fn new() -> HeadLimit {
--- a/node/tests/calls_endless.rs
+++ b/node/tests/calls_endless.rs
@@ -19,6 +19,9 @@
 /// the place of the node.
 const SOCKET_BUFFER_BYTES: usize = 16_384;
 
+/// A target that writes less than this at once pauses after each write.
+const SLOW_WRITE_BYTES: usize = 1_024;
+
 /// Bytes that a fast target writes at once.
 const FAST_WRITE_BYTES: usize = 1 << 20;
 
@@ -44,6 +47,11 @@
         EndlessTarget::with_writes(begin, filler, FAST_WRITE_BYTES, None)
     }
 
+    /// A target that sends one filler every few milliseconds.
+    fn slow(filler: &'static str) -> EndlessTarget {
+        EndlessTarget::with_writes("", filler, filler.len(), Some(SOCKET_BUFFER_BYTES))
+    }
+
     fn with_writes(
         begin: &'static str,
         filler: &'static str,
@@ -73,6 +81,9 @@
                     while stream.write_all(next.as_bytes()).is_ok() {
                         sent.fetch_add(next.len(), Ordering::SeqCst);
                         next = &filler;
+                        if write_bytes < SLOW_WRITE_BYTES {
+                            std::thread::sleep(Duration::from_millis(5));
+                        }
                     }
                     closed.fetch_add(1, Ordering::SeqCst);
                 });
@@ -162,6 +173,26 @@
     }
 }
 
+/// Guards against a connection that is kept for a target that sends interim heads slowly, after the
+/// deadline of the request or after its caller has left.
+#[test]
+fn slow_interim_heads_end_with_request() {
+    let deadline = "x-sycamore-deadline-ms: 300\r\n\r\n";
+    for leaves_early in [false, true] {
+        let target = EndlessTarget::slow(interim_heads()[0]);
+        let node = node_before(&target);
+        let caller =
+            open(node.entry, &get("/once").replace("\r\n\r\n", &format!("\r\n{deadline}")));
+        eventually("the target sends", || target.sent() > 0);
+        match leaves_early {
+            true => drop(caller),
+            false => assert_eq!(read(&caller).outcome(), "unknown"),
+        }
+        eventually("the target's connection is closed", || target.is_closed());
+        eventually("no call is open", || node.shared.calls_open() == 0);
+    }
+}
+
 /// Guards against a few interim heads before a response that are taken for endless ones.
 #[test]
 fn interim_heads_before_response() {
