Keep targets that a peer's state lacks only because its version is older

Cause: lets a state with a higher revision replace the targets of a starting node. A state has only targets of the services of its version, so that the state of a peer which has read the targets but not yet the document would drop those of a new service.

Evidence: `rejoin_newer_state_under_older_version` failed before (`left: (2, []), right: (2, ["b"])`).

Change: such a state is merged, as one of an unknown revision.

--- a/core/src/discovery/peers.rs
+++ b/core/src/discovery/peers.rs
@@ -247,9 +247,12 @@
     fn handle_full_state(&mut self, now: Time, from: &Peer, delta: &Delta, out: &mut Vec<Output>) {
         match rejoin::parse_full_state(delta) {
             Ok((published, entries)) => {
+                let version = published.version;
                 self.accept_version(now, Arc::new(published), out);
+                // A state lacks the targets of services that its version lacks.
+                let is_complete = self.status().newest <= version;
                 if !self.watcher.knows_targets() {
-                    self.merge_targets(now, from, &delta.summary, entries);
+                    self.merge_targets(now, from, &delta.summary, entries, is_complete);
                 }
                 self.snapshot_stale |= self.published.is_some();
             }
@@ -263,6 +266,7 @@
         from: &Peer,
         summary: &Summary,
         entries: Vec<(Name, TargetEntry)>,
+        is_complete: bool,
     ) {
         if (1..self.registry.revision()).contains(&summary.store_revision) {
             return;
@@ -276,7 +280,8 @@
             false => confirmed_at,
         };
         self.progress.on_targets(Some(&from.vm));
-        let (confirmed, revision) = (confirmed_at.is_some(), summary.store_revision);
+        let confirmed = confirmed_at.is_some();
+        let revision = if is_complete { summary.store_revision } else { 0 };
         self.snapshot_stale |= self.registry.merge_from_peer(now, entries, confirmed, revision);
         self.watcher.on_peer_state(now, self.confirmed_at, &mut self.rng);
         self.rejoin.postpone(now);
--- a/core/src/discovery/registry.rs
+++ b/core/src/discovery/registry.rs
@@ -137,7 +137,7 @@
 
     /// Merges the targets known to a peer, while the store has not been read yet. Returns whether
     /// any target changed. `confirmed` tells whether the store recently responded to that peer, and
-    /// `revision` up to which revision of the store it knows all targets.
+    /// `revision` up to which revision of the store `entries` are complete; 0 if unknown.
     pub fn merge_from_peer(
         &mut self,
         now: Time,
--- a/core/tests/discovery_clock.rs
+++ b/core/tests/discovery_clock.rs
@@ -3,8 +3,10 @@
 #[path = "support/store_node.rs"]
 mod support;
 
+use std::sync::Arc;
 use support::*;
-use sycamore_core::discovery::{Change, Input, TargetState};
+use sycamore_core::config::Preset;
+use sycamore_core::discovery::{Change, Input, Publication, TargetState};
 use sycamore_core::spread::message::Pull;
 use sycamore_core::spread::{Peer, PeerMsg};
 
@@ -46,9 +48,14 @@
 }
 
 /// Full state of a node that knows these targets up to `revision`.
-fn state_of_peer(revision: u64, mut targets: Vec<Change>) -> PeerMsg {
+fn state_of_peer(revision: u64, targets: Vec<Change>) -> PeerMsg {
+    state_under(publication(1), revision, targets)
+}
+
+/// The same under another version.
+fn state_under(version: Change, revision: u64, mut targets: Vec<Change>) -> PeerMsg {
     let mut peer = Node::new();
-    targets.push(publication(1));
+    targets.push(version);
     peer.reply_list(revision, targets);
     peer.sent.clear();
     let pull = Pull { version: 0, base: None, scope: None };
@@ -103,3 +110,19 @@
     node.reply_list(30, vec![ready("b", 1), written(TargetState::Draining, 7_000, 25)]);
     assert_eq!(targets_of(&node), ["b"]);
 }
+
+/// Guards against the loss of the targets of a service to the state of a peer that has read the store
+/// later, but holds an older version without that service.
+#[test]
+fn rejoin_newer_state_under_older_version() {
+    let without_service = r#"{"name":"p","services":{"other":{"targets":[]}},
+        "routes":{"a":{"path_prefix":"/a/","service":"other","idempotent":true}}}"#;
+    let preset: Preset = serde_json::from_str(without_service).unwrap();
+    let older = Change::Published(Ok(Arc::new(Publication { version: 1, preset })));
+    let first = state_under(publication(2), 20, vec![ready("b", 1)]);
+    let second = state_under(older, 30, vec![ready("b", 1)]);
+    let mut node = Node::new();
+    node.input(Input::Peer { from: sender(21), msg: first });
+    node.input(Input::Peer { from: sender(22), msg: second });
+    assert_eq!((node.version(), targets_of(&node)), (2, vec!["b".into()]));
+}
