--- a/core/tests/discovery_clock.rs
+++ b/core/tests/discovery_clock.rs
@@ -69,6 +69,15 @@
     Peer { vm: name(&format!("n{ip}")), place: place(), address }
 }
 
+/// Targets of a node that starts and is sent these states by different peers.
+fn targets_after(states: [&PeerMsg; 2]) -> Vec<String> {
+    let mut node = Node::new();
+    for (ip, state) in (21..).zip(states) {
+        node.input(Input::Peer { from: sender(ip), msg: state.clone() });
+    }
+    targets_of(&node)
+}
+
 /// Guards against a node that starts and takes the older of two states of peers, since the target
 /// started later by its clock there.
 #[test]
@@ -76,11 +85,7 @@
     let older = state_of_peer(20, vec![ready("b", 1), written(TargetState::Ready, 9_000, 15)]);
     let newer = state_of_peer(30, vec![ready("b", 1), written(TargetState::Draining, 7_000, 25)]);
     for states in [[&older, &newer], [&newer, &older]] {
-        let mut node = Node::new();
-        for (ip, state) in states.into_iter().enumerate() {
-            node.input(Input::Peer { from: sender(21 + ip as u8), msg: state.clone() });
-        }
-        assert_eq!(targets_of(&node), ["b"]);
+        assert_eq!(targets_after(states), ["b"]);
     }
 }
 
@@ -90,11 +95,7 @@
     let older = state_of_peer(20, vec![ready("b", 1), written(TargetState::Ready, 9_000, 15)]);
     let newer = state_of_peer(30, vec![ready("b", 1)]);
     for states in [[&older, &newer], [&newer, &older]] {
-        let mut node = Node::new();
-        for (ip, state) in states.into_iter().enumerate() {
-            node.input(Input::Peer { from: sender(21 + ip as u8), msg: state.clone() });
-        }
-        assert_eq!(targets_of(&node), ["b"]);
+        assert_eq!(targets_after(states), ["b"]);
     }
 }
 
