Tests: reserve closed ports for as long as a test expects them closed

Cause: the test bound a listener, dropped it, and expected its port to stay closed. The kernel may give such a port to the next socket that asks for any; 60 tests of the same process start listeners that answer as healthy nodes of version 4. Ruled out by the line of the assertion: a tool that doesn't report a closed port would have failed the next assertion, not the exit code.

Change: ClosedPort of the stand-ins keeps the port in use, by an outgoing connection, while nothing listens on it. retry_past_dead_node had the same race and uses it too. check_agrees releases four ports before its node binds them; it takes them from an IP that no other test uses.

The race itself was not reproduced. closed_port_stays_closed shows what the test relies on: the port can't be bound, and refuses connections. With a dropped listener the first assertion can't hold: binding the port succeeds, which is how FakeNodes could take it.

--- a/node/tests/calls_fleet.rs
+++ b/node/tests/calls_fleet.rs
@@ -3,11 +3,11 @@
 #[path = "support/calls.rs"]
 mod support;
 
-use std::net::TcpListener;
 use support::*;
 use sycamore_core::Name;
 use sycamore_core::call::RequestKey;
 use sycamore_core::call::note::HomeList;
+use sycamore_standins::closed_port::ClosedPort;
 
 /// Targets and their nodes, all on version 1 and exchanging notes.
 struct Fleet {
@@ -67,8 +67,9 @@
 fn retry_past_dead_node() {
     // Guards against lookups that fail because a node has died without notice.
     let (target, node) = single_node("{}");
-    let dead = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    node.configure(2, &preset("{}", &[("a", node.gate), ("b", dead)]));
+    let dead = ClosedPort::new().unwrap();
+    let gates = [("a", node.gate), ("b", dead.address().unwrap())];
+    node.configure(2, &preset("{}", &gates));
     for _ in 0..30 {
         assert_eq!(call(node.entry, &get("/idem")).outcome(), "answered");
     }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Simulated platform configuration service and targets, for tests and demonstrations only.
 
+pub mod closed_port;
 pub mod command;
 pub mod example;
 pub mod http;
--- a/tools/tests/operators/check_agrees.rs
+++ b/tools/tests/operators/check_agrees.rs
@@ -62,9 +62,9 @@
 }
 
 /// Returns four distinct free loopback addresses. All listeners stay open until the last is bound,
-/// because the kernel may assign a released port again.
+/// because the kernel may assign a released port again. No other test binds ports of this IP.
 fn reserve_addresses() -> [SocketAddr; 4] {
-    let listeners = [(); 4].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let listeners = [(); 4].map(|()| TcpListener::bind("127.0.0.4:0").unwrap());
     listeners.map(|listener| listener.local_addr().unwrap())
 }
 
--- a/tools/tests/operators/status.rs
+++ b/tools/tests/operators/status.rs
@@ -6,6 +6,7 @@
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use sycamore_standins::closed_port::ClosedPort;
 
 fn now_us() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as u64
@@ -130,7 +131,8 @@
 
 #[test]
 fn node_unreachable() {
-    let closed_address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let closed_port = ClosedPort::new().unwrap();
+    let closed_address = closed_port.address().unwrap();
     let fleet = start_nodes(vec![node_status(0, 4)]);
     let run = run_status(&[fleet.addresses[0], closed_address], &[]);
     assert_eq!(run.exit_code, Some(1));
