Let no entry of an unknown service hide a target at its address

Callers saw: 503 for the requests that a sound target would have served, for as long as the store held a later entry with its address and a service that the version in force lacks.

Cause: Registry::targets chose among entries of one address by the time of their write alone, also one that no route can use.

Evidence: watch_unknown_service_hides_no_target failed before (targets ["b"] in place of ["a", "b"]).

Change: entries of services that the version has come first, then the later write. Every node sees the same version and entries, so that all choose alike. An entry whose service comes with the next version takes the address then; until it does, Expect-Instance keeps requests from running at the wrong target.

Ran: discovery_clock, discovery, discovery_orders, config.

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -291,7 +291,8 @@
         }
         let mut registry = Registry::new();
         registry.apply_list(now, items.to_vec());
-        self.view = Arc::new(View::new(published, &registry.targets(&self.cfg)));
+        let listed = registry.targets(&self.cfg, &published);
+        self.view = Arc::new(View::new(published, &listed));
         self.provisional = true;
         // A reader completes the list with less traffic than a peer that sends everything.
         self.rejoin.postpone(now);
@@ -358,8 +359,8 @@
     }
 
     fn rebuild_snapshot(&mut self, now: Time, out: &mut Vec<Output>) {
-        let listed = self.registry.targets(&self.cfg);
         let published = self.published.clone().unwrap_or_else(|| Arc::new(Publication::none()));
+        let listed = self.registry.targets(&self.cfg, &published);
         self.view = Arc::new(View::new(published.clone(), &listed));
         self.provisional = false;
         self.full_state = None;
--- a/core/src/discovery/registry.rs
+++ b/core/src/discovery/registry.rs
@@ -1,6 +1,6 @@
 //! Registry of targets, built from the entries that they write to the store.
 
-use super::port::{Change, Config, TargetEntry, TargetState};
+use super::port::{Change, Config, Publication, TargetEntry, TargetState};
 use super::progress::EntryState;
 use crate::config::Target;
 use crate::{Name, Time};
@@ -233,10 +233,14 @@
     /// All targets, in order of their IDs.
     ///
     /// If several entries have the same address, the one written last wins: the other processes have
-    /// ended, and their address was reassigned before their entries expired.
-    pub fn targets(&self, cfg: &Config) -> Vec<ServiceTarget> {
+    /// ended, and their address was reassigned before their entries expired. Entries of services that
+    /// `published` lacks come after all others, since no target may have written them.
+    pub fn targets(&self, cfg: &Config, published: &Publication) -> Vec<ServiceTarget> {
+        let services = &published.preset.services;
         let mut entries: Vec<(&Name, &KnownTarget)> = self.entries.iter().collect();
-        entries.sort_by_key(|(_, known)| known.entry.revision);
+        entries.sort_by_key(|(_, KnownTarget { entry, .. })| {
+            (services.contains_key(&entry.service), entry.revision)
+        });
         let mut addresses: HashSet<SocketAddr> = HashSet::new();
         let mut listed: Vec<ServiceTarget> = Vec::with_capacity(entries.len());
         for (id, known) in entries.into_iter().rev() {
--- a/core/tests/discovery_clock.rs
+++ b/core/tests/discovery_clock.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use support::*;
 use sycamore_core::config::Preset;
-use sycamore_core::discovery::{Change, Input, Publication, TargetState};
+use sycamore_core::discovery::{Change, Input, Publication, TargetEntry, TargetState};
 use sycamore_core::spread::message::Pull;
 use sycamore_core::spread::{Peer, PeerMsg};
 
@@ -47,6 +47,17 @@
     assert_eq!(targets_of(&node), ["b", "c"]);
 }
 
+/// Guards against requests that are rejected because a later entry, of a service that the version
+/// lacks, names the address of a sound target.
+#[test]
+fn watch_unknown_service_hides_no_target() {
+    let mut node = Node::with_targets(vec![ready("b", 1), written(TargetState::Ready, 9_000, 9)]);
+    let other =
+        TargetEntry { service: name("unlisted"), ..entry(ADDRESS, TargetState::Ready, 9_500, 11) };
+    node.reply(11, vec![target("c", other)]);
+    assert_eq!(targets_of(&node), ["a", "b"]);
+}
+
 /// Full state of a node that knows these targets up to `revision`.
 fn state_of_peer(revision: u64, targets: Vec<Change>) -> PeerMsg {
     state_under(publication(1), revision, targets)
