Report a closed route as closed, not as a figure out of range

An operator saw 'figure out of range ... attempts: 0, used as 1' in the log for a route with 0 attempts or 0 ms, although the node rejects its requests with 476; a route whose weights are all 0 was closed without a line.

Cause: figures were compared with the clamped values of the route, which a closed route doesn't use.

Evidence: closed_route_reported failed before (["rules.lend.attempts"] in place of ["rules.lend", "rules.scan"]).

--- a/core/src/config/document.rs
+++ b/core/src/config/document.rs
@@ -182,6 +182,11 @@
     pub fn allows_region(&self, region: &Name) -> bool {
         allows_region(&self.regions, region)
     }
+
+    /// Whether the route admits no requests: all weights of its split are 0.
+    pub fn is_closed(&self) -> bool {
+        !self.split.is_empty() && self.split.iter().all(|part| part.weight == 0)
+    }
 }
 
 /// Whether `regions`, the regions of a route, include `region`. An empty list includes all.
--- a/core/src/config/snapshot.rs
+++ b/core/src/config/snapshot.rs
@@ -63,9 +63,8 @@
 }
 
 impl RouteEntry {
-    /// Whether the route admits no requests: all weights of its split are 0.
     pub fn is_closed(&self) -> bool {
-        self.split.is_empty() && !self.route.split.is_empty()
+        self.route.is_closed()
     }
 }
 
--- a/core/src/discovery/policy.rs
+++ b/core/src/discovery/policy.rs
@@ -1,11 +1,13 @@
 //! Limits of services and routes: defaults for those that documents do not state, and the nearest
 //! usable value of those that they state.
 
-use crate::config::ServiceLimits;
+use crate::Name;
 use crate::config::validate::{
     MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_COLD_MS, MAX_COLD_STARTS, MAX_CONNECTIONS, MAX_RETRY_PERCENT,
     MAX_RETRY_RESERVE, MAX_ROUTE_MS, MAX_WEIGHT,
 };
+use crate::config::{Route, ServiceLimits, WeightedService};
+use indexmap::IndexMap;
 
 /// Additional gatekeepers tried after rejections that cost no target any work. One suffices: the
 /// request queues there, and trying more adds cross-zone traffic without finding capacity.
@@ -78,6 +80,20 @@
     stated.iter().copied().map(scaled).collect()
 }
 
+/// Service of a route: that of the first part of its split, or without a split the stated one.
+pub fn route_service(stated: Option<Name>, split: &[WeightedService]) -> Option<Name> {
+    split.first().map(|part| part.service.clone()).or(stated)
+}
+
+/// Name of a route: the stated one, or a number if that is no valid name or another route has it.
+pub fn route_name(stated: &str, routes: &IndexMap<Name, Route>) -> Name {
+    let is_free = |name: &Name| !routes.contains_key(name);
+    let stated = Name::new(stated.to_owned()).filter(is_free);
+    let numbered =
+        || (routes.len()..).find_map(|number| Name::new(format!("route-{number}")).filter(is_free));
+    stated.or_else(numbered).unwrap_or(Name::from_static("route"))
+}
+
 fn share_of_budget(stated: u32) -> u32 {
     (u64::from(stated) * u64::from(RETRY_BUDGET_SHARE_PERCENT) / 100) as u32
 }
