Match hosts that are published with a port

Callers saw: 404 for all routes of a host that the operator publishes with a port, since nodes removed the port from the Host header and compared the rest.

Cause: headers::host removed the port of the request, nothing removed or kept that of the route.

Change: a request's host keeps its port. Routes of the host with that port come first, then those of the host, then those of any host. Fingerprints of requests that crash targets leave the port out, as before, since callers of different nodes may name different ports.

--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -16,4 +16,4 @@
 pub use resource::{Manifest, Resource, ResourceId, ResourceKind};
 pub use resource_set::ResourceSet;
 pub use scope::Scope;
-pub use snapshot::{RouteKey, ServiceKey, Snapshot, TargetKey};
+pub use snapshot::{RouteKey, ServiceKey, Snapshot, TargetKey, without_port};
--- a/core/src/config/document.rs
+++ b/core/src/config/document.rs
@@ -125,7 +125,8 @@
     pub struct Route {
         /// Path prefix to match, at a `/` boundary. The longest matching prefix wins.
         pub path_prefix: String,
-        /// Host to match, in lowercase and without a port. Matches any host if absent.
+        /// Host to match, in lowercase. With a port, only requests that name it match. Matches any
+        /// host if absent.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub host: Option<String>,
         /// The service that handles the requests.
--- a/core/src/config/snapshot.rs
+++ b/core/src/config/snapshot.rs
@@ -188,11 +188,14 @@
         self.in_force.version
     }
 
-    /// Finds the route with the longest matching prefix. Routes for `host` take precedence over
-    /// routes that match any host. `path` must not include the query.
+    /// Finds the route with the longest matching prefix. Routes for `host` with its port take
+    /// precedence over those for the host alone, and these over routes that match any host. `path`
+    /// must not include the query.
     pub fn route_for(&self, host: &str, path: &str) -> Option<RouteKey> {
-        let named = (!host.is_empty()).then(|| self.route_of_host(host, path)).flatten();
-        named.or_else(|| self.route_of_host("", path))
+        let name = without_port(host);
+        let with_port = (name != host).then(|| self.route_of_host(host, path)).flatten();
+        let of_name = || (!name.is_empty()).then(|| self.route_of_host(name, path)).flatten();
+        with_port.or_else(of_name).or_else(|| self.route_of_host("", path))
     }
 
     fn route_of_host(&self, host: &str, path: &str) -> Option<RouteKey> {
@@ -243,6 +246,12 @@
     }
 }
 
+/// A host without the port that may follow it. The colons of an IPv6 address stand in brackets.
+pub fn without_port(host: &str) -> &str {
+    let end = host.rfind(':').filter(|colon| !host[*colon..].contains(']'));
+    &host[..end.unwrap_or(host.len())]
+}
+
 /// Whether `path` starts with `prefix` and the match ends at a `/` boundary.
 fn prefix_matches(prefix: &str, path: &str) -> bool {
     match path.strip_prefix(prefix) {
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -37,7 +37,7 @@
     CallKey, Fingerprint, Gatekeeper, Members, Note, Outcome, RateLimit, RequestKey, StopPlan,
     TargetStatements,
 };
-use sycamore_core::config::{Class, Snapshot};
+use sycamore_core::config::{Class, Snapshot, without_port};
 use sycamore_core::event::Event;
 use sycamore_core::hash::Hash;
 use sycamore_core::{Code, Name, Time};
@@ -427,7 +427,9 @@
             (None, None) => &[],
         };
         let method = req.method().as_str().as_bytes();
-        Fingerprint::of(&[method, host.as_bytes(), target.as_bytes(), caller, identity])
+        // Callers of different nodes may name different ports.
+        let host = without_port(host).as_bytes();
+        Fingerprint::of(&[method, host, target.as_bytes(), caller, identity])
     }
 
     /// Sets the headers by which entry nodes learn of the target's load and statements.
--- a/node/src/calls/headers.rs
+++ b/node/src/calls/headers.rs
@@ -296,12 +296,10 @@
     }
 }
 
-/// Host of a request in lower case, without the port; empty if there is none.
+/// Host of a request in lower case, with the port if the request names one; empty if there is none.
 pub fn host<B>(req: &Request<B>) -> String {
     let header = req.headers().get(HOST).and_then(|value| value.to_str().ok());
-    let host = header.or_else(|| req.uri().host()).unwrap_or_default();
-    let end = host.rfind(':').filter(|colon| !host[*colon..].contains(']'));
-    host[..end.unwrap_or(host.len())].to_ascii_lowercase()
+    header.or_else(|| req.uri().host()).unwrap_or_default().to_ascii_lowercase()
 }
 
 /// Formats the terms as `service;idempotent;once;class;rank;may_exceed_objective;repeat;objective`,
--- a/node/tests/calls_input.rs
+++ b/node/tests/calls_input.rs
@@ -203,3 +203,14 @@
     });
     assert!(node.shared.metrics.connections_refused.get() > 0);
 }
+
+/// Guards against requests to a host with a port that take the route of another port.
+#[test]
+fn input_host_with_port() {
+    for (stated, expected) in
+        [("Read.example:8080", "read.example:8080"), ("read.example", "read.example")]
+    {
+        let req = hyper::Request::get("/").header("host", stated).body(()).unwrap();
+        assert_eq!(sycamore_node::calls::headers::host(&req), expected);
+    }
+}
