--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -113,7 +113,7 @@
     KeyInProgress = 459,
     /// whether a request with this key ran is not known
     KeyOutcomeUnknown = 460,
-    /// the target closed the connection before it answered
+    /// the target's connection ended without a valid response
     TargetFailed = 461,
     /// the target can't be reached
     TargetUnreachable = 462,
