Test that a target with endless responses is avoided, and one with a single failure is not

No fault found, and no test failed on the code before; endless_target_is_avoided and ejection_not_by_one_failure guard what was only read.

Ran: calls_endless (11 passed), call_ejection (3 passed).

--- a/core/tests/call_ejection.rs
+++ b/core/tests/call_ejection.rs
@@ -54,3 +54,13 @@
     assert!(!is_picked(&mut balancer, ejected_at + Duration::from_millis(1_900), "a"));
     assert!(is_picked(&mut balancer, ejected_at + Duration::from_millis(2_100), "a"));
 }
+
+/// Guards against a sound target that gets no requests since it failed once.
+#[test]
+fn ejection_not_by_one_failure() {
+    let mut balancer = balancer();
+    balancer.record_failure(START, &name("a"));
+    assert!(is_picked(&mut balancer, START, "a"));
+    balancer.record_failure(START, &name("a"));
+    assert!(!is_picked(&mut balancer, START, "a"));
+}
--- a/node/tests/calls_endless.rs
+++ b/node/tests/calls_endless.rs
@@ -122,6 +122,9 @@
     node
 }
 
+/// Requests sent to two targets one after another.
+const REQUESTS: usize = 160;
+
 /// Connections that send without end at the same time.
 const SENDERS: usize = 4;
 
@@ -206,6 +209,25 @@
     assert_eq!((response.status, response.text().as_str()), (200, "whole"));
 }
 
+/// Guards against requests that go on to a target whose responses are all endless.
+#[test]
+fn endless_target_is_avoided() {
+    let (endless, sound) = (EndlessTarget::fast("", interim_heads()[2]), Target::new());
+    let nodes = [("a", sound.address), ("b", endless.address)]
+        .map(|(vm, address)| Node::new(vm, Some(address)));
+    let preset = preset(r#"{"slots":4}"#, &[("a", nodes[0].gate), ("b", nodes[1].gate)]);
+    nodes.iter().for_each(|node| node.configure(1, &preset));
+    // Requests of one path would be held off as ones that crash targets.
+    let is_answered = |number: &usize| {
+        call(nodes[0].entry, &get(&format!("/idem/{number}"))).outcome() == "answered"
+    };
+    let answered = (0..REQUESTS).filter(is_answered).count();
+    let runs = endless.runs.load(Ordering::SeqCst);
+    assert!(runs < REQUESTS / 8, "{runs}");
+    // The retry budget may leave a request without a second attempt.
+    assert!(answered + runs >= REQUESTS, "{answered} answered, {runs} at the target");
+}
+
 /// Runs `load` until the node has answered some requests of other callers.
 fn assert_others_answered(node: &Node, load: impl Fn() + Sync) {
     const OTHERS: usize = 50;
