--- a/core/src/config/document.rs
+++ b/core/src/config/document.rs
@@ -125,7 +125,8 @@
     pub struct Route {
         /// Path prefix to match, at a `/` boundary. The longest matching prefix wins.
         pub path_prefix: String,
-        /// Host to match, in lowercase and without a port. Matches any host if absent.
+        /// Host to match, in lowercase. With a port, only requests that name it match. Matches any
+        /// host if absent.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub host: Option<String>,
         /// The service that handles the requests.
@@ -182,6 +183,11 @@
     pub fn allows_region(&self, region: &Name) -> bool {
         allows_region(&self.regions, region)
     }
+
+    /// Whether the route admits no requests: all weights of its split are 0.
+    pub fn is_closed(&self) -> bool {
+        !self.split.is_empty() && self.split.iter().all(|part| part.weight == 0)
+    }
 }
 
 /// Whether `regions`, the regions of a route, include `region`. An empty list includes all.
