Log what a statement 'not run' rests on, and check such statements against logs

The logs of an answered 503 had its code, not what shows that the request has not run, and the node beside the target didn't log that it handed a byte to the target.

No decision is changed.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -9,6 +9,7 @@
 pub mod caller_waits;
 pub mod depth;
 pub mod entry;
+pub mod evidence;
 pub mod gatekeeper;
 pub mod home;
 pub mod link;
@@ -25,6 +26,7 @@
 pub mod stop;
 
 pub use entry::Entry;
+pub use evidence::Evidence;
 pub use gatekeeper::Gatekeeper;
 pub use note::Note;
 pub use pace::Pace;
--- a/node/src/calls/entry.rs
+++ b/node/src/calls/entry.rs
@@ -14,7 +14,7 @@
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 use async_executor::Executor;
-use attempt::{AttemptResult, RequestBody, classify_response, failure_of};
+use attempt::{AttemptResult, Failure, RequestBody, classify_response};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri, Version};
@@ -23,7 +23,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use sycamore_core::call::entry::{Arrival, AttemptEnd, Forward, Input, Output};
-use sycamore_core::call::{CallKey, Entry, Members, Outcome, StopPlan};
+use sycamore_core::call::{CallKey, Entry, Evidence, Members, Outcome, StopPlan};
 use sycamore_core::config::Snapshot;
 use sycamore_core::{Code, Time};
 
@@ -264,7 +264,8 @@
                 AttemptResult::Ended(end) => Input::Attempt { call: key, end, replayable },
                 AttemptResult::DeadlinePassed { sent } => Input::Expire { call: key, sent },
             };
-            self.record_failed_attempt(&call.id, &forward, failure_of(&input));
+            let failure = Failure::of_input(&input);
+            self.record_failed_attempt(&call.id, &forward, failure);
             let expired = matches!(input, Input::Expire { .. });
             match self.decide(call.guard.shard, input) {
                 Some(Output::Forward(next)) => forward = next,
@@ -274,23 +275,28 @@
                     if own && outcome == (Outcome::Unknown { code: Code::DrainCutCalls }) {
                         self.shared.count_cut_call();
                     }
-                    return self.reject(&call.conn, &call.id, outcome);
+                    return self.end(
+                        &call.conn,
+                        &call.id,
+                        outcome,
+                        Some((forward.attempt, failure)),
+                    );
                 }
                 None => {
                     let outcome = Outcome::Unknown { code: Code::AnswerLost };
-                    return self.reject(&call.conn, &call.id, outcome);
+                    return self.end(
+                        &call.conn,
+                        &call.id,
+                        outcome,
+                        Some((forward.attempt, failure)),
+                    );
                 }
             }
         }
     }
 
-    /// Records a failed attempt: its code, and whether the target may have run the request.
-    fn record_failed_attempt(
-        &self,
-        id: &HeaderValue,
-        forward: &Forward,
-        (code, sent): (Code, bool),
-    ) {
+    fn record_failed_attempt(&self, id: &HeaderValue, forward: &Forward, failure: Failure) {
+        let Failure { code, evidence } = failure;
         if matches!(code, Code::GatekeeperUnreachable | Code::AnswerLost) {
             self.shared.lost_gates.send(forward.gatekeeper);
         }
@@ -298,8 +304,8 @@
             attempt: Some(forward.attempt),
             target: Some(forward.vm.as_str()),
             code: Some(code.number()),
-            sent: Some(sent),
-            ..Fields::default()
+            sent: Some(evidence.is_none()),
+            ..Fields::default().with_evidence(evidence)
         };
         trace::log_step(&self.shared, id, Step::AttemptFailed, fields);
     }
@@ -413,16 +419,31 @@
         Response::from_parts(head, body)
     }
 
+    /// Rejects a request of which no attempt was made.
     fn reject(
         &self,
         conn: &Arc<ConnectionState>,
         id: &HeaderValue,
         outcome: Outcome,
+    ) -> Response<Body> {
+        self.end(conn, id, outcome, None)
+    }
+
+    /// Ends a request without a response of a target, after the last attempt if there was one.
+    fn end(
+        &self,
+        conn: &Arc<ConnectionState>,
+        id: &HeaderValue,
+        outcome: Outcome,
+        last: Option<(u32, Failure)>,
     ) -> Response<Body> {
         self.count_outcome(outcome);
+        let evidence = last.map_or(Some(Evidence::Unsent), |(_, failure)| failure.evidence);
+        let promised = matches!(outcome, Outcome::NotRun { .. });
         let fields = Fields {
             version: self.shared.in_force().map(|snapshot| snapshot.version()),
-            ..Fields::of_outcome(outcome)
+            attempt: last.map(|(attempt, _)| attempt),
+            ..Fields::of_outcome(outcome).with_evidence(evidence.filter(|_| promised))
         };
         trace::log_step(&self.shared, id, Step::Ended, fields);
         let mut head = Response::new(());
--- a/node/src/calls/entry/attempt.rs
+++ b/node/src/calls/entry/attempt.rs
@@ -7,6 +7,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 use sycamore_core::Code;
+use sycamore_core::call::Evidence;
 use sycamore_core::call::entry::{AttemptEnd, Input};
 
 #[derive(Debug)]
@@ -49,25 +50,43 @@
     DeadlinePassed { sent: bool },
 }
 
-/// Code of a failed attempt, and whether the target may have run the request.
-pub(super) fn failure_of(input: &Input<'_>) -> (Code, bool) {
-    match input {
-        Input::Attempt { end, .. } => end_code(end),
-        Input::Expire { sent, .. } => (Code::DeadlinePassed, *sent),
-        _ => (Code::AnswerLost, true),
-    }
+/// Why an attempt failed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Failure {
+    pub(super) code: Code,
+    /// What shows that the target has not run the request; absent if it may have.
+    pub(super) evidence: Option<Evidence>,
 }
 
-/// Code of an attempt's end, and whether the target may have run the request.
-pub(super) fn end_code(end: &AttemptEnd) -> (Code, bool) {
-    match end {
-        AttemptEnd::Rejected { code, .. } => (*code, false),
-        AttemptEnd::Failed { code, .. } => (*code, true),
-        AttemptEnd::NotSent => (Code::GatekeeperUnreachable, false),
-        AttemptEnd::ConnectionLost => (Code::AnswerLost, true),
-        AttemptEnd::LostToHedge => (Code::Overtaken, true),
-        AttemptEnd::ResponseStarted { .. } | AttemptEnd::ErrorResponseStarted { .. } => {
-            (Code::TargetFailed, true)
+impl Failure {
+    pub(super) fn new(code: Code, evidence: Option<Evidence>) -> Failure {
+        Failure { code, evidence }
+    }
+
+    pub(super) fn of_input(input: &Input<'_>) -> Failure {
+        match input {
+            Input::Attempt { end, .. } => Failure::of_end(end),
+            Input::Expire { sent, .. } => {
+                Failure::new(Code::DeadlinePassed, (!sent).then_some(Evidence::Unsent))
+            }
+            _ => Failure::new(Code::AnswerLost, None),
+        }
+    }
+
+    pub(super) fn of_end(end: &AttemptEnd) -> Failure {
+        match end {
+            AttemptEnd::Rejected { code, .. } => {
+                Failure::new(*code, Some(Evidence::of_rejection(*code)))
+            }
+            AttemptEnd::Failed { code, .. } => Failure::new(*code, None),
+            AttemptEnd::NotSent => {
+                Failure::new(Code::GatekeeperUnreachable, Some(Evidence::Unsent))
+            }
+            AttemptEnd::ConnectionLost => Failure::new(Code::AnswerLost, None),
+            AttemptEnd::LostToHedge => Failure::new(Code::Overtaken, None),
+            AttemptEnd::ResponseStarted { .. } | AttemptEnd::ErrorResponseStarted { .. } => {
+                Failure::new(Code::TargetFailed, None)
+            }
         }
     }
 }
--- a/node/src/calls/entry/hedge.rs
+++ b/node/src/calls/entry/hedge.rs
@@ -1,6 +1,6 @@
 //! One round of a call: an attempt, and a hedged attempt or a recall if the first one is slow.
 
-use super::attempt::{AttemptResult, classify_response, end_code, parse_response};
+use super::attempt::{AttemptResult, Failure, classify_response, parse_response};
 use super::recall::RecallResult;
 use super::{Call, EntryAdapter};
 use crate::calls::body::Body;
@@ -13,8 +13,8 @@
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use sycamore_core::call::CallKey;
 use sycamore_core::call::entry::{AttemptEnd, Forward, Input, Output};
+use sycamore_core::call::{CallKey, Evidence};
 use sycamore_core::{Code, Time};
 
 /// Result of sending a request to a gatekeeper.
@@ -267,8 +267,9 @@
     /// Reports the end of one of the attempts; `None` means that it was cancelled.
     fn report_end(&self, which: AttemptKind, end: Option<AttemptEnd>) {
         let forward = self.racing(which).forward;
-        let cancelled = || (Code::Overtaken, self.is_sent(which));
-        let failure = end.as_ref().map_or_else(cancelled, end_code);
+        let unsent = (!self.is_sent(which)).then_some(Evidence::Unsent);
+        let cancelled = || Failure::new(Code::Overtaken, unsent);
+        let failure = end.as_ref().map_or_else(cancelled, Failure::of_end);
         self.adapter.record_failed_attempt(self.id, forward, failure);
         let call = self.key;
         let input = match which {
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -41,7 +41,7 @@
 use sycamore_core::event::Event;
 use sycamore_core::hash::Hash;
 use sycamore_core::{Code, Name, Time};
-use target::Call;
+use target::{Call, NoResponse};
 
 /// `Retry-After` of rejections by the adapter.
 const RETRY_AFTER_SHORT: Duration = Duration::from_millis(200);
@@ -202,22 +202,24 @@
         let read = CallHead::read(&req, &Dialect::new());
         let id = req.headers().get(headers::REQUEST_ID).cloned();
         let id = id.unwrap_or_else(|| HeaderValue::from_static("none"));
+        let number = recall::attempt_number(&req);
+        let reject = |code| self.reject(&conn, &id, number, NoResponse::new(rejection(code), 0));
         let head = match read {
             Ok(head) if head.request_id.is_some() && !conn.has_ambiguous_length() => head,
-            Ok(_) => return self.reject(&conn, &id, rejection(Code::RequestInvalid), 0),
-            Err(code) => return self.reject(&conn, &id, rejection(code), 0),
+            Ok(_) => return reject(Code::RequestInvalid),
+            Err(code) => return reject(code),
         };
         let key = CallKey(self.next_call.fetch_add(1, Ordering::Relaxed));
         let deadline = self.shared.clock.now() + head.time_left.unwrap_or_default();
         let Ok(target_time) = headers::parse_number(req.headers(), &headers::TARGET_TIME) else {
-            return self.reject(&conn, &id, rejection(Code::RequestInvalid), 0);
+            return reject(Code::RequestInvalid);
         };
         let target_time = target_time.map(Duration::from_millis);
         let run_by = target_time.map(|time| self.shared.clock.now() + time);
         self.shared.limit_connection(&conn, deadline);
         let terms = match headers::read_terms(req.headers(), self.shared.clock.now()) {
             Ok(terms) => terms,
-            Err(code) => return self.reject(&conn, &id, rejection(code), 0),
+            Err(code) => return reject(code),
         };
         let idempotent = terms.as_ref().is_none_or(|terms| terms.idempotent);
         let class = terms.as_ref().map_or(Class::Interactive, |terms| terms.class);
@@ -227,7 +229,7 @@
         let attempt = recalls.then(|| recall::attempt_id(&req)).flatten();
         let (req, buffered_body) = match self.buffer_body(req, deadline).await {
             Ok(buffered) => buffered,
-            Err(code) => return self.reject(&conn, &id, rejection(code), 0),
+            Err(code) => return reject(code),
         };
         if !self.shared.accepts_forwards() && !self.drain_sent.swap(true, Ordering::AcqRel) {
             self.handle_input(Input::Drain);
@@ -258,7 +260,13 @@
                 self.trace(&id, Step::GateQueued);
                 self.wait_for_slot(key, until, granted).await
             }
-            Some(decision) => decision,
+            Some(decision) => {
+                if let Decision::Reject(Outcome::NotRun { code: Code::Recalled, .. }, _) = decision
+                {
+                    self.shared.metrics.late_attempts.inc();
+                }
+                decision
+            }
             None => Decision::Reject(rejection(Code::NoTarget), 0),
         };
         let waited = self.shared.clock.now().since(arrived);
@@ -267,13 +275,19 @@
             Metrics::observe_duration(&self.shared.metrics.wait_seconds, class, waited);
         }
         let run_by = run_by.map_or(deadline, |run_by| run_by.min(deadline));
-        let call = Call { key, id, deadline, run_by, class, idempotent, waited, req };
+        let call =
+            Call { key, id, attempt: number, deadline, run_by, class, idempotent, waited, req };
         match decision {
             Decision::Run { once: true } => self.run_once(&conn, call).await,
             Decision::Run { once: false } => self.run(&conn, call).await,
             Decision::Replay(cached) => self.replay(&conn, &call.id, &cached),
-            Decision::Reject(outcome, crashes) => self.reject(&conn, &call.id, outcome, crashes),
-            Decision::Queue(..) => self.reject(&conn, &call.id, rejection(Code::QueueTimeout), 0),
+            Decision::Reject(outcome, crashes) => {
+                self.reject(&conn, &call.id, number, NoResponse::new(outcome, crashes))
+            }
+            Decision::Queue(..) => {
+                let no_response = NoResponse::new(rejection(Code::QueueTimeout), 0);
+                self.reject(&conn, &call.id, number, no_response)
+            }
         }
     }
 
@@ -367,9 +381,10 @@
         &self,
         conn: &Arc<ConnectionState>,
         id: &HeaderValue,
-        outcome: Outcome,
-        crashes: u32,
+        attempt: Option<u32>,
+        no_response: NoResponse,
     ) -> Response<Body> {
+        let NoResponse { outcome, crashes, connection } = no_response;
         // The entry node of this VM counts its own calls.
         let cut = outcome == (Outcome::Unknown { code: Code::DrainCutCalls });
         if cut && !conn.is_local() && self.shared.must_answer() {
@@ -381,6 +396,7 @@
         }
         let load = self.state.lock().gatekeeper.load(self.shared.clock.now());
         let fields = Fields::of_outcome(outcome).with_load(load);
+        let fields = fields.with_attempt(attempt).with_connection(connection);
         trace::log_step(&self.shared, id, Step::GateRefused, fields);
         let mut head = Response::new(());
         headers::write_outcome(&mut head, outcome);
--- a/node/src/calls/gate/recall.rs
+++ b/node/src/calls/gate/recall.rs
@@ -1,5 +1,6 @@
 //! Answers to recalls of entry nodes.
 
+use super::target::NoResponse;
 use super::{GateAdapter, rejection};
 use crate::calls::body::{Body, Guard};
 use crate::calls::conn_state::{ConnectionState, Phase};
@@ -32,7 +33,8 @@
         let id = req.headers().get(headers::REQUEST_ID).cloned();
         let (Some(id), Ok(question)) = (id, read_question(req)) else {
             let id = HeaderValue::from_static("none");
-            return self.reject(conn, &id, rejection(Code::RequestInvalid), 0);
+            let no_response = NoResponse::new(rejection(Code::RequestInvalid), 0);
+            return self.reject(conn, &id, None, no_response);
         };
         let answer = self.decide_recall(question);
         let mut head = Response::new(());
@@ -65,8 +67,13 @@
 /// Identifies the attempt of a forwarded request, if the entry node has numbered it.
 pub(super) fn attempt_id<B>(req: &Request<B>) -> Option<AttemptId> {
     let id = req.headers().get(headers::REQUEST_ID)?;
+    Some(AttemptId::new(id.as_bytes(), attempt_number(req)?))
+}
+
+/// Number of the attempt of a forwarded request.
+pub(super) fn attempt_number<B>(req: &Request<B>) -> Option<u32> {
     let attempt = headers::parse_number(req.headers(), &headers::ATTEMPT).ok().flatten()?;
-    Some(AttemptId::new(id.as_bytes(), attempt.try_into().ok()?))
+    attempt.try_into().ok()
 }
 
 fn read_question(req: &Request<Incoming>) -> Result<RecallQuestion, Code> {
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -6,8 +6,8 @@
 use crate::calls::conn_state::{ConnectionState, Phase};
 use crate::calls::headers;
 use crate::calls::pacer::Pacer;
-use crate::calls::pool::{Connection, SendError};
-use crate::calls::trace::Step;
+use crate::calls::pool::{Connection, ConnectionUse, SendError};
+use crate::calls::trace::{self, Fields, Step};
 use crate::metrics::{GaugeGuard, Metrics};
 use futures_lite::future;
 use hyper::body::{Body as _, Incoming};
@@ -41,6 +41,8 @@
 pub struct Call {
     pub key: CallKey,
     pub id: HeaderValue,
+    /// Number of the attempt, if the entry node has sent one.
+    pub attempt: Option<u32>,
     /// When the entry node stops waiting.
     pub deadline: Time,
     /// Until when the target may work on it.
@@ -77,9 +79,11 @@
 
 /// A request without a response.
 #[derive(Debug)]
-struct NoResponse {
-    outcome: Outcome,
-    crashes: u32,
+pub(super) struct NoResponse {
+    pub(super) outcome: Outcome,
+    pub(super) crashes: u32,
+    // The connection to the target that it was handed to.
+    pub(super) connection: Option<ConnectionUse>,
 }
 
 /// Result of waiting for a connection to the target.
@@ -96,13 +100,21 @@
     /// The end of a request that the state machine rejected while it waited.
     fn from_rejection(decision: Option<Decision>) -> NoResponse {
         match decision {
-            Some(Decision::Reject(outcome, crashes)) => NoResponse { outcome, crashes },
-            _ => NoResponse { outcome: rejection(Code::QueueTimeout), crashes: 0 },
+            Some(Decision::Reject(outcome, crashes)) => NoResponse::new(outcome, crashes),
+            _ => NoResponse::new(rejection(Code::QueueTimeout), 0),
         }
     }
 
+    pub(super) fn new(outcome: Outcome, crashes: u32) -> NoResponse {
+        NoResponse { outcome, crashes, connection: None }
+    }
+
     fn unknown(code: Code) -> NoResponse {
-        NoResponse { outcome: Outcome::Unknown { code }, crashes: 0 }
+        NoResponse::new(Outcome::Unknown { code }, 0)
+    }
+
+    fn with_connection(self, connection: ConnectionUse) -> NoResponse {
+        NoResponse { connection: Some(connection), ..self }
     }
 }
 
@@ -113,12 +125,11 @@
         conn: &Arc<ConnectionState>,
         call: Call,
     ) -> Response<Body> {
-        let (id, key, waited) = (call.id.clone(), call.key, call.waited);
+        let (id, attempt) = (call.id.clone(), call.attempt);
+        let (key, waited) = (call.key, call.waited);
         let target_response = match self.send(call).await {
             Ok(target_response) => target_response,
-            Err(no_response) => {
-                return self.reject(conn, &id, no_response.outcome, no_response.crashes);
-            }
+            Err(no_response) => return self.reject(conn, &id, attempt, no_response),
         };
         let (mut head, incoming) = target_response.response.into_parts();
         self.set_response_headers(&mut head.headers, &id);
@@ -145,7 +156,7 @@
         call: Call,
     ) -> Response<Body> {
         let (tx, rx) = async_channel::bounded(1);
-        let id = call.id.clone();
+        let (id, attempt) = (call.id.clone(), call.attempt);
         let adapter = self.clone();
         let open_call = self.shared.track_call();
         let task = async move {
@@ -156,7 +167,7 @@
         self.executor.spawn(task).detach();
         match rx.recv().await.unwrap_or(Err(NoResponse::unknown(Code::AnswerLost))) {
             Ok(cached) => self.replay(conn, &id, &cached),
-            Err(no_response) => self.reject(conn, &id, no_response.outcome, no_response.crashes),
+            Err(no_response) => self.reject(conn, &id, attempt, no_response),
         }
     }
 
@@ -223,6 +234,8 @@
             let deferred_slot = connection.deferred_slot();
             let sent = AtomicBool::new(false);
             let sent_at = self.shared.clock.now();
+            let used = connection.next_use();
+            self.trace_sent(&call.id, call.attempt, used);
             // Dropped after `running`, so that the slot is attached before the connection closes
             // when this wait is cancelled.
             let mut send = pin!(connection.send(req, &sent));
@@ -231,7 +244,8 @@
             match self.shared.with_deadline(call.deadline, send.as_mut()).await {
                 None => {
                     drop(running);
-                    return Err(self.without_response(call.deadline, call.run_by));
+                    let no_response = self.without_response(call.deadline, call.run_by);
+                    return Err(no_response.with_connection(used));
                 }
                 Some(Ok((response, connection))) if self.matches_request(&response, &call.id) => {
                     let elapsed = self.shared.clock.now().since(sent_at);
@@ -246,11 +260,16 @@
                     }
                     return match rejected {
                         None => Ok(TargetResponse { response, connection, running }),
-                        Some(code) => Err(report_rejection(running, response, connection, code)),
+                        Some(code) => Err(report_rejection(running, response, connection, code)
+                            .with_connection(used)),
                     };
                 }
-                Some(Ok(_) | Err(SendError::Broken)) => {
-                    return Err(self.report_broken_connection(running).await);
+                Some(result @ (Ok(_) | Err(SendError::Broken))) => {
+                    if result.is_ok() {
+                        self.shared.metrics.foreign_responses.inc();
+                    }
+                    let no_response = self.report_broken_connection(running).await;
+                    return Err(no_response.with_connection(used));
                 }
                 Some(Err(SendError::NotSent(unsent))) => {
                     let Some(reclaimed) = running.take() else {
@@ -319,6 +338,12 @@
         ConnectResult::NotStarted(NoResponse::from_rejection(decision))
     }
 
+    /// Logs that a request is handed to a connection to the target.
+    fn trace_sent(&self, id: &HeaderValue, attempt: Option<u32>, used: ConnectionUse) {
+        let fields = Fields::default().with_attempt(attempt).with_connection(Some(used));
+        trace::log_step(&self.shared, id, Step::GateSent, fields);
+    }
+
     /// Logs and counts a request that waits for a connection, until the result is dropped.
     fn record_connection_wait(&self, id: &HeaderValue) -> GaugeGuard {
         self.trace(id, Step::GateConnecting);
@@ -331,7 +356,7 @@
         let target_gone = self.target_gone().await;
         let decision = running.take().and_then(|slot| slot.end(RunEnd::Broken { target_gone }));
         match decision {
-            Some(Decision::Reject(outcome, crashes)) => NoResponse { outcome, crashes },
+            Some(Decision::Reject(outcome, crashes)) => NoResponse::new(outcome, crashes),
             _ => NoResponse::unknown(Code::TargetFailed),
         }
     }
@@ -411,8 +436,8 @@
         connection.release();
     }
     match decision {
-        Some(Decision::Reject(outcome, crashes)) => NoResponse { outcome, crashes },
-        _ => NoResponse { outcome: rejection(code), crashes: 0 },
+        Some(Decision::Reject(outcome, crashes)) => NoResponse::new(outcome, crashes),
+        _ => NoResponse::new(rejection(code), 0),
     }
 }
 
@@ -421,16 +446,16 @@
 fn report_too_late(slot: Slot, caller_late: bool) -> NoResponse {
     let code = if caller_late { Code::DeadlinePassed } else { Code::Draining };
     match slot.end(RunEnd::Rejected(code)) {
-        Some(Decision::Reject(outcome, crashes)) => NoResponse { outcome, crashes },
-        _ => NoResponse { outcome: rejection(code), crashes: 0 },
+        Some(Decision::Reject(outcome, crashes)) => NoResponse::new(outcome, crashes),
+        _ => NoResponse::new(rejection(code), 0),
     }
 }
 
 /// Reports a request of which no byte was sent.
 fn report_not_sent(slot: Slot) -> NoResponse {
     match slot.end(RunEnd::NotSent) {
-        Some(Decision::Reject(outcome, crashes)) => NoResponse { outcome, crashes },
-        _ => NoResponse { outcome: rejection(Code::TargetUnreachable), crashes: 0 },
+        Some(Decision::Reject(outcome, crashes)) => NoResponse::new(outcome, crashes),
+        _ => NoResponse::new(rejection(Code::TargetUnreachable), 0),
     }
 }
 
--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -20,7 +20,7 @@
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 use sycamore_core::Time;
 
@@ -68,6 +68,7 @@
     connect_timeout: Duration,
     idle: Mutex<IndexMap<SocketAddr, Vec<IdleConnection>>>,
     open_count: AtomicUsize,
+    next_number: AtomicU64,
     // A connection was released or has ended, or a limit has changed.
     changed: Event,
 }
@@ -91,6 +92,16 @@
     pool: Arc<Pool>,
     deferred_slot: Arc<DeferredSlot>,
     head_limit: Arc<HeadLimit>,
+    used: ConnectionUse,
+}
+
+/// Identifies one use of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// Number of the connection in its pool, from 1.
+    pub number: u64,
+    /// Requests that it carried before.
+    pub carried: u32,
 }
 
 impl Pool {
@@ -123,6 +134,7 @@
             connect_timeout,
             idle: Mutex::new(IndexMap::new()),
             open_count: AtomicUsize::new(0),
+            next_number: AtomicU64::new(1),
             changed: Event::new(),
         })
     }
@@ -263,6 +275,10 @@
             pool: self.clone(),
             deferred_slot,
             head_limit,
+            used: ConnectionUse {
+                number: self.next_number.fetch_add(1, Ordering::Relaxed),
+                carried: 0,
+            },
         })
     }
 
@@ -374,6 +390,11 @@
 }
 
 impl Connection {
+    /// The next use of the connection.
+    pub fn next_use(&self) -> ConnectionUse {
+        self.used
+    }
+
     /// The slot that is held until the connection ends.
     pub fn deferred_slot(&self) -> Arc<DeferredSlot> {
         self.deferred_slot.clone()
@@ -405,6 +426,7 @@
         match self.sender.try_send_request(req).await {
             Ok(response) => {
                 self.head_limit.end();
+                self.used.carried += 1;
                 if let Some(timeout) = headers::keep_alive_timeout(response.headers()) {
                     self.idle_timeout = timeout.mul_f64(KEEP_ALIVE_FRACTION).min(IDLE_TIMEOUT);
                 }
--- a/node/src/calls/trace.rs
+++ b/node/src/calls/trace.rs
@@ -2,12 +2,13 @@
 //!
 //! docs/OPERATIONS.md describes how to find the cause of a failed request by its id.
 
+use super::pool::ConnectionUse;
 use crate::shared::Shared;
 use hyper::header::HeaderValue;
 use serde::{Deserialize, Serialize};
 use sycamore_core::Code;
 use sycamore_core::call::entry::Forward;
-use sycamore_core::call::{Load, Outcome, RateLimit};
+use sycamore_core::call::{Evidence, Load, Outcome, RateLimit};
 
 /// Log target of records whose message is a JSON object.
 pub const REQUEST_LOG_TARGET: &str = "request";
@@ -32,6 +33,8 @@
     GateQueued,
     /// The gatekeeper gave it a slot of the target.
     GateRun,
+    /// The gatekeeper hands it to a connection to the target.
+    GateSent,
     /// It waits until a connection to the target is free.
     GateConnecting,
 }
@@ -84,6 +87,15 @@
     /// Whether the target may have run the request.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub sent: Option<bool>,
+    /// What shows that the attempt has not run.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub evidence: Option<&'static str>,
+    /// Number of the connection to the target, from 1 in each process.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub connection: Option<u64>,
+    /// Requests that this connection carried before.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub carried: Option<u32>,
 }
 
 #[derive(Serialize)]
@@ -130,12 +142,17 @@
     }
 
     pub fn of_outcome(outcome: Outcome) -> Fields<'a> {
+        let evidence = match outcome {
+            Outcome::NotRun { code, .. } => Some(Evidence::of_rejection(code)),
+            Outcome::Answered | Outcome::Unknown { .. } => None,
+        };
         let (outcome, code, retry_after) = match outcome {
             Outcome::Answered => ("answered", None, None),
             Outcome::NotRun { code, retry_after } => ("not-run", Some(code), Some(retry_after)),
             Outcome::Unknown { code } => ("unknown", Some(code), None),
         };
         Fields {
+            evidence: evidence.map(Evidence::label),
             outcome: Some(outcome),
             code: code.map(Code::number),
             retry_after_ms: retry_after.map(|wait| wait.as_millis() as u64),
@@ -143,6 +160,25 @@
         }
     }
 
+    /// Adds the number of the attempt, if the entry node has sent one.
+    pub fn with_attempt(mut self, attempt: Option<u32>) -> Fields<'a> {
+        self.attempt = attempt;
+        self
+    }
+
+    /// Adds what shows that the attempt has not run.
+    pub fn with_evidence(mut self, evidence: Option<Evidence>) -> Fields<'a> {
+        self.evidence = evidence.map(Evidence::label);
+        self
+    }
+
+    /// Adds the connection to the target.
+    pub fn with_connection(mut self, connection: Option<ConnectionUse>) -> Fields<'a> {
+        self.connection = connection.map(|used| used.number);
+        self.carried = connection.map(|used| used.carried);
+        self
+    }
+
     /// Adds the load of the local target.
     pub fn with_load(mut self, load: Load) -> Fields<'a> {
         self.load = Some(load.to_string());
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -67,6 +67,10 @@
     pub connection_waits: IntCounter,
     /// Requests sent to the local target.
     pub target_requests: IntCounter,
+    /// Responses of the local target that belong to another request.
+    pub foreign_responses: IntCounter,
+    /// Attempts that arrived after they had been recalled, and were rejected.
+    pub late_attempts: IntCounter,
     /// Responses of the local target with a known header that can't be read.
     pub unreadable_headers: IntCounter,
     /// Headers in responses of the local target that are not known to this version.
@@ -151,6 +155,14 @@
                 "Requests that had to wait for a connection to the target.",
             ),
             target_requests: r.counter("target_requests_total", "Requests sent to the target."),
+            foreign_responses: r.counter(
+                "foreign_responses_total",
+                "Answers of the target that belong to another request.",
+            ),
+            late_attempts: r.counter(
+                "late_attempts_total",
+                "Attempts that arrived after they had been recalled.",
+            ),
             unreadable_headers: r.counter(
                 "unreadable_headers_total",
                 "Answers of the target with a header that can't be read.",
--- a/tools/src/timeline.rs
+++ b/tools/src/timeline.rs
@@ -4,6 +4,7 @@
 pub mod merge;
 pub mod output;
 pub mod picture;
+pub mod promises;
 pub mod record;
 pub mod request;
 pub mod store;
@@ -31,6 +32,9 @@
     if let Some(id) = &cfg.request {
         return request::run(id, &cfg.files, out);
     }
+    if let Some(runs) = &cfg.promises {
+        return promises::run(&cfg.files, runs, out);
+    }
     let mut store = RecordStore::new();
     for path in &cfg.files {
         store.load_file(path)?;
--- a/tools/src/timeline/config.rs
+++ b/tools/src/timeline/config.rs
@@ -10,8 +10,9 @@
 /// Default of `--interval-ms`.
 const DEFAULT_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Options that have no effect with `--request` and are rejected with it.
-const OPTIONS_INVALID_WITH_REQUEST: [&str; 8] =
+/// Options that have no effect on log files of nodes and are rejected with `--request` and
+/// `--promises`.
+const OPTIONS_INVALID_WITH_LOGS: [&str; 8] =
     ["save", "follow", "interval-ms", "format", "output", "title", "timeout-ms", "concurrency"];
 
 /// Parsed command line.
@@ -34,6 +35,8 @@
     pub title: String,
     /// Id of the request to trace in log files.
     pub request: Option<String>,
+    /// Check the statements "not run" in log files, against these records of runs.
+    pub promises: Option<Vec<PathBuf>>,
 }
 
 /// Output format of the timeline.
@@ -49,8 +52,10 @@
 
 /// Returns the command-line definition.
 pub fn command_line() -> CommandLine {
-    let line =
-        CommandLine::new("sycamore-timeline", "[EVENTS.json ... | --request ID LOG ...] [options]");
+    let line = CommandLine::new(
+        "sycamore-timeline",
+        "[EVENTS.json ... | --request ID LOG ... | --promises LOG ...] [options]",
+    );
     fleet::add_options(line)
         .with_value("save", "load and save process records in this directory", "DIR")
         .with_value("follow", "poll the nodes for this long, or until SIGTERM or SIGINT", "SECONDS")
@@ -59,6 +64,11 @@
         .with_value("output", "write to this file instead of standard output", "FILE")
         .with_value("title", "title of the picture", "TEXT")
         .with_value("request", "print the trace of one request from log files of nodes", "ID")
+        .with_flag(
+            "promises",
+            "list requests in log files that were answered as not run and may have",
+        )
+        .with_values("runs", "with --promises: a file with a line for each run of a target", "FILE")
 }
 
 impl Config {
@@ -67,9 +77,19 @@
         let fleet = FleetOptions::parse(matches)?;
         let files: Vec<_> = matches.free.iter().map(PathBuf::from).collect();
         let record_dir = matches.opt_str("save").map(PathBuf::from);
-        if matches.opt_present("request") {
-            check_request_options(matches, &fleet)?;
+        for mode in ["request", "promises"] {
+            if matches.opt_present(mode) {
+                check_log_options(matches, mode, &fleet)?;
+            }
         }
+        let checks_promises = matches.opt_present("promises");
+        if checks_promises && matches.opt_present("request") {
+            return Err(usage("--promises can't be combined with --request"));
+        }
+        if matches.opt_present("runs") && !checks_promises {
+            return Err(usage("--runs requires --promises"));
+        }
+        let runs = matches.opt_strs("runs").into_iter().map(PathBuf::from).collect();
         if fleet.is_empty() && files.is_empty() && record_dir.is_none() {
             return Err(usage("a file, --save, --vms, --node or --platform is required"));
         }
@@ -88,23 +108,24 @@
             format: command_line::choice(matches, "format", &formats)?,
             output: matches.opt_str("output").map(PathBuf::from),
             request: matches.opt_str("request"),
+            promises: checks_promises.then_some(runs),
             title: matches.opt_str("title").unwrap_or_else(|| "sycamorescale".to_owned()),
         })
     }
 }
 
-/// Rejects options that `--request` would silently ignore.
-fn check_request_options(matches: &Matches, fleet: &FleetOptions) -> Result<()> {
+/// Rejects options that a mode which reads log files would silently ignore.
+fn check_log_options(matches: &Matches, mode: &str, fleet: &FleetOptions) -> Result<()> {
     if matches.free.is_empty() {
-        return Err(usage("--request requires log files of nodes"));
+        return Err(usage(format!("--{mode} requires log files of nodes")));
     }
     if !fleet.is_empty() {
-        return Err(usage(
-            "--request reads log files only and excludes --vms, --node and --platform",
-        ));
+        return Err(usage(format!(
+            "--{mode} reads log files only and excludes --vms, --node and --platform"
+        )));
     }
-    match OPTIONS_INVALID_WITH_REQUEST.iter().find(|option| matches.opt_present(option)) {
-        Some(option) => Err(usage(format!("--{option} can't be combined with --request"))),
+    match OPTIONS_INVALID_WITH_LOGS.iter().find(|option| matches.opt_present(option)) {
+        Some(option) => Err(usage(format!("--{option} can't be combined with --{mode}"))),
         None => Ok(()),
     }
 }
--- a/tools/src/timeline/request.rs
+++ b/tools/src/timeline/request.rs
@@ -42,6 +42,12 @@
     pub left_ms: Option<u64>,
     /// Delay after which the caller may retry, in ms.
     pub retry_after_ms: Option<u64>,
+    /// What shows that an attempt has not run.
+    pub evidence: Option<String>,
+    /// Number of the connection to the target.
+    pub connection: Option<u64>,
+    /// Requests that this connection carried before.
+    pub carried: Option<u32>,
 }
 
 /// Reads the lines about `request` from log files, sorted by time.
@@ -57,13 +63,27 @@
     Ok(lines)
 }
 
+/// Reads the lines about all requests, sorted by time.
+pub fn read_all(files: &[PathBuf]) -> Result<Vec<TraceLine>> {
+    let mut lines = Vec::new();
+    for path in files {
+        lines.extend(parse_lines(&input::read(path)?, |_| true));
+    }
+    lines.sort_by(|a: &TraceLine, b: &TraceLine| a.time.cmp(&b.time));
+    Ok(lines)
+}
+
 fn read_file_lines(request: &str, path: &Path) -> Result<Vec<TraceLine>> {
-    let buf = input::read(path)?;
-    let text = String::from_utf8_lossy(&buf);
-    let candidates = text.lines().filter(|line| line.contains(request));
+    let mut lines = parse_lines(&input::read(path)?, |line| line.contains(request));
+    lines.retain(|line| line.request == request);
+    Ok(lines)
+}
+
+fn parse_lines(buf: &[u8], is_candidate: impl Fn(&str) -> bool) -> Vec<TraceLine> {
+    let text = String::from_utf8_lossy(buf);
+    let candidates = text.lines().filter(|line| is_candidate(line));
     let object = |line: &str| line.find('{').map(|start| line[start..].to_owned());
-    let parsed = candidates.filter_map(object).filter_map(|text| serde_json::from_str(&text).ok());
-    Ok(parsed.filter(|line: &TraceLine| line.request == request).collect())
+    candidates.filter_map(object).filter_map(|text| serde_json::from_str(&text).ok()).collect()
 }
 
 /// Writes the trace of a request and the cause of its end. Returns whether any line was found.
@@ -111,13 +131,29 @@
                 retry_after.map(|ms| format!("; come back in {ms} ms")).unwrap_or_default();
             format!("the caller is told {outcome}: {code}{retry_after}")
         }
-        Step::GateRefused => format!("refused by the gatekeeper: {code}{load}"),
+        Step::GateRefused => {
+            format!("refused by the gatekeeper: {code}{load}{}", on_connection(line))
+        }
+        Step::GateSent => format!("handed to the target{}", on_connection(line)),
         Step::GateQueued => format!("waits for a slot{load}"),
         Step::GateRun => format!("runs at the target{load}"),
         Step::GateConnecting => format!("waits for a connection to the target{load}"),
     }
 }
 
+/// Formats the code of a refusal and what it rests on.
+pub(super) fn describe_refusal(line: &TraceLine) -> String {
+    let evidence = line.evidence.as_deref().unwrap_or("unknown");
+    let attempt = line.attempt.map_or_else(|| "none".to_owned(), |number| number.to_string());
+    format!("{}, evidence {evidence}, attempt {attempt}", format_code(line.code))
+}
+
+fn on_connection(line: &TraceLine) -> String {
+    let carried = line.carried.unwrap_or_default();
+    let text = |number| format!(", connection {number} after {carried} requests");
+    line.connection.map(text).unwrap_or_default()
+}
+
 /// Formats a result code with its description.
 pub(super) fn format_code(number: Option<u16>) -> String {
     match number.and_then(Code::from_number) {
--- a/tools/tests/operators/main.rs
+++ b/tools/tests/operators/main.rs
@@ -5,6 +5,7 @@
 mod examples;
 mod fake_nodes;
 mod operations_page;
+mod promises;
 mod request;
 mod status;
 mod timeline;
--- a/tools/tests/operators/operations_page.rs
+++ b/tools/tests/operators/operations_page.rs
@@ -93,12 +93,28 @@
     assert_eq!(code, Some(0), "{command}");
 }
 
+#[test]
+fn page_command_of_promises() {
+    let mut commands = commands("sycamore-timeline");
+    commands.retain(|command| command.contains("--promises"));
+    assert_eq!(commands.len(), 1);
+    let dir = tempfile::tempdir().unwrap();
+    for file in ["node.log", "runs.jsonl"] {
+        fs::write(dir.path().join(file), "").unwrap();
+    }
+    let code = exit_code(dir.path(), env!("CARGO_BIN_EXE_sycamore-timeline"), &commands[0]);
+    assert_eq!(code, Some(0), "{}", commands[0]);
+}
+
 #[test]
 fn page_commands_of_timeline() {
     let (_node, platform) = fleet();
-    // Commands with `--request` are covered by traces_match_operations_page.
+    // Commands with `--request` are covered by traces_match_operations_page, and the one with
+    // `--promises` by page_command_of_promises.
+    let reads_logs =
+        |command: &String| ["--request", "--promises"].iter().any(|mode| command.contains(mode));
     let commands = commands("sycamore-timeline").into_iter();
-    let commands: Vec<_> = commands.filter(|command| !command.contains("--request")).collect();
+    let commands: Vec<_> = commands.filter(|command| !reads_logs(command)).collect();
     assert_eq!(commands.len(), 2);
     for command in commands {
         let dir = tempfile::tempdir().unwrap();
