Send no two attempts of a request over one connection to a target

Cause: a gatekeeper pairs a target's response with a request by the request's id, which all attempts share. A target may respond twice.

Change: a connection remembers the requests that it has carried, by a hash of their ids, and carries no further attempt of any of them. At the limit of connections, an idle one that a request can't use is closed for it.

A response with the right id is now one to this attempt, since no other attempt with this id was ever sent on the connection.

--- a/node/src/calls.rs
+++ b/node/src/calls.rs
@@ -2,6 +2,7 @@
 //! of the local target.
 
 pub mod body;
+pub mod carried;
 pub mod conn_state;
 pub mod dialect;
 pub mod entry;
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -6,7 +6,7 @@
 use crate::calls::conn_state::{ConnectionState, Phase};
 use crate::calls::headers;
 use crate::calls::pacer::Pacer;
-use crate::calls::pool::{Connection, ConnectionUse, SendError};
+use crate::calls::pool::{Connection, ConnectionUse, IdleTerms, SendError};
 use crate::calls::trace::{self, Fields, Step};
 use crate::metrics::{GaugeGuard, Metrics};
 use futures_lite::future;
@@ -14,7 +14,6 @@
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use std::io;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -214,9 +213,10 @@
         let mut req = call.req;
         self.set_request_headers(req.headers_mut(), &call.id);
         loop {
-            let (connection, reused) = match self.pool.take_idle(address, max_idle).await {
+            let terms = IdleTerms { address, max_idle, request_id: Some(&call.id) };
+            let (mut connection, reused) = match self.pool.take_idle(terms).await {
                 Some(connection) => (connection, true),
-                None => match self.connect(address, &call.id, &slot, max_idle).await {
+                None => match self.connect(terms, &call.id, &slot).await {
                     ConnectResult::Connected(connection, reused) => (connection, reused),
                     ConnectResult::Failed => return Err(report_not_sent(slot)),
                     ConnectResult::NotStarted(no_response) => {
@@ -235,6 +235,7 @@
             let sent = AtomicBool::new(false);
             let sent_at = self.shared.clock.now();
             let used = connection.next_use();
+            connection.record_request(&call.id);
             self.trace_sent(&call.id, call.attempt, used);
             // Dropped after `running`, so that the slot is attached before the connection closes
             // when this wait is cancelled.
@@ -302,10 +303,9 @@
     /// has not started: it can be recalled, and it expires at its deadline.
     async fn connect(
         self: &Arc<GateAdapter>,
-        address: SocketAddr,
+        terms: IdleTerms<'_>,
         id: &HeaderValue,
         slot: &Slot,
-        max_idle: Duration,
     ) -> ConnectResult {
         let call = slot.call();
         let (until, decided) = match self.decide(call, Input::Connecting(call)) {
@@ -318,7 +318,7 @@
         let on_wait = || {
             waiting.get_or_insert_with(|| self.record_connection_wait(id));
         };
-        let connected = self.pool.connect_within(address, max_idle, max_open, on_wait);
+        let connected = self.pool.connect_within(terms, max_open, on_wait);
         let connected = async { Ok(connected.await) };
         let rejected = async { Err(self.await_decision(call, until, &decided).await) };
         let result = future::or(rejected, connected).await;
--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -1,6 +1,7 @@
 //! Pool of outgoing connections: to gatekeepers and to the local target.
 
 use super::body::Body;
+use super::carried::CarriedRequests;
 use super::gate::Slot;
 use super::headers;
 use super::link_use::LinkUse;
@@ -13,6 +14,7 @@
 use futures_lite::{AsyncReadExt, future};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -93,6 +95,16 @@
     deferred_slot: Arc<DeferredSlot>,
     head_limit: Arc<HeadLimit>,
     used: ConnectionUse,
+    carried: CarriedRequests,
+}
+
+/// What a request needs of an idle connection.
+#[derive(Clone, Copy, Debug)]
+pub struct IdleTerms<'a> {
+    pub address: SocketAddr,
+    pub max_idle: Duration,
+    /// The connection must not have carried another attempt of this request.
+    pub request_id: Option<&'a HeaderValue>,
 }
 
 /// Identifies one use of a connection.
@@ -144,54 +156,50 @@
         self.changed.notify(usize::MAX);
     }
 
-    /// Returns a connection that has been idle for at most `max_idle`, and whether it was in use
-    /// before. Opens one if there is none, while fewer than `max_open` are open; else waits until a
-    /// connection is released or ends. `on_wait` is called before each wait for another request.
+    /// Returns an idle connection that meets the terms, and whether it was in use before. Opens one
+    /// if there is none, while fewer than `max_open` are open; else waits until a connection is
+    /// released or ends. `on_wait` is called before each wait for another request.
     ///
-    /// Connections that are idle for too long are closed to make room, since nothing else would end
-    /// them while requests wait.
+    /// An idle connection that does not meet the terms is closed to make room, since nothing else
+    /// would end it while requests wait.
     pub async fn connect_within(
         self: &Arc<Pool>,
-        address: SocketAddr,
-        max_idle: Duration,
+        terms: IdleTerms<'_>,
         max_open: impl Fn() -> usize,
         mut on_wait: impl FnMut(),
     ) -> io::Result<(Connection, bool)> {
         loop {
             // Registered before the checks, so that no change is missed.
             let changed = self.changed.listen();
-            if let Some(idle) = self.take_idle(address, max_idle).await {
+            if let Some(idle) = self.take_idle(terms).await {
                 return Ok((idle, true));
             }
             if let Some(open) = OpenConnection::reserve(self, max_open()) {
-                return Box::pin(self.open(address, open)).await.map(|new| (new, false));
+                return Box::pin(self.open(terms.address, open)).await.map(|new| (new, false));
             }
-            if !self.close_oldest_idle(address, max_idle) {
+            if !self.close_unsuitable_idle(terms) {
                 on_wait();
             }
             changed.await;
         }
     }
 
-    /// Closes the connection that has been idle for longest, if that is longer than `max_idle`.
-    /// Returns false if there is none.
-    fn close_oldest_idle(&self, address: SocketAddr, max_idle: Duration) -> bool {
+    /// Closes the open connection that has been idle for longest of those that do not meet the
+    /// terms. Returns false if there is none.
+    fn close_unsuitable_idle(&self, terms: IdleTerms<'_>) -> bool {
         let now = self.clock.now();
-        let is_evictable =
-            |entry: &IdleConnection| now.since(entry.since) > max_idle || entry.is_closed();
         let mut idle = self.idle.lock();
-        let Some(unused) = idle.get_mut(&address) else {
+        let Some(unused) = idle.get_mut(&terms.address) else {
             return false;
         };
-        let evictable = unused.iter().take_while(|entry| is_evictable(entry));
         // A connection that the target has closed no longer counts as open.
-        let open = evictable.clone().position(|entry| !entry.is_closed());
-        let count = open.map_or(evictable.count(), |index| index + 1);
-        let evicted: Vec<IdleConnection> = unused.drain(..count).collect();
+        let is_evictable =
+            |entry: &IdleConnection| !entry.is_closed() && !entry.is_suitable(now, terms);
+        let index = unused.iter().position(is_evictable);
+        let evicted = index.map(|index| unused.remove(index));
         // Closed after the lock is released.
         drop(idle);
-        drop(evicted);
-        open.is_some()
+        evicted.is_some()
     }
 
     /// Sends a request over an idle connection or a new one. `sent` is set while any byte of the
@@ -213,7 +221,9 @@
         mut req: Request<Body>,
         sent: &AtomicBool,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
-        while let Some(connection) = self.take_idle(address, Duration::MAX).await {
+        // Nodes respond once to each request.
+        let terms = IdleTerms { address, max_idle: Duration::MAX, request_id: None };
+        while let Some(connection) = self.take_idle(terms).await {
             match connection.send(req, sent).await {
                 Err(SendError::NotSent(unsent)) => req = *unsent,
                 result => return result,
@@ -279,13 +289,14 @@
                 number: self.next_number.fetch_add(1, Ordering::Relaxed),
                 carried: 0,
             },
+            carried: CarriedRequests::default(),
         })
     }
 
-    /// Returns an idle connection that is ready and was idle for at most `max_idle`.
-    pub async fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<Connection> {
+    /// Returns an idle connection that is ready and meets the terms.
+    pub async fn take_idle(&self, terms: IdleTerms<'_>) -> Option<Connection> {
         loop {
-            let mut connection = self.pop_idle(address, max_idle)?;
+            let mut connection = self.pop_idle(terms)?;
             if connection.sender.is_ready() {
                 return Some(connection);
             }
@@ -300,22 +311,22 @@
         }
     }
 
-    fn pop_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<Connection> {
+    fn pop_idle(&self, terms: IdleTerms<'_>) -> Option<Connection> {
         let now = self.clock.now();
         let mut stale = Vec::new();
         let mut idle = self.idle.lock();
-        let unused = idle.get_mut(&address)?;
+        let unused = idle.get_mut(&terms.address)?;
         if unused.first().is_some_and(|oldest| oldest.is_stale(now)) {
             stale.push(unused.remove(0));
         }
-        if unused.last().is_some_and(|newest| now.since(newest.since) > max_idle) {
-            return None;
-        }
-        let newest = unused.pop().filter(|newest| !newest.is_stale(now));
+        let newest = unused.iter().rposition(|entry| entry.is_suitable(now, terms));
+        let newest = newest.map(|index| unused.remove(index));
         if unused.is_empty() {
-            idle.swap_remove(&address);
+            idle.swap_remove(&terms.address);
         }
+        // Connections are closed after the lock is released.
         drop(idle);
+        let newest = newest.filter(|newest| !newest.is_stale(now));
         newest.map(|newest| newest.connection)
     }
 
@@ -384,12 +395,23 @@
         self.connection.sender.is_closed()
     }
 
+    fn is_suitable(&self, now: Time, terms: IdleTerms<'_>) -> bool {
+        let carried = &self.connection.carried;
+        now.since(self.since) <= terms.max_idle
+            && !terms.request_id.is_some_and(|id| carried.may_contain(id))
+    }
+
     fn is_stale(&self, now: Time) -> bool {
         now.since(self.since) > self.connection.idle_timeout
     }
 }
 
 impl Connection {
+    /// Records that the connection is about to carry an attempt of this request.
+    pub fn record_request(&mut self, id: &HeaderValue) {
+        self.carried.record(id);
+    }
+
     /// The next use of the connection.
     pub fn next_use(&self) -> ConnectionUse {
         self.used
@@ -402,7 +424,7 @@
 
     /// Returns the connection to the pool.
     pub fn release(self) {
-        if self.sender.is_closed() {
+        if self.sender.is_closed() || self.carried.is_full() {
             return;
         }
         let pool = self.pool.clone();
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -11,6 +11,7 @@
 use sycamore_core::Name;
 use sycamore_core::config::{InForce, Preset, Snapshot};
 use sycamore_core::hash::Hash;
+use sycamore_node::calls::dialect::Dialect;
 use sycamore_node::calls::{self, Calls, Listeners};
 use sycamore_node::clock::Clock;
 use sycamore_node::settings::Settings;
@@ -289,13 +290,7 @@
         gate_ip: &str,
         clock: Clock,
     ) -> Node {
-        let target = target.map_or("null".into(), |address| format!("\"{address}\""));
-        let text = format!(
-            r#"{{"vm":"{vm}","region":"r","zone":"z","target_address":{target},
-            "listen":{{"calls":"127.0.0.1:0","gate":"{gate_ip}:0","peers":"127.0.0.1:0",
-            "admin":"127.0.0.1:0"}},"platform_address":"127.0.0.1:1",{settings}}}"#
-        );
-        Node::start(&text, clock)
+        Node::start(&self::settings(vm, target, settings, gate_ip), clock)
     }
 
     /// A node that knows the service of its target before any configuration.
@@ -310,13 +305,23 @@
         Node::with_scheduling(vm, Some(target), &scheduling, Clock::new())
     }
 
+    /// A node whose callers and target use these header names.
+    pub fn with_dialect(vm: &str, target: SocketAddr, dialect: Dialect) -> Node {
+        let text = settings(vm, Some(target), r#""limits":{}"#, "127.0.0.1");
+        Node::start_with_dialect(&text, Clock::new(), dialect)
+    }
+
     /// Starts a node with these settings.
     fn start(text: &str, clock: Clock) -> Node {
+        Node::start_with_dialect(text, clock, Dialect::new())
+    }
+
+    fn start_with_dialect(text: &str, clock: Clock, dialect: Dialect) -> Node {
         let settings = Settings::parse(text.as_bytes()).unwrap();
         let listeners = Listeners::bind(&settings.listen).unwrap();
         let entry = listeners.calls.get_ref().local_addr().unwrap();
         let gate = listeners.gate.get_ref().local_addr().unwrap();
-        let shared = Shared::new(settings, clock);
+        let shared = Shared::with_dialect(settings, clock, dialect);
         let executor = Arc::new(Executor::new());
         let (stop, stopped) = async_channel::bounded::<()>(1);
         for _ in 0..2 {
@@ -339,6 +344,16 @@
     }
 }
 
+/// The text of a settings file that ends with `fields`.
+fn settings(vm: &str, target: Option<SocketAddr>, fields: &str, gate_ip: &str) -> String {
+    let target = target.map_or("null".into(), |address| format!("\"{address}\""));
+    format!(
+        r#"{{"vm":"{vm}","region":"r","zone":"z","target_address":{target},
+        "listen":{{"calls":"127.0.0.1:0","gate":"{gate_ip}:0","peers":"127.0.0.1:0",
+        "admin":"127.0.0.1:0"}},"platform_address":"127.0.0.1:1",{fields}}}"#
+    )
+}
+
 /// A preset with one service, the routes `/idem` and `/once`, and these targets.
 pub fn preset(limits: &str, targets: &[(&str, SocketAddr)]) -> String {
     let target = |(vm, gate): &(&str, SocketAddr)| {
