Don't send a request back to a target that has refused it itself

Cause: when no target can respond within the objective, queue_at_nearest chose among all targets, those included that had refused the request.

Evidence: in each traced case attempt 3 goes to the target that refused attempt 1, since a second gatekeeper was full.

Change: targets that have refused a request themselves are left out of this choice.

--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -58,6 +58,8 @@
     // Second attempt, sent when the primary is slow.
     hedge: Option<ActiveAttempt>,
     tried: Vec<Name>,
+    // Those of them whose target itself has refused the request.
+    refused_by: Vec<Name>,
     crashes: u32,
     // Set once an attempt may have reached a target; holds the reason.
     possibly_run: Option<Code>,
@@ -267,6 +269,7 @@
             primary: None,
             hedge: None,
             tried: Vec::new(),
+            refused_by: Vec::new(),
             crashes: 0,
             possibly_run: None,
         };
@@ -490,7 +493,10 @@
                     _ if is_early_rejection(code) => call.early_rejections += 1,
                     _ => {}
                 }
-                call.terms.repeat |= reached_target(code);
+                if reached_target(code) {
+                    call.terms.repeat = true;
+                    call.refused_by.push(vm.clone());
+                }
                 EndEffect::NoResponse(code, retry_after)
             }
             AttemptEnd::Failed { code, crashes } => {
--- a/core/src/call/entry/retry.rs
+++ b/core/src/call/entry/retry.rs
@@ -58,7 +58,8 @@
         }
     }
 
-    /// Selects a target to queue at when no target can respond within the objective.
+    /// Selects a target to queue at when no target can respond within the objective. A gatekeeper
+    /// that was full may be asked again, but not a target that has refused the request itself.
     fn queue_at_nearest(&mut self, now: Time, key: CallKey, code: Code) -> Option<Name> {
         let call = self.calls.get(&key)?;
         let overloaded = is_overload(code);
@@ -67,7 +68,9 @@
             return None;
         }
         let service = self.snapshot.as_ref()?.service_named(&call.service)?;
-        let request = PickRequest::new(now, service, &call.terms).with_regions(&call.terms.regions);
+        let request = PickRequest::new(now, service, &call.terms)
+            .with_tried(&call.refused_by)
+            .with_regions(&call.terms.regions);
         let vm = self.balancer.pick_nearest(request)?;
         let call = self.calls.get_mut(&key)?;
         call.terms.may_exceed_objective = true;
