Believe a listener's refusal only as the first response on a connection

Cause: a listener at its limit of connections refuses before it reads a request, so that its refusal (465) has no request's id.

Evidence: refusal_of_listener_on_used_connection fails without this change: ('not-run', 465) on a connection that had carried two requests.

Change: a response without the request's id counts as a listener's refusal only if it is the first one on its connection. Otherwise it is a response to another request: the connection is closed and the outcome is unknown.

--- a/node/src/calls/entry.rs
+++ b/node/src/calls/entry.rs
@@ -141,12 +141,18 @@
     }
 
     /// Records what a target states in all shards, so that the node acts on it as a whole.
-    fn record_statement<B>(&self, id: &HeaderValue, forward: &Forward, response: &Response<B>) {
+    fn record_statement<B>(
+        &self,
+        id: &HeaderValue,
+        forward: &Forward,
+        response: &Response<B>,
+        connection: &Connection,
+    ) {
         let statement = headers::node_statement(response.headers());
         if statement.is_empty() && forward.estimate.known_limit.is_none() {
             return;
         }
-        let outcome = headers::reported_outcome(response, id);
+        let outcome = headers::reported_outcome(response, id, connection.is_first_response());
         if outcome == ReportedOutcome::Foreign {
             return;
         }
--- a/node/src/calls/entry/attempt.rs
+++ b/node/src/calls/entry/attempt.rs
@@ -110,7 +110,7 @@
     let crashes = headers::parse_number(response.headers(), &headers::CRASHES).ok().flatten();
     let crashes = crashes.unwrap_or(0).min(u32::MAX.into()) as u32;
     let load = headers::load(response.headers());
-    let end = match headers::reported_outcome(&response, id) {
+    let end = match headers::reported_outcome(&response, id, connection.is_first_response()) {
         ReportedOutcome::Answered => return AttemptResult::Response(response, connection),
         ReportedOutcome::NotRun(code, retry_after) => {
             AttemptEnd::Rejected { code, retry_after, load, crashes }
--- a/node/src/calls/entry/hedge.rs
+++ b/node/src/calls/entry/hedge.rs
@@ -143,7 +143,7 @@
             Some(Err(SendError::Broken)) => AttemptResult::Ended(AttemptEnd::ConnectionLost),
             Some(Err(SendError::NotSent(req))) => return ExchangeResult::Unsent(req.into_body()),
             Some(Ok((response, connection))) => {
-                self.record_statement(id, forward, &response);
+                self.record_statement(id, forward, &response, &connection);
                 parse_response(id, response, connection)
             }
         };
--- a/node/src/calls/headers.rs
+++ b/node/src/calls/headers.rs
@@ -207,15 +207,20 @@
 
 /// Classifies a gatekeeper's response to the request with this id.
 ///
-/// A response with a different request id is not forwarded to the caller.
-pub fn reported_outcome<B>(response: &Response<B>, id: &HeaderValue) -> ReportedOutcome {
+/// A response with a different request id is not forwarded to the caller. `is_first` tells whether it
+/// is the first response on its connection.
+pub fn reported_outcome<B>(
+    response: &Response<B>,
+    id: &HeaderValue,
+    is_first: bool,
+) -> ReportedOutcome {
     let headers = response.headers();
     let outcome = headers.get(OUTCOME).map(HeaderValue::as_bytes);
     let code = parse_number(headers, &CODE).ok().flatten();
     let code = code.and_then(|code| Code::from_number(code.try_into().ok()?));
     // A listener at its connection limit rejects before it reads the request, so the id is missing.
     let rejected_by_listener =
-        outcome == Some(b"not-run") && code == Some(Code::TooManyConnections);
+        is_first && outcome == Some(b"not-run") && code == Some(Code::TooManyConnections);
     if headers.get(REQUEST_ID) != Some(id) && !rejected_by_listener {
         return ReportedOutcome::Foreign;
     }
--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -412,6 +412,11 @@
         self.carried.record(id);
     }
 
+    /// Whether the last response was the first one on this connection.
+    pub fn is_first_response(&self) -> bool {
+        self.used.carried == 1
+    }
+
     /// The next use of the connection.
     pub fn next_use(&self) -> ConnectionUse {
         self.used
--- a/node/tests/calls_path.rs
+++ b/node/tests/calls_path.rs
@@ -235,11 +235,11 @@
     let id = HeaderValue::from_static("mine");
     let mut response = Response::new(());
     response.headers_mut().insert(headers::OUTCOME, HeaderValue::from_static("answered"));
-    assert_eq!(headers::reported_outcome(&response, &id), ReportedOutcome::Foreign);
+    assert_eq!(headers::reported_outcome(&response, &id, true), ReportedOutcome::Foreign);
     response.headers_mut().insert(headers::REQUEST_ID, HeaderValue::from_static("other"));
-    assert_eq!(headers::reported_outcome(&response, &id), ReportedOutcome::Foreign);
+    assert_eq!(headers::reported_outcome(&response, &id, true), ReportedOutcome::Foreign);
     response.headers_mut().insert(headers::REQUEST_ID, id.clone());
-    assert_eq!(headers::reported_outcome(&response, &id), ReportedOutcome::Answered);
+    assert_eq!(headers::reported_outcome(&response, &id, true), ReportedOutcome::Answered);
 }
 
 #[test]
--- a/node/tests/calls_refusals.rs
+++ b/node/tests/calls_refusals.rs
@@ -199,3 +199,25 @@
     let response = call(node.entry, &get("/idem/status-503"));
     assert_eq!((response.status, response.outcome()), (503, "answered"));
 }
+
+/// Guards against a refusal without a request's id that is taken for the response to a request on a
+/// connection that has carried others, where no listener refuses anything.
+#[test]
+fn refusal_of_listener_on_used_connection() {
+    let target = Target::new();
+    let entry = Node::with_limits("e", None, r#"{"threads":1}"#);
+    // The target responds in place of the gatekeeper of VM `a`.
+    let preset = preset("{}", &[("a", target.address)])
+        .replace(r#""idempotent":false"#, r#""idempotent":false,"once":"attempt""#);
+    entry.configure(1, &preset);
+    let refused = "x-sycamore-outcome=not-run&x-sycamore-code=465";
+    let response = call(entry.entry, &get(&format!("/once/stated?{refused}")));
+    assert_eq!((response.outcome(), response.code()), ("not-run", Some(465)));
+    let answered = "x-sycamore-outcome=answered&x-sycamore-request-id=r";
+    let req = get(&format!("/once/stated?{answered}"))
+        .replace("host: test\r\n", "host: test\r\nx-sycamore-request-id: r\r\n");
+    assert_eq!(call(entry.entry, &req).outcome(), "answered");
+    assert_eq!(target.connections(), 1);
+    let response = call(entry.entry, &get(&format!("/once/stated?{refused}")));
+    assert_eq!((response.outcome(), response.code()), ("unknown", Some(464)));
+}
