Reject without a decision only a request that its sender gives up

In six places an adapter that got no decision of its state machine reported a rejection, and nothing but the order of the code kept such a request from being sent.

Change: adapters make a rejection of their own only from a request that they still hold and drop (Unsent), in both the entry node and the gatekeeper. After a request has been handed to a connection it can't be made. No behaviour changes; that each place holds the request is what the compiler now checks. Class of fault: a default on the side that isn't safe.

--- a/node/src/calls.rs
+++ b/node/src/calls.rs
@@ -16,6 +16,7 @@
 pub mod socket;
 pub mod trace;
 pub mod unknown_headers;
+pub mod unsent;
 
 use crate::settings::Listen;
 use crate::shared::Shared;
--- a/node/src/calls/entry.rs
+++ b/node/src/calls/entry.rs
@@ -11,6 +11,7 @@
 use super::headers::{self, CallHead, ReportedOutcome};
 use super::pool::{Connection, Pool};
 use super::trace::{self, Fields, Step};
+use super::unsent::Unsent;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 use async_executor::Executor;
@@ -30,9 +31,6 @@
 /// Maximum size of a request body that is buffered so that it can be sent again.
 pub const MAX_BUFFERED_BODY_BYTES: u64 = 65_536;
 
-/// `Retry-After` of rejections that are not caused by load.
-const RETRY_AFTER_SHORT: Duration = Duration::from_millis(200);
-
 /// Adapter of the entry node's state machine.
 #[derive(Debug)]
 pub struct EntryAdapter {
@@ -183,10 +181,10 @@
         let id = self.request_id(number, read.as_ref().ok());
         let head = match read {
             Ok(head) => head,
-            Err(code) => return self.reject(&conn, &id, rejection(code)),
+            Err(code) => return self.reject(&conn, &id, Unsent::drop_request(req), code),
         };
         if !self.shared.accepts_calls() || !conn.is_local() && self.shared.is_notice_over() {
-            return self.reject(&conn, &id, rejection(Code::Draining));
+            return self.reject(&conn, &id, Unsent::drop_request(req), Code::Draining);
         }
         let call = CallKey(number);
         let host = headers::host(&req);
@@ -207,8 +205,8 @@
                 let new = NewCall { guard, started, conn, id, depth: head.depth };
                 self.start_forwarding(new, req, forward).await
             }
-            Some(Output::Finish { outcome, .. }) => self.reject(&conn, &id, outcome),
-            None => self.reject(&conn, &id, rejection(Code::NoTarget)),
+            Some(Output::Finish { outcome, .. }) => self.end(&conn, &id, outcome, None),
+            None => self.reject(&conn, &id, Unsent::drop_request(req), Code::NoTarget),
         }
     }
 
@@ -231,7 +229,10 @@
         let (head, incoming) = req.into_parts();
         let body = match self.buffer_body(incoming, &forward).await {
             Ok(body) => body,
-            Err(code) => return self.reject(&conn, &id, rejection(code)),
+            Err(code) => {
+                let unsent = Unsent::drop_request(Request::from_parts(head, ()));
+                return self.reject(&conn, &id, unsent, code);
+            }
         };
         let mut headers = head.headers;
         headers::strip_hop_by_hop(&mut headers);
@@ -452,9 +453,10 @@
         &self,
         conn: &Arc<ConnectionState>,
         id: &HeaderValue,
-        outcome: Outcome,
+        unsent: Unsent,
+        code: Code,
     ) -> Response<Body> {
-        self.end(conn, id, outcome, None)
+        self.end(conn, id, unsent.rejection(code), None)
     }
 
     /// Ends a request without a response of a target, after the last attempt if there was one.
@@ -526,10 +528,6 @@
     }
 }
 
-fn rejection(code: Code) -> Outcome {
-    Outcome::not_run(code, RETRY_AFTER_SHORT)
-}
-
 /// Converts to origin form: path and query only.
 fn origin_form(uri: Uri) -> Uri {
     if uri.authority().is_none() {
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -16,6 +16,7 @@
 use super::pool::Pool;
 use super::trace::{self, Fields, Step};
 use super::unknown_headers::UnknownHeaders;
+use super::unsent::Unsent;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 use async_channel::Receiver;
@@ -43,9 +44,6 @@
 use sycamore_core::{Code, Name, Time};
 use target::{Call, NoResponse};
 
-/// `Retry-After` of rejections by the adapter.
-const RETRY_AFTER_SHORT: Duration = Duration::from_millis(200);
-
 /// Adapter of the gatekeeper's state machine.
 #[derive(Debug)]
 pub struct GateAdapter {
@@ -197,29 +195,30 @@
     ) -> Response<Body> {
         conn.begin_request(self.shared.track_call());
         if recall::is_recall(&req) {
-            return self.answer_recall(&conn, &req);
+            return self.answer_recall(&conn, req);
         }
         let read = CallHead::read(&req, &Dialect::new());
         let id = req.headers().get(headers::REQUEST_ID).cloned();
         let id = id.unwrap_or_else(|| HeaderValue::from_static("none"));
         let number = recall::attempt_number(&req);
-        let reject = |code| self.reject(&conn, &id, number, NoResponse::new(rejection(code), 0));
+        let reject =
+            |unsent, code| self.reject(&conn, &id, number, NoResponse::unsent(unsent, code));
         let head = match read {
             Ok(head) if head.request_id.is_some() && !conn.has_ambiguous_length() => head,
-            Ok(_) => return reject(Code::RequestInvalid),
-            Err(code) => return reject(code),
+            Ok(_) => return reject(Unsent::drop_request(req), Code::RequestInvalid),
+            Err(code) => return reject(Unsent::drop_request(req), code),
         };
         let key = CallKey(self.next_call.fetch_add(1, Ordering::Relaxed));
         let deadline = self.shared.clock.now() + head.time_left.unwrap_or_default();
         let Ok(target_time) = headers::parse_number(req.headers(), &headers::TARGET_TIME) else {
-            return reject(Code::RequestInvalid);
+            return reject(Unsent::drop_request(req), Code::RequestInvalid);
         };
         let target_time = target_time.map(Duration::from_millis);
         let run_by = target_time.map(|time| self.shared.clock.now() + time);
         self.shared.limit_connection(&conn, deadline);
         let terms = match headers::read_terms(req.headers(), self.shared.clock.now()) {
             Ok(terms) => terms,
-            Err(code) => return reject(code),
+            Err(code) => return reject(Unsent::drop_request(req), code),
         };
         let idempotent = terms.as_ref().is_none_or(|terms| terms.idempotent);
         let class = terms.as_ref().map_or(Class::Interactive, |terms| terms.class);
@@ -229,7 +228,7 @@
         let attempt = recalls.then(|| recall::attempt_id(&req)).flatten();
         let (req, buffered_body) = match self.buffer_body(req, deadline).await {
             Ok(buffered) => buffered,
-            Err(code) => return reject(code),
+            Err((unsent, code)) => return reject(unsent, code),
         };
         if !self.shared.accepts_forwards() && !self.drain_sent.swap(true, Ordering::AcqRel) {
             self.handle_input(Input::Drain);
@@ -258,16 +257,17 @@
         let decision = match self.decide(key, arrive) {
             Some(Decision::Queue(until, granted)) => {
                 self.trace(&id, Step::GateQueued);
-                self.wait_for_slot(key, until, granted).await
+                self.wait_for_slot(key, until, granted).await.ok_or(Code::QueueTimeout)
             }
-            Some(decision) => {
-                if let Decision::Reject(Outcome::NotRun { code: Code::Recalled, .. }, _) = decision
-                {
-                    self.shared.metrics.late_attempts.inc();
-                }
-                decision
+            Some(decision @ Decision::Reject(Outcome::NotRun { code: Code::Recalled, .. }, _)) => {
+                self.shared.metrics.late_attempts.inc();
+                Ok(decision)
             }
-            None => Decision::Reject(rejection(Code::NoTarget), 0),
+            decision => decision.ok_or(Code::NoTarget),
+        };
+        let decision = match decision {
+            Ok(decision) => decision,
+            Err(code) => return reject(Unsent::drop_request(req), code),
         };
         let waited = self.shared.clock.now().since(arrived);
         if matches!(decision, Decision::Run { .. }) {
@@ -285,7 +285,8 @@
                 self.reject(&conn, &call.id, number, NoResponse::new(outcome, crashes))
             }
             Decision::Queue(..) => {
-                let no_response = NoResponse::new(rejection(Code::QueueTimeout), 0);
+                let unsent = Unsent::drop_request(call.req);
+                let no_response = NoResponse::unsent(unsent, Code::QueueTimeout);
                 self.reject(&conn, &call.id, number, no_response)
             }
         }
@@ -296,19 +297,19 @@
         trace::log_step(&self.shared, id, step, Fields::default().with_load(load));
     }
 
-    /// Waits for a slot of the target.
+    /// Waits for a slot of the target. Returns `None` if there is no decision in time.
     async fn wait_for_slot(
         self: &Arc<GateAdapter>,
         call: CallKey,
         until: Time,
         granted: Receiver<Decision>,
-    ) -> Decision {
+    ) -> Option<Decision> {
         let queued_call = QueuedCall::new(self, call);
         let decision = self.await_decision(call, until, &granted).await;
         if decision.is_some() {
             queued_call.disarm();
         }
-        decision.unwrap_or(Decision::Reject(rejection(Code::QueueTimeout), 0))
+        decision
     }
 
     /// Waits for the decision about a waiting call, which expires at `until`.
@@ -335,7 +336,7 @@
         &self,
         req: Request<Incoming>,
         deadline: Time,
-    ) -> Result<(Request<Body>, Option<Bytes>), Code> {
+    ) -> Result<(Request<Body>, Option<Bytes>), (Unsent, Code)> {
         let (head, incoming) = req.into_parts();
         if incoming.is_end_stream() {
             return Ok((Request::from_parts(head, Body::empty()), Some(Bytes::new())));
@@ -349,8 +350,11 @@
         let collect = body::collect(incoming, MAX_BUFFERED_BODY_BYTES, self.idle_body_timeout());
         let collected = self.shared.with_deadline(deadline, collect).await;
         let buf =
-            collected.unwrap_or_else(|| Err(self.shared.expiry_code(deadline, Code::Draining)))?;
-        Ok((Request::from_parts(head, Body::buffered(buf.clone())), Some(buf)))
+            collected.unwrap_or_else(|| Err(self.shared.expiry_code(deadline, Code::Draining)));
+        match buf {
+            Ok(buf) => Ok((Request::from_parts(head, Body::buffered(buf.clone())), Some(buf))),
+            Err(code) => Err((Unsent::drop_request(Request::from_parts(head, ())), code)),
+        }
     }
 
     /// Builds a response from a buffered one.
@@ -461,10 +465,6 @@
     }
 }
 
-fn rejection(code: Code) -> Outcome {
-    Outcome::not_run(code, RETRY_AFTER_SHORT)
-}
-
 /// Digest of method, target and body. Equal for equal requests from any caller.
 fn digest(req: &Request<Body>, body: &Bytes) -> Hash {
     let target = req.uri().path_and_query().map_or("", |path| path.as_str());
--- a/node/src/calls/gate/recall.rs
+++ b/node/src/calls/gate/recall.rs
@@ -1,12 +1,13 @@
 //! Answers to recalls of entry nodes.
 
+use super::GateAdapter;
 use super::target::NoResponse;
-use super::{GateAdapter, rejection};
 use crate::calls::body::{Body, Guard};
 use crate::calls::conn_state::{ConnectionState, Phase};
 use crate::calls::dialect::Dialect;
 use crate::calls::entry::RECALL_PATH;
 use crate::calls::headers::{self, CallHead};
+use crate::calls::unsent::Unsent;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response};
@@ -28,12 +29,13 @@
     pub(super) fn answer_recall(
         &self,
         conn: &Arc<ConnectionState>,
-        req: &Request<Incoming>,
+        req: Request<Incoming>,
     ) -> Response<Body> {
         let id = req.headers().get(headers::REQUEST_ID).cloned();
-        let (Some(id), Ok(question)) = (id, read_question(req)) else {
+        let (Some(id), Ok(question)) = (id, read_question(&req)) else {
             let id = HeaderValue::from_static("none");
-            let no_response = NoResponse::new(rejection(Code::RequestInvalid), 0);
+            let unsent = Unsent::drop_request(req);
+            let no_response = NoResponse::unsent(unsent, Code::RequestInvalid);
             return self.reject(conn, &id, None, no_response);
         };
         let answer = self.decide_recall(question);
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -1,13 +1,14 @@
 //! Requests to the local target and its responses.
 
 use super::slot::{ActiveResponse, QueuedCall, RunningSlot, Slot};
-use super::{Decision, GateAdapter, rejection};
+use super::{Decision, GateAdapter};
 use crate::calls::body::{self, Body, Guard, Lease};
 use crate::calls::conn_state::{ConnectionState, Phase};
 use crate::calls::headers;
 use crate::calls::pacer::Pacer;
 use crate::calls::pool::{Connection, ConnectionUse, IdleTerms, SendError};
 use crate::calls::trace::{self, Fields, Step};
+use crate::calls::unsent::{RETRY_AFTER_SHORT, Unsent};
 use crate::metrics::{GaugeGuard, Metrics};
 use futures_lite::future;
 use hyper::body::{Body as _, Incoming};
@@ -92,15 +93,20 @@
     /// The target can't be reached.
     Failed,
     /// The request was recalled or rejected, or has expired.
-    NotStarted(NoResponse),
+    NotStarted(Option<Decision>),
 }
 
 impl NoResponse {
-    /// The end of a request that the state machine rejected while it waited.
-    fn from_rejection(decision: Option<Decision>) -> NoResponse {
+    /// A request that its sender has given up without sending it.
+    pub(super) fn unsent(unsent: Unsent, code: Code) -> NoResponse {
+        NoResponse::new(unsent.rejection(code), 0)
+    }
+
+    /// The same, with the decision of the state machine if it has rejected the request.
+    fn rejected(decision: Option<Decision>, unsent: Unsent, code: Code) -> NoResponse {
         match decision {
             Some(Decision::Reject(outcome, crashes)) => NoResponse::new(outcome, crashes),
-            _ => NoResponse::new(rejection(Code::QueueTimeout), 0),
+            _ => NoResponse::unsent(unsent, code),
         }
     }
 
@@ -206,11 +212,11 @@
     /// Sends a request to the target and waits for the head of the response.
     async fn send(self: &Arc<GateAdapter>, call: Call) -> Result<TargetResponse, NoResponse> {
         let mut slot = Slot::new(self, call.key);
-        let Some(address) = self.shared.settings.target_address else {
-            return Err(report_not_sent(slot));
-        };
         let max_idle = call.max_idle();
         let mut req = call.req;
+        let Some(address) = self.shared.settings.target_address else {
+            return Err(report_not_sent(slot, Unsent::drop_request(req)));
+        };
         self.set_request_headers(req.headers_mut(), &call.id);
         loop {
             let terms = IdleTerms { address, max_idle, request_id: Some(&call.id) };
@@ -218,17 +224,22 @@
                 Some(connection) => (connection, true),
                 None => match self.connect(terms, &call.id, &slot).await {
                     ConnectResult::Connected(connection, reused) => (connection, reused),
-                    ConnectResult::Failed => return Err(report_not_sent(slot)),
-                    ConnectResult::NotStarted(no_response) => {
+                    ConnectResult::Failed => {
+                        return Err(report_not_sent(slot, Unsent::drop_request(req)));
+                    }
+                    ConnectResult::NotStarted(decision) => {
                         slot.disarm();
-                        return Err(no_response);
+                        let unsent = Unsent::drop_request(req);
+                        return Err(NoResponse::rejected(decision, unsent, Code::QueueTimeout));
                     }
                 },
             };
             let run_by = self.shared.run_by(call.run_by);
             if self.shared.clock.now() >= run_by {
                 connection.release();
-                return Err(report_too_late(slot, call.deadline <= run_by));
+                let code =
+                    if call.deadline <= run_by { Code::DeadlinePassed } else { Code::Draining };
+                return Err(report_too_late(slot, Unsent::drop_request(req), code));
             }
             self.set_deadline(req.headers_mut(), run_by);
             let deferred_slot = connection.deferred_slot();
@@ -278,7 +289,7 @@
                     };
                     // A new connection that cannot take a request counts as a failed connection.
                     if !reused {
-                        return Err(report_not_sent(reclaimed));
+                        return Err(report_not_sent(reclaimed, Unsent::drop_request(*unsent)));
                     }
                     slot = reclaimed;
                     req = *unsent;
@@ -310,7 +321,7 @@
         let call = slot.call();
         let (until, decided) = match self.decide(call, Input::Connecting(call)) {
             Some(Decision::Queue(until, decided)) => (until, decided),
-            decision => return ConnectResult::NotStarted(NoResponse::from_rejection(decision)),
+            decision => return ConnectResult::NotStarted(decision),
         };
         let waiting_call = QueuedCall::new(self, call);
         let mut waiting = None;
@@ -335,7 +346,7 @@
                 }
             },
         };
-        ConnectResult::NotStarted(NoResponse::from_rejection(decision))
+        ConnectResult::NotStarted(decision)
     }
 
     /// Logs that a request is handed to a connection to the target.
@@ -437,26 +448,20 @@
     }
     match decision {
         Some(Decision::Reject(outcome, crashes)) => NoResponse::new(outcome, crashes),
-        _ => NoResponse::new(rejection(code), 0),
+        // The target's word holds, whatever has become of the call's state.
+        _ => NoResponse::new(Outcome::not_run(code, RETRY_AFTER_SHORT), 0),
     }
 }
 
 /// Reports a request of which no byte was sent because its target has no time left: that of its
 /// caller has passed, or a node on its way stops.
-fn report_too_late(slot: Slot, caller_late: bool) -> NoResponse {
-    let code = if caller_late { Code::DeadlinePassed } else { Code::Draining };
-    match slot.end(RunEnd::Rejected(code)) {
-        Some(Decision::Reject(outcome, crashes)) => NoResponse::new(outcome, crashes),
-        _ => NoResponse::new(rejection(code), 0),
-    }
+fn report_too_late(slot: Slot, unsent: Unsent, code: Code) -> NoResponse {
+    NoResponse::rejected(slot.end(RunEnd::Rejected(code)), unsent, code)
 }
 
 /// Reports a request of which no byte was sent.
-fn report_not_sent(slot: Slot) -> NoResponse {
-    match slot.end(RunEnd::NotSent) {
-        Some(Decision::Reject(outcome, crashes)) => NoResponse::new(outcome, crashes),
-        _ => NoResponse::new(rejection(Code::TargetUnreachable), 0),
-    }
+fn report_not_sent(slot: Slot, unsent: Unsent) -> NoResponse {
+    NoResponse::rejected(slot.end(RunEnd::NotSent), unsent, Code::TargetUnreachable)
 }
 
 fn cached_response(status: StatusCode, headers: &HeaderMap, body: bytes::Bytes) -> CachedResponse {
--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -95,7 +95,7 @@
     deferred_slot: Arc<DeferredSlot>,
     head_limit: Arc<HeadLimit>,
     used: ConnectionUse,
-    carried: CarriedRequests,
+    carried: Box<CarriedRequests>,
 }
 
 /// What a request needs of an idle connection.
@@ -289,7 +289,7 @@
                 number: self.next_number.fetch_add(1, Ordering::Relaxed),
                 carried: 0,
             },
-            carried: CarriedRequests::default(),
+            carried: Box::default(),
         })
     }
 
--- /dev/null
+++ b/node/src/calls/unsent.rs
@@ -0,0 +1,27 @@
+//! Requests that were never handed to a connection.
+
+use hyper::Request;
+use std::time::Duration;
+use sycamore_core::Code;
+use sycamore_core::call::Outcome;
+
+/// `Retry-After` of rejections that are not caused by load.
+pub const RETRY_AFTER_SHORT: Duration = Duration::from_millis(200);
+
+/// Shows that a request has not run and never will. Only a sender that still holds the request can
+/// make it, by giving the request up.
+#[derive(Debug)]
+pub struct Unsent(());
+
+impl Unsent {
+    /// Drops a request, or its head if the body has been read.
+    pub fn drop_request<B>(req: Request<B>) -> Unsent {
+        drop(req);
+        Unsent(())
+    }
+
+    /// The outcome for the caller.
+    pub fn rejection(self, code: Code) -> Outcome {
+        Outcome::not_run(code, RETRY_AFTER_SHORT)
+    }
+}
