--- a/node/tests/calls_refusals.rs
+++ b/node/tests/calls_refusals.rs
@@ -6,7 +6,7 @@
 
 use hyper::StatusCode;
 use hyper::header::HeaderName;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use support::*;
@@ -221,3 +221,34 @@
     let response = call(entry.entry, &get(&format!("/once/stated?{refused}")));
     assert_eq!((response.outcome(), response.code()), ("unknown", Some(464)));
 }
+
+/// Guards against a request that counts as unsent, and is sent again, although its target has read a
+/// part of its head when the connection breaks.
+#[test]
+fn refusal_not_taken_from_break_within_head() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let starts = Arc::<Mutex<Vec<u8>>>::default();
+    let seen = starts.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, seen) = (stream.unwrap(), seen.clone());
+            // The rest of the request stays unread, so that the connection is reset.
+            std::thread::spawn(move || {
+                let mut byte = [0];
+                stream.read_exact(&mut byte).unwrap();
+                seen.lock().unwrap().push(byte[0]);
+            });
+        }
+    });
+    let node = node_of(address, 8);
+    for size in [0, 1_000, 150_000] {
+        let body = "x".repeat(size);
+        let req = format!(
+            "POST /once/broken HTTP/1.1\r\nhost: test\r\ncontent-length: {size}\r\n\r\n{body}"
+        );
+        let response = call(node.entry, &req);
+        assert_eq!((response.outcome(), response.status), ("unknown", 502), "{size}");
+    }
+    assert_eq!(starts.lock().unwrap().iter().filter(|byte| **byte == b'P').count(), 3);
+}
