--- a/node/src/calls/unsent.rs
+++ b/node/src/calls/unsent.rs
@@ -8,8 +8,8 @@
 /// `Retry-After` of rejections that are not caused by load.
 pub const RETRY_AFTER_SHORT: Duration = Duration::from_millis(200);
 
-/// Shows that a request has not run and never will. Only a sender that still holds the request can
-/// make it, by giving the request up.
+/// Shows that a request has not run and never will: its sender still held the request and gave it up.
+/// The type can't tell that the request dropped is the one that is rejected.
 #[derive(Debug)]
 pub struct Unsent(());
 
