Tests that fail: versions late while readers are lost and links are full

In memory, 40 nodes, 3 s allowed, a version every 0.6 s; what a node on a narrow link sends waits for 0.5 s, the longest at which it does not count as slowed. A follower whose reader is lost lists, reads the entries and then the document, each after such a wait, 1.6 s and more after the last answer that reached it. Both tests fail:

12.2s: node 2 has version 3, 4 is due

--- a/core/tests/discovery_versions.rs
+++ b/core/tests/discovery_versions.rs
@@ -36,6 +36,10 @@
 /// Share of a link that is left beside the calls of an overloaded node.
 const OVERLOADED_LINK: f64 = 0.4;
 
+/// Time for which a packet waits in the queue of a full link, the longest at which a node does not
+/// count as slowed.
+const FULL_LINK_QUEUE: Duration = Duration::from_millis(500);
+
 /// Response time of a slow store, 25 times the usual 4 ms.
 const SLOW_RESPONSE_TIME: Duration = Duration::from_millis(100);
 
@@ -118,6 +122,19 @@
         }
     }
 
+    /// Kills the nodes with a fast link that read the store.
+    fn stop_serving_readers(&mut self) -> Vec<usize> {
+        let reads = |node: &usize| {
+            let reader = &self.fleet.nodes[*node];
+            reader.up && self.fleet.now.since(reader.last_call_at) < ms(1_200)
+        };
+        let readers: Vec<usize> =
+            (0..self.fleet.nodes.len()).filter(is_fast).filter(reads).collect();
+        self.observed.retain(|node| !readers.contains(node));
+        readers.iter().for_each(|node| self.fleet.stop(*node));
+        readers
+    }
+
     /// Kills all nodes with a fast link.
     fn stop_readers(&mut self) {
         let readers: Vec<usize> = (0..self.fleet.nodes.len()).filter(is_fast).collect();
@@ -169,6 +186,37 @@
     }
 }
 
+/// Guards against a node that reads the store in several round trips after its reader is lost, each
+/// of which waits behind what its own link has queued.
+#[test]
+fn series_while_readers_are_lost_behind_full_links() {
+    for after in (0..1_800).step_by(600) {
+        let mut trial = Trial::new(NODES, settings, USUAL_DOCUMENT, after);
+        trial.fleet.queue_delay = FULL_LINK_QUEUE;
+        trial.publish_series(ms(600), ms(1_200));
+        trial.advance(ms(after));
+        trial.stop_readers();
+        trial.publish_series(ms(600), ms(6_000));
+        trial.advance(BOUND + ms(100));
+    }
+}
+
+/// Guards against waits that each begin anew when one reader after the other is lost.
+#[test]
+fn series_while_readers_are_lost_in_turn() {
+    for interval in (1_200..3_000).step_by(300) {
+        let mut trial = Trial::new(NODES, settings, USUAL_DOCUMENT, interval);
+        trial.fleet.queue_delay = FULL_LINK_QUEUE;
+        trial.publish_series(ms(600), ms(1_200));
+        for _ in 0..4 {
+            let stopped = trial.stop_serving_readers();
+            trial.publish_series(ms(interval / 3), ms(interval));
+            stopped.into_iter().for_each(|node| trial.fleet.start(node));
+        }
+        trial.advance(BOUND + ms(100));
+    }
+}
+
 /// What makes versions late, each for the rest of a trial.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Condition {
--- a/core/tests/support/store_fleet.rs
+++ b/core/tests/support/store_fleet.rs
@@ -25,6 +25,9 @@
 /// Latency of a message, and of a call that the store responds to at once.
 const MESSAGE_LATENCY: Duration = Duration::from_millis(2);
 
+/// Links below this bandwidth are narrow, in kbit/s.
+const NARROW_LINK_KBPS: u64 = 100_000;
+
 /// Ports of the peer listener, the gatekeeper and the target of every node.
 const PEERS_PORT: u16 = 7;
 const GATE_PORT: u16 = 5;
@@ -280,6 +283,8 @@
     pub transfer_times: bool,
     /// Share of each link that is left beside other traffic.
     pub link_share: f64,
+    /// Time for which what a node with a narrow link sends waits behind other traffic.
+    pub queue_delay: Duration,
     config: fn(usize) -> Config,
     step: Duration,
     seed: u64,
@@ -299,6 +304,7 @@
             cross_region_messages: 0,
             transfer_times: false,
             link_share: 1.0,
+            queue_delay: Duration::ZERO,
             config,
             step,
             seed,
@@ -361,7 +367,8 @@
                 self.offers_sent += usize::from(offers);
                 self.cross_region_messages += usize::from(link == Link::CrossRegion);
                 let to = node_at(to);
-                let due = self.now + MESSAGE_LATENCY + self.message_time(node, to, &msg);
+                let latency = MESSAGE_LATENCY + self.queue_delay(node);
+                let due = self.now + latency + self.message_time(node, to, &msg);
                 let incarnation = self.nodes[to].incarnation;
                 let message = Message { due, from: node, to, incarnation, msg };
                 let at = self.messages.partition_point(|other| other.due <= due);
@@ -461,7 +468,8 @@
                     (wait_elapsed || !reply.changes.is_empty()).then_some(reply)
                 }
             };
-            let begins = self.now >= since + MESSAGE_LATENCY + self.store.response_time
+            let latency = MESSAGE_LATENCY + self.queue_delay(node);
+            let begins = self.now >= since + latency + self.store.response_time
                 && !self.nodes[node].store_unreachable;
             pending.response = reply.filter(|_| begins).map(|reply| {
                 let bytes = if self.transfer_times { self.store.response_bytes(&reply) } else { 0 };
@@ -483,6 +491,15 @@
         }
     }
 
+    /// Time for which what this node sends waits in the queue of its link.
+    fn queue_delay(&self, node: usize) -> Duration {
+        let is_narrow = |kbps: u64| kbps < NARROW_LINK_KBPS;
+        match (self.config)(node).link_kbps.is_some_and(is_narrow) {
+            true => self.queue_delay,
+            false => Duration::ZERO,
+        }
+    }
+
     /// Bytes that a node receives in one step.
     fn received_bytes(&self, node: usize) -> f64 {
         let kbps = (self.config)(node).link_kbps.unwrap_or(1_000_000) as f64;
