Ask the store before a late reader is given up

Cause: a chain of waits that each began anew, while the bound counts from the store's last answer. A follower relied on its reader for 1.6 to 1.8 s, waited 0.25 to 0.78 s for another one, and then listed, read the entries changed since and read the document, one after the other over a link that downloads fill outward. A node without a reader waited up to 1.8 s before it asked again, was told that the answer is too large, and read twice more.

Change: - A follower whose reader is 0.5 s from its timeout asks the store for the changes since the revision that it shares with the reader, still following it (`parent-overdue`). What a reader says that knows less than the follower then is left out. - When the reader is lost, a node that can't become a reader goes on from that revision, no later than the last moment at which an answer comes in time. It lists no more. - Changed entries and the document are read at once where a watch would bring several versions. A document that was read before the entries is watched on from its own revision. - The wait of a reader's watch counts from its last response, so that followers hear of it before they count it as late.

Tried and failing in memory: the same check for documents of which a transfer takes a second: it delays the reader's own changes, 13.3s: node 2 has version 14, 15 is due (conditions_in_every_order_large_document); such documents are left to the reader until it is lost. A watch whose wait did not count the pause before it made every follower ask after each change: 72 calls instead of 12 (relay_large_version_within_link).

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -166,6 +166,10 @@
         if self.relay.reader_timed_out(now) {
             self.abandon_reader(now, Some(Code::PeerUnreachable), out);
         }
+        if let Some(revision) = self.relay.take_overdue_check(now) {
+            self.watcher.check(now, revision);
+            out.push(Output::Event(Event::new(now, EventKind::ParentOverdue)));
+        }
         if let Some(overdue) = self.watcher.check_overdue(now) {
             self.handle_overdue(now, overdue, out);
         }
@@ -174,6 +178,7 @@
             self.record_call(now, &call, out);
             out.push(Output::Read(call));
         }
+        out.extend(self.watcher.next_side_call(now).map(Output::Read));
         if self.registry.expire_missing(now) {
             self.progress.on_targets(None);
             self.snapshot_stale = true;
@@ -215,9 +220,16 @@
         out: &mut Vec<Output>,
     ) {
         let responded = !matches!(result, Err(ReadError::Failed(_)));
+        let Some(result) = self.watcher.keep_side_document(id, result) else {
+            return;
+        };
         if !self.watcher.awaits(id, responded) {
             return;
         }
+        if !responded && self.relay.is_follower() {
+            // The reader may only be late. If it is lost, the store is asked again.
+            return self.watcher.stop();
+        }
         match responded {
             true => self.registry.on_store_success(now),
             false => self.registry.on_store_failure(now, self.possible_failure(now)),
@@ -236,6 +248,10 @@
             Part::Targets => self.registry.apply_targets(now, targets),
             Part::Document => self.registry.apply_evacuations(&targets),
             Part::Changes => self.registry.apply_changes(now, targets),
+            Part::CatchUp => {
+                let evacuated = self.registry.apply_evacuations(&targets);
+                self.registry.apply_changes(now, targets) || evacuated
+            }
         };
         if let Some(revision) = self.watcher.known_revision().filter(|_| responded) {
             self.registry.set_revision(revision);
@@ -260,6 +276,9 @@
         if listed {
             self.record_listed(now, out);
         }
+        if self.relay.is_follower() && self.watcher.is_up_to_date() {
+            self.watcher.stop();
+        }
     }
 
     /// Since when the store may have been failing, for a call that has failed.
@@ -352,7 +371,7 @@
             Pace::for_document(self.cfg.change_bound, document_bytes, self.cfg.link_bandwidth());
         self.pace = pace;
         self.relay.set_pace(pace);
-        self.watcher.on_version(pace, document_bytes);
+        self.watcher.on_version(now, pace, document_bytes);
         self.published = Some(published);
         self.snapshot_stale = true;
         out.push(Output::Event(Event::new(now, EventKind::VersionHeard).with_version(version)));
--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -8,7 +8,8 @@
 //!
 //! The store's history holds each version whole. A watch that would bring several of them is given up,
 //! and the changed entries and the current document are read instead, whose size does not grow with
-//! the number of versions.
+//! the number of versions. Both are read at once, so that a node behind a full link waits for one round
+//! trip.
 //!
 //! The response to a watch may be lost without an error. Once it is overdue, the changes are asked
 //! for by another call beside it. Whichever is answered first counts, since the store may only be
@@ -109,12 +110,24 @@
     overdue: u32,
     // Call for the same changes as the pending one. Its response is overdue.
     overdue_id: Option<u64>,
+    // Document that is read beside changed entries.
+    side_document: Option<SideDocument>,
+    // When the current version was received.
+    version_at: Option<Time>,
     serves_followers: bool,
     link_kbps: u64,
     // Estimated size of the current document, as transferred.
     document_bytes: u64,
 }
 
+/// Document that is read beside the pending read of changed entries.
+#[derive(Debug)]
+enum SideDocument {
+    Due,
+    Pending(u64),
+    Read(Reply),
+}
+
 #[derive(Clone, Debug)]
 enum State {
     Idle,
@@ -144,6 +157,8 @@
             overdue_at: None,
             overdue: 0,
             overdue_id: None,
+            side_document: None,
+            version_at: None,
             serves_followers: false,
             link_kbps,
             document_bytes: 0,
@@ -162,8 +177,9 @@
 
     /// Called when a version was received from anywhere, with the pace for its document and the size
     /// of that.
-    pub fn on_version(&mut self, pace: Pace, document_bytes: u64) {
+    pub fn on_version(&mut self, now: Time, pace: Pace, document_bytes: u64) {
         self.holds_version = true;
+        self.version_at = Some(now);
         (self.pace, self.document_bytes) = (pace, document_bytes);
     }
 
@@ -228,10 +244,35 @@
         self.stop();
     }
 
-    /// Schedules a list after the reader was lost, leaving time for another reader to take over.
-    pub fn resume(&mut self, now: Time, rng: &mut Pcg64Mcg) {
+    /// Schedules a call after the reader was lost, leaving time for another reader to take over.
+    ///
+    /// `known` is the revision up to which this node has all changes, if known, and when the store
+    /// responded with that. A node that can't become a reader then asks for the changes since; the
+    /// others list, which tells how they rank.
+    pub fn resume(&mut self, now: Time, known: Option<(u64, Time)>, rng: &mut Pcg64Mcg) {
         let at = now + self.reader_wait(self.pace.lost_wait, rng);
-        self.schedule_list(at, true);
+        match known.filter(|_| self.role == Role::FollowerOnly) {
+            // The call that was made while the reader was late goes on.
+            Some(_) if matches!(self.state, State::Pending(..)) => {}
+            Some((revision, known_at)) => {
+                let latest = (known_at + self.pace.latest_call_age).max(now);
+                self.schedule_changes(now, revision, at.min(latest));
+            }
+            None => self.schedule_list(at, true),
+        }
+    }
+
+    /// Asks for the changes since `revision` beside the reader, unless a call is in progress.
+    pub fn check(&mut self, now: Time, revision: u64) {
+        if matches!(self.state, State::Idle) {
+            self.schedule_changes(now, revision, now);
+        }
+    }
+
+    /// Whether the last response was complete, and the next call asks for later changes.
+    pub fn is_up_to_date(&self) -> bool {
+        matches!(self.state, State::Scheduled(Request::Watch { .. }, _))
+            && self.overdue_id.is_none()
     }
 
     /// Stops calling the store and ignores the pending result.
@@ -239,6 +280,7 @@
         self.state = State::Idle;
         self.listing = None;
         self.overdue_id = None;
+        self.side_document = None;
     }
 
     /// Shortens watches and delays while other nodes rely on this one. A pending long watch is
@@ -287,7 +329,7 @@
     pub fn known_revision(&self) -> Option<u64> {
         match &self.state {
             State::Scheduled(Request::Watch { revision, .. }, _) => Some(*revision),
-            State::Scheduled(Request::Document, _) => {
+            State::Scheduled(Request::Document, _) | State::Pending(_, Request::Document) => {
                 self.listing.as_ref().filter(|listing| listing.targets_taken)?.revision
             }
             _ => None,
@@ -327,6 +369,34 @@
         Some(Call { id, request, timeout, max_bytes })
     }
 
+    /// Returns the call for the document that is due beside the pending one, if any.
+    pub fn next_side_call(&mut self, now: Time) -> Option<Call> {
+        let reads_entries = matches!(self.state, State::Pending(_, Request::Entries { .. }));
+        self.side_document.take_if(|side| reads_entries && matches!(side, SideDocument::Due))?;
+        self.next_id += 1;
+        let id = self.next_id;
+        self.called_at = now;
+        self.side_document = Some(SideDocument::Pending(id));
+        let timeout = RESPONSE_TIMEOUT + self.pace.document_time;
+        Some(Call { id, request: Request::Document, timeout, max_bytes: MAX_RESPONSE_BYTES })
+    }
+
+    /// Keeps the result of a call from [`StoreWatcher::next_side_call`] until the entries have been
+    /// read. Returns any other result, and that of a call that is all that is left to wait for.
+    pub fn keep_side_document(
+        &mut self,
+        id: u64,
+        result: Result<Reply, ReadError>,
+    ) -> Option<Result<Reply, ReadError>> {
+        match self.side_document {
+            Some(SideDocument::Pending(pending)) if pending == id => {
+                self.side_document = result.ok().map(SideDocument::Read);
+                None
+            }
+            _ => Some(result),
+        }
+    }
+
     /// Size of a response to a watch beyond which the current document alone is read.
     fn max_watch_bytes(&self) -> u64 {
         let one_version = self.document_bytes * 3 / 2 + MAX_ENTRIES_BYTES;
@@ -339,7 +409,8 @@
         let since_response = self.responded_at.map_or(Duration::ZERO, |at| now.since(at));
         let mut longest = self.pace.watch_wait(since_response);
         if self.serves_followers {
-            longest = longest.min(self.pace.max_watch_wait);
+            let left = self.pace.max_watch_wait.saturating_sub(since_response);
+            longest = longest.min(left.max(CHECK_WAIT));
         }
         if self.failed_at.is_some_and(|failed| now.since(failed) < RECOVERY_PERIOD) {
             longest = longest.min(RECOVERY_WATCH_WAIT);
@@ -362,7 +433,7 @@
         self.overdue_id = None;
         match (result, request) {
             (Ok(reply), Request::List { .. }) => self.handle_page(now, reply, evaluate, rng),
-            (Ok(reply), Request::Entries { .. }) => self.handle_entries(now, reply),
+            (Ok(reply), Request::Entries { .. }) => self.handle_entries(now, reply, rng),
             (Ok(reply), Request::Document) => self.handle_document(now, reply, rng),
             (Ok(reply), Request::Watch { revision, .. }) => {
                 self.handle_changes(now, reply, revision)
@@ -373,13 +444,14 @@
                 (Vec::new(), Part::Changes)
             }
             (Err(ReadError::TooLarge), Request::Watch { revision, .. }) => {
-                self.listing = Some(Listing::since(revision));
-                self.state = State::Scheduled(Request::Entries { revision }, now);
+                self.schedule_catch_up(revision, now);
                 (Vec::new(), Part::Changes)
             }
             (Err(ReadError::Failed(_) | ReadError::TooLarge), request) => {
                 self.failed_at = Some(now);
                 let request = self.repeated_request(request);
+                let catches_up = self.listing.as_ref().is_some_and(|listing| listing.targets_taken);
+                self.side_document = catches_up.then_some(SideDocument::Due);
                 self.state = State::Scheduled(request, now + self.backoff(now, rng));
                 (Vec::new(), Part::Changes)
             }
@@ -483,16 +555,30 @@
         repeat
     }
 
-    fn handle_entries(&mut self, now: Time, reply: Reply) -> (Vec<Change>, Part) {
+    fn handle_entries(
+        &mut self,
+        now: Time,
+        reply: Reply,
+        rng: &mut Pcg64Mcg,
+    ) -> (Vec<Change>, Part) {
         self.failures = 0;
         let Some(listing) = &mut self.listing else {
             return (Vec::new(), Part::Changes);
         };
         let update = listing.targets_taken;
-        listing.add_entries(now, reply);
-        self.state = State::Scheduled(Request::Document, now);
+        let side_document = self.side_document.take();
+        let read_at = if side_document.is_some() { self.called_at } else { now };
+        listing.add_entries(read_at, reply);
+        let targets = if update { listing.take_targets() } else { Vec::new() };
+        self.state = match side_document {
+            Some(SideDocument::Read(document)) => {
+                return self.finish_catch_up(now, targets, document, rng);
+            }
+            Some(SideDocument::Pending(id)) => State::Pending(id, Request::Document),
+            Some(SideDocument::Due) | None => State::Scheduled(Request::Document, now),
+        };
         if update {
-            return (listing.take_targets(), Part::Changes);
+            return (targets, Part::Changes);
         }
         // Without a version nothing can be served, and the targets take effect with the first one.
         match self.holds_version {
@@ -501,6 +587,19 @@
         }
     }
 
+    /// Ends a catch-up whose document was read before its entries.
+    fn finish_catch_up(
+        &mut self,
+        now: Time,
+        mut targets: Vec<Change>,
+        document: Reply,
+        rng: &mut Pcg64Mcg,
+    ) -> (Vec<Change>, Part) {
+        let (changes, _) = self.handle_document(now, document, rng);
+        targets.extend(changes);
+        (targets, Part::CatchUp)
+    }
+
     fn handle_document(
         &mut self,
         now: Time,
@@ -517,10 +616,12 @@
             Role::EligibleReader => Duration::ZERO,
             // The targets are as fresh as the state of a reader that the store answered when it
             // answered the read of the entries.
-            Role::FollowerOnly => self.pace.reader_timeout * rng.random_range(75..=100) / 100,
+            Role::FollowerOnly => self.pace.check_age * rng.random_range(75..=100) / 100,
         };
         let watch_at = (entries_at + wait).max(now);
-        self.schedule_watch(listing.revision.unwrap_or_default(), watch_at);
+        // A document that was read beside the entries may be the older of the two.
+        let revision = listing.revision.unwrap_or_default().min(reply.revision);
+        self.schedule_watch(revision, watch_at);
         listing.finish(reply)
     }
 
@@ -531,8 +632,32 @@
         self.responded_at = Some(now);
     }
 
+    /// Schedules a call for the changes since `revision`, of the kind that takes fewest round trips.
+    fn schedule_changes(&mut self, now: Time, revision: u64, at: Time) {
+        let in_series =
+            self.version_at.is_some_and(|received| now.since(received) < 2 * self.pace.check_age);
+        match in_series && 2 * self.document_bytes > self.max_watch_bytes() {
+            true => self.schedule_catch_up(revision, at),
+            false => {
+                self.listing = None;
+                self.overdue_id = None;
+                self.state = State::Scheduled(Request::Watch { revision, wait: CHECK_WAIT }, at);
+            }
+        }
+    }
+
+    /// Schedules the read of the entries that have changed since `revision`, and beside it that of
+    /// the document.
+    fn schedule_catch_up(&mut self, revision: u64, at: Time) {
+        self.overdue_id = None;
+        self.listing = Some(Listing::since(revision));
+        self.side_document = Some(SideDocument::Due);
+        self.state = State::Scheduled(Request::Entries { revision }, at);
+    }
+
     fn schedule_list(&mut self, at: Time, stale: bool) {
         self.overdue_id = None;
+        self.side_document = None;
         let listing = Listing::new(stale, self.holds_version);
         let targets_only = listing.targets_only;
         self.listing = Some(listing);
--- a/core/src/discovery/listing.rs
+++ b/core/src/discovery/listing.rs
@@ -24,6 +24,8 @@
     Targets,
     /// The document and the evacuated zones, after all targets.
     Document,
+    /// Single changes of targets, the document and the evacuated zones.
+    CatchUp,
     /// A complete list.
     All,
 }
@@ -31,7 +33,7 @@
 impl Part {
     /// Whether the state of the store is completely known with it.
     pub fn completes(self) -> bool {
-        matches!(self, Part::Document | Part::All)
+        matches!(self, Part::Document | Part::CatchUp | Part::All)
     }
 }
 
--- a/core/src/discovery/pace.rs
+++ b/core/src/discovery/pace.rs
@@ -62,17 +62,27 @@
 /// together do not call the store together.
 pub const MAX_WAIT_JITTER_PERCENT: u32 = 130;
 
+/// [`Pace::check_age`] is extended at random to at most this share, so that the followers of a reader
+/// do not call the store together.
+pub const MAX_CHECK_JITTER_PERCENT: u32 = 115;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pace {
     /// How long after the store last responded to its reader a follower relies on that reader.
     pub reader_timeout: Duration,
+    /// Age of what a follower knows at which it asks the store itself, before jitter: its reader is
+    /// late by then, and time is left to read the document and to repeat a call. A large document is
+    /// left to the reader until that counts as lost.
+    pub check_age: Duration,
+    /// Age of what a node knows by which it has to call the store, for a response within the bound.
+    pub latest_call_age: Duration,
     /// How long a node that has lost its reader waits for another one, before jitter.
     pub lost_wait: Duration,
     /// Longest time from the start of a call whose response is lost to the start of the next.
     pub max_call_interval: Duration,
     /// How long a node that has its state from elsewhere waits for a reader, before jitter.
     pub reader_wait: Duration,
-    /// Longest wait of a reader's watch.
+    /// Longest wait of a reader's watch, from the last response on.
     pub max_watch_wait: Duration,
     /// Delay between a response with changes and the next watch of a reader.
     pub batch_delay: Duration,
@@ -98,17 +108,21 @@
             .min(self::reader_timeout(bound, transfer_time(document_bytes, NARROW_LINK_KBPS)));
         let batch_delay = BATCH_DELAY.min(narrow_timeout * 2 / 5);
         let delivery_margin = DELIVERY_MARGIN.min(narrow_timeout / 3);
+        let may_check = narrow_timeout >= MIN_READER_TIMEOUT;
+        let check_age = if may_check { narrow_timeout - batch_delay } else { reader_timeout };
         let left = bound.saturating_sub(reader_timeout + READ_TIME + document_time);
-        let own_batch_delay = bound.saturating_sub(READ_TIME + document_time);
+        let latest_call_age = bound.saturating_sub(READ_TIME + document_time);
         Pace {
             reader_timeout,
+            check_age,
+            latest_call_age,
             lost_wait: (left * 100 / MAX_WAIT_JITTER_PERCENT).clamp(MIN_LOST_WAIT, MAX_LOST_WAIT),
             reader_wait: reader_timeout * 100 / MAX_WAIT_JITTER_PERCENT,
             // A lost response is rare; the link is assumed to be free then.
             max_call_interval: bound.saturating_sub(CALL_TIME + document_time / LINK_CONTENTION),
             max_watch_wait: narrow_timeout - batch_delay - delivery_margin,
             batch_delay,
-            own_batch_delay: own_batch_delay.clamp(MIN_OWN_BATCH_DELAY, OWN_BATCH_DELAY),
+            own_batch_delay: latest_call_age.clamp(MIN_OWN_BATCH_DELAY, OWN_BATCH_DELAY),
             document_time,
         }
     }
--- a/core/src/discovery/peers.rs
+++ b/core/src/discovery/peers.rs
@@ -1,5 +1,6 @@
 //! Messages to and from peers.
 
+use super::pace::MAX_CHECK_JITTER_PERCENT;
 use super::port::TargetEntry;
 use super::rejoin::FullState;
 use super::relay::{self, Outgoing};
@@ -8,6 +9,7 @@
 use crate::spread::message::{Delta, Pull, StoreMark, Summary};
 use crate::spread::{Peer, PeerMsg};
 use crate::{Code, Name, Time};
+use rand::RngExt;
 use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -169,6 +171,9 @@
         if self.view.digest == summary.manifest_digest {
             return self.mark_in_sync(now, from, summary, out);
         }
+        if self.is_reader_behind(summary) {
+            return;
+        }
         // The first version is requested whole: a difference of that size may exceed the limit.
         let first_version = self.view.published.version == 0 && summary.in_force.version > 0;
         let msg = match first_version {
@@ -185,6 +190,9 @@
         if delta.digest == view.digest {
             return self.mark_in_sync(now, from, &delta.summary, out);
         }
+        if self.is_reader_behind(&delta.summary) {
+            return;
+        }
         match view.apply_delta(delta) {
             // The next notice of this candidate repeats the request.
             Ok(after) if self.is_older(&delta.summary) && view.is_reverted_by(&after) => {}
@@ -205,6 +213,13 @@
         }
     }
 
+    /// Whether this node has asked the store itself and knows later changes than its reader. The next
+    /// message of the reader holds them.
+    fn is_reader_behind(&self, summary: &Summary) -> bool {
+        let is_older = (1..self.registry.revision()).contains(&summary.store_revision);
+        is_older && self.relay.is_follower()
+    }
+
     /// Whether the state of a candidate reader is older than this node's.
     fn is_older(&self, summary: &Summary) -> bool {
         let is_older = (1..self.registry.revision()).contains(&summary.store_revision);
@@ -212,8 +227,10 @@
     }
 
     fn mark_in_sync(&mut self, now: Time, from: &Peer, summary: &Summary, out: &mut Vec<Output>) {
-        let begins_to_follow = self.relay.mark_in_sync(now, summary);
+        let check_jitter = self.rng.random_range(100..=MAX_CHECK_JITTER_PERCENT);
+        let begins_to_follow = self.relay.mark_in_sync(now, summary, check_jitter);
         if self.relay.is_follower() {
+            self.relay.set_known_revision(summary.store_revision);
             self.registry.set_revision(summary.store_revision.max(self.registry.revision()));
         }
         if begins_to_follow {
@@ -231,8 +248,9 @@
     /// Stops following the reader, if there is one, and schedules a list of the store. `code` tells
     /// why, unless the reader itself no longer serves this node.
     pub(super) fn abandon_reader(&mut self, now: Time, code: Option<Code>, out: &mut Vec<Output>) {
+        let known = self.relay.known_revision().zip(self.confirmed_at);
         if self.relay.drop_reader() {
-            self.watcher.resume(now, &mut self.rng);
+            self.watcher.resume(now, known, &mut self.rng);
             self.resync_due = self.relay.switch_to_standby(now);
             let event = Event::new(now, EventKind::ParentLost);
             out.push(Output::Event(match code {
--- a/core/src/discovery/relay.rs
+++ b/core/src/discovery/relay.rs
@@ -8,7 +8,8 @@
 //! from.
 //!
 //! A reader sends messages only after the store has responded to it. A follower that has received
-//! none for [`Pace::reader_timeout`] therefore reads the store itself, whatever the cause. Each
+//! none for [`Pace::check_age`] asks the store as well, and after [`Pace::reader_timeout`] relies on the
+//! store alone until another reader announces itself, whatever the cause. Each
 //! message carries a digest of the reader's full state; a follower with a different state requests a
 //! delta.
 
@@ -83,6 +84,24 @@
     link: Link,
     store_responded_at: Time,
     renew_at: Time,
+    // Revision of the store up to which this node has all changes; 0 if unknown.
+    known_revision: u64,
+    // Extends `Pace::check_age`.
+    check_jitter_percent: u32,
+    // The store has been asked since the reader was late.
+    checked: bool,
+}
+
+impl Reader {
+    /// Whether the store is to be asked once the reader is late.
+    fn awaits_check(&self) -> bool {
+        !self.checked && self.known_revision > 0
+    }
+
+    /// When the reader counts as late.
+    fn check_at(&self, pace: &Pace) -> Time {
+        self.store_responded_at + pace.check_age * self.check_jitter_percent / 100
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -185,6 +204,7 @@
     pub fn on_store_success(&mut self, now: Time, revision: u64) {
         self.store_responded_at = Some(now);
         self.store_revision = revision;
+        self.set_known_revision(revision);
     }
 
     /// Keeps a version as a base for deltas.
@@ -202,7 +222,10 @@
     pub fn wake_at(&self) -> Option<Time> {
         match &self.reader {
             Some(reader) => {
-                Some(reader.renew_at.min(reader.store_responded_at + self.pace.reader_timeout))
+                let timeout = reader.store_responded_at + self.pace.reader_timeout;
+                let check =
+                    if reader.awaits_check() { reader.check_at(&self.pace) } else { timeout };
+                Some(reader.renew_at.min(timeout).min(check))
             }
             None => self.announcements.wake_at(),
         }
@@ -219,6 +242,28 @@
             .is_some_and(|reader| now >= reader.store_responded_at + self.pace.reader_timeout)
     }
 
+    /// Returns the revision from which on to ask the store for changes, once when the reader is late.
+    pub fn take_overdue_check(&mut self, now: Time) -> Option<u64> {
+        let reader = self.reader.as_mut()?;
+        if !reader.awaits_check() || now < reader.check_at(&self.pace) {
+            return None;
+        }
+        reader.checked = true;
+        Some(reader.known_revision)
+    }
+
+    /// Revision of the store up to which this node, which follows a reader, has all changes.
+    pub fn known_revision(&self) -> Option<u64> {
+        self.reader.as_ref().map(|reader| reader.known_revision).filter(|revision| *revision > 0)
+    }
+
+    /// Records that this node has all changes up to `revision`.
+    pub fn set_known_revision(&mut self, revision: u64) {
+        if let Some(reader) = &mut self.reader {
+            reader.known_revision = reader.known_revision.max(revision);
+        }
+    }
+
     /// Whether `from` is the reader of this node, or the candidate reader if it has none.
     pub fn is_upstream(&self, from: SocketAddr) -> bool {
         let reader = self.reader.as_ref().map(|reader| reader.address);
@@ -305,18 +350,32 @@
 
     /// Records that this node and the sender of the summary hold the same state. Returns whether
     /// this node starts to follow the candidate.
-    pub fn mark_in_sync(&mut self, now: Time, summary: &Summary) -> bool {
+    pub fn mark_in_sync(
+        &mut self,
+        now: Time,
+        summary: &Summary,
+        check_jitter_percent: u32,
+    ) -> bool {
         let Some(store_responded_at) = self.fresh_age(summary).map(|age| now - age) else {
             return false;
         };
         if let Some(reader) = &mut self.reader {
+            reader.checked &= store_responded_at <= reader.store_responded_at;
             reader.store_responded_at = reader.store_responded_at.max(store_responded_at);
             return false;
         }
         let Some(Candidate { address, link, .. }) = self.candidate.take() else {
             return false;
         };
-        self.reader = Some(Reader { address, link, store_responded_at, renew_at: now });
+        self.reader = Some(Reader {
+            address,
+            link,
+            store_responded_at,
+            renew_at: now,
+            known_revision: 0,
+            check_jitter_percent,
+            checked: false,
+        });
         self.announcements.stop();
         self.followers_expected_until = now;
         true
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -36,6 +36,8 @@
     SourceListed,
     /// A relay was selected as parent.
     ParentChosen,
+    /// The parent is late. The platform is asked as well.
+    ParentOverdue,
     /// The parent stopped responding.
     ParentLost,
     /// The local target stopped responding.
--- a/core/tests/support/store_node.rs
+++ b/core/tests/support/store_node.rs
@@ -68,7 +68,7 @@
 pub struct Node {
     pub discovery: Discovery,
     pub now: Time,
-    /// The pending call, if there is one.
+    /// The pending call, if there is one, and the read of the document beside it.
     pub calls: Vec<Call>,
     pub sent: Vec<(SocketAddr, PeerMsg)>,
     pub events: Vec<Event>,
@@ -144,7 +144,8 @@
         self.discovery.handle(self.now, input, &mut out);
         for output in out {
             match output {
-                // An unanswered call is lost once the node makes another.
+                Output::Read(call) if self.reads_beside(&call) => self.calls.push(call),
+                // Any other unanswered call is lost once the node makes another.
                 Output::Read(call) => self.calls = vec![call],
                 Output::InForce(snapshot) => self.snapshot = Some(snapshot),
                 Output::Send { to, msg, .. } => self.sent.push((to, msg)),
@@ -155,6 +156,12 @@
         }
     }
 
+    /// Whether this call is made beside the pending one.
+    fn reads_beside(&self, call: &Call) -> bool {
+        let reads_entries = |call: &Call| matches!(call.request, Request::Entries { .. });
+        matches!(call.request, Request::Document) && self.calls.iter().any(reads_entries)
+    }
+
     /// Advances the clock and delivers every wake-up that becomes due.
     pub fn advance(&mut self, span: Duration) {
         let until = self.now + span;
--- a/tools/src/timeline/picture/glyph.rs
+++ b/tools/src/timeline/picture/glyph.rs
@@ -48,6 +48,7 @@
             EventKind::SourceListing => (Shape::RightTriangle, "#d96c00", Fill::Hollow),
             EventKind::SourceListed => (Shape::RightTriangle, "#d96c00", Fill::Solid),
             EventKind::ParentChosen => (Shape::Bar, "#0550ae", Fill::Hollow),
+            EventKind::ParentOverdue => (Shape::Hourglass, "#0550ae", Fill::Hollow),
             EventKind::ParentLost => (Shape::Bar, "#0550ae", Fill::Solid),
             EventKind::TargetLost => (Shape::Square, "#8f3f1f", Fill::Solid),
             EventKind::TargetBack => (Shape::Square, "#8f3f1f", Fill::Hollow),
