Leave out entries that no target can have

Here no process ended, but a number of slots near 2^32 was taken as stated. Sums and products of it (cost of a target, bulk share, reserved slots) wrap around in a release build, so that a target which isn't there looks like the emptiest of its service, and panic in a debug build; `port 0` and addresses that no target has were taken too. Any writer may make such an entry.

Cause: figures of others are used unchecked, though documents' own limits are checked. Change: an entry with slots outside 1 to 10,000 (the limit of documents), port 0 or an unspecified or multicast address counts as malformed, in core; the same limit holds for `targets[].slots` of documents and for the slots that another node reports; the cost of a target saturates.

registry_implausible_entry_ignored failed before: left ["a", "b", "x"], right ["a", "b"]. list_with_odd_entries (nesting of 100,000 to a million, numbers beyond their types, ports out of range, beside a valid entry) passed before as well: it guards what held.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -37,6 +37,7 @@
 pub use stop::StopPlan;
 
 use crate::Code;
+use crate::config::validate::MAX_SLOTS;
 use crate::config::{AtMostOnceMode, Class};
 use crate::member::VmState;
 use crate::{Name, Time};
@@ -209,6 +210,7 @@
             return None;
         };
         let bulk_wait_ms = numbers.get(8).copied();
+        let slots = slots.min(MAX_SLOTS);
         Some(Load { in_flight, slots, queued, wait_ms, run_ms, pace, bulk_wait_ms })
     }
 }
--- a/core/src/call/balance/peer.rs
+++ b/core/src/call/balance/peer.rs
@@ -165,7 +165,8 @@
         let (outstanding, slots) = self.outstanding(now);
         let waiting = outstanding.saturating_sub(slots);
         // Requests beyond the slots count three times.
-        let time = response_time * (slots + outstanding + waiting * 2) / slots;
+        let requests = slots.saturating_add(outstanding).saturating_add(waiting.saturating_mul(2));
+        let time = response_time * requests / slots;
         time + time * FAILURE_COST_FACTOR * self.failure_rate.decayed(now) / FAILURE_SCALE
     }
 
@@ -210,7 +211,7 @@
         let recent = |at: Time| now.since(at) < LOAD_REPORT_TTL;
         let load = self.load.filter(|(_, at)| recent(*at)).map(|(load, _)| load);
         let slots = load.map(|load| load.slots).or(self.slots).unwrap_or(DEFAULT_SLOTS);
-        let reported = load.map_or(0, |load| load.in_flight + load.queued);
+        let reported = load.map_or(0, |load| load.in_flight.saturating_add(load.queued));
         (reported.max(self.in_flight), slots.max(1))
     }
 
--- a/core/src/config/validate.rs
+++ b/core/src/config/validate.rs
@@ -9,6 +9,9 @@
 use std::collections::HashSet;
 use std::ops::RangeInclusive;
 
+/// Maximum number of requests that one target runs at once.
+pub const MAX_SLOTS: u32 = 10_000;
+
 /// Upper ends of the ranges of limits. Times are in milliseconds.
 pub const MAX_CONNECTIONS: u32 = 10_000;
 pub const MAX_COLD_MS: u32 = 600_000;
@@ -141,6 +144,8 @@
         faults.push(Fault::new(Code::ServiceEmpty).with_location(format!("{location}.targets")));
     }
     for (index, target) in service.targets.iter().enumerate() {
+        let slots = target.slots.unwrap_or_default();
+        check_range(&format!("{location}.targets[{index}].slots"), slots, 0..=MAX_SLOTS, faults);
         if !vms.insert(&target.vm) {
             let location = format!("{location}.targets[{index}].vm");
             let fault = Fault::new(Code::TargetRepeated).with_location(location);
@@ -151,7 +156,7 @@
 
 fn check_limits(location: &str, limits: &ServiceLimits, faults: &mut Vec<Fault>) {
     let ranges = [
-        ("slots", limits.slots, 1..=10_000),
+        ("slots", limits.slots, 1..=MAX_SLOTS),
         ("connections", limits.connections, limits.slots..=MAX_CONNECTIONS),
         ("queue", limits.queue, 0..=100_000),
         ("queue_wait_ms", limits.queue_wait_ms, 1..=60_000),
--- a/core/src/discovery/port.rs
+++ b/core/src/discovery/port.rs
@@ -3,6 +3,7 @@
 use super::nested;
 use crate::call::Note;
 use crate::call::note::OutgoingNote;
+use crate::config::validate::MAX_SLOTS;
 use crate::config::{Preset, Route, Snapshot};
 use crate::event::Event;
 use crate::place::{Link, Place};
@@ -132,7 +133,7 @@
         Target {
             /// Identifies one run of the target.
             id: Name,
-            /// The entry; `None` if it is malformed.
+            /// The entry; `None` if it is malformed. An implausible one counts as malformed.
             entry: Option<TargetEntry>,
         },
         /// A target's entry was removed.
@@ -175,6 +176,15 @@
     }
 }
 
+impl TargetEntry {
+    /// Whether the entry can be that of a target. Any writer may have made it.
+    pub fn is_plausible(&self) -> bool {
+        let ip = self.address.ip();
+        let reachable = self.address.port() > 0 && !ip.is_unspecified() && !ip.is_multicast();
+        reachable && (1..=MAX_SLOTS).contains(&self.slots)
+    }
+}
+
 impl Publication {
     /// Creates a version and marks its routes that serve nested calls as gating.
     pub fn new(version: u64, mut preset: Preset) -> Publication {
--- a/core/src/discovery/registry.rs
+++ b/core/src/discovery/registry.rs
@@ -79,9 +79,11 @@
         let mut changed = false;
         for change in changes {
             changed |= match change {
-                Change::Target { id, entry: Some(entry) } => self.upsert(id, entry),
+                Change::Target { id, entry: Some(entry) } if entry.is_plausible() => {
+                    self.upsert(id, entry)
+                }
                 // A malformed entry removes the target.
-                Change::Target { id, entry: None } => self.entries.shift_remove(&id).is_some(),
+                Change::Target { id, .. } => self.entries.shift_remove(&id).is_some(),
                 Change::Removed { id } => self.remove(now, &id),
                 Change::Evacuation { zone, active: true } => self.evacuated_zones.insert(zone),
                 Change::Evacuation { zone, active: false } => self.evacuated_zones.remove(&zone),
--- a/core/tests/discovery.rs
+++ b/core/tests/discovery.rs
@@ -4,7 +4,9 @@
 mod support;
 
 use sycamore_core::Code;
-use sycamore_core::discovery::{Change, Input, Pace, ReadError, Reply, Request, TargetState};
+use sycamore_core::discovery::{
+    Change, Input, Pace, ReadError, Reply, Request, TargetEntry, TargetState,
+};
 
 use support::*;
 
@@ -141,6 +143,32 @@
     assert!((8..=25).contains(&calls), "{calls} calls");
 }
 
+/// Guards against a target that isn't there and looks like the emptiest one: an entry of another writer
+/// with a number of slots, an address or a port that no target has.
+#[test]
+fn registry_implausible_entry_ignored() {
+    let with = |address: &str, slots: u32| {
+        let entry = entry(address, TargetState::Ready, 1_000, 1);
+        TargetEntry { slots, ..entry }
+    };
+    let odd = [
+        with("10.0.0.3:80", u32::MAX),
+        with("10.0.0.3:80", 10_001),
+        with("10.0.0.3:80", 0),
+        with("10.0.0.3:0", 12),
+        with("0.0.0.0:80", 12),
+        with("224.0.0.1:80", 12),
+    ];
+    for odd in odd {
+        let listed = vec![ready("a", 1), target("x", odd.clone()), ready("b", 2)];
+        assert_eq!(Node::with_targets(listed).targets(), ["a", "b"], "{odd:?}");
+        let mut node = Node::with_targets(vec![ready("a", 1), ready("b", 2)]);
+        node.advance(ms(700));
+        node.reply(12, vec![target("b", odd.clone())]);
+        assert_eq!(node.targets(), ["a"], "{odd:?}");
+    }
+}
+
 #[test]
 fn registry_malformed_entry_ignored() {
     let malformed = Change::Target { id: name("x"), entry: None };
