Don't quarantine answered requests whose living targets cut answers

Cause: a broken connection counted as a crash whether the target's process had ended or not, and whatever had been answered before. Change: while the process accepts connections, a broken one counts only against a request that this gatekeeper has not seen answered in the last one to two minutes (two generations of 1,024 fingerprints). A request that ends processes counts as before, answered earlier or not; so does one that is never answered.

--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -18,7 +18,7 @@
 use super::link::LinkPacer;
 use super::once::{CachedResponse, IdempotencyTable};
 use super::policy::{Mechanism, Policy};
-use super::quarantine::Suspects;
+use super::quarantine::{Answered, Suspects};
 use super::recall::AttemptId;
 use super::runs::{RunCounts, RunKind, Runs};
 use super::{CallKey, Fingerprint, Load, Members, Outcome, RequestKey, StopPlan, Terms};
@@ -104,6 +104,7 @@
     idempotency: IdempotencyTable,
     homes: Option<Homes>,
     suspects: Suspects,
+    answered: Answered,
     calls: IndexMap<CallKey, Call>,
     recalls: RecallTable,
     runs: RunCounts,
@@ -145,6 +146,7 @@
             idempotency: IdempotencyTable::new(),
             homes: None,
             suspects: Suspects::new(),
+            answered: Answered::new(),
             calls: IndexMap::new(),
             recalls: RecallTable::new(started),
             runs: RunCounts::new(),
@@ -538,12 +540,12 @@
             RunEnd::Answered { cached } => {
                 self.slots.end(now, call);
                 self.finish_key(&entry, cached);
-                self.clear(entry.fingerprint, out);
+                self.clear(now, entry.fingerprint, out);
                 self.mark_target_up(now, out);
             }
             RunEnd::ResponseRead { unsent } => {
                 self.slots.response_read(now, call, unsent);
-                self.clear(entry.fingerprint, out);
+                self.clear(now, entry.fingerprint, out);
                 self.mark_target_up(now, out);
             }
             RunEnd::NotSent => {
@@ -570,10 +572,11 @@
                 self.slots.abandon(call);
                 self.finish_key(&entry, None);
                 let target_gone = target_gone || self.is_silent(now);
-                self.suspect(now, &entry, target_gone, out);
+                let suspected = self.suspect(now, &entry, target_gone, out);
                 let outcome = Outcome::Unknown { code: Code::TargetFailed };
                 // The note about the previous crash may not have arrived yet.
-                let crashes = self.crashes_of(now, &entry).max(entry.crashes.saturating_add(1));
+                let added = entry.crashes.saturating_add(suspected.into());
+                let crashes = self.crashes_of(now, &entry).max(added);
                 out.push(Output::Reject { call, outcome, crashes });
             }
             RunEnd::Cancelled => {
--- a/core/src/call/gatekeeper/suspects.rs
+++ b/core/src/call/gatekeeper/suspects.rs
@@ -9,14 +9,18 @@
 
 impl Gatekeeper {
     /// Records a crash: if the target is gone, all of its running requests become suspects,
-    /// otherwise only the broken one.
+    /// otherwise only the broken one, unless it got a response lately. Returns whether the broken one
+    /// has become a suspect.
     pub(super) fn suspect(
         &mut self,
         now: Time,
         broken: &Call,
         target_gone: bool,
         out: &mut Vec<Output>,
-    ) {
+    ) -> bool {
+        if !target_gone && self.answered.contains(now, broken.fingerprint) {
+            return false;
+        }
         let mut fingerprints = vec![broken.fingerprint];
         let new_crash = rendezvous_score(self.vm.as_bytes(), &now.0.to_le_bytes());
         // Requests that break before the target responds again belong to the same crash.
@@ -31,6 +35,7 @@
         }
         self.record_crash(now, crash, &fingerprints, out);
         self.broadcast(&Note::Suspect { crash, fingerprints }, out);
+        true
     }
 
     pub(super) fn record_crash(
@@ -45,7 +50,9 @@
         }
     }
 
-    pub(super) fn clear(&mut self, fingerprint: Fingerprint, out: &mut Vec<Output>) {
+    /// Records a response to a request, which clears it.
+    pub(super) fn clear(&mut self, now: Time, fingerprint: Fingerprint, out: &mut Vec<Output>) {
+        self.answered.insert(now, fingerprint);
         if self.suspects.clear(fingerprint) {
             self.broadcast(&Note::Cleared { fingerprint }, out);
         }
--- a/core/src/call/quarantine.rs
+++ b/core/src/call/quarantine.rs
@@ -3,10 +3,13 @@
 //! Every request that a target was running when it crashed becomes a suspect. A single crash is
 //! weak evidence, because it also implicates requests that merely ran at the same time; a request
 //! is therefore quarantined only after a second crash, and a response to it clears it.
+//!
+//! A connection that breaks although the target's process lives is weaker evidence still: a target in
+//! trouble cuts any responses. It counts only against requests that got no response lately.
 
 use super::Fingerprint;
 use crate::Time;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
 /// Number of crashes after which a request is quarantined.
@@ -18,6 +21,59 @@
 /// Maximum number of suspects. When it is exceeded, the suspect added first is evicted.
 pub const MAX_SUSPECTS: usize = 1_024;
 
+/// How long a response speaks for a request, and half of the number of requests remembered.
+const ANSWERED_TTL: Duration = SUSPICION_TTL;
+const MAX_ANSWERED: usize = 1_024;
+
+/// Requests that got a response, in two generations. The older one is dropped once the newer one is
+/// full or [`ANSWERED_TTL`] old.
+#[derive(Debug)]
+pub struct Answered {
+    recent: IndexSet<Fingerprint>,
+    recent_since: Time,
+    older: IndexSet<Fingerprint>,
+}
+
+impl Answered {
+    pub fn new() -> Answered {
+        Answered { recent: IndexSet::new(), recent_since: Time::ZERO, older: IndexSet::new() }
+    }
+
+    pub fn insert(&mut self, now: Time, fingerprint: Fingerprint) {
+        self.expire(now);
+        if self.recent.len() >= MAX_ANSWERED {
+            self.begin_generation(now);
+        }
+        self.recent.insert(fingerprint);
+    }
+
+    pub fn contains(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.expire(now);
+        self.recent.contains(&fingerprint) || self.older.contains(&fingerprint)
+    }
+
+    fn expire(&mut self, now: Time) {
+        let age = now.since(self.recent_since);
+        if age >= ANSWERED_TTL {
+            self.begin_generation(now);
+        }
+        if age >= 2 * ANSWERED_TTL {
+            self.older.clear();
+        }
+    }
+
+    fn begin_generation(&mut self, now: Time) {
+        self.older = std::mem::take(&mut self.recent);
+        self.recent_since = now;
+    }
+}
+
+impl Default for Answered {
+    fn default() -> Answered {
+        Answered::new()
+    }
+}
+
 #[derive(Debug)]
 struct Suspect {
     crashes: Vec<u64>,
--- a/core/tests/call_quarantine.rs
+++ b/core/tests/call_quarantine.rs
@@ -107,6 +107,64 @@
     assert!(fleet.submit(2, CRASHING).is_ok());
 }
 
+/// Guards against a hot request that is turned away for a minute because living targets cut some of
+/// the answers to it.
+#[test]
+fn quarantine_cut_answers_at_living_targets() {
+    let mut fleet = Fleet::new();
+    for at in 0..VMS.len() {
+        let call = fleet.submit(at, CRASHING).unwrap();
+        fleet.handle(at, Input::End { call, end: RunEnd::Answered { cached: None } });
+    }
+    for _ in 0..10 {
+        let calls = [0, 1].map(|at| (at, fleet.submit(at, CRASHING).unwrap()));
+        for (at, call) in calls {
+            let end = RunEnd::Broken { target_gone: false };
+            fleet.handle(at, Input::End { call, end });
+            fleet.now = fleet.now + Duration::from_millis(10);
+        }
+        for at in 0..2 {
+            let other = fleet.submit(at, Fingerprint(1)).unwrap();
+            fleet.handle(at, Input::End { call: other, end: RunEnd::Answered { cached: None } });
+        }
+    }
+    assert!(fleet.submit(2, CRASHING).is_ok());
+    // Responses do not speak for a request that ends the target's process.
+    for at in 0..2 {
+        let call = fleet.submit(at, CRASHING).unwrap();
+        fleet.end(at, call, RunEnd::Broken { target_gone: true });
+    }
+    assert_eq!(fleet.submit(2, CRASHING), Err(Code::Quarantined));
+}
+
+/// Guards against a response of long ago that speaks for a request.
+#[test]
+fn quarantine_answer_expires() {
+    let mut fleet = Fleet::new();
+    for at in 0..2 {
+        let call = fleet.submit(at, CRASHING).unwrap();
+        fleet.end(at, call, RunEnd::Answered { cached: None });
+    }
+    fleet.now = fleet.now + SUSPICION_TTL * 2;
+    for at in 0..2 {
+        let call = fleet.submit(at, CRASHING).unwrap();
+        fleet.end(at, call, RunEnd::Broken { target_gone: false });
+    }
+    assert_eq!(fleet.submit(2, CRASHING), Err(Code::Quarantined));
+}
+
+/// Guards against a request that crashes targets whose processes are back at once, and reaches a
+/// third one.
+#[test]
+fn quarantine_crashes_at_living_targets() {
+    let mut fleet = Fleet::new();
+    for at in 0..2 {
+        let call = fleet.submit(at, CRASHING).unwrap();
+        fleet.end(at, call, RunEnd::Broken { target_gone: false });
+    }
+    assert_eq!(fleet.submit(2, CRASHING), Err(Code::Quarantined));
+}
+
 #[test]
 fn quarantine_bystanders() {
     // Requests that ran during a crash and succeed elsewhere must not be quarantined by the
--- a/node/tests/calls_path.rs
+++ b/node/tests/calls_path.rs
@@ -216,6 +216,24 @@
     }
 }
 
+/// Guards against a success with a short body, and against a request that is turned away because its
+/// target, which lives, ends some answers inside their heads.
+#[test]
+fn answer_head_cut() {
+    let (_target, node) = single_node("{}");
+    let mut answered = 0;
+    for _ in 0..40 {
+        let response = call(node.entry, &get("/idem/head-cut"));
+        if response.status == 200 {
+            assert!(response.complete && response.text().contains("/idem/head-cut"));
+            answered += 1;
+        } else {
+            assert_eq!((response.outcome(), response.code()), ("unknown", Some(461)));
+        }
+    }
+    assert_eq!(answered, 20);
+}
+
 #[test]
 fn answer_foreign() {
     // Guards against a target's response to another request that reaches this caller.
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -37,6 +37,8 @@
     max_running: AtomicUsize,
     cancelled: AtomicUsize,
     released: AtomicU64,
+    // Requests to `/head-cut`.
+    head_cuts: AtomicUsize,
     // Requests to `/permit` that may complete.
     permits: AtomicUsize,
 }
@@ -177,6 +179,15 @@
             stream.write_all(format!("{head}4\r\nhalf\r\n").as_bytes()).ok()?;
             return None;
         }
+        if path.contains("/head-cut") {
+            // Two of four responses end inside their heads.
+            let served = self.head_cuts.fetch_add(1, Ordering::SeqCst);
+            let heads = ["HTTP/1.1 200", "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n"];
+            if served % 4 >= 2 {
+                stream.write_all(heads[served % 2].as_bytes()).ok()?;
+                return None;
+            }
+        }
         if path.contains("/cut") {
             stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf").ok()?;
             return None;
