A follower's own call says nothing of the store's state; catch-up in a file of its own

A node that lists announces itself afterwards. - What reads the changes since a revision moves to follow/catch_up.rs.

Tests of one follower with a late reader: it keeps the reader when the store fails, asks the store once, is not reverted by a reader that knows less, and goes on when the reader is lost (late_reader_*, core discovery_peers).

--- a/core/src/discovery.rs
+++ b/core/src/discovery.rs
@@ -7,7 +7,7 @@
 //! at the given time.
 //!
 //! - `port`: input, output and configuration types
-//! - `follow`: schedules list and watch calls, and retries
+//! - `follow`: schedules list and watch calls, and retries; `catch_up` reads changes since a revision
 //! - `listing`: a list in progress
 //! - `registry`: registered targets
 //! - `nested`: detects routes that serve nested calls
@@ -171,7 +171,10 @@
             out.push(Output::Event(Event::new(now, EventKind::ParentOverdue)));
         }
         if let Some(overdue) = self.watcher.check_overdue(now) {
-            self.handle_overdue(now, overdue, out);
+            // What a follower knows of the store comes from its reader.
+            if !self.relay.is_follower() {
+                self.handle_overdue(now, overdue, out);
+            }
         }
         self.watcher.set_serves_followers(now, self.relay.serves_followers(now));
         if let Some(call) = self.watcher.next_call(now) {
--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -15,10 +15,13 @@
 //! for by another call beside it. Whichever is answered first counts, since the store may only be
 //! slow.
 
+mod catch_up;
+
 use super::listing::{ListedFleet, Listing, Part};
 use super::pace::{MAX_WAIT_JITTER_PERCENT, Pace, RESPONSE_TIMEOUT};
 use super::port::{Call, Change, ReadError, Reply, Request};
 use crate::Time;
+use catch_up::SideDocument;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
@@ -120,14 +123,6 @@
     document_bytes: u64,
 }
 
-/// Document that is read beside the pending read of changed entries.
-#[derive(Debug)]
-enum SideDocument {
-    Due,
-    Pending(u64),
-    Read(Reply),
-}
-
 #[derive(Clone, Debug)]
 enum State {
     Idle,
@@ -262,19 +257,6 @@
         }
     }
 
-    /// Asks for the changes since `revision` beside the reader, unless a call is in progress.
-    pub fn check(&mut self, now: Time, revision: u64) {
-        if matches!(self.state, State::Idle) {
-            self.schedule_changes(now, revision, now);
-        }
-    }
-
-    /// Whether the last response was complete, and the next call asks for later changes.
-    pub fn is_up_to_date(&self) -> bool {
-        matches!(self.state, State::Scheduled(Request::Watch { .. }, _))
-            && self.overdue_id.is_none()
-    }
-
     /// Stops calling the store and ignores the pending result.
     pub fn stop(&mut self) {
         self.state = State::Idle;
@@ -369,34 +351,6 @@
         Some(Call { id, request, timeout, max_bytes })
     }
 
-    /// Returns the call for the document that is due beside the pending one, if any.
-    pub fn next_side_call(&mut self, now: Time) -> Option<Call> {
-        let reads_entries = matches!(self.state, State::Pending(_, Request::Entries { .. }));
-        self.side_document.take_if(|side| reads_entries && matches!(side, SideDocument::Due))?;
-        self.next_id += 1;
-        let id = self.next_id;
-        self.called_at = now;
-        self.side_document = Some(SideDocument::Pending(id));
-        let timeout = RESPONSE_TIMEOUT + self.pace.document_time;
-        Some(Call { id, request: Request::Document, timeout, max_bytes: MAX_RESPONSE_BYTES })
-    }
-
-    /// Keeps the result of a call from [`StoreWatcher::next_side_call`] until the entries have been
-    /// read. Returns any other result, and that of a call that is all that is left to wait for.
-    pub fn keep_side_document(
-        &mut self,
-        id: u64,
-        result: Result<Reply, ReadError>,
-    ) -> Option<Result<Reply, ReadError>> {
-        match self.side_document {
-            Some(SideDocument::Pending(pending)) if pending == id => {
-                self.side_document = result.ok().map(SideDocument::Read);
-                None
-            }
-            _ => Some(result),
-        }
-    }
-
     /// Size of a response to a watch beyond which the current document alone is read.
     fn max_watch_bytes(&self) -> u64 {
         let one_version = self.document_bytes * 3 / 2 + MAX_ENTRIES_BYTES;
@@ -587,19 +541,6 @@
         }
     }
 
-    /// Ends a catch-up whose document was read before its entries.
-    fn finish_catch_up(
-        &mut self,
-        now: Time,
-        mut targets: Vec<Change>,
-        document: Reply,
-        rng: &mut Pcg64Mcg,
-    ) -> (Vec<Change>, Part) {
-        let (changes, _) = self.handle_document(now, document, rng);
-        targets.extend(changes);
-        (targets, Part::CatchUp)
-    }
-
     fn handle_document(
         &mut self,
         now: Time,
@@ -632,29 +573,6 @@
         self.responded_at = Some(now);
     }
 
-    /// Schedules a call for the changes since `revision`, of the kind that takes fewest round trips.
-    fn schedule_changes(&mut self, now: Time, revision: u64, at: Time) {
-        let in_series =
-            self.version_at.is_some_and(|received| now.since(received) < 2 * self.pace.check_age);
-        match in_series && 2 * self.document_bytes > self.max_watch_bytes() {
-            true => self.schedule_catch_up(revision, at),
-            false => {
-                self.listing = None;
-                self.overdue_id = None;
-                self.state = State::Scheduled(Request::Watch { revision, wait: CHECK_WAIT }, at);
-            }
-        }
-    }
-
-    /// Schedules the read of the entries that have changed since `revision`, and beside it that of
-    /// the document.
-    fn schedule_catch_up(&mut self, revision: u64, at: Time) {
-        self.overdue_id = None;
-        self.listing = Some(Listing::since(revision));
-        self.side_document = Some(SideDocument::Due);
-        self.state = State::Scheduled(Request::Entries { revision }, at);
-    }
-
     fn schedule_list(&mut self, at: Time, stale: bool) {
         self.overdue_id = None;
         self.side_document = None;
--- a/core/src/discovery/peers.rs
+++ b/core/src/discovery/peers.rs
@@ -163,7 +163,9 @@
             out.extend(self.relay.resync(now, relay::delta_request(&view)).map(send_output));
         }
         out.extend(self.relay.renew_lease(now, &view).map(send_output));
-        out.extend(self.relay.announce(now, &self.cfg, &view).into_iter().map(send_output));
+        let is_listing = self.watcher.is_listing();
+        let announcements = self.relay.announce(now, &self.cfg, &view, is_listing);
+        out.extend(announcements.into_iter().map(send_output));
     }
 
     /// Handles a notice from the reader or the candidate reader.
--- a/core/src/discovery/relay.rs
+++ b/core/src/discovery/relay.rs
@@ -328,11 +328,19 @@
         Some(Outgoing { to: reader.address, link: reader.link, msg: delta_request(view) })
     }
 
-    /// Returns the announcements to send now to nodes of the region that do not follow this one.
-    pub fn announce(&mut self, now: Time, cfg: &Config, view: &Arc<View>) -> Vec<Outgoing> {
+    /// Returns the announcements to send now to nodes of the region that do not follow this one. A
+    /// node that lists the store announces itself afterwards, in the order of the region.
+    pub fn announce(
+        &mut self,
+        now: Time,
+        cfg: &Config,
+        view: &Arc<View>,
+        is_listing: bool,
+    ) -> Vec<Outgoing> {
         let below_threshold =
             view.targets.values().map(Vec::len).sum::<usize>() < MIN_FLEET_TARGETS;
-        if below_threshold || !self.may_read(cfg) || self.is_follower() || !self.is_fresh(now) {
+        let may_serve = self.may_read(cfg) && !self.is_follower() && !is_listing;
+        if below_threshold || !may_serve || !self.is_fresh(now) {
             self.announcements.stop();
             return Vec::new();
         }
--- a/core/tests/discovery_peers.rs
+++ b/core/tests/discovery_peers.rs
@@ -322,6 +322,72 @@
     assert!(!node.calls.is_empty(), "the store has not answered the reader for 1.4 s");
 }
 
+/// Follower whose reader is late, so that it asks the store as well.
+fn follower_of_late_reader() -> Node {
+    let mut node = follower();
+    node.sent.clear();
+    node.advance(ms(1_000));
+    assert_eq!(node.count(EventKind::ParentOverdue), 1);
+    assert!(matches!(node.calls[0].request, Request::Watch { revision: 10, .. }));
+    node
+}
+
+/// Sends the reader's announcement again, as one of now.
+fn announce_again(node: &mut Node) {
+    let summary = node.announced.clone().expect("expected an earlier announcement");
+    node.input(Input::Peer { from: reader(), msg: PeerMsg::Notice(summary) });
+}
+
+/// Guards against a follower that takes the store for lost, or leaves its reader, because the call
+/// that it made while the reader was late fails.
+#[test]
+fn late_reader_kept_when_store_fails() {
+    let mut node = follower_of_late_reader();
+    node.events.clear();
+    node.fail_call();
+    announce_again(&mut node);
+    node.advance(ms(700));
+    assert_eq!(node.count(EventKind::ParentLost), 0);
+    assert_eq!(node.count(EventKind::SourceLost), 0);
+    assert!(node.calls.is_empty(), "{:?}", node.calls);
+}
+
+/// Guards against a follower that calls the store on, beside a reader that is back.
+#[test]
+fn late_reader_store_asked_once() {
+    let mut node = follower_of_late_reader();
+    node.reply(10, vec![]);
+    announce_again(&mut node);
+    node.advance(ms(700));
+    assert!(node.calls.is_empty(), "{:?}", node.calls);
+    assert_eq!(node.count(EventKind::ParentLost), 0);
+}
+
+/// Guards against a leaving target that accepts requests again, because the late reader knows less
+/// than the follower that has asked the store.
+#[test]
+fn late_reader_does_not_revert_its_follower() {
+    let mut node = follower_of_late_reader();
+    let leaving = entry("10.0.0.3:80", TargetState::Draining, 1_000, 20);
+    node.reply(20, vec![target("c", leaving)]);
+    let accepts = |node: &Node| node.targets().contains(&"c".to_owned());
+    assert!(!accepts(&node));
+    announce_again(&mut node);
+    let is_pull = |(_, msg): &(SocketAddr, PeerMsg)| matches!(msg, PeerMsg::Pull(_));
+    assert!(!node.sent.iter().any(is_pull), "{:?}", node.sent);
+    assert!(!accepts(&node));
+}
+
+/// Guards against a follower that knows nothing between the loss of its reader and a whole list.
+#[test]
+fn late_reader_lost_watches_on() {
+    let mut node = follower_of_late_reader();
+    node.reply(10, vec![]);
+    node.advance(ms(1_500));
+    assert_eq!(node.count(EventKind::ParentLost), 1);
+    assert!(!node.calls.is_empty());
+}
+
 /// Guards against a reader that sends no updates because it does not know its followers.
 #[test]
 fn relay_announced_reader_notified() {
