--- a/core/src/call/quarantine.rs
+++ b/core/src/call/quarantine.rs
@@ -21,12 +21,14 @@
 /// Maximum number of suspects. When it is exceeded, the suspect added first is evicted.
 pub const MAX_SUSPECTS: usize = 1_024;
 
-/// How long a response speaks for a request, and half of the number of requests remembered.
+/// Longest age of a generation of [`Answered`].
 const ANSWERED_TTL: Duration = SUSPICION_TTL;
+
+/// Maximum number of requests in a generation of [`Answered`].
 const MAX_ANSWERED: usize = 1_024;
 
-/// Requests that got a response, in two generations. The older one is dropped once the newer one is
-/// full or [`ANSWERED_TTL`] old.
+/// Requests that got a response lately, in two generations. The older one is dropped once the newer
+/// one is full or [`ANSWERED_TTL`] old.
 #[derive(Debug)]
 pub struct Answered {
     recent: IndexSet<Fingerprint>,
