--- a/core/src/call/quarantine.rs
+++ b/core/src/call/quarantine.rs
@@ -28,7 +28,7 @@
 const MAX_ANSWERED: usize = 1_024;
 
 /// Requests that got a response lately, in two generations. The older one is dropped once the newer
-/// one is full or [`ANSWERED_TTL`] old.
+/// one is full or too old.
 #[derive(Debug)]
 pub struct Answered {
     recent: IndexSet<Fingerprint>,
