--- a/core/src/discovery/pace.rs
+++ b/core/src/discovery/pace.rs
@@ -7,6 +7,9 @@
 /// itself, or the follower lists the store.
 const FAILOVER_TIME: Duration = Duration::from_millis(1_200);
 
+/// How long before it gives its reader up a follower asks the store as well.
+const CHECK_LEAD: Duration = Duration::from_millis(250);
+
 /// Allowance for delays of the store's response and of the update to followers.
 const DELIVERY_MARGIN: Duration = Duration::from_millis(400);
 
@@ -109,7 +112,7 @@
         let batch_delay = BATCH_DELAY.min(narrow_timeout * 2 / 5);
         let delivery_margin = DELIVERY_MARGIN.min(narrow_timeout / 3);
         let may_check = narrow_timeout >= MIN_READER_TIMEOUT;
-        let check_age = if may_check { narrow_timeout - batch_delay } else { reader_timeout };
+        let check_age = if may_check { narrow_timeout - CHECK_LEAD } else { reader_timeout };
         let left = bound.saturating_sub(reader_timeout + READ_TIME + document_time);
         let latest_call_age = bound.saturating_sub(READ_TIME + document_time);
         Pace {
@@ -120,7 +123,7 @@
             reader_wait: reader_timeout * 100 / MAX_WAIT_JITTER_PERCENT,
             // A lost response is rare; the link is assumed to be free then.
             max_call_interval: bound.saturating_sub(CALL_TIME + document_time / LINK_CONTENTION),
-            max_watch_wait: narrow_timeout - batch_delay - delivery_margin,
+            max_watch_wait: check_age.min(narrow_timeout) - delivery_margin,
             batch_delay,
             own_batch_delay: latest_call_age.clamp(MIN_OWN_BATCH_DELAY, OWN_BATCH_DELAY),
             document_time,
