--- a/core/src/discovery/follow.rs
+++ b/core/src/discovery/follow.rs
@@ -521,6 +521,7 @@
         };
         let update = listing.targets_taken;
         let side_document = self.side_document.take();
+        // A document that was called for together with the entries may be as old as that call.
         let read_at = if side_document.is_some() { self.called_at } else { now };
         listing.add_entries(read_at, reply);
         let targets = if update { listing.take_targets() } else { Vec::new() };
--- a/core/src/discovery/follow/catch_up.rs
+++ b/core/src/discovery/follow/catch_up.rs
@@ -11,8 +11,11 @@
 /// Document that is read beside the pending read of changed entries.
 #[derive(Debug)]
 pub enum SideDocument {
+    /// To be called for once the entries have been.
     Due,
+    /// Called for, with the ID of the call.
     Pending(u64),
+    /// Read before the entries.
     Read(Reply),
 }
 
