Tests that could not fail for the reason they name

- quarantine_answer_expires and quarantine_crashes_at_living_targets let 0.5 s and more pass without a response, after which a broken connection counts as a crash whatever was answered.
Their targets respond to another request now.
With answers that never expire the first fails; with breaks of living targets that never count both do.
- late_reader_kept_when_store_fails began with a store that counted as lost already.
With a follower's failed call counted against the store it fails now, and passed before.
- What speaks for a request although it ends processes has a test of its own, quarantine_crashes_after_answer; it fails if earlier responses count there.

--- a/core/tests/call_quarantine.rs
+++ b/core/tests/call_quarantine.rs
@@ -87,16 +87,41 @@
         self.handle(at, Input::End { call, end });
         self.now = self.now + Duration::from_millis(700);
     }
+
+    /// Lets each of these targets respond to a request.
+    fn respond(&mut self, targets: &[usize], fingerprint: Fingerprint) {
+        for at in targets {
+            let call = self.submit(*at, fingerprint).unwrap();
+            self.handle(*at, Input::End { call, end: RunEnd::Answered { cached: None } });
+        }
+    }
+
+    /// Sends a request to these targets at once, each of which breaks its connection although it has
+    /// just responded to another request.
+    fn cut_answers(&mut self, targets: &[usize], fingerprint: Fingerprint) {
+        self.respond(targets, Fingerprint(1));
+        let calls: Vec<_> =
+            targets.iter().map(|at| (*at, self.submit(*at, fingerprint).unwrap())).collect();
+        for (at, call) in calls {
+            self.handle(at, Input::End { call, end: RunEnd::Broken { target_gone: false } });
+            self.now = self.now + Duration::from_millis(10);
+        }
+    }
+
+    /// Sends a request to these targets one after the other, each of which ends.
+    fn crash(&mut self, targets: &[usize], fingerprint: Fingerprint) {
+        for at in targets {
+            let call = self.submit(*at, fingerprint).unwrap();
+            self.end(*at, call, RunEnd::Broken { target_gone: true });
+        }
+    }
 }
 
 #[test]
 fn quarantine_third_target() {
     // A request that crashed two targets must not reach a third; other requests of its route must.
     let mut fleet = Fleet::new();
-    for at in 0..2 {
-        let call = fleet.submit(at, CRASHING).unwrap();
-        fleet.end(at, call, RunEnd::Broken { target_gone: true });
-    }
+    fleet.crash(&[0, 1], CRASHING);
     for at in 0..4 {
         assert_eq!(fleet.submit(at, CRASHING), Err(Code::Quarantined));
     }
@@ -112,28 +137,19 @@
 #[test]
 fn quarantine_cut_answers_at_living_targets() {
     let mut fleet = Fleet::new();
-    for at in 0..VMS.len() {
-        let call = fleet.submit(at, CRASHING).unwrap();
-        fleet.handle(at, Input::End { call, end: RunEnd::Answered { cached: None } });
-    }
+    fleet.respond(&[0, 1], CRASHING);
     for _ in 0..10 {
-        let calls = [0, 1].map(|at| (at, fleet.submit(at, CRASHING).unwrap()));
-        for (at, call) in calls {
-            let end = RunEnd::Broken { target_gone: false };
-            fleet.handle(at, Input::End { call, end });
-            fleet.now = fleet.now + Duration::from_millis(10);
-        }
-        for at in 0..2 {
-            let other = fleet.submit(at, Fingerprint(1)).unwrap();
-            fleet.handle(at, Input::End { call: other, end: RunEnd::Answered { cached: None } });
-        }
+        fleet.cut_answers(&[0, 1], CRASHING);
     }
     assert!(fleet.submit(2, CRASHING).is_ok());
-    // Responses do not speak for a request that ends the target's process.
-    for at in 0..2 {
-        let call = fleet.submit(at, CRASHING).unwrap();
-        fleet.end(at, call, RunEnd::Broken { target_gone: true });
-    }
+}
+
+/// Guards against a request that was answered once and that crashes any number of targets later.
+#[test]
+fn quarantine_crashes_after_answer() {
+    let mut fleet = Fleet::new();
+    fleet.respond(&[0, 1, 2], CRASHING);
+    fleet.crash(&[0, 1], CRASHING);
     assert_eq!(fleet.submit(2, CRASHING), Err(Code::Quarantined));
 }
 
@@ -141,15 +157,9 @@
 #[test]
 fn quarantine_answer_expires() {
     let mut fleet = Fleet::new();
-    for at in 0..2 {
-        let call = fleet.submit(at, CRASHING).unwrap();
-        fleet.end(at, call, RunEnd::Answered { cached: None });
-    }
+    fleet.respond(&[0, 1], CRASHING);
     fleet.now = fleet.now + SUSPICION_TTL * 2;
-    for at in 0..2 {
-        let call = fleet.submit(at, CRASHING).unwrap();
-        fleet.end(at, call, RunEnd::Broken { target_gone: false });
-    }
+    fleet.cut_answers(&[0, 1], CRASHING);
     assert_eq!(fleet.submit(2, CRASHING), Err(Code::Quarantined));
 }
 
@@ -158,10 +168,7 @@
 #[test]
 fn quarantine_crashes_at_living_targets() {
     let mut fleet = Fleet::new();
-    for at in 0..2 {
-        let call = fleet.submit(at, CRASHING).unwrap();
-        fleet.end(at, call, RunEnd::Broken { target_gone: false });
-    }
+    fleet.cut_answers(&[0, 1], CRASHING);
     assert_eq!(fleet.submit(2, CRASHING), Err(Code::Quarantined));
 }
 
--- a/core/tests/discovery_peers.rs
+++ b/core/tests/discovery_peers.rs
@@ -344,6 +344,12 @@
 fn late_reader_kept_when_store_fails() {
     let mut node = follower_of_late_reader();
     node.events.clear();
+    node.reply(10, vec![]);
+    assert_eq!(node.count(EventKind::SourceBack), 1);
+    announce_again(&mut node);
+    node.events.clear();
+    node.advance(ms(1_250));
+    assert_eq!(node.count(EventKind::ParentOverdue), 1);
     node.fail_call();
     announce_again(&mut node);
     node.advance(ms(700));
