Reject response heads that contradict themselves about the body's length

Callers got responses as complete whose body was not the target's: chunk sizes inside the body after `Transfer-Encoding: chunkxd`, 350 of 700 bytes after `Transfer-Encoding: chunked` beside `Content-Length: 350`; after a 204 with a length they waited for a body.

Cause: hyper's client reads an unknown last coding until the connection closes and calls that complete; with a coding beside a length it reads chunks, but leaves the length in the head, by which the next leg was framed. Nothing else looked at these fields.

Change: each response received through `Pool` (of targets, gatekeepers, the platform's store, and to health requests) is checked before any of it is used. RFC 9112, 6.1 to 6.3: `chunked` exactly once and not on HTTP/1.0, or one length of digits, never both; RFC 9110, 8.6: no length on a 204 (a length of 0 says the same as none, and is accepted). A head that fails is a broken connection, so the existing rules hold: unknown if the request may run only once, repeated elsewhere if it may be repeated, and the connection is closed.

--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -6,6 +6,7 @@
 use super::headers;
 use super::link_use::LinkUse;
 use super::readiness::{HeadLimit, ReadinessStream};
+use super::response_head;
 use crate::clock::Clock;
 use crate::shared::Shared;
 use async_executor::Executor;
@@ -56,7 +57,7 @@
 pub enum SendError {
     /// No byte was sent; contains the request.
     NotSent(Box<Request<Body>>),
-    /// Part of the request may have been sent.
+    /// Part of the request may have been sent; no valid response was received.
     Broken,
 }
 
@@ -443,6 +444,8 @@
         pool.changed.notify(usize::MAX);
     }
 
+    /// Sends a request and waits for the head of its response. A head that is not valid counts as a
+    /// broken connection.
     pub async fn send(
         mut self,
         req: Request<Body>,
@@ -451,6 +454,7 @@
         sent.store(true, Ordering::Release);
         self.head_limit.begin();
         match self.sender.try_send_request(req).await {
+            Ok(response) if !response_head::is_valid(&response) => Err(SendError::Broken),
             Ok(response) => {
                 self.head_limit.end();
                 self.used.carried += 1;
--- /dev/null
+++ b/node/tests/calls_broken.rs
@@ -0,0 +1,140 @@
+//! Targets in trouble whose responses are no valid HTTP/1.1 messages.
+
+#[path = "support/calls.rs"]
+mod support;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use support::*;
+
+/// A target that sends the same bytes in place of each response, and leaves the connection open.
+struct RawTarget {
+    address: SocketAddr,
+    runs: Arc<AtomicUsize>,
+    closed: Arc<AtomicUsize>,
+}
+
+impl RawTarget {
+    fn new(response: &str) -> RawTarget {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (runs, closed): (Arc<AtomicUsize>, Arc<AtomicUsize>) = Default::default();
+        let target = RawTarget { address, runs: runs.clone(), closed: closed.clone() };
+        let response = response.to_owned();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (runs, closed, response) = (runs.clone(), closed.clone(), response.clone());
+                std::thread::spawn(move || {
+                    let mut stream = stream.unwrap();
+                    if read_request(&stream).is_some() {
+                        runs.fetch_add(1, Ordering::SeqCst);
+                        let _ = stream.write_all(response.as_bytes());
+                        let _ = stream.read(&mut [0]);
+                        closed.fetch_add(1, Ordering::SeqCst);
+                    }
+                });
+            }
+        });
+        target
+    }
+
+    fn runs(&self) -> usize {
+        self.runs.load(Ordering::SeqCst)
+    }
+
+    fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst) == self.runs()
+    }
+}
+
+/// Reads a head without a body. Returns `None` if the connection was closed without one.
+fn read_request(stream: &TcpStream) -> Option<()> {
+    let mut lines = BufReader::new(stream).lines();
+    while !lines.next()?.ok()?.is_empty() {}
+    Some(())
+}
+
+fn configure(nodes: &[&Node], slots: u32) {
+    let targets: Vec<_> =
+        nodes.iter().map(|node| (node.shared.settings.vm.as_str(), node.gate)).collect();
+    let preset = preset(&format!(r#"{{"slots":{slots}}}"#), &targets);
+    let once = r#""idempotent":false,"once":"attempt""#;
+    let preset = preset.replace(r#""idempotent":false"#, once);
+    nodes.iter().for_each(|node| node.configure(1, &preset));
+}
+
+/// Asserts that callers never get this response, and that their requests end as ones that a target
+/// may have run: unknown if they may run only once, repeated elsewhere if they may be repeated.
+fn assert_is_lost(response: &str) {
+    let (broken, sound) = (RawTarget::new(response), Target::new());
+    let broken_node = Node::new("a", Some(broken.address));
+    configure(&[&broken_node], 4);
+    let once = call(broken_node.entry, &get("/once"));
+    let seen = (once.status, once.outcome(), once.code(), once.body.len());
+    assert_eq!(seen, (502, "unknown", Some(461), 0), "{response:?}: {once:?}");
+    assert_eq!(broken.runs(), 1, "{response:?}");
+    eventually("the target's connection is closed", || broken.is_closed());
+    let sound_node = Node::new("b", Some(sound.address));
+    configure(&[&broken_node, &sound_node], 4);
+    // Requests of one path would be held off as ones that crash targets.
+    for number in 0.. {
+        let path = format!("/idem/{number}");
+        let answer = call(sound_node.entry, &get(&path));
+        assert_eq!((answer.status, answer.complete), (200, true), "{response:?}: {answer:?}");
+        assert!(answer.text().contains(&path), "{response:?}: {answer:?}");
+        if broken.runs() > 1 {
+            break;
+        }
+    }
+    eventually("no call is open", || broken_node.shared.calls_open() == 0);
+}
+
+fn response(status_line: &str, fields: &str, body: &str) -> String {
+    format!("{status_line}\r\n{fields}\r\n{body}")
+}
+
+fn ok(fields: &str, body: &str) -> String {
+    response("HTTP/1.1 200 OK", fields, body)
+}
+
+/// Guards against a head whose length contradicts itself or is no length, and that is forwarded as a
+/// complete response with another body than the target's.
+#[test]
+fn broken_length_is_lost() {
+    let chunks = "5\r\nwhole\r\n0\r\n\r\n";
+    for coding in ["chunkxd", "gzip, chunked", "chunked, chunked", "identity", "chunked;q=1", ""] {
+        assert_is_lost(&ok(&format!("transfer-encoding: {coding}\r\n"), chunks));
+    }
+    let chunked = "transfer-encoding: chunked\r\n";
+    assert_is_lost(&ok(&format!("{chunked}{chunked}"), chunks));
+    assert_is_lost(&ok(&format!("{chunked}content-length: 2\r\n"), chunks));
+    assert_is_lost(&response("HTTP/1.0 200 OK", chunked, chunks));
+    let length = "content-length: 5\r\n";
+    assert_is_lost(&ok("content-length: 5, 5\r\n", "whole"));
+    assert_is_lost(&ok(&format!("{length}{length}"), "whole"));
+    assert_is_lost(&response("HTTP/1.1 204 No Content", length, ""));
+}
+
+/// Guards against responses of sound targets that are taken for broken ones.
+#[test]
+fn unusual_response_is_forwarded() {
+    let length = "content-length: 5\r\n";
+    let responses = [
+        (response("HTTP/1.1 204 No Content", "", ""), 204, ""),
+        (response("HTTP/1.1 204 No Content", "content-length: 0\r\n", ""), 204, ""),
+        (response("HTTP/1.1 304 Not Modified", length, ""), 304, ""),
+        (response("HTTP/1.0 200 OK", length, "whole"), 200, "whole"),
+        (response("HTTP/1.1 599", length, "whole"), 599, "whole"),
+        (ok("Transfer-Encoding: Chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n"), 200, "whole"),
+    ];
+    for (sent, status, body) in responses {
+        let target = RawTarget::new(&sent);
+        let node = Node::new("a", Some(target.address));
+        configure(&[&node], 4);
+        let answer = call(node.entry, &get("/once"));
+        let seen = (answer.status, answer.outcome(), answer.text());
+        assert_eq!(seen, (status, "answered", body.to_owned()), "{sent:?}: {answer:?}");
+    }
+}
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -432,6 +432,9 @@
     };
     let status = line.split(' ').nth(1).unwrap().parse().unwrap();
     let mut response = ClientResponse { status, headers, body: Vec::new(), complete: true };
+    if matches!(status, 204 | 304) {
+        return response;
+    }
     if let Some(size) = response.header("content-length").map(|size| size.parse::<u64>().unwrap()) {
         let read = reader.take(size).read_to_end(&mut response.body);
         response.complete = read.is_ok_and(|count| count as u64 == size);
