Reject responses whose status is not that of a final response

Callers got 101 with the target's headers and no body, or a status from 600 on, as the target's response.

Cause: hyper hands a 101 over as an upgrade that nobody asked for, and `StatusCode` holds 100 to 999.

Change: the check of response heads accepts 200 to 599 (RFC 9110, 15).

--- a/node/src/calls/response_head.rs
+++ b/node/src/calls/response_head.rs
@@ -1,10 +1,15 @@
 //! Checks a received response head before any of it is used or forwarded.
 //!
-//! hyper accepts heads whose parts contradict each other about the length of the body. The caller
-//! would receive such a response as a complete one, with another body than the target's.
+//! hyper accepts heads whose parts contradict each other about the length of the body, and statuses
+//! that HTTP does not have. The caller would receive such a response as a complete one, with another
+//! body than the target's.
 
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode, Version};
+use std::ops::Range;
+
+/// Statuses of final responses. Nodes ask for no upgrade, so 101 is not one of them.
+const FINAL_STATUSES: Range<u16> = 200..600;
 
 /// How a response states the length of its body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,9 +20,12 @@
     Close,
 }
 
-/// Whether a response states the length of its body at most once, without contradiction (RFC 9112, 6;
-/// RFC 9110, 8.6).
+/// Whether a response has a status of HTTP and states the length of its body at most once, without
+/// contradiction (RFC 9112, 6; RFC 9110, 8.6 and 15).
 pub fn is_valid<B>(response: &Response<B>) -> bool {
+    if !FINAL_STATUSES.contains(&response.status().as_u16()) {
+        return false;
+    }
     match (response.status(), read_framing(response.headers())) {
         (_, None) => false,
         (StatusCode::NO_CONTENT, Some(framing)) => {
--- a/node/tests/calls_broken.rs
+++ b/node/tests/calls_broken.rs
@@ -117,6 +117,16 @@
     assert_is_lost(&response("HTTP/1.1 204 No Content", length, ""));
 }
 
+/// Guards against a final status that the protocol does not have, or that a node did not ask for,
+/// and that is forwarded.
+#[test]
+fn broken_status_is_lost() {
+    for status in [101, 600, 999] {
+        let line = format!("HTTP/1.1 {status} X");
+        assert_is_lost(&response(&line, "content-length: 5\r\n", "whole"));
+    }
+}
+
 /// Guards against responses of sound targets that are taken for broken ones.
 #[test]
 fn unusual_response_is_forwarded() {
