Reject responses without a length on connections that stay open

Callers got half of a body, or one with chunk sizes in it, as complete when the name of the field with its length was spoilt (`Content-Lexgth`, `Transfer-Encodxng`): without a length, a body ends with its connection. Left open, such a response also held its slot until a timer.

Cause: nothing compared the missing length with what the head says of the connection. A server that sends no length has to close the connection, and on HTTP/1.1 has to announce it (RFC 9112, 6.3, 9.3 and 9.6). A head without a length and without `Connection: close` contradicts itself: the field was lost on the way.

Change: the check of response heads accepts a body that ends with its connection only with `Connection: close`, or on HTTP/1.0 without `keep-alive`. Responses to HEAD, 204 and 304 have no body.

`unusual_response_is_forwarded` covers responses that end with a connection that is announced to close.

--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -451,10 +451,11 @@
         req: Request<Body>,
         sent: &AtomicBool,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
+        let method = req.method().clone();
         sent.store(true, Ordering::Release);
         self.head_limit.begin();
         match self.sender.try_send_request(req).await {
-            Ok(response) if !response_head::is_valid(&response) => Err(SendError::Broken),
+            Ok(response) if !response_head::is_valid(&method, &response) => Err(SendError::Broken),
             Ok(response) => {
                 self.head_limit.end();
                 self.used.carried += 1;
--- a/node/src/calls/response_head.rs
+++ b/node/src/calls/response_head.rs
@@ -4,8 +4,8 @@
 //! that HTTP does not have. The caller would receive such a response as a complete one, with another
 //! body than the target's.
 
-use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
-use hyper::{Response, StatusCode, Version};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use hyper::{Method, Response, StatusCode, Version};
 use std::ops::Range;
 
 /// Statuses of final responses. Nodes ask for no upgrade, so 101 is not one of them.
@@ -20,21 +20,25 @@
     Close,
 }
 
-/// Whether a response has a status of HTTP and states the length of its body at most once, without
-/// contradiction (RFC 9112, 6; RFC 9110, 8.6 and 15).
-pub fn is_valid<B>(response: &Response<B>) -> bool {
-    if !FINAL_STATUSES.contains(&response.status().as_u16()) {
+/// Whether a response to a request with this method has a status of HTTP and states how its body
+/// ends, without contradiction (RFC 9112, 6 and 9.3; RFC 9110, 8.6 and 15).
+pub fn is_valid<B>(method: &Method, response: &Response<B>) -> bool {
+    let (status, version) = (response.status(), response.version());
+    let headers = response.headers();
+    let framing = read_framing(headers);
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
         return false;
     }
-    match (response.status(), read_framing(response.headers())) {
+    match (status, framing) {
         (_, None) => false,
         (StatusCode::NO_CONTENT, Some(framing)) => {
             matches!(framing, Framing::Close | Framing::Length(0))
         }
         // The length is that of the response to a GET request.
         (StatusCode::NOT_MODIFIED, _) => true,
-        (_, Some(Framing::Length(_) | Framing::Close)) => true,
-        (_, Some(Framing::Chunked)) => response.version() >= Version::HTTP_11,
+        (_, Some(Framing::Length(_))) => true,
+        (_, Some(Framing::Chunked)) => version >= Version::HTTP_11,
+        (_, Some(Framing::Close)) => method == Method::HEAD || is_last(version, headers),
     }
 }
 
@@ -61,3 +65,14 @@
     let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
     std::str::from_utf8(value).ok().filter(|_| digits)?.parse().ok()
 }
+
+/// Whether the sender closes the connection after this response.
+fn is_last(version: Version, headers: &HeaderMap) -> bool {
+    let lists = |option: &str| {
+        let values = headers.get_all(CONNECTION).iter();
+        let mut options =
+            values.filter_map(|value| value.to_str().ok()).flat_map(|text| text.split(','));
+        options.any(|listed| listed.trim().eq_ignore_ascii_case(option))
+    };
+    lists("close") || version < Version::HTTP_11 && !lists("keep-alive")
+}
--- a/node/tests/calls_broken.rs
+++ b/node/tests/calls_broken.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use support::*;
 
-/// A target that sends the same bytes in place of each response, and leaves the connection open.
+/// A target that sends the same bytes in place of each response.
 struct RawTarget {
     address: SocketAddr,
     runs: Arc<AtomicUsize>,
@@ -17,7 +17,17 @@
 }
 
 impl RawTarget {
+    /// A target that leaves its connections open.
     fn new(response: &str) -> RawTarget {
+        RawTarget::start(response, false)
+    }
+
+    /// A target that closes the connection after the response.
+    fn closing(response: &str) -> RawTarget {
+        RawTarget::start(response, true)
+    }
+
+    fn start(response: &str, closes: bool) -> RawTarget {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let (runs, closed): (Arc<AtomicUsize>, Arc<AtomicUsize>) = Default::default();
@@ -31,7 +41,9 @@
                     if read_request(&stream).is_some() {
                         runs.fetch_add(1, Ordering::SeqCst);
                         let _ = stream.write_all(response.as_bytes());
-                        let _ = stream.read(&mut [0]);
+                        if !closes {
+                            let _ = stream.read(&mut [0]);
+                        }
                         closed.fetch_add(1, Ordering::SeqCst);
                     }
                 });
@@ -127,6 +139,23 @@
     }
 }
 
+/// Guards against a body that is cut, or that holds what belongs to its coding, and that is forwarded as
+/// complete because the field with its length was lost.
+#[test]
+fn broken_length_name_is_lost() {
+    let fields = [
+        "content-lexgth: 10\r\n",
+        "transfer-encodxng: chunked\r\n",
+        "",
+        "connection: keep-alive\r\n",
+        "keep-alive: timeout=10\r\n",
+    ];
+    for fields in fields {
+        assert_is_lost(&ok(fields, "5\r\nwhole\r\n0\r\n\r\n"));
+    }
+    assert_is_lost(&response("HTTP/1.0 200 OK", "connection: keep-alive\r\n", "whole"));
+}
+
 /// Guards against responses of sound targets that are taken for broken ones.
 #[test]
 fn unusual_response_is_forwarded() {
@@ -140,11 +169,18 @@
         (ok("Transfer-Encoding: Chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n"), 200, "whole"),
     ];
     for (sent, status, body) in responses {
-        let target = RawTarget::new(&sent);
-        let node = Node::new("a", Some(target.address));
-        configure(&[&node], 4);
-        let answer = call(node.entry, &get("/once"));
-        let seen = (answer.status, answer.outcome(), answer.text());
-        assert_eq!(seen, (status, "answered", body.to_owned()), "{sent:?}: {answer:?}");
+        assert_is_forwarded(&RawTarget::new(&sent), status, body);
     }
+    for sent in [ok("connection: x, Close\r\n", "whole"), response("HTTP/1.0 200 OK", "", "whole")]
+    {
+        assert_is_forwarded(&RawTarget::closing(&sent), 200, "whole");
+    }
+}
+
+fn assert_is_forwarded(target: &RawTarget, status: u16, body: &str) {
+    let node = Node::new("a", Some(target.address));
+    configure(&[&node], 4);
+    let answer = call(node.entry, &get("/once"));
+    let seen = (answer.status, answer.outcome(), answer.text(), answer.complete);
+    assert_eq!(seen, (status, "answered", body.to_owned(), true), "{answer:?}");
 }
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -442,6 +442,9 @@
         let body = read_chunks(&mut reader);
         response.complete = body.is_some();
         response.body = body.unwrap_or_default();
+    } else {
+        // The body ends with the connection.
+        response.complete = reader.read_to_end(&mut response.body).is_ok();
     }
     response
 }
