Forward responses of HTTP/1.0 targets as HTTP/1.1

Callers got a body that its target had reset as a complete one, if the target responded as HTTP/1.0 without a length: "status: 200, body: half, complete: true".

Cause: the node forwarded the response with the version that it had received. hyper then sends a body without a length until the connection closes, on both legs, where an abort looks like the end. As HTTP/1.1 it is sent in chunks, and an abort leaves out the last one.

Change: the version of a received response is not kept; it concerns one connection (RFC 9110, 2.5).

Evidence: `reset_body_of_http_10_is_cut` failed before with the response above and passes now. Found while the tests of unusual responses were written, by reading what a caller received.

--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderValue;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use smol_hyper::rt::FuturesIo;
@@ -456,8 +456,11 @@
         self.head_limit.begin();
         match self.sender.try_send_request(req).await {
             Ok(response) if !response_head::is_valid(&method, &response) => Err(SendError::Broken),
-            Ok(response) => {
+            Ok(mut response) => {
                 self.head_limit.end();
+                // The version concerns this connection only. Forwarded as HTTP/1.0, a body without a
+                // length would look complete wherever it is cut.
+                *response.version_mut() = Version::HTTP_11;
                 self.used.carried += 1;
                 if let Some(timeout) = headers::keep_alive_timeout(response.headers()) {
                     self.idle_timeout = timeout.mul_f64(KEEP_ALIVE_FRACTION).min(IDLE_TIMEOUT);
--- a/node/tests/calls_broken.rs
+++ b/node/tests/calls_broken.rs
@@ -3,12 +3,17 @@
 #[path = "support/calls.rs"]
 mod support;
 
+use rustix::net::sockopt;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 use support::*;
 
+/// Time for what a target has sent to be forwarded.
+const ARRIVAL_TIME: Duration = Duration::from_millis(50);
+
 /// A target that sends the same bytes in place of each response.
 struct RawTarget {
     address: SocketAddr,
@@ -19,15 +24,25 @@
 impl RawTarget {
     /// A target that leaves its connections open.
     fn new(response: &str) -> RawTarget {
-        RawTarget::start(response, false)
+        RawTarget::start(response, |stream| {
+            let _ = stream.read(&mut [0]);
+        })
     }
 
     /// A target that closes the connection after the response.
     fn closing(response: &str) -> RawTarget {
-        RawTarget::start(response, true)
+        RawTarget::start(response, |_| {})
+    }
+
+    /// A target that resets the connection after the response has arrived.
+    fn resetting(response: &str) -> RawTarget {
+        RawTarget::start(response, |stream| {
+            std::thread::sleep(ARRIVAL_TIME);
+            sockopt::set_socket_linger(stream, Some(Duration::ZERO)).unwrap();
+        })
     }
 
-    fn start(response: &str, closes: bool) -> RawTarget {
+    fn start(response: &str, end: fn(&mut TcpStream)) -> RawTarget {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let (runs, closed): (Arc<AtomicUsize>, Arc<AtomicUsize>) = Default::default();
@@ -41,9 +56,7 @@
                     if read_request(&stream).is_some() {
                         runs.fetch_add(1, Ordering::SeqCst);
                         let _ = stream.write_all(response.as_bytes());
-                        if !closes {
-                            let _ = stream.read(&mut [0]);
-                        }
+                        end(&mut stream);
                         closed.fetch_add(1, Ordering::SeqCst);
                     }
                 });
@@ -156,6 +169,19 @@
     assert_is_lost(&response("HTTP/1.0 200 OK", "connection: keep-alive\r\n", "whole"));
 }
 
+/// Guards against a body that is reset, and that looks complete to its caller because the node forwards
+/// it without a length as HTTP/1.0.
+#[test]
+fn reset_body_of_http_10_is_cut() {
+    let target = RawTarget::resetting(&response("HTTP/1.0 200 OK", "", "half"));
+    let node = Node::new("a", Some(target.address));
+    configure(&[&node], 4);
+    for number in 0..20 {
+        let answer = call(node.entry, &get(&format!("/idem/{number}")));
+        assert!(answer.status == 502 || !answer.complete, "{answer:?}");
+    }
+}
+
 /// Guards against responses of sound targets that are taken for broken ones.
 #[test]
 fn unusual_response_is_forwarded() {
