Don't hold off requests for broken responses of living targets

Callers of a new request were turned away everywhere for a minute (456) because two living targets had sent it responses that do not parse, are cut, or belong to another request.

Cause: a response that the gatekeeper could not use was reported like a connection that closes without a byte, and only a gatekeeper's own memory of earlier responses spoke for the request. A request that no node has answered yet became a suspect with its first two broken responses, and while it is held off nothing runs that could clear it.

Change: the connection knows whether bytes of the awaited response have arrived. If so, and the target accepts connections, the run ends as `RunEnd::BrokenResponse`: the outcome stays unknown, nothing is suspected, and the target does not count as silent. A request that crashes its target gets no response: a connection that closes without a byte, and a target that accepts no connections, count as before (`quarantine_third_target`, `quarantine_crashes_at_living_targets`, and the new `quarantine_crashes_after_broken_response`).

A target that dies in the middle of a head and is back before the check of its address is not counted; that it was the request's fault can't be told from a cut response.

--- a/bench/src/fleet/calls/targets.rs
+++ b/bench/src/fleet/calls/targets.rs
@@ -156,7 +156,7 @@
                 load: None,
                 crashes: 0,
             },
-            RunEnd::Broken { .. } | RunEnd::Cancelled => {
+            RunEnd::Broken { .. } | RunEnd::BrokenResponse | RunEnd::Cancelled => {
                 AttemptEnd::Failed { code: Code::TargetFailed, crashes: 0 }
             }
         };
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -569,15 +569,13 @@
                 out.push(Output::Reject { call, outcome, crashes });
             }
             RunEnd::Broken { target_gone } => {
-                self.slots.abandon(call);
-                self.finish_key(&entry, None);
                 let target_gone = target_gone || self.is_silent(now);
                 let suspected = self.suspect(now, &entry, target_gone, out);
-                let outcome = Outcome::Unknown { code: Code::TargetFailed };
-                // The note about the previous crash may not have arrived yet.
-                let added = entry.crashes.saturating_add(suspected.into());
-                let crashes = self.crashes_of(now, &entry).max(added);
-                out.push(Output::Reject { call, outcome, crashes });
+                self.end_broken(now, call, &entry, suspected, out);
+            }
+            RunEnd::BrokenResponse => {
+                self.last_response_at = now;
+                self.end_broken(now, call, &entry, false, out);
             }
             RunEnd::Cancelled => {
                 self.slots.end(now, call);
@@ -587,6 +585,24 @@
         self.remove(call);
     }
 
+    /// Ends a request without a valid response; `suspected` if it has been counted as a crash.
+    fn end_broken(
+        &mut self,
+        now: Time,
+        call: CallKey,
+        entry: &Call,
+        suspected: bool,
+        out: &mut Vec<Output>,
+    ) {
+        self.slots.abandon(call);
+        self.finish_key(entry, None);
+        let outcome = Outcome::Unknown { code: Code::TargetFailed };
+        // The note about the previous crash may not have arrived yet.
+        let added = entry.crashes.saturating_add(suspected.into());
+        let crashes = self.crashes_of(now, entry).max(added);
+        out.push(Output::Reject { call, outcome, crashes });
+    }
+
     fn remove(&mut self, call: CallKey) -> Option<Call> {
         let entry = self.calls.swap_remove(&call)?;
         if entry.running {
--- a/core/src/call/gatekeeper/port.rs
+++ b/core/src/call/gatekeeper/port.rs
@@ -120,11 +120,15 @@
         NotSent,
         /// The target reports that it has not run the request, with the reason.
         Rejected(Code),
-        /// The connection to the target failed after a byte may have been sent.
+        /// The connection to the target failed after a byte may have been sent, before any of a
+        /// response was received.
         Broken {
             /// Whether the target accepts no more connections.
             target_gone: bool,
         },
+        /// The target, which accepts connections, has sent a response that is incomplete, not valid
+        /// or to another request.
+        BrokenResponse,
         /// The request was cancelled, at its deadline or because the caller disconnected.
         Cancelled,
     }
--- a/core/src/call/quarantine.rs
+++ b/core/src/call/quarantine.rs
@@ -5,7 +5,8 @@
 //! is therefore quarantined only after a second crash, and a response to it clears it.
 //!
 //! A connection that breaks although the target's process lives is weaker evidence still: a target in
-//! trouble cuts any responses. It counts only against requests that got no response lately.
+//! trouble cuts any responses. It counts only against requests that got no response lately, and not if
+//! the target has sent part of a response: a request that crashes its target gets none.
 
 use super::Fingerprint;
 use crate::Time;
--- a/core/tests/call_quarantine.rs
+++ b/core/tests/call_quarantine.rs
@@ -144,6 +144,41 @@
     assert!(fleet.submit(2, CRASHING).is_ok());
 }
 
+/// Guards against a request that is new, and that is turned away everywhere for a minute because
+/// living targets sent broken responses to it.
+#[test]
+fn quarantine_broken_responses_of_living_targets() {
+    let mut fleet = Fleet::new();
+    for at in [0, 1].repeat(10) {
+        let call = fleet.submit(at, CRASHING).unwrap();
+        fleet.end(at, call, RunEnd::BrokenResponse);
+    }
+    assert!(fleet.submit(2, CRASHING).is_ok());
+}
+
+/// Guards against a request that is not held off since a broken response came before the crashes.
+#[test]
+fn quarantine_crashes_after_broken_response() {
+    let mut fleet = Fleet::new();
+    let call = fleet.submit(2, CRASHING).unwrap();
+    fleet.end(2, call, RunEnd::BrokenResponse);
+    fleet.crash(&[0, 1], CRASHING);
+    assert_eq!(fleet.submit(2, CRASHING), Err(Code::Quarantined));
+}
+
+/// Guards against a target that counts as crashed, with all requests that it runs, because its responses
+/// are broken.
+#[test]
+fn quarantine_target_with_broken_responses_lives() {
+    let mut fleet = Fleet::new();
+    fleet.now = fleet.now + SUSPICION_TTL;
+    let calls = [2, 3].map(|fingerprint| fleet.submit(0, Fingerprint(fingerprint)).unwrap());
+    fleet.handle(0, Input::End { call: calls[0], end: RunEnd::BrokenResponse });
+    let end = RunEnd::Broken { target_gone: false };
+    let out = fleet.handle(0, Input::End { call: calls[1], end });
+    assert!(!out.contains(&Output::Record(EventKind::TargetLost)), "{out:?}");
+}
+
 /// Guards against a request that was answered once and that crashes any number of targets later.
 #[test]
 fn quarantine_crashes_after_answer() {
--- a/core/tests/node_random.rs
+++ b/core/tests/node_random.rs
@@ -324,7 +324,7 @@
     fn gate<'a>(&mut self, from: &'a Name, note: &'a Note) -> gatekeeper::Input<'a> {
         let call = CallKey(self.number());
         let broken = gatekeeper::RunEnd::Broken { target_gone: self.flag() };
-        match self.0.random_range(0..11) {
+        match self.0.random_range(0..12) {
             0..=3 => gatekeeper::Input::Arrive(gatekeeper::Arrival {
                 host: "",
                 terms: None,
@@ -347,6 +347,7 @@
             7 => gatekeeper::Input::End { call, end: broken },
             8 => gatekeeper::Input::End { call, end: gatekeeper::RunEnd::Cancelled },
             9 => gatekeeper::Input::Note { from, note },
+            10 => gatekeeper::Input::End { call, end: gatekeeper::RunEnd::BrokenResponse },
             _ => gatekeeper::Input::Tick,
         }
     }
--- a/node/src/calls/entry/hedge.rs
+++ b/node/src/calls/entry/hedge.rs
@@ -140,7 +140,7 @@
         let exchange = self.shards[shard].pool.send(forward.gatekeeper, req, sent);
         let attempt = match self.shared.with_deadline(forward.deadline, exchange).await {
             None => AttemptResult::DeadlinePassed { sent: sent.load(Ordering::Acquire) },
-            Some(Err(SendError::Broken)) => AttemptResult::Ended(AttemptEnd::ConnectionLost),
+            Some(Err(SendError::Broken { .. })) => AttemptResult::Ended(AttemptEnd::ConnectionLost),
             Some(Err(SendError::NotSent(req))) => return ExchangeResult::Unsent(req.into_body()),
             Some(Ok((response, connection))) => {
                 self.record_statement(id, forward, &response, &connection);
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -194,7 +194,7 @@
                 }
                 Ok(cached)
             }
-            Some(Err(Code::CallerGone)) => Err(self.report_broken_connection(running).await),
+            Some(Err(Code::CallerGone)) => Err(self.report_broken(running, true).await),
             Some(Err(_)) => Err(NoResponse::unknown(Code::AnswerLost)),
             None => Err(self.without_response(deadline, run_by)),
         }
@@ -276,11 +276,13 @@
                             .with_connection(used)),
                     };
                 }
-                Some(result @ (Ok(_) | Err(SendError::Broken))) => {
-                    if result.is_ok() {
-                        self.shared.metrics.foreign_responses.inc();
-                    }
-                    let no_response = self.report_broken_connection(running).await;
+                Some(Ok(_)) => {
+                    self.shared.metrics.foreign_responses.inc();
+                    let no_response = self.report_broken(running, true).await;
+                    return Err(no_response.with_connection(used));
+                }
+                Some(Err(SendError::Broken { response_begun })) => {
+                    let no_response = self.report_broken(running, response_begun).await;
                     return Err(no_response.with_connection(used));
                 }
                 Some(Err(SendError::NotSent(unsent))) => {
@@ -362,10 +364,14 @@
         GaugeGuard::new(&self.shared.metrics.awaiting_connection)
     }
 
-    /// Reports a connection that broke after a byte of the request may have been sent.
-    async fn report_broken_connection(&self, mut running: RunningSlot) -> NoResponse {
-        let target_gone = self.target_gone().await;
-        let decision = running.take().and_then(|slot| slot.end(RunEnd::Broken { target_gone }));
+    /// Reports a request without a valid response, of which a byte may have been sent;
+    /// `response_begun` if part of a response was received.
+    async fn report_broken(&self, mut running: RunningSlot, response_begun: bool) -> NoResponse {
+        let end = match self.target_gone().await {
+            false if response_begun => RunEnd::BrokenResponse,
+            target_gone => RunEnd::Broken { target_gone },
+        };
+        let decision = running.take().and_then(|slot| slot.end(end));
         match decision {
             Some(Decision::Reject(outcome, crashes)) => NoResponse::new(outcome, crashes),
             _ => NoResponse::unknown(Code::TargetFailed),
--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -58,7 +58,10 @@
     /// No byte was sent; contains the request.
     NotSent(Box<Request<Body>>),
     /// Part of the request may have been sent; no valid response was received.
-    Broken,
+    Broken {
+        /// Whether part of a response was received.
+        response_begun: bool,
+    },
 }
 
 /// Idle connections by address.
@@ -455,7 +458,9 @@
         sent.store(true, Ordering::Release);
         self.head_limit.begin();
         match self.sender.try_send_request(req).await {
-            Ok(response) if !response_head::is_valid(&method, &response) => Err(SendError::Broken),
+            Ok(response) if !response_head::is_valid(&method, &response) => {
+                Err(SendError::Broken { response_begun: true })
+            }
             Ok(mut response) => {
                 self.head_limit.end();
                 // The version concerns this connection only. Forwarded as HTTP/1.0, a body without a
@@ -473,7 +478,7 @@
                     sent.store(false, Ordering::Release);
                     SendError::NotSent(Box::new(req))
                 }
-                None => SendError::Broken,
+                None => SendError::Broken { response_begun: self.head_limit.has_begun() },
             }),
         }
     }
--- a/node/src/calls/readiness.rs
+++ b/node/src/calls/readiness.rs
@@ -51,6 +51,11 @@
         self.remaining.store(usize::MAX, Ordering::Relaxed);
     }
 
+    /// Whether any of the awaited response has been received.
+    pub fn has_begun(&self) -> bool {
+        self.remaining.load(Ordering::Relaxed) != MAX_RESPONSE_HEAD_BYTES
+    }
+
     /// Records bytes read. Returns false if they exceed the limit.
     fn record(&self, count: usize) -> bool {
         let subtract = |remaining: usize| match remaining {
--- a/node/tests/calls_broken.rs
+++ b/node/tests/calls_broken.rs
@@ -103,15 +103,10 @@
     eventually("the target's connection is closed", || broken.is_closed());
     let sound_node = Node::new("b", Some(sound.address));
     configure(&[&broken_node, &sound_node], 4);
-    // Requests of one path would be held off as ones that crash targets.
-    for number in 0.. {
-        let path = format!("/idem/{number}");
-        let answer = call(sound_node.entry, &get(&path));
+    while broken.runs() < 2 {
+        let answer = call(sound_node.entry, &get("/idem/path"));
         assert_eq!((answer.status, answer.complete), (200, true), "{response:?}: {answer:?}");
-        assert!(answer.text().contains(&path), "{response:?}: {answer:?}");
-        if broken.runs() > 1 {
-            break;
-        }
+        assert!(answer.text().contains("/idem/path"), "{response:?}: {answer:?}");
     }
     eventually("no call is open", || broken_node.shared.calls_open() == 0);
 }
@@ -182,6 +177,27 @@
     }
 }
 
+/// Guards against a request that is turned away as one that crashes its target because the target, which
+/// lives, sent responses to it that are no HTTP, that are cut, or that have another id.
+#[test]
+fn broken_responses_blame_no_request() {
+    let sent = [
+        "ICY 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-le",
+        "HTTP/1.1 200 OK\r\nx-sycamore-request-id: other\r\ncontent-length: 0\r\n\r\n",
+    ];
+    for sent in sent {
+        let target = RawTarget::closing(sent);
+        let node = Node::new("a", Some(target.address));
+        configure(&[&node], 4);
+        for _ in 0..10 {
+            let answer = call(node.entry, &get("/once"));
+            assert_eq!((answer.status, answer.code()), (502, Some(461)), "{sent:?}: {answer:?}");
+        }
+        assert_eq!(target.runs(), 10);
+    }
+}
+
 /// Guards against responses of sound targets that are taken for broken ones.
 #[test]
 fn unusual_response_is_forwarded() {
