--- a/node/tests/calls_broken.rs
+++ b/node/tests/calls_broken.rs
@@ -145,6 +145,93 @@
     assert_is_lost(&response("HTTP/1.1 204 No Content", length, ""));
 }
 
+/// Guards against a head that is no HTTP and that is forwarded: lines that are no field, names with a blank
+/// or a control byte, lengths that are no number.
+#[test]
+fn malformed_head_is_lost() {
+    let lines = [
+        "no field at all",
+        "@@@@",
+        ": empty",
+        "X Y: 1",
+        "X : 1",
+        "X\t: 1",
+        "X\0: 1",
+        "\x01\x02: y",
+        "X-\x7f: 1",
+        "X-\u{e9}: 1",
+        "X: a\0b",
+        "X: a\x1bb",
+        "X: a\rb",
+        "content-length 5",
+        "content-length : 5",
+        "content-l\x01ngth: 5",
+    ];
+    for line in lines {
+        assert_is_lost(&ok(&format!("{line}\r\ncontent-length: 5\r\n"), "whole"));
+        assert_is_lost(&ok(&format!("content-length: 5\r\n{line}\r\n"), "whole"));
+    }
+    for length in
+        ["5x", "+5", "-5", "", "0x5", "5 5", "5\0", "18446744073709551621", "4, 5", "\r\n 5"]
+    {
+        assert_is_lost(&ok(&format!("content-length: {length}\r\n"), "whole"));
+    }
+    assert_is_lost(&ok("content-length: 4\r\ncontent-length: 5\r\n", "whole"));
+}
+
+/// Guards against a status line that is none and that is forwarded, 000 among them.
+#[test]
+fn malformed_status_line_is_lost() {
+    let lines = [
+        "HTTP/1.1 000 X",
+        "HTTP/1.1 000",
+        "HTTP/1.1 099 X",
+        "HTTP/1.1 20 X",
+        "HTTP/1.1 2000 X",
+        "HTTP/1.1 199 X",
+        "HTTP/1.1",
+        "HTTP/1.1 OK",
+        "HTTP/2.0 200 X",
+        "HTTP/1.2 200 X",
+        "ICY 200 X",
+        "HTTP/1.1 200 \x01X",
+    ];
+    for line in lines {
+        assert_is_lost(&response(line, "content-length: 5\r\n", "whole"));
+    }
+}
+
+/// Guards against a response of another process at the address of a gatekeeper, and against a broken one
+/// of the gatekeeper.
+#[test]
+fn broken_gatekeeper_response_is_lost() {
+    let node = Node::new("a", None);
+    let own = "x-sycamore-request-id: mine\r\nx-sycamore-outcome: answered\r\n";
+    let length = "content-length: 5\r\n";
+    for (status, fields) in [
+        ("200 OK", "transfer-encoding: chunkxd\r\n".to_owned()),
+        ("200 OK", "content-length: 4\r\n".to_owned()),
+        ("200 OK", String::new()),
+        ("101 X", length.to_owned()),
+        ("999 X", length.to_owned()),
+    ] {
+        let gate = RawTarget::new(&response(
+            &format!("HTTP/1.1 {status}"),
+            &format!("{own}{fields}"),
+            "whole",
+        ));
+        let preset = preset("{}", &[("b", gate.address)]);
+        node.configure(
+            1,
+            &preset.replace(r#""idempotent":false"#, r#""idempotent":false,"once":"attempt""#),
+        );
+        let req = get("/once").replace("\r\n\r\n", "\r\nx-sycamore-request-id: mine\r\n\r\n");
+        let answer = call(node.entry, &req);
+        assert!(answer.status == 502 || !answer.complete, "{status} {fields}: {answer:?}");
+        assert_eq!(gate.runs(), 1, "{status} {fields}");
+    }
+}
+
 /// Guards against a final status that the protocol does not have, or that a node did not ask for,
 /// and that is forwarded.
 #[test]
--- a/node/tests/shell/configured.rs
+++ b/node/tests/shell/configured.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 use sycamore_core::hash::Hash;
 use sycamore_standins::platform::{Platform, PlatformConfig, Store};
 
@@ -45,9 +46,17 @@
     ready_node_with(settings(), target, drain_ms)
 }
 
-fn ready_node_with(mut settings: Value, target: SocketAddr, drain_ms: u32) -> (NodeProcess, Value) {
+pub fn ready_node_with(settings: Value, target: SocketAddr, drain_ms: u32) -> (NodeProcess, Value) {
     let preset = preset(&settings["listen"]["gate"], drain_ms);
-    settings["platform_address"] = platform(&preset, &settings).to_string().into();
+    ready_node_with_preset(settings, target, &preset)
+}
+
+fn ready_node_with_preset(
+    mut settings: Value,
+    target: SocketAddr,
+    preset: &str,
+) -> (NodeProcess, Value) {
+    settings["platform_address"] = platform(preset, &settings).to_string().into();
     settings["target_address"] = target.to_string().into();
     let mut node = NodeProcess::start(&settings);
     let ready = |node: &NodeProcess| node.request("GET", "/ready").0.starts_with("HTTP/1.1 200");
@@ -199,6 +208,66 @@
     assert!(most_sent < MAX_SENT_BYTES, "{most_sent}");
 }
 
+/// Sends bytes without end on each connection, of another kind on each one.
+fn send_endless(target: TcpListener) {
+    const ENDLESS: [(&str, &str); 6] = [
+        ("", "\x01z"),
+        ("HTTP/1.1 200 OK\r\n", "x-filler: x\r\n"),
+        ("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n", "x"),
+        ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+        ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0"),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 999999999999\r\n\r\n", "x"),
+    ];
+    std::thread::spawn(move || {
+        for (stream, (begin, filler)) in target.incoming().zip(ENDLESS.into_iter().cycle()) {
+            std::thread::spawn(move || {
+                let mut stream = stream.unwrap();
+                let _ = stream.read(&mut [0; 1_000]);
+                let filler = filler.repeat(65_536 / filler.len());
+                let mut next = begin;
+                while stream.write_all(next.as_bytes()).is_ok() {
+                    next = &filler;
+                }
+            });
+        }
+    });
+}
+
+/// Guards against a node that keeps the bytes of many targets' endless heads and bodies in memory, for
+/// callers that read slowly, fast or not at all.
+#[test]
+fn endless_responses_leave_memory_bounded() {
+    const CALLERS: usize = 48;
+    // What a node may use, docs/CAPACITY.md.
+    const MAX_MEMORY_KB: u64 = 32 * 1_024;
+    let target = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = target.local_addr().unwrap();
+    send_endless(target);
+    let settings = settings();
+    let preset =
+        preset(&settings["listen"]["gate"], 1_000).replace(r#""slots":1"#, r#""slots":64"#);
+    let (node, settings) = ready_node_with_preset(settings, address, &preset);
+    let req = "GET /season HTTP/1.1\r\nhost: ledgers\r\nconnection: close\r\n\
+               x-sycamore-deadline-ms: 3000\r\n\r\n";
+    let end = Instant::now() + Duration::from_secs(4);
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| {
+            let mut caller = send(&settings, req);
+            let pause = Duration::from_millis([0, 5, 100][number % 3]);
+            std::thread::spawn(move || {
+                let mut buf = vec![0; 16_384];
+                while Instant::now() < end && caller.read(&mut buf).is_ok_and(|count| count > 0) {
+                    std::thread::sleep(pause);
+                }
+            })
+        })
+        .collect();
+    callers.into_iter().for_each(|caller| caller.join().unwrap());
+    let memory_kb = node.peak_memory_kb();
+    assert!(memory_kb < MAX_MEMORY_KB, "{memory_kb} KB");
+    assert!(node.request("GET", "/ready").0.starts_with("HTTP/1.1 200"));
+}
+
 #[test]
 fn stop_answers_queued_call() {
     // Guards against a stop that leaves a call that never started without an answer, or calls its
--- a/node/tests/shell/main.rs
+++ b/node/tests/shell/main.rs
@@ -3,4 +3,5 @@
 mod admin;
 mod command_line;
 mod configured;
+mod late_requests;
 mod process;
--- a/node/tests/shell/process.rs
+++ b/node/tests/shell/process.rs
@@ -72,6 +72,13 @@
         node
     }
 
+    /// Largest size of its memory so far.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.split_whitespace().next().unwrap().parse().unwrap()
+    }
+
     /// Waits until `condition` holds. Fails if the process exits first or [`WAIT_TIMEOUT`] has
     /// passed.
     pub fn wait_until(&mut self, what: &str, condition: impl Fn(&NodeProcess) -> bool) {
