Require the target's signature on successes

Callers got a success without `Response-Signature` if the name of that header was spoilt on its way.

A success without it ends like a response with another request's id: unknown, or repeated elsewhere. Failures have none, and are forwarded. Its value is not looked at.

`unsigned_success_is_lost` without the check: "left: (200, true) right: (502, true)".

--- a/node/src/calls/dialect.rs
+++ b/node/src/calls/dialect.rs
@@ -20,6 +20,8 @@
     pub incarnation: Option<HeaderName>,
     /// Present in a target's response if the target did not run the request.
     pub not_run: Option<HeaderName>,
+    /// Present in each successful response of a target to a request.
+    pub signature: Option<HeaderName>,
     /// Statuses by which callers learn that a request has not run.
     pub promising_statuses: Vec<StatusCode>,
     /// Remaining time in milliseconds for which a target is cold, in its health responses.
@@ -53,6 +55,7 @@
             caller: None,
             incarnation: None,
             not_run: None,
+            signature: None,
             promising_statuses: Vec::new(),
             cold_time: headers::COLD_TIME,
             rate_limit: headers::RATE_LIMIT,
@@ -85,6 +88,12 @@
         self
     }
 
+    /// Sets the header without which a successful response is not the target's.
+    pub fn with_signature(mut self, signature: HeaderName) -> Dialect {
+        self.signature = Some(signature);
+        self
+    }
+
     /// Whether a response with this status tells its caller that the request has not run.
     pub fn is_promise(&self, status: StatusCode) -> bool {
         self.promising_statuses.contains(&status)
@@ -124,7 +133,10 @@
             &self.leaving,
             &self.work_pace.header,
         ];
-        used.contains(&name) || self.not_run.as_ref() == Some(name) || self.unused.contains(name)
+        let optional = [&self.not_run, &self.signature];
+        used.contains(&name)
+            || optional.iter().any(|known| known.as_ref() == Some(name))
+            || self.unused.contains(name)
     }
 
     /// Allows fractions of a second in `retry-after`.
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -12,7 +12,7 @@
 use crate::metrics::{GaugeGuard, Metrics};
 use futures_lite::future;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use std::io;
@@ -299,7 +299,7 @@
                     let no_response = self.without_response(call.deadline, call.run_by);
                     return Err(no_response.with_connection(used));
                 }
-                Some(Ok((response, connection))) if self.matches_request(&response, &call.id) => {
+                Some(Ok((response, connection))) if self.is_own_response(&response, &call.id) => {
                     let elapsed = self.shared.clock.now().since(sent_at);
                     Metrics::observe_duration(
                         &self.shared.metrics.run_seconds,
@@ -463,11 +463,19 @@
         headers.insert(self.shared.dialect.deadline.clone(), remaining_ms.max(1).into());
     }
 
-    /// Whether the response belongs to this request, according to its request id.
-    fn matches_request(&self, response: &Response<Incoming>, id: &HeaderValue) -> bool {
-        let response_id = response.headers().get(&self.shared.dialect.request_id);
-        response_id.is_none_or(|other| other == id)
-            && (response_id.is_some() || self.shared.dialect.is_native())
+    /// Whether the response is the target's to this request: according to its request id and, if it is
+    /// a success, by its signature.
+    fn is_own_response(&self, response: &Response<Incoming>, id: &HeaderValue) -> bool {
+        let dialect = &self.shared.dialect;
+        let response_id = response.headers().get(&dialect.request_id);
+        let matches_id = match response_id {
+            Some(other) => other == id,
+            None => dialect.is_native(),
+        };
+        let lacks = |name: &HeaderName| !response.headers().contains_key(name);
+        let unsigned =
+            response.status().is_success() && dialect.signature.as_ref().is_some_and(lacks);
+        matches_id && !unsigned
     }
 
     /// The code if the target reports that it did not run the request.
--- a/node/tests/calls_broken.rs
+++ b/node/tests/calls_broken.rs
@@ -3,6 +3,7 @@
 #[path = "support/calls.rs"]
 mod support;
 
+use hyper::header::HeaderName;
 use rustix::net::sockopt;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -10,6 +11,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use support::*;
+use sycamore_node::calls::dialect::Dialect;
 
 /// Time for what a target has sent to be forwarded.
 const ARRIVAL_TIME: Duration = Duration::from_millis(50);
@@ -272,6 +274,27 @@
     }
 }
 
+/// Guards against a success without the header that makes it the target's, since the name of that header is
+/// spoilt, and that is forwarded. A failure has none.
+#[test]
+fn unsigned_success_is_lost() {
+    let length = "content-length: 5\r\n";
+    for (status, signature, expected) in [
+        ("200 OK", "x-signature: 7\r\n", 200),
+        ("200 OK", "x-signaturf: 7\r\n", 502),
+        ("500 X", "", 500),
+    ] {
+        let sent =
+            response(&format!("HTTP/1.1 {status}"), &format!("{signature}{length}"), "whole");
+        let target = RawTarget::new(&sent);
+        let dialect = Dialect::new().with_signature(HeaderName::from_static("x-signature"));
+        let node = Node::with_dialect("a", target.address, dialect);
+        configure(&[&node], 4);
+        let answer = call(node.entry, &get("/once"));
+        assert_eq!((answer.status, answer.complete), (expected, true), "{sent:?}: {answer:?}");
+    }
+}
+
 /// Guards against a request that is turned away as one that crashes its target because the target, which
 /// lives, sent responses to it that are no HTTP, that are cut, or that have another id.
 #[test]
