--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -1,5 +1,6 @@
 //! Adapter of the gatekeeper, the only component that opens connections to the local target.
 
+mod connect;
 mod probe;
 mod recall;
 mod slot;
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -1,6 +1,7 @@
 //! Requests to the local target and its responses.
 
-use super::slot::{ActiveResponse, QueuedCall, RunningSlot, Slot};
+use super::connect::ConnectResult;
+use super::slot::{ActiveResponse, RunningSlot, Slot};
 use super::{Decision, GateAdapter};
 use crate::calls::body::{self, Body, Guard, Lease};
 use crate::calls::conn_state::{ConnectionState, Phase};
@@ -9,8 +10,7 @@
 use crate::calls::pool::{Connection, ConnectionUse, IdleTerms, SendError};
 use crate::calls::trace::{self, Fields, Step};
 use crate::calls::unsent::{RETRY_AFTER_SHORT, Unsent};
-use crate::metrics::{GaugeGuard, Metrics};
-use futures_lite::future;
+use crate::metrics::Metrics;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
@@ -33,9 +33,6 @@
 /// Size up to which a response is received whole before its head is forwarded.
 const MAX_READ_AHEAD_BYTES: u64 = 16_384;
 
-/// Timeout of the connection attempt that checks whether a target still accepts connections.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Maximum idle time of a connection used for a request that may run only once. Targets
 /// usually close idle connections after seconds, so such a connection is still open.
 const MAX_IDLE_BEFORE_SINGLE_RUN: Duration = Duration::from_millis(500);
@@ -99,16 +96,6 @@
     pub(super) connection: Option<ConnectionUse>,
 }
 
-/// Result of waiting for a connection to the target.
-enum ConnectResult {
-    /// The connection, and whether it was in use before.
-    Connected(Connection, bool),
-    /// The target can't be reached.
-    Failed,
-    /// The request was recalled or rejected, or has expired.
-    NotStarted(Option<Decision>),
-}
-
 impl NoResponse {
     /// A request that its sender has given up without sending it.
     pub(super) fn unsent(unsent: Unsent, code: Code) -> NoResponse {
@@ -352,58 +339,12 @@
         }
     }
 
-    /// Waits for a connection to the target, within its connection limit. Until then the request
-    /// has not started: it can be recalled, and it expires at its deadline.
-    async fn connect(
-        self: &Arc<GateAdapter>,
-        terms: IdleTerms<'_>,
-        id: &HeaderValue,
-        slot: &Slot,
-    ) -> ConnectResult {
-        let call = slot.call();
-        let (until, decided) = match self.decide(call, Input::Connecting(call)) {
-            Some(Decision::Queue(until, decided)) => (until, decided),
-            decision => return ConnectResult::NotStarted(decision),
-        };
-        let waiting_call = QueuedCall::new(self, call);
-        let mut waiting = None;
-        let max_open = || self.shared.own_limits().unwrap_or_default().connections as usize;
-        let on_wait = || {
-            waiting.get_or_insert_with(|| self.record_connection_wait(id));
-        };
-        let connected = self.pool.connect_within(terms, max_open, on_wait);
-        let connected = async { Ok(connected.await) };
-        let rejected = async { Err(self.await_decision(call, until, &decided).await) };
-        let result = future::or(rejected, connected).await;
-        waiting_call.disarm();
-        let decision = match result {
-            Err(decision) => decision,
-            Ok(Err(_)) => return ConnectResult::Failed,
-            Ok(Ok((connection, reused))) => match self.decide(call, Input::Connected(call)) {
-                Some(Decision::Run { .. }) => return ConnectResult::Connected(connection, reused),
-                // It was rejected now, or at the same moment.
-                rejected => {
-                    connection.release();
-                    rejected.or_else(|| decided.try_recv().ok())
-                }
-            },
-        };
-        ConnectResult::NotStarted(decision)
-    }
-
     /// Logs that a request is handed to a connection to the target.
     fn trace_sent(&self, id: &HeaderValue, attempt: Option<u32>, used: ConnectionUse) {
         let fields = Fields::default().with_attempt(attempt).with_connection(Some(used));
         trace::log_step(&self.shared, id, Step::GateSent, fields);
     }
 
-    /// Logs and counts a request that waits for a connection, until the result is dropped.
-    fn record_connection_wait(&self, id: &HeaderValue) -> GaugeGuard {
-        self.trace(id, Step::GateConnecting);
-        self.shared.metrics.connection_waits.inc();
-        GaugeGuard::new(&self.shared.metrics.awaiting_connection)
-    }
-
     /// Reports a request without a valid response, of which a byte may have been sent;
     /// `response_begun` if part of a response was received.
     async fn report_broken(&self, mut running: RunningSlot, response_begun: bool) -> NoResponse {
@@ -418,26 +359,6 @@
         }
     }
 
-    /// Whether the target's process has exited, that is, its address refuses connections.
-    async fn target_gone(&self) -> bool {
-        let Some(address) = self.shared.settings.target_address else {
-            return true;
-        };
-        let probe = async { Some(self.pool.connect(address).await) };
-        let timeout = async {
-            self.shared.clock.sleep(PROBE_TIMEOUT).await;
-            None
-        };
-        match future::or(probe, timeout).await {
-            Some(Ok(connection)) => {
-                connection.release();
-                false
-            }
-            Some(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-            None => false,
-        }
-    }
-
     /// Sets the headers of the request to the target.
     fn set_request_headers(&self, headers: &mut HeaderMap, id: &HeaderValue) {
         let dialect = &self.shared.dialect;
