--- a/node/tests/calls_broken.rs
+++ b/node/tests/calls_broken.rs
@@ -388,6 +388,16 @@
     }
 }
 
+/// Guards against a response to a HEAD request that counts as broken since it states no length.
+#[test]
+fn head_response_without_length_is_forwarded() {
+    let target = RawTarget::new(&ok("etag: 7\r\n", ""));
+    let node = Node::new("a", Some(target.address));
+    configure(&[&node]);
+    let answer = call(node.entry, "HEAD /once HTTP/1.1\r\nhost: t\r\nconnection: close\r\n\r\n");
+    assert_eq!((answer.status, answer.header("etag")), (200, Some("7")), "{answer:?}");
+}
+
 fn assert_is_forwarded(target: &RawTarget, status: u16, body: &str) {
     let node = Node::new("a", Some(target.address));
     configure(&[&node]);
