--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -172,7 +172,7 @@
             Some(Err(error)) if error.kind() == io::ErrorKind::TimedOut => {
                 Err(NoResponse::unknown(Code::AnswerLost))
             }
-            Some(Err(_)) => Err(self.report_broken(started.running, true).await),
+            Some(Err(_)) => Err(self.report_broken_response(started.running).await),
             None => Err(self.without_response(deadline, run_by)),
         }
     }
@@ -210,7 +210,7 @@
         let collect = body::collect(incoming, MAX_CACHED_BODY_BYTES, self.idle_body_timeout());
         match self.shared.with_deadline(deadline, collect).await {
             Some(Ok(_)) if connection.response_end().has_rest() => {
-                Err(self.report_broken(running, true).await)
+                Err(self.report_broken_response(running).await)
             }
             Some(Ok(buf)) => {
                 headers::strip_hop_by_hop(&mut head.headers);
@@ -221,7 +221,7 @@
                 }
                 Ok(cached)
             }
-            Some(Err(Code::CallerGone)) => Err(self.report_broken(running, true).await),
+            Some(Err(Code::CallerGone)) => Err(self.report_broken_response(running).await),
             Some(Err(_)) => Err(NoResponse::unknown(Code::AnswerLost)),
             None => Err(self.without_response(deadline, run_by)),
         }
@@ -305,7 +305,7 @@
                 }
                 Some(Ok(_)) => {
                     self.shared.metrics.foreign_responses.inc();
-                    let no_response = self.report_broken(running, true).await;
+                    let no_response = self.report_broken_response(running).await;
                     return Err(no_response.with_connection(used));
                 }
                 Some(Err(SendError::Broken { response_begun })) => {
@@ -345,6 +345,11 @@
         trace::log_step(&self.shared, id, Step::GateSent, fields);
     }
 
+    /// Reports a request to which the target has sent a response that can't be used.
+    async fn report_broken_response(&self, running: RunningSlot) -> NoResponse {
+        self.report_broken(running, true).await
+    }
+
     /// Reports a request without a valid response, of which a byte may have been sent;
     /// `response_begun` if part of a response was received.
     async fn report_broken(&self, mut running: RunningSlot, response_begun: bool) -> NoResponse {
