Test of a keyed response whose rest follows its end

The branch had no test: the other forms run without a key. Without it the part is cached and replayed: "left: ("answered", None) right: ("unknown", Some(461))".

--- a/node/tests/calls_path.rs
+++ b/node/tests/calls_path.rs
@@ -203,6 +203,18 @@
     assert_eq!(target.run_count("/once/break"), 1);
 }
 
+/// Guards against a part of a response that is cached, and given to each caller that asks with its key.
+#[test]
+fn once_response_with_rest() {
+    let (target, node) = single_node("{}");
+    let key = new_accepted_key(&node);
+    for code in [461, 460, 460] {
+        let response = call(node.entry, &keyed_post("/once/rest", &key, "x"));
+        assert_eq!((response.outcome(), response.code()), ("unknown", Some(code)));
+    }
+    assert_eq!(target.run_count("/once/rest"), 1);
+}
+
 #[test]
 fn answer_cut() {
     // Guards against a truncated ledger that is delivered as complete when its target dies.
--- a/node/tests/support/calls.rs
+++ b/node/tests/support/calls.rs
@@ -188,6 +188,11 @@
                 return None;
             }
         }
+        if path.contains("/rest") {
+            // The length is too small.
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nhalfrest").ok()?;
+            return None;
+        }
         if path.contains("/cut") {
             stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf").ok()?;
             return None;
