--- a/node/src/calls/pool.rs
+++ b/node/src/calls/pool.rs
@@ -1,28 +1,29 @@
 //! Pool of outgoing connections: to gatekeepers and to the local target.
 
+mod connection;
+
+pub use connection::{Connection, ConnectionUse, DeferredSlot, SendError};
+
 use super::body::Body;
-use super::carried::CarriedRequests;
-use super::gate::Slot;
-use super::headers;
 use super::link_use::LinkUse;
 use super::readiness::{HeadLimit, ReadinessStream};
 use super::response_end::ResponseEnd;
-use super::response_head;
 use crate::clock::Clock;
 use crate::shared::Shared;
 use async_executor::Executor;
 use async_io::Async;
+use connection::{IDLE_TIMEOUT, wait_for_close};
 use event_listener::Event;
-use futures_lite::{AsyncReadExt, future};
-use hyper::body::{Body as _, Incoming};
-use hyper::client::conn::http1::{self, SendRequest};
+use futures_lite::future;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
 use hyper::header::HeaderValue;
-use hyper::{Request, Response, Version};
+use hyper::{Request, Response};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use smol_hyper::rt::FuturesIo;
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -32,14 +33,6 @@
 /// one-second SYN retransmission, so that a retry on another target is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Idle timeout of pooled connections. Shorter than that of the listeners, so that the remote side
-/// does not close a connection while a request is being sent.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Fraction of the remote side's keep-alive timeout after which a connection is no longer reused, so
-/// that it is not closed there while a request is in transit.
-const KEEP_ALIVE_FRACTION: f64 = 0.7;
-
 /// Maximum idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 128;
 
@@ -49,22 +42,6 @@
 /// Maximum wait for the target to close its side after a cancelled request.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Bytes read from a target after a cancelled request before the connection is closed on it: a
-/// response of usual size that was on its way.
-const MAX_DISCARDED_BYTES: usize = 1 << 20;
-
-/// A request without a response.
-#[derive(Debug)]
-pub enum SendError {
-    /// No byte was sent; contains the request.
-    NotSent(Box<Request<Body>>),
-    /// Part of the request may have been sent; no valid response was received.
-    Broken {
-        /// Whether part of a response was received.
-        response_begun: bool,
-    },
-}
-
 /// Idle connections by address.
 #[derive(Debug)]
 pub struct Pool {
@@ -86,24 +63,6 @@
     since: Time,
 }
 
-/// A slot of the target that is freed only when the connection has ended.
-pub type DeferredSlot = Mutex<Option<Slot>>;
-
-/// An open connection with at most one request in flight.
-#[derive(Debug)]
-pub struct Connection {
-    sender: SendRequest<Body>,
-    // Idle timeout, derived from the remote side's keep-alive timeout.
-    idle_timeout: Duration,
-    address: SocketAddr,
-    pool: Arc<Pool>,
-    deferred_slot: Arc<DeferredSlot>,
-    head_limit: Arc<HeadLimit>,
-    response_end: Arc<ResponseEnd>,
-    used: ConnectionUse,
-    carried_requests: Box<CarriedRequests>,
-}
-
 /// What a request needs of an idle connection.
 #[derive(Clone, Copy, Debug)]
 pub struct IdleTerms<'a> {
@@ -113,15 +72,6 @@
     pub request_id: Option<&'a HeaderValue>,
 }
 
-/// Identifies one use of a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ConnectionUse {
-    /// Number of the connection in its pool, from 1.
-    pub number: u64,
-    /// Requests that it carried before.
-    pub carried: u32,
-}
-
 impl Pool {
     /// Creates an empty pool whose connection tasks run on `executor`.
     pub fn new(shared: &Shared, executor: Arc<Executor<'static>>) -> Arc<Pool> {
@@ -414,101 +364,3 @@
         now.since(self.since) > self.connection.idle_timeout
     }
 }
-
-impl Connection {
-    /// Records that the connection is about to carry an attempt of this request.
-    pub fn record_request(&mut self, id: &HeaderValue) {
-        self.carried_requests.record(id);
-    }
-
-    /// Whether the last response was the first one on this connection.
-    pub fn is_first_response(&self) -> bool {
-        self.used.carried == 1
-    }
-
-    /// The next use of the connection.
-    pub fn next_use(&self) -> ConnectionUse {
-        self.used
-    }
-
-    /// The slot that is held until the connection ends.
-    pub fn deferred_slot(&self) -> Arc<DeferredSlot> {
-        self.deferred_slot.clone()
-    }
-
-    /// What followed the last response.
-    pub fn response_end(&self) -> Arc<ResponseEnd> {
-        self.response_end.clone()
-    }
-
-    /// Returns the connection to the pool.
-    pub fn release(self) {
-        if self.sender.is_closed() || self.carried_requests.is_full() {
-            return;
-        }
-        let pool = self.pool.clone();
-        let since = pool.clock.now();
-        let mut idle = pool.idle.lock();
-        let unused = idle.entry(self.address).or_default();
-        if unused.len() < MAX_IDLE_PER_ADDRESS {
-            unused.push(IdleConnection { connection: self, since });
-        }
-        drop(idle);
-        pool.changed.notify(usize::MAX);
-    }
-
-    /// Sends a request and waits for the head of its response. A response that is not valid, as far as
-    /// its head tells, counts as a broken connection.
-    pub async fn send(
-        mut self,
-        req: Request<Body>,
-        sent: &AtomicBool,
-    ) -> Result<(Response<Incoming>, Connection), SendError> {
-        let method = req.method().clone();
-        sent.store(true, Ordering::Release);
-        self.head_limit.begin();
-        match self.sender.try_send_request(req).await {
-            Ok(mut response) => {
-                let ended = response.body().is_end_stream();
-                let is_valid = response_head::is_valid(&method, &response);
-                if !is_valid || ended && self.response_end.has_rest() {
-                    return Err(SendError::Broken { response_begun: true });
-                }
-                self.head_limit.end();
-                // The version concerns this connection only. Forwarded as HTTP/1.0, a body without a
-                // length would look complete wherever it is cut.
-                *response.version_mut() = Version::HTTP_11;
-                self.used.carried += 1;
-                if let Some(timeout) = headers::keep_alive_timeout(response.headers()) {
-                    self.idle_timeout = timeout.mul_f64(KEEP_ALIVE_FRACTION).min(IDLE_TIMEOUT);
-                }
-                Ok((response, self))
-            }
-            // hyper returns the request only if it has written no byte of it.
-            Err(mut error) => Err(match error.take_message() {
-                Some(req) => {
-                    sent.store(false, Ordering::Release);
-                    SendError::NotSent(Box::new(req))
-                }
-                None => SendError::Broken { response_begun: self.head_limit.has_begun() },
-            }),
-        }
-    }
-}
-
-/// Shuts down the write side and waits until the target has closed the connection. By then the
-/// target has noticed the cancellation, so its slot is free. A target that goes on sending has not
-/// noticed, and the connection is closed on it.
-async fn wait_for_close(mut stream: Async<TcpStream>) {
-    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
-        return;
-    }
-    let mut buf = [0; 4_096];
-    let mut discarded = 0;
-    while discarded < MAX_DISCARDED_BYTES {
-        match stream.read(&mut buf).await {
-            Ok(count) if count > 0 => discarded += count,
-            _ => return,
-        }
-    }
-}
