--- a/review/harness-2/backend.rs
+++ b/review/harness-2/backend.rs
@@ -40,6 +40,15 @@
 /// Is told the attempt id and how many bytes of the body have come, once it is whole or ends early.
 pub type EarlyReader = Arc<dyn Fn(&str, usize) + Send + Sync>;
 
+/// What not all backends do.
+#[derive(Clone, Default)]
+pub struct Options {
+    /// Set if it answers before it reads a body.
+    pub early: Option<EarlyReader>,
+    /// How long it is cold after its start.
+    pub cold: Duration,
+}
+
 #[derive(Clone)]
 pub struct Backend(Arc<Inner>);
 
@@ -53,8 +62,8 @@
     downtime: Duration,
     store: Store,
     behaviour: Behaviour,
-    /// Set if it answers before it reads a body.
-    early: Option<EarlyReader>,
+    options: Options,
+    started: Mutex<Instant>,
     // Each process has an id of its own.
     process: AtomicU64,
     beats: AtomicU64,
@@ -79,7 +88,7 @@
         slots: u32,
         store: &Store,
         behaviour: Behaviour,
-        early: Option<EarlyReader>,
+        options: Options,
     ) -> std::io::Result<Backend> {
         let listener = TcpListener::bind(address)?;
         let backend = Backend(Arc::new(Inner {
@@ -91,7 +100,8 @@
             downtime: Duration::from_secs(2),
             store: store.clone(),
             behaviour,
-            early,
+            options,
+            started: Mutex::new(Instant::now()),
             process: AtomicU64::new(1),
             beats: AtomicU64::new(0),
             down: AtomicBool::new(false),
@@ -115,6 +125,12 @@
         format!("i-{}-{}", self.0.name, self.0.process.load(Ordering::SeqCst))
     }
 
+    /// Milliseconds for which it stays cold.
+    fn cold_left(&self) -> u128 {
+        let age = self.0.started.lock().unwrap().elapsed();
+        self.0.options.cold.saturating_sub(age).as_millis()
+    }
+
     fn register(&self) {
         if self.0.down.load(Ordering::SeqCst) {
             return;
@@ -123,11 +139,12 @@
         let process = self.0.process.load(Ordering::SeqCst);
         let seq = self.0.beats.fetch_add(1, Ordering::SeqCst) + 1;
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        let cold = self.cold_left();
         // The start of the process, the same in all entries of it.
         let born = now / 1_000_000 * 1_000_000 + process;
         let entry = format!(
             "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\
-             \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_left_ms\":0,\
+             \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_left_ms\":{cold},\
              \"seq\":{seq},\"born\":{born}}}"
         );
         self.0.store.put(&format!("servers/{}", self.id()), &entry);
@@ -147,6 +164,7 @@
             std::thread::sleep(backend.0.downtime);
             backend.0.process.fetch_add(1, Ordering::SeqCst);
             backend.0.beats.store(0, Ordering::SeqCst);
+            *backend.0.started.lock().unwrap() = Instant::now();
             backend.0.down.store(false, Ordering::SeqCst);
             backend.register();
             std::thread::sleep(BEAT * 3 - backend.0.downtime);
@@ -183,7 +201,7 @@
         }
         let mut reader = BufReader::new(&stream);
         while let Ok(Some(head)) = read_head(&mut reader) {
-            if let Some(early) = &self.0.early
+            if let Some(early) = &self.0.options.early
                 && head.number("content-length").is_some_and(|size| size > 0)
             {
                 match self.answer_early(&head, &stream, &mut reader, early) {
@@ -234,7 +252,9 @@
         let load = self.load();
         if head.target() == "/healthz" {
             let text = format!(
-                "HTTP/1.1 200 X\r\nInstance-Id: {own}\r\nServer-Load: {load}\r\nContent-Length: 0\r\n\r\n"
+                "HTTP/1.1 200 X\r\nInstance-Id: {own}\r\nServer-Load: {load}\r\n\
+                 Cold-Ms: {}\r\nContent-Length: 0\r\n\r\n",
+                self.cold_left()
             );
             return stream.write_all(text.as_bytes()).ok();
         }
--- a/review/harness-2/crashing.rs
+++ b/review/harness-2/crashing.rs
@@ -1,7 +1,7 @@
 //! A request that crashes each backend that runs it comes again and again, with a chunked body, among
 //! sound requests to the same path.
 
-use crate::backend::{Action, Behaviour};
+use crate::backend::{Action, Behaviour, Options};
 use crate::http::{Answer, Body, Request, call};
 use crate::world::{HOST, Machine, Network, Port, Record, Route, World};
 use std::io;
@@ -20,6 +20,7 @@
 ];
 
 const SLOTS: u32 = 8;
+const LINK_MBPS: f64 = 1_000.0;
 const WORK: Duration = Duration::from_millis(40);
 const DEADLINE: Duration = Duration::from_millis(3_000);
 
@@ -113,7 +114,14 @@
         observer.record.log(&format!("backend {} begins to run {id}, and crashes", run.backend));
         Action::Crash
     });
-    let mut world = World::start(&MACHINES, &[route], SLOTS, &behaviour, None)?;
+    let mut world = World::start(
+        &MACHINES,
+        &[route],
+        (SLOTS, LINK_MBPS),
+        &behaviour,
+        &Options::default(),
+        None,
+    )?;
     let _ = shared.network.set(world.network);
     shared.record.log("the nodes are ready; orders begin");
     let orders = (0..2 * MACHINES.len()).map(|client| {
--- a/review/harness-2/early.rs
+++ b/review/harness-2/early.rs
@@ -1,6 +1,6 @@
 //! A backend answers a long upload before it has read it, keeps the connection and reads on.
 
-use crate::backend::{Action, Behaviour, EarlyReader};
+use crate::backend::{Action, Behaviour, EarlyReader, Options};
 use crate::http::read_head;
 use crate::world::{HOST, Machine, Port, Record, Route, World};
 use std::collections::HashMap;
@@ -17,6 +17,7 @@
 ];
 
 const SLOTS: u32 = 8;
+const LINK_MBPS: f64 = 1_000.0;
 const WORK: Duration = Duration::from_millis(20);
 const TIMEOUT_MS: u32 = 20_000;
 
@@ -71,8 +72,9 @@
         timeout_ms: TIMEOUT_MS,
         attempts: 3,
     };
-    let early = trouble.then_some(&early);
-    let mut world = World::start(&MACHINES, &[route], SLOTS, &behaviour, early)?;
+    let options = Options { early: trouble.then_some(early), ..Options::default() };
+    let mut world =
+        World::start(&MACHINES, &[route], (SLOTS, LINK_MBPS), &behaviour, &options, None)?;
     let network = world.network;
     let clients = (0..UPLOADS).map(|number| {
         let record = record.clone();
--- a/review/harness-2/evacuated.rs
+++ b/review/harness-2/evacuated.rs
@@ -1,14 +1,14 @@
-//! A node in an evacuated zone is stopped and started again, while the operators' document is so large
-//! that a page of the store ends after it.
+//! Versions come in quick succession while a zone is evacuated and the operators' document is so large that
+//! a page of the store ends after it.
 
-use crate::backend::{Action, Behaviour};
+use crate::backend::{Action, Behaviour, Options};
 use crate::http::{Body, Request, call};
-use crate::world::{HOST, IN_TOUCH, Machine, Network, Port, Record, Route, World, is_ready};
+use crate::world::{self, HOST, Machine, Network, Port, Record, Route, World};
 use std::io;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const MACHINES: [Machine; 6] = [
     Machine { zone: "calgary", service: "orders" },
@@ -21,10 +21,12 @@
 
 const EVACUATED: &str = "edmonton";
 
-/// A machine of that zone.
-const RESTARTED: usize = 4;
+/// Versions that are published one after the other, and the pause between.
+const VERSIONS: u64 = 10;
+const VERSION_PAUSE: Duration = Duration::from_millis(250);
 
 const SLOTS: u32 = 8;
+const LINK_MBPS: f64 = 100.0;
 const WORK: Duration = Duration::from_millis(20);
 const DEADLINE: Duration = Duration::from_millis(3_000);
 
@@ -79,15 +81,18 @@
         served: AtomicU64::new(0),
         over: AtomicBool::new(false),
     });
-    let route = |prefix: String| Route {
-        prefix,
-        kind: "idempotent",
-        service: "orders",
-        timeout_ms: 2_500,
-        attempts: 3,
+    let routes = |timeout_ms: u32| -> Vec<Route> {
+        let others = (1..ROUTES).map(|number| format!("/orders-{number:05}/"));
+        let prefixes = std::iter::once("/orders/".to_owned()).chain(others);
+        let route = |prefix: String| Route {
+            prefix,
+            kind: "idempotent",
+            service: "orders",
+            timeout_ms,
+            attempts: 3,
+        };
+        prefixes.map(route).collect()
     };
-    let mut routes = vec![route("/orders/".to_owned())];
-    routes.extend((1..ROUTES).map(|number| route(format!("/orders-{number:05}/"))));
     let observer = shared.clone();
     let behaviour: Behaviour = Arc::new(move |run| {
         if run.zone == EVACUATED {
@@ -95,7 +100,14 @@
         }
         Action::Answer(WORK)
     });
-    let mut world = World::start(&MACHINES, &routes, SLOTS, &behaviour, None)?;
+    let mut world = World::start(
+        &MACHINES,
+        &routes(2_500),
+        (SLOTS, LINK_MBPS),
+        &behaviour,
+        &Options::default(),
+        None,
+    )?;
     let _ = shared.network.set(world.network);
     shared.record.log(&format!("op/config has {} bytes", world.document_bytes));
     let clients = (0..MACHINES.len()).map(|machine| {
@@ -112,21 +124,17 @@
     let acknowledged = shared.record.now();
     shared.record.log(&format!("the evacuation of {EVACUATED} is acknowledged"));
     std::thread::sleep(Duration::from_secs_f64(EVACUATION_BOUND + 1.0));
-    let mut from = acknowledged + EVACUATION_BOUND;
-    let before = runs_between(from, f64::MAX);
-    shared.record.log(&format!("runs there later than evac_ms after: {before}"));
+    let from = acknowledged + EVACUATION_BOUND;
+    shared
+        .record
+        .log(&format!("runs there later than evac_ms after: {}", runs_between(from, f64::MAX)));
     if trouble {
-        shared.record.log(&format!("SIGTERM to the node of machine {RESTARTED}"));
-        world.fleet.signal(RESTARTED, "TERM")?;
-        world.fleet.restart(&world.network, &MACHINES, RESTARTED)?;
-        let until = Instant::now() + Duration::from_secs(10);
-        while !is_ready(&world.network, RESTARTED) && Instant::now() < until {
-            std::thread::sleep(Duration::from_millis(20));
+        for version in 2..2 + VERSIONS {
+            let routes = routes(if version % 2 == 0 { 2_000 } else { 2_500 });
+            world::publish(&world.store, version, &routes, &["orders"]);
+            shared.record.log(&format!("version {version} is acknowledged"));
+            std::thread::sleep(VERSION_PAUSE);
         }
-        shared.record.log("it has ended, was started again, and is ready");
-        std::thread::sleep(IN_TOUCH);
-        from = shared.record.now();
-        shared.record.log("its machine is in touch again");
     }
     std::thread::sleep(WATCHED);
     shared.over.store(true, Ordering::SeqCst);
@@ -134,7 +142,7 @@
         let _ = client.join();
     }
     world.check_running()?;
-    let late = before + runs_between(from, f64::MAX);
+    let late = runs_between(from, f64::MAX);
     let served = shared.served.load(Ordering::SeqCst);
     shared.record.log(&format!(
         "requests served: {served}; runs in {EVACUATED}, evacuated all the while, later than evac_ms \
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -4,6 +4,7 @@
 //! the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod backend;
+mod cold;
 mod crashing;
 mod early;
 mod evacuated;
@@ -26,6 +27,7 @@
         "early" => early::run(Path::new(folder), trouble),
         "silent" => silent::run(Path::new(folder), trouble),
         "evacuated" => evacuated::run(Path::new(folder), trouble),
+        "cold" => cold::run(Path::new(folder), trouble),
         "crashing" => crashing::run(Path::new(folder), trouble),
         _ => Err(std::io::Error::other(format!("no case {case}"))),
     };
--- a/review/harness-2/silent.rs
+++ b/review/harness-2/silent.rs
@@ -1,7 +1,7 @@
 //! A node's settings file changes (SIGHUP) while backends pause in the middle of their answers, well
 //! within the deadline of the client and the timeout of the route.
 
-use crate::backend::{Action, Behaviour};
+use crate::backend::{Action, Behaviour, Options};
 use crate::http::{Body, Request, call};
 use crate::world::{HOST, Machine, Port, Record, Route, World};
 use std::io;
@@ -19,6 +19,7 @@
 const RELOADED: usize = 0;
 
 const SLOTS: u32 = 8;
+const LINK_MBPS: f64 = 1_000.0;
 const PAUSE: Duration = Duration::from_secs(11);
 const TIMEOUT_MS: u32 = 20_000;
 
@@ -46,7 +47,14 @@
         timeout_ms: TIMEOUT_MS,
         attempts: 3,
     };
-    let mut world = World::start(&MACHINES, &[route], SLOTS, &behaviour, None)?;
+    let mut world = World::start(
+        &MACHINES,
+        &[route],
+        (SLOTS, LINK_MBPS),
+        &behaviour,
+        &Options::default(),
+        None,
+    )?;
     if trouble {
         record.log(&format!("SIGHUP to the node of machine {RELOADED}"));
         world.fleet.signal(RELOADED, "HUP")?;
--- a/review/harness-2/world.rs
+++ b/review/harness-2/world.rs
@@ -1,7 +1,7 @@
 //! A small deployment on loopback addresses: the project's own nodes as processes, and stand-ins of
 //! the store and of backends.
 
-use crate::backend::{Backend, Behaviour, EarlyReader};
+use crate::backend::{Backend, Behaviour, Options};
 use crate::store::Store;
 use std::fs::File;
 use std::io::{self, Write};
@@ -13,6 +13,15 @@
 
 pub const REGION: &str = "alberta";
 
+/// How long the document says that backends are cold, and what they tolerate meanwhile; of the site file
+/// cchc-rounds-grown. Backends that are never cold don't heed it.
+pub const COLD_S: f64 = 3.0;
+pub const COLD_PER_S: f64 = 7.9;
+
+/// Bounds of the rule FAILBACK, of the same file.
+pub const COLD_OVER: f64 = 1.5;
+pub const COLD_SLACK: f64 = 8.0;
+
 /// Time after a start from which on a machine is in touch: more than `contact_ms`.
 pub const IN_TOUCH: Duration = Duration::from_secs(5);
 
@@ -72,12 +81,12 @@
 }
 
 impl Fleet {
-    pub fn start(network: &Network, machines: &[Machine]) -> io::Result<Fleet> {
+    pub fn start(network: &Network, machines: &[Machine], link_mbps: f64) -> io::Result<Fleet> {
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let mut fleet = Fleet { processes: Vec::new(), folder };
         for number in 0..machines.len() {
-            let process = fleet.start_process(network, machines, number)?;
+            let process = fleet.start_process(network, machines, number, link_mbps)?;
             fleet.processes.push(process);
         }
         Ok(fleet)
@@ -88,9 +97,10 @@
         network: &Network,
         machines: &[Machine],
         number: usize,
+        link_mbps: f64,
     ) -> io::Result<Child> {
         let settings = self.folder.join(format!("settings-{number}.json"));
-        std::fs::write(&settings, render_settings(network, machines, number)?)?;
+        std::fs::write(&settings, render_settings(network, machines, number, link_mbps)?)?;
         let log = File::options()
             .create(true)
             .append(true)
@@ -109,9 +119,9 @@
         network: &Network,
         machines: &[Machine],
         number: usize,
+        link_mbps: f64,
     ) -> io::Result<()> {
-        self.processes[number].wait()?;
-        self.processes[number] = self.start_process(network, machines, number)?;
+        self.processes[number] = self.start_process(network, machines, number, link_mbps)?;
         Ok(())
     }
 
@@ -173,7 +183,12 @@
 }
 
 /// Fills in the template of the settings, as the platform does.
-fn render_settings(network: &Network, machines: &[Machine], number: usize) -> io::Result<String> {
+fn render_settings(
+    network: &Network,
+    machines: &[Machine],
+    number: usize,
+    link_mbps: f64,
+) -> io::Result<String> {
     let Machine { zone, service } = machines[number];
     let at = |port| network.at(number, port).to_string();
     let mut zones: Vec<&str> = machines.iter().map(|machine| machine.zone).collect();
@@ -186,11 +201,9 @@
     let mut text = std::fs::read_to_string(Path::new("deploy/settings.template"))?
         .replace("{{#seed_addrs}}{{.|json}}{{,}}{{/seed_addrs}}", &seeds.join(","))
         .replace("{{#bounds.grace_s}}", "")
-        .replace("{{/bounds.grace_s}}", "");
-    let end_tag = "{{/bounds.cold_over}}";
-    if let (Some(start), Some(end)) = (text.find("{{#bounds.cold_over}}"), text.find(end_tag)) {
-        text.replace_range(start..end + end_tag.len(), "");
-    }
+        .replace("{{/bounds.grace_s}}", "")
+        .replace("{{#bounds.cold_over}}", "")
+        .replace("{{/bounds.cold_over}}", "");
     let quoted = |text: &str| format!("\"{text}\"");
     let values = [
         ("node", quoted(&format!("machine-{number}"))),
@@ -210,7 +223,9 @@
         ("bounds.converge_ms", "2500".to_owned()),
         ("bounds.drain_ms", "2500".to_owned()),
         ("bounds.grace_s", "6".to_owned()),
-        ("limits.link_mbps", "1000.0".to_owned()),
+        ("bounds.cold_over", COLD_OVER.to_string()),
+        ("bounds.cold_slack", COLD_SLACK.to_string()),
+        ("limits.link_mbps", format!("{link_mbps:.1}")),
     ];
     for (name, value) in values {
         text = text.replace(&format!("{{{{{name}|json}}}}"), &value);
@@ -248,7 +263,7 @@
     let cluster = |name: &&str| {
         format!(
             "{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_conns\":110,\
-             \"protocol\":\"h1\",\"tls\":false}}"
+             \"protocol\":\"h1\",\"tls\":false,\"cold_s\":{COLD_S},\"cold_per_s\":{COLD_PER_S}}}"
         )
     };
     let clusters: Vec<String> = services.iter().map(cluster).collect();
@@ -273,13 +288,15 @@
 }
 
 impl World {
-    /// Starts everything, and waits until all nodes are ready and in touch.
+    /// Starts everything but the backend of the machine `late`, and waits until all nodes are ready
+    /// and in touch.
     pub fn start(
         machines: &[Machine],
         routes: &[Route],
-        slots: u32,
+        (slots, link_mbps): (u32, f64),
         behaviour: &Behaviour,
-        early: Option<&EarlyReader>,
+        options: &Options,
+        late: Option<usize>,
     ) -> io::Result<World> {
         let (store, network) = (Store::default(), Network::reserve()?);
         let mut services: Vec<&str> = machines.iter().map(|machine| machine.service).collect();
@@ -290,10 +307,12 @@
         for (number, Machine { zone, service }) in machines.iter().enumerate() {
             let address = network.at(number, Port::App);
             let name = format!("{service}-{number}");
-            let (behaviour, early) = (behaviour.clone(), early.cloned());
-            Backend::start(name, (service, zone), address, slots, &store, behaviour, early)?;
+            let (behaviour, options) = (behaviour.clone(), options.clone());
+            if late != Some(number) {
+                Backend::start(name, (service, zone), address, slots, &store, behaviour, options)?;
+            }
         }
-        let fleet = Fleet::start(&network, machines)?;
+        let fleet = Fleet::start(&network, machines, link_mbps)?;
         fleet.wait_ready(&network)?;
         std::thread::sleep(IN_TOUCH);
         Ok(World { store, network, fleet, document_bytes })
