--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -21,6 +21,8 @@
     revision: u64,
     // By key, as JSON.
     items: BTreeMap<String, String>,
+    // Revisions at which the items were created.
+    created: BTreeMap<String, u64>,
     // Every write and removal, in order.
     events: Vec<(u64, String, String)>,
 }
@@ -32,8 +34,9 @@
         items.revision += 1;
         let revision = items.revision;
         let value = base64(value.as_bytes());
+        let created = *items.created.entry(key.to_owned()).or_insert(revision);
         let item = format!(
-            "{{\"key\":\"{key}\",\"value\":\"{value}\",\"rev\":{revision},\"created\":{revision},\"lease\":0}}"
+            "{{\"key\":\"{key}\",\"value\":\"{value}\",\"rev\":{revision},\"created\":{created},\"lease\":0}}"
         );
         items.items.insert(key.to_owned(), item.clone());
         items.events.push((revision, key.to_owned(), item));
@@ -44,6 +47,7 @@
     pub fn remove(&self, key: &str) {
         let mut items = self.0.0.lock().unwrap();
         if items.items.remove(key).is_some() {
+            items.created.remove(key);
             items.revision += 1;
             let revision = items.revision;
             let event = format!("{{\"key\":\"{key}\",\"rev\":{revision},\"removed\":true}}");
@@ -94,6 +98,11 @@
                 let wait = parameter("wait_ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
                 self.watch(&prefix, after.parse().unwrap_or(0), wait)
             }
+            "/-/kv-key" => {
+                let items = self.0.0.lock().unwrap();
+                let item = items.items.get(&parameter("key").unwrap_or_default());
+                item.map_or((404, "{}".to_owned()), |item| (200, item.clone()))
+            }
             _ => (404, "{}".to_owned()),
         }
     }
