--- a/review/harness-2/cold.rs
+++ b/review/harness-2/cold.rs
@@ -70,6 +70,8 @@
                 body: Body::Empty,
             };
             let answer = call(network.at(machine, Port::Outbound), &request);
+            let (id, status) = (&request.id, answer.status);
+            self.record.log(&format!("{id} was sent to machine {machine} and answered {status}"));
             let counter = match answer.status {
                 200 => &self.served,
                 503 => &self.refused,
@@ -109,13 +111,14 @@
     };
     let observer = shared.clone();
     let behaviour: Behaviour = Arc::new(move |run| {
+        let id = run.head.get("attempt-id").unwrap_or_default();
+        observer.record.log(&format!("backend {} runs {id}, cold: {}", run.backend, run.cold));
         if !run.cold {
             return Action::Answer(WORK);
         }
         let now = observer.record.now();
         let mut runs = observer.runs.lock().unwrap();
         runs.push(now);
-        observer.record.log(&format!("backend {} runs request {}", run.backend, runs.len()));
         let last_second = runs.iter().filter(|at| **at > now - 1.0).count();
         if last_second < CRASH_RATE {
             return Action::Answer(WORK);
--- a/review/harness-2/crashing.rs
+++ b/review/harness-2/crashing.rs
@@ -70,16 +70,16 @@
         while !self.over.load(Ordering::SeqCst) {
             number += 1;
             let answer = self.send(machine, format!("order {machine}-{number}"));
-            match answer.status {
-                200 => self.served.fetch_add(1, Ordering::SeqCst),
-                503 => self.refused.fetch_add(1, Ordering::SeqCst),
-                status => {
-                    self.record.log(&format!(
-                        "order {machine}-{number} sent to machine {machine}: answer {status}"
-                    ));
-                    self.lost.fetch_add(1, Ordering::SeqCst)
-                }
+            let status = answer.status;
+            self.record.log(&format!(
+                "order {machine}-{number} was sent to machine {machine} and answered {status}"
+            ));
+            let counter = match status {
+                200 => &self.served,
+                503 => &self.refused,
+                _ => &self.lost,
             };
+            counter.fetch_add(1, Ordering::SeqCst);
             std::thread::sleep(Duration::from_millis(30));
         }
     }
@@ -107,6 +107,8 @@
     let observer = shared.clone();
     let behaviour: Behaviour = Arc::new(move |run| {
         if !run.body.starts_with(CRASHING.as_bytes()) {
+            let order = String::from_utf8_lossy(run.body);
+            observer.record.log(&format!("backend {} runs {order}", run.backend));
             return Action::Answer(WORK);
         }
         observer.crashes.lock().unwrap().push(observer.record.now());
--- a/review/harness-2/evacuated.rs
+++ b/review/harness-2/evacuated.rs
@@ -67,6 +67,8 @@
                 body: Body::Empty,
             };
             let answer = call(network.at(machine, Port::Outbound), &request);
+            let (id, status) = (&request.id, answer.status);
+            self.record.log(&format!("{id} was sent to machine {machine} and answered {status}"));
             if answer.status == 200 {
                 self.served.fetch_add(1, Ordering::SeqCst);
             }
@@ -99,6 +101,8 @@
     };
     let observer = shared.clone();
     let behaviour: Behaviour = Arc::new(move |run| {
+        let id = run.head.get("attempt-id").unwrap_or_default();
+        observer.record.log(&format!("{} in {} runs {id}", run.backend, run.zone));
         if run.zone == EVACUATED {
             observer.runs.lock().unwrap().push(observer.record.now());
         }
