Record why and for how long a target counts as cold

- events target-cold, with the evidence and the time left, and target-warm
- cold_starts in the lines of a gatekeeper about requests, while its target counts as cold
- metrics sycamore_target_cold and sycamore_cold_starts_total

No decision changes. Tests: cold_changes_reported (core), cold_target_recorded (node); neither compiles on the code before.

--- a/bench/src/fleet/calls/targets.rs
+++ b/bench/src/fleet/calls/targets.rs
@@ -90,7 +90,8 @@
             }
             gatekeeper::Output::Send(_)
             | gatekeeper::Output::Probe
-            | gatekeeper::Output::Record(_) => {}
+            | gatekeeper::Output::Record(_)
+            | gatekeeper::Output::RecordCold(_) => {}
         }
     }
 
--- a/bench/src/lab/path.rs
+++ b/bench/src/lab/path.rs
@@ -148,7 +148,8 @@
                 gatekeeper::Output::Replay(..)
                 | gatekeeper::Output::Send(_)
                 | gatekeeper::Output::Probe
-                | gatekeeper::Output::Record(_) => {}
+                | gatekeeper::Output::Record(_)
+                | gatekeeper::Output::RecordCold(_) => {}
             }
         }
     }
--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -29,7 +29,7 @@
 pub use offer::{Admission, Objective, Offer, Popped};
 pub use refusals::{RefusalReason, Refusals};
 pub use report::ParkedReport;
-pub use start_limits::StartLimits;
+pub use start_limits::{ColdChange, StartLimits};
 pub use start_log::{MAX_INTERVAL, StartLog, StartRate};
 
 use super::depth::NestingDepths;
@@ -185,6 +185,11 @@
     }
 
     /// Limits on the rate of starts.
+    pub fn start_limits(&self) -> &StartLimits {
+        &self.start_limits
+    }
+
+    /// The same, to report what is known of the target.
     pub fn start_limits_mut(&mut self) -> &mut StartLimits {
         &mut self.start_limits
     }
--- a/core/src/call/admit/start_limits.rs
+++ b/core/src/call/admit/start_limits.rs
@@ -8,6 +8,7 @@
 use super::start_log::{StartLog, StartRate};
 use crate::call::RateLimit;
 use crate::config::ServiceLimits;
+use crate::event::ColdEvidence;
 use crate::{Code, Time};
 use std::time::Duration;
 
@@ -29,20 +30,45 @@
     held_until: Time,
     // Also kept while no limit holds, so that one that begins counts what was sent before.
     log: StartLog,
+    // What was last reported by `take_change`; `None` if the target was not cold.
+    reported: Option<ColdTime>,
+}
+
+data! {
+    /// From when on a target counts as cold, and why.
+    #[derive(Copy)]
+    pub struct ColdTime {
+        pub since: Time,
+        pub evidence: ColdEvidence,
+    }
+
+    /// A change of the time for which a target counts as cold.
+    #[derive(Copy)]
+    pub enum ColdChange {
+        Cold {
+            evidence: ColdEvidence,
+            /// For how long it still counts as cold.
+            left: Duration,
+        },
+        Warm,
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Warmth {
     /// Does not respond. Cold from its first response on.
     Down,
-    Cold {
-        since: Time,
-        /// Whether the target's start was observed, rather than assumed.
-        observed: bool,
-    },
+    Cold(ColdTime),
     Warm,
 }
 
+impl ColdTime {
+    /// Whether the target's start was observed, rather than assumed.
+    fn is_observed(self) -> bool {
+        !matches!(self.evidence, ColdEvidence::GatekeeperStarted | ColdEvidence::Evacuation)
+    }
+}
+
 impl StartLimits {
     /// A target that is warm, without limits.
     pub fn new() -> StartLimits {
@@ -53,6 +79,7 @@
             stated: None,
             held_until: Time::ZERO,
             log: StartLog::new(),
+            reported: None,
         }
     }
 
@@ -89,24 +116,27 @@
     /// Records that the gatekeeper's process started at `started`. The target may have started
     /// together with it.
     pub fn gatekeeper_started(&mut self, started: Time) {
-        self.presume_cold(started + MAX_START_GAP);
+        self.set_cold(started + MAX_START_GAP, ColdEvidence::GatekeeperStarted);
     }
 
-    /// Treats the target as cold from `since` on, unless it reports otherwise.
-    pub fn presume_cold(&mut self, since: Time) {
-        self.state = Warmth::Cold { since, observed: false };
+    /// Treats the target as cold unless it reports otherwise: its zone was evacuated until now.
+    pub fn evacuation_ended(&mut self, now: Time) {
+        self.set_cold(now, ColdEvidence::Evacuation);
+    }
+
+    fn set_cold(&mut self, since: Time, evidence: ColdEvidence) {
+        self.state = Warmth::Cold(ColdTime { since, evidence });
     }
 
     /// Whether the target is cold only by presumption.
     pub fn is_presumed(&self, now: Time) -> bool {
-        matches!(self.state, Warmth::Cold { observed: false, .. }) && self.is_cold(now)
+        matches!(self.state, Warmth::Cold(cold) if !cold.is_observed()) && self.is_cold(now)
     }
 
     /// Records the target's own statement of how long it stays cold.
     pub fn probed(&mut self, now: Time, cold_left: Duration) {
         if self.state != Warmth::Down {
-            let since = now + cold_left - self.cold_duration;
-            self.state = Warmth::Cold { since, observed: true };
+            self.set_cold(now + cold_left - self.cold_duration, ColdEvidence::Health);
         }
     }
 
@@ -118,27 +148,51 @@
     /// Records a response of the target.
     pub fn target_responded(&mut self, now: Time) {
         if self.state == Warmth::Down {
-            self.state = Warmth::Cold { since: now, observed: true };
+            self.set_cold(now, ColdEvidence::Response);
         }
     }
 
     /// Records a report that the target is cold. Ignored while the target is cold after a start
     /// that was observed, because the report may refer to that start.
-    pub fn reported_cold(&mut self, now: Time) {
+    pub fn reported_cold(&mut self, now: Time, evidence: ColdEvidence) {
         let known = match self.state {
             Warmth::Down => true,
-            Warmth::Cold { observed, .. } => observed && self.is_cold(now),
+            Warmth::Cold(cold) => cold.is_observed() && self.is_cold(now),
             Warmth::Warm => false,
         };
         if !known {
-            self.state = Warmth::Cold { since: now, observed: true };
+            self.set_cold(now, evidence);
+        }
+    }
+
+    /// The change since the last call, if there is one. A target that does not respond is reported
+    /// as such and not here.
+    pub fn take_change(&mut self, now: Time) -> Option<ColdChange> {
+        let current = match self.state {
+            Warmth::Down => return None,
+            Warmth::Cold(cold) if self.is_cold(now) => Some(cold),
+            Warmth::Cold(_) | Warmth::Warm => None,
+        };
+        let before = std::mem::replace(&mut self.reported, current);
+        match current {
+            _ if before == current => None,
+            None => Some(ColdChange::Warm),
+            Some(ColdTime { since, evidence }) => {
+                let left = (since + self.cold_duration).since(now);
+                Some(ColdChange::Cold { evidence, left })
+            }
         }
     }
 
+    /// Number of requests started within the interval of the limit of a cold target.
+    pub fn recent_starts(&self, now: Time) -> usize {
+        self.log.count(now, COLD_INTERVAL)
+    }
+
     pub fn is_cold(&self, now: Time) -> bool {
         let cold = match self.state {
             Warmth::Down => true,
-            Warmth::Cold { since, .. } => now < since + self.cold_duration,
+            Warmth::Cold(cold) => now < cold.since + self.cold_duration,
             Warmth::Warm => false,
         };
         cold && !self.cold_duration.is_zero() && self.max_cold_starts > 0
@@ -176,7 +230,7 @@
         let rate = StartRate { count: self.max_cold_starts, interval: COLD_INTERVAL };
         let delay = self.log.delay(now, rate, ahead);
         match self.state {
-            Warmth::Cold { since, .. } => delay.min((since + self.cold_duration).since(now)),
+            Warmth::Cold(cold) => delay.min((cold.since + self.cold_duration).since(now)),
             Warmth::Down | Warmth::Warm => delay,
         }
     }
--- a/core/src/call/admit/start_log.rs
+++ b/core/src/call/admit/start_log.rs
@@ -66,6 +66,12 @@
         }
     }
 
+    /// Number of starts within the last `interval`.
+    pub fn count(&self, now: Time, interval: Duration) -> usize {
+        let oldest = now - interval;
+        self.starts.len() - self.starts.partition_point(|start| *start <= oldest)
+    }
+
     /// Returns the delay before a request may start that has `ahead` others before it.
     pub fn delay(&self, now: Time, rate: StartRate, ahead: usize) -> Duration {
         let StartRate { count, interval } = rate;
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -227,6 +227,7 @@
         self.tell_witnesses(now, out);
         self.poll_homes(now, out);
         self.run_waiting(now, out);
+        out.extend(self.slots.start_limits_mut().take_change(now).map(Output::RecordCold));
     }
 
     /// Returns the time at which the next `bytes` of the response to `call` may be sent.
@@ -244,6 +245,16 @@
         self.slots.load(now)
     }
 
+    /// Whether the target counts as cold.
+    pub fn is_target_cold(&self, now: Time) -> bool {
+        self.slots.start_limits().is_cold(now)
+    }
+
+    /// Number of requests started within the interval of the limit of a cold target.
+    pub fn recent_starts(&self, now: Time) -> usize {
+        self.slots.start_limits().recent_starts(now)
+    }
+
     /// Requests parked for the target.
     pub fn parked(&self) -> ParkedReport {
         self.slots.parked()
--- a/core/src/call/gatekeeper/placement.rs
+++ b/core/src/call/gatekeeper/placement.rs
@@ -4,6 +4,7 @@
 use super::{Arrival, Gatekeeper, Output, RETRY_AFTER_SHORT};
 use crate::call::{CallKey, Outcome, Terms};
 use crate::config::{Target, TargetKey, allows_region};
+use crate::event::ColdEvidence;
 use crate::member::VmState;
 use crate::{Code, Name, Time};
 use std::time::Duration;
@@ -62,10 +63,10 @@
         let reported = target.cold && !before.cold;
         let returned = before.evacuated && !target.evacuated;
         if replaced || reported {
-            self.slots.start_limits_mut().reported_cold(now);
+            self.slots.start_limits_mut().reported_cold(now, ColdEvidence::Entry);
         }
         if returned {
-            self.slots.start_limits_mut().presume_cold(now);
+            self.slots.start_limits_mut().evacuation_ended(now);
         }
         if target.evacuated && !before.evacuated {
             self.reject_waiting_requests(now, Code::ZoneEvacuated, out);
@@ -113,7 +114,7 @@
         }
         self.slots.release(call);
         if self.is_silent(now) {
-            self.slots.start_limits_mut().reported_cold(now);
+            self.slots.start_limits_mut().reported_cold(now, ColdEvidence::Rejection);
         }
     }
 
--- a/core/src/call/gatekeeper/port.rs
+++ b/core/src/call/gatekeeper/port.rs
@@ -1,5 +1,6 @@
 //! Inputs and outputs of the gatekeeper.
 
+use crate::call::admit::ColdChange;
 use crate::call::note::{Note, OutgoingNote};
 use crate::call::once::CachedResponse;
 use crate::call::{
@@ -160,6 +161,8 @@
         Send(OutgoingNote),
         /// Record a state change event.
         Record(EventKind),
+        /// Record that the target counts as cold, or no longer does.
+        RecordCold(ColdChange),
     }
 }
 
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -2,6 +2,7 @@
 
 use crate::{Code, Name, Time};
 use std::collections::VecDeque;
+use std::time::Duration;
 
 macro_rules! kinds {
     ($($(#[$doc:meta])* $name:ident,)*) => {
@@ -50,6 +51,10 @@
     TargetUnlimited,
     /// The local target states that it is leaving.
     TargetLeaving,
+    /// The local target counts as cold from now on, or for another time than before.
+    TargetCold,
+    /// The local target no longer counts as cold.
+    TargetWarm,
     /// The local target's entry lists it as accepting requests.
     EntryReady,
     /// The local target's entry lists it as leaving.
@@ -77,6 +82,24 @@
     Stopped,
 }
 
+kebab_enum! {
+    /// Why a target counts as cold.
+    pub enum ColdEvidence {
+        /// The gatekeeper's process has started, and its target may have started with it.
+        GatekeeperStarted,
+        /// The target has responded for the first time after an outage.
+        Response,
+        /// The target's entry lists it as cold, or another process.
+        Entry,
+        /// The target rejected a request to its previous process.
+        Rejection,
+        /// The target's zone was evacuated.
+        Evacuation,
+        /// The target's response to a health request.
+        Health,
+    }
+}
+
 lenient_json! {
     /// A state change.
     pub struct Event {
@@ -95,6 +118,12 @@
         /// Number of calls that were still open.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub calls: Option<u64>,
+        /// Why the target counts as cold.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub evidence: Option<ColdEvidence>,
+        /// For how long the target still counts as cold, in milliseconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub left_ms: Option<u64>,
     }
 }
 
@@ -108,7 +137,16 @@
 
 impl Event {
     pub fn new(at: Time, kind: EventKind) -> Event {
-        Event { at, kind, version: None, peer: None, code: None, calls: None }
+        Event {
+            at,
+            kind,
+            version: None,
+            peer: None,
+            code: None,
+            calls: None,
+            evidence: None,
+            left_ms: None,
+        }
     }
 
     /// Sets the code implied by the kind, if the kind always denotes a failure.
@@ -140,6 +178,13 @@
         self.calls = Some(calls);
         self
     }
+
+    /// Sets why the target counts as cold, and for how long it still does.
+    pub fn with_cold_time(mut self, evidence: ColdEvidence, left: Duration) -> Event {
+        self.evidence = Some(evidence);
+        self.left_ms = Some(left.as_millis() as u64);
+        self
+    }
 }
 
 /// Bounded ring buffer of the most recent events, oldest first.
--- a/core/tests/call_cold.rs
+++ b/core/tests/call_cold.rs
@@ -4,8 +4,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 use sycamore_core::call::CallKey;
-use sycamore_core::call::admit::{Admission, Offer, Popped, Slots, StartLimits};
+use sycamore_core::call::admit::{Admission, ColdChange, Offer, Popped, Slots, StartLimits};
 use sycamore_core::config::{Class, ServiceLimits};
+use sycamore_core::event::ColdEvidence;
 use sycamore_core::{Code, Time};
 
 const START: Time = Time(1_700_000_000_000_000);
@@ -87,7 +88,7 @@
     assert!(cold.is_presumed(at(10)));
     cold.probed(at(20), Duration::ZERO);
     assert!(!cold.is_presumed(at(20)) && !cold.is_cold(at(20)));
-    cold.presume_cold(at(1_000));
+    cold.evacuation_ended(at(1_000));
     cold.probed(at(1_100), Duration::from_millis(700));
     assert!(cold.is_cold(at(1_799)) && !cold.is_presumed(at(1_200)));
     assert!(!cold.is_cold(at(1_800)));
@@ -102,12 +103,32 @@
     let mut cold = cold_starts();
     cold.target_down();
     cold.target_responded(at(0));
-    cold.reported_cold(at(2_000));
+    cold.reported_cold(at(2_000), ColdEvidence::Entry);
     assert!(!cold.is_cold(at(COLD_MS)));
-    cold.reported_cold(at(10_000));
+    cold.reported_cold(at(10_000), ColdEvidence::Entry);
     assert!(cold.is_cold(at(10_000 + COLD_MS - 1)));
 }
 
+/// Guards against a limit whose begin, reason and end can't be found in the log.
+#[test]
+fn cold_changes_reported() {
+    let mut cold = cold_starts();
+    let change = |evidence, left: u64| {
+        Some(ColdChange::Cold { evidence, left: Duration::from_millis(left) })
+    };
+    assert_eq!(cold.take_change(at(0)), None);
+    cold.reported_cold(at(0), ColdEvidence::Rejection);
+    assert_eq!(cold.take_change(at(10)), change(ColdEvidence::Rejection, COLD_MS - 10));
+    assert_eq!(cold.take_change(at(20)), None);
+    cold.probed(at(100), Duration::from_millis(500));
+    assert_eq!(cold.take_change(at(100)), change(ColdEvidence::Health, 500));
+    assert_eq!(cold.take_change(at(600)), Some(ColdChange::Warm));
+    cold.target_down();
+    assert_eq!(cold.take_change(at(700)), None);
+    cold.target_responded(at(800));
+    assert_eq!(cold.take_change(at(800)), change(ColdEvidence::Response, COLD_MS));
+}
+
 #[test]
 fn cold_starts_in_a_second() {
     let mut cold = cold_starts();
@@ -122,14 +143,14 @@
 fn cold_counts_starts_before_report() {
     let mut cold = cold_starts();
     (0..COLD_STARTS).for_each(|_| cold.record_start(at(0)));
-    cold.reported_cold(at(100));
+    cold.reported_cold(at(100), ColdEvidence::Entry);
     assert_eq!(start_all(&mut cold, 100..1_000), 0);
 }
 
 #[test]
 fn cold_start_withdrawn() {
     let mut cold = cold_starts();
-    cold.reported_cold(at(0));
+    cold.reported_cold(at(0), ColdEvidence::Entry);
     assert_eq!(start_all(&mut cold, 0..1), COLD_STARTS);
     cold.withdraw_start(at(0));
     assert_eq!(start_all(&mut cold, 1..1_000), 1);
@@ -139,7 +160,7 @@
 #[test]
 fn cold_delay_of_queued() {
     let mut cold = cold_starts();
-    cold.reported_cold(at(0));
+    cold.reported_cold(at(0), ColdEvidence::Entry);
     for start in 0..COLD_STARTS {
         cold.record_start(at(10 * start as u64));
     }
@@ -296,7 +317,7 @@
                     None
                 }
                 Step::Down => { slots.start_limits_mut().target_down(); None }
-                Step::Report => { slots.start_limits_mut().reported_cold(at(now)); None }
+                Step::Report => { slots.start_limits_mut().reported_cold(at(now), ColdEvidence::Entry); None }
             };
             if let Some(call) = started {
                 starts.push((call, now));
--- a/core/tests/call_leaving_queue.rs
+++ b/core/tests/call_leaving_queue.rs
@@ -59,7 +59,12 @@
 fn handle(gatekeeper: &mut Gatekeeper, now: Time, input: Input<'_>) -> Vec<Output> {
     let mut out = Vec::new();
     gatekeeper.handle(now, input, &mut out);
-    out.retain(|output| !matches!(output, Output::Send(_) | Output::Probe | Output::Record(_)));
+    out.retain(|output| {
+        !matches!(
+            output,
+            Output::Send(_) | Output::Probe | Output::Record(_) | Output::RecordCold(_)
+        )
+    });
     out
 }
 
--- a/core/tests/call_review.rs
+++ b/core/tests/call_review.rs
@@ -50,7 +50,9 @@
     fn input(&mut self, input: Input<'_>) -> Vec<Output> {
         let mut out = Vec::new();
         self.gatekeeper.handle(self.now, input, &mut out);
-        out.retain(|output| !matches!(output, Output::Record(_) | Output::Send(_)));
+        out.retain(|output| {
+            !matches!(output, Output::Record(_) | Output::RecordCold(_) | Output::Send(_))
+        });
         out
     }
 
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -33,6 +33,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
+use sycamore_core::call::admit::ColdChange;
 use sycamore_core::call::gatekeeper::{Arrival, Input, Output};
 use sycamore_core::call::once::CachedResponse;
 use sycamore_core::call::{
@@ -40,7 +41,7 @@
     TargetStatements,
 };
 use sycamore_core::config::{Class, Snapshot, without_port};
-use sycamore_core::event::Event;
+use sycamore_core::event::{Event, EventKind};
 use sycamore_core::hash::Hash;
 use sycamore_core::{Code, Name, Time};
 use target::{Call, NoResponse};
@@ -151,7 +152,7 @@
     }
 
     fn publish(&self, target: TargetState) {
-        let TargetState { load, runs, statements } = target;
+        let TargetState { load, runs, statements, cold } = target;
         self.shared.set_own_runs(runs);
         let metrics = &self.shared.metrics;
         metrics.in_flight.set(load.in_flight.into());
@@ -159,6 +160,7 @@
         metrics.target_limited.set(statements.limit.is_some().into());
         metrics.target_rate_limit.set(statements.limit.map_or(0.0, RateLimit::per_second));
         metrics.target_leaving.set(statements.leaving.into());
+        metrics.target_cold.set(cold.into());
         let is_stated = statements != TargetStatements::default();
         self.has_statements.store(is_stated, Ordering::Release);
     }
@@ -174,11 +176,22 @@
                     let event = Event::new(self.shared.clock.now(), kind);
                     self.shared.record(event.with_default_code());
                 }
+                Output::RecordCold(change) => self.record_cold_change(change),
                 _ => {}
             }
         }
     }
 
+    fn record_cold_change(&self, change: ColdChange) {
+        let now = self.shared.clock.now();
+        self.shared.record(match change {
+            ColdChange::Cold { evidence, left } => {
+                Event::new(now, EventKind::TargetCold).with_cold_time(evidence, left)
+            }
+            ColdChange::Warm => Event::new(now, EventKind::TargetWarm),
+        });
+    }
+
     /// Delay before the next `bytes` of the response to `call` may be sent over the link.
     pub(super) fn link_delay(&self, call: CallKey, bytes: u64) -> Duration {
         let now = self.shared.clock.now();
@@ -294,8 +307,15 @@
     }
 
     fn trace(&self, id: &HeaderValue, step: Step) {
-        let load = self.state.lock().gatekeeper.load(self.shared.clock.now());
-        trace::log_step(&self.shared, id, step, Fields::default().with_load(load));
+        trace::log_step(&self.shared, id, step, self.state_fields(Fields::default()));
+    }
+
+    /// Adds the state of the target on which decisions are based.
+    pub(super) fn state_fields<'a>(&self, fields: Fields<'a>) -> Fields<'a> {
+        let now = self.shared.clock.now();
+        let gatekeeper = &self.state.lock().gatekeeper;
+        let starts = gatekeeper.is_target_cold(now).then(|| gatekeeper.recent_starts(now));
+        fields.with_load(gatekeeper.load(now)).with_cold_starts(starts)
     }
 
     /// Waits for a slot of the target. Returns `None` if there is no decision in time.
@@ -399,8 +419,7 @@
             let number = code.number().to_string();
             self.shared.metrics.refusals.with_label_values(&[&number]).inc();
         }
-        let load = self.state.lock().gatekeeper.load(self.shared.clock.now());
-        let fields = Fields::of_outcome(outcome).with_load(load);
+        let fields = self.state_fields(Fields::of_outcome(outcome));
         let fields = fields.with_attempt(attempt).with_connection(connection);
         trace::log_step(&self.shared, id, Step::GateRefused, fields);
         let mut head = Response::new(());
--- a/node/src/calls/gate/state.rs
+++ b/node/src/calls/gate/state.rs
@@ -23,6 +23,7 @@
     pub(super) load: Load,
     pub(super) runs: Runs,
     pub(super) statements: TargetStatements,
+    pub(super) cold: bool,
 }
 
 impl TargetState {
@@ -35,7 +36,8 @@
 impl TargetState {
     pub(super) fn new(now: Time, gatekeeper: &Gatekeeper) -> TargetState {
         let (load, runs) = (gatekeeper.load(now), gatekeeper.runs());
-        TargetState { load, runs, statements: gatekeeper.statements() }
+        let (statements, cold) = (gatekeeper.statements(), gatekeeper.is_target_cold(now));
+        TargetState { load, runs, statements, cold }
     }
 }
 
@@ -85,7 +87,7 @@
                 Output::Reject { call, outcome, crashes } => {
                     (call, Decision::Reject(outcome, crashes))
                 }
-                Output::Send(_) | Output::Record(_) | Output::Probe => {
+                Output::Send(_) | Output::Record(_) | Output::RecordCold(_) | Output::Probe => {
                     effects.push(output);
                     continue;
                 }
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -342,6 +342,10 @@
     /// Logs that a request is handed to a connection to the target.
     fn trace_sent(&self, id: &HeaderValue, attempt: Option<u32>, used: ConnectionUse) {
         let fields = Fields::default().with_attempt(attempt).with_connection(Some(used));
+        let fields = self.state_fields(fields);
+        if fields.cold_starts.is_some() {
+            self.shared.metrics.cold_starts.inc();
+        }
         trace::log_step(&self.shared, id, Step::GateSent, fields);
     }
 
--- a/node/src/calls/trace.rs
+++ b/node/src/calls/trace.rs
@@ -96,6 +96,9 @@
     /// Requests that this connection carried before.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub carried: Option<u32>,
+    /// Recent starts that count against the limit of the local target, if it counts as cold.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cold_starts: Option<usize>,
 }
 
 #[derive(Serialize)]
@@ -179,6 +182,12 @@
         self
     }
 
+    /// Adds the recent starts at the local target, if it counts as cold.
+    pub fn with_cold_starts(mut self, starts: Option<usize>) -> Fields<'a> {
+        self.cold_starts = starts;
+        self
+    }
+
     /// Adds the load of the local target.
     pub fn with_load(mut self, load: Load) -> Fields<'a> {
         self.load = Some(load.to_string());
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -61,6 +61,10 @@
     pub target_rate_limit: Gauge,
     /// Whether the local target states that it is leaving: 0 or 1.
     pub target_leaving: IntGauge,
+    /// Whether the local target counts as cold: 0 or 1.
+    pub target_cold: IntGauge,
+    /// Requests sent to the local target while it counted as cold.
+    pub cold_starts: IntCounter,
     /// Requests that wait for a connection to the local target.
     pub awaiting_connection: IntGauge,
     /// Requests that have had to wait for a connection to the local target.
@@ -148,6 +152,9 @@
                 "Requests a second that the target accepts; 0 without a limit.",
             ),
             target_leaving: r.gauge("target_leaving", "Whether the target states that it leaves."),
+            target_cold: r.gauge("target_cold", "Whether the target counts as cold."),
+            cold_starts: r
+                .counter("cold_starts_total", "Requests sent to the target while it was cold."),
             awaiting_connection: r
                 .gauge("awaiting_connection", "Requests that wait for a connection to the target."),
             connection_waits: r.counter(
--- a/node/tests/calls_cold.rs
+++ b/node/tests/calls_cold.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use support::*;
+use sycamore_core::event::{ColdEvidence, EventKind};
 
 /// A node whose target is presumed cold for a minute and asked for its state at this path.
 fn node_with_health_path(path: &str) -> (Target, Node) {
@@ -34,3 +35,20 @@
     });
     assert_eq!(target.run_count("/health-cold"), 1);
 }
+
+/// Guards against a limit that the events and metrics of a node don't show.
+#[test]
+fn cold_target_recorded() {
+    let (target, node) = node_with_health_path("/health-cold");
+    let seen = || {
+        let events = node.shared.events().0;
+        let cold = events.iter().filter(|event| event.kind == EventKind::TargetCold);
+        cold.map(|event| (event.evidence, event.left_ms.is_some())).collect::<Vec<_>>()
+    };
+    eventually("the target is asked", || target.run_count("/health-cold") == 1);
+    let expected = [ColdEvidence::GatekeeperStarted, ColdEvidence::Health];
+    eventually("both reasons are recorded", || seen() == expected.map(|why| (Some(why), true)));
+    call(node.entry, &get("/idem"));
+    assert_eq!(node.shared.metrics.target_cold.get(), 1);
+    assert_eq!(node.shared.metrics.cold_starts.get(), 1);
+}
--- a/tools/src/timeline/picture/glyph.rs
+++ b/tools/src/timeline/picture/glyph.rs
@@ -55,6 +55,8 @@
             EventKind::TargetLimited => (Shape::DownTriangle, "#8f3f1f", Fill::Solid),
             EventKind::TargetUnlimited => (Shape::DownTriangle, "#8f3f1f", Fill::Hollow),
             EventKind::TargetLeaving => (Shape::Bar, "#8f3f1f", Fill::Solid),
+            EventKind::TargetCold => (Shape::RightTriangle, "#8f3f1f", Fill::Solid),
+            EventKind::TargetWarm => (Shape::RightTriangle, "#8f3f1f", Fill::Hollow),
             EventKind::EntryReady => (Shape::Diamond, "#8f3f1f", Fill::Hollow),
             EventKind::EntryLeaving => (Shape::Diamond, "#8f3f1f", Fill::Solid),
             EventKind::EntryMissing => (Shape::Hourglass, "#8f3f1f", Fill::Hollow),
