Count what an earlier process may have sent against the rate of a cold target

Callers saw requests to a target end with an unknown outcome: it crashed beside a gatekeeper that had been killed and started again, under more requests in one second than it tolerates while cold.

Cause: the starts at a target are known to its gatekeeper alone, and a new process began with an empty log of them. It presumed the target cold, and sent a second's worth on top of what its previous process had just sent. Class: a bound over time whose past only one process holds.

Change: the log of starts knows since when it is complete. What lies before counts as full for the rate of a cold target. The past stops counting as soon as the target is known to have started, or to have become cold, after the gatekeeper: it responds after an outage that this process has seen, or its health response says so. The target is therefore asked also if its entry has already said that it is cold; the response gives the time exactly where the entry gives a bound. A target that says it is warm is served at once, as before.

--- a/core/src/call/admit/start_limits.rs
+++ b/core/src/call/admit/start_limits.rs
@@ -30,6 +30,8 @@
     held_until: Time,
     // Also kept while no limit holds, so that one that begins counts what was sent before.
     log: StartLog,
+    // When the target was last asked for its state.
+    probe_sent_at: Time,
     // What was last reported by `take_change`; `None` if the target was not cold.
     reported: Option<ColdTime>,
 }
@@ -79,6 +81,7 @@
             stated: None,
             held_until: Time::ZERO,
             log: StartLog::new(),
+            probe_sent_at: Time::ZERO,
             reported: None,
         }
     }
@@ -114,8 +117,9 @@
     }
 
     /// Records that the gatekeeper's process started at `started`. The target may have started
-    /// together with it.
+    /// together with it, or before and have got requests from an earlier process.
     pub fn gatekeeper_started(&mut self, started: Time) {
+        self.log.begin(started);
         self.set_cold(started + MAX_START_GAP, ColdEvidence::GatekeeperStarted);
     }
 
@@ -133,10 +137,25 @@
         matches!(self.state, Warmth::Cold(cold) if !cold.is_observed()) && self.is_cold(now)
     }
 
+    /// Whether the target's own statement may end or shorten the limit.
+    pub fn needs_probe(&self, now: Time) -> bool {
+        let incomplete = self.log.is_incomplete(now, COLD_INTERVAL);
+        self.is_presumed(now) || incomplete && self.is_cold(now)
+    }
+
+    /// Records that the target is asked for its state, by a request that it may count.
+    pub fn probe_sent(&mut self, now: Time) {
+        self.probe_sent_at = now;
+        self.record_start(now);
+    }
+
     /// Records the target's own statement of how long it stays cold.
     pub fn probed(&mut self, now: Time, cold_left: Duration) {
         if self.state != Warmth::Down {
             self.set_cold(now + cold_left - self.cold_duration, ColdEvidence::Health);
+            // The statement is younger than the question.
+            let earliest_start = self.probe_sent_at + cold_left - self.cold_duration;
+            self.log.ignore_unknown_before(earliest_start);
         }
     }
 
@@ -149,6 +168,7 @@
     pub fn target_responded(&mut self, now: Time) {
         if self.state == Warmth::Down {
             self.set_cold(now, ColdEvidence::Response);
+            self.log.ignore_unknown_before(now);
         }
     }
 
@@ -227,7 +247,11 @@
         if !self.is_cold(now) {
             return Duration::ZERO;
         }
-        let rate = StartRate { count: self.max_cold_starts, interval: COLD_INTERVAL };
+        let rate = StartRate {
+            count: self.max_cold_starts,
+            interval: COLD_INTERVAL,
+            counts_unknown: true,
+        };
         let delay = self.log.delay(now, rate, ahead);
         match self.state {
             Warmth::Cold(cold) => delay.min((cold.since + self.cold_duration).since(now)),
--- a/core/src/call/admit/start_log.rs
+++ b/core/src/call/admit/start_log.rs
@@ -26,6 +26,8 @@
 pub struct StartRate {
     pub count: usize,
     pub interval: Duration,
+    /// Whether starts of an earlier process count, which are unknown: as `count` at its end.
+    pub counts_unknown: bool,
 }
 
 impl StartRate {
@@ -35,7 +37,9 @@
         let milli = limit.milli.clamp(1, MAX_MILLI);
         let count = (milli / MILLI_PER_COUNT).clamp(1, MAX_COUNT);
         let interval = Duration::from_micros(count * MAX_GAP_US / milli);
-        StartRate { count: count as usize, interval: interval.min(MAX_INTERVAL) }
+        // A target that states a limit bears a few requests beyond it.
+        let counts_unknown = false;
+        StartRate { count: count as usize, interval: interval.min(MAX_INTERVAL), counts_unknown }
     }
 }
 
@@ -43,6 +47,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct StartLog {
     starts: VecDeque<Time>,
+    // An earlier process may have sent any number of requests until then.
+    known_since: Option<Time>,
 }
 
 impl StartLog {
@@ -50,6 +56,21 @@
         StartLog::default()
     }
 
+    /// Begins the log: starts before this time are unknown.
+    pub fn begin(&mut self, now: Time) {
+        self.known_since = Some(now);
+    }
+
+    /// Records that starts before this time don't count, whether they are known or not.
+    pub fn ignore_unknown_before(&mut self, time: Time) {
+        self.known_since = self.known_since.filter(|since| *since > time);
+    }
+
+    /// Whether starts within the last `interval` are unknown.
+    pub fn is_incomplete(&self, now: Time, interval: Duration) -> bool {
+        self.known_since.is_some_and(|since| since > now - interval)
+    }
+
     /// Records that a request is being sent to the target.
     pub fn record(&mut self, now: Time) {
         self.starts.push_back(now);
@@ -74,19 +95,21 @@
 
     /// Returns the delay before a request may start that has `ahead` others before it.
     pub fn delay(&self, now: Time, rate: StartRate, ahead: usize) -> Duration {
-        let StartRate { count, interval } = rate;
+        let StartRate { count, interval, counts_unknown } = rate;
         let oldest = now - interval;
-        let first = self.starts.partition_point(|start| *start <= oldest);
-        let counted = self.starts.len() - first;
+        let unknown = self.known_since.filter(|since| counts_unknown && *since > oldest);
+        let unknown = unknown.into_iter().flat_map(|since| std::iter::repeat_n(since, count));
+        let known = self.starts.iter().copied().filter(|start| *start > oldest);
+        let counted = unknown.clone().count() + known.clone().count();
         // The start `count` before this one has to leave the interval.
-        let first = first + counted.saturating_sub(count);
-        let free = count - (self.starts.len() - first);
+        let mut last = unknown.chain(known).skip(counted.saturating_sub(count));
+        let free = count.saturating_sub(counted);
         if ahead < free {
             return Duration::ZERO;
         }
         let rounds = (ahead - free) / count;
-        let freed_by = self.starts.get(first + (ahead - free) % count);
-        let freed_at = freed_by.copied().unwrap_or(now) + interval;
+        let freed_by = last.nth((ahead - free) % count);
+        let freed_at = freed_by.unwrap_or(now) + interval;
         freed_at.since(now) + interval * rounds as u32
     }
 }
--- a/core/src/call/gatekeeper/placement.rs
+++ b/core/src/call/gatekeeper/placement.rs
@@ -89,14 +89,12 @@
         (!allowed).then_some(Code::OutsideRegions)
     }
 
-    /// Asks the target whether it is cold while this is only presumed.
+    /// Asks the target whether it is cold, and since when, while this is not known for certain.
     pub(super) fn probe(&mut self, now: Time, out: &mut Vec<Output>) {
         let is_due = now >= self.next_probe_at && !self.placement.evacuated;
-        if is_due && self.slots.has_health_path() && self.slots.start_limits_mut().is_presumed(now)
-        {
+        if is_due && self.slots.has_health_path() && self.slots.start_limits().needs_probe(now) {
             self.next_probe_at = now + PROBE_INTERVAL;
-            // A probe is a request like any other for the target.
-            self.slots.start_limits_mut().record_start(now);
+            self.slots.start_limits_mut().probe_sent(now);
             out.push(Output::Probe);
         }
     }
--- a/core/tests/call_statements.rs
+++ b/core/tests/call_statements.rs
@@ -183,7 +183,7 @@
 /// The announced delay is the time at which the start becomes possible.
 #[test]
 fn start_log_delay() {
-    let rate = StartRate { count: 2, interval: Duration::from_millis(100) };
+    let rate = StartRate { count: 2, interval: Duration::from_millis(100), counts_unknown: false };
     let mut log = StartLog::new();
     assert_eq!(log.delay(at(0), rate, 1), Duration::ZERO);
     assert_eq!(log.delay(at(0), rate, 2), Duration::from_millis(100));
