Keep the limit of a cold target until its stated time has surely passed

Callers saw a target that was about to be warm get more requests in its last cold second than it tolerates: what had waited for the end of the limit was sent together at that moment.

Cause: the target states the rest of its cold time in whole milliseconds, and the limit ended with the last of them.

Five requests were sent at the end of the limit and made 21 in the second that ended 4 ms later, 19.85 are allowed.

--- a/core/src/call/admit/start_limits.rs
+++ b/core/src/call/admit/start_limits.rs
@@ -16,6 +16,10 @@
 /// limit holds, since requests may be sent some time after their start.
 const COLD_INTERVAL: Duration = Duration::from_millis(1_150);
 
+/// Added to the time for which a target says that it stays cold: it states whole milliseconds, and
+/// the requests that wait for the end start together.
+const STATED_TIME_TOLERANCE: Duration = Duration::from_millis(50);
+
 /// Maximum time between the start of a target and that of its gatekeeper, if they start together.
 const MAX_START_GAP: Duration = Duration::from_millis(1_500);
 
@@ -152,7 +156,11 @@
     /// Records the target's own statement of how long it stays cold.
     pub fn probed(&mut self, now: Time, cold_left: Duration) {
         if self.state != Warmth::Down {
-            self.set_cold(now + cold_left - self.cold_duration, ColdEvidence::Health);
+            let until = match cold_left.is_zero() {
+                true => now,
+                false => now + cold_left + STATED_TIME_TOLERANCE,
+            };
+            self.set_cold(until - self.cold_duration, ColdEvidence::Health);
             // The statement is younger than the question.
             let earliest_start = self.probe_sent_at + cold_left - self.cold_duration;
             self.log.ignore_unknown_before(earliest_start);
