Count starts at a target when they are sent, not when they are admitted

Callers saw targets crash while cold after slow handshakes, lost opening packets or a stopped node.

Cause: a request was counted against the limits on starts when it got its slot. It may then wait for a connection, or its process may not run, and is sent beside those that the limit allows by that time.

Change: a request that waits for a connection counts as sent now until it is, and its start is counted when it has its connection. One that is sent more than 100 ms after its count is counted anew; if the limits allow none then, it is rejected as not run, with the time until one is free. The same log bounds the rate that a target states.

--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -60,6 +60,8 @@
     started: Time,
     // When it was sent to the target. Later than `started` if it waited for a connection.
     sent_at: Time,
+    // Waits for a connection, and is not in the log of starts meanwhile.
+    connecting: bool,
     // Response bytes passed to the link pacer, sent or scheduled.
     sent_bytes: u64,
     // Response bytes still expected; an estimate until the response has been read.
@@ -199,13 +201,34 @@
         self.running.get(&call).map(|running| running.sent_at)
     }
 
-    /// Records that a request that is running has its connection and is sent now.
-    pub fn connected(&mut self, now: Time, call: CallKey) {
-        if let Some(running) = self.running.get_mut(&call) {
-            running.sent_at = now;
+    /// Records that a request that is running waits for a connection.
+    pub fn connecting(&mut self, call: CallKey) {
+        if let Some(running) = self.running.get_mut(&call).filter(|running| !running.connecting) {
+            running.connecting = true;
+            self.start_limits.begin_connecting(running.started);
         }
     }
 
+    /// Records that a request that is running has its connection and is sent now. Returns false if
+    /// it has not waited for one, so that its start was counted earlier, and the limits on starts
+    /// don't allow another one.
+    pub fn connected(&mut self, now: Time, call: CallKey) -> bool {
+        let Some(running) = self.running.get_mut(&call) else {
+            return true;
+        };
+        if std::mem::replace(&mut running.connecting, false) {
+            self.start_limits.end_connecting();
+        } else {
+            self.start_limits.withdraw_start(running.started);
+            if !self.start_limits.delay(now, 0).is_zero() {
+                return false;
+            }
+        }
+        self.start_limits.record_start(now);
+        (running.started, running.sent_at) = (now, now);
+        true
+    }
+
     /// Limits the slots while a target that has just started warms up.
     pub fn start_warm_up(&mut self, now: Time) {
         self.warm_up_since = Some(now);
@@ -304,7 +327,9 @@
 
     /// Releases the slot of a request that did not reach the target, without recording a run time.
     pub fn release(&mut self, call: CallKey) {
-        if let Some(unsent) = self.remove_running(call) {
+        if let Some(unsent) = self.remove_running(call)
+            && !unsent.connecting
+        {
             self.start_limits.withdraw_start(unsent.started);
         }
     }
--- a/core/src/call/admit/capacity.rs
+++ b/core/src/call/admit/capacity.rs
@@ -86,6 +86,7 @@
             usage,
             started: now,
             sent_at: now,
+            connecting: false,
             sent_bytes: 0,
             remaining_bytes,
         };
@@ -95,6 +96,9 @@
 
     pub(super) fn remove_running(&mut self, call: CallKey) -> Option<Running> {
         let freed = self.running.swap_remove(&call)?;
+        if freed.connecting {
+            self.start_limits.end_connecting();
+        }
         if freed.class == Class::Bulk {
             self.running_bulk -= 1;
         }
--- a/core/src/call/admit/start_limits.rs
+++ b/core/src/call/admit/start_limits.rs
@@ -34,6 +34,8 @@
     held_until: Time,
     // Also kept while no limit holds, so that one that begins counts what was sent before.
     log: StartLog,
+    // Requests that wait for a connection and may be sent at any time.
+    connecting: usize,
     // When the target was last asked for its state.
     probe_sent_at: Time,
     // What was last reported by `take_change`; `None` if the target was not cold.
@@ -85,6 +87,7 @@
             stated: None,
             held_until: Time::ZERO,
             log: StartLog::new(),
+            connecting: 0,
             probe_sent_at: Time::ZERO,
             reported: None,
         }
@@ -236,14 +239,27 @@
         self.log.withdraw(started);
     }
 
+    /// Records that a started request waits for a connection: it counts as sent now until it is.
+    pub fn begin_connecting(&mut self, started: Time) {
+        self.log.withdraw(started);
+        self.connecting += 1;
+    }
+
+    /// Records that such a request waits no longer.
+    pub fn end_connecting(&mut self) {
+        self.connecting = self.connecting.saturating_sub(1);
+    }
+
     /// Returns the delay before a request may start that has `ahead` others before it.
     pub fn delay(&self, now: Time, ahead: usize) -> Duration {
+        let ahead = ahead + self.connecting;
         self.cold_delay(now, ahead).max(self.stated_delay(now, ahead))
     }
 
     /// Why the next request may not start now; `None` if it may.
     pub fn rejection_code(&self, now: Time) -> Option<Code> {
-        let (cold, stated) = (self.cold_delay(now, 0), self.stated_delay(now, 0));
+        let ahead = self.connecting;
+        let (cold, stated) = (self.cold_delay(now, ahead), self.stated_delay(now, ahead));
         match cold.max(stated).is_zero() {
             true => None,
             false if stated >= cold => Some(Code::TargetLimited),
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -473,6 +473,7 @@
         };
         entry.connecting = true;
         let until = self.slots.latest_start(now, &entry.offer);
+        self.slots.connecting(call);
         match self.refusal_code() {
             Some(code) => self.reject_unstarted(now, &[call], code, out),
             None => out.push(Output::Queue(call, until)),
@@ -484,11 +485,34 @@
         if let Some(code) = self.refusal_code() {
             return self.reject_unstarted(now, &[call], code, out);
         }
-        if let Some(entry) = self.calls.get_mut(&call) {
-            entry.connecting = false;
-            self.slots.connected(now, call);
-            out.push(Output::Run { call, once: entry.key.is_some() });
+        let Some(entry) = self.calls.get_mut(&call) else {
+            return;
+        };
+        entry.connecting = false;
+        let once = entry.key.is_some();
+        if self.slots.connected(now, call) {
+            return out.push(Output::Run { call, once });
         }
+        let code = self.slots.start_limits().rejection_code(now).unwrap_or(Code::QueueTimeout);
+        self.reject_running_unsent(now, call, code, out);
+    }
+
+    /// Rejects a request that has a slot and was not sent.
+    fn reject_running_unsent(
+        &mut self,
+        now: Time,
+        call: CallKey,
+        code: Code,
+        out: &mut Vec<Output>,
+    ) {
+        self.slots.release(call);
+        let Some(entry) = self.remove_unstarted(call) else {
+            return;
+        };
+        let wait = self.slots.retry_after(now, &entry.offer);
+        let outcome = Outcome::not_run(code, self.with_jitter(wait));
+        let crashes = self.crashes_of(now, &entry);
+        out.push(Output::Reject { call, outcome, crashes });
     }
 
     /// Why the target may get no more work.
--- a/core/src/call/gatekeeper/port.rs
+++ b/core/src/call/gatekeeper/port.rs
@@ -66,7 +66,8 @@
         /// No connection to the target is available for a running request. Until
         /// [`Input::Connected`] it can be recalled, expire and be withdrawn like a queued one.
         Connecting(CallKey),
-        /// A connection is available. The request must not be sent unless [`Output::Run`] follows.
+        /// A connection is available, or the request is sent a while after its start was counted. It
+        /// must not be sent unless [`Output::Run`] follows.
         Connected(CallKey),
         /// The maximum wait of a queued request, or of one without a connection, has passed.
         Expire(CallKey),
--- a/core/tests/support/cold_world.rs
+++ b/core/tests/support/cold_world.rs
@@ -224,10 +224,10 @@
             let cold_left = Some(Duration::from_millis(left));
             self.input(Input::Probed { cold_left, statement: Statement::default() });
         }
-        if self.now.is_multiple_of(TICK.as_millis() as u64) {
+        if self.now % TICK.as_millis() as u64 == 0 {
             self.input(Input::Tick);
         }
-        if self.now.is_multiple_of(REQUEST_INTERVAL_MS) {
+        if self.now % REQUEST_INTERVAL_MS == 0 {
             self.arrive();
         }
         self.progress();
@@ -244,11 +244,11 @@
                 Stage::Sending { granted } if self.sends_paused_until <= self.now => {
                     self.send(call, granted);
                 }
-                Stage::Running { until, process } if until <= self.now => {
-                    if process == self.process.number {
-                        self.stages.swap_remove(&call);
-                        self.input(Input::End { call, end: RunEnd::Answered { cached: None } });
-                    }
+                Stage::Running { until, process }
+                    if until <= self.now && process == self.process.number =>
+                {
+                    self.stages.swap_remove(&call);
+                    self.input(Input::End { call, end: RunEnd::Answered { cached: None } });
                 }
                 _ => {}
             }
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -131,7 +131,7 @@
         let mut state = self.state.lock();
         state.gatekeeper.handle(now, input, &mut out);
         let target = state.publish(now, &self.shared);
-        let (_, effects) = state.dispatch(None, out);
+        let (_, effects) = state.dispatch(now, None, out);
         drop(state);
         self.publish(target);
         self.execute(effects);
@@ -144,7 +144,7 @@
         let mut state = self.state.lock();
         state.gatekeeper.handle(now, input, &mut out);
         let target = state.publish(now, &self.shared);
-        let (own, effects) = state.dispatch(Some(call), out);
+        let (own, effects) = state.dispatch(now, Some(call), out);
         drop(state);
         self.publish(target);
         self.execute(effects);
@@ -289,20 +289,31 @@
             Metrics::observe_duration(&self.shared.metrics.wait_seconds, class, waited);
         }
         let run_by = run_by.map_or(deadline, |run_by| run_by.min(deadline));
-        let call =
-            Call { key, id, attempt: number, deadline, run_by, class, idempotent, waited, req };
         match decision {
-            Decision::Run { once: true } => self.run_once(&conn, call).await,
-            Decision::Run { once: false } => self.run(&conn, call).await,
-            Decision::Replay(cached) => self.replay(&conn, &call.id, &cached),
-            Decision::Reject(outcome, crashes) => {
-                self.reject(&conn, &call.id, number, NoResponse::new(outcome, crashes))
+            Decision::Run { once, counted_at } => {
+                let attempt = number;
+                let call = Call {
+                    key,
+                    id,
+                    attempt,
+                    deadline,
+                    run_by,
+                    class,
+                    idempotent,
+                    waited,
+                    counted_at,
+                    req,
+                };
+                match once {
+                    true => self.run_once(&conn, call).await,
+                    false => self.run(&conn, call).await,
+                }
             }
-            Decision::Queue(..) => {
-                let unsent = Unsent::drop_request(call.req);
-                let no_response = NoResponse::unsent(unsent, Code::QueueTimeout);
-                self.reject(&conn, &call.id, number, no_response)
+            Decision::Replay(cached) => self.replay(&conn, &id, &cached),
+            Decision::Reject(outcome, crashes) => {
+                self.reject(&conn, &id, number, NoResponse::new(outcome, crashes))
             }
+            Decision::Queue(..) => reject(Unsent::drop_request(req), Code::QueueTimeout),
         }
     }
 
--- a/node/src/calls/gate/connect.rs
+++ b/node/src/calls/gate/connect.rs
@@ -10,6 +10,7 @@
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
+use sycamore_core::Time;
 use sycamore_core::call::gatekeeper::Input;
 
 /// Timeout of the connection attempt that checks whether a target still accepts connections.
@@ -17,8 +18,13 @@
 
 /// Result of waiting for a connection to the target.
 pub(super) enum ConnectResult {
-    /// The connection, and whether it was in use before.
-    Connected(Connection, bool),
+    Connected {
+        connection: Connection,
+        /// Whether it was in use before.
+        reused: bool,
+        /// When the request's start was counted.
+        counted_at: Time,
+    },
     /// The target can't be reached.
     Failed,
     /// The request was recalled or rejected, or has expired.
@@ -54,7 +60,9 @@
             Err(decision) => decision,
             Ok(Err(_)) => return ConnectResult::Failed,
             Ok(Ok((connection, reused))) => match self.decide(call, Input::Connected(call)) {
-                Some(Decision::Run { .. }) => return ConnectResult::Connected(connection, reused),
+                Some(Decision::Run { counted_at, .. }) => {
+                    return ConnectResult::Connected { connection, reused, counted_at };
+                }
                 // It was rejected now, or at the same moment.
                 rejected => {
                     connection.release();
--- a/node/src/calls/gate/recall.rs
+++ b/node/src/calls/gate/recall.rs
@@ -58,7 +58,7 @@
         let mut state = self.state.lock();
         let answer = state.gatekeeper.handle_recall(now, question, &mut out);
         let target = state.publish(now, &self.shared);
-        let (_, effects) = state.dispatch(None, out);
+        let (_, effects) = state.dispatch(now, None, out);
         drop(state);
         self.publish(target);
         self.execute(effects);
--- a/node/src/calls/gate/state.rs
+++ b/node/src/calls/gate/state.rs
@@ -44,7 +44,11 @@
 /// Decision of the state machine about a call.
 #[derive(Debug)]
 pub(super) enum Decision {
-    Run { once: bool },
+    Run {
+        once: bool,
+        /// When its start was counted.
+        counted_at: Time,
+    },
     Queue(Time, Receiver<Decision>),
     Replay(Arc<CachedResponse>),
     Reject(Outcome, u32),
@@ -66,10 +70,11 @@
         target
     }
 
-    /// Sends decisions to the waiting calls. Returns the decision for `own` and the outputs that do
+    /// Sends decisions made at `now` to the waiting calls. Returns the decision for `own` and the outputs that do
     /// not belong to a call.
     pub(super) fn dispatch(
         &mut self,
+        now: Time,
         own: Option<CallKey>,
         out: Vec<Output>,
     ) -> (Option<Decision>, Vec<Output>) {
@@ -77,7 +82,7 @@
         let mut effects = Vec::new();
         for output in out {
             let (call, decision) = match output {
-                Output::Run { call, once } => (call, Decision::Run { once }),
+                Output::Run { call, once } => (call, Decision::Run { once, counted_at: now }),
                 Output::Queue(call, until) => {
                     let (tx, rx) = async_channel::bounded(1);
                     self.waiting.insert(call, tx);
--- a/node/src/calls/gate/target.rs
+++ b/node/src/calls/gate/target.rs
@@ -33,6 +33,10 @@
 /// Size up to which a response is received whole before its head is forwarded.
 const MAX_READ_AHEAD_BYTES: u64 = 16_384;
 
+/// Maximum time between the count of a request's start and its sending. A process that was not running
+/// counts it anew, since the limits on starts hold for when requests are sent.
+const MAX_SEND_DELAY: Duration = Duration::from_millis(100);
+
 /// Maximum idle time of a connection used for a request that may run only once. Targets
 /// usually close idle connections after seconds, so such a connection is still open.
 const MAX_IDLE_BEFORE_SINGLE_RUN: Duration = Duration::from_millis(500);
@@ -54,6 +58,8 @@
     pub idempotent: bool,
     /// Time spent waiting for a slot.
     pub waited: Duration,
+    /// When its start was counted.
+    pub counted_at: Time,
     pub req: Request<Body>,
 }
 
@@ -240,6 +246,7 @@
     async fn send(self: &Arc<GateAdapter>, call: Call) -> Result<TargetResponse, NoResponse> {
         let mut slot = Slot::new(self, call.key);
         let max_idle = call.max_idle();
+        let mut counted_at = call.counted_at;
         let mut req = call.req;
         let Some(address) = self.shared.settings.target_address else {
             return Err(report_not_sent(slot, Unsent::drop_request(req)));
@@ -250,7 +257,10 @@
             let (mut connection, reused) = match self.pool.take_idle(terms).await {
                 Some(connection) => (connection, true),
                 None => match self.connect(terms, &call.id, &slot).await {
-                    ConnectResult::Connected(connection, reused) => (connection, reused),
+                    ConnectResult::Connected { connection, reused, counted_at: at } => {
+                        counted_at = at;
+                        (connection, reused)
+                    }
                     ConnectResult::Failed => {
                         return Err(report_not_sent(slot, Unsent::drop_request(req)));
                     }
@@ -261,6 +271,17 @@
                     }
                 },
             };
+            if self.shared.clock.now().since(counted_at) > MAX_SEND_DELAY {
+                match self.decide(call.key, Input::Connected(call.key)) {
+                    Some(Decision::Run { counted_at: at, .. }) => counted_at = at,
+                    rejected => {
+                        connection.release();
+                        slot.disarm();
+                        let unsent = Unsent::drop_request(req);
+                        return Err(NoResponse::rejected(rejected, unsent, Code::QueueTimeout));
+                    }
+                }
+            }
             let run_by = self.shared.run_by(call.run_by);
             if self.shared.clock.now() >= run_by {
                 connection.release();
