Tell each start of a target from the one before it

Callers saw a target that had crashed while it was cold get the load of a warm one up to two and a half seconds too early, and crash again.

Cause: a report of a start was dropped while the target was cold by an earlier one, as it might have been of the same start; and a target that restarts under its ID was no other process for the limit. Class: news of a second event that a flag of the first one hides.

Change: the limit knows whether the process that it is about has been listed. The first entry of another process (ID or start time) after an observed start is taken for that start, and the target is asked, as it may have started again; the next one begins the cold time anew. A rejected request to another process while the target is cold lets it be asked too.

--- a/core/src/call/admit/start_limits.rs
+++ b/core/src/call/admit/start_limits.rs
@@ -36,6 +36,10 @@
     log: StartLog,
     // Requests that wait for a connection and may be sent at any time.
     connecting: usize,
+    // Whether an entry has listed the process that the state is about.
+    is_listed: bool,
+    // The target may have started again since the start that the state is about.
+    is_uncertain: bool,
     // When the target was last asked for its state.
     probe_sent_at: Time,
     // What was last reported by `take_change`; `None` if the target was not cold.
@@ -88,6 +92,8 @@
             held_until: Time::ZERO,
             log: StartLog::new(),
             connecting: 0,
+            is_listed: false,
+            is_uncertain: false,
             probe_sent_at: Time::ZERO,
             reported: None,
         }
@@ -137,6 +143,7 @@
 
     fn set_cold(&mut self, since: Time, evidence: ColdEvidence) {
         self.state = Warmth::Cold(ColdTime { since, evidence });
+        self.is_uncertain = false;
     }
 
     /// Whether the target is cold only by presumption.
@@ -147,7 +154,7 @@
     /// Whether the target's own statement may end or shorten the limit.
     pub fn needs_probe(&self, now: Time) -> bool {
         let incomplete = self.log.is_incomplete(now, COLD_INTERVAL);
-        self.is_presumed(now) || incomplete && self.is_cold(now)
+        self.is_presumed(now) || (incomplete || self.is_uncertain) && self.is_cold(now)
     }
 
     /// Records that the target is asked for its state, by a request that it may count.
@@ -172,7 +179,9 @@
 
     /// Records that the target does not respond.
     pub fn target_down(&mut self) {
-        self.state = Warmth::Down;
+        if std::mem::replace(&mut self.state, Warmth::Down) != Warmth::Down {
+            self.is_listed = false;
+        }
     }
 
     /// Records a response of the target.
@@ -183,16 +192,42 @@
         }
     }
 
-    /// Records a report that the target is cold. Ignored while the target is cold after a start
-    /// that was observed, because the report may refer to that start.
-    pub fn reported_cold(&mut self, now: Time, evidence: ColdEvidence) {
-        let known = match self.state {
+    /// Records that the target's entry lists it as cold.
+    pub fn listed_cold(&mut self, now: Time) {
+        self.is_listed = true;
+        if !self.is_known(now) {
+            self.set_cold(now, ColdEvidence::Entry);
+        }
+    }
+
+    /// Records that the target's entry lists another process than before. The first one after a
+    /// start that was observed is taken for that start, until the target has been asked.
+    pub fn process_listed(&mut self, now: Time) {
+        let was_listed = std::mem::replace(&mut self.is_listed, true);
+        if was_listed && self.state != Warmth::Down || !self.is_known(now) {
+            return self.set_cold(now, ColdEvidence::Entry);
+        }
+        self.is_uncertain = true;
+    }
+
+    /// Records that the target has rejected a request to another process. Known already, for all that
+    /// the rejection says, while the target is cold after a start that was observed.
+    pub fn process_rejected(&mut self, now: Time) {
+        match self.is_known(now) {
+            true => self.is_uncertain = true,
+            false => {
+                self.is_listed = false;
+                self.set_cold(now, ColdEvidence::Rejection);
+            }
+        }
+    }
+
+    /// Whether the target is cold after a start that was observed, or does not respond.
+    fn is_known(&self, now: Time) -> bool {
+        match self.state {
             Warmth::Down => true,
             Warmth::Cold(cold) => cold.is_observed() && self.is_cold(now),
             Warmth::Warm => false,
-        };
-        if !known {
-            self.set_cold(now, evidence);
         }
     }
 
--- a/core/src/call/gatekeeper/placement.rs
+++ b/core/src/call/gatekeeper/placement.rs
@@ -2,9 +2,8 @@
 //! that the configuration reports.
 
 use super::{Arrival, Gatekeeper, Output, RETRY_AFTER_SHORT};
-use crate::call::{CallKey, Outcome, Terms};
+use crate::call::{CallKey, Outcome, TargetProcess, Terms};
 use crate::config::{Target, TargetKey, allows_region};
-use crate::event::ColdEvidence;
 use crate::member::VmState;
 use crate::{Code, Name, Time};
 use std::time::Duration;
@@ -22,14 +21,13 @@
     region: Option<Name>,
     evacuated: bool,
     cold: bool,
-    incarnation: Option<Name>,
-    started_ms: Option<u64>,
+    process: TargetProcess,
 }
 
 impl Placement {
     pub(super) fn new() -> Placement {
-        let (incarnation, started_ms) = (None, None);
-        Placement { region: None, evacuated: false, cold: false, incarnation, started_ms }
+        let process = TargetProcess { incarnation: None, started_ms: None };
+        Placement { region: None, evacuated: false, cold: false, process }
     }
 
     pub(super) fn is_evacuated(&self) -> bool {
@@ -50,20 +48,18 @@
                 region: Some(target.region.clone()),
                 evacuated: target.evacuated,
                 cold: target.cold,
-                incarnation: target.incarnation.clone(),
-                started_ms: target.started_ms,
+                process: TargetProcess::listed(target),
             },
         );
-        let is_known = before.incarnation.is_some() || before.started_ms.is_some();
-        let is_same = before.started_ms == target.started_ms;
-        if is_known && !(is_same && before.incarnation == target.incarnation) {
+        let listed = TargetProcess::listed(target);
+        if before.process.is_known() && before.process != listed {
             self.forget_statements(now, out);
         }
-        let replaced = before.incarnation.is_some() && before.incarnation != target.incarnation;
-        let reported = target.cold && !before.cold;
         let returned = before.evacuated && !target.evacuated;
-        if replaced || reported {
-            self.slots.start_limits_mut().reported_cold(now, ColdEvidence::Entry);
+        if listed.differs_from(&before.process) {
+            self.slots.start_limits_mut().process_listed(now);
+        } else if target.cold && !before.cold {
+            self.slots.start_limits_mut().listed_cold(now);
         }
         if returned {
             self.slots.start_limits_mut().evacuation_ended(now);
@@ -112,7 +108,7 @@
         }
         self.slots.release(call);
         if self.is_silent(now) {
-            self.slots.start_limits_mut().reported_cold(now, ColdEvidence::Rejection);
+            self.slots.start_limits_mut().process_rejected(now);
         }
     }
 
--- a/core/tests/call_cold.rs
+++ b/core/tests/call_cold.rs
@@ -116,12 +116,38 @@
     let mut cold = cold_starts();
     cold.target_down();
     cold.target_responded(at(0));
-    cold.reported_cold(at(2_000), ColdEvidence::Entry);
+    cold.listed_cold(at(2_000));
     assert!(!cold.is_cold(at(COLD_MS)));
-    cold.reported_cold(at(10_000), ColdEvidence::Entry);
+    cold.listed_cold(at(10_000));
     assert!(cold.is_cold(at(10_000 + COLD_MS - 1)));
 }
 
+/// Guards against a second start that is taken for the first one, and against a limit that begins anew
+/// when the entry of a start arrives that was observed.
+#[test]
+fn cold_entry_after_observed_start() {
+    let mut cold = cold_starts();
+    cold.target_down();
+    cold.target_responded(at(0));
+    cold.process_listed(at(1_000));
+    assert!(cold.needs_probe(at(1_000)));
+    assert!(cold.is_cold(at(COLD_MS - 1)) && !cold.is_cold(at(COLD_MS)));
+    cold.process_listed(at(2_000));
+    assert!(cold.is_cold(at(2_000 + COLD_MS - 1)) && !cold.is_cold(at(2_000 + COLD_MS)));
+}
+
+/// Guards against a limit that begins anew with the entry of a start that a rejection told of, and
+/// against one that doesn't begin with the entry of the next process.
+#[test]
+fn cold_entry_after_rejection() {
+    let mut cold = cold_starts();
+    cold.process_rejected(at(0));
+    cold.process_listed(at(1_000));
+    assert!(!cold.is_cold(at(COLD_MS)));
+    cold.process_listed(at(10_000));
+    assert!(cold.is_cold(at(10_000)));
+}
+
 /// Guards against a limit whose begin, reason and end can't be found in the log.
 #[test]
 fn cold_changes_reported() {
@@ -130,7 +156,7 @@
         Some(ColdChange::Cold { evidence, left: Duration::from_millis(left) })
     };
     assert_eq!(cold.take_change(at(0)), None);
-    cold.reported_cold(at(0), ColdEvidence::Rejection);
+    cold.process_rejected(at(0));
     assert_eq!(cold.take_change(at(10)), change(ColdEvidence::Rejection, COLD_MS - 10));
     assert_eq!(cold.take_change(at(20)), None);
     cold.probed(at(100), Duration::from_millis(500));
@@ -156,14 +182,14 @@
 fn cold_counts_starts_before_report() {
     let mut cold = cold_starts();
     (0..COLD_STARTS).for_each(|_| cold.record_start(at(0)));
-    cold.reported_cold(at(100), ColdEvidence::Entry);
+    cold.listed_cold(at(100));
     assert_eq!(start_all(&mut cold, 100..1_000), 0);
 }
 
 #[test]
 fn cold_start_withdrawn() {
     let mut cold = cold_starts();
-    cold.reported_cold(at(0), ColdEvidence::Entry);
+    cold.listed_cold(at(0));
     assert_eq!(start_all(&mut cold, 0..1), COLD_STARTS);
     cold.withdraw_start(at(0));
     assert_eq!(start_all(&mut cold, 1..1_000), 1);
@@ -173,7 +199,7 @@
 #[test]
 fn cold_delay_of_queued() {
     let mut cold = cold_starts();
-    cold.reported_cold(at(0), ColdEvidence::Entry);
+    cold.listed_cold(at(0));
     for start in 0..COLD_STARTS {
         cold.record_start(at(10 * start as u64));
     }
@@ -330,7 +356,7 @@
                     None
                 }
                 Step::Down => { slots.start_limits_mut().target_down(); None }
-                Step::Report => { slots.start_limits_mut().reported_cold(at(now), ColdEvidence::Entry); None }
+                Step::Report => { slots.start_limits_mut().listed_cold(at(now)); None }
             };
             if let Some(call) = started {
                 starts.push((call, now));
