Repeat a health request to a cold target only within its limit

A cold target got up to three requests in a second beyond its limit: health requests were counted among the starts, but not held to them, and repeated every half second while they had no response.

One health request beyond the limit remains, since it is what ends or shortens the limit after a start; the limit leaves a tenth of the allowed rate for such. cold_probes_within_limit failed before ('assertion failed: !cold.needs_probe(at(600))').

--- a/core/src/call/admit/start_limits.rs
+++ b/core/src/call/admit/start_limits.rs
@@ -151,10 +151,14 @@
         matches!(self.state, Warmth::Cold(cold) if !cold.is_observed()) && self.is_cold(now)
     }
 
-    /// Whether the target's own statement may end or shorten the limit.
+    /// Whether to ask the target, whose statement may end, shorten or prolong the limit. A health
+    /// request that had no response is repeated only within the limit.
     pub fn needs_probe(&self, now: Time) -> bool {
         let incomplete = self.log.is_incomplete(now, COLD_INTERVAL);
-        self.is_presumed(now) || (incomplete || self.is_uncertain) && self.is_cold(now)
+        let unclear =
+            self.is_presumed(now) || (incomplete || self.is_uncertain) && self.is_cold(now);
+        let repeated = self.probe_sent_at > now - COLD_INTERVAL;
+        unclear && (!repeated || self.delay(now, 0).is_zero())
     }
 
     /// Records that the target is asked for its state, by a request that it may count.
--- a/core/tests/call_cold.rs
+++ b/core/tests/call_cold.rs
@@ -110,6 +110,20 @@
     assert!(cold.delay(end + Duration::from_millis(50), 0).is_zero());
 }
 
+/// Guards against health requests beyond the limit, one after the other while they have no response.
+#[test]
+fn cold_probes_within_limit() {
+    let mut cold = cold_starts();
+    cold.gatekeeper_started(at(0));
+    assert!(cold.needs_probe(at(100)));
+    cold.probe_sent(at(100));
+    assert!(!cold.needs_probe(at(600)));
+    (0..COLD_STARTS).for_each(|_| cold.record_start(at(1_200)));
+    assert!(cold.needs_probe(at(1_300)));
+    cold.probe_sent(at(1_300));
+    assert!(!cold.needs_probe(at(1_800)));
+}
+
 /// Guards against a report that arrives after the start was observed and extends the cold time.
 #[test]
 fn cold_report_after_observed_start() {
