Ask a target for its state with the first version, not at the next tick

A restarted gatekeeper lets its target have nothing until the target has said that it is warm, or the rest of a second has passed. The health request waited up to 100 ms for a tick; it is sent with the version that brings its path now.

--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -318,6 +318,7 @@
         self.recalls.configure(&snapshot);
         self.snapshot = Some(snapshot);
         self.ask_witnesses(now, out);
+        self.probe(now, out);
     }
 
     /// The entry of the target on this VM. If two have the same address, the later one applies: the
--- a/node/src/calls/gate.rs
+++ b/node/src/calls/gate.rs
@@ -87,9 +87,10 @@
     }
 
     /// Applies a version that came into force.
-    pub fn configure(&self, snapshot: &Arc<Snapshot>) {
+    pub fn configure(self: &Arc<GateAdapter>, snapshot: &Arc<Snapshot>) {
         self.handle_input(Input::Configure(snapshot.clone()));
         self.pool.notify_limit_changed();
+        self.probe_if_due();
     }
 
     /// Applies a change of VM states.
@@ -118,10 +119,14 @@
             self.handle_input(Input::Drain);
         }
         self.handle_input(Input::Tick);
+        self.probe_if_due();
+        self.pool.sweep();
+    }
+
+    fn probe_if_due(self: &Arc<GateAdapter>) {
         if self.probe_due.swap(false, Ordering::AcqRel) {
             self.executor.spawn(self.clone().probe()).detach();
         }
-        self.pool.sweep();
     }
 
     /// Passes an input to the state machine that does not belong to a call of the current task.
