A request that becomes quarantined while it waits does not run

Callers saw: a request that crashes its targets reaches a third one up to 3 s after its second crash.

Cause: the quarantine is checked when a request arrives. One that then waits for a slot or a connection, up to the longest wait of the queue, was sent although the second crash had been reported meanwhile.

Evidence: quarantine_waiting_request, which lets a request wait for its connection while two other targets crash. Before the change:

assertion `left == right` failed left: [true, true] right: [false, true]

A report that quarantines a request now rejects those that wait here, as a target that begins to leave does. A request can only become quarantined by such a report, so nothing is left that a check at the moment of sending would find.

--- a/core/src/call/gatekeeper/suspects.rs
+++ b/core/src/call/gatekeeper/suspects.rs
@@ -1,11 +1,12 @@
 //! Crash reports to the other gatekeepers of the service, and the state of the target.
 
-use super::{Call, Gatekeeper, Output};
-use crate::Time;
-use crate::call::Fingerprint;
+use super::{Call, Gatekeeper, Output, RETRY_AFTER_QUARANTINED};
 use crate::call::note::{Note, OutgoingNote};
+use crate::call::quarantine::MAX_CRASHES;
+use crate::call::{CallKey, Fingerprint, Outcome};
 use crate::event::EventKind;
 use crate::hash::rendezvous_score;
+use crate::{Code, Time};
 
 impl Gatekeeper {
     /// Records a crash: if the target is gone, all of its running requests become suspects,
@@ -47,6 +48,23 @@
     ) {
         if self.suspects.record_crash(now, crash, fingerprints) {
             out.push(Output::Record(EventKind::Quarantined));
+            self.reject_quarantined(now, out);
+        }
+    }
+
+    /// Rejects the quarantined requests that wait for a slot or a connection: they were admitted
+    /// before the last crash was reported.
+    fn reject_quarantined(&mut self, now: Time, out: &mut Vec<Output>) {
+        let is_waiting = |call: &Call| {
+            call.is_unstarted() && self.suspects.crashes(now, call.fingerprint) >= MAX_CRASHES
+        };
+        let waiting = self.calls.iter().filter(|(_, call)| is_waiting(call));
+        let waiting: Vec<CallKey> = waiting.map(|(key, _)| *key).collect();
+        for call in waiting {
+            let Some(entry) = self.withdraw(call) else { continue };
+            let outcome = Outcome::not_run(Code::Quarantined, RETRY_AFTER_QUARANTINED);
+            let crashes = self.crashes_of(now, &entry);
+            out.push(Output::Reject { call, outcome, crashes });
         }
     }
 
--- a/core/tests/call_quarantine.rs
+++ b/core/tests/call_quarantine.rs
@@ -210,6 +210,24 @@
     assert_eq!(fleet.submit(2, CRASHING), Err(Code::Quarantined));
 }
 
+/// Guards against a request that crashes a third target because it waited for its connection while the
+/// second crash was reported.
+#[test]
+fn quarantine_waiting_request() {
+    let mut fleet = Fleet::new();
+    let waiting = fleet.submit(2, CRASHING).unwrap();
+    let other = fleet.submit(2, Fingerprint(1)).unwrap();
+    for call in [waiting, other] {
+        fleet.handle(2, Input::Connecting(call));
+    }
+    fleet.crash(&[0, 1], CRASHING);
+    let runs = [waiting, other].map(|call| {
+        let out = fleet.handle(2, Input::Connected(call));
+        out.iter().any(|output| matches!(output, Output::Run { .. }))
+    });
+    assert_eq!(runs, [false, true]);
+}
+
 #[test]
 fn quarantine_bystanders() {
     // Requests that ran during a crash and succeed elsewhere must not be quarantined by the
