A restarted gatekeeper asks its witnesses for quarantined requests

Callers saw: a request that crashes its targets, and that is quarantined, crashes one more target after each restart of a gatekeeper. While all nodes of a service are restarted in turn it reaches every target again.

Cause: crashes are reported to the other gatekeepers of the service once, when they happen. A process that starts later, on the same VM or beside a new target, begins with an empty table, and nothing tells it.

A gatekeeper that starts asks three witnesses whether its target is leaving, and holds requests until they have answered. The witnesses now send the crashes of the quarantined requests before that answer, as the notes that reported them.

--- a/core/src/call/note.rs
+++ b/core/src/call/note.rs
@@ -99,7 +99,8 @@
         /// The sender's target states that it is leaving. Kept for the sender, whose process may
         /// restart.
         TargetLeaving(Box<ListedProcess>),
-        /// The sender has started and asks whether its target has stated that it is leaving.
+        /// The sender has started and asks whether its target has stated that it is leaving. It also
+        /// gets the crashes of quarantined requests, see [`Note::Suspect`].
         AskTargetLeaving(Box<ListedProcess>),
         /// The response to [`Note::AskTargetLeaving`].
         KnownTargetLeaving {
