The shards of a node share its part of the retry reserve

Callers and operators saw: a fleet whose nodes serve calls with several threads makes more retries in ten seconds than the services' budget, when much fails.

Cause: a service's reserve is divided by the number of nodes, but each thread of a node decides on its own calls in a shard of its own, with budgets of its own. A node with four threads used four parts.

Evidence: retries_in_shards, 66 nodes with four shards each, all of whose requests targets reject after they have received them. Most retries in ten seconds beyond those allowed, before:

thread 'retries_in_shards' panicked at core/tests/call_retry_restart.rs: 169

The reserve is now divided by the number of shards, too, as that of recalls is.

The same file checks what was in doubt and holds: budgets that start anew with the processes of all nodes, once and twice within ten seconds, stay within the limit at this load, because nodes use 60 in 100 of it.

--- a/core/src/call/budget.rs
+++ b/core/src/call/budget.rs
@@ -55,7 +55,7 @@
     /// Additional retries of the whole fleet per window. Absent for a budget that is local to each
     /// node.
     pub reserve: Option<u32>,
-    /// Number of nodes that share the reserve.
+    /// Number of nodes that share the reserve, or of their shards if each has a budget of its own.
     pub nodes: u32,
 }
 
--- a/core/src/call/entry.rs
+++ b/core/src/call/entry.rs
@@ -136,8 +136,9 @@
         self
     }
 
-    /// Sets the number of shards of the node, which share its budget for recalls.
+    /// Sets the number of shards of the node, which share its budgets for retries and recalls.
     pub fn with_shards(mut self, shards: usize) -> Entry {
+        self.retries.set_shards(shards as u32);
         self.recalls.set_shards(shards as u32);
         self
     }
--- a/core/src/call/entry/retry_budget.rs
+++ b/core/src/call/entry/retry_budget.rs
@@ -37,6 +37,8 @@
 #[derive(Debug)]
 pub(super) struct RetryBudgets {
     rng: Pcg64Mcg,
+    // Shards of the node, each of which has budgets of its own.
+    shards: u32,
     services: IndexMap<Name, Budget>,
     // Only for services with a fleet-wide budget.
     routes: IndexMap<Name, Budget>,
@@ -45,7 +47,11 @@
 impl RetryBudgets {
     pub(super) fn new(seed: u64) -> RetryBudgets {
         let rng = Pcg64Mcg::seed_from_u64(seed);
-        RetryBudgets { rng, services: IndexMap::new(), routes: IndexMap::new() }
+        RetryBudgets { rng, shards: 1, services: IndexMap::new(), routes: IndexMap::new() }
+    }
+
+    pub(super) fn set_shards(&mut self, shards: u32) {
+        self.shards = shards;
     }
 
     /// Drops services and routes that a new configuration version has removed.
@@ -77,7 +83,7 @@
         let limits = RetryLimits {
             percent: service.limits.retry_budget_percent,
             reserve: service.limits.retry_reserve,
-            nodes: snapshot.targets().len() as u32,
+            nodes: snapshot.targets().len() as u32 * self.shards,
         };
         let rng = &mut self.rng;
         let mut record = |budgets: &mut IndexMap<Name, Budget>, name: &Name| {
