The retry reserve isn't divided by fewer nodes while targets are down

Callers and operators saw: while most targets of a fleet are down, its nodes together make more retries in ten seconds than the services' budget.

Cause: the reserve is divided by the number of targets that are listed. A target that crashes is no longer listed after some heartbeats, but its node runs on, takes calls and retries. With a tenth of the targets listed, each of all the nodes took ten times its part.

Evidence: retries_while_few_targets_are_listed, 66 nodes of which 60 lose their targets for 5 s, while all requests are rejected by targets.

A node now divides by the largest number of targets listed in the last five minutes. retries_after_scale_in checks that a fleet which stays smaller uses its reserve again. A node that starts while few targets are listed still takes too large a part until they are back.

--- a/core/src/call/entry/retry_budget.rs
+++ b/core/src/call/entry/retry_budget.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashSet;
+use std::time::Duration;
 
 /// Share of the budget that is left to hedges, in percent. The rest is kept for requests that would
 /// fail without a retry.
@@ -20,6 +21,10 @@
 
 const PERCENT: u64 = 100;
 
+/// How long the reserve stays divided by the number of targets that were listed. Nodes whose targets
+/// are gone go on retrying. Longer than a target takes to come back.
+const NODES_RETENTION: Duration = Duration::from_secs(300);
+
 /// Retry budgets of one entry node.
 ///
 /// While a service rejects more requests than the budget allows to retry, it goes to those that
@@ -39,15 +44,37 @@
     rng: Pcg64Mcg,
     // Shards of the node, each of which has budgets of its own.
     shards: u32,
+    nodes: NodeCount,
     services: IndexMap<Name, Budget>,
     // Only for services with a fleet-wide budget.
     routes: IndexMap<Name, Budget>,
 }
 
+/// Number of nodes that share the reserves.
+#[derive(Clone, Copy, Debug, Default)]
+struct NodeCount {
+    count: u32,
+    // When as many were last listed.
+    listed_at: Time,
+}
+
+impl NodeCount {
+    /// Returns the largest number of targets listed within [`NODES_RETENTION`], or the present one if
+    /// it has been lower for longer.
+    fn update(&mut self, now: Time, snapshot: &Snapshot) -> u32 {
+        let listed = snapshot.targets().len() as u32;
+        if listed >= self.count || now.since(self.listed_at) >= NODES_RETENTION {
+            *self = NodeCount { count: listed, listed_at: now };
+        }
+        self.count
+    }
+}
+
 impl RetryBudgets {
     pub(super) fn new(seed: u64) -> RetryBudgets {
         let rng = Pcg64Mcg::seed_from_u64(seed);
-        RetryBudgets { rng, shards: 1, services: IndexMap::new(), routes: IndexMap::new() }
+        let nodes = NodeCount::default();
+        RetryBudgets { rng, shards: 1, nodes, services: IndexMap::new(), routes: IndexMap::new() }
     }
 
     pub(super) fn set_shards(&mut self, shards: u32) {
@@ -83,7 +110,7 @@
         let limits = RetryLimits {
             percent: service.limits.retry_budget_percent,
             reserve: service.limits.retry_reserve,
-            nodes: snapshot.targets().len() as u32 * self.shards,
+            nodes: self.nodes.update(now, snapshot) * self.shards,
         };
         let rng = &mut self.rng;
         let mut record = |budgets: &mut IndexMap<Name, Budget>, name: &Name| {
--- a/core/tests/call_retry_restart.rs
+++ b/core/tests/call_retry_restart.rs
@@ -1,4 +1,4 @@
-//! Retry budgets of a fleet whose nodes restart, or serve calls in several shards.
+//! Retry budgets of a fleet whose nodes restart, serve calls in several shards, or list few targets.
 
 #[path = "support/snapshot.rs"]
 mod support;
@@ -174,3 +174,28 @@
     fleet.advance(30_000);
     assert!(fleet.largest_excess() <= 0, "{}", fleet.largest_excess());
 }
+
+/// Guards against a reserve that few nodes seem to share because most targets are gone for some seconds.
+#[test]
+fn retries_while_few_targets_are_listed() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(20_000);
+    fleet.configure(&snapshot(2, NODES / 10));
+    fleet.advance(5_000);
+    fleet.configure(&snapshot(3, NODES));
+    fleet.advance(10_000);
+    assert!(fleet.largest_excess() <= 0, "{}", fleet.largest_excess());
+}
+
+/// Guards against a fleet that has become smaller and never uses its reserve again.
+#[test]
+fn retries_after_scale_in() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(1_000);
+    fleet.entries.truncate(6);
+    fleet.configure(&snapshot(2, 6));
+    fleet.advance(310_000);
+    fleet.retries.clear();
+    fleet.advance(WINDOW_MS);
+    assert!(fleet.retries.len() >= CONFIGURED.1 * 80 / 100, "{}", fleet.retries.len());
+}
