Test of the retry budget while gatekeepers are paused

The budget is charged when a retry is decided, and a retry may wait in a gatekeeper for seconds before its target gets it. retries_pause_of_all_gatekeepers sends the retries of 3 s together at the end of a pause, in a fleet all of whose requests are rejected by targets.

--- a/core/tests/call_retry_restart.rs
+++ b/core/tests/call_retry_restart.rs
@@ -1,4 +1,4 @@
-//! Retry budgets of a fleet whose nodes restart, serve calls in several shards, or list few targets.
+//! Retry budgets of a fleet whose nodes restart or pause, serve calls in several shards, or list few targets.
 
 #[path = "support/snapshot.rs"]
 mod support;
@@ -167,6 +167,18 @@
     assert!(fleet.largest_excess() <= 0, "{}", fleet.largest_excess());
 }
 
+/// Guards against retries that wait in paused gatekeepers and exceed the limit when they are sent
+/// together with later ones.
+#[test]
+fn retries_pause_of_all_gatekeepers() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(30_000);
+    let (paused_at, resumed_at) = (15_000, 18_000);
+    let paused = |at: &&mut u64| (paused_at..resumed_at).contains(*at);
+    fleet.retries.iter_mut().filter(paused).for_each(|at| *at = resumed_at);
+    assert!(fleet.largest_excess() <= 0, "{}", fleet.largest_excess());
+}
+
 /// Guards against a reserve that each shard of a node has for itself.
 #[test]
 fn retries_in_shards() {
