Failing test: crashes of one target that no response separates

A request that crashes the only target of its service is never quarantined if it is the first request after each return of the target, so that the target crashes without having responded.

Cause: Gatekeeper::crash keeps the ID of a crash until the target responds (core/src/call/gatekeeper/suspects.rs, gatekeeper.rs). A crash before that counts as the same one, and its report as a repetition.

--- a/core/tests/call_quarantine_restart.rs
+++ b/core/tests/call_quarantine_restart.rs
@@ -260,3 +260,20 @@
     service.deliver_notes();
     assert!(service.send("b", CRASHING).is_ok());
 }
+
+/// Guards against a request that crashes the only target time and again: each time it is the first
+/// request after the target's return, so that no response separates two crashes.
+#[test]
+fn quarantine_crashes_of_one_target_without_response() {
+    let mut service = Service::new(&VMS);
+    let mut crashes = 0;
+    for _ in 0..6 {
+        let Ok(call) = service.send("a", CRASHING) else { break };
+        service.input("a", Input::Connecting(call));
+        service.input("a", Input::Connected(call));
+        service.input("a", Input::End { call, end: RunEnd::Broken { target_gone: true } });
+        service.advance(Duration::from_secs(2));
+        crashes += 1;
+    }
+    assert_eq!(crashes, 2);
+}
