calls: tests of responses with status 000 and others that HTTP does not have

A target in trouble may send a status line with 000. No fault was found: hyper rejects 000 to 099 and what is not three digits, response_head the rest outside 200 to 599, both before any header is read. The callers of requests that may run only once get 502 with an unknown outcome, those of others another target's response. Health requests, responses of gatekeepers and answers to recalls with such statuses state nothing.

000 itself is kept out by hyper alone, so no guard of ours can be broken for it.

--- a/node/tests/calls_broken.rs
+++ b/node/tests/calls_broken.rs
@@ -310,6 +310,8 @@
 fn broken_responses_blame_no_request() {
     let sent = [
         "ICY 200 OK\r\n\r\n",
+        "HTTP/1.1 000 X\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 000 X\r\n",
         "HTTP/1.1 200 OK\r\ncontent-le",
         "HTTP/1.1 200 OK\r\nx-sycamore-request-id: other\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nwhole",
