store, spread: tests of platform responses with status 000

A status that HTTP does not have must be no list, no empty list, no 404 and no 410 of the configuration services. No fault was found: the client of the users' store and that of the product's own configuration service report such a response as one that failed (hyper rejects 000, the clients 600 and above).

--- a/node/tests/spread_processes.rs
+++ b/node/tests/spread_processes.rs
@@ -3,24 +3,14 @@
 #[path = "support/processes.rs"]
 mod processes;
 
-use processes::{MockPlatform, Node, ResponseMode, Vm, publish_vm_lists, vms, wait_for};
+use processes::{
+    MockPlatform, Node, ResponseMode, all_have_version, publish_vm_lists, start_fleet, vms,
+    wait_for,
+};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use sycamore_core::Code;
 
-fn all_have_version(nodes: &[Node], version: u64) -> bool {
-    nodes.iter().all(|node| node.version() == version)
-}
-
-fn start_fleet(test: u8, platform: &MockPlatform) -> (Vec<Vm>, Vec<Node>) {
-    let vms = vms(test, &[("a-0", "r1", "a"), ("a-1", "r1", "a"), ("b-0", "r2", "b")]);
-    publish_vm_lists(platform, &vms);
-    platform.publish(1);
-    let nodes: Vec<Node> = vms.iter().map(|vm| Node::start(vm, platform, &[])).collect();
-    wait_for("version 1 in force", || all_have_version(&nodes, 1));
-    (vms, nodes)
-}
-
 #[test]
 fn restart_while_platform_is_down() {
     // Guards against a node that cannot recover the configuration from its peers after a restart
--- a/node/tests/support/processes.rs
+++ b/node/tests/support/processes.rs
@@ -26,6 +26,8 @@
     InvalidValue,
     /// Status 429.
     OverLimit,
+    /// The current values, with this status line.
+    StatusLine(&'static str),
     /// No response.
     NoResponse,
 }
@@ -122,6 +124,11 @@
                 http_response("200 OK", values.index + 1_000, "<html>oops</html>")
             }
             ResponseMode::OverLimit => http_response("429 Too Many Requests", 0, ""),
+            ResponseMode::StatusLine(line) => {
+                let value = values.values.get(key).map_or("", |(_, value)| value);
+                let reply = http_response("200 OK", values.index + 1_000, value);
+                reply.replacen("HTTP/1.1 200 OK", line, 1)
+            }
             ResponseMode::NoResponse => {
                 drop(values);
                 std::thread::sleep(WAIT_TIMEOUT);
@@ -269,6 +276,21 @@
     }
 }
 
+/// Whether this version is in force on all nodes.
+pub fn all_have_version(nodes: &[Node], version: u64) -> bool {
+    nodes.iter().all(|node| node.version() == version)
+}
+
+/// Starts nodes in two regions and waits until version 1 is in force on them.
+pub fn start_fleet(test: u8, platform: &MockPlatform) -> (Vec<Vm>, Vec<Node>) {
+    let vms = vms(test, &[("a-0", "r1", "a"), ("a-1", "r1", "a"), ("b-0", "r2", "b")]);
+    publish_vm_lists(platform, &vms);
+    platform.publish(1);
+    let nodes: Vec<Node> = vms.iter().map(|vm| Node::start(vm, platform, &[])).collect();
+    wait_for("version 1 in force", || all_have_version(&nodes, 1));
+    (vms, nodes)
+}
+
 /// Waits until `done` returns true. Fails after [`WAIT_TIMEOUT`].
 pub fn wait_for(what: &str, done: impl Fn() -> bool) {
     let start = Instant::now();
