load: a response with a status that HTTP does not have is no answer

Cause: hyper rejects statuses below 100 only, and the client took whatever hyper accepts. Before the fix:

call_status_000_is_broken: "HTTP/1.1 600 x...whole" left: [Answered] right: [Broken, Answered]

--- a/node/src/calls.rs
+++ b/node/src/calls.rs
@@ -13,7 +13,7 @@
 pub mod pool;
 pub mod readiness;
 pub mod response_end;
-mod response_head;
+pub mod response_head;
 pub mod serve;
 pub mod socket;
 pub mod trace;
--- a/tools/src/load/client.rs
+++ b/tools/src/load/client.rs
@@ -12,6 +12,7 @@
 use std::cell::RefCell;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use sycamore_node::calls::response_head;
 
 /// Request with an in-memory body.
 pub type OutgoingRequest = Request<Full<Bytes>>;
@@ -21,7 +22,7 @@
 pub enum SendError {
     /// No connection could be made, or it closed before any byte of the request was written.
     NotSent,
-    /// The connection broke, and the request may have been written.
+    /// The connection broke or its response is not valid, and the request may have been written.
     Broken,
 }
 
@@ -158,7 +159,10 @@
     if sender.ready().await.is_err() {
         return Err(Some(req));
     }
+    let method = req.method().clone();
     match sender.try_send_request(req).await {
+        // hyper accepts statuses from 600 to 999 and contradictory lengths.
+        Ok(response) if !response_head::is_valid(&method, &response) => Err(None),
         Ok(response) => Ok((response, sender)),
         Err(mut e) => Err(e.take_message()),
     }
--- a/tools/tests/load.rs
+++ b/tools/tests/load.rs
@@ -158,6 +158,27 @@
     assert_eq!((record.outcome, results(&record)), (Outcome::None, vec![SendResult::TimedOut]));
 }
 
+/// Guards against a response with a status that HTTP does not have, like 000, that counts as an answer
+/// or as a refusal: a node that forwards one would pass the check.
+#[test]
+fn call_status_000_is_broken() {
+    let responses = [
+        "HTTP/1.1 000 x\r\ncontent-length: 5\r\n\r\nwhole",
+        "HTTP/1.1 099 x\r\ncontent-length: 5\r\n\r\nwhole",
+        "HTTP/1.1 600 x\r\ncontent-length: 5\r\n\r\nwhole",
+        "HTTP/1.1 999 x\r\ncontent-length: 5\r\n\r\nwhole",
+        "HTTP/1.1 000 x\r\nx-sycamore-outcome: not-run\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 600 x\r\nx-sycamore-outcome: not-run\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 600 x\r\nx-sycamore-outcome: unknown\r\ncontent-length: 0\r\n\r\n",
+    ];
+    for response in responses {
+        let record = run(vec![Step::Respond(response), COMPLETE_RESPONSE], 60_000);
+        let expected = [SendResult::Broken, SendResult::Answered];
+        assert_eq!(results(&record), expected, "{response:?}");
+        assert_eq!((record.status, record.body_correct), (Some(200), true), "{response:?}");
+    }
+}
+
 #[test]
 fn mix_target_and_class() {
     let path_and_query = "/contracts/7?work_us=0&bytes=100&chain=/a/7,/b/7";
