Withdraw the start of a request rejected after its count only once

Callers could see a cold target get more requests than it tolerates after their gatekeeper's process had been stopped between two sends.

Cause: Slots::connected withdraws the start of a request that is sent late before it asks for another one. If none is allowed, the rejection released the slot, which withdrew the start a second time. Starts are found by their time: the second one was that of a request granted at the same moment and sent.

Change: the rejection gives up the slot without touching the log.

Evidence: cold_rate_with_rejected_late_sends failed before ("7, 2 of them sent late"; 4 are allowed).

--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -498,7 +498,7 @@
         self.reject_running_unsent(now, call, code, out);
     }
 
-    /// Rejects a request that has a slot and was not sent.
+    /// Rejects a request that has a slot, was not sent and no longer counts as started.
     fn reject_running_unsent(
         &mut self,
         now: Time,
@@ -506,7 +506,7 @@
         code: Code,
         out: &mut Vec<Output>,
     ) {
-        self.slots.release(call);
+        self.slots.abandon(call);
         let Some(entry) = self.remove_unstarted(call) else {
             return;
         };
--- /dev/null
+++ b/core/tests/call_cold_review.rs
@@ -0,0 +1,136 @@
+//! The limit of a cold target against late answers, late entries, and requests that are not sent.
+
+#[path = "support/snapshot.rs"]
+mod support;
+
+use std::time::Duration;
+use support::name;
+use sycamore_core::Time;
+use sycamore_core::call::gatekeeper::{Arrival, Input, Output, RunEnd, TICK};
+use sycamore_core::call::{CallKey, Fingerprint, Gatekeeper, Statement};
+
+const START: Time = Time(1_700_000_000_000_000);
+const COLD_MS: u64 = 3_000;
+const COLD_STARTS: usize = 4;
+
+fn at(ms: u64) -> Time {
+    START + Duration::from_millis(ms)
+}
+
+/// A gatekeeper of a target with 9 slots that bears 4 requests in a second while it is cold.
+struct Gate {
+    gatekeeper: Gatekeeper,
+    now: u64,
+    calls: u64,
+    version: u64,
+    probes: usize,
+    granted: Vec<CallKey>,
+}
+
+impl Gate {
+    /// The target `i-1` is warm, and listed as such.
+    fn new() -> Gate {
+        let gatekeeper = Gatekeeper::new(name("a"), at(0), 1);
+        let granted = Vec::new();
+        let mut gate = Gate { gatekeeper, now: 0, calls: 0, version: 0, probes: 0, granted };
+        gate.list(1, false);
+        gate.advance(200);
+        assert_eq!(gate.probes, 1);
+        gate.answer_probe(0);
+        assert!(!gate.is_cold());
+        gate.advance(5_000);
+        gate
+    }
+
+    fn input(&mut self, input: Input<'_>) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.gatekeeper.handle(at(self.now), input, &mut out);
+        for output in &out {
+            match output {
+                Output::Run { call, .. } => self.granted.push(*call),
+                Output::Probe => self.probes += 1,
+                _ => {}
+            }
+        }
+        out
+    }
+
+    fn advance(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.now += 1;
+            if self.now % TICK.as_millis() as u64 == 0 {
+                self.input(Input::Tick);
+            }
+        }
+    }
+
+    fn list(&mut self, id: u64, cold: bool) {
+        self.version += 1;
+        let limits = format!(
+            r#"{{"slots":9,"queue":64,"queue_wait_ms":3000,"cold_ms":{COLD_MS},
+            "cold_starts":{COLD_STARTS},"health_path":"/health"}}"#
+        );
+        let target = format!(
+            r#"{{"vm":"a","region":"r","zone":"z","gate":"127.0.0.1:1","peers":"127.0.0.1:9",
+            "incarnation":"i-{id}","started_ms":{id},"cold":{cold}}}"#
+        );
+        let services = format!(r#"{{"s":{{"limits":{limits},"targets":[{target}]}}}}"#);
+        let routes = r#"{"r":{"path_prefix":"/r","service":"s","idempotent":true}}"#;
+        let snapshot = support::version(self.version, &services, routes);
+        self.input(Input::Configure(snapshot));
+    }
+
+    fn answer_probe(&mut self, left_ms: u64) {
+        let cold_left = Some(Duration::from_millis(left_ms));
+        self.input(Input::Probed { cold_left, statement: Statement::default() });
+    }
+
+    fn is_cold(&self) -> bool {
+        self.gatekeeper.is_target_cold(at(self.now))
+    }
+
+    fn arrive(&mut self) {
+        self.calls += 1;
+        let arrival = Arrival {
+            call: CallKey(self.calls),
+            host: "",
+            path: "/r",
+            terms: None,
+            key: None,
+            digest: None,
+            fingerprint: Fingerprint(self.calls),
+            crashes: 0,
+            depth: 0,
+            deadline: at(self.now + 1_500),
+            run_by: None,
+            known_limit: None,
+        };
+        self.input(Input::Arrive(arrival));
+    }
+
+    fn end(&mut self, call: CallKey, end: RunEnd) {
+        self.input(Input::End { call, end });
+    }
+}
+
+/// Guards against a rejected request that removes the start of another one, which was sent, from what
+/// is counted.
+#[test]
+fn cold_rate_with_rejected_late_sends() {
+    let mut gate = Gate::new();
+    (0..9).for_each(|_| gate.arrive());
+    let granted: Vec<CallKey> = gate.granted.drain(..).collect();
+    assert_eq!(granted.len(), 9);
+    let (sent, late) = granted.split_at(COLD_STARTS);
+    gate.advance(150);
+    gate.list(1, true);
+    // None may be sent: the target has got its 4 requests.
+    late.iter().for_each(|call| {
+        gate.input(Input::Connected(*call));
+    });
+    let allowed_late = gate.granted.len();
+    sent.iter().for_each(|call| gate.end(*call, RunEnd::Answered { cached: None }));
+    (0..9).for_each(|_| gate.arrive());
+    let in_a_second = sent.len() + gate.granted.len();
+    assert!(in_a_second <= COLD_STARTS, "{in_a_second}, {allowed_late} of them sent late");
+}
