Count a request without a connection at its start for the rate that a target states

Callers of a target that states a low rate got nothing while one request waited for its connection: at 4 a second one slow handshake, or a lost opening packet, stopped all starts until it ended.

Cause: a request that waits for a connection counts as sent now until it is, which is needed for a cold target. For a stated rate, which allows one to four starts in an interval, this left no room at all.

Change: the start of such a request stays in the log, which bounds the stated rate as before. For a cold target it also counts once it has left the interval; the bound on starts there is the same.

--- a/core/src/call/admit.rs
+++ b/core/src/call/admit.rs
@@ -60,7 +60,7 @@
     started: Time,
     // When it was sent to the target. Later than `started` if it waited for a connection.
     sent_at: Time,
-    // Waits for a connection, and is not in the log of starts meanwhile.
+    // Waits for a connection.
     connecting: bool,
     // Response bytes passed to the link pacer, sent or scheduled.
     sent_bytes: u64,
@@ -216,13 +216,11 @@
         let Some(running) = self.running.get_mut(&call) else {
             return true;
         };
+        self.start_limits.withdraw_start(running.started);
         if std::mem::replace(&mut running.connecting, false) {
-            self.start_limits.end_connecting();
-        } else {
-            self.start_limits.withdraw_start(running.started);
-            if !self.start_limits.delay(now, 0).is_zero() {
-                return false;
-            }
+            self.start_limits.end_connecting(running.started);
+        } else if !self.start_limits.delay(now, 0).is_zero() {
+            return false;
         }
         self.start_limits.record_start(now);
         (running.started, running.sent_at) = (now, now);
@@ -327,9 +325,7 @@
 
     /// Releases the slot of a request that did not reach the target, without recording a run time.
     pub fn release(&mut self, call: CallKey) {
-        if let Some(unsent) = self.remove_running(call)
-            && !unsent.connecting
-        {
+        if let Some(unsent) = self.remove_running(call) {
             self.start_limits.withdraw_start(unsent.started);
         }
     }
--- a/core/src/call/admit/capacity.rs
+++ b/core/src/call/admit/capacity.rs
@@ -97,7 +97,7 @@
     pub(super) fn remove_running(&mut self, call: CallKey) -> Option<Running> {
         let freed = self.running.swap_remove(&call)?;
         if freed.connecting {
-            self.start_limits.end_connecting();
+            self.start_limits.end_connecting(freed.started);
         }
         if freed.class == Class::Bulk {
             self.running_bulk -= 1;
--- a/core/src/call/admit/start_limits.rs
+++ b/core/src/call/admit/start_limits.rs
@@ -34,8 +34,8 @@
     held_until: Time,
     // Also kept while no limit holds, so that one that begins counts what was sent before.
     log: StartLog,
-    // Requests that wait for a connection and may be sent at any time.
-    connecting: usize,
+    // Starts, also in the log, of requests that wait for a connection and may be sent at any time.
+    connecting: Vec<Time>,
     // Whether an entry has listed the process that the state is about.
     is_listed: bool,
     // The target may have started again since the start that the state is about.
@@ -91,7 +91,7 @@
             stated: None,
             held_until: Time::ZERO,
             log: StartLog::new(),
-            connecting: 0,
+            connecting: Vec::new(),
             is_listed: false,
             is_uncertain: false,
             probe_sent_at: Time::ZERO,
@@ -278,27 +278,27 @@
         self.log.withdraw(started);
     }
 
-    /// Records that a started request waits for a connection: it counts as sent now until it is.
+    /// Records that a started request waits for a connection: for the rate of a cold target it counts
+    /// as sent now until it is.
     pub fn begin_connecting(&mut self, started: Time) {
-        self.log.withdraw(started);
-        self.connecting += 1;
+        self.connecting.push(started);
     }
 
     /// Records that such a request waits no longer.
-    pub fn end_connecting(&mut self) {
-        self.connecting = self.connecting.saturating_sub(1);
+    pub fn end_connecting(&mut self, started: Time) {
+        if let Some(index) = self.connecting.iter().position(|other| *other == started) {
+            self.connecting.swap_remove(index);
+        }
     }
 
     /// Returns the delay before a request may start that has `ahead` others before it.
     pub fn delay(&self, now: Time, ahead: usize) -> Duration {
-        let ahead = ahead + self.connecting;
         self.cold_delay(now, ahead).max(self.stated_delay(now, ahead))
     }
 
     /// Why the next request may not start now; `None` if it may.
     pub fn rejection_code(&self, now: Time) -> Option<Code> {
-        let ahead = self.connecting;
-        let (cold, stated) = (self.cold_delay(now, ahead), self.stated_delay(now, ahead));
+        let (cold, stated) = (self.cold_delay(now, 0), self.stated_delay(now, 0));
         match cold.max(stated).is_zero() {
             true => None,
             false if stated >= cold => Some(Code::TargetLimited),
@@ -315,7 +315,10 @@
             interval: COLD_INTERVAL,
             counts_unknown: true,
         };
-        let delay = self.log.delay(now, rate, ahead);
+        // The others are counted by the log.
+        let oldest = now - COLD_INTERVAL;
+        let connecting = self.connecting.iter().filter(|started| **started <= oldest).count();
+        let delay = self.log.delay(now, rate, ahead + connecting);
         match self.state {
             Warmth::Cold(cold) => delay.min((cold.since + self.cold_duration).since(now)),
             Warmth::Down | Warmth::Warm => delay,
--- a/core/tests/call_cold_review.rs
+++ b/core/tests/call_cold_review.rs
@@ -7,7 +7,7 @@
 use support::name;
 use sycamore_core::Time;
 use sycamore_core::call::gatekeeper::{Arrival, Input, Output, RunEnd, TICK};
-use sycamore_core::call::{CallKey, Fingerprint, Gatekeeper, Statement};
+use sycamore_core::call::{CallKey, Fingerprint, Gatekeeper, RateLimit, StatedLimit, Statement};
 
 const START: Time = Time(1_700_000_000_000_000);
 const COLD_MS: u64 = 3_000;
@@ -134,3 +134,25 @@
     let in_a_second = sent.len() + gate.granted.len();
     assert!(in_a_second <= COLD_STARTS, "{in_a_second}, {allowed_late} of them sent late");
 }
+
+/// Guards against a target that gets nothing at the rate that it states while a request waits for its
+/// connection.
+#[test]
+fn stated_rate_beside_slow_connection() {
+    let mut gate = Gate::new();
+    gate.arrive();
+    let call = gate.granted.pop().unwrap();
+    let limit = StatedLimit::Limit(RateLimit::parse("4").unwrap());
+    let statement = Statement { limit, ..Statement::default() };
+    gate.input(Input::Stated { call, ran: true, statement });
+    gate.end(call, RunEnd::Answered { cached: None });
+    gate.advance(1_000);
+    gate.arrive();
+    let slow = gate.granted.pop().unwrap();
+    gate.input(Input::Connecting(slow));
+    for _ in 0..12 {
+        gate.advance(100);
+        gate.arrive();
+    }
+    assert!(!gate.granted.is_empty(), "none started in 1.2 s at 4 a second");
+}
