Ignore a health response to a question asked before the target's process changed

Callers could see a cold target get the load of a warm one, or a new target get nothing: the response of an earlier process, handled after the entry of the next one, ended the limit, or marked the new process as leaving until the next entry of another. It takes a response that was read late: a process that was stopped has it and the new entry to handle at once.

The target is asked again by the same rules as before. Two questions that are open at the same time are still not told apart.

Evidence: cold_after_late_probe_response and leaving_after_late_probe_response failed before ("assertion failed: gate.is_cold()", "assertion failed: !gate.gatekeeper.statements().leaving").

--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -119,6 +119,8 @@
     last_response_at: Time,
     // Earliest time of the next probe.
     next_probe_at: Time,
+    // Whether the last probe was sent to the process that the target is known to be now.
+    is_probe_current: bool,
     draining: bool,
     confirmed: bool,
     moving: bool,
@@ -158,6 +160,7 @@
             placement: Placement::new(),
             last_response_at: started,
             next_probe_at: started,
+            is_probe_current: true,
             draining: false,
             confirmed: true,
             moving: false,
@@ -216,6 +219,7 @@
             Input::Stated { call, ran, statement } => {
                 self.record_statement(now, call, ran, statement, out);
             }
+            Input::Probed { .. } if !self.is_probe_current => {}
             Input::Probed { cold_left, statement } => {
                 if let Some(cold_left) = cold_left {
                     self.slots.start_limits_mut().probed(now, cold_left);
--- a/core/src/call/gatekeeper/placement.rs
+++ b/core/src/call/gatekeeper/placement.rs
@@ -57,8 +57,10 @@
         }
         let returned = before.evacuated && !target.evacuated;
         if listed.differs_from(&before.process) {
+            self.is_probe_current = false;
             self.slots.start_limits_mut().process_listed(now);
         } else if target.cold && !before.cold {
+            self.is_probe_current = false;
             self.slots.start_limits_mut().listed_cold(now);
         }
         if returned {
@@ -90,6 +92,7 @@
         let is_due = now >= self.next_probe_at && !self.placement.evacuated;
         if is_due && self.slots.has_health_path() && self.slots.start_limits().needs_probe(now) {
             self.next_probe_at = now + PROBE_INTERVAL;
+            self.is_probe_current = true;
             self.slots.start_limits_mut().probe_sent(now);
             out.push(Output::Probe);
         }
@@ -108,6 +111,7 @@
         }
         self.slots.release(call);
         if self.is_silent(now) {
+            self.is_probe_current = false;
             self.slots.start_limits_mut().process_rejected(now);
         }
     }
--- a/core/tests/call_cold_review.rs
+++ b/core/tests/call_cold_review.rs
@@ -156,3 +156,31 @@
     }
     assert!(!gate.granted.is_empty(), "none started in 1.2 s at 4 a second");
 }
+/// Guards against the response of an earlier process to a health request, handled after the entry of
+/// the next one, that ends the limit.
+#[test]
+fn cold_after_late_probe_response() {
+    let mut gate = Gate::new();
+    gate.gatekeeper = Gatekeeper::new(name("a"), at(gate.now), 2);
+    gate.list(1, false);
+    let before = gate.probes;
+    gate.advance(100);
+    assert_eq!(gate.probes, before + 1);
+    gate.list(2, true);
+    gate.answer_probe(0);
+    assert!(gate.is_cold());
+}
+
+/// Guards against the statement of an earlier process that it is leaving, handled after the entry of the
+/// next one, which would get no request.
+#[test]
+fn leaving_after_late_probe_response() {
+    let mut gate = Gate::new();
+    gate.gatekeeper = Gatekeeper::new(name("a"), at(gate.now), 2);
+    gate.list(1, false);
+    gate.advance(100);
+    gate.list(2, true);
+    let statement = Statement { leaving: true, ..Statement::default() };
+    gate.input(Input::Probed { cold_left: Some(Duration::ZERO), statement });
+    assert!(!gate.gatekeeper.statements().leaving);
+}
