Ask a target whose new process is not listed as cold

Callers saw a warm target limited to the rate of a cold one for a whole cold time when its entry arrived late, as after an outage of the platform's store: its start was long past, the gatekeeper had counted that cold time already, and the entry said that it is not cold.

Cause: an entry of another process begins the cold time whatever it says of it, and the target is asked only if the time is presumed or a start may have been missed.

Change: if the entry doesn't list the process as cold, the target is asked; until it responds, the limit holds as before. Costs one health request per such entry.

Evidence: warm_target_with_late_entry failed before ("cold, and not asked").

--- a/core/src/call/admit/start_limits.rs
+++ b/core/src/call/admit/start_limits.rs
@@ -214,6 +214,12 @@
         self.is_uncertain = true;
     }
 
+    /// Records that the target's entry doesn't list it as cold: it may have been warm for long if the
+    /// entry is late.
+    pub fn listed_warm(&mut self) {
+        self.is_uncertain = true;
+    }
+
     /// Records that the target has rejected a request to another process. Known already, for all that
     /// the rejection says, while the target is cold after a start that was observed.
     pub fn process_rejected(&mut self, now: Time) {
--- a/core/src/call/gatekeeper/placement.rs
+++ b/core/src/call/gatekeeper/placement.rs
@@ -59,6 +59,9 @@
         if listed.differs_from(&before.process) {
             self.is_probe_current = false;
             self.slots.start_limits_mut().process_listed(now);
+            if !target.cold {
+                self.slots.start_limits_mut().listed_warm();
+            }
         } else if target.cold && !before.cold {
             self.is_probe_current = false;
             self.slots.start_limits_mut().listed_cold(now);
--- a/core/tests/call_cold_review.rs
+++ b/core/tests/call_cold_review.rs
@@ -111,6 +111,12 @@
     fn end(&mut self, call: CallKey, end: RunEnd) {
         self.input(Input::End { call, end });
     }
+
+    fn restart(&mut self) {
+        self.arrive();
+        let call = self.granted.pop().unwrap();
+        self.end(call, RunEnd::Broken { target_gone: true });
+    }
 }
 
 /// Guards against a rejected request that removes the start of another one, which was sent, from what
@@ -184,3 +190,23 @@
     gate.input(Input::Probed { cold_left: Some(Duration::ZERO), statement });
     assert!(!gate.gatekeeper.statements().leaving);
 }
+
+/// Guards against a limit on a target that is known to have started long ago, because its entry
+/// arrives late.
+#[test]
+fn warm_target_with_late_entry() {
+    let mut gate = Gate::new();
+    gate.restart();
+    gate.advance(400);
+    gate.arrive();
+    let call = gate.granted.pop().unwrap();
+    gate.end(call, RunEnd::Answered { cached: None });
+    assert!(gate.is_cold());
+    gate.advance(10_000);
+    assert!(!gate.is_cold());
+    let before = gate.probes;
+    gate.list(2, false);
+    gate.advance(2 * TICK.as_millis() as u64);
+    let asked = gate.probes > before;
+    assert!(!gate.is_cold() || asked, "cold, and not asked");
+}
