Keep the response to a health request that was sent before the target's first entry

The first entry after a start of the gatekeeper is of the process that was asked; dropping the response would let the target have nothing until the rest of the second has passed. The question goes out with the first version, so the test of late responses counts it from there, as strictly as before.

--- a/core/src/call/gatekeeper/placement.rs
+++ b/core/src/call/gatekeeper/placement.rs
@@ -63,7 +63,8 @@
                 self.slots.start_limits_mut().listed_warm();
             }
         } else if target.cold && !before.cold {
-            self.is_probe_current = false;
+            // The first entry is of the process that was asked.
+            self.is_probe_current &= !before.process.is_known();
             self.slots.start_limits_mut().listed_cold(now);
         }
         if returned {
--- a/core/tests/call_cold_review.rs
+++ b/core/tests/call_cold_news.rs
@@ -168,10 +168,10 @@
 fn cold_after_late_probe_response() {
     let mut gate = Gate::new();
     gate.gatekeeper = Gatekeeper::new(name("a"), at(gate.now), 2);
-    gate.list(1, false);
     let before = gate.probes;
-    gate.advance(100);
+    gate.list(1, false);
     assert_eq!(gate.probes, before + 1);
+    gate.advance(100);
     gate.list(2, true);
     gate.answer_probe(0);
     assert!(gate.is_cold());
