Notice at a gatekeeper's start that its target is down

Callers of a target that returned within a second after its gatekeeper, as after a loss of power, got nothing from it for the rest of that second.

Cause: a restarted gatekeeper holds requests until it knows that the target has started later, and no request went out that could have found the target down. A health request to an address that refuses connections told nothing.

Change: a failed health request is followed by the check that a broken connection gets. If the address refuses connections, the target counts as lost, and what an earlier process sent it no longer counts.

Evidence: cold_target_started_after_gatekeeper_served_at_once failed without it (0 requests in 200 ms after the return); it was too weak before, as it counted requests from before the crash and health requests. probe_refused (node) checks the same over sockets.

--- a/core/src/call/admit/start_limits.rs
+++ b/core/src/call/admit/start_limits.rs
@@ -181,8 +181,10 @@
         }
     }
 
-    /// Records that the target does not respond.
-    pub fn target_down(&mut self) {
+    /// Records that the target does not respond. What an earlier gatekeeper sent to its process counts
+    /// no longer.
+    pub fn target_down(&mut self, now: Time) {
+        self.log.ignore_unknown_before(now);
         if std::mem::replace(&mut self.state, Warmth::Down) != Warmth::Down {
             self.is_listed = false;
         }
@@ -192,7 +194,6 @@
     pub fn target_responded(&mut self, now: Time) {
         if self.state == Warmth::Down {
             self.set_cold(now, ColdEvidence::Response);
-            self.log.ignore_unknown_before(now);
         }
     }
 
--- a/core/src/call/gatekeeper.rs
+++ b/core/src/call/gatekeeper.rs
@@ -226,6 +226,7 @@
                 }
                 self.record_probe_statement(now, statement, out);
             }
+            Input::ProbeRefused => self.mark_target_down(now, out),
             Input::Tick => self.probe(now, out),
         }
         self.tell_witnesses(now, out);
--- a/core/src/call/gatekeeper/port.rs
+++ b/core/src/call/gatekeeper/port.rs
@@ -101,6 +101,8 @@
             cold_left: Option<Duration>,
             statement: Statement,
         },
+        /// The target's address refuses connections, also that of [`Output::Probe`].
+        ProbeRefused,
         /// Periodic timer.
         Tick,
     }
--- a/core/src/call/gatekeeper/suspects.rs
+++ b/core/src/call/gatekeeper/suspects.rs
@@ -78,7 +78,7 @@
 
     pub(super) fn mark_target_down(&mut self, now: Time, out: &mut Vec<Output>) {
         self.is_probe_current = false;
-        self.slots.start_limits_mut().target_down();
+        self.slots.start_limits_mut().target_down(now);
         if std::mem::replace(&mut self.target_up, false) {
             self.forget_statements(now, out);
             out.push(Output::Record(EventKind::TargetLost));
--- a/core/tests/call_cold.rs
+++ b/core/tests/call_cold.rs
@@ -62,7 +62,7 @@
 fn cold_after_outage() {
     let mut cold = cold_starts();
     assert!(!cold.is_cold(at(0)));
-    cold.target_down();
+    cold.target_down(at(0));
     assert!(cold.is_cold(at(60_000)));
     cold.target_responded(at(60_000));
     assert!(cold.is_cold(at(60_000 + COLD_MS - 1)));
@@ -92,7 +92,7 @@
     cold.probed(at(1_100), Duration::from_millis(700));
     assert!(cold.is_cold(at(1_849)) && !cold.is_presumed(at(1_200)));
     assert!(!cold.is_cold(at(1_850)));
-    cold.target_down();
+    cold.target_down(at(0));
     cold.probed(at(2_000), Duration::ZERO);
     assert!(cold.is_cold(at(2_000)));
 }
@@ -128,7 +128,7 @@
 #[test]
 fn cold_report_after_observed_start() {
     let mut cold = cold_starts();
-    cold.target_down();
+    cold.target_down(at(0));
     cold.target_responded(at(0));
     cold.listed_cold(at(2_000));
     assert!(!cold.is_cold(at(COLD_MS)));
@@ -141,7 +141,7 @@
 #[test]
 fn cold_entry_after_observed_start() {
     let mut cold = cold_starts();
-    cold.target_down();
+    cold.target_down(at(0));
     cold.target_responded(at(0));
     cold.process_listed(at(1_000));
     assert!(cold.needs_probe(at(1_000)));
@@ -176,7 +176,7 @@
     cold.probed(at(100), Duration::from_millis(500));
     assert_eq!(cold.take_change(at(100)), change(ColdEvidence::Health, 550));
     assert_eq!(cold.take_change(at(650)), Some(ColdChange::Warm));
-    cold.target_down();
+    cold.target_down(at(0));
     assert_eq!(cold.take_change(at(700)), None);
     cold.target_responded(at(800));
     assert_eq!(cold.take_change(at(800)), change(ColdEvidence::Response, COLD_MS));
@@ -185,7 +185,7 @@
 #[test]
 fn cold_starts_in_a_second() {
     let mut cold = cold_starts();
-    cold.target_down();
+    cold.target_down(at(0));
     cold.target_responded(at(0));
     assert_eq!(start_all(&mut cold, 0..1_000), COLD_STARTS);
     assert_eq!(start_all(&mut cold, 1_000..2_000), COLD_STARTS);
@@ -261,7 +261,7 @@
     fn crash(&mut self, now: u64) {
         self.crashes += 1;
         self.up_at = now + DOWN_MS;
-        self.slots.start_limits_mut().target_down();
+        self.slots.start_limits_mut().target_down(at(now));
         for (call, _) in std::mem::take(&mut self.running) {
             self.slots.abandon(CallKey(call));
         }
@@ -369,7 +369,7 @@
                     }
                     None
                 }
-                Step::Down => { slots.start_limits_mut().target_down(); None }
+                Step::Down => { slots.start_limits_mut().target_down(at(now)); None }
                 Step::Report => { slots.start_limits_mut().listed_cold(at(now)); None }
             };
             if let Some(call) = started {
--- a/core/tests/call_cold_lives.rs
+++ b/core/tests/call_cold_lives.rs
@@ -26,11 +26,12 @@
 fn cold_target_started_after_gatekeeper_served_at_once() {
     let mut world = World::new();
     world.crash_target();
-    world.restart_gatekeeper(300);
-    world.advance(100);
+    world.restart_gatekeeper(100);
+    world.advance(300);
+    let before = world.arrivals().len();
     world.return_target(true);
-    world.advance(500);
-    assert!(!world.arrivals().is_empty());
+    world.advance(200);
+    assert!(world.arrivals().len() > before + 9, "{}", world.arrivals().len() - before);
 }
 
 /// Guards against a hold of requests to a target that is warm.
--- a/core/tests/support/cold_world.rs
+++ b/core/tests/support/cold_world.rs
@@ -73,7 +73,8 @@
     sends_paused_until: u64,
     calls: u64,
     stages: IndexMap<CallKey, Stage>,
-    // Requests that reached a cold process, with its number, and all requests that reached any.
+    // What reached a cold process, with its number, health requests included, and the requests that
+    // reached any process.
     cold_arrivals: Vec<(u64, u64)>,
     arrivals: Vec<u64>,
     version: u64,
@@ -314,8 +315,10 @@
                 Output::Reject { call, .. } => {
                     self.stages.swap_remove(&call);
                 }
-                Output::Probe if self.up => {
+                Output::Probe if !self.up => self.input(Input::ProbeRefused),
+                Output::Probe => {
                     self.record_arrival();
+                    self.arrivals.pop();
                     self.probe_answer_at = Some(self.now + PROBE_DELAY_MS);
                 }
                 _ => {}
--- a/node/src/calls/gate/probe.rs
+++ b/node/src/calls/gate/probe.rs
@@ -17,12 +17,16 @@
 
 impl GateAdapter {
     /// Asks the target for its state. A request that fails is repeated on demand of the
-    /// state machine.
+    /// state machine, which learns if there is no target.
     pub(super) async fn probe(self: Arc<GateAdapter>) {
         let deadline = self.shared.clock.now() + PROBE_TIMEOUT;
         let probed = self.shared.with_deadline(deadline, self.request_health()).await.flatten();
-        if let Some((cold_left, statement)) = probed {
-            self.handle_input(Input::Probed { cold_left, statement });
+        match probed {
+            Some((cold_left, statement)) => {
+                self.handle_input(Input::Probed { cold_left, statement });
+            }
+            None if self.target_gone().await => self.handle_input(Input::ProbeRefused),
+            None => {}
         }
     }
 
--- a/node/tests/calls_cold.rs
+++ b/node/tests/calls_cold.rs
@@ -3,6 +3,7 @@
 #[path = "support/calls.rs"]
 mod support;
 
+use std::net::TcpListener;
 use support::*;
 use sycamore_core::event::{ColdEvidence, EventKind};
 
@@ -52,3 +53,16 @@
     assert_eq!(node.shared.metrics.target_cold.get(), 1);
     assert_eq!(node.shared.metrics.cold_starts.get(), 1);
 }
+
+/// Guards against a node that holds requests to a target which is not there: it starts later than the
+/// node, and an earlier process of the node has sent it nothing.
+#[test]
+fn probe_refused() {
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let node = Node::new("a", Some(closed));
+    let limits = r#"{"cold_ms":60000,"cold_starts":2,"health_path":"/health"}"#;
+    node.configure(1, &preset(limits, &[("a", node.gate)]));
+    eventually("the target counts as lost", || {
+        node.shared.events().0.iter().any(|event| event.kind == EventKind::TargetLost)
+    });
+}
