--- a/core/tests/call_cold_news.rs
+++ b/core/tests/call_cold_news.rs
@@ -7,7 +7,10 @@
 use support::name;
 use sycamore_core::Time;
 use sycamore_core::call::gatekeeper::{Arrival, Input, Output, RunEnd, TICK};
-use sycamore_core::call::{CallKey, Fingerprint, Gatekeeper, RateLimit, StatedLimit, Statement};
+use sycamore_core::call::{
+    CallKey, Fingerprint, Gatekeeper, RateLimit, StatedLimit, Statement, Terms,
+};
+use sycamore_core::config::{AtMostOnceMode, Class};
 
 const START: Time = Time(1_700_000_000_000_000);
 const COLD_MS: u64 = 3_000;
@@ -90,12 +93,31 @@
     }
 
     fn arrive(&mut self) {
+        self.arrive_on(None);
+    }
+
+    /// A request as an entry node sends it.
+    fn arrive_with_terms(&mut self) {
+        self.arrive_on(Some(Terms {
+            service: name("s"),
+            idempotent: true,
+            once: AtMostOnceMode::Attempt,
+            class: Class::Interactive,
+            rank: 0,
+            objective: at(self.now + 800),
+            may_exceed_objective: true,
+            repeat: false,
+            regions: Vec::new(),
+        }));
+    }
+
+    fn arrive_on(&mut self, terms: Option<Terms>) {
         self.calls += 1;
         let arrival = Arrival {
             call: CallKey(self.calls),
             host: "",
             path: "/r",
-            terms: None,
+            terms,
             key: None,
             digest: None,
             fingerprint: Fingerprint(self.calls),
@@ -210,3 +232,55 @@
     let asked = gate.probes > before;
     assert!(!gate.is_cold() || asked, "cold, and not asked");
 }
+
+/// Guards against a gatekeeper that sends a cold target as much as a warm one while it has no version.
+#[test]
+fn cold_rate_before_late_first_version() {
+    let mut gate = Gate::new();
+    let address = "127.0.0.1:1".parse().unwrap();
+    gate.gatekeeper =
+        Gatekeeper::new(name("a"), at(gate.now), 2).with_discovered_target(address, name("s"));
+    let mut sent = 0;
+    for _ in 0..20 {
+        gate.advance(50);
+        (0..6).for_each(|_| gate.arrive_with_terms());
+        let started: Vec<CallKey> = gate.granted.drain(..).collect();
+        sent += started.len();
+        started.into_iter().for_each(|call| gate.end(call, RunEnd::Answered { cached: None }));
+    }
+    assert!(sent <= COLD_STARTS, "{sent}");
+}
+
+/// Guards against a limit on a warm target that has reset one connection and isn't asked.
+#[test]
+fn warm_target_after_failed_connection() {
+    let mut gate = Gate::new();
+    gate.arrive();
+    let call = gate.granted.pop().unwrap();
+    gate.end(call, RunEnd::NotSent);
+    gate.advance(10);
+    gate.arrive();
+    let call = gate.granted.pop().unwrap();
+    gate.end(call, RunEnd::Answered { cached: None });
+    let before = gate.probes;
+    gate.advance(2 * TICK.as_millis() as u64);
+    let asked = gate.probes > before;
+    assert!(!gate.is_cold() || asked, "cold, and not asked");
+}
+
+/// Guards against a target that becomes cold again while it is cold, and counts as warm by the clock
+/// of the first time although its entry says that it is cold.
+#[test]
+fn cold_again_while_cold() {
+    let mut gate = Gate::new();
+    gate.list(2, true);
+    let before = gate.probes;
+    gate.advance(2_000);
+    // Cold again for the whole time; the entry still says so at its next change.
+    gate.list(2, true);
+    gate.advance(COLD_MS - 2_000 + 10);
+    gate.list(2, true);
+    gate.advance(200);
+    let asked = gate.probes > before;
+    assert!(gate.is_cold() || asked, "warm, and not asked");
+}
