Ask a target for its state after each outage

Callers got from a warm target no more than from a cold one for the whole cold time, because one connection to it had failed; and a cold target could get more than it tolerates when a response of the process that had crashed, still in a buffer, passed for the first one of the next process.

Cause: after an outage the first response begins the cold time, whatever process sent it.

Change: the target is asked then. Its health response says whether and since when it is cold.

Evidence: warm_target_after_failed_connection failed before ('cold, and not asked'). Costs one health request an outage.

--- a/core/src/call/admit/start_limits.rs
+++ b/core/src/call/admit/start_limits.rs
@@ -190,10 +190,12 @@
         }
     }
 
-    /// Records a response of the target.
+    /// Records a response of the target. After an outage the target is asked: it may not have
+    /// restarted, or the response may be an earlier process's.
     pub fn target_responded(&mut self, now: Time) {
         if self.state == Warmth::Down {
             self.set_cold(now, ColdEvidence::Response);
+            self.is_uncertain = true;
         }
     }
 
--- a/core/src/call/admit/start_log.rs
+++ b/core/src/call/admit/start_log.rs
@@ -61,7 +61,7 @@
         self.known_since = Some(now);
     }
 
-    /// Records that starts before this time don't count, whether they are known or not.
+    /// Records that the unknown starts before this time don't count.
     pub fn ignore_unknown_before(&mut self, time: Time) {
         self.known_since = self.known_since.filter(|since| *since > time);
     }
