--- a/core/tests/call_cold_news.rs
+++ b/core/tests/call_cold_news.rs
@@ -7,9 +7,7 @@
 use support::name;
 use sycamore_core::Time;
 use sycamore_core::call::gatekeeper::{Arrival, Input, Output, RunEnd, TICK};
-use sycamore_core::call::{
-    CallKey, Fingerprint, Gatekeeper, RateLimit, StatedLimit, Statement, Terms,
-};
+use sycamore_core::call::{CallKey, Gatekeeper, RateLimit, StatedLimit, Statement, Terms};
 use sycamore_core::config::{AtMostOnceMode, Class};
 
 const START: Time = Time(1_700_000_000_000_000);
@@ -113,20 +111,8 @@
 
     fn arrive_on(&mut self, terms: Option<Terms>) {
         self.calls += 1;
-        let arrival = Arrival {
-            call: CallKey(self.calls),
-            host: "",
-            path: "/r",
-            terms,
-            key: None,
-            digest: None,
-            fingerprint: Fingerprint(self.calls),
-            crashes: 0,
-            depth: 0,
-            deadline: at(self.now + 1_500),
-            run_by: None,
-            known_limit: None,
-        };
+        let plain = support::arrival(CallKey(self.calls), "/r", at(self.now + 1_500));
+        let arrival = Arrival { terms, ..plain };
         self.input(Input::Arrive(arrival));
     }
 
--- a/core/tests/call_leaving_restart.rs
+++ b/core/tests/call_leaving_restart.rs
@@ -7,9 +7,9 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use support::name;
-use sycamore_core::call::gatekeeper::{Arrival, Gatekeeper, Input, Output};
+use sycamore_core::call::gatekeeper::{Gatekeeper, Input, Output};
 use sycamore_core::call::note::OutgoingNote;
-use sycamore_core::call::{CallKey, Fingerprint, Outcome, Statement};
+use sycamore_core::call::{CallKey, Outcome, Statement};
 use sycamore_core::config::Snapshot;
 use sycamore_core::{Code, Name, Time};
 
@@ -104,20 +104,7 @@
     fn arrive(&mut self, vm: &str) -> CallKey {
         self.calls += 1;
         let call = CallKey(self.calls);
-        let arrival = Arrival {
-            call,
-            host: "",
-            path: "/r",
-            terms: None,
-            key: None,
-            digest: None,
-            fingerprint: Fingerprint(self.calls),
-            crashes: 0,
-            depth: 0,
-            deadline: Time((self.now_ms + 3_000) * 1_000),
-            run_by: None,
-            known_limit: None,
-        };
+        let arrival = support::arrival(call, "/r", Time((self.now_ms + 3_000) * 1_000));
         self.input(vm, Input::Arrive(arrival));
         call
     }
--- a/core/tests/call_quarantine_restart.rs
+++ b/core/tests/call_quarantine_restart.rs
@@ -112,20 +112,8 @@
     fn arrive(&mut self, vm: &str, fingerprint: Fingerprint) -> CallKey {
         self.calls += 1;
         let call = CallKey(self.calls);
-        let arrival = Arrival {
-            call,
-            host: "",
-            path: "/r",
-            terms: None,
-            key: None,
-            digest: None,
-            fingerprint,
-            crashes: 0,
-            depth: 0,
-            deadline: self.now + Duration::from_secs(3),
-            run_by: None,
-            known_limit: None,
-        };
+        let plain = support::arrival(call, "/r", self.now + Duration::from_secs(3));
+        let arrival = Arrival { fingerprint, ..plain };
         self.input(vm, Input::Arrive(arrival));
         call
     }
--- a/core/tests/support/cold_world.rs
+++ b/core/tests/support/cold_world.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use sycamore_core::Time;
-use sycamore_core::call::gatekeeper::{Arrival, Input, Output, RunEnd, TICK};
-use sycamore_core::call::{CallKey, Fingerprint, Gatekeeper, Statement};
+use sycamore_core::call::gatekeeper::{Input, Output, RunEnd, TICK};
+use sycamore_core::call::{CallKey, Gatekeeper, Statement};
 use sycamore_core::config::Snapshot;
 
 const START: Time = Time(1_700_000_000_000_000);
@@ -287,20 +287,7 @@
     fn arrive(&mut self) {
         self.calls += 1;
         let call = CallKey(self.calls);
-        let arrival = Arrival {
-            call,
-            host: "",
-            path: "/r",
-            terms: None,
-            key: None,
-            digest: None,
-            fingerprint: Fingerprint(self.calls),
-            crashes: 0,
-            depth: 0,
-            deadline: at(self.now + TIMEOUT_MS),
-            run_by: None,
-            known_limit: None,
-        };
+        let arrival = support::arrival(call, "/r", at(self.now + TIMEOUT_MS));
         self.input(Input::Arrive(arrival));
     }
 
--- a/core/tests/support/snapshot.rs
+++ b/core/tests/support/snapshot.rs
@@ -1,12 +1,14 @@
-//! Snapshot fixtures for tests of the call path.
+//! Snapshots and arrivals for tests of the call path.
 
 // Not every test that includes this module uses all of it.
 #![allow(dead_code)]
 
 use std::sync::Arc;
-use sycamore_core::Name;
+use sycamore_core::call::gatekeeper::Arrival;
+use sycamore_core::call::{CallKey, Fingerprint};
 use sycamore_core::config::{InForce, Preset, Snapshot};
 use sycamore_core::hash::Hash;
+use sycamore_core::{Name, Time};
 
 pub fn name(text: &str) -> Name {
     Name::new(text.to_owned()).unwrap()
@@ -44,3 +46,21 @@
         routes,
     )
 }
+
+/// A request from a caller of the gatekeeper's own VM, without a fingerprint in common with others.
+pub fn arrival(call: CallKey, path: &'static str, deadline: Time) -> Arrival<'static> {
+    Arrival {
+        call,
+        host: "",
+        path,
+        terms: None,
+        key: None,
+        digest: None,
+        fingerprint: Fingerprint(call.0),
+        crashes: 0,
+        depth: 0,
+        deadline,
+        run_by: None,
+        known_limit: None,
+    }
+}
