--- a/node/src/calls/gate/state.rs
+++ b/node/src/calls/gate/state.rs
@@ -70,8 +70,8 @@
         target
     }
 
-    /// Sends decisions made at `now` to the waiting calls. Returns the decision for `own` and the outputs that do
-    /// not belong to a call.
+    /// Sends decisions made at `now` to the waiting calls. Returns the decision for `own` and the
+    /// outputs that do not belong to a call.
     pub(super) fn dispatch(
         &mut self,
         now: Time,
