--- a/core/src/discovery/port.rs
+++ b/core/src/discovery/port.rs
@@ -103,7 +103,8 @@
             /// Revision from which on changes are returned.
             revision: u64,
         },
-        /// Read the current document and the evacuated zones.
+        /// Read the current document and the evacuated zones. The reply is complete: its changes replace
+        /// the evacuated zones that are known.
         Document,
         /// Wait for changes.
         Watch {
