Take back the answers of witnesses about quarantined requests

Cause: each starting gatekeeper got the crashes of all quarantined requests from three witnesses, a note for each crash, without a bound. The log of one zone has 62 to 310 quarantined events a second from 20 to 26 s, 4 to 28 before, and processes that don't run for 5 s.

--- a/core/src/call/gatekeeper/homes.rs
+++ b/core/src/call/gatekeeper/homes.rs
@@ -69,7 +69,7 @@
                 self.suspects.clear(*fingerprint);
             }
             Note::TargetLeaving(listed) => self.witness_leaving(listed),
-            Note::AskTargetLeaving(listed) => self.answer_question(now, listed, out),
+            Note::AskTargetLeaving(listed) => self.answer_question(listed, out),
             Note::KnownTargetLeaving { leaving } => self.record_answer(now, *leaving, out),
         }
     }
--- a/core/src/call/gatekeeper/leaving.rs
+++ b/core/src/call/gatekeeper/leaving.rs
@@ -1,12 +1,9 @@
-//! Remembers across restarts that a target is leaving, and which requests are quarantined.
+//! Remembers across restarts that a target is leaving.
 //!
 //! A target that is leaving gets no new work, but a restarted gatekeeper does not know that it is.
 //! Entry nodes that know send nothing, so that only the callers on its own VM would be misdirected.
 //! Each gatekeeper of a leaving target therefore tells a few gatekeepers of its service, its
 //! witnesses, and asks them after its start before the target gets a request.
-//!
-//! Reports of crashes are sent once, so that a gatekeeper that starts later lacks them. Witnesses
-//! therefore answer with the crashes of quarantined requests, too.
 
 use super::{Gatekeeper, Output};
 use crate::call::TargetProcess;
@@ -94,14 +91,9 @@
         self.leaving.witness(listed);
     }
 
-    /// Answers a gatekeeper that has started. Its requests are held until the last note arrives.
-    pub(super) fn answer_question(&self, now: Time, listed: &ListedProcess, out: &mut Vec<Output>) {
-        let quarantined = self.suspects.quarantined(now).into_iter();
-        let suspects =
-            quarantined.map(|(crash, fingerprints)| Note::Suspect { crash, fingerprints });
-        let leaving = Note::KnownTargetLeaving { leaving: self.leaving.knows(listed) };
-        let to_output = |note: Note| Output::Send(OutgoingNote { to: listed.vm.clone(), note });
-        out.extend(suspects.chain([leaving]).map(to_output));
+    pub(super) fn answer_question(&self, listed: &ListedProcess, out: &mut Vec<Output>) {
+        let note = Note::KnownTargetLeaving { leaving: self.leaving.knows(listed) };
+        out.push(Output::Send(OutgoingNote { to: listed.vm.clone(), note }));
     }
 
     /// Handles the response of a witness. Requests are held until one knows that the target is
--- a/core/src/call/note.rs
+++ b/core/src/call/note.rs
@@ -99,8 +99,7 @@
         /// The sender's target states that it is leaving. Kept for the sender, whose process may
         /// restart.
         TargetLeaving(Box<ListedProcess>),
-        /// The sender has started and asks whether its target has stated that it is leaving. It also
-        /// gets the crashes of quarantined requests, see [`Note::Suspect`].
+        /// The sender has started and asks whether its target has stated that it is leaving.
         AskTargetLeaving(Box<ListedProcess>),
         /// The response to [`Note::AskTargetLeaving`].
         KnownTargetLeaving {
--- a/core/src/call/quarantine.rs
+++ b/core/src/call/quarantine.rs
@@ -129,20 +129,6 @@
         valid.map_or(0, |suspect| suspect.crashes.len())
     }
 
-    /// The quarantined requests, by the crashes that are counted against them.
-    pub fn quarantined(&self, now: Time) -> IndexMap<u64, Vec<Fingerprint>> {
-        let mut by_crash: IndexMap<u64, Vec<Fingerprint>> = IndexMap::new();
-        for (fingerprint, suspect) in &self.entries {
-            if self.crashes(now, *fingerprint) < MAX_CRASHES {
-                continue;
-            }
-            for crash in &suspect.crashes {
-                by_crash.entry(*crash).or_default().push(*fingerprint);
-            }
-        }
-        by_crash
-    }
-
     pub fn len(&self) -> usize {
         self.entries.len()
     }
